--- /dev/null
+++ b/include/harecrank/core/attempt_policy.h
@@ -0,0 +1,80 @@
+// Whether a request whose attempt came to nothing is tried again.
+
+#ifndef HARECRANK_CORE_ATTEMPT_POLICY_H_
+#define HARECRANK_CORE_ATTEMPT_POLICY_H_
+
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "harecrank/core/clock.h"
+#include "harecrank/core/outcome.h"
+#include "harecrank/core/retry_budget.h"
+
+namespace harecrank {
+
+// How an attempt ended without a whole answer.
+struct AttemptRefused {
+  std::string code;
+  std::string message;
+  std::optional<Millis> retry_after;
+};
+struct AttemptFailed {
+  std::string code;
+  std::string message;
+};
+struct AttemptLost {
+  std::string reason;
+};
+struct AttemptOutOfTime {};
+struct CallerLeft {};
+using AttemptEnd = std::variant<AttemptRefused, AttemptFailed, AttemptLost,
+                                AttemptOutOfTime, CallerLeft>;
+
+// What to do next.
+struct TryElsewhere {};
+struct GiveUp {
+  Refusal refusal;
+};
+using AttemptStep = std::variant<TryElsewhere, GiveUp>;
+
+// What may be done with a request besides its first attempt.
+enum class Repeat {
+  // Any endpoint may run it again.
+  kAllowed,
+  // It may go to another endpoint only while it is certain not to have run.
+  kOnlyIfNotRun,
+  // It has one place where it may run.
+  kNever,
+};
+
+// Keeps the tries of one request. Not thread-safe.
+class AttemptPolicy {
+ public:
+  // `budget` is shared by all requests and must outlive this.
+  AttemptPolicy(Repeat repeat, TimePoint deadline, MonotonicClock clock,
+                RetryBudget* budget);
+
+  // Returns what follows an attempt that ended in `end`, given what is known
+  // of it.
+  AttemptStep Next(const AttemptEnd& end, const AttemptEvidence& evidence);
+
+  int Attempts() const { return attempts_; }
+
+  static constexpr int kMostAttempts = 4;
+
+ private:
+  bool MayTryAgain(Outcome outcome) const;
+
+  Repeat repeat_;
+  TimePoint deadline_;
+  MonotonicClock clock_;
+  RetryBudget* budget_;
+  int attempts_ = 1;
+  // The weakest claim of all attempts so far.
+  Outcome overall_ = Outcome::kNotRun;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_CORE_ATTEMPT_POLICY_H_
--- /dev/null
+++ b/include/harecrank/core/change_planner.h
@@ -0,0 +1,46 @@
+// Plans a change of configuration: nothing is written, the operator publishes.
+
+#ifndef HARECRANK_CORE_CHANGE_PLANNER_H_
+#define HARECRANK_CORE_CHANGE_PLANNER_H_
+
+#include <boost/leaf.hpp>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "harecrank/core/configuration.h"
+
+namespace harecrank {
+
+// Why a change cannot be planned.
+struct BaseHasMoved {
+  Revision asked;
+  Revision in_force;
+};
+struct NothingToChange {};
+struct UnknownObject {
+  std::string kind;
+  std::string id;
+};
+struct RefusedPlan {
+  std::vector<ConfigProblem> problems;
+};
+using PlanError =
+    std::variant<BaseHasMoved, NothingToChange, UnknownObject, RefusedPlan>;
+
+// Returns one sentence for a person.
+std::string Describe(const PlanError& error);
+
+// Returns the values to publish so that `request` comes into force on top of
+// `base`, with `recent` as the changes already published. `base` may be null
+// only for a request that replaces the whole document.
+boost::leaf::result<v1::PlanResponse> PlanChange(
+    const Configuration* base, const v1::ChangeLog& recent,
+    const v1::PlanRequest& request);
+
+// How many changes are published beside the document.
+constexpr int kPublishedChanges = 8;
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_CORE_CHANGE_PLANNER_H_
--- /dev/null
+++ b/include/harecrank/core/config_ledger.h
@@ -0,0 +1,111 @@
+// Which configuration is in force on this process. It never goes back.
+
+#ifndef HARECRANK_CORE_CONFIG_LEDGER_H_
+#define HARECRANK_CORE_CONFIG_LEDGER_H_
+
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "harecrank/core/configuration.h"
+#include "harecrank/core/rcu_cell.h"
+#include "harecrank/core/strong_types.h"
+
+namespace harecrank {
+
+// Where a configuration came from.
+enum class ConfigSource { kNone, kService, kPeer };
+
+// Returns "none", "service" or "peer".
+const char* ConfigSourceName(ConfigSource source);
+
+// What became of an offered configuration.
+enum class Offer {
+  // It is in force now.
+  kAdopted,
+  // It is the one in force already.
+  kSame,
+  // It is older than the one in force. Never adopted.
+  kOlder,
+  // It has the revision in force but another content. Refused and reported.
+  kConflict,
+  // It has a fault. Refused whole.
+  kInvalid,
+  // It is a change whose base is not in force here: the whole is needed.
+  kGap,
+};
+
+// Returns a word for logs and counters.
+const char* OfferName(Offer offer);
+
+// What the ledger reports of itself.
+struct LedgerState {
+  Revision revision;
+  Digest digest;
+  ConfigSource source = ConfigSource::kNone;
+  std::uint64_t adopted = 0;
+  std::uint64_t older = 0;
+  std::uint64_t conflicts = 0;
+  std::uint64_t invalid = 0;
+  std::uint64_t gaps = 0;
+  // The latest fault in words, or empty.
+  std::string last_fault;
+};
+
+// Holds the highest valid revision that this process has ever seen.
+//
+// Thread-safe. Reading is wait-free; offers are serialised.
+class ConfigLedger {
+ public:
+  ConfigLedger();
+
+  // Offers a whole document.
+  Offer OfferDocument(const std::string& document_json, ConfigSource source);
+
+  // Offers one change.
+  Offer OfferChange(const v1::Change& change, ConfigSource source);
+
+  // Returns the configuration in force, or null before the first.
+  std::shared_ptr<const Configuration> InForce() const;
+
+  // Returns the changes that lead from `have` to the revision in force, or
+  // nothing if some are not remembered. Empty if `have` is in force.
+  std::optional<v1::ChangeLog> ChangesSince(const Digest& have) const;
+
+  // Returns the changes that are remembered, oldest first.
+  v1::ChangeLog RecentChanges() const;
+
+  // Returns the change that led to the revision in force, if it came as one.
+  std::optional<v1::Change> LatestChange() const;
+
+  LedgerState State() const;
+
+  // How many changes are remembered for peers that lag a little.
+  static constexpr std::size_t kRememberedChanges = 64;
+
+ private:
+  struct Current {
+    std::shared_ptr<const Configuration> configuration;
+    ConfigSource source = ConfigSource::kNone;
+  };
+
+  // These two expect the mutex to be held.
+  Offer Judge(Revision revision, const Digest& digest);
+  Offer Count(Offer offer);
+  void Adopt(std::shared_ptr<const Configuration> next, ConfigSource source);
+
+  mutable std::mutex mutex_;
+  RcuCell<Current> current_;
+  std::deque<v1::Change> changes_;
+  // Digests of documents refused for a fault, so that each peer that repeats
+  // one does not cost another check.
+  std::set<std::string> refused_;
+  LedgerState state_;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_CORE_CONFIG_LEDGER_H_
--- /dev/null
+++ b/src/adapters/http.cc
@@ -0,0 +1,234 @@
+#include "src/adapters/http.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/URI.h>
+
+#include <array>
+#include <utility>
+
+namespace harecrank {
+namespace {
+
+namespace leaf = boost::leaf;
+using Poco::Net::HTTPClientSession;
+using Poco::Net::HTTPMessage;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+constexpr int kBacklog = 512;
+constexpr std::size_t kReadPiece = 16384;
+constexpr int kKeepAliveSeconds = 5;
+constexpr std::int64_t kMicrosPerMilli = 1000;
+constexpr int kSpareThreads = 2;
+
+struct Describer {
+  std::string operator()(const Unreachable& error) const {
+    return "no connection: " + error.reason;
+  }
+  std::string operator()(const NoAnswer& error) const {
+    return "no answer: " + error.reason;
+  }
+  std::string operator()(const AnswerTooLarge& error) const {
+    return "the answer is larger than " + std::to_string(error.limit) +
+           " bytes";
+  }
+};
+
+Poco::Timespan ToTimespan(Millis time) {
+  return {
+      static_cast<Poco::Timespan::TimeDiff>(time.count() * kMicrosPerMilli)};
+}
+
+// Reads all of `from` into `to`. Returns false past `limit` bytes.
+bool ReadAll(std::istream& from, std::size_t limit, std::string* to) {
+  std::array<char, kReadPiece> piece{};
+  while (from.good()) {
+    from.read(piece.data(), piece.size());
+    const auto got = static_cast<std::size_t>(from.gcount());
+    if (to->size() + got > limit) {
+      return false;
+    }
+    to->append(piece.data(), got);
+  }
+  return true;
+}
+
+void SendRequest(HTTPClientSession& session, const HttpCall& call) {
+  HTTPRequest request(call.method, call.path, HTTPMessage::HTTP_1_1);
+  for (const HttpField& field : call.fields) {
+    request.set(field.name, field.value);
+  }
+  if (!call.body.empty() || call.method == HTTPRequest::HTTP_POST) {
+    request.setContentType(call.content_type);
+    request.setContentLength64(static_cast<Poco::Int64>(call.body.size()));
+  }
+  session.sendRequest(request) << call.body << std::flush;
+}
+
+// Runs `exchange` on a connected session, and tells a failure to connect from
+// a failure after something was sent.
+leaf::result<void> WithSession(
+    const HttpCall& call,
+    const std::function<leaf::result<void>(HTTPClientSession&)>& exchange) {
+  Poco::Net::StreamSocket socket;
+  try {
+    socket.connect(Poco::Net::SocketAddress(call.address),
+                   ToTimespan(call.timeout));
+    socket.setNoDelay(true);
+  } catch (const Poco::Exception& error) {
+    return leaf::new_error(HttpError{Unreachable{error.displayText()}});
+  }
+  try {
+    HTTPClientSession session(socket);
+    session.setTimeout(ToTimespan(call.timeout));
+    return exchange(session);
+  } catch (const Poco::Exception& error) {
+    return leaf::new_error(HttpError{NoAnswer{error.displayText()}});
+  }
+}
+
+class FunctionHandler : public Poco::Net::HTTPRequestHandler {
+ public:
+  explicit FunctionHandler(const HttpHandler& handler) : handler_(handler) {}
+
+  void handleRequest(Poco::Net::HTTPServerRequest& request,
+                     Poco::Net::HTTPServerResponse& response) override {
+    // A token that waits for the next one to fill a segment is late.
+    auto& implementation =
+        static_cast<Poco::Net::HTTPServerRequestImpl&>(request);
+    implementation.socket().setNoDelay(true);
+    try {
+      handler_(request, response);
+    } catch (const Poco::Exception&) {
+      // The other side left; there is nobody to tell.
+      response.setKeepAlive(false);
+    }
+  }
+
+ private:
+  const HttpHandler& handler_;
+};
+
+class FunctionHandlerFactory : public Poco::Net::HTTPRequestHandlerFactory {
+ public:
+  explicit FunctionHandlerFactory(HttpHandler handler)
+      : handler_(std::move(handler)) {}
+
+  Poco::Net::HTTPRequestHandler* createRequestHandler(
+      const Poco::Net::HTTPServerRequest&) override {
+    return new FunctionHandler(handler_);
+  }
+
+ private:
+  HttpHandler handler_;
+};
+
+}  // namespace
+
+std::string Describe(const HttpError& error) {
+  return std::visit(Describer{}, error);
+}
+
+leaf::result<HttpAnswer> CallHttp(const HttpCall& call,
+                                  std::size_t most_bytes) {
+  HttpAnswer answer;
+  const auto exchange = [&](HTTPClientSession& session) -> leaf::result<void> {
+    SendRequest(session, call);
+    HTTPResponse response;
+    std::istream& body = session.receiveResponse(response);
+    answer.status = response.getStatus();
+    answer.content_type = response.getContentType();
+    answer.retry_after = response.get("Retry-After", "");
+    if (!ReadAll(body, most_bytes, &answer.body)) {
+      return leaf::new_error(HttpError{AnswerTooLarge{most_bytes}});
+    }
+    // POCO ends a body that was cut as it ends a whole one.
+    if (response.hasContentLength() &&
+        static_cast<Poco::Int64>(answer.body.size()) <
+            response.getContentLength64()) {
+      return leaf::new_error(HttpError{NoAnswer{"the answer was cut"}});
+    }
+    return {};
+  };
+  BOOST_LEAF_CHECK(WithSession(call, exchange));
+  return answer;
+}
+
+leaf::result<void> StreamHttp(
+    const HttpCall& call,
+    const std::function<void(int status, std::istream& body)>& read) {
+  return WithSession(call,
+                     [&](HTTPClientSession& session) -> leaf::result<void> {
+                       SendRequest(session, call);
+                       HTTPResponse response;
+                       std::istream& body = session.receiveResponse(response);
+                       read(response.getStatus(), body);
+                       return {};
+                     });
+}
+
+HttpServer::HttpServer(const HttpServerOptions& options, HttpHandler handler)
+    : pool_(kSpareThreads, options.threads + kSpareThreads) {
+  auto* params = new Poco::Net::HTTPServerParams;
+  params->setMaxThreads(options.threads);
+  params->setMaxQueued(options.queued);
+  params->setKeepAlive(true);
+  params->setKeepAliveTimeout(Poco::Timespan(kKeepAliveSeconds, 0));
+  const Poco::Net::SocketAddress address(options.address);
+  Poco::Net::ServerSocket socket;
+  socket.bind(address, true, false);
+  socket.listen(kBacklog);
+  server_ = std::make_unique<Poco::Net::HTTPServer>(
+      new FunctionHandlerFactory(std::move(handler)), pool_, socket, params);
+  server_->start();
+}
+
+HttpServer::~HttpServer() { Stop(); }
+
+void HttpServer::StopListening() { server_->stop(); }
+
+void HttpServer::Stop() {
+  server_->stopAll(true);
+  pool_.stopAll();
+}
+
+void Answer(Poco::Net::HTTPServerResponse& response, int status,
+            const std::string& body, const std::string& content_type) {
+  response.setStatus(static_cast<HTTPResponse::HTTPStatus>(status));
+  response.setReason(HTTPResponse::getReasonForStatus(response.getStatus()));
+  response.setContentType(content_type);
+  response.sendBuffer(body.data(), body.size());
+}
+
+bool ReadBody(Poco::Net::HTTPServerRequest& request, std::size_t limit,
+              std::string* body) {
+  if (request.hasContentLength() &&
+      request.getContentLength64() > static_cast<Poco::Int64>(limit)) {
+    return false;
+  }
+  return ReadAll(request.stream(), limit, body);
+}
+
+std::string QueryValue(const std::string& uri, const std::string& name,
+                       const std::string& otherwise) {
+  for (const auto& [key, value] : Poco::URI(uri).getQueryParameters()) {
+    if (key == name) {
+      return value;
+    }
+  }
+  return otherwise;
+}
+
+std::string PathOf(const std::string& uri) {
+  return uri.substr(0, uri.find('?'));
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/adapters/link_client.h
@@ -0,0 +1,53 @@
+// The entry host's end of the links to sidecars.
+
+#ifndef HARECRANK_SRC_ADAPTERS_LINK_CLIENT_H_
+#define HARECRANK_SRC_ADAPTERS_LINK_CLIENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "src/adapters/wire.h"
+
+namespace harecrank {
+
+// Names one connection that this process opened. Never reused.
+using DialId = StrongNumber<struct DialTag, std::uint64_t>;
+
+// Opens links and carries messages on them. Sending is thread-safe; the
+// handlers are called on the client's own thread and must not wait.
+class LinkClient {
+ public:
+  struct Handlers {
+    std::function<void(DialId)> on_open;
+    std::function<void(DialId, wire::Message)> on_message;
+    // The link was lost, or could not be opened. Called once per Dial.
+    std::function<void(DialId)> on_close;
+  };
+
+  explicit LinkClient(Handlers handlers);
+  ~LinkClient();
+  LinkClient(const LinkClient&) = delete;
+  LinkClient& operator=(const LinkClient&) = delete;
+
+  // Begins to open a link to `address`, an IP number and port.
+  DialId Dial(const std::string& address);
+
+  // Sends a message. Returns false if the link is not open.
+  bool Send(DialId dial, const wire::Message& message);
+
+  // Cuts a link.
+  void Close(DialId dial);
+
+  // Cuts all links and ends the client's thread. No handler is called after.
+  void Stop();
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_ADAPTERS_LINK_CLIENT_H_
--- /dev/null
+++ b/src/adapters/settings.cc
@@ -0,0 +1,225 @@
+#include "src/adapters/settings.h"
+
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+namespace harecrank {
+namespace {
+
+namespace leaf = boost::leaf;
+using nlohmann::json;
+
+constexpr std::int64_t kMostMillis = 24LL * 3600 * 1000;
+constexpr std::int64_t kMostThreads = 4096;
+constexpr std::int64_t kMostQueue = 1000000;
+constexpr std::int64_t kMostBytes = 64LL << 20;
+
+struct Describer {
+  std::string operator()(const UnreadableSettings& error) const {
+    return "the settings cannot be read: " + error.reason;
+  }
+  std::string operator()(const InvalidSettings& error) const {
+    std::string text = "the settings are refused:";
+    for (const ConfigProblem& problem : error.problems) {
+      text += "\n  " + Describe(problem);
+    }
+    return text;
+  }
+};
+
+enum class Need { kRequired, kOptional };
+
+// Takes values out of a JSON object and notes every fault on the way.
+class SettingsReader {
+ public:
+  explicit SettingsReader(const json& object) : object_(object) {}
+
+  void Text(const char* key, Need need, std::string* value) {
+    if (const json* found = Find(key, need, "a string")) {
+      if (!found->is_string()) {
+        Add(key, found->dump(), "a string");
+        return;
+      }
+      found->get_to(*value);
+    }
+  }
+
+  void Id(const char* key, std::string* value) {
+    Text(key, Need::kRequired, value);
+    if (object_.contains(key) && !IsObjectId(*value)) {
+      Add(key, "'" + *value + "'", "1 to 64 letters, digits, '-' and '_'");
+    }
+  }
+
+  void Address(const char* key, Need need, std::string* value) {
+    Text(key, need, value);
+    if (!value->empty() && !IsIpAddressAndPort(*value)) {
+      Add(key, "'" + *value + "'", "an IP number and port, as 10.0.0.1:8080");
+    }
+  }
+
+  template <typename Number>
+  void Count(const char* key, std::int64_t least, std::int64_t most,
+             Number* value) {
+    const std::string allowed = "a whole number from " + std::to_string(least) +
+                                " to " + std::to_string(most);
+    const json* found = Find(key, Need::kOptional, allowed);
+    if (found == nullptr) {
+      return;
+    }
+    if (!found->is_number_integer() || found->get<std::int64_t>() < least ||
+        found->get<std::int64_t>() > most) {
+      Add(key, found->dump(), allowed);
+      return;
+    }
+    *value = static_cast<Number>(found->get<std::int64_t>());
+  }
+
+  // The unit is part of the key: "..._ms".
+  void Duration(const char* key, Millis* value) {
+    std::int64_t count = value->count();
+    Count(key, 1, kMostMillis, &count);
+    *value = Millis(count);
+  }
+
+  void OneOf(const char* key, const std::vector<std::string>& words,
+             std::string* value) {
+    Text(key, Need::kOptional, value);
+    std::string allowed;
+    for (const std::string& word : words) {
+      if (word == *value) {
+        return;
+      }
+      allowed += (allowed.empty() ? "'" : ", '") + word + "'";
+    }
+    Add(key, "'" + *value + "'", allowed);
+  }
+
+  void Texts(const char* key, std::vector<std::string>* values) {
+    const json* found = Find(key, Need::kOptional, "a list of strings");
+    if (found == nullptr) {
+      return;
+    }
+    for (const json& item : *found) {
+      if (!item.is_string()) {
+        Add(key, item.dump(), "a list of strings");
+        return;
+      }
+      values->push_back(item.get<std::string>());
+    }
+  }
+
+  // Notes every key that nothing asked for, and returns all faults.
+  std::vector<ConfigProblem> Finish() {
+    for (const auto& item : object_.items()) {
+      if (known_.count(item.key()) == 0) {
+        std::string allowed;
+        for (const std::string& key : known_) {
+          allowed += (allowed.empty() ? "" : ", ") + key;
+        }
+        Add(item.key(), "an unknown key", allowed);
+      }
+    }
+    return std::move(problems_);
+  }
+
+ private:
+  const json* Find(const char* key, Need need, const std::string& allowed) {
+    known_.insert(key);
+    const auto found = object_.find(key);
+    if (found != object_.end()) {
+      return &*found;
+    }
+    if (need == Need::kRequired) {
+      Add(key, "nothing", allowed);
+    }
+    return nullptr;
+  }
+
+  void Add(const std::string& path, std::string found, std::string allowed) {
+    problems_.push_back(
+        ConfigProblem{path, std::move(found), std::move(allowed)});
+  }
+
+  const json& object_;
+  std::set<std::string> known_;
+  std::vector<ConfigProblem> problems_;
+};
+
+void ReadNode(SettingsReader* reader, NodeSettings* node) {
+  reader->Id("node_id", &node->node_id.value);
+  reader->Id("data_centre", &node->data_centre.value);
+  reader->Address("operations_address", Need::kRequired,
+                  &node->operations_address);
+  reader->Address("config_service", Need::kRequired, &node->config_service);
+  reader->Address("host_list", Need::kOptional, &node->host_list);
+  reader->Texts("seed_peers", &node->seed_peers);
+  reader->Texts("operator_keys_sha256", &node->operator_keys_sha256);
+  reader->Duration("compare_interval_ms", &node->compare_interval);
+  reader->OneOf("log_level", {"debug", "info", "warn", "error"},
+                &node->log_level);
+}
+
+leaf::result<json> ReadObject(const std::string& text) {
+  constexpr bool kThrow = true;
+  constexpr bool kComments = true;
+  try {
+    json object = json::parse(text, nullptr, kThrow, kComments);
+    if (object.is_object()) {
+      return object;
+    }
+    return leaf::new_error(
+        SettingsError{UnreadableSettings{"the file holds no JSON object"}});
+  } catch (const json::exception& error) {
+    return leaf::new_error(SettingsError{UnreadableSettings{error.what()}});
+  }
+}
+
+template <typename Settings>
+leaf::result<Settings> Finish(SettingsReader* reader, Settings settings) {
+  std::vector<ConfigProblem> problems = reader->Finish();
+  if (!problems.empty()) {
+    return leaf::new_error(SettingsError{InvalidSettings{std::move(problems)}});
+  }
+  return settings;
+}
+
+}  // namespace
+
+std::string Describe(const SettingsError& error) {
+  return std::visit(Describer{}, error);
+}
+
+leaf::result<EntrySettings> ParseEntrySettings(const std::string& text) {
+  BOOST_LEAF_AUTO(object, ReadObject(text));
+  SettingsReader reader(object);
+  EntrySettings settings;
+  ReadNode(&reader, &settings.node);
+  reader.Address("callers_address", Need::kRequired, &settings.callers_address);
+  reader.Count("max_requests", 1, kMostThreads, &settings.max_requests);
+  reader.Count("max_body_bytes", 1, kMostBytes, &settings.max_body_bytes);
+  reader.OneOf("routing_policy", {"random", "least_loaded", "length_aware"},
+               &settings.routing_policy);
+  reader.Duration("drain_limit_ms", &settings.drain_limit);
+  return Finish(&reader, std::move(settings));
+}
+
+leaf::result<SidecarSettings> ParseSidecarSettings(const std::string& text) {
+  BOOST_LEAF_AUTO(object, ReadObject(text));
+  SettingsReader reader(object);
+  SidecarSettings settings;
+  ReadNode(&reader, &settings.node);
+  reader.Address("link_address", Need::kRequired, &settings.link_address);
+  reader.Address("endpoint_address", Need::kRequired,
+                 &settings.endpoint_address);
+  reader.Count("queue_limit", 1, kMostQueue, &settings.queue_limit);
+  reader.Count("max_running", 1, kMostThreads, &settings.max_running);
+  reader.Duration("pulse_interval_ms", &settings.pulse_interval);
+  reader.Duration("reconcile_interval_ms", &settings.reconcile_interval);
+  reader.Duration("weight_load_time_ms", &settings.weight_load_time);
+  reader.Duration("drain_limit_ms", &settings.drain_limit);
+  return Finish(&reader, std::move(settings));
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/adapters/system_sources.cc
@@ -0,0 +1,40 @@
+#include "src/adapters/system_sources.h"
+
+#include <Poco/SHA2Engine.h>
+
+#include <random>
+
+namespace harecrank {
+
+MonotonicClock SystemClock() {
+  return [] { return std::chrono::steady_clock::now(); };
+}
+
+RandomSource SystemRandom() {
+  return [] {
+    thread_local std::mt19937_64 engine(
+        (static_cast<std::uint64_t>(std::random_device{}()) << 32U) |
+        std::random_device{}());
+    return engine();
+  };
+}
+
+Incarnation DrawIncarnation(const RandomSource& random) {
+  std::uint64_t drawn = random();
+  while (drawn == 0) {
+    drawn = random();
+  }
+  return Incarnation{drawn};
+}
+
+std::int64_t ToMillis(TimePoint time) {
+  return std::chrono::duration_cast<Millis>(time.time_since_epoch()).count();
+}
+
+std::string Sha256Hex(const std::string& text) {
+  Poco::SHA2Engine engine(Poco::SHA2Engine::SHA_256);
+  engine.update(text);
+  return Poco::DigestEngine::digestToHex(engine.digest());
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/adapters/websocket_config.h
@@ -0,0 +1,38 @@
+// The settings of websocketpp that both ends of a link share.
+
+#ifndef HARECRANK_SRC_ADAPTERS_WEBSOCKET_CONFIG_H_
+#define HARECRANK_SRC_ADAPTERS_WEBSOCKET_CONFIG_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <string>
+#include <websocketpp/common/connection_hdl.hpp>
+#include <websocketpp/logger/levels.hpp>
+
+#include "src/adapters/wire.h"
+
+namespace harecrank::internal {
+
+// Sets what both ends have in common on a server or client.
+template <typename Endpoint>
+void SetUpWebsocket(Endpoint* endpoint) {
+  endpoint->clear_access_channels(websocketpp::log::alevel::all);
+  endpoint->clear_error_channels(websocketpp::log::elevel::all);
+  endpoint->init_asio();
+  endpoint->set_max_message_size(wire::kMostFrameBytes);
+  endpoint->set_tcp_post_init_handler(
+      [endpoint](const websocketpp::connection_hdl& handle) {
+        websocketpp::lib::error_code none;
+        const auto connection = endpoint->get_con_from_hdl(handle, none);
+        if (!connection) {
+          return;
+        }
+        // A token must not wait for the next one to fill a segment.
+        boost::system::error_code ignored;
+        connection->get_raw_socket().set_option(
+            boost::asio::ip::tcp::no_delay(true), ignored);
+      });
+}
+
+}  // namespace harecrank::internal
+
+#endif  // HARECRANK_SRC_ADAPTERS_WEBSOCKET_CONFIG_H_
--- /dev/null
+++ b/src/cli/load_run.cc
@@ -0,0 +1,312 @@
+#include "src/cli/load_run.h"
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <cmath>
+#include <condition_variable>
+#include <deque>
+#include <iomanip>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <sstream>
+#include <thread>
+
+#include "src/adapters/http.h"
+
+namespace harecrank {
+namespace {
+
+namespace leaf = boost::leaf;
+using nlohmann::json;
+using Clock = std::chrono::steady_clock;
+
+constexpr int kOk = 200;
+constexpr std::size_t kBytesPerToken = 4;
+constexpr double kMedian = 0.50;
+constexpr double kP95 = 0.95;
+constexpr double kP99 = 0.99;
+constexpr Millis kTimeoutMargin{5000};
+
+// One prompt length of the mix.
+struct MixPart {
+  std::int64_t tokens = 0;
+  double share = 0;
+};
+
+// One request to send.
+struct Arrival {
+  Clock::time_point due;
+  std::int64_t tokens = 0;
+  std::uint64_t seed = 0;
+  std::string target;
+};
+
+// What came of one request.
+struct Sample {
+  std::int64_t tokens = 0;
+  bool answered = false;
+  int status = 0;
+  std::string error;
+  double first_ms = 0;
+  double total_ms = 0;
+  double worst_gap_ms = 0;
+};
+
+std::vector<MixPart> ParseMix(const std::vector<std::string>& mix) {
+  std::vector<MixPart> parts;
+  for (const std::string& text : mix) {
+    const auto colon = text.find(':');
+    MixPart part;
+    part.tokens = std::stoll(text.substr(0, colon));
+    part.share =
+        colon == std::string::npos ? 1 : std::stod(text.substr(colon + 1));
+    parts.push_back(part);
+  }
+  return parts;
+}
+
+// Arrivals of a Poisson process, drawn ahead so that a seed gives one load.
+std::deque<Arrival> DrawArrivals(const LoadPlan& plan,
+                                 Clock::time_point began) {
+  std::mt19937_64 random(plan.seed);
+  std::exponential_distribution<double> gap(plan.rate);
+  const auto parts = ParseMix(plan.mix);
+  std::vector<double> shares;
+  for (const MixPart& part : parts) {
+    shares.push_back(part.share);
+  }
+  std::discrete_distribution<std::size_t> pick(shares.begin(), shares.end());
+  std::deque<Arrival> arrivals;
+  for (double at = gap(random); at < plan.seconds; at += gap(random)) {
+    Arrival arrival;
+    arrival.due = began + std::chrono::duration_cast<Clock::duration>(
+                              std::chrono::duration<double>(at));
+    arrival.tokens = parts[pick(random)].tokens;
+    arrival.seed = random();
+    arrival.target = plan.targets[random() % plan.targets.size()];
+    arrivals.push_back(std::move(arrival));
+  }
+  return arrivals;
+}
+
+// A prompt of so many tokens, with a beginning that no other has.
+std::string MakePrompt(std::int64_t tokens, std::uint64_t seed) {
+  std::string prompt = std::to_string(seed) + " ";
+  const std::size_t bytes = static_cast<std::size_t>(tokens) * kBytesPerToken;
+  while (prompt.size() < bytes) {
+    prompt += "word ";
+  }
+  prompt.resize(bytes);
+  return prompt;
+}
+
+HttpCall MakeCall(const LoadPlan& plan, const Arrival& arrival) {
+  HttpCall call;
+  call.method = "POST";
+  call.timeout = Millis(plan.time_limit_ms) + kTimeoutMargin;
+  json body{{"model", plan.model},
+            {"prompt", MakePrompt(arrival.tokens, arrival.seed)},
+            {"max_tokens", plan.answer_tokens}};
+  if (plan.engine_direct.empty()) {
+    call.address = arrival.target;
+    call.path = "/v1/completions";
+    body["stream"] = true;
+    call.fields = {
+        {"Authorization", "Bearer " + plan.key},
+        {"Harecrank-Time-Limit-Ms", std::to_string(plan.time_limit_ms)}};
+  } else {
+    call.address = plan.engine_direct;
+    call.path = "/v1/streams";
+    body["id"] = "load-" + std::to_string(arrival.seed);
+    body["owner"] = 1;
+  }
+  call.body = body.dump();
+  return call;
+}
+
+// Notes the times of the parts of one answer.
+class AnswerReader {
+ public:
+  AnswerReader(Clock::time_point began, bool direct, Sample* sample)
+      : began_(began), last_(began), direct_(direct), sample_(sample) {}
+
+  void Read(int status, std::istream& body) {
+    sample_->status = status;
+    std::string line;
+    while (std::getline(body, line)) {
+      if (status != kOk) {
+        sample_->error = ErrorCode(line);
+        return;
+      }
+      OnLine(line);
+    }
+    sample_->total_ms = MillisSince(began_);
+  }
+
+ private:
+  void OnLine(const std::string& line) {
+    if (line == "event: done" ||
+        (direct_ && line.find("\"length\"") != std::string::npos)) {
+      sample_->answered = true;
+      return;
+    }
+    if (line == "event: error") {
+      sample_->error = "in_stream";
+      return;
+    }
+    const bool part = direct_ ? line.find("\"t\"") != std::string::npos
+                              : line.compare(0, 7, "data: {") == 0;
+    if (!part || sample_->answered) {
+      return;
+    }
+    if (sample_->first_ms == 0) {
+      sample_->first_ms = MillisSince(began_);
+    } else {
+      sample_->worst_gap_ms =
+          std::max(sample_->worst_gap_ms, MillisSince(last_));
+    }
+    last_ = Clock::now();
+  }
+
+  static std::string ErrorCode(const std::string& line) {
+    const json body = json::parse(line, nullptr, false);
+    return body.is_object() && body.contains("error") &&
+                   body["error"].is_object()
+               ? body["error"].value("code", std::string("unnamed"))
+               : std::string("unnamed");
+  }
+
+  static double MillisSince(Clock::time_point begin) {
+    return std::chrono::duration<double, std::milli>(Clock::now() - begin)
+        .count();
+  }
+
+  Clock::time_point began_;
+  Clock::time_point last_;
+  bool direct_;
+  Sample* sample_;
+};
+
+Sample Send(const LoadPlan& plan, const Arrival& arrival) {
+  Sample sample;
+  sample.tokens = arrival.tokens;
+  const HttpCall call = MakeCall(plan, arrival);
+  // Counted from when the request was due: a sender that lags must not hide
+  // the wait that it caused.
+  AnswerReader reader(arrival.due, !plan.engine_direct.empty(), &sample);
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        return StreamHttp(call, [&](int status, std::istream& body) {
+          reader.Read(status, body);
+        });
+      },
+      [&](const HttpError& error) { sample.error = Describe(error); },
+      [&] { sample.error = "an error of another layer"; });
+  return sample;
+}
+
+double Percentile(std::vector<double> values, double share) {
+  if (values.empty()) {
+    return 0;
+  }
+  std::sort(values.begin(), values.end());
+  const double index = share * static_cast<double>(values.size() - 1);
+  return values[static_cast<std::size_t>(std::lround(index))];
+}
+
+// The figures of one prompt length.
+json Summarise(const std::vector<Sample>& samples) {
+  std::vector<double> first;
+  std::vector<double> gaps;
+  std::map<std::string, int> errors;
+  for (const Sample& sample : samples) {
+    if (sample.answered) {
+      first.push_back(sample.first_ms);
+      gaps.push_back(sample.worst_gap_ms);
+    } else {
+      ++errors[sample.error];
+    }
+  }
+  return json{{"sent", samples.size()},
+              {"answered", first.size()},
+              {"first_ms_p50", Percentile(first, kMedian)},
+              {"first_ms_p95", Percentile(first, kP95)},
+              {"first_ms_p99", Percentile(first, kP99)},
+              {"worst_gap_ms_p95", Percentile(gaps, kP95)},
+              {"errors", errors}};
+}
+
+LoadReportText Report(const LoadPlan& plan, const std::vector<Sample>& samples,
+                      double elapsed) {
+  std::map<std::int64_t, std::vector<Sample>> by_length;
+  LoadReportText report;
+  for (const Sample& sample : samples) {
+    by_length[sample.tokens].push_back(sample);
+    report.answered += sample.answered ? 1 : 0;
+  }
+  json out{
+      {"rate", plan.rate},
+      {"seconds", elapsed},
+      {"answered", report.answered},
+      {"answered_per_second", static_cast<double>(report.answered) / elapsed}};
+  std::ostringstream text;
+  text << std::fixed << std::setprecision(1);
+  text << "prompt tokens   sent  answered  first p50  p95  p99 ms  worst gap "
+          "p95 ms  errors\n";
+  for (const auto& [tokens, group] : by_length) {
+    const json line = Summarise(group);
+    out["lengths"][std::to_string(tokens)] = line;
+    text << std::setw(13) << tokens << std::setw(7) << line["sent"].get<int>()
+         << std::setw(10) << line["answered"].get<int>() << std::setw(11)
+         << line["first_ms_p50"].get<double>() << std::setw(9)
+         << line["first_ms_p95"].get<double>() << std::setw(9)
+         << line["first_ms_p99"].get<double>() << std::setw(12)
+         << line["worst_gap_ms_p95"].get<double>() << "  "
+         << line["errors"].dump() << "\n";
+  }
+  text << "answered " << report.answered << " of " << samples.size() << ", "
+       << static_cast<double>(report.answered) / elapsed << " a second\n";
+  report.text = text.str();
+  report.json = out.dump(2);
+  return report;
+}
+
+}  // namespace
+
+LoadReportText RunLoad(const LoadPlan& plan) {
+  const auto began = Clock::now();
+  std::deque<Arrival> arrivals = DrawArrivals(plan, began);
+  std::mutex mutex;
+  std::vector<Sample> samples;
+  const auto work = [&] {
+    while (true) {
+      Arrival arrival;
+      {
+        const std::lock_guard<std::mutex> lock(mutex);
+        if (arrivals.empty()) {
+          return;
+        }
+        arrival = std::move(arrivals.front());
+        arrivals.pop_front();
+      }
+      std::this_thread::sleep_until(arrival.due);
+      Sample sample = Send(plan, arrival);
+      const std::lock_guard<std::mutex> lock(mutex);
+      samples.push_back(std::move(sample));
+    }
+  };
+  std::vector<std::thread> threads;
+  for (int i = 0; i < plan.threads; ++i) {
+    threads.emplace_back(work);
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  const std::chrono::duration<double> elapsed = Clock::now() - began;
+  return Report(plan, samples, elapsed.count());
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/cli/operator_commands.cc
@@ -0,0 +1,169 @@
+// "admin", "check" and "dump": what an operator runs.
+
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+
+#include "harecrank/core/configuration.h"
+#include "src/adapters/http.h"
+#include "src/adapters/settings.h"
+#include "src/cli/commands.h"
+
+namespace harecrank {
+namespace {
+
+namespace leaf = boost::leaf;
+
+constexpr int kOk = 200;
+constexpr Millis kCallTimeout{30000};
+constexpr char kKeyVariable[] = "HARECRANK_OPERATOR_KEY";
+
+// Where and how an operator's call goes.
+struct OperatorCall {
+  std::string node;
+  std::string key;
+  std::string method;
+  std::string path;
+  std::string body;
+};
+
+int MakeCall(const OperatorCall& asked) {
+  HttpCall call;
+  call.address = asked.node;
+  call.method = asked.method;
+  call.path = asked.path;
+  call.body = asked.body;
+  call.timeout = kCallTimeout;
+  call.fields.push_back(HttpField{"Authorization", "Bearer " + asked.key});
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<int> {
+        BOOST_LEAF_AUTO(answer, CallHttp(call));
+        std::cout << answer.body << "\n";
+        return answer.status == kOk ? kExitOk : kExitRefused;
+      },
+      [&](const HttpError& error) {
+        std::cerr << "harecrank: " << asked.node << ": " << Describe(error)
+                  << "\n";
+        return kExitUnavailable;
+      },
+      [] { return kExitUnavailable; });
+}
+
+void AddNodeOptions(CLI::App* command, OperatorCall* call) {
+  command
+      ->add_option("--node", call->node,
+                   "operations address of any node, as 10.0.0.1:8101")
+      ->required();
+  command->add_option("--key", call->key, "the operator's key")
+      ->envname(kKeyVariable)
+      ->required();
+}
+
+int CheckDocument(const std::string& path) {
+  std::string text;
+  if (!ReadFile(path, &text)) {
+    return kExitBadInput;
+  }
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<int> {
+        BOOST_LEAF_AUTO(configuration, Configuration::Parse(text));
+        std::cout << "revision " << configuration->GetRevision().value
+                  << ", digest " << configuration->GetDigest().value
+                  << ": may come into force\n";
+        return kExitOk;
+      },
+      [&](const ConfigError& error) {
+        const auto* invalid = std::get_if<InvalidDocument>(&error);
+        if (invalid == nullptr) {
+          std::cerr << path << ": " << Describe(error) << "\n";
+          return kExitRefused;
+        }
+        for (const ConfigProblem& problem : invalid->problems) {
+          std::cerr << path << ": " << Describe(problem) << "\n";
+        }
+        return kExitRefused;
+      },
+      [] { return kExitRefused; });
+}
+
+template <typename Parse>
+int CheckSettings(const std::string& path, Parse parse) {
+  std::string text;
+  if (!ReadFile(path, &text)) {
+    return kExitBadInput;
+  }
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<int> {
+        BOOST_LEAF_CHECK(parse(text));
+        std::cout << path << ": may be used\n";
+        return kExitOk;
+      },
+      [&](const SettingsError& error) {
+        std::cerr << path << ": " << Describe(error) << "\n";
+        return kExitRefused;
+      },
+      [] { return kExitRefused; });
+}
+
+}  // namespace
+
+void AddAdminCommand(CLI::App* app, int* exit_code) {
+  auto* command = app->add_subcommand(
+      "admin", "call the administration of a node; nothing is written");
+  const auto call = std::make_shared<OperatorCall>();
+  const auto method = std::make_shared<std::string>();
+  const auto file = std::make_shared<std::string>();
+  AddNodeOptions(command, call.get());
+  command->add_option("method", *method, "Plan, Validate, GetInForce or Locate")
+      ->required();
+  command->add_option("--request", call->body, "the request as JSON");
+  command->add_option("--request-file", *file, "a file that holds the request");
+  command->callback([call, method, file, exit_code] {
+    if (!file->empty() && !ReadFile(*file, &call->body)) {
+      *exit_code = kExitBadInput;
+      return;
+    }
+    call->method = "POST";
+    call->path = "/rpc/harecrank.v1.Administration/" + *method;
+    *exit_code = MakeCall(*call);
+  });
+}
+
+void AddCheckCommand(CLI::App* app, int* exit_code) {
+  auto* command = app->add_subcommand(
+      "check", "check settings and documents without running anything");
+  const auto document = std::make_shared<std::string>();
+  const auto entry = std::make_shared<std::string>();
+  const auto sidecar = std::make_shared<std::string>();
+  command->add_option("--document", *document, "a published configuration");
+  command->add_option("--entry", *entry, "settings of an entry host");
+  command->add_option("--sidecar", *sidecar, "settings of a sidecar");
+  command->require_option(1, 3);
+  command->callback([document, entry, sidecar, exit_code] {
+    int worst = kExitOk;
+    if (!document->empty()) {
+      worst = std::max(worst, CheckDocument(*document));
+    }
+    if (!entry->empty()) {
+      worst = std::max(worst, CheckSettings(*entry, ParseEntrySettings));
+    }
+    if (!sidecar->empty()) {
+      worst = std::max(worst, CheckSettings(*sidecar, ParseSidecarSettings));
+    }
+    *exit_code = worst;
+  });
+}
+
+void AddDumpCommand(CLI::App* app, int* exit_code) {
+  auto* command =
+      app->add_subcommand("dump", "print the whole state of one node as JSON");
+  const auto call = std::make_shared<OperatorCall>();
+  AddNodeOptions(command, call.get());
+  command->callback([call, exit_code] {
+    call->method = "GET";
+    call->path = "/dump";
+    *exit_code = MakeCall(*call);
+  });
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/core/attempt_policy.cc
@@ -0,0 +1,126 @@
+#include "harecrank/core/attempt_policy.h"
+
+#include <set>
+#include <utility>
+
+namespace harecrank {
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kTooManyRequests = 429;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+// What a caller sees when nobody is there to see it.
+constexpr int kClientClosed = 499;
+constexpr Millis kDefaultRetryAfter{1000};
+
+// Refusals that no other endpoint would answer differently.
+bool IsFinalRefusal(const std::string& code) {
+  static const std::set<std::string> kFinal{
+      "bad_request", "deadline_exceeded", "ticket_ended", "larger_than_engine"};
+  return kFinal.count(code) > 0;
+}
+
+int StatusOfRefusal(const std::string& code) {
+  if (code == "overloaded") {
+    return kTooManyRequests;
+  }
+  if (code == "deadline_exceeded") {
+    return kGatewayTimeout;
+  }
+  if (code == "bad_request" || code == "ticket_ended") {
+    return kBadRequest;
+  }
+  return kUnavailable;
+}
+
+// Turns the end of an attempt into the answer that callers see.
+struct ToRefusal {
+  Outcome outcome;
+
+  Refusal operator()(const AttemptRefused& end) const {
+    Refusal refusal{StatusOfRefusal(end.code), end.code, end.message, outcome,
+                    end.retry_after};
+    if (!refusal.retry_after && !IsFinalRefusal(end.code)) {
+      refusal.retry_after = kDefaultRetryAfter;
+    }
+    return refusal;
+  }
+  Refusal operator()(const AttemptFailed& end) const {
+    return Refusal{kBadGateway, end.code, end.message, outcome, std::nullopt};
+  }
+  Refusal operator()(const AttemptLost& end) const {
+    return Refusal{kBadGateway, "endpoint_lost", end.reason, outcome,
+                   std::nullopt};
+  }
+  Refusal operator()(const AttemptOutOfTime&) const {
+    return Refusal{kGatewayTimeout, "deadline_exceeded",
+                   "the request's time limit has passed", outcome,
+                   std::nullopt};
+  }
+  Refusal operator()(const CallerLeft&) const {
+    return Refusal{kClientClosed, "caller_left", "the caller left", outcome,
+                   std::nullopt};
+  }
+};
+
+// Returns whether the way an attempt ended allows another at all.
+struct LeavesRoom {
+  bool operator()(const AttemptRefused& end) const {
+    return !IsFinalRefusal(end.code);
+  }
+  bool operator()(const AttemptFailed&) const { return true; }
+  bool operator()(const AttemptLost&) const { return true; }
+  bool operator()(const AttemptOutOfTime&) const { return false; }
+  bool operator()(const CallerLeft&) const { return false; }
+};
+
+// Returns the weaker of two claims about what ran.
+Outcome Weaker(Outcome a, Outcome b) {
+  if (a == Outcome::kUnknown || b == Outcome::kUnknown) {
+    return Outcome::kUnknown;
+  }
+  return a == Outcome::kFailed || b == Outcome::kFailed ? Outcome::kFailed
+                                                        : Outcome::kNotRun;
+}
+
+}  // namespace
+
+AttemptPolicy::AttemptPolicy(Repeat repeat, TimePoint deadline,
+                             MonotonicClock clock, RetryBudget* budget)
+    : repeat_(repeat),
+      deadline_(deadline),
+      clock_(std::move(clock)),
+      budget_(budget) {
+  budget_->OnFirstAttempt();
+}
+
+AttemptStep AttemptPolicy::Next(const AttemptEnd& end,
+                                const AttemptEvidence& evidence) {
+  const Outcome outcome = evidence.Conclude();
+  overall_ = Weaker(overall_, outcome);
+  if (std::visit(LeavesRoom{}, end) && MayTryAgain(outcome) &&
+      budget_->TryRetry()) {
+    ++attempts_;
+    return TryElsewhere{};
+  }
+  return GiveUp{std::visit(ToRefusal{overall_}, end)};
+}
+
+bool AttemptPolicy::MayTryAgain(Outcome outcome) const {
+  if (attempts_ >= kMostAttempts || clock_() >= deadline_) {
+    return false;
+  }
+  switch (repeat_) {
+    case Repeat::kAllowed:
+      return true;
+    case Repeat::kOnlyIfNotRun:
+      return outcome == Outcome::kNotRun;
+    case Repeat::kNever:
+      return false;
+  }
+  return false;
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/core/change_planner.cc
@@ -0,0 +1,187 @@
+#include "harecrank/core/change_planner.h"
+
+#include <google/protobuf/util/json_util.h>
+#include <google/protobuf/util/message_differencer.h>
+
+#include <utility>
+
+namespace harecrank {
+namespace {
+
+namespace leaf = boost::leaf;
+using google::protobuf::util::MessageDifferencer;
+
+struct Describer {
+  std::string operator()(const BaseHasMoved& error) const {
+    return "the plan starts from revision " +
+           std::to_string(error.asked.value) + " but revision " +
+           std::to_string(error.in_force.value) +
+           " is in force; look again and plan anew";
+  }
+  std::string operator()(const NothingToChange&) const {
+    return "the request names no change, or one that changes nothing";
+  }
+  std::string operator()(const UnknownObject& error) const {
+    return "there is no " + error.kind + " called '" + error.id + "'";
+  }
+  std::string operator()(const RefusedPlan& error) const {
+    return Describe(ConfigError{InvalidDocument{error.problems}});
+  }
+};
+
+template <typename Map>
+leaf::result<void> Erase(Map* map, const std::string& kind,
+                         const std::string& id) {
+  if (map->erase(id) == 0) {
+    return leaf::new_error(PlanError{UnknownObject{kind, id}});
+  }
+  return {};
+}
+
+leaf::result<void> RemoveObject(const v1::Remove& remove,
+                                v1::Document* document) {
+  switch (remove.kind()) {
+    case v1::Remove::ACCOUNT:
+      return Erase(document->mutable_accounts(), "account", remove.id());
+    case v1::Remove::MODEL:
+      return Erase(document->mutable_models(), "model", remove.id());
+    case v1::Remove::ENDPOINT:
+      return Erase(document->mutable_endpoints(), "endpoint", remove.id());
+    case v1::Remove::ENTRY:
+      return Erase(document->mutable_entries(), "entry host", remove.id());
+    default:
+      return leaf::new_error(PlanError{NothingToChange{}});
+  }
+}
+
+leaf::result<void> Edit(const v1::PlanRequest& request,
+                        v1::Document* document) {
+  switch (request.change_case()) {
+    case v1::PlanRequest::kPutAccount:
+      (*document->mutable_accounts())[request.put_account().id()] =
+          request.put_account().account();
+      return {};
+    case v1::PlanRequest::kPutModel:
+      (*document->mutable_models())[request.put_model().id()] =
+          request.put_model().model();
+      return {};
+    case v1::PlanRequest::kPutEndpoint:
+      (*document->mutable_endpoints())[request.put_endpoint().id()] =
+          request.put_endpoint().endpoint();
+      return {};
+    case v1::PlanRequest::kPutEntry:
+      (*document->mutable_entries())[request.put_entry().id()] =
+          request.put_entry().entry();
+      return {};
+    case v1::PlanRequest::kPutPolicy:
+      *document->mutable_policy() = request.put_policy();
+      return {};
+    case v1::PlanRequest::kRemove:
+      return RemoveObject(request.remove(), document);
+    case v1::PlanRequest::kReplace:
+      *document = request.replace();
+      return {};
+    case v1::PlanRequest::CHANGE_NOT_SET:
+      break;
+  }
+  return leaf::new_error(PlanError{NothingToChange{}});
+}
+
+// Adds a sentence for each kind of object whose number changes, and for the
+// endpoints that stop or start taking work.
+void DescribeEffects(const v1::Document& before, const v1::Document& after,
+                     v1::PlanResponse* response) {
+  const auto count = [&](const std::string& kind, std::size_t was,
+                         std::size_t becomes) {
+    if (was != becomes) {
+      response->add_effects(kind + ": " + std::to_string(was) + " before, " +
+                            std::to_string(becomes) + " after");
+    }
+  };
+  count("client accounts", before.accounts().size(), after.accounts().size());
+  count("models", before.models().size(), after.models().size());
+  count("endpoints", before.endpoints().size(), after.endpoints().size());
+  count("entry hosts", before.entries().size(), after.entries().size());
+  for (const auto& [id, endpoint] : after.endpoints()) {
+    const auto was = before.endpoints().find(id);
+    const bool left = was != before.endpoints().end() && was->second.leaving();
+    if (endpoint.leaving() && !left) {
+      response->add_effects("endpoint " + id + " gets no new work");
+    }
+    if (!endpoint.leaving() && left) {
+      response->add_effects("endpoint " + id + " takes work again");
+    }
+  }
+  if (!MessageDifferencer::Equals(before.policy(), after.policy())) {
+    response->add_effects("the policy changes");
+  }
+}
+
+std::string ChangesJson(const v1::ChangeLog& recent, const v1::Change& change) {
+  v1::ChangeLog log;
+  const int kept = std::min(recent.changes_size(), kPublishedChanges - 1);
+  for (int i = recent.changes_size() - kept; i < recent.changes_size(); ++i) {
+    *log.add_changes() = recent.changes(i);
+  }
+  *log.add_changes() = change;
+  google::protobuf::util::JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  std::string text;
+  const auto status =
+      google::protobuf::util::MessageToJsonString(log, &text, options);
+  return status.ok() ? text : std::string("{}");
+}
+
+leaf::result<std::shared_ptr<const Configuration>> Check(
+    const v1::Document& document) {
+  std::vector<ConfigProblem> problems = ValidateDocument(document);
+  if (!problems.empty()) {
+    return leaf::new_error(PlanError{RefusedPlan{std::move(problems)}});
+  }
+  std::string text;
+  const auto status =
+      google::protobuf::util::MessageToJsonString(document, &text);
+  if (!status.ok()) {
+    return leaf::new_error(PlanError{NothingToChange{}});
+  }
+  return Configuration::Parse(text);
+}
+
+}  // namespace
+
+std::string Describe(const PlanError& error) {
+  return std::visit(Describer{}, error);
+}
+
+leaf::result<v1::PlanResponse> PlanChange(const Configuration* base,
+                                          const v1::ChangeLog& recent,
+                                          const v1::PlanRequest& request) {
+  const Revision in_force = base == nullptr ? Revision{} : base->GetRevision();
+  if (request.base_revision() != 0 &&
+      request.base_revision() != in_force.value) {
+    return leaf::new_error(
+        PlanError{BaseHasMoved{Revision{request.base_revision()}, in_force}});
+  }
+  const v1::Document before =
+      base == nullptr ? v1::Document() : base->GetDocument();
+  v1::Document after = before;
+  BOOST_LEAF_CHECK(Edit(request, &after));
+  after.set_revision(in_force.value);
+  if (base != nullptr && MessageDifferencer::Equals(before, after)) {
+    return leaf::new_error(PlanError{NothingToChange{}});
+  }
+  after.set_revision(in_force.value + 1);
+  BOOST_LEAF_AUTO(next, Check(after));
+  v1::PlanResponse response;
+  response.set_revision(next->GetRevision().value);
+  response.set_digest(next->GetDigest().value);
+  response.set_document_json(next->CanonicalJson());
+  const v1::Change change =
+      base == nullptr ? v1::Change() : base->ChangeTo(*next);
+  response.set_changes_json(base == nullptr ? std::string("{\"changes\":[]}")
+                                            : ChangesJson(recent, change));
+  DescribeEffects(before, after, &response);
+  return response;
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/core/host_states.cc
@@ -0,0 +1,27 @@
+#include "harecrank/core/host_states.h"
+
+#include <utility>
+
+namespace harecrank {
+
+HostStates::HostStates()
+    : current_(std::make_shared<const HostListVersion>()) {}
+
+bool HostStates::Offer(HostListVersion version) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (version.version <= current_.Load()->version) {
+    return false;
+  }
+  current_.Store(std::make_shared<const HostListVersion>(std::move(version)));
+  return true;
+}
+
+std::shared_ptr<const HostListVersion> HostStates::Current() const {
+  return current_.Load();
+}
+
+bool HostStates::IsLeaving(const NodeId& node) const {
+  return current_.Load()->leaving.count(node) > 0;
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/core/outcome.cc
@@ -0,0 +1,42 @@
+#include "harecrank/core/outcome.h"
+
+namespace harecrank {
+
+const char* OutcomeName(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kNotRun:
+      return "not_run";
+    case Outcome::kFailed:
+      return "failed";
+    case Outcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+Outcome OutcomeFromName(const std::string& name) {
+  if (name == "not_run") {
+    return Outcome::kNotRun;
+  }
+  if (name == "failed") {
+    return Outcome::kFailed;
+  }
+  return Outcome::kUnknown;
+}
+
+Outcome AttemptEvidence::Conclude() const {
+  // A start outweighs a later word that denies it: claims must err to the
+  // weaker side.
+  if (run_failed_) {
+    return Outcome::kFailed;
+  }
+  if (started_) {
+    return Outcome::kUnknown;
+  }
+  if (!submitted_ || not_started_) {
+    return Outcome::kNotRun;
+  }
+  return Outcome::kUnknown;
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/entry/caller_server.cc
@@ -0,0 +1,239 @@
+#include "src/entry/caller_server.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "src/entry/answer_writer.h"
+
+namespace harecrank {
+namespace {
+
+namespace leaf = boost::leaf;
+using nlohmann::json;
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kTooLarge = 413;
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
+constexpr int kClientClosed = 499;
+// Threads that remain to refuse, and to answer tickets and probes, while every
+// place is taken.
+constexpr int kSpareThreads = 32;
+constexpr Millis kRetryAfterFull{1000};
+constexpr Millis kRetryAfterDrain{1000};
+constexpr char kTickets[] = "/v1/tickets";
+constexpr char kServices[] = "/v1/services/";
+
+bool StartsWith(const std::string& text, const std::string& prefix) {
+  return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+Refusal NotRun(int status, const std::string& code, const std::string& message,
+               std::optional<Millis> retry_after = std::nullopt) {
+  return Refusal{status, code, message, Outcome::kNotRun, retry_after};
+}
+
+CallerHeaders HeadersOf(const HTTPServerRequest& request) {
+  CallerHeaders headers;
+  headers.method = request.getMethod();
+  headers.path = PathOf(request.getURI());
+  const auto query = request.getURI().find('?');
+  if (query != std::string::npos) {
+    headers.query = request.getURI().substr(query + 1);
+  }
+  headers.authorization = request.get("Authorization", "");
+  headers.time_limit_ms = request.get("Harecrank-Time-Limit-Ms", "");
+  headers.not_repeatable = request.get("Harecrank-Not-Repeatable", "");
+  headers.ticket = request.get("Harecrank-Ticket", "");
+  headers.content_type = request.getContentType();
+  return headers;
+}
+
+}  // namespace
+
+CallerServer::CallerServer(const EntrySettings& settings, Node* node,
+                           Dispatcher* dispatcher, MonotonicClock clock)
+    : settings_(settings),
+      node_(node),
+      dispatcher_(dispatcher),
+      clock_(std::move(clock)) {
+  Metrics* metrics = node->GetMetrics();
+  requests_ = metrics->GetCounter("harecrank_entry_requests_total");
+  answered_ = metrics->GetCounter("harecrank_entry_answered_total");
+  refused_ = metrics->GetCounter("harecrank_entry_refused_total");
+  first_part_short_ = metrics->GetHistogram(
+      "harecrank_time_to_first_token_seconds", "length=\"short\"");
+  first_part_long_ = metrics->GetHistogram(
+      "harecrank_time_to_first_token_seconds", "length=\"long\"");
+  gap_ = metrics->GetHistogram("harecrank_time_between_tokens_seconds");
+  metrics->AddGauge("harecrank_entry_requests_in_hand",
+                    [this] { return static_cast<double>(in_hand_.load()); });
+}
+
+void CallerServer::Start() {
+  HttpServerOptions options;
+  options.address = settings_.callers_address;
+  options.threads = settings_.max_requests + kSpareThreads;
+  options.queued = settings_.max_requests;
+  server_ = std::make_unique<HttpServer>(
+      options,
+      [this](HTTPServerRequest& request, HTTPServerResponse& response) {
+        Handle(request, response);
+      });
+}
+
+void CallerServer::Stop() {
+  if (server_ != nullptr) {
+    server_->Stop();
+  }
+}
+
+void CallerServer::Handle(HTTPServerRequest& request,
+                          HTTPServerResponse& response) {
+  const std::string path = PathOf(request.getURI());
+  if (path == "/healthz") {
+    Answer(response, kOk, "{\"status\":\"ok\"}");
+    return;
+  }
+  if (path == "/readyz") {
+    const bool ready = node_->IsReady() && !draining_;
+    Answer(response, ready ? kOk : kUnavailable,
+           ready ? "{\"status\":\"ready\"}" : "{\"status\":\"not_ready\"}");
+    return;
+  }
+  requests_->Add();
+  if (draining_ || !node_->IsReady()) {
+    response.setKeepAlive(false);
+    Refuse(response,
+           NotRun(kUnavailable, draining_ ? "draining" : "not_ready",
+                  "this entry host takes no requests now", kRetryAfterDrain));
+    return;
+  }
+  if (!TakePlace()) {
+    Refuse(response, NotRun(kTooManyRequests, "entry_full",
+                            "this entry host has all the requests it can hold",
+                            kRetryAfterFull));
+    return;
+  }
+  // Given back whatever the handler does.
+  const std::shared_ptr<void> place(nullptr,
+                                    [this](void*) { in_hand_.fetch_sub(1); });
+  if (StartsWith(path, kTickets)) {
+    HandleTicket(request, response);
+  } else if (path == "/v1/completions" || path == "/v1/chat/completions" ||
+             StartsWith(path, kServices)) {
+    HandleRequest(request, response);
+  } else {
+    Refuse(response,
+           NotRun(kNotFound, "not_found", "there is nothing at " + path));
+  }
+}
+
+void CallerServer::HandleTicket(HTTPServerRequest& request,
+                                HTTPServerResponse& response) {
+  const CallerHeaders headers = HeadersOf(request);
+  const auto configuration = node_->InForce();
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(account,
+                        Authenticate(*configuration, headers.authorization));
+        if (headers.method == "DELETE") {
+          const std::string ticket = headers.path.substr(
+              std::min(headers.path.size(), sizeof(kTickets)));
+          const Outcome outcome = dispatcher_->RevokeTicket(account, ticket);
+          Answer(response, kOk, json{{"outcome", OutcomeName(outcome)}}.dump());
+          return {};
+        }
+        std::string text;
+        ReadBody(request, settings_.max_body_bytes, &text);
+        const json body = json::parse(text, nullptr, false);
+        if (!body.is_object()) {
+          return leaf::new_error(
+              NotRun(kBadRequest, "bad_json", "the body holds no JSON object"));
+        }
+        const ModelId model{body.value("model", std::string())};
+        const ServiceName service{body.value("service", std::string())};
+        const auto issued = dispatcher_->IssueTicket(account, model, service);
+        if (const auto* refusal = std::get_if<Refusal>(&issued)) {
+          return leaf::new_error(*refusal);
+        }
+        const auto& ticket = std::get<IssuedTicket>(issued);
+        Answer(response, kOk,
+               json{{"ticket", ticket.ticket},
+                    {"expires_in_ms", ticket.ttl.count()}}
+                   .dump());
+        return {};
+      },
+      [&](const Refusal& refusal) { Refuse(response, refusal); },
+      [&] {
+        Refuse(response, NotRun(kBadRequest, "bad_request", "not understood"));
+      });
+}
+
+void CallerServer::HandleRequest(HTTPServerRequest& request,
+                                 HTTPServerResponse& response) {
+  std::string body;
+  if (!ReadBody(request, settings_.max_body_bytes, &body)) {
+    response.setKeepAlive(false);
+    Refuse(response,
+           NotRun(kTooLarge, "body_too_large",
+                  "the body is larger than " +
+                      std::to_string(settings_.max_body_bytes) + " bytes"));
+    return;
+  }
+  const auto configuration = node_->InForce();
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(asked,
+                        ReadCallerRequest(*configuration, HeadersOf(request),
+                                          std::move(body)));
+        Serve(asked, request, response);
+        return {};
+      },
+      [&](const Refusal& refusal) { Refuse(response, refusal); },
+      [&] {
+        Refuse(response, NotRun(kBadRequest, "bad_request", "not understood"));
+      });
+}
+
+void CallerServer::Serve(const CallerRequest& asked, HTTPServerRequest& request,
+                         HTTPServerResponse& response) {
+  const v1::Policy& policy = node_->InForce()->GetDocument().policy();
+  const bool is_short =
+      asked.prompt_tokens < Tokens{policy.long_prompt_tokens()};
+  AnswerWriterPorts ports;
+  ports.request = &request;
+  ports.response = &response;
+  ports.clock = clock_;
+  ports.first_part = is_short ? first_part_short_ : first_part_long_;
+  ports.gap = gap_;
+  AnswerWriter writer(std::move(ports), asked);
+  const DispatchResult result = dispatcher_->Run(asked, &writer);
+  const auto* refusal = std::get_if<Refusal>(&result);
+  (refusal == nullptr ? answered_ : refused_)->Add();
+  if (refusal != nullptr && refusal->http_status == kClientClosed) {
+    response.setKeepAlive(false);
+    return;
+  }
+  writer.Finish(result);
+}
+
+void CallerServer::Refuse(HTTPServerResponse& response,
+                          const Refusal& refusal) {
+  refused_->Add();
+  WriteRefusal(response, refusal);
+}
+
+bool CallerServer::TakePlace() {
+  if (in_hand_.fetch_add(1) < settings_.max_requests) {
+    return true;
+  }
+  in_hand_.fetch_sub(1);
+  return false;
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/entry/dispatcher.h
@@ -0,0 +1,124 @@
+// Takes a checked request to its answer: limits, routing, attempts, retries.
+
+#ifndef HARECRANK_SRC_ENTRY_DISPATCHER_H_
+#define HARECRANK_SRC_ENTRY_DISPATCHER_H_
+
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "harecrank/core/account_limiter.h"
+#include "harecrank/core/rcu_cell.h"
+#include "harecrank/core/retry_budget.h"
+#include "harecrank/core/router.h"
+#include "src/entry/answer_sink.h"
+#include "src/entry/attempt.h"
+#include "src/entry/caller_request.h"
+#include "src/entry/endpoint_table.h"
+#include "src/entry/link_pool.h"
+#include "src/node/node.h"
+
+namespace harecrank {
+
+// How a request ended well.
+struct Answered {
+  wire::Finished finished;
+  // The endpoint that gave the answer, and how many attempts it took.
+  EndpointId endpoint;
+  int attempts = 1;
+  // How many engines held the prompt.
+  int members = 1;
+};
+using DispatchResult = std::variant<Answered, Refusal>;
+
+// A ticket for one request that may not be repeated.
+struct IssuedTicket {
+  std::string ticket;
+  Millis ttl;
+};
+
+// What a dispatcher is made from. All must outlive it.
+struct DispatcherPorts {
+  Node* node = nullptr;
+  LinkPool* links = nullptr;
+  MonotonicClock clock;
+  RandomSource random;
+};
+
+// Runs each request on its caller's thread. Thread-safe.
+class Dispatcher {
+ public:
+  // `policy_name` is one that RoutingPolicyFromName knows.
+  Dispatcher(DispatcherPorts ports, std::string policy_name);
+
+  // Takes a new revision: the table that requests see is replaced whole.
+  void OnConfiguration();
+
+  // Keeps the links that the table wants. Called at intervals.
+  void Maintain();
+
+  // Runs `request` to its end, within its time limit.
+  DispatchResult Run(const CallerRequest& request, AnswerSink* sink);
+
+  // Gets a ticket for a model or, if `service` is not empty, a service.
+  std::variant<IssuedTicket, Refusal> IssueTicket(const AccountId& account,
+                                                  const ModelId& model,
+                                                  const ServiceName& service);
+
+  // Ends an unspent ticket. Returns kNotRun only if it is certain that its
+  // request did not and will not run.
+  Outcome RevokeTicket(const AccountId& account, const std::string& ticket);
+
+ private:
+  // What a running request carries with it.
+  struct Context {
+    const CallerRequest& request;
+    std::shared_ptr<const Configuration> configuration;
+    std::shared_ptr<const EndpointTable> table;
+    TimePoint deadline;
+    LengthClass length = LengthClass::kShort;
+    std::set<EndpointId> tried{};
+  };
+
+  std::optional<Refusal> CheckLimit(const Context& context);
+  DispatchResult RunAttempts(Context* context, AnswerSink* sink);
+  DispatchResult RunTicketed(Context* context, AnswerSink* sink);
+  AttemptResult RunGroup(Context* context, AttemptPorts ports,
+                         AttemptEvidence* evidence);
+  AttemptResult RunOnce(Context* context, const std::shared_ptr<Link>& link,
+                        AttemptPorts ports, AttemptEvidence* evidence);
+  wire::Submit MakeSubmit(const Context& context,
+                          const AnswerAssembler& assembler) const;
+  bool NeedsGroup(const Context& context) const;
+  const std::vector<SubsetEndpoint>& Subset(const Context& context) const;
+  std::shared_ptr<Link> Choose(const Context& context);
+  std::shared_ptr<Link> WaitForLink(const Context& context, AnswerSink* sink);
+  std::shared_ptr<Link> WaitUntilUsable(const EndpointId& endpoint,
+                                        const std::string& address,
+                                        TimePoint until);
+  bool MayUse(const EndpointId& endpoint) const;
+  std::optional<wire::TicketAnswer> AskTicket(const std::shared_ptr<Link>& link,
+                                              StreamId stream,
+                                              StreamInbox* inbox,
+                                              const wire::Message& question);
+
+  DispatcherPorts ports_;
+  std::string policy_name_;
+  RetryBudget budget_;
+  std::mutex limiter_mutex_;
+  AccountLimiter limiter_;
+  std::mutex table_mutex_;
+  RcuCell<EndpointTable> table_;
+  Counter* limited_;
+  Counter* retries_;
+  Counter* resumed_;
+  Counter* groups_;
+  Counter* segments_redone_;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_ENTRY_DISPATCHER_H_
--- /dev/null
+++ b/src/entry/entry_node.h
@@ -0,0 +1,52 @@
+// The process on one entry host.
+
+#ifndef HARECRANK_SRC_ENTRY_ENTRY_NODE_H_
+#define HARECRANK_SRC_ENTRY_ENTRY_NODE_H_
+
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+#include "src/adapters/settings.h"
+#include "src/entry/caller_server.h"
+#include "src/entry/dispatcher.h"
+#include "src/entry/link_pool.h"
+#include "src/node/node.h"
+
+namespace harecrank {
+
+// Takes callers' requests and brings them their answers.
+class EntryNode {
+ public:
+  EntryNode(const EntrySettings& settings, MonotonicClock clock,
+            const RandomSource& random);
+  ~EntryNode();
+  EntryNode(const EntryNode&) = delete;
+  EntryNode& operator=(const EntryNode&) = delete;
+
+  // Starts everything and returns.
+  void Start();
+
+  // Refuses new requests, waits for those in hand up to the drain limit, and
+  // stops.
+  void DrainAndStop();
+
+ private:
+  void RunMaintenance();
+  void Dump(nlohmann::json* dump);
+
+  EntrySettings settings_;
+  MonotonicClock clock_;
+  Node node_;
+  LinkPool links_;
+  Dispatcher dispatcher_;
+  CallerServer callers_;
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  bool stopping_ = false;
+  std::thread maintenance_;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_ENTRY_ENTRY_NODE_H_
--- /dev/null
+++ b/src/node/administration.h
@@ -0,0 +1,52 @@
+// The administration calls, generated from the schema and carried by HTTP.
+
+#ifndef HARECRANK_SRC_NODE_ADMINISTRATION_H_
+#define HARECRANK_SRC_NODE_ADMINISTRATION_H_
+
+#include <string>
+
+#include "harecrank/core/config_ledger.h"
+#include "src/node/config_feed.h"
+
+namespace harecrank {
+
+// Serves the schema's Administration on one node.
+class AdministrationService : public v1::Administration {
+ public:
+  // Both must outlive the service.
+  AdministrationService(ConfigLedger* ledger, ConfigFeed* feed);
+
+  void Plan(google::protobuf::RpcController* controller,
+            const v1::PlanRequest* request, v1::PlanResponse* response,
+            google::protobuf::Closure* done) override;
+  void Validate(google::protobuf::RpcController* controller,
+                const v1::ValidateRequest* request,
+                v1::ValidateResponse* response,
+                google::protobuf::Closure* done) override;
+  void GetInForce(google::protobuf::RpcController* controller,
+                  const v1::GetInForceRequest* request,
+                  v1::GetInForceResponse* response,
+                  google::protobuf::Closure* done) override;
+  void Locate(google::protobuf::RpcController* controller,
+              const v1::LocateRequest* request, v1::LocateResponse* response,
+              google::protobuf::Closure* done) override;
+
+ private:
+  ConfigLedger* ledger_;
+  ConfigFeed* feed_;
+};
+
+// An answer to a call over HTTP.
+struct RpcAnswer {
+  int status = 0;
+  std::string body;
+};
+
+// Calls `method` of `service` with a JSON request, by the generated service's
+// own reflection, so that a method added to the schema needs no code here.
+RpcAnswer CallRpc(google::protobuf::Service* service, const std::string& method,
+                  const std::string& request_json);
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_NODE_ADMINISTRATION_H_
--- /dev/null
+++ b/src/node/config_feed.cc
@@ -0,0 +1,448 @@
+#include "src/node/config_feed.h"
+
+#include <google/protobuf/util/json_util.h>
+
+#include <algorithm>
+#include <future>
+#include <utility>
+
+#include "src/adapters/http.h"
+
+namespace harecrank {
+namespace {
+
+namespace leaf = boost::leaf;
+using google::protobuf::util::JsonStringToMessage;
+using google::protobuf::util::MessageToJsonString;
+
+constexpr char kDocumentKey[] = "document";
+constexpr char kChangesKey[] = "changes";
+constexpr Millis kWatchWait{25000};
+constexpr Millis kFirstBackoff{250};
+constexpr Millis kMostBackoff{8000};
+constexpr Millis kPeerTimeout{800};
+constexpr Millis kHostListInterval{2000};
+constexpr int kBootstrapRounds = 4;
+constexpr std::size_t kBootstrapPeers = 3;
+constexpr Millis kBootstrapPause{250};
+constexpr int kOk = 200;
+
+std::string ToJson(const v1::ChangeLog& log) {
+  std::string text;
+  const auto status = MessageToJsonString(log, &text);
+  return status.ok() ? text : std::string();
+}
+
+std::optional<std::string> Post(const std::string& address,
+                                const std::string& path,
+                                const std::string& body) {
+  HttpCall call;
+  call.address = address;
+  call.method = "POST";
+  call.path = path;
+  call.body = body;
+  call.content_type = "application/cbor";
+  call.timeout = kPeerTimeout;
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::optional<std::string>> {
+        BOOST_LEAF_AUTO(answer, CallHttp(call));
+        if (answer.status != kOk) {
+          return std::optional<std::string>();
+        }
+        return std::optional<std::string>(std::move(answer.body));
+      },
+      [] { return std::optional<std::string>(); });
+}
+
+}  // namespace
+
+ConfigFeed::ConfigFeed(const NodeSettings& settings, ConfigFeedPorts ports)
+    : settings_(settings),
+      ports_(std::move(ports)),
+      service_calls_(
+          ports_.metrics->GetCounter("harecrank_config_service_calls_total")),
+      service_errors_(
+          ports_.metrics->GetCounter("harecrank_config_service_errors_total")),
+      peer_calls_(ports_.metrics->GetCounter("harecrank_peer_calls_total")),
+      peer_errors_(ports_.metrics->GetCounter("harecrank_peer_errors_total")),
+      bytes_sent_(
+          ports_.metrics->GetCounter("harecrank_peer_bytes_sent_total")),
+      bytes_received_(
+          ports_.metrics->GetCounter("harecrank_peer_bytes_received_total")),
+      log_(GetLog("config")) {
+  ports_.metrics->AddGauge("harecrank_config_revision", [this] {
+    return static_cast<double>(ports_.ledger->State().revision.value);
+  });
+}
+
+ConfigFeed::~ConfigFeed() { Stop(); }
+
+void ConfigFeed::Start() {
+  threads_.emplace_back([this] { RunService(); });
+  threads_.emplace_back([this] { RunCompare(); });
+  threads_.emplace_back([this] { RunPush(); });
+}
+
+void ConfigFeed::Stop() {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    stopping_ = true;
+  }
+  wake_.notify_all();
+  for (std::thread& thread : threads_) {
+    thread.join();
+  }
+  threads_.clear();
+}
+
+PeerUpdate ConfigFeed::OnCompare(const PeerState& theirs) {
+  return UpdateFor(theirs);
+}
+
+PeerState ConfigFeed::OnOffer(const PeerUpdate& update) {
+  TakeUpdate(update);
+  return MyState();
+}
+
+PeerState ConfigFeed::MyState() const {
+  const LedgerState state = ports_.ledger->State();
+  return PeerState{settings_.node_id.value, state.revision.value,
+                   state.digest.value, ports_.hosts->Current()->version,
+                   ready_.load()};
+}
+
+void ConfigFeed::RunService() {
+  ReadDocument();
+  Bootstrap();
+  while (!stopping_) {
+    ReadHosts();
+    const auto plan = Plan();
+    if (plan == nullptr) {
+      ReadDocument();
+      Sleep(Jittered(std::max(service_backoff_, kFirstBackoff)));
+    } else if (plan->IsReader()) {
+      WatchOnce();
+      Sleep(Jittered(service_backoff_));
+    } else {
+      LookOnce();
+    }
+  }
+}
+
+void ConfigFeed::RunCompare() {
+  while (Sleep(Jittered(settings_.compare_interval))) {
+    const auto plan = Plan();
+    if (plan == nullptr) {
+      continue;
+    }
+    const NodeAddress* peer = plan->PickPeer(ports_.random);
+    if (peer != nullptr) {
+      CompareWith(peer->operations);
+    }
+  }
+}
+
+void ConfigFeed::RunPush() {
+  while (!stopping_) {
+    {
+      std::unique_lock<std::mutex> lock(mutex_);
+      wake_.wait(lock, [this] { return push_due_ || stopping_.load(); });
+      push_due_ = false;
+    }
+    const auto plan = Plan();
+    if (plan == nullptr || stopping_) {
+      continue;
+    }
+    // Side by side: a child that is frozen must not hold back its siblings.
+    std::vector<std::future<void>> pushes;
+    for (const NodeAddress& child : plan->Children()) {
+      pushes.push_back(std::async(std::launch::async,
+                                  [this, child] { PushTo(child.operations); }));
+    }
+  }
+}
+
+void ConfigFeed::ReadDocument() {
+  service_calls_->Add();
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(value, ports_.service->Read(kDocumentKey));
+        service_backoff_ = Millis(0);
+        OfferDocument(value.value, ConfigSource::kService);
+        return {};
+      },
+      [&] {
+        service_errors_->Add();
+        service_backoff_ = std::min(
+            kMostBackoff, std::max(kFirstBackoff, service_backoff_ * 2));
+      });
+}
+
+void ConfigFeed::WatchOnce() {
+  service_calls_->Add();
+  // A reader also polls the host list, so it does not wait longer than that.
+  const Millis wait =
+      ports_.host_list == nullptr ? kWatchWait : kHostListInterval;
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(
+            value, ports_.service->Watch(kChangesKey, watch_version_, wait));
+        service_backoff_ = Millis(0);
+        if (value) {
+          watch_version_ = value->version;
+          TakeChanges(value->value, ConfigSource::kService);
+        }
+        return {};
+      },
+      [&] {
+        service_errors_->Add();
+        service_backoff_ = std::min(
+            kMostBackoff, std::max(kFirstBackoff, service_backoff_ * 2));
+      });
+}
+
+void ConfigFeed::LookOnce() {
+  const auto plan = Plan();
+  if (!Sleep(Jittered(plan->FallbackInterval()))) {
+    return;
+  }
+  service_calls_->Add();
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(value, ports_.service->Read(kChangesKey));
+        TakeChanges(value.value, ConfigSource::kService);
+        return {};
+      },
+      [&] { service_errors_->Add(); });
+}
+
+void ConfigFeed::TakeChanges(const std::string& changes_json,
+                             ConfigSource source) {
+  v1::ChangeLog log;
+  if (!JsonStringToMessage(changes_json, &log).ok()) {
+    LOG4CXX_WARN(log_, "a change log cannot be read");
+    return;
+  }
+  Offer latest = Offer::kSame;
+  for (const v1::Change& change : log.changes()) {
+    // Those already passed are no news.
+    if (change.revision() <= ports_.ledger->State().revision.value &&
+        &change != &*log.changes().rbegin()) {
+      continue;
+    }
+    latest = ports_.ledger->OfferChange(change, source);
+    Settle(latest);
+  }
+  if (latest == Offer::kGap && source == ConfigSource::kService) {
+    ReadDocument();
+  }
+}
+
+void ConfigFeed::ReadHosts() {
+  if (ports_.host_list == nullptr) {
+    return;
+  }
+  const auto plan = Plan();
+  if (plan == nullptr || !plan->IsReader()) {
+    return;
+  }
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(list, ports_.host_list->Read());
+        if (ports_.hosts->Offer(std::move(list))) {
+          Settle(Offer::kAdopted);
+        }
+        return {};
+      },
+      [] {});
+}
+
+void ConfigFeed::Bootstrap() {
+  // A service that is silently stale would give a newcomer an old document, so
+  // the peers are asked before this node calls itself ready.
+  for (int round = 0; round < kBootstrapRounds && !stopping_; ++round) {
+    int answered = 0;
+    const std::vector<std::string> peers = BootstrapPeers();
+    for (const std::string& peer : peers) {
+      answered += CompareWith(peer) ? 1 : 0;
+    }
+    const bool have = ports_.ledger->InForce() != nullptr;
+    if (have && (answered > 0 || peers.empty())) {
+      break;
+    }
+    if (!have) {
+      ReadDocument();
+      round = 0;
+    }
+    Sleep(Jittered(kBootstrapPause));
+  }
+  ready_ = ports_.ledger->InForce() != nullptr;
+  LOG4CXX_INFO(log_,
+               "ready with revision " << ports_.ledger->State().revision.value);
+}
+
+std::vector<std::string> ConfigFeed::BootstrapPeers() {
+  std::vector<std::string> peers = settings_.seed_peers;
+  const auto plan = Plan();
+  for (std::size_t i = 0; plan != nullptr && i < kBootstrapPeers; ++i) {
+    const NodeAddress* peer = plan->PickPeer(ports_.random);
+    if (peer != nullptr) {
+      peers.push_back(peer->operations);
+    }
+  }
+  return peers;
+}
+
+bool ConfigFeed::CompareWith(const std::string& address) {
+  peer_calls_->Add();
+  const std::string mine = EncodePeerState(MyState());
+  bytes_sent_->Add(mine.size());
+  const auto answer = Post(address, "/peer/compare", mine);
+  const auto update = answer ? DecodePeerUpdate(*answer) : std::nullopt;
+  if (!update) {
+    peer_errors_->Add();
+    return false;
+  }
+  bytes_received_->Add(answer->size());
+  TakeUpdate(*update);
+  const PeerState now = MyState();
+  if (update->state.revision < now.revision ||
+      update->state.host_version < now.host_version) {
+    PushTo(address);
+  }
+  return true;
+}
+
+void ConfigFeed::TakeUpdate(const PeerUpdate& update) {
+  if (!update.changes_json.empty()) {
+    TakeChanges(update.changes_json, ConfigSource::kPeer);
+  }
+  if (!update.document_json.empty()) {
+    OfferDocument(update.document_json, ConfigSource::kPeer);
+  }
+  if (update.has_hosts) {
+    HostListVersion hosts;
+    hosts.version = update.state.host_version;
+    for (const std::string& id : update.leaving) {
+      hosts.leaving.insert(NodeId{id});
+    }
+    if (ports_.hosts->Offer(std::move(hosts))) {
+      Settle(Offer::kAdopted);
+    }
+  }
+}
+
+void ConfigFeed::PushTo(const std::string& address) {
+  // What the child has is not known: offer the latest step, which is nearly
+  // always what it lacks, and send the rest once it has said where it stands.
+  peer_calls_->Add();
+  const LedgerState state = ports_.ledger->State();
+  PeerState guess = MyState();
+  guess.host_version = 0;
+  guess.revision = state.revision.value;
+  PeerUpdate first = UpdateFor(guess);
+  const auto configuration = ports_.ledger->InForce();
+  if (configuration != nullptr) {
+    const auto latest = ports_.ledger->LatestChange();
+    if (latest) {
+      v1::ChangeLog log;
+      *log.add_changes() = *latest;
+      first.changes_json = ToJson(log);
+    }
+  }
+  std::string body = EncodePeerUpdate(first);
+  bytes_sent_->Add(body.size());
+  const auto answer = Post(address, "/peer/offer", body);
+  const auto theirs = answer ? DecodePeerState(*answer) : std::nullopt;
+  if (!theirs) {
+    peer_errors_->Add();
+    return;
+  }
+  bytes_received_->Add(answer->size());
+  if (theirs->revision >= MyState().revision) {
+    return;
+  }
+  body = EncodePeerUpdate(UpdateFor(*theirs));
+  bytes_sent_->Add(body.size());
+  Post(address, "/peer/offer", body);
+}
+
+PeerUpdate ConfigFeed::UpdateFor(const PeerState& theirs) const {
+  PeerUpdate update;
+  update.state = MyState();
+  const auto configuration = ports_.ledger->InForce();
+  if (configuration != nullptr && theirs.revision < update.state.revision) {
+    const auto changes = ports_.ledger->ChangesSince(Digest{theirs.digest});
+    if (changes) {
+      update.changes_json = ToJson(*changes);
+    } else {
+      update.document_json = configuration->CanonicalJson();
+    }
+  }
+  const auto hosts = ports_.hosts->Current();
+  if (theirs.host_version < hosts->version) {
+    update.has_hosts = true;
+    for (const NodeId& id : hosts->leaving) {
+      update.leaving.push_back(id.value);
+    }
+  }
+  return update;
+}
+
+void ConfigFeed::OfferDocument(const std::string& document,
+                               ConfigSource source) {
+  Settle(ports_.ledger->OfferDocument(document, source));
+}
+
+void ConfigFeed::Settle(Offer offer) {
+  ports_.metrics
+      ->GetCounter("harecrank_config_offers_total",
+                   std::string("result=\"") + OfferName(offer) + "\"")
+      ->Add();
+  if (offer == Offer::kConflict || offer == Offer::kInvalid) {
+    LOG4CXX_WARN(
+        log_, "configuration refused: " << ports_.ledger->State().last_fault);
+    return;
+  }
+  if (offer != Offer::kAdopted) {
+    return;
+  }
+  if (listener_) {
+    listener_();
+  }
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    push_due_ = true;
+  }
+  wake_.notify_all();
+}
+
+std::shared_ptr<const DisseminationPlan> ConfigFeed::Plan() {
+  const auto configuration = ports_.ledger->InForce();
+  if (configuration == nullptr) {
+    return nullptr;
+  }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (plan_ == nullptr || plan_revision_ != configuration->GetRevision()) {
+    plan_ = std::make_shared<const DisseminationPlan>(
+        configuration->Nodes(), settings_.node_id, settings_.data_centre);
+    plan_revision_ = configuration->GetRevision();
+  }
+  return plan_;
+}
+
+bool ConfigFeed::Sleep(Millis time) {
+  std::unique_lock<std::mutex> lock(mutex_);
+  wake_.wait_for(lock, time, [this] { return stopping_.load(); });
+  return !stopping_;
+}
+
+Millis ConfigFeed::Jittered(Millis time) const {
+  // Between three and five quarters, so that nodes that started together part.
+  constexpr std::int64_t kQuarters = 4;
+  const auto span = static_cast<std::uint64_t>(time.count() / 2 + 1);
+  return time - time / kQuarters +
+         Millis(static_cast<std::int64_t>(ports_.random() % span));
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,87 @@
+// What every process of the system has, whatever its role: configuration, the
+// host list, metrics, and the operations server.
+
+#ifndef HARECRANK_SRC_NODE_NODE_H_
+#define HARECRANK_SRC_NODE_NODE_H_
+
+#include <functional>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+
+#include "harecrank/core/config_ledger.h"
+#include "harecrank/core/host_states.h"
+#include "src/adapters/http.h"
+#include "src/adapters/metrics.h"
+#include "src/adapters/settings.h"
+#include "src/node/administration.h"
+#include "src/node/config_feed.h"
+#include "src/node/platform.h"
+
+namespace harecrank {
+
+// What the role of a process adds to its node.
+struct NodeRole {
+  std::string name;
+  // Whether the role itself is ready; asked only once configuration is.
+  std::function<bool()> is_ready;
+  // Appends the role's part of a dump.
+  std::function<void(nlohmann::json*)> dump;
+  // Called after each revision that comes into force.
+  std::function<void()> on_configuration;
+};
+
+// Runs the common part of one process. Thread-safe.
+class Node {
+ public:
+  Node(const NodeSettings& settings, Incarnation incarnation,
+       MonotonicClock clock, RandomSource random);
+  ~Node();
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+
+  // Starts the operations server and the feed. `role` may use this node.
+  void Start(NodeRole role);
+  void Stop();
+
+  std::shared_ptr<const Configuration> InForce() const {
+    return ledger_.InForce();
+  }
+  bool IsReady() const;
+  // Returns whether the configuration in force was compared with peers.
+  bool IsConfigured() const { return feed_.IsReady(); }
+  bool IsLeaving(const NodeId& node) const { return hosts_.IsLeaving(node); }
+  Metrics* GetMetrics() { return &metrics_; }
+  const NodeSettings& Settings() const { return settings_; }
+  Incarnation GetIncarnation() const { return incarnation_; }
+
+ private:
+  void Handle(Poco::Net::HTTPServerRequest& request,
+              Poco::Net::HTTPServerResponse& response);
+  void HandlePeer(const std::string& path,
+                  Poco::Net::HTTPServerRequest& request,
+                  Poco::Net::HTTPServerResponse& response);
+  void HandleOperator(const std::string& path,
+                      Poco::Net::HTTPServerRequest& request,
+                      Poco::Net::HTTPServerResponse& response);
+  bool IsOperator(const Poco::Net::HTTPServerRequest& request) const;
+  std::string Dump() const;
+
+  NodeSettings settings_;
+  Incarnation incarnation_;
+  MonotonicClock clock_;
+  TimePoint started_;
+  Metrics metrics_;
+  ConfigLedger ledger_;
+  HostStates hosts_;
+  HttpConfigService service_;
+  std::unique_ptr<HttpHostList> host_list_;
+  ConfigFeed feed_;
+  AdministrationService administration_;
+  NodeRole role_;
+  std::unique_ptr<HttpServer> server_;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_NODE_NODE_H_
--- /dev/null
+++ b/src/node/platform.cc
@@ -0,0 +1,120 @@
+#include "src/node/platform.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "src/adapters/http.h"
+
+namespace harecrank {
+namespace {
+
+namespace leaf = boost::leaf;
+using nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kNotModified = 304;
+constexpr Millis kReadTimeout{2000};
+// Past the wait itself, how long an answer may take.
+constexpr Millis kWatchMargin{2000};
+
+struct Describer {
+  std::string operator()(const PlatformUnreachable& error) const {
+    return error.reason;
+  }
+  std::string operator()(const PlatformRefused& error) const {
+    return "the platform answered with status " + std::to_string(error.status);
+  }
+  std::string operator()(const PlatformAnswerUnreadable& error) const {
+    return "the platform's answer cannot be read: " + error.reason;
+  }
+};
+
+leaf::result<HttpAnswer> Get(const std::string& address,
+                             const std::string& path, Millis timeout) {
+  HttpCall call;
+  call.address = address;
+  call.path = path;
+  call.timeout = timeout;
+  return leaf::try_handle_some(
+      [&] { return CallHttp(call); },
+      [](const HttpError& error) -> leaf::result<HttpAnswer> {
+        return leaf::new_error(
+            PlatformError{PlatformUnreachable{Describe(error)}});
+      });
+}
+
+leaf::result<json> ParseBody(const std::string& body) {
+  try {
+    return json::parse(body);
+  } catch (const json::exception& error) {
+    return leaf::new_error(
+        PlatformError{PlatformAnswerUnreadable{error.what()}});
+  }
+}
+
+leaf::result<PublishedValue> ToValue(const HttpAnswer& answer) {
+  if (answer.status != kOk) {
+    return leaf::new_error(PlatformError{PlatformRefused{answer.status}});
+  }
+  BOOST_LEAF_AUTO(body, ParseBody(answer.body));
+  try {
+    return PublishedValue{body.at("version").get<std::uint64_t>(),
+                          body.at("value").get<std::string>()};
+  } catch (const json::exception& error) {
+    return leaf::new_error(
+        PlatformError{PlatformAnswerUnreadable{error.what()}});
+  }
+}
+
+}  // namespace
+
+std::string Describe(const PlatformError& error) {
+  return std::visit(Describer{}, error);
+}
+
+HttpConfigService::HttpConfigService(std::string address)
+    : address_(std::move(address)) {}
+
+leaf::result<PublishedValue> HttpConfigService::Read(const std::string& key) {
+  BOOST_LEAF_AUTO(answer, Get(address_, "/v1/values/" + key, kReadTimeout));
+  return ToValue(answer);
+}
+
+leaf::result<std::optional<PublishedValue>> HttpConfigService::Watch(
+    const std::string& key, std::uint64_t known, Millis wait) {
+  const std::string path = "/v1/values/" + key +
+                           "?after=" + std::to_string(known) +
+                           "&wait_ms=" + std::to_string(wait.count());
+  BOOST_LEAF_AUTO(answer, Get(address_, path, wait + kWatchMargin));
+  if (answer.status == kNotModified) {
+    return std::optional<PublishedValue>();
+  }
+  BOOST_LEAF_AUTO(value, ToValue(answer));
+  return std::optional<PublishedValue>(std::move(value));
+}
+
+HttpHostList::HttpHostList(std::string address)
+    : address_(std::move(address)) {}
+
+leaf::result<HostListVersion> HttpHostList::Read() {
+  BOOST_LEAF_AUTO(answer, Get(address_, "/v1/hosts", kReadTimeout));
+  if (answer.status != kOk) {
+    return leaf::new_error(PlatformError{PlatformRefused{answer.status}});
+  }
+  BOOST_LEAF_AUTO(body, ParseBody(answer.body));
+  try {
+    HostListVersion list;
+    body.at("version").get_to(list.version);
+    for (const json& host : body.at("hosts")) {
+      if (host.at("state") != "live") {
+        list.leaving.insert(NodeId{host.at("id").get<std::string>()});
+      }
+    }
+    return list;
+  } catch (const json::exception& error) {
+    return leaf::new_error(
+        PlatformError{PlatformAnswerUnreadable{error.what()}});
+  }
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/sidecar/sidecar_node.cc
@@ -0,0 +1,740 @@
+#include "src/sidecar/sidecar_node.h"
+
+#include <Poco/Runnable.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <tuple>
+#include <utility>
+
+#include "harecrank/core/outcome.h"
+#include "src/adapters/logging.h"
+#include "src/adapters/system_sources.h"
+#include "src/sidecar/http_engine.h"
+
+namespace harecrank {
+namespace {
+
+namespace leaf = boost::leaf;
+using nlohmann::json;
+
+constexpr std::size_t kMostTickets = 20000;
+constexpr std::size_t kMostLogs = 2000;
+constexpr Millis kTick{20};
+// Replays and segments run beside the scheduled requests.
+constexpr int kSpareThreads = 64;
+// How often a connection that carries requests hears of a changed load.
+constexpr int kPulsesWhileBusy = 5;
+// Memory of a plain service, counted in calls.
+constexpr std::int64_t kServiceCalls = 1 << 20;
+constexpr Millis kDrainPoll{20};
+constexpr Millis kMostReserve{30000};
+
+std::string MessageOf(const SubmitError& error) {
+  if (const auto* larger = std::get_if<LargerThanEngine>(&error)) {
+    return "the request needs more than the " +
+           std::to_string(larger->memory.value) + " tokens of this engine";
+  }
+  return "the endpoint does not take it now";
+}
+
+}  // namespace
+
+// Runs one stream on a thread of the pool, and deletes itself.
+class SidecarNode::RunTask : public Poco::Runnable {
+ public:
+  RunTask(SidecarNode* node, StreamPtr stream, bool replay,
+          PrefillPolicy policy)
+      : node_(node),
+        stream_(std::move(stream)),
+        replay_(replay),
+        policy_(policy) {}
+
+  void run() override {
+    const std::unique_ptr<RunTask> owned(this);
+    if (replay_) {
+      node_->runner_.Replay(stream_);
+    } else {
+      node_->runner_.Run(stream_, policy_);
+    }
+    node_->OnRunEnded(stream_, replay_);
+  }
+
+ private:
+  SidecarNode* node_;
+  StreamPtr stream_;
+  bool replay_;
+  PrefillPolicy policy_;
+};
+
+bool SidecarNode::StreamName::operator<(const StreamName& other) const {
+  return std::tie(connection, stream) <
+         std::tie(other.connection, other.stream);
+}
+
+SidecarNode::SidecarNode(const SidecarSettings& settings, MonotonicClock clock,
+                         RandomSource random)
+    : settings_(settings),
+      clock_(clock),
+      random_(random),
+      incarnation_(DrawIncarnation(random)),
+      node_(settings.node, incarnation_, clock, random),
+      engine_(std::make_unique<HttpEngine>(settings.endpoint_address)),
+      runner_(WorkRunnerPorts{
+          engine_.get(), settings.endpoint_address, incarnation_, clock,
+          [this](ConnectionId to, const wire::Message& message) {
+            return links_->Send(to, message);
+          }}),
+      keeper_(settings, EngineKeeperPorts{
+                            engine_.get(), &node_, incarnation_, clock,
+                            [this] { return LiveHoldings(); },
+                            [this](Tokens memory) {
+                              const std::lock_guard<std::mutex> lock(mutex_);
+                              reported_memory_ = memory;
+                              const auto now = node_.InForce();
+                              if (now != nullptr) {
+                                scheduler_.Reconfigure(OptionsFrom(*now));
+                              }
+                            }}),
+      pool_(2, settings.max_running + kSpareThreads),
+      scheduler_(SchedulerOptions{}, clock),
+      tickets_(EndpointId{settings.node.node_id.value}, incarnation_,
+               kMostTickets, clock, std::move(random)) {
+  Metrics* metrics = node_.GetMetrics();
+  accepted_ = metrics->GetCounter("harecrank_sidecar_accepted_total");
+  refused_ = metrics->GetCounter("harecrank_sidecar_refused_total");
+  started_ = metrics->GetCounter("harecrank_sidecar_started_total");
+  replayed_ = metrics->GetCounter("harecrank_sidecar_replayed_total");
+  abandoned_ = metrics->GetCounter("harecrank_sidecar_abandoned_total");
+}
+
+SidecarNode::~SidecarNode() = default;
+
+void SidecarNode::Start() {
+  NodeRole role;
+  role.name = "sidecar";
+  role.is_ready = [this] {
+    const auto configuration = node_.InForce();
+    const auto* self =
+        configuration->FindEndpoint(EndpointId{settings_.node.node_id.value});
+    return self == nullptr || self->has_service() || keeper_.IsReconciled();
+  };
+  role.dump = [this](json* dump) { Dump(dump); };
+  role.on_configuration = [this] { ApplyConfiguration(); };
+  LinkServer::Handlers handlers;
+  handlers.on_message = [this](ConnectionId from, wire::Message message) {
+    OnMessage(from, std::move(message));
+  };
+  handlers.on_close = [this](ConnectionId from) { OnClose(from); };
+  links_ =
+      std::make_unique<LinkServer>(settings_.link_address, std::move(handlers));
+  node_.Start(std::move(role));
+  timer_ = std::thread([this] { RunTimer(); });
+  canceller_ = std::thread([this] { RunCanceller(); });
+  keeper_.Start();
+}
+
+void SidecarNode::DrainAndStop() {
+  const TimePoint limit = clock_() + settings_.drain_limit;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    scheduler_.Drain();
+  }
+  SendPulses(true);
+  while (clock_() < limit) {
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      if (scheduler_.IsIdle() && streams_.empty()) {
+        break;
+      }
+    }
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    stopping_ = true;
+    for (const auto& stream : by_key_) {
+      Abandon(stream.second);
+    }
+  }
+  wake_.notify_all();
+  keeper_.Stop();
+  timer_.join();
+  pool_.joinAll();
+  canceller_.join();
+  links_->Stop();
+  node_.Stop();
+}
+
+void SidecarNode::OnMessage(ConnectionId connection, wire::Message message) {
+  std::visit([&](auto& typed) { On(connection, typed); }, message);
+}
+
+void SidecarNode::OnClose(ConnectionId connection) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  connections_.erase(connection);
+  std::vector<StreamPtr> lost;
+  for (const auto& stream : streams_) {
+    if (stream.first.connection == connection) {
+      lost.push_back(stream.second);
+    }
+  }
+  for (const StreamPtr& stream : lost) {
+    Detach(stream);
+  }
+  for (auto held = reservations_.begin(); held != reservations_.end();) {
+    if (held->first.connection != connection) {
+      ++held;
+      continue;
+    }
+    scheduler_.Finish(held->second);
+    CancelLater(runner_.HoldingOf(held->second));
+    held = reservations_.erase(held);
+  }
+  StartWaiting();
+}
+
+void SidecarNode::On(ConnectionId connection, const wire::Hello& hello) {
+  if (hello.version != wire::kProtocolVersion) {
+    links_->Close(connection);
+    return;
+  }
+  links_->Send(connection, wire::Welcome{wire::kProtocolVersion,
+                                         settings_.node.node_id, incarnation_});
+  const std::lock_guard<std::mutex> lock(mutex_);
+  connections_.insert(connection);
+  links_->Send(connection,
+               wire::Pulse{RemoteMillis{ToMillis(clock_())},
+                           scheduler_.Report(), scheduler_.IsDraining()});
+}
+
+void SidecarNode::On(ConnectionId connection, wire::Submit& submit) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const StreamName name{connection, submit.stream};
+  if (streams_.count(name) > 0 || submit.body_bytes > wire::kMostBodyBytes) {
+    links_->Send(connection,
+                 wire::Refused{submit.stream, "bad_request",
+                               "a stream number used twice, or too large"});
+    return;
+  }
+  const auto stream = std::make_shared<SidecarStream>(next_key_++, connection,
+                                                      std::move(submit));
+  stream->deadline = TimePoint(Millis(stream->submit.deadline.value));
+  stream->body.reserve(stream->submit.body_bytes);
+  streams_.emplace(name, stream);
+  by_key_.emplace(stream->key, stream);
+  if (stream->submit.body_bytes == 0) {
+    OnWhole(stream);
+  }
+}
+
+void SidecarNode::On(ConnectionId connection, wire::BodyPiece& piece) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const StreamPtr stream = Find(connection, piece.stream);
+  if (stream == nullptr || stream->state != StreamState::kReceiving) {
+    return;
+  }
+  stream->body += piece.bytes;
+  if (stream->body.size() > stream->submit.body_bytes) {
+    Refuse(stream, wire::Refused{piece.stream, "bad_request",
+                                 "more bytes than were announced"});
+    return;
+  }
+  if (stream->body.size() == stream->submit.body_bytes) {
+    OnWhole(stream);
+  }
+}
+
+void SidecarNode::On(ConnectionId connection, const wire::Revoke& revoke) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const StreamPtr stream = Find(connection, revoke.stream);
+  if (stream == nullptr || stream->state == StreamState::kRunning) {
+    return;
+  }
+  scheduler_.Revoke(stream->key);
+  Refuse(stream, wire::Refused{revoke.stream, "revoked", "withdrawn in time"});
+}
+
+void SidecarNode::On(ConnectionId connection, const wire::Cancel& cancel) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto held = reservations_.find(StreamName{connection, cancel.stream});
+  if (held != reservations_.end()) {
+    scheduler_.Finish(held->second);
+    CancelLater(runner_.HoldingOf(held->second));
+    reservations_.erase(held);
+  }
+  const StreamPtr stream = Find(connection, cancel.stream);
+  if (stream != nullptr) {
+    Detach(stream);
+  }
+  StartWaiting();
+}
+
+void SidecarNode::On(ConnectionId connection, const wire::Credit& credit) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const StreamPtr stream = Find(connection, credit.stream);
+  if (stream != nullptr) {
+    stream->window.Add(credit.tokens);
+  }
+}
+
+void SidecarNode::On(ConnectionId connection,
+                     const wire::TicketRequest& request) {
+  wire::TicketAnswer answer;
+  answer.call = request.call;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto ticket = scheduler_.IsDraining()
+                            ? std::nullopt
+                            : tickets_.Issue(request.account, request.ttl);
+    if (ticket) {
+      answer.ticket = FormatTicket(*ticket);
+    }
+  }
+  links_->Send(connection, answer);
+}
+
+void SidecarNode::On(ConnectionId connection,
+                     const wire::TicketRevoke& revoke) {
+  wire::TicketAnswer answer;
+  answer.call = revoke.call;
+  Redemption redemption = Redemption::kForeign;
+  const auto ticket = ParseTicket(revoke.ticket);
+  if (ticket) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    redemption = tickets_.Revoke(*ticket, revoke.account);
+  }
+  answer.outcome =
+      OutcomeName(redemption == Redemption::kEndedUnspent ? Outcome::kNotRun
+                                                          : Outcome::kUnknown);
+  links_->Send(connection, answer);
+}
+
+void SidecarNode::On(ConnectionId connection, const wire::Reserve& reserve) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const StreamName name{connection, reserve.stream};
+  const Millis ttl = std::min(reserve.ttl, kMostReserve);
+  const auto held = reservations_.find(name);
+  bool reserved = false;
+  if (held != reservations_.end()) {
+    reserved = static_cast<bool>(scheduler_.Renew(held->second, ttl));
+  } else if (keeper_.HasModel(reserve.model)) {
+    const std::uint64_t key = next_key_++;
+    reserved = static_cast<bool>(scheduler_.Reserve(key, reserve.amount, ttl));
+    if (reserved) {
+      reservations_.emplace(name, key);
+    }
+  }
+  if (reserved) {
+    links_->Send(connection, wire::Reserved{reserve.stream});
+  } else {
+    links_->Send(connection, wire::Refused{reserve.stream, "overloaded",
+                                           "no room for this part"});
+  }
+}
+
+void SidecarNode::OnWhole(const StreamPtr& stream) {
+  if (stream->submit.reservation.value != 0) {
+    RunUnderReservation(stream);
+    return;
+  }
+  if (stream->submit.work == wire::Work::kGenerate &&
+      !keeper_.HasModel(stream->submit.model)) {
+    Refuse(stream, wire::Refused{stream->submit.stream, "model_not_loaded",
+                                 "the engine does not hold this model yet",
+                                 Millis(1000)});
+    return;
+  }
+  Queue(stream);
+}
+
+void SidecarNode::Queue(const StreamPtr& stream) {
+  const wire::Submit& submit = stream->submit;
+  QueuedRequest request;
+  request.key = stream->key;
+  request.account = submit.account;
+  request.account_weight = submit.account_weight;
+  request.length = submit.length;
+  request.cost = submit.work == wire::Work::kCall
+                     ? Tokens{1}
+                     : submit.prompt + submit.answer;
+  request.start_by = stream->deadline;
+  const bool queued = leaf::try_handle_all(
+      [&]() -> leaf::result<bool> {
+        BOOST_LEAF_CHECK(scheduler_.Submit(request));
+        return true;
+      },
+      [&](const SubmitError& error) {
+        const auto after = RetryAfterOf(error);
+        Refuse(stream,
+               wire::Refused{submit.stream, SubmitErrorCode(error),
+                             MessageOf(error), after ? *after : Millis(-1)});
+        return false;
+      },
+      [&] { return false; });
+  if (!queued || !SpendTicket(stream)) {
+    return;
+  }
+  stream->state = StreamState::kQueued;
+  accepted_->Add();
+  load_changed_ = true;
+  links_->Send(stream->connection, wire::Accepted{submit.stream});
+  StartWaiting();
+}
+
+void SidecarNode::RunUnderReservation(const StreamPtr& stream) {
+  const auto held = reservations_.find(
+      StreamName{stream->connection, stream->submit.reservation});
+  if (held == reservations_.end()) {
+    Refuse(stream, wire::Refused{stream->submit.stream, "reservation_ended",
+                                 "the memory for this part is gone"});
+    return;
+  }
+  const auto left =
+      std::chrono::duration_cast<Millis>(stream->deadline - clock_());
+  if (left <= Millis(0) ||
+      !scheduler_.Renew(held->second, std::min(left, kMostReserve))) {
+    Refuse(stream, wire::Refused{stream->submit.stream, "deadline_exceeded",
+                                 "the memory for this part is gone"});
+    return;
+  }
+  stream->reservation_key = held->second;
+  stream->state = StreamState::kRunning;
+  accepted_->Add();
+  links_->Send(stream->connection, wire::Accepted{stream->submit.stream});
+  StartThread(stream, false);
+}
+
+bool SidecarNode::SpendTicket(const StreamPtr& stream) {
+  const wire::Submit& submit = stream->submit;
+  if (submit.ticket.empty()) {
+    return true;
+  }
+  const auto ticket = ParseTicket(submit.ticket);
+  const Redemption redemption =
+      ticket ? tickets_.Redeem(*ticket, submit.account) : Redemption::kForeign;
+  if (redemption == Redemption::kGranted) {
+    stream->log = std::make_shared<AnswerLog>();
+    logs_.emplace(ticket->nonce, stream->log);
+    log_order_.push_back(ticket->nonce);
+    if (log_order_.size() > kMostLogs) {
+      logs_.erase(log_order_.front());
+      log_order_.pop_front();
+    }
+    return true;
+  }
+  // The place in the queue is given back before anything can start from it.
+  scheduler_.Revoke(stream->key);
+  if (redemption == Redemption::kAlreadySpent) {
+    AttachToLog(stream, *ticket);
+  } else if (redemption == Redemption::kEndedUnspent) {
+    Refuse(stream, wire::Refused{submit.stream, "ticket_ended",
+                                 "the ticket ended before it was used"});
+  } else {
+    links_->Send(
+        stream->connection,
+        wire::Failed{submit.stream, "ticket_unknown",
+                     "this endpoint has no memory of the ticket", false});
+    Forget(stream);
+  }
+  return false;
+}
+
+void SidecarNode::AttachToLog(const StreamPtr& stream, const Ticket& ticket) {
+  const auto found = logs_.find(ticket.nonce);
+  if (found == logs_.end()) {
+    links_->Send(stream->connection,
+                 wire::Failed{stream->submit.stream, "ticket_spent",
+                              "the ticket was used and its answer is no "
+                              "longer kept",
+                              false});
+    Forget(stream);
+    return;
+  }
+  stream->log = found->second;
+  stream->state = StreamState::kRunning;
+  replayed_->Add();
+  links_->Send(stream->connection, wire::Accepted{stream->submit.stream});
+  StartThread(stream, true);
+}
+
+void SidecarNode::StartWaiting() {
+  for (const std::uint64_t key : scheduler_.TakeStarts()) {
+    const auto found = by_key_.find(key);
+    if (found == by_key_.end()) {
+      scheduler_.Finish(key);
+      continue;
+    }
+    const StreamPtr stream = found->second;
+    stream->state = StreamState::kRunning;
+    started_->Add();
+    StartThread(stream, false);
+    if (stream->log != nullptr) {
+      StartThread(stream, true);
+    }
+  }
+  load_changed_ = true;
+}
+
+void SidecarNode::StartThread(const StreamPtr& stream, bool replay) {
+  auto* task = new RunTask(this, stream, replay, prefill_);
+  try {
+    pool_.start(*task);
+  } catch (const Poco::NoThreadAvailableException&) {
+    delete task;
+    scheduler_.Finish(stream->key);
+    Refuse(stream, wire::Refused{stream->submit.stream, "overloaded",
+                                 "no thread is free", Millis(1000)});
+  }
+}
+
+void SidecarNode::DropOverdue() {
+  for (const QueuedRequest& request : scheduler_.DropOverdue()) {
+    const auto found = by_key_.find(request.key);
+    if (found != by_key_.end()) {
+      const StreamPtr stream = found->second;
+      Refuse(stream, wire::Refused{stream->submit.stream, "deadline_exceeded",
+                                   "it could not start in time"});
+    }
+  }
+}
+
+void SidecarNode::EndLeases() {
+  for (const std::uint64_t key : scheduler_.DropEndedLeases()) {
+    CancelLater(runner_.HoldingOf(key));
+    const auto stream = by_key_.find(key);
+    if (stream != by_key_.end()) {
+      stream->second->cancelled = true;
+      stream->second->window.Close();
+    }
+    EndMember(key);
+  }
+}
+
+void SidecarNode::EndMember(std::uint64_t reservation) {
+  for (const auto& stream : by_key_) {
+    if (stream.second->reservation_key == reservation) {
+      stream.second->cancelled = true;
+      stream.second->window.Close();
+      CancelLater(runner_.HoldingOf(stream.first));
+    }
+  }
+  for (auto held = reservations_.begin(); held != reservations_.end();) {
+    held = held->second == reservation ? reservations_.erase(held)
+                                       : std::next(held);
+  }
+}
+
+void SidecarNode::Detach(const StreamPtr& stream) {
+  // A request that may run once only goes on without its caller, who may ask
+  // again with the same ticket.
+  if (stream->log == nullptr || stream->state != StreamState::kRunning) {
+    Abandon(stream);
+    return;
+  }
+  stream->window.Close();
+}
+
+void SidecarNode::Abandon(const StreamPtr& stream) {
+  stream->cancelled = true;
+  stream->window.Close();
+  abandoned_->Add();
+  if (stream->state != StreamState::kRunning) {
+    scheduler_.Revoke(stream->key);
+    if (stream->log != nullptr) {
+      stream->log->End(wire::Refused{stream->submit.stream, "cancelled",
+                                     "withdrawn before its start"});
+    }
+    Forget(stream);
+    return;
+  }
+  CancelLater(runner_.HoldingOf(stream->key));
+}
+
+void SidecarNode::Refuse(const StreamPtr& stream,
+                         const wire::Refused& refused) {
+  refused_->Add();
+  if (stream->log != nullptr) {
+    stream->log->End(refused);
+  }
+  links_->Send(stream->connection, refused);
+  Forget(stream);
+}
+
+void SidecarNode::Forget(const StreamPtr& stream) {
+  streams_.erase(StreamName{stream->connection, stream->submit.stream});
+  by_key_.erase(stream->key);
+}
+
+void SidecarNode::CancelLater(const HoldingId& holding) {
+  to_cancel_.push_back(holding);
+  wake_.notify_all();
+}
+
+SidecarNode::StreamPtr SidecarNode::Find(ConnectionId connection,
+                                         StreamId stream) const {
+  const auto found = streams_.find(StreamName{connection, stream});
+  return found == streams_.end() ? nullptr : found->second;
+}
+
+void SidecarNode::OnRunEnded(const StreamPtr& stream, bool replay) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (!replay) {
+    scheduler_.Finish(stream->key);
+    // A request that brought no whole answer may still hold memory there.
+    if (stream->cancelled || clock_() >= stream->deadline) {
+      CancelLater(runner_.HoldingOf(stream->key));
+    }
+  }
+  // With a ticket the replay is what the entry host waits for.
+  if (replay || stream->log == nullptr) {
+    Forget(stream);
+  } else {
+    by_key_.erase(stream->key);
+  }
+  StartWaiting();
+  wake_.notify_all();
+}
+
+void SidecarNode::ApplyConfiguration() {
+  const auto configuration = node_.InForce();
+  if (configuration == nullptr) {
+    return;
+  }
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    scheduler_.Reconfigure(OptionsFrom(*configuration));
+    prefill_.long_weight_percent = static_cast<int>(
+        configuration->GetDocument().policy().long_weight_percent());
+  }
+  keeper_.Wake();
+}
+
+SchedulerOptions SidecarNode::OptionsFrom(const Configuration& configuration) {
+  const v1::Policy& policy = configuration.GetDocument().policy();
+  SchedulerOptions options;
+  options.queue_limit = settings_.queue_limit;
+  options.max_running = static_cast<std::size_t>(settings_.max_running);
+  options.long_weight_percent = static_cast<int>(policy.long_weight_percent());
+  options.short_headroom_percent =
+      static_cast<int>(policy.short_headroom_percent());
+  const v1::Endpoint* self =
+      configuration.FindEndpoint(EndpointId{settings_.node.node_id.value});
+  if (self != nullptr && self->has_service()) {
+    options.memory = Tokens{kServiceCalls};
+  } else if (reported_memory_.value > 0) {
+    options.memory = reported_memory_;
+  } else if (self != nullptr) {
+    options.memory = Tokens{self->engine().memory_tokens()};
+  }
+  return options;
+}
+
+void SidecarNode::RunTimer() {
+  TimePoint next_full = clock_();
+  TimePoint next_busy = clock_();
+  std::unique_lock<std::mutex> lock(mutex_);
+  while (!stopping_) {
+    wake_.wait_for(lock, kTick);
+    DropOverdue();
+    EndLeases();
+    StartWaiting();
+    const TimePoint now = clock_();
+    const bool full = now >= next_full;
+    const bool busy = load_changed_ && now >= next_busy;
+    if (!full && !busy) {
+      continue;
+    }
+    lock.unlock();
+    SendPulses(full);
+    lock.lock();
+    next_busy = now + settings_.pulse_interval / kPulsesWhileBusy;
+    next_full = full ? now + settings_.pulse_interval : next_full;
+  }
+}
+
+void SidecarNode::RunCanceller() {
+  std::unique_lock<std::mutex> lock(mutex_);
+  while (!stopping_ || !to_cancel_.empty()) {
+    if (to_cancel_.empty()) {
+      wake_.wait_for(lock, kTick);
+      continue;
+    }
+    const HoldingId holding = to_cancel_.front();
+    to_cancel_.pop_front();
+    lock.unlock();
+    // What fails here is found again by the keeper's next account.
+    const auto ignored = engine_->Cancel(holding);
+    static_cast<void>(ignored);
+    lock.lock();
+  }
+}
+
+void SidecarNode::SendPulses(bool all) {
+  std::set<ConnectionId> to;
+  wire::Pulse pulse;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    load_changed_ = false;
+    pulse.load = scheduler_.Report();
+    pulse.draining = scheduler_.IsDraining();
+    if (all) {
+      to = connections_;
+    } else {
+      for (const auto& stream : streams_) {
+        to.insert(stream.first.connection);
+      }
+    }
+  }
+  pulse.draining = pulse.draining || node_.IsLeaving(settings_.node.node_id);
+  for (const ConnectionId connection : to) {
+    pulse.clock = RemoteMillis{ToMillis(clock_())};
+    links_->Send(connection, pulse);
+  }
+}
+
+std::set<std::string> SidecarNode::LiveHoldings() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::set<std::string> live;
+  for (const auto& stream : by_key_) {
+    live.insert(runner_.HoldingOf(stream.first).value);
+  }
+  for (const auto& held : reservations_) {
+    live.insert(runner_.HoldingOf(held.second).value);
+  }
+  return live;
+}
+
+void SidecarNode::Dump(json* dump) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const LoadReport load = scheduler_.Report();
+  json streams = json::array();
+  for (const auto& stream : by_key_) {
+    const SidecarStream& one = *stream.second;
+    streams.push_back(
+        {{"key", one.key},
+         {"account", one.submit.account.value},
+         {"state", one.state == StreamState::kRunning  ? "running"
+                   : one.state == StreamState::kQueued ? "queued"
+                                                       : "receiving"},
+         {"length", LengthClassName(one.submit.length)},
+         {"left_ms", ToMillis(one.deadline) - ToMillis(clock_())}});
+  }
+  (*dump)["sidecar"] = {{"draining", scheduler_.IsDraining()},
+                        {"links", connections_.size()},
+                        {"queue", scheduler_.QueueSize()},
+                        {"leases", scheduler_.LeaseCount()},
+                        {"reservations", reservations_.size()},
+                        {"tickets", tickets_.Count()},
+                        {"answer_logs", logs_.size()},
+                        {"cancels_waiting", to_cancel_.size()},
+                        {"load",
+                         {{"short_backlog", load.short_backlog.value},
+                          {"long_backlog", load.long_backlog.value},
+                          {"free_memory", load.free_memory.value},
+                          {"memory", load.memory.value},
+                          {"running", load.running}}},
+                        {"streams", streams}};
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/sidecar/sidecar_stream.h
@@ -0,0 +1,94 @@
+// One request as a sidecar keeps it.
+
+#ifndef HARECRANK_SRC_SIDECAR_SIDECAR_STREAM_H_
+#define HARECRANK_SRC_SIDECAR_SIDECAR_STREAM_H_
+
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "harecrank/core/ticket_book.h"
+#include "src/adapters/link_server.h"
+#include "src/adapters/wire.h"
+
+namespace harecrank {
+
+// Holds back one stream's sender until its reader wants more. Thread-safe.
+class FlowWindow {
+ public:
+  explicit FlowWindow(std::int64_t credit) : credit_(credit) {}
+
+  // Waits for credit and takes one. Returns false once the window is closed or
+  // `until` has passed.
+  bool Take(TimePoint until);
+
+  // Adds credit.
+  void Add(std::int64_t credit);
+
+  // Ends all waits.
+  void Close();
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::int64_t credit_;
+  bool closed_ = false;
+};
+
+// The answer to a request that may run once only, kept so that a caller who
+// asks again gets it without a second run. Thread-safe.
+class AnswerLog {
+ public:
+  // Appends the token at the next position.
+  void Append(std::string token);
+
+  // Ends the log with the message that ended the run.
+  void End(wire::Message end);
+
+  // Waits for the token at `position`. Returns nothing once the log has ended
+  // before it, or `until` has passed.
+  std::optional<std::string> WaitFor(std::size_t position, TimePoint until);
+
+  // Returns the message that ended the run, or nothing.
+  std::optional<wire::Message> GetEnd() const;
+
+ private:
+  mutable std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<std::string> tokens_;
+  std::optional<wire::Message> end_;
+};
+
+// How far a request has come.
+enum class StreamState { kReceiving, kQueued, kRunning };
+
+// One request. The node's mutex guards all but the atomics and the window.
+struct SidecarStream {
+  SidecarStream(std::uint64_t stream_key, ConnectionId from,
+                wire::Submit submission)
+      : key(stream_key),
+        connection(from),
+        submit(std::move(submission)),
+        window(submit.window) {}
+
+  const std::uint64_t key;
+  const ConnectionId connection;
+  const wire::Submit submit;
+  std::string body;
+  StreamState state = StreamState::kReceiving;
+  TimePoint deadline;
+  std::atomic<bool> cancelled{false};
+  FlowWindow window;
+  // Only for a request with a ticket.
+  std::shared_ptr<AnswerLog> log;
+  // Only for a member of a group: the key of its reservation.
+  std::uint64_t reservation_key = 0;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_SIDECAR_SIDECAR_STREAM_H_
--- /dev/null
+++ b/src/sidecar/work_runner.cc
@@ -0,0 +1,290 @@
+#include "src/sidecar/work_runner.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+#include "src/adapters/http.h"
+
+namespace harecrank {
+namespace {
+
+namespace leaf = boost::leaf;
+
+constexpr int kShortPriority = 10;
+constexpr int kLongPriority = 1;
+constexpr std::int64_t kLeastLongChunk = 512;
+constexpr std::int64_t kMostChunk = 4096;
+constexpr std::int64_t kPercent = 100;
+constexpr Millis kRetryAfter{500};
+constexpr std::size_t kServicePieceBytes = 64U << 10U;
+constexpr std::size_t kMostServiceAnswer = 16U << 20U;
+
+// Turns an engine's error into what the entry host is told: "refused" only
+// where nothing can have run.
+struct EngineErrorToMessage {
+  StreamId stream;
+
+  wire::Message operator()(const EngineRefused& error) const {
+    return wire::Refused{stream, "engine_refused", error.reason, kRetryAfter};
+  }
+  wire::Message operator()(const EngineUnreachable& error) const {
+    return wire::Refused{stream, "endpoint_unreachable", error.reason,
+                         kRetryAfter};
+  }
+  wire::Message operator()(const EngineLost& error) const {
+    return wire::Failed{stream, "engine_lost", error.reason, false};
+  }
+  wire::Message operator()(const EngineFenced&) const {
+    return wire::Refused{stream, "engine_refused", "fenced", kRetryAfter};
+  }
+};
+
+struct HttpErrorToMessage {
+  StreamId stream;
+
+  wire::Message operator()(const Unreachable& error) const {
+    return wire::Refused{stream, "endpoint_unreachable", error.reason,
+                         kRetryAfter};
+  }
+  wire::Message operator()(const NoAnswer& error) const {
+    return wire::Failed{stream, "service_lost", error.reason, false};
+  }
+  wire::Message operator()(const AnswerTooLarge& error) const {
+    return wire::Failed{stream, "answer_too_large", Describe(HttpError{error}),
+                        true};
+  }
+};
+
+}  // namespace
+
+WorkRunner::WorkRunner(WorkRunnerPorts ports) : ports_(std::move(ports)) {}
+
+void WorkRunner::Run(const std::shared_ptr<SidecarStream>& stream,
+                     const PrefillPolicy& policy) {
+  const StreamId id = stream->submit.stream;
+  wire::Message end = wire::Refused{id, "cancelled", "withdrawn"};
+  // Asked again here: the thread may have waited, or the process been frozen,
+  // since the decision to start.
+  if (ports_.clock() >= stream->deadline) {
+    end = wire::Refused{id, "deadline_exceeded", "it could not start in time"};
+  } else if (!stream->cancelled) {
+    switch (stream->submit.work) {
+      case wire::Work::kGenerate:
+        end = Generate(stream.get(), policy);
+        break;
+      case wire::Work::kSegment:
+        end = PrefillSegment(stream.get(), policy);
+        break;
+      case wire::Work::kCall:
+        end = CallService(stream.get());
+        break;
+    }
+  }
+  if (stream->log != nullptr) {
+    stream->log->End(std::move(end));
+    return;
+  }
+  ports_.send(stream->connection, end);
+}
+
+void WorkRunner::Replay(const std::shared_ptr<SidecarStream>& stream) {
+  const StreamId id = stream->submit.stream;
+  std::int64_t position = stream->submit.resume_from;
+  bool started = false;
+  while (!stream->cancelled) {
+    auto token = stream->log->WaitFor(static_cast<std::size_t>(position),
+                                      stream->deadline);
+    if (!token) {
+      break;
+    }
+    if (!started) {
+      started = true;
+      ports_.send(stream->connection, wire::Started{id});
+    }
+    if (!stream->window.Take(stream->deadline) ||
+        !ports_.send(stream->connection,
+                     wire::Output{id, position, {std::move(*token)}})) {
+      return;
+    }
+    ++position;
+  }
+  const auto end = stream->log->GetEnd();
+  if (!end) {
+    ports_.send(stream->connection,
+                wire::Failed{id, "deadline_exceeded",
+                             "the time limit passed before the end", false});
+    return;
+  }
+  // The log's end carries the stream of the first caller; this one has its own.
+  wire::Message mine = *end;
+  std::visit(
+      [&](auto& typed) {
+        using Type = std::decay_t<decltype(typed)>;
+        if constexpr (std::is_same_v<Type, wire::Finished> ||
+                      std::is_same_v<Type, wire::Failed> ||
+                      std::is_same_v<Type, wire::Refused>) {
+          typed.stream = id;
+        }
+      },
+      mine);
+  ports_.send(stream->connection, mine);
+}
+
+HoldingId WorkRunner::HoldingOf(std::uint64_t key) const {
+  constexpr std::size_t kSize = 40;
+  char text[kSize];
+  std::snprintf(text, sizeof(text), "%016llx-%llu",
+                static_cast<unsigned long long>(ports_.incarnation.value),
+                static_cast<unsigned long long>(key));
+  return HoldingId{text};
+}
+
+wire::Message WorkRunner::Generate(SidecarStream* stream,
+                                   const PrefillPolicy& policy) {
+  const EngineRequest request = MakeRequest(*stream, policy);
+  const StreamId id = stream->submit.stream;
+  const auto on_taken = [&] {
+    if (stream->log == nullptr) {
+      ports_.send(stream->connection, wire::Started{id});
+    }
+  };
+  const auto on_token = [&](std::int64_t position, std::string token) {
+    return Deliver(stream, position, std::move(token));
+  };
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<wire::Message> {
+        BOOST_LEAF_AUTO(length,
+                        ports_.engine->Generate(request, on_taken, on_token));
+        wire::Finished finished;
+        finished.stream = id;
+        finished.length = length;
+        finished.reason = "length";
+        return wire::Message(finished);
+      },
+      [&](const EngineError& error) { return ToMessage(*stream, error); },
+      [&] {
+        return wire::Message(
+            wire::Failed{id, "internal", "an error of another layer", false});
+      });
+}
+
+wire::Message WorkRunner::PrefillSegment(SidecarStream* stream,
+                                         const PrefillPolicy& policy) {
+  EngineRequest request = MakeRequest(*stream, policy);
+  // The segment belongs to the reservation: it is held until that ends.
+  request.id = HoldingOf(stream->reservation_key);
+  const StreamId id = stream->submit.stream;
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<wire::Message> {
+        BOOST_LEAF_CHECK(ports_.engine->Prefill(request));
+        wire::Finished finished;
+        finished.stream = id;
+        finished.reason = "segment";
+        finished.segment =
+            wire::SegmentRef{ports_.endpoint_address, request.id.value};
+        return wire::Message(finished);
+      },
+      [&](const EngineError& error) { return ToMessage(*stream, error); },
+      [&] {
+        return wire::Message(
+            wire::Failed{id, "internal", "an error of another layer", false});
+      });
+}
+
+wire::Message WorkRunner::CallService(SidecarStream* stream) {
+  const wire::Submit& submit = stream->submit;
+  HttpCall call;
+  call.address = ports_.endpoint_address;
+  call.method = submit.method;
+  call.path = submit.path;
+  call.content_type = submit.content_type;
+  call.body = stream->body;
+  call.timeout = TimeLeft(*stream);
+  if (stream->log == nullptr) {
+    ports_.send(stream->connection, wire::Started{submit.stream});
+  }
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<wire::Message> {
+        BOOST_LEAF_AUTO(answer, CallHttp(call, kMostServiceAnswer));
+        std::int64_t pieces = 0;
+        for (std::size_t at = 0; at < answer.body.size();
+             at += kServicePieceBytes) {
+          Deliver(stream, pieces++, answer.body.substr(at, kServicePieceBytes));
+        }
+        wire::Finished finished;
+        finished.stream = submit.stream;
+        finished.length = pieces;
+        finished.reason = "answered";
+        finished.status = answer.status;
+        finished.content_type = answer.content_type;
+        return wire::Message(finished);
+      },
+      [&](const HttpError& error) {
+        return std::visit(HttpErrorToMessage{submit.stream}, error);
+      },
+      [&] {
+        return wire::Message(wire::Failed{submit.stream, "internal",
+                                          "an error of another layer", false});
+      });
+}
+
+bool WorkRunner::Deliver(SidecarStream* stream, std::int64_t position,
+                         std::string token) {
+  if (stream->cancelled || ports_.clock() >= stream->deadline) {
+    return false;
+  }
+  if (stream->log != nullptr) {
+    stream->log->Append(std::move(token));
+    return true;
+  }
+  if (!stream->window.Take(stream->deadline)) {
+    return false;
+  }
+  return ports_.send(
+      stream->connection,
+      wire::Output{stream->submit.stream, position, {std::move(token)}});
+}
+
+EngineRequest WorkRunner::MakeRequest(const SidecarStream& stream,
+                                      const PrefillPolicy& policy) const {
+  const wire::Submit& submit = stream.submit;
+  EngineRequest request;
+  request.id = HoldingOf(stream.key);
+  request.owner = ports_.incarnation;
+  request.model = submit.model;
+  request.adapter = submit.adapter;
+  request.prompt = stream.body;
+  request.answer = submit.answer;
+  request.resume_from = submit.resume_from;
+  const bool is_long = submit.length == LengthClass::kLong;
+  request.priority = is_long ? kLongPriority : kShortPriority;
+  request.chunk = Tokens{is_long ? kLeastLongChunk +
+                                       (kMostChunk - kLeastLongChunk) *
+                                           policy.long_weight_percent / kPercent
+                                 : kMostChunk};
+  for (const wire::SegmentRef& segment : submit.segments) {
+    request.segments.push_back(
+        RemoteSegment{segment.engine_address, HoldingId{segment.segment}});
+  }
+  request.timeout = TimeLeft(stream);
+  return request;
+}
+
+wire::Message WorkRunner::ToMessage(const SidecarStream& stream,
+                                    const EngineError& error) const {
+  if (std::holds_alternative<EngineLost>(error) &&
+      ports_.clock() >= stream.deadline) {
+    return wire::Failed{stream.submit.stream, "deadline_exceeded",
+                        "the time limit passed while it ran", true};
+  }
+  return std::visit(EngineErrorToMessage{stream.submit.stream}, error);
+}
+
+Millis WorkRunner::TimeLeft(const SidecarStream& stream) const {
+  const auto left =
+      std::chrono::duration_cast<Millis>(stream.deadline - ports_.clock());
+  return std::max(left, Millis(1));
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/standins/platform_servers.cc
@@ -0,0 +1,317 @@
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <utility>
+
+#include "src/adapters/http.h"
+#include "standins/servers.h"
+
+namespace harecrank::standins {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using nlohmann::json;
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+constexpr int kOk = 200;
+constexpr int kNotModified = 304;
+constexpr int kNotFound = 404;
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
+constexpr std::size_t kMostBody = 8U << 20U;
+constexpr std::size_t kMostValue = 1U << 20U;
+constexpr std::chrono::seconds kRateWindow{1};
+
+std::string BodyOf(HTTPServerRequest& request) {
+  std::string body;
+  ReadBody(request, kMostBody, &body);
+  return body;
+}
+
+// A server whose requests all go to one virtual function.
+class SimpleServer : public StandIn {
+ public:
+  SimpleServer(const std::string& address, int threads) {
+    options_.address = address;
+    options_.threads = threads;
+    options_.queued = threads;
+  }
+
+ protected:
+  // Called last by each constructor, once all members stand.
+  void Listen() {
+    server_ = std::make_unique<HttpServer>(
+        options_,
+        [this](HTTPServerRequest& request, HTTPServerResponse& response) {
+          Handle(PathOf(request.getURI()), request, response);
+        });
+  }
+  void StopServer() { server_.reset(); }
+
+  virtual void Handle(const std::string& path, HTTPServerRequest& request,
+                      HTTPServerResponse& response) = 0;
+
+ private:
+  HttpServerOptions options_;
+  std::unique_ptr<HttpServer> server_;
+};
+
+class PlainService final : public SimpleServer {
+ public:
+  explicit PlainService(const std::string& address)
+      : SimpleServer(address, 64) {
+    Listen();
+  }
+  ~PlainService() override { StopServer(); }
+
+ protected:
+  void Handle(const std::string& path, HTTPServerRequest& request,
+              HTTPServerResponse& response) override {
+    const std::string body = BodyOf(request);
+    if (path == "/control/calls") {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      Answer(response, kOk, json(calls_).dump());
+      return;
+    }
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      ++calls_[body];
+    }
+    const int delay = std::stoi(QueryValue(request.getURI(), "delay_ms", "0"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(delay));
+    Answer(response, kOk,
+           json{{"path", path}, {"method", request.getMethod()}, {"echo", body}}
+               .dump());
+  }
+
+ private:
+  std::mutex mutex_;
+  std::map<std::string, int> calls_;
+};
+
+// A published value and its version.
+struct Value {
+  std::uint64_t version = 0;
+  std::string text;
+};
+
+class ConfigServer final : public SimpleServer {
+ public:
+  explicit ConfigServer(const ConfigServerOptions& options)
+      : SimpleServer(options.address, options.threads),
+        calls_per_second_(options.calls_per_second) {
+    Listen();
+  }
+  ~ConfigServer() override { StopServer(); }
+
+ protected:
+  void Handle(const std::string& path, HTTPServerRequest& request,
+              HTTPServerResponse& response) override {
+    const std::string values = "/v1/values/";
+    const std::string control = "/control/values/";
+    if (path.compare(0, values.size(), values) == 0) {
+      HandleRead(path.substr(values.size()), request, response);
+    } else if (path.compare(0, control.size(), control) == 0) {
+      Publish(path.substr(control.size()), BodyOf(request));
+      Answer(response, kOk, "{}");
+    } else if (path == "/control/fault") {
+      HandleFault(json::parse(BodyOf(request)));
+      Answer(response, kOk, "{}");
+    } else if (path == "/control/stats") {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      Answer(response, kOk,
+             json{{"calls", calls_}, {"refused", refused_}}.dump());
+    } else {
+      Answer(response, kNotFound, "{}");
+    }
+  }
+
+ private:
+  void Publish(const std::string& key, std::string text) {
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      Value& value = values_[key];
+      ++value.version;
+      value.text = std::move(text);
+    }
+    changed_.notify_all();
+  }
+
+  void HandleFault(const json& fault) {
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      down_ = fault.value("down", false);
+      // A stale service goes on with what it had, and says nothing of it.
+      if (fault.value("stale", false) && !stale_) {
+        stale_values_ = values_;
+      }
+      stale_ = fault.value("stale", false);
+    }
+    changed_.notify_all();
+  }
+
+  void HandleRead(const std::string& key, HTTPServerRequest& request,
+                  HTTPServerResponse& response) {
+    const std::string& uri = request.getURI();
+    const std::uint64_t after = std::stoull(QueryValue(uri, "after", "0"));
+    const std::chrono::milliseconds wait(
+        std::stoll(QueryValue(uri, "wait_ms", "0")));
+    std::unique_lock<std::mutex> lock(mutex_);
+    if (!CountCall()) {
+      lock.unlock();
+      Answer(response, kTooManyRequests, "{}");
+      return;
+    }
+    const auto differs = [&] { return down_ || Current(key).version != after; };
+    if (wait.count() > 0) {
+      changed_.wait_for(lock, wait, differs);
+    }
+    const bool down = down_;
+    const Value value = Current(key);
+    lock.unlock();
+    if (down || value.text.size() > kMostValue) {
+      Answer(response, kUnavailable, "{}");
+    } else if (value.version == 0) {
+      Answer(response, kNotFound, "{}");
+    } else if (wait.count() > 0 && value.version == after) {
+      Answer(response, kNotModified, "");
+    } else {
+      Answer(response, kOk,
+             json{{"version", value.version}, {"value", value.text}}.dump());
+    }
+  }
+
+  // Expects the mutex to be held.
+  bool CountCall() {
+    const auto now = Clock::now();
+    ++calls_;
+    recent_.push_back(now);
+    while (recent_.front() < now - kRateWindow) {
+      recent_.pop_front();
+    }
+    if (recent_.size() > static_cast<std::size_t>(calls_per_second_)) {
+      ++refused_;
+      return false;
+    }
+    return true;
+  }
+
+  Value Current(const std::string& key) {
+    return stale_ ? stale_values_[key] : values_[key];
+  }
+
+  int calls_per_second_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::map<std::string, Value> values_;
+  std::map<std::string, Value> stale_values_;
+  std::deque<Clock::time_point> recent_;
+  std::uint64_t calls_ = 0;
+  std::uint64_t refused_ = 0;
+  bool down_ = false;
+  bool stale_ = false;
+};
+
+class HostListServer final : public SimpleServer {
+ public:
+  HostListServer(const std::string& address, int lag_ms)
+      : SimpleServer(address, 64), lag_(lag_ms) {
+    Listen();
+  }
+  ~HostListServer() override { StopServer(); }
+
+ protected:
+  void Handle(const std::string& path, HTTPServerRequest& request,
+              HTTPServerResponse& response) override {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (path == "/control/hosts") {
+      pending_.push_back(
+          Pending{Clock::now() + lag_, json::parse(BodyOf(request))});
+      Answer(response, kOk, "{}");
+      return;
+    }
+    while (!pending_.empty() && pending_.front().shows <= Clock::now()) {
+      hosts_ = pending_.front().hosts;
+      ++version_;
+      pending_.pop_front();
+    }
+    Answer(response, kOk,
+           json{{"version", version_}, {"hosts", hosts_}}.dump());
+  }
+
+ private:
+  struct Pending {
+    Clock::time_point shows;
+    json hosts;
+  };
+
+  std::chrono::milliseconds lag_;
+  std::mutex mutex_;
+  std::deque<Pending> pending_;
+  json hosts_ = json::array();
+  std::uint64_t version_ = 1;
+};
+
+class WeightStore final : public SimpleServer {
+ public:
+  WeightStore(const std::string& address, int at_once, int load_ms)
+      : SimpleServer(address, 64), at_once_(at_once), load_(load_ms) {
+    Listen();
+  }
+  ~WeightStore() override { StopServer(); }
+
+ protected:
+  void Handle(const std::string& path, HTTPServerRequest&,
+              HTTPServerResponse& response) override {
+    if (path == "/control/stats") {
+      Answer(
+          response, kOk,
+          json{{"loads", loads_.load()}, {"refused", refused_.load()}}.dump());
+      return;
+    }
+    if (loading_.fetch_add(1) >= at_once_) {
+      loading_.fetch_sub(1);
+      ++refused_;
+      Answer(response, kTooManyRequests, "{}");
+      return;
+    }
+    ++loads_;
+    std::this_thread::sleep_for(load_);
+    loading_.fetch_sub(1);
+    Answer(response, kOk, "{}");
+  }
+
+ private:
+  int at_once_;
+  std::chrono::milliseconds load_;
+  std::atomic<int> loading_{0};
+  std::atomic<int> loads_{0};
+  std::atomic<int> refused_{0};
+};
+
+}  // namespace
+
+std::unique_ptr<StandIn> MakePlainService(const std::string& address) {
+  return std::make_unique<PlainService>(address);
+}
+
+std::unique_ptr<StandIn> MakeConfigServer(const ConfigServerOptions& options) {
+  return std::make_unique<ConfigServer>(options);
+}
+
+std::unique_ptr<StandIn> MakeHostList(const std::string& address, int lag_ms) {
+  return std::make_unique<HostListServer>(address, lag_ms);
+}
+
+std::unique_ptr<StandIn> MakeWeightStore(const std::string& address,
+                                         int at_once, int load_ms) {
+  return std::make_unique<WeightStore>(address, at_once, load_ms);
+}
+
+}  // namespace harecrank::standins
--- /dev/null
+++ b/testing/process.cc
@@ -0,0 +1,80 @@
+#include "testing/process.h"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+
+namespace harecrank::testing {
+namespace {
+
+constexpr int kExecFailed = 127;
+constexpr mode_t kLogMode = 0644;
+
+[[noreturn]] void Become(const std::vector<std::string>& command,
+                         const std::string& log) {
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  sigset_t none;
+  sigemptyset(&none);
+  sigprocmask(SIG_SETMASK, &none, nullptr);
+  const int file =
+      open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, kLogMode);
+  if (file >= 0) {
+    dup2(file, STDERR_FILENO);
+    dup2(file, STDOUT_FILENO);
+  }
+  std::vector<char*> arguments;
+  for (const std::string& word : command) {
+    arguments.push_back(const_cast<char*>(word.c_str()));
+  }
+  arguments.push_back(nullptr);
+  execv(arguments.front(), arguments.data());
+  _exit(kExecFailed);
+}
+
+}  // namespace
+
+Process::Process(const std::vector<std::string>& command,
+                 const std::string& log)
+    : pid_(fork()) {
+  if (pid_ == 0) {
+    Become(command, log);
+  }
+}
+
+Process::~Process() { Kill(); }
+
+void Process::Signal(int signal) const {
+  if (!ended_ && pid_ > 0) {
+    kill(pid_, signal);
+  }
+}
+
+void Process::Kill() {
+  Signal(SIGKILL);
+  Wait();
+}
+
+int Process::Wait() {
+  if (ended_ || pid_ <= 0) {
+    return exit_code_;
+  }
+  int status = 0;
+  waitpid(pid_, &status, 0);
+  ended_ = true;
+  exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  return exit_code_;
+}
+
+bool Process::IsRunning() {
+  int status = 0;
+  if (!ended_ && waitpid(pid_, &status, WNOHANG) == pid_) {
+    ended_ = true;
+    exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+  return !ended_;
+}
+
+}  // namespace harecrank::testing
