--- a/src/adapters/http.cc
+++ b/src/adapters/http.cc
@@ -139,7 +139,7 @@
 
 leaf::result<HttpAnswer> CallHttp(const HttpCall& call,
                                   std::size_t most_bytes) {
-  HttpAnswer answer;
+  HttpAnswer answer{};
   const auto exchange = [&](HTTPClientSession& session) -> leaf::result<void> {
     SendRequest(session, call);
     HTTPResponse response;
--- a/src/adapters/http.h
+++ b/src/adapters/http.h
@@ -55,7 +55,7 @@
   Millis timeout{2000};
 };
 
-// One answer.
+// One answer. The status is zero where there was none.
 struct HttpAnswer {
   int status = 0;
   std::string content_type;
--- /dev/null
+++ b/src/adapters/settings_test.cc
@@ -0,0 +1,68 @@
+#include "src/adapters/settings.h"
+
+#include <catch2/catch.hpp>
+
+namespace harecrank {
+namespace {
+
+namespace leaf = boost::leaf;
+
+constexpr char kGood[] = R"({
+  "node_id": "e1", "data_centre": "pasig",
+  "operations_address": "127.0.0.1:1", "config_service": "127.0.0.1:2",
+  "callers_address": "127.0.0.1:3"})";
+
+// Returns the words in which `text` is refused, or "" if it is taken.
+std::string ErrorOf(const std::string& text) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::string> {
+        BOOST_LEAF_CHECK(ParseEntrySettings(text));
+        return std::string();
+      },
+      [](const SettingsError& error) { return Describe(error); },
+      [] { return std::string("another layer"); });
+}
+
+// Returns the good settings with `from` replaced by `to`.
+std::string With(const std::string& from, const std::string& to) {
+  std::string text = kGood;
+  text.replace(text.find(from), from.size(), to);
+  return text;
+}
+
+TEST_CASE("Good settings are taken") { CHECK(ErrorOf(kGood).empty()); }
+
+TEST_CASE("Each fault of settings is named with its place and its remedy") {
+  struct Case {
+    std::string text;
+    std::string said;
+  };
+  const std::vector<Case> cases{
+      {With("\"node_id\"", "\"node_idd\""), "node_idd: found an unknown key"},
+      {With("\"node_id\": \"e1\", ", ""), "node_id: found nothing"},
+      {With("127.0.0.1:3", "localhost:3"),
+       "callers_address: found 'localhost:3'; allowed: an IP number and port"},
+      {With("\"e1\",", "\"e1\", \"max_requests\": \"many\","),
+       "max_requests: found \"many\"; allowed: a whole number"},
+      {With("\"e1\",", "\"e1\", \"drain_limit_ms\": 0,"), "drain_limit_ms"},
+      {With("\"e1\",", "\"e1\", \"drain_limit\": \"5s\","),
+       "drain_limit: found an unknown key"},
+      {With("\"e1\",", "\"e1\", \"routing_policy\": \"best\","),
+       "allowed: 'random', 'least_loaded', 'length_aware'"},
+      {"[]", "no JSON object"},
+      {"{", "cannot be read"}};
+  for (const Case& one : cases) {
+    const std::string error = ErrorOf(one.text);
+    INFO("expected '" << one.said << "' and saw '" << error << "'");
+    CHECK(error.find(one.said) != std::string::npos);
+  }
+}
+
+TEST_CASE("All faults are reported at once") {
+  const std::string error = ErrorOf("{}");
+  CHECK(error.find("node_id") != std::string::npos);
+  CHECK(error.find("callers_address") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace harecrank
--- a/src/cli/load_run.cc
+++ b/src/cli/load_run.cc
@@ -75,21 +75,26 @@
   std::exponential_distribution<double> gap(plan.rate);
   const auto parts = ParseMix(plan.mix);
   std::vector<double> shares;
+  shares.reserve(parts.size());
   for (const MixPart& part : parts) {
     shares.push_back(part.share);
   }
   std::discrete_distribution<std::size_t> pick(shares.begin(), shares.end());
   std::deque<Arrival> arrivals;
-  for (double at = gap(random); at < plan.seconds; at += gap(random)) {
+  auto due = began;
+  while (true) {
+    due += std::chrono::duration_cast<Clock::duration>(
+        std::chrono::duration<double>(gap(random)));
+    if (due - began >= std::chrono::duration<double>(plan.seconds)) {
+      return arrivals;
+    }
     Arrival arrival;
-    arrival.due = began + std::chrono::duration_cast<Clock::duration>(
-                              std::chrono::duration<double>(at));
+    arrival.due = due;
     arrival.tokens = parts[pick(random)].tokens;
     arrival.seed = random();
     arrival.target = plan.targets[random() % plan.targets.size()];
     arrivals.push_back(std::move(arrival));
   }
-  return arrivals;
 }
 
 // A prompt of so many tokens, with a beginning that no other has.
@@ -299,6 +304,7 @@
     }
   };
   std::vector<std::thread> threads;
+  threads.reserve(static_cast<std::size_t>(plan.threads));
   for (int i = 0; i < plan.threads; ++i) {
     threads.emplace_back(work);
   }
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -4,7 +4,9 @@
 
 #include "src/cli/commands.h"
 
-int main(int argc, char** argv) {
+namespace {
+
+int Run(int argc, char** argv) {
   CLI::App app(
       "harecrank serves language-model prompts of very unlike lengths");
   app.set_version_flag("--version", std::string(HARECRANK_VERSION));
@@ -25,3 +27,13 @@
   }
   return exit_code;
 }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    return Run(argc, argv);
+  } catch (...) {
+    return harecrank::kExitUnavailable;
+  }
+}
--- /dev/null
+++ b/src/core/account_limiter_test.cc
@@ -0,0 +1,58 @@
+#include "harecrank/core/account_limiter.h"
+
+#include <catch2/catch.hpp>
+
+namespace harecrank {
+namespace {
+
+const AccountId kTinta{"tinta"};
+
+struct Fixture {
+  TimePoint now{};
+  AccountLimiter limiter{[this] { return now; }};
+};
+
+TEST_CASE_METHOD(Fixture, "An account without a limit is never refused") {
+  for (int i = 0; i < 100; ++i) {
+    CHECK_FALSE(limiter.Charge(kTinta, Tokens{0}, 1, Tokens{1000000}));
+  }
+}
+
+TEST_CASE_METHOD(Fixture, "A refusal says after how long to come back") {
+  CHECK_FALSE(limiter.Charge(kTinta, Tokens{1000}, 1, Tokens{3000}));
+  const auto wait = limiter.Charge(kTinta, Tokens{1000}, 1, Tokens{10});
+  REQUIRE(wait);
+  now += *wait;
+  CHECK_FALSE(limiter.Charge(kTinta, Tokens{1000}, 1, Tokens{10}));
+}
+
+TEST_CASE_METHOD(Fixture, "Hosts together hold to the limit over time") {
+  constexpr int kHosts = 8;
+  constexpr std::int64_t kLimit = 8000;
+  std::vector<AccountLimiter> hosts(kHosts,
+                                    AccountLimiter([this] { return now; }));
+  std::int64_t passed = 0;
+  constexpr int kSeconds = 60;
+  constexpr std::int64_t kCost = 100;
+  for (int tick = 0; tick < kSeconds * 100; ++tick) {
+    for (AccountLimiter& host : hosts) {
+      if (!host.Charge(kTinta, Tokens{kLimit}, kHosts, Tokens{kCost})) {
+        passed += kCost;
+      }
+    }
+    now += Millis(10);
+  }
+  const std::int64_t bound = kLimit * kSeconds + kLimit + kHosts * kCost;
+  INFO("let through " << passed << " tokens, the bound is " << bound);
+  CHECK(passed <= bound);
+  CHECK(passed >= kLimit * kSeconds * 95 / 100);
+}
+
+TEST_CASE_METHOD(Fixture, "A request that did not run costs nothing") {
+  CHECK_FALSE(limiter.Charge(kTinta, Tokens{1000}, 1, Tokens{5000}));
+  limiter.Refund(kTinta, Tokens{5000});
+  CHECK_FALSE(limiter.Charge(kTinta, Tokens{1000}, 1, Tokens{10}));
+}
+
+}  // namespace
+}  // namespace harecrank
--- /dev/null
+++ b/src/core/config_ledger_test.cc
@@ -0,0 +1,183 @@
+#include "harecrank/core/config_ledger.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "harecrank/core/change_planner.h"
+
+namespace harecrank {
+namespace {
+
+namespace leaf = boost::leaf;
+using nlohmann::json;
+
+json MakeDocument(int revision, int accounts = 1) {
+  json document{{"revision", revision},
+                {"policy",
+                 {{"long_weight_percent", 50},
+                  {"long_prompt_tokens", 8000},
+                  {"short_headroom_percent", 10},
+                  {"retry_budget_percent", 10},
+                  {"subset_size", 8},
+                  {"default_time_limit_ms", 1000},
+                  {"max_time_limit_ms", 2000},
+                  {"ticket_ttl_ms", 1000},
+                  {"weight_loads_at_once", 2}}}};
+  for (int i = 0; i < accounts; ++i) {
+    const std::string digit(1, static_cast<char>('a' + i));
+    std::string key;
+    for (int j = 0; j < 64; ++j) {
+      key += digit;
+    }
+    document["accounts"]["account-" + digit] = {{"key_sha256", key},
+                                                {"weight", 1}};
+  }
+  return document;
+}
+
+// Plans a change on `ledger`'s configuration, without publishing it.
+v1::PlanResponse Plan(const ConfigLedger& ledger,
+                      const v1::PlanRequest& request) {
+  const auto base = ledger.InForce();
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<v1::PlanResponse> {
+        return PlanChange(base.get(), ledger.RecentChanges(), request);
+      },
+      [] { return v1::PlanResponse(); });
+}
+
+v1::PlanRequest PutModel(const std::string& id) {
+  v1::PlanRequest request;
+  request.mutable_put_model()->set_id(id);
+  request.mutable_put_model()->mutable_model()->set_context_tokens(1000);
+  return request;
+}
+
+v1::Change ChangeOf(const v1::PlanResponse& plan) {
+  const json log = json::parse(plan.changes_json());
+  const json& last = log["changes"].back();
+  v1::Change change;
+  change.set_revision(last["revision"].get<std::uint32_t>());
+  change.set_base_digest(last["base_digest"].get<std::string>());
+  change.set_digest(last["digest"].get<std::string>());
+  change.set_patch_json(last["patch_json"].get<std::string>());
+  return change;
+}
+
+struct Fixture {
+  ConfigLedger ledger;
+
+  Offer OfferDocument(const json& document) {
+    return ledger.OfferDocument(document.dump(), ConfigSource::kService);
+  }
+};
+
+TEST_CASE_METHOD(Fixture, "A higher revision comes into force") {
+  CHECK(OfferDocument(MakeDocument(1)) == Offer::kAdopted);
+  CHECK(OfferDocument(MakeDocument(5)) == Offer::kAdopted);
+  CHECK(ledger.InForce()->GetRevision().value == 5);
+}
+
+TEST_CASE_METHOD(Fixture, "A configuration never goes back") {
+  OfferDocument(MakeDocument(5));
+  CHECK(OfferDocument(MakeDocument(4)) == Offer::kOlder);
+  CHECK(ledger.InForce()->GetRevision().value == 5);
+}
+
+TEST_CASE_METHOD(Fixture, "Two documents with one revision are reported") {
+  OfferDocument(MakeDocument(5));
+  CHECK(OfferDocument(MakeDocument(5, 2)) == Offer::kConflict);
+  CHECK(ledger.InForce()->GetDocument().accounts().size() == 1);
+  CHECK(ledger.State().conflicts == 1);
+  CHECK_FALSE(ledger.State().last_fault.empty());
+}
+
+TEST_CASE_METHOD(Fixture, "A conflict is resolved by a higher revision") {
+  OfferDocument(MakeDocument(5));
+  OfferDocument(MakeDocument(5, 2));
+  CHECK(OfferDocument(MakeDocument(6, 2)) == Offer::kAdopted);
+}
+
+TEST_CASE_METHOD(Fixture, "The same content in another layout is the same") {
+  OfferDocument(MakeDocument(5));
+  CHECK(ledger.OfferDocument(MakeDocument(5).dump(4), ConfigSource::kPeer) ==
+        Offer::kSame);
+}
+
+TEST_CASE_METHOD(Fixture, "A faulty document is refused whole") {
+  OfferDocument(MakeDocument(1));
+  json document = MakeDocument(2, 2);
+  document["endpoints"]["e"] = {{"link_address", "localhost:80"}};
+  CHECK(OfferDocument(document) == Offer::kInvalid);
+  CHECK(ledger.InForce()->GetRevision().value == 1);
+  INFO("the fault was: " << ledger.State().last_fault);
+  CHECK(ledger.State().last_fault.find("endpoints.e.link_address") !=
+        std::string::npos);
+}
+
+TEST_CASE_METHOD(Fixture, "A document with an unknown field is refused") {
+  json document = MakeDocument(1);
+  document["extra"] = 1;
+  CHECK(OfferDocument(document) == Offer::kInvalid);
+}
+
+TEST_CASE_METHOD(Fixture, "A planned change leads to the planned document") {
+  OfferDocument(MakeDocument(1));
+  const v1::PlanResponse plan = Plan(ledger, PutModel("m"));
+  REQUIRE(plan.revision() == 2);
+  CHECK(ledger.OfferChange(ChangeOf(plan), ConfigSource::kPeer) ==
+        Offer::kAdopted);
+  CHECK(ledger.InForce()->GetDigest().value == plan.digest());
+  ConfigLedger other;
+  other.OfferDocument(plan.document_json(), ConfigSource::kService);
+  CHECK(other.InForce()->GetDigest().value == plan.digest());
+}
+
+TEST_CASE_METHOD(Fixture, "A change on a missing base asks for the whole") {
+  OfferDocument(MakeDocument(1));
+  const v1::PlanResponse plan = Plan(ledger, PutModel("m"));
+  ConfigLedger behind;
+  CHECK(behind.OfferChange(ChangeOf(plan), ConfigSource::kPeer) == Offer::kGap);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "A change that does not end at its digest is refused") {
+  OfferDocument(MakeDocument(1));
+  v1::Change change = ChangeOf(Plan(ledger, PutModel("m")));
+  change.set_digest("0123");
+  CHECK(ledger.OfferChange(change, ConfigSource::kPeer) == Offer::kInvalid);
+  CHECK(ledger.InForce()->GetRevision().value == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "Of two racing plans one comes into force") {
+  OfferDocument(MakeDocument(1));
+  const v1::PlanResponse mine = Plan(ledger, PutModel("mine"));
+  const v1::PlanResponse yours = Plan(ledger, PutModel("yours"));
+  CHECK(ledger.OfferChange(ChangeOf(mine), ConfigSource::kPeer) ==
+        Offer::kAdopted);
+  CHECK(ledger.OfferChange(ChangeOf(yours), ConfigSource::kPeer) ==
+        Offer::kConflict);
+}
+
+TEST_CASE_METHOD(Fixture, "A plan on a base that has moved is refused") {
+  OfferDocument(MakeDocument(3));
+  v1::PlanRequest request = PutModel("m");
+  request.set_base_revision(2);
+  CHECK(Plan(ledger, request).revision() == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "A peer that lags gets the changes it lacks") {
+  OfferDocument(MakeDocument(1));
+  const Digest first = ledger.InForce()->GetDigest();
+  for (const char* id : {"a", "b", "c"}) {
+    ledger.OfferChange(ChangeOf(Plan(ledger, PutModel(id))),
+                       ConfigSource::kPeer);
+  }
+  const auto changes = ledger.ChangesSince(first);
+  REQUIRE(changes);
+  CHECK(changes->changes_size() == 3);
+  CHECK_FALSE(ledger.ChangesSince(Digest{"unknown"}));
+}
+
+}  // namespace
+}  // namespace harecrank
--- /dev/null
+++ b/src/core/group_reservation_test.cc
@@ -0,0 +1,79 @@
+#include "harecrank/core/group_reservation.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+namespace harecrank {
+namespace {
+
+Segment MakeSegment(const std::string& member, std::int64_t length) {
+  return Segment{EndpointId{member}, Tokens{0}, Tokens{length}, Tokens{length}};
+}
+
+struct Fixture {
+  TimePoint now{};
+  GroupReservation group{now + Millis(1000), [this] { return now; },
+                         [] { return std::uint64_t{0}; }};
+};
+
+TEST_CASE_METHOD(Fixture, "A group is reserved once all members have agreed") {
+  group.Begin({MakeSegment("a", 1), MakeSegment("b", 1)});
+  CHECK(std::holds_alternative<WaitForMembers>(
+      group.OnReserved(EndpointId{"a"})));
+  CHECK(
+      std::holds_alternative<GroupReserved>(group.OnReserved(EndpointId{"b"})));
+}
+
+TEST_CASE_METHOD(Fixture, "One refusal gives back all that was reserved") {
+  group.Begin({MakeSegment("a", 1), MakeSegment("b", 1)});
+  group.OnReserved(EndpointId{"a"});
+  const GroupStep step = group.OnRefused(EndpointId{"b"});
+  REQUIRE(std::holds_alternative<GiveBack>(step));
+  CHECK(std::get<GiveBack>(step).members ==
+        std::vector<EndpointId>{EndpointId{"a"}});
+}
+
+TEST_CASE_METHOD(Fixture, "A group that runs out of time is refused") {
+  group.Begin({MakeSegment("a", 1)});
+  now += Millis(1000);
+  CHECK(std::holds_alternative<GroupRefused>(group.OnRefused(EndpointId{"a"})));
+}
+
+// Many groups that want more than there is: none may wait for ever.
+TEST_CASE("Groups that collide all end, and none holds while it waits") {
+  std::mt19937_64 random(7);
+  constexpr int kGroups = 12;
+  constexpr std::int64_t kMemory = 3;
+  TimePoint now{};
+  std::map<EndpointId, std::int64_t> free;
+  for (const char* id : {"a", "b", "c", "d"}) {
+    free[EndpointId{id}] = kMemory;
+  }
+  int done = 0;
+  for (int i = 0; i < kGroups; ++i) {
+    GroupReservation group(
+        now + Millis(10000), [&] { return now; }, [&] { return random(); });
+    GroupStep step = group.Begin(
+        {MakeSegment("a", 1), MakeSegment("b", 1), MakeSegment("c", 1)});
+    for (const char* id : {"a", "b", "c"}) {
+      auto& room = free[EndpointId{id}];
+      const bool fits = room > 0;
+      room -= fits ? 1 : 0;
+      step = fits ? group.OnReserved(EndpointId{id})
+                  : group.OnRefused(EndpointId{id});
+    }
+    if (const auto* back = std::get_if<GiveBack>(&step)) {
+      for (const EndpointId& id : back->members) {
+        ++free[id];
+      }
+      continue;
+    }
+    REQUIRE(std::holds_alternative<GroupReserved>(step));
+    ++done;
+  }
+  CHECK(done == kMemory);
+  CHECK(free[EndpointId{"a"}] == 0);
+}
+
+}  // namespace
+}  // namespace harecrank
--- a/src/core/router.cc
+++ b/src/core/router.cc
@@ -1,6 +1,7 @@
 #include "harecrank/core/router.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace harecrank {
@@ -135,8 +136,8 @@
 std::size_t LongShare(std::size_t endpoints, int long_weight_percent) {
   const double share = kLeastLongShare +
                        (1.0 - kLeastLongShare) * long_weight_percent / kPercent;
-  const auto count =
-      static_cast<std::size_t>(share * static_cast<double>(endpoints) + 0.5);
+  const auto count = static_cast<std::size_t>(
+      std::lround(share * static_cast<double>(endpoints)));
   return std::min(std::max<std::size_t>(count, 1), endpoints);
 }
 
--- /dev/null
+++ b/src/core/small_parts_test.cc
@@ -0,0 +1,83 @@
+// Tests of the small parts of the decision logic that have no file of their
+// own: rendezvous hashing, the assembler, the pause guard and weight loads.
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+#include "harecrank/core/answer_assembler.h"
+#include "harecrank/core/pause_guard.h"
+#include "harecrank/core/rendezvous.h"
+#include "harecrank/core/weight_loads.h"
+
+namespace harecrank {
+namespace {
+
+std::vector<std::string> MakeMembers(int count) {
+  std::vector<std::string> members;
+  for (int i = 0; i < count; ++i) {
+    members.push_back("m" + std::to_string(i));
+  }
+  return members;
+}
+
+TEST_CASE("Members are ranked alike whatever order they come in") {
+  auto members = MakeMembers(20);
+  const auto top = RendezvousTop("key", members, 5);
+  std::reverse(members.begin(), members.end());
+  CHECK(RendezvousTop("key", members, 5) == top);
+}
+
+TEST_CASE("A member that goes moves nothing but its own keys") {
+  const auto members = MakeMembers(10);
+  auto fewer = members;
+  fewer.erase(fewer.begin() + 3);
+  for (int i = 0; i < 200; ++i) {
+    const std::string key = "k" + std::to_string(i);
+    const std::string before = RendezvousTop(key, members, 1).front();
+    if (before != "m3") {
+      CHECK(RendezvousTop(key, fewer, 1).front() == before);
+    }
+  }
+}
+
+TEST_CASE("A caller sees each token once and in order") {
+  AnswerAssembler assembler;
+  std::string text;
+  const std::vector<AnswerToken> arrivals{
+      {0, "a"}, {2, "c"}, {1, "b"}, {1, "b"}, {0, "a"}, {4, "e"}, {3, "d"}};
+  for (const AnswerToken& arrival : arrivals) {
+    for (const AnswerToken& token : assembler.Accept(arrival)) {
+      text += token.text;
+    }
+  }
+  CHECK(text == "abcde");
+  CHECK(assembler.NextPosition() == 5);
+}
+
+TEST_CASE("A decision that a pause overtook is not acted on") {
+  TimePoint now{};
+  PauseGuard guard(Millis(100), [&] { return now; });
+  guard.OnDecision();
+  now += Millis(100);
+  CHECK(guard.MayAct());
+  now += Millis(1);
+  CHECK_FALSE(guard.MayAct());
+}
+
+TEST_CASE("No wave of weight loads is larger than the store allows") {
+  const auto endpoints = MakeMembers(11);
+  std::map<std::int64_t, int> waves;
+  for (const std::string& id : endpoints) {
+    const Millis delay =
+        WeightLoadDelay("m 2", endpoints, EndpointId{id}, 3, Millis(1000));
+    ++waves[delay.count()];
+  }
+  CHECK(waves.size() == 4);
+  for (const auto& wave : waves) {
+    CHECK(wave.second <= 3);
+  }
+}
+
+}  // namespace
+}  // namespace harecrank
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -353,7 +353,7 @@
 std::shared_ptr<Link> Dispatcher::WaitUntilUsable(const EndpointId& endpoint,
                                                   const std::string& address,
                                                   TimePoint until) {
-  const auto link = ports_.links->Get(endpoint, address);
+  auto link = ports_.links->Get(endpoint, address);
   while (!link->IsUsable()) {
     if (ports_.clock() >= until) {
       return nullptr;
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -14,7 +14,7 @@
 
 }  // namespace
 
-EntryNode::EntryNode(const EntrySettings& settings, MonotonicClock clock,
+EntryNode::EntryNode(const EntrySettings& settings, const MonotonicClock& clock,
                      const RandomSource& random)
     : settings_(settings),
       clock_(clock),
--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -18,7 +18,7 @@
 // Takes callers' requests and brings them their answers.
 class EntryNode {
  public:
-  EntryNode(const EntrySettings& settings, MonotonicClock clock,
+  EntryNode(const EntrySettings& settings, const MonotonicClock& clock,
             const RandomSource& random);
   ~EntryNode();
   EntryNode(const EntryNode&) = delete;
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -72,8 +72,8 @@
          std::tie(other.connection, other.stream);
 }
 
-SidecarNode::SidecarNode(const SidecarSettings& settings, MonotonicClock clock,
-                         RandomSource random)
+SidecarNode::SidecarNode(const SidecarSettings& settings,
+                         const MonotonicClock& clock, RandomSource random)
     : settings_(settings),
       clock_(clock),
       random_(random),
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -34,7 +34,7 @@
 // request has a thread of a bounded pool; one thread keeps time.
 class SidecarNode {
  public:
-  SidecarNode(const SidecarSettings& settings, MonotonicClock clock,
+  SidecarNode(const SidecarSettings& settings, const MonotonicClock& clock,
               RandomSource random);
   ~SidecarNode();
   SidecarNode(const SidecarNode&) = delete;
--- a/standins/main.cc
+++ b/standins/main.cc
@@ -12,10 +12,11 @@
 #include "standins/servers.h"
 
 namespace harecrank::standins {
-namespace {
 
 constexpr int kFailed = 1;
 
+namespace {
+
 // Builds the stand-in that the command line asks for.
 using Maker = std::function<std::unique_ptr<StandIn>()>;
 
@@ -106,12 +107,13 @@
   std::signal(SIGPIPE, SIG_IGN);
   try {
     const std::unique_ptr<StandIn> standin = make();
+    static_cast<void>(standin);
     int received = 0;
     sigwait(&signals, &received);
     // Nothing of a stand-in is worth waiting for.
     std::quick_exit(0);
-  } catch (const Poco::Exception& error) {
-    std::cerr << "harecrank_standins: " << error.displayText() << "\n";
+  } catch (const std::exception& error) {
+    std::cerr << "harecrank_standins: " << error.what() << "\n";
   }
   return kFailed;
 }
@@ -119,4 +121,10 @@
 }  // namespace
 }  // namespace harecrank::standins
 
-int main(int argc, char** argv) { return harecrank::standins::Run(argc, argv); }
+int main(int argc, char** argv) {
+  try {
+    return harecrank::standins::Run(argc, argv);
+  } catch (...) {
+    return harecrank::standins::kFailed;
+  }
+}
--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -145,8 +145,8 @@
     }
   }
   for (int i = 0; i < options_.entries; ++i) {
-    const std::size_t all =
-        static_cast<std::size_t>(options_.engines + options_.services);
+    const std::size_t all = static_cast<std::size_t>(options_.engines) +
+                            static_cast<std::size_t>(options_.services);
     const bool linked = WaitUntil([&] {
       const json dump = Dump("entry-" + std::to_string(i));
       std::size_t usable = 0;
--- a/testing/process.cc
+++ b/testing/process.cc
@@ -26,6 +26,7 @@
     dup2(file, STDOUT_FILENO);
   }
   std::vector<char*> arguments;
+  arguments.reserve(command.size() + 1);
   for (const std::string& word : command) {
     arguments.push_back(const_cast<char*>(word.c_str()));
   }
