--- a/src/adapters/http.cc
+++ b/src/adapters/http.cc
@@ -217,6 +217,15 @@
   return ReadAll(request.stream(), limit, body);
 }
 
+void DiscardBody(Poco::Net::HTTPServerRequest& request, std::size_t limit) {
+  std::array<char, kReadPiece> piece{};
+  std::istream& body = request.stream();
+  for (std::size_t read = 0; body.good() && read < limit;
+       read += piece.size()) {
+    body.read(piece.data(), piece.size());
+  }
+}
+
 std::string QueryValue(const std::string& uri, const std::string& name,
                        const std::string& otherwise) {
   for (const auto& [key, value] : Poco::URI(uri).getQueryParameters()) {
--- a/src/adapters/http.h
+++ b/src/adapters/http.h
@@ -117,6 +117,10 @@
 bool ReadBody(Poco::Net::HTTPServerRequest& request, std::size_t limit,
               std::string* body);
 
+// Reads and drops what is left of a body, up to `limit` bytes. A caller that is
+// still sending would lose an answer that came before its last byte was read.
+void DiscardBody(Poco::Net::HTTPServerRequest& request, std::size_t limit);
+
 // Returns the value of `name` in the query of `uri`, or `otherwise`.
 std::string QueryValue(const std::string& uri, const std::string& name,
                        const std::string& otherwise);
--- a/src/adapters/wire.cc
+++ b/src/adapters/wire.cc
@@ -78,7 +78,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TicketRequest, call, account, ttl)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TicketRevoke, call, account, ticket)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Reserve, stream, model, amount, ttl)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Welcome, version, node, incarnation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Welcome, version, node, incarnation,
+                                   pulse_interval)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Accepted, stream)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Started, stream)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Finished, stream, length, reason, status,
--- a/src/adapters/wire.h
+++ b/src/adapters/wire.h
@@ -131,6 +131,8 @@
   int version = kProtocolVersion;
   NodeId node;
   Incarnation incarnation;
+  // How often it pulses: a link that is silent for several of these is lost.
+  Millis pulse_interval{1000};
 };
 
 // The sidecar's clock and load, sent at intervals and when load changes much.
--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -167,6 +167,12 @@
     return Withdraw(evidence,
                     AttemptEnd{AttemptLost{"the sidecar gave no word"}});
   }
+  // What has nowhere else to go waits on: its answer may still come.
+  if (times_.acknowledge.count() > 0 && link_->IsSilent()) {
+    return Withdraw(evidence,
+                    AttemptEnd{AttemptLost{"the link to the endpoint is "
+                                           "silent"}});
+  }
   return std::nullopt;
 }
 
--- a/src/entry/caller_server.cc
+++ b/src/entry/caller_server.cc
@@ -23,6 +23,8 @@
 // Threads that remain to refuse, and to answer tickets and probes, while every
 // place is taken.
 constexpr int kSpareThreads = 32;
+// How much of a body that is too large is read so that its caller hears why.
+constexpr std::size_t kMostDiscarded = 256U << 20U;
 constexpr Millis kRetryAfterFull{1000};
 constexpr Millis kRetryAfterDrain{1000};
 constexpr char kTickets[] = "/v1/tickets";
@@ -178,6 +180,7 @@
                                  HTTPServerResponse& response) {
   std::string body;
   if (!ReadBody(request, settings_.max_body_bytes, &body)) {
+    DiscardBody(request, kMostDiscarded);
     response.setKeepAlive(false);
     Refuse(response,
            NotRun(kTooLarge, "body_too_large",
--- a/src/entry/link_pool.cc
+++ b/src/entry/link_pool.cc
@@ -76,7 +76,12 @@
 bool Link::IsUsable() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return open_ && remote_clock_.Convert(last_heard_).has_value() &&
-         clock_() - last_heard_ <= kMostSilence;
+         clock_() - last_heard_ <= pulse_interval_ * kMissedBeforeSilent;
+}
+
+bool Link::IsSilent() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return clock_() - last_heard_ > pulse_interval_ * kMissedBeforeSilent;
 }
 
 bool Link::IsDraining() const {
@@ -160,7 +165,8 @@
       const std::lock_guard<std::mutex> lock(link->mutex_);
       dial = link->dial_;
       redial = dial.value == 0 && now >= link->next_dial_;
-      cut = link->open_ && now - link->last_heard_ > Link::kDeadSilence;
+      cut = link->open_ && now - link->last_heard_ >
+                               link->pulse_interval_ * Link::kMissedBeforeCut;
       idle = link->streams_.empty() && now - link->last_used_ > kIdleClose;
     }
     if (idle) {
@@ -246,6 +252,9 @@
       link->draining_ = pulse->draining;
       link->unreported_ = Tokens{0};
     }
+    if (const auto* welcome = std::get_if<wire::Welcome>(&message)) {
+      link->pulse_interval_ = welcome->pulse_interval;
+    }
     const auto found = link->streams_.find(stream);
     if (found != link->streams_.end()) {
       inbox = found->second;
--- a/src/entry/link_pool.h
+++ b/src/entry/link_pool.h
@@ -57,9 +57,13 @@
   const std::string& Address() const { return address_; }
 
   // Returns whether requests may be sent: it is open, its sidecar's clock is
-  // known, and it has pulsed within kMostSilence.
+  // known, and it is not silent.
   bool IsUsable() const;
 
+  // Returns whether nothing has come for so long that a request that may go
+  // elsewhere should.
+  bool IsSilent() const;
+
   // Returns whether the sidecar has said that it takes nothing new.
   bool IsDraining() const;
 
@@ -73,10 +77,10 @@
   // Notes work that the next report will show.
   void AddUnreported(Tokens tokens);
 
-  // How long a link may be silent before nothing new is sent on it.
-  static constexpr Millis kMostSilence{3500};
-  // How long before it is cut, and all that waits on it told so.
-  static constexpr Millis kDeadSilence{8000};
+  // How many of its sidecar's pulses a link may miss before it counts as
+  // silent, and before it is cut and all that waits on it told so.
+  static constexpr int kMissedBeforeSilent = 3;
+  static constexpr int kMissedBeforeCut = 8;
 
  private:
   friend class LinkPool;
@@ -91,6 +95,7 @@
   RemoteClock remote_clock_;
   LoadReport load_;
   Tokens unreported_;
+  Millis pulse_interval_{1000};
   TimePoint last_heard_;
   TimePoint last_used_;
   TimePoint next_dial_;
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -199,8 +199,9 @@
     links_->Close(connection);
     return;
   }
-  links_->Send(connection, wire::Welcome{wire::kProtocolVersion,
-                                         settings_.node.node_id, incarnation_});
+  links_->Send(connection,
+               wire::Welcome{wire::kProtocolVersion, settings_.node.node_id,
+                             incarnation_, settings_.pulse_interval});
   const std::lock_guard<std::mutex> lock(mutex_);
   connections_.insert(connection);
   links_->Send(connection,
--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -234,7 +234,7 @@
 std::int64_t Fleet::EngineUsed(int index) {
   const json account =
       Parsed(Request(Engine(index), "GET", "/v1/account").body);
-  return account.value("used", std::int64_t{-1});
+  return account.is_object() ? account.value("used", std::int64_t{-1}) : -1;
 }
 
 std::string Fleet::EngineNode(int index) {
@@ -419,6 +419,8 @@
   return "dc-" + std::to_string(index % options_.data_centres);
 }
 
+std::string HarecrankBinary() { return HARECRANK_BINARY; }
+
 bool WaitUntil(const std::function<bool()>& condition, Millis limit) {
   const auto until = std::chrono::steady_clock::now() + limit;
   while (!condition()) {
--- a/testing/fleet.h
+++ b/testing/fleet.h
@@ -138,6 +138,9 @@
   std::vector<std::string> nodes_;
 };
 
+// Returns the path of the binary under test.
+std::string HarecrankBinary();
+
 // Waits until `condition` holds, looking often. Returns whether it came to
 // hold before a limit that is far beyond what any test should need.
 bool WaitUntil(const std::function<bool()>& condition,
--- /dev/null
+++ b/tests/bad_input_test.cc
@@ -0,0 +1,114 @@
+// What callers get for requests that cannot be served as they are.
+
+#include <catch2/catch.hpp>
+
+#include "testing/fleet.h"
+
+namespace harecrank::testing {
+namespace {
+
+using nlohmann::json;
+
+// One bad request and what it must be told.
+struct BadRequest {
+  std::string name;
+  CallerCall call;
+  int status;
+  std::string code;
+};
+
+std::vector<BadRequest> BadRequests(const std::string& address) {
+  const CallerCall good = Completion(address, "good", 10, 4, false);
+  std::vector<BadRequest> bad;
+  const auto add = [&](const std::string& name, int status,
+                       const std::string& code) -> CallerCall& {
+    bad.push_back(BadRequest{name, good, status, code});
+    return bad.back().call;
+  };
+  add("bad JSON", 400, "bad_json").body = "{not json";
+  add("unknown model", 404, "unknown_model").body["model"] = "nobody";
+  add("unknown adapter", 404, "unknown_adapter").body["adapter"] = "nobody";
+  add("wrong key", 401, "wrong_key").key = "wrong";
+  add("oversized body", 413, "body_too_large").body["prompt"] =
+      std::string(200000, 'x');
+  add("empty prompt", 400, "bad_request").body["prompt"] = "";
+  add("wrong type", 400, "bad_request").body["max_tokens"] = "many";
+  add("no answer wanted", 400, "bad_request").body["max_tokens"] = 0;
+  add("context too long", 400, "context_too_long").body["max_tokens"] = 3000000;
+  add("bad time limit", 400, "bad_time_limit").fields = {
+      {"Harecrank-Time-Limit-Ms", "soon"}};
+  add("not repeatable without a ticket", 428, "ticket_required").fields = {
+      {"Harecrank-Not-Repeatable", "order-1"}};
+  add("no ticket at all", 400, "bad_ticket").fields = {
+      {"Harecrank-Ticket", "abc"}};
+  add("unknown path", 404, "not_found").path = "/v2/completions";
+  add("unknown service", 404, "unknown_service").path = "/v1/services/none/x";
+  CallerCall& chat = add("chat without messages", 400, "bad_request");
+  chat.path = "/v1/chat/completions";
+  return bad;
+}
+
+TEST_CASE("Each bad request is told its fault and that it was not run") {
+  FleetOptions options;
+  options.entry_settings = {{"max_body_bytes", 100000}};
+  Fleet fleet(options);
+  REQUIRE(fleet.WaitReady());
+  for (const BadRequest& bad : BadRequests(fleet.Callers(0))) {
+    const CallerAnswer answer = Call(bad.call);
+    INFO(bad.name << ": expected " << bad.status << " " << bad.code
+                  << " and saw " << answer.status << " " << answer.body.dump());
+    CHECK(answer.status == bad.status);
+    CHECK(answer.Code() == bad.code);
+    CHECK(answer.Outcome() == "not_run");
+  }
+  CHECK(RunsOf(&fleet, options.engines, "good") == 0);
+}
+
+TEST_CASE("An operator's call without an operator's key is refused") {
+  Fleet fleet(FleetOptions{});
+  REQUIRE(fleet.WaitReady());
+  CallerCall call;
+  call.address = fleet.Operations("entry-0");
+  call.path = "/rpc/harecrank.v1.Administration/GetInForce";
+  call.key = "wrong";
+  CHECK(Call(call).status == 403);
+  call.key = kOperatorKey;
+  CHECK(Call(call).status == 200);
+  call.path = "/rpc/harecrank.v1.Administration/Nothing";
+  CHECK(Call(call).status == 404);
+}
+
+TEST_CASE("A bad document changes nothing and is reported") {
+  Fleet fleet(FleetOptions{});
+  REQUIRE(fleet.WaitReady());
+  json document = fleet.Document();
+  document["revision"] = 2;
+  document["endpoints"]["endpoint-0"]["link_address"] = "localhost:1";
+  fleet.Publish("document", document.dump());
+  fleet.Publish("changes", json{{"changes",
+                                 {{{"revision", 2},
+                                   {"base_digest", "x"},
+                                   {"digest", "y"},
+                                   {"patch_json", "[]"}}}}}
+                               .dump());
+  CHECK(WaitUntil([&] {
+    const json dump = fleet.Dump("entry-0");
+    return dump["configuration"]["invalid"].get<int>() > 0;
+  }));
+  CHECK(fleet.Dump("entry-0")["configuration"]["revision"] == 1);
+}
+
+TEST_CASE("Settings that are wrong stop the process with their place") {
+  Fleet fleet(FleetOptions{});
+  const std::string path = fleet.Directory() + "/wrong.json";
+  FILE* file = fopen(path.c_str(), "w");
+  REQUIRE(file != nullptr);
+  fputs("{\"node_id\": 7}", file);
+  fclose(file);
+  Process process({HarecrankBinary(), "entry", "--settings", path},
+                  fleet.Directory() + "/wrong.log");
+  CHECK(process.Wait() == 3);
+}
+
+}  // namespace
+}  // namespace harecrank::testing
