--- a/include/harecrank/core/attempt_policy.h
+++ b/include/harecrank/core/attempt_policy.h
@@ -59,6 +59,10 @@
   // of it.
   AttemptStep Next(const AttemptEnd& end, const AttemptEvidence& evidence);
 
+  // Returns the answer to give if the next attempt finds no endpoint; nothing
+  // before the first attempt has ended.
+  const std::optional<Refusal>& LastRefusal() const { return last_refusal_; }
+
   int Attempts() const { return attempts_; }
 
   static constexpr int kMostAttempts = 4;
@@ -73,6 +77,7 @@
   int attempts_ = 1;
   // The weakest claim of all attempts so far.
   Outcome overall_ = Outcome::kNotRun;
+  std::optional<Refusal> last_refusal_;
 };
 
 }  // namespace harecrank
--- a/include/harecrank/core/fair_queue.h
+++ b/include/harecrank/core/fair_queue.h
@@ -49,6 +49,9 @@
   // Changes the weight of long requests that are added from now on.
   void SetLongWeightPercent(int percent);
 
+  // Changes how many requests may wait. Those that wait already stay.
+  void SetLimit(std::size_t limit) { limit_ = limit; }
+
   // Adds a request. Returns false, and adds nothing, if the queue is full.
   bool Push(const QueuedRequest& request);
 
--- a/src/core/attempt_policy.cc
+++ b/src/core/attempt_policy.cc
@@ -100,12 +100,13 @@
                                 const AttemptEvidence& evidence) {
   const Outcome outcome = evidence.Conclude();
   overall_ = Weaker(overall_, outcome);
+  last_refusal_ = std::visit(ToRefusal{overall_}, end);
   if (std::visit(LeavesRoom{}, end) && MayTryAgain(outcome) &&
       budget_->TryRetry()) {
     ++attempts_;
     return TryElsewhere{};
   }
-  return GiveUp{std::visit(ToRefusal{overall_}, end)};
+  return GiveUp{*last_refusal_};
 }
 
 bool AttemptPolicy::MayTryAgain(Outcome outcome) const {
--- a/src/core/endpoint_scheduler.cc
+++ b/src/core/endpoint_scheduler.cc
@@ -61,6 +61,7 @@
 
 void EndpointScheduler::Reconfigure(const SchedulerOptions& options) {
   options_ = options;
+  queue_.SetLimit(options.queue_limit);
   queue_.SetLongWeightPercent(options.long_weight_percent);
   leases_.SetCapacity(options.memory);
 }
--- a/src/core/endpoint_scheduler_test.cc
+++ b/src/core/endpoint_scheduler_test.cc
@@ -103,6 +103,14 @@
   CHECK(code == "overloaded");
 }
 
+TEST_CASE_METHOD(Fixture, "A smaller limit of the queue holds at once") {
+  SchedulerOptions options = MakeOptions();
+  options.queue_limit = 1;
+  scheduler.Reconfigure(options);
+  REQUIRE(Submit(MakeRequest(900)).empty());
+  CHECK(Submit(MakeRequest(900)) == "overloaded");
+}
+
 TEST_CASE_METHOD(Fixture, "What would start too late is refused early") {
   // Learns a rate of 100 tokens a second, then has ten seconds' work waiting.
   const QueuedRequest first = MakeRequest(100);
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -173,7 +173,7 @@
     } else {
       const auto link = WaitForLink(*context, sink);
       if (link == nullptr) {
-        return NoEndpoint();
+        return policy.LastRefusal().value_or(NoEndpoint());
       }
       answered.endpoint = link->Endpoint();
       result = RunOnce(context, link, ports, &evidence);
