--- a/src/adapters/metrics.cc
+++ b/src/adapters/metrics.cc
@@ -1,6 +1,8 @@
 #include "src/adapters/metrics.h"
 
 #include <boost/histogram.hpp>
+#include <cmath>
+#include <iomanip>
 #include <sstream>
 #include <tuple>
 #include <utility>
@@ -11,6 +13,8 @@
 namespace bh = boost::histogram;
 
 constexpr unsigned kBuckets = 40;
+// Enough for a time in milliseconds.
+constexpr int kGaugeDigits = 15;
 constexpr double kLeastMillis = 0.1;
 constexpr double kMostMillis = 1e6;
 constexpr double kNanosPerMilli = 1e6;
@@ -111,6 +115,7 @@
 std::string Metrics::Text() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   std::ostringstream out;
+  out << std::setprecision(kGaugeDigits);
   std::string last;
   for (const auto& [key, counter] : counters_) {
     if (key.name != last) {
--- a/src/cli/load_run.cc
+++ b/src/cli/load_run.cc
@@ -82,11 +82,13 @@
   std::discrete_distribution<std::size_t> pick(shares.begin(), shares.end());
   std::deque<Arrival> arrivals;
   auto due = began;
-  while (true) {
+  while (!plan.one_only || arrivals.empty()) {
     due += std::chrono::duration_cast<Clock::duration>(
         std::chrono::duration<double>(gap(random)));
-    if (due - began >= std::chrono::duration<double>(plan.seconds)) {
-      return arrivals;
+    if (plan.one_only) {
+      due = began;
+    } else if (due - began >= std::chrono::duration<double>(plan.seconds)) {
+      break;
     }
     Arrival arrival;
     arrival.due = due;
@@ -95,6 +97,7 @@
     arrival.target = plan.targets[random() % plan.targets.size()];
     arrivals.push_back(std::move(arrival));
   }
+  return arrivals;
 }
 
 // A prompt of so many tokens, with a beginning that no other has.
--- a/src/cli/load_run.h
+++ b/src/cli/load_run.h
@@ -22,6 +22,8 @@
   std::int64_t time_limit_ms = 30000;
   std::uint64_t seed = 1;
   int threads = 512;
+  // Sends a single request at once in place of a rate.
+  bool one_only = false;
   // Where set, the engine stand-in's own address: the baseline without hops.
   std::string engine_direct;
 };
--- a/src/core/ticket_book_test.cc
+++ b/src/core/ticket_book_test.cc
@@ -32,7 +32,10 @@
 TEST_CASE_METHOD(Fixture, "A new life of the sidecar grants no old ticket") {
   TicketBook before = MakeBook(1);
   const Ticket ticket = *before.Issue(kTinta, kTtl);
+  // The new life may draw the same number for a ticket of its own.
+  drawn = 0;
   TicketBook after = MakeBook(2);
+  after.Issue(kTinta, kTtl);
   CHECK(after.Redeem(ticket, kTinta) == Redemption::kForeign);
 }
 
@@ -100,6 +103,7 @@
 struct Slot {
   std::unique_ptr<TicketBook> book;
   std::uint64_t incarnation = 0;
+  std::uint64_t nonce = 0;
 };
 
 // Random interleavings of issue, submission through any entry host, delivery
@@ -112,10 +116,13 @@
     std::vector<Slot> slots(3);
     const auto restart = [&](std::size_t i) {
       slots[i].incarnation = next_incarnation++;
+      // Each life draws the same numbers: only the incarnation tells them
+      // apart.
+      slots[i].nonce = 0;
       slots[i].book = std::make_unique<TicketBook>(
           EndpointId{"e" + std::to_string(i)},
           Incarnation{slots[i].incarnation}, 1000, [&] { return now; },
-          [&] { return random(); });
+          [&slots, i] { return ++slots[i].nonce; });
     };
     for (std::size_t i = 0; i < slots.size(); ++i) {
       restart(i);
--- a/src/entry/answer_writer.cc
+++ b/src/entry/answer_writer.cc
@@ -162,7 +162,8 @@
                      {"completion_tokens", answered.finished.length}}},
                    {"harecrank",
                     {{"endpoint", answered.endpoint.value},
-                     {"attempts", answered.attempts}}}});
+                     {"attempts", answered.attempts},
+                     {"members", answered.members}}}});
 }
 
 void AnswerWriter::FinishStream(const DispatchResult& result) {
@@ -175,7 +176,8 @@
     const json end{{"finish_reason", answered.finished.reason},
                    {"completion_tokens", answered.finished.length},
                    {"endpoint", answered.endpoint.value},
-                   {"attempts", answered.attempts}};
+                   {"attempts", answered.attempts},
+                   {"members", answered.members}};
     *stream_ << "event: done\ndata: " << Dump(end) << "\n\ndata: [DONE]\n\n";
   }
   Flush();
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -168,8 +168,7 @@
     AttemptResult result = AttemptEnd{CallerLeft{}};
     Answered answered;
     if (group) {
-      result = RunGroup(context, ports, &evidence);
-      answered.members = 0;
+      result = RunGroup(context, ports, &evidence, &answered);
     } else {
       const auto link = WaitForLink(*context, sink);
       if (link == nullptr) {
@@ -226,7 +225,8 @@
 }
 
 AttemptResult Dispatcher::RunGroup(Context* context, AttemptPorts ports,
-                                   AttemptEvidence* evidence) {
+                                   AttemptEvidence* evidence,
+                                   Answered* answered) {
   groups_->Add();
   GroupPorts group;
   group.attempt = std::move(ports);
@@ -239,7 +239,10 @@
       std::move(group), context->request,
       context->table->ForGroup(*context->configuration, context->request.model),
       context->deadline);
-  return runner.Run(evidence);
+  AttemptResult result = runner.Run(evidence);
+  answered->endpoint = runner.Lead();
+  answered->members = runner.MemberCount();
+  return result;
 }
 
 AttemptResult Dispatcher::RunOnce(Context* context,
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -87,7 +87,7 @@
   DispatchResult RunAttempts(Context* context, AnswerSink* sink);
   DispatchResult RunTicketed(Context* context, AnswerSink* sink);
   AttemptResult RunGroup(Context* context, AttemptPorts ports,
-                         AttemptEvidence* evidence);
+                         AttemptEvidence* evidence, Answered* answered);
   AttemptResult RunOnce(Context* context, const std::shared_ptr<Link>& link,
                         AttemptPorts ports, AttemptEvidence* evidence);
   wire::Submit MakeSubmit(const Context& context,
--- a/src/entry/group_runner.cc
+++ b/src/entry/group_runner.cc
@@ -57,6 +57,10 @@
   return result;
 }
 
+EndpointId GroupRunner::Lead() const {
+  return members_.empty() ? EndpointId{} : members_.back().segment.member;
+}
+
 bool GroupRunner::ReserveAll(AttemptEnd* why) {
   GroupReservation reservation(deadline_, ports_.attempt.clock, ports_.random);
   while (!IsOutOfTime(why)) {
--- a/src/entry/group_runner.h
+++ b/src/entry/group_runner.h
@@ -41,6 +41,11 @@
   // Runs the request to its end.
   AttemptResult Run(AttemptEvidence* evidence);
 
+  // Returns the member that generates, and how many there are; none before
+  // Run has reserved them.
+  EndpointId Lead() const;
+  int MemberCount() const { return static_cast<int>(members_.size()); }
+
  private:
   // One engine of the group.
   struct Member {
--- a/src/node/config_feed.cc
+++ b/src/node/config_feed.cc
@@ -73,6 +73,9 @@
   ports_.metrics->AddGauge("harecrank_config_revision", [this] {
     return static_cast<double>(ports_.ledger->State().revision.value);
   });
+  ports_.metrics->AddGauge("harecrank_config_in_force_since_ms", [this] {
+    return static_cast<double>(in_force_since_.load());
+  });
 }
 
 ConfigFeed::~ConfigFeed() { Stop(); }
@@ -407,6 +410,9 @@
   if (offer != Offer::kAdopted) {
     return;
   }
+  in_force_since_ =
+      std::chrono::duration_cast<Millis>(ports_.clock().time_since_epoch())
+          .count();
   if (listener_) {
     listener_();
   }
--- a/src/node/config_feed.h
+++ b/src/node/config_feed.h
@@ -95,6 +95,8 @@
   ConfigFeedPorts ports_;
   std::function<void()> listener_;
   std::atomic<bool> ready_{false};
+  // On this process's monotonic clock.
+  std::atomic<std::int64_t> in_force_since_{0};
   std::atomic<bool> stopping_{false};
   std::mutex mutex_;
   std::condition_variable wake_;
--- a/src/sidecar/engine_keeper.cc
+++ b/src/sidecar/engine_keeper.cc
@@ -104,7 +104,20 @@
   }
 }
 
+bool EngineKeeper::IsBesideEngine() const {
+  const auto configuration = ports_.node->InForce();
+  const v1::Endpoint* self =
+      configuration == nullptr ? nullptr
+                               : configuration->FindEndpoint(
+                                     EndpointId{settings_.node.node_id.value});
+  return self != nullptr && self->has_engine();
+}
+
 void EngineKeeper::Keep() {
+  // A plain service must not get calls that are meant for an engine.
+  if (!IsBesideEngine()) {
+    return;
+  }
   leaf::try_handle_all(
       [&]() -> leaf::result<void> {
         guard_.OnDecision();
--- a/src/sidecar/engine_keeper.h
+++ b/src/sidecar/engine_keeper.h
@@ -60,6 +60,7 @@
 
  private:
   void Run();
+  bool IsBesideEngine() const;
   void Keep();
   void Release(const EngineAccount& account);
   void GiveOrders(const EngineAccount& account);
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -21,7 +21,8 @@
 constexpr std::size_t kMostTickets = 20000;
 constexpr std::size_t kMostLogs = 2000;
 constexpr Millis kTick{20};
-// Replays and segments run beside the scheduled requests.
+// A request with a ticket has a second thread that brings its log to the
+// caller; segments and later replays run beside the scheduled requests.
 constexpr int kSpareThreads = 64;
 // How often a connection that carries requests hears of a changed load.
 constexpr int kPulsesWhileBusy = 5;
@@ -96,7 +97,7 @@
                                 scheduler_.Reconfigure(OptionsFrom(*now));
                               }
                             }}),
-      pool_(2, settings.max_running + kSpareThreads),
+      pool_(2, settings.max_running * 2 + kSpareThreads),
       scheduler_(SchedulerOptions{}, clock),
       tickets_(EndpointId{settings.node.node_id.value}, incarnation_,
                kMostTickets, clock, std::move(random)) {
--- a/standins/engine_server.cc
+++ b/standins/engine_server.cc
@@ -161,11 +161,15 @@
       Answer(response, kUnavailable, "out of memory");
       return;
     }
-    Stream(request, response, work, members);
-    model_.Remove(work.id);
+    if (Stream(request, response, work, members)) {
+      model_.Remove(work.id);
+    }
   }
 
-  void Stream(HTTPServerRequest& request, HTTPServerResponse& response,
+  // Returns whether the stream has ended. One whose reader went away goes on,
+  // as on an engine whose streams can be resumed, and holds its memory until
+  // somebody cancels it.
+  bool Stream(HTTPServerRequest& request, HTTPServerResponse& response,
               const EngineWork& work, const json& members) {
     response.setChunkedTransferEncoding(true);
     response.setContentType("application/x-ndjson");
@@ -184,15 +188,17 @@
       const bool members_there = members.empty() ||
                                  sent % kCheckMembersEvery != 0 ||
                                  AreMembersThere(members);
-      if (!out.good() || !IsCallerThere(request) || !members_there) {
+      const bool reader_there = out.good() && IsCallerThere(request);
+      if (!reader_there || !members_there) {
         response.setKeepAlive(false);
-        return;
+        return !members_there;
       }
     }
     if (state == WorkState::kDone) {
       out << json{{"length", work.answer_tokens}}.dump() << "\n";
       out.flush();
     }
+    return true;
   }
 
   // Joins the digests of a group's segments, and takes the time that it takes
@@ -272,7 +278,6 @@
       state = model_.Wait(work.id, &none);
     }
     if (state != WorkState::kDone) {
-      model_.Remove(work.id);
       Answer(response, kUnavailable, "cancelled");
       return;
     }
--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -125,6 +125,11 @@
     AddSidecar("service-sidecar-" + n, ServiceNode(i), i,
                addresses_["service-link-" + n], addresses_["service-" + n]);
   }
+  for (int i = 0; i < options_.bare_sidecars; ++i) {
+    const std::string n = std::to_string(i);
+    AddSidecar("bare-sidecar-" + n, BareNode(i), i,
+               addresses_["bare-link-" + n], addresses_["bare-" + n]);
+  }
   AddEntries();
 }
 
@@ -231,6 +236,24 @@
       Request(Operations(node), "GET", "/dump", "", kOperatorKey).body);
 }
 
+std::string Fleet::Metrics(const std::string& node) {
+  return Request(Operations(node), "GET", "/metrics").body;
+}
+
+Process& Fleet::ProcessOf(const std::string& node) {
+  const auto found = commands_.find(node);
+  if (found != commands_.end()) {
+    return Get(node);
+  }
+  const auto dash = node.rfind('-');
+  const std::string number = node.substr(dash);
+  const std::string kind = node.substr(0, dash);
+  return Get((kind == "endpoint" ? "sidecar"
+              : kind == "plain"  ? "service-sidecar"
+                                 : "bare-sidecar") +
+             number);
+}
+
 std::int64_t Fleet::EngineUsed(int index) {
   const json account =
       Parsed(Request(Engine(index), "GET", "/v1/account").body);
@@ -245,6 +268,10 @@
   return "plain-" + std::to_string(index);
 }
 
+std::string Fleet::BareNode(int index) {
+  return "bare-" + std::to_string(index);
+}
+
 std::string Fleet::NextAddress() {
   return ip_ + ":" + std::to_string(next_port_++);
 }
@@ -406,6 +433,7 @@
         {"data_centre", DataCentre(i)},
         {"service", {{"name", "orders"}}}};
   }
+  ListMore();
   for (int i = 0; i < options_.entries; ++i) {
     const std::string name = "entry-" + std::to_string(i);
     addresses_[name] = NextAddress();
@@ -415,6 +443,37 @@
   }
 }
 
+void Fleet::ListMore() {
+  const auto endpoint = [&](const std::string& link,
+                            const std::string& operations, int index) {
+    return json{{"link_address", link},
+                {"operations_address", operations},
+                {"data_centre", DataCentre(index)},
+                {"engine",
+                 {{"models", {kModel}},
+                  {"memory_tokens", options_.engine_memory},
+                  {"checks_fences", true}}}};
+  };
+  for (int i = 0; i < options_.bare_sidecars; ++i) {
+    const std::string n = std::to_string(i);
+    addresses_["bare-" + n] = NextAddress();
+    addresses_["bare-link-" + n] = NextAddress();
+    addresses_["operations-" + BareNode(i)] = NextAddress();
+    document_["endpoints"][BareNode(i)] =
+        endpoint(addresses_["bare-link-" + n], Operations(BareNode(i)), i);
+  }
+  for (int i = 0; i < options_.listed_endpoints; ++i) {
+    document_["endpoints"]["listed-" + std::to_string(i)] =
+        endpoint(ip_ + ":1", ip_ + ":1", i);
+  }
+  for (int i = 0; i < options_.listed_accounts; ++i) {
+    const std::string id = "account-" + std::to_string(i);
+    document_["accounts"][id] = {{"key_sha256", Sha256Hex(id)},
+                                 {"weight", 1},
+                                 {"tokens_per_second", 1000000}};
+  }
+}
+
 std::string Fleet::DataCentre(int index) const {
   return "dc-" + std::to_string(index % options_.data_centres);
 }
--- a/testing/fleet.h
+++ b/testing/fleet.h
@@ -21,6 +21,11 @@
   int entries = 2;
   int engines = 3;
   int services = 1;
+  // Sidecars that run without an endpoint beside them, and endpoints that are
+  // only listed in the document: what a larger fleet costs this one.
+  int bare_sidecars = 0;
+  int listed_endpoints = 0;
+  int listed_accounts = 0;
   std::int64_t engine_memory = 20000;
   double prefill_rate = 200000;
   double step_ms = 2;
@@ -104,6 +109,15 @@
   // Returns a node's dump.
   nlohmann::json Dump(const std::string& node);
 
+  // Returns a node's metrics, as text.
+  std::string Metrics(const std::string& node);
+
+  // Returns the process that runs a node of the document.
+  Process& ProcessOf(const std::string& node);
+
+  // Returns the nodes that have a process, by their names in the document.
+  const std::vector<std::string>& Nodes() const { return nodes_; }
+
   // Returns the memory in use by an engine's own account, or -1.
   std::int64_t EngineUsed(int index);
 
@@ -113,6 +127,7 @@
   // The names that the document gives to nodes.
   static std::string EngineNode(int index);
   static std::string ServiceNode(int index);
+  static std::string BareNode(int index);
 
  private:
   std::string NextAddress();
@@ -125,6 +140,7 @@
   void WriteSettings(const std::string& name, const nlohmann::json& settings);
   nlohmann::json NodeSettings(const std::string& node, int data_centre);
   void BuildDocument();
+  void ListMore();
   std::string DataCentre(int index) const;
 
   FleetOptions options_;
--- a/tests/promises_test.cc
+++ b/tests/promises_test.cc
@@ -123,7 +123,10 @@
     INFO("answer " << i << " was " << answer.status << answer.body.dump());
     CHECK(answer.body.value("echo", "") == "rolls-9");
   }
-  CHECK(Get(fleet.Service(0), "/control/calls")["rolls-9"] == 1);
+  const json calls = Get(fleet.Service(0), "/control/calls");
+  INFO("the service was called with " << calls.dump());
+  CHECK(calls["rolls-9"] == 1);
+  CHECK(calls.size() == 1);
 }
 
 TEST_CASE("A caller that leaves mid-stream releases the engine's memory") {
--- a/tests/whole_path_test.cc
+++ b/tests/whole_path_test.cc
@@ -40,6 +40,7 @@
                          << answer.end.dump());
   CHECK(answer.Text() == ExpectedText(call));
   CHECK(answer.end_event == "done");
+  CHECK(answer.end["members"] == 3);
   for (int i = 0; i < options.engines; ++i) {
     INFO("engine " << i << " must hold nothing once the answer is whole");
     CHECK(WaitUntil([&] { return fleet.EngineUsed(i) == 0; }));
