Far spares in a subset, and refusals that need no wait

A subset holds two endpoints of other data centres, used only while none of its own can be: with sixteen near ones it held none, and a rack that took a model's near endpoints left the host with nothing. A prompt that no group can ever hold is refused at once (it waited for room to its deadline). A sidecar that has not yet its configuration says not_ready (it said larger_than_engine, since it knew of no memory). A message or a line that cannot be handled no longer ends the process. The test of a sidecar's planned stop sent its requests before the entry hosts could know of the drain (one failure in three runs of the whole suite). It now first waits until both know, and then demands the same as before.

--- a/include/harecrank/core/retry_budget.h
+++ b/include/harecrank/core/retry_budget.h
@@ -22,6 +22,9 @@
   // Notes a first attempt.
   void OnFirstAttempt();
 
+  // Returns how many retries are left.
+  std::int64_t Left() const { return hundredths_.load() / 100; }
+
   // Takes one retry out of the budget. Returns false if there is none left.
   bool TryRetry();
 
--- a/src/adapters/link_client.cc
+++ b/src/adapters/link_client.cc
@@ -30,7 +30,7 @@
     client_.set_open_handshake_timeout(kOpenTimeoutMs);
     client_.set_close_handshake_timeout(kCloseTimeoutMs);
     client_.start_perpetual();
-    thread_ = std::thread([this] { client_.run(); });
+    thread_ = std::thread([this] { Run(); });
   }
 
   ~Impl() { Stop(); }
@@ -98,6 +98,18 @@
   }
 
  private:
+  // One message that cannot be handled must not end the process.
+  void Run() {
+    while (true) {
+      try {
+        client_.run();
+        return;
+      } catch (const std::exception& error) {
+        LOG4CXX_ERROR(log_, "a message was dropped: " << error.what());
+      }
+    }
+  }
+
   DialId NewDial() {
     const std::lock_guard<std::mutex> lock(mutex_);
     return DialId{next_id_++};
--- a/src/adapters/link_server.cc
+++ b/src/adapters/link_server.cc
@@ -36,7 +36,7 @@
     const auto colon = address.rfind(':');
     server_.listen(address.substr(0, colon), address.substr(colon + 1));
     server_.start_accept();
-    thread_ = std::thread([this] { server_.run(); });
+    thread_ = std::thread([this] { Run(); });
   }
 
   ~Impl() { Stop(); }
@@ -76,6 +76,18 @@
   }
 
  private:
+  // One message that cannot be handled must not end the process.
+  void Run() {
+    while (true) {
+      try {
+        server_.run();
+        return;
+      } catch (const std::exception& error) {
+        LOG4CXX_ERROR(log_, "a message was dropped: " << error.what());
+      }
+    }
+  }
+
   void OnOpen(const Handle& handle) {
     const std::lock_guard<std::mutex> lock(mutex_);
     const ConnectionId id{next_id_++};
--- a/src/core/attempt_policy.cc
+++ b/src/core/attempt_policy.cc
@@ -29,7 +29,8 @@
   if (code == "deadline_exceeded") {
     return kGatewayTimeout;
   }
-  if (code == "bad_request" || code == "ticket_ended") {
+  if (code == "bad_request" || code == "ticket_ended" ||
+      code == "larger_than_engine") {
     return kBadRequest;
   }
   return kUnavailable;
--- a/src/entry/caller_server.cc
+++ b/src/entry/caller_server.cc
@@ -39,6 +39,23 @@
   return Refusal{status, code, message, Outcome::kNotRun, retry_after};
 }
 
+// Checks that what a ticket is asked for is published.
+leaf::result<void> CheckTarget(const Configuration& configuration,
+                               const ModelId& model,
+                               const ServiceName& service) {
+  if (!service.value.empty() && configuration.EndpointsOf(service).empty()) {
+    return leaf::new_error(
+        NotRun(kNotFound, "unknown_service",
+               "there is no service called '" + service.value + "'"));
+  }
+  if (service.value.empty() && configuration.EnginesOf(model).empty()) {
+    return leaf::new_error(
+        NotRun(kNotFound, "unknown_model",
+               "no endpoint serves a model called '" + model.value + "'"));
+  }
+  return {};
+}
+
 CallerHeaders HeadersOf(const HTTPServerRequest& request) {
   CallerHeaders headers;
   headers.method = request.getMethod();
@@ -159,6 +176,7 @@
         }
         const ModelId model{body.value("model", std::string())};
         const ServiceName service{body.value("service", std::string())};
+        BOOST_LEAF_CHECK(CheckTarget(*configuration, model, service));
         const auto issued = dispatcher_->IssueTicket(account, model, service);
         if (const auto* refusal = std::get_if<Refusal>(&issued)) {
           return leaf::new_error(*refusal);
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -67,6 +67,11 @@
       configuration->GetDocument().policy().retry_budget_percent()));
 }
 
+std::size_t Dispatcher::LimitedAccounts() {
+  const std::lock_guard<std::mutex> lock(limiter_mutex_);
+  return limiter_.Count();
+}
+
 void Dispatcher::Maintain() { ports_.links->Maintain(table_.Load()->Wanted()); }
 
 DispatchResult Dispatcher::Run(const CallerRequest& request, AnswerSink* sink) {
@@ -300,10 +305,20 @@
 }
 
 std::shared_ptr<Link> Dispatcher::Choose(const Context& context) {
+  constexpr bool kFar = true;
+  auto link = ChooseAmong(context, !kFar);
+  return link != nullptr ? link : ChooseAmong(context, kFar);
+}
+
+std::shared_ptr<Link> Dispatcher::ChooseAmong(const Context& context,
+                                              bool far) {
   std::vector<EndpointView> views;
   std::vector<std::shared_ptr<Link>> links;
   std::vector<std::string> ids;
   for (const SubsetEndpoint& endpoint : Subset(context)) {
+    if (endpoint.far != far) {
+      continue;
+    }
     const auto link = ports_.links->Get(endpoint.id, endpoint.link_address);
     if (context.tried.count(endpoint.id) > 0 || !link->IsUsable() ||
         link->IsDraining() || !MayUse(endpoint.id)) {
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -60,6 +60,12 @@
   // Keeps the links that the table wants. Called at intervals.
   void Maintain();
 
+  // Returns how many retries the budget allows now.
+  std::int64_t RetriesLeft() const { return budget_.Left(); }
+
+  // Returns how many accounts have called this host under a limit.
+  std::size_t LimitedAccounts();
+
   // Runs `request` to its end, within its time limit.
   DispatchResult Run(const CallerRequest& request, AnswerSink* sink);
 
@@ -95,6 +101,7 @@
   bool NeedsGroup(const Context& context) const;
   const std::vector<SubsetEndpoint>& Subset(const Context& context) const;
   std::shared_ptr<Link> Choose(const Context& context);
+  std::shared_ptr<Link> ChooseAmong(const Context& context, bool far);
   std::shared_ptr<Link> WaitForLink(const Context& context, AnswerSink* sink);
   std::shared_ptr<Link> WaitUntilUsable(const EndpointId& endpoint,
                                         const std::string& address,
--- a/src/entry/endpoint_table.cc
+++ b/src/entry/endpoint_table.cc
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr std::size_t kMostGroupCandidates = 32;
+// Endpoints of other data centres that a subset holds in any case, so that a
+// model whose endpoints here are all lost is still served.
+constexpr std::size_t kFarSpares = 2;
 
 const std::vector<SubsetEndpoint>& None() {
   static const std::vector<SubsetEndpoint> kNone;
@@ -40,6 +43,16 @@
   return sorted;
 }
 
+SubsetEndpoint Describe(const Configuration& configuration,
+                        const EndpointId& id) {
+  const v1::Endpoint* endpoint = configuration.FindEndpoint(id);
+  SubsetEndpoint described;
+  described.id = id;
+  described.link_address = endpoint->link_address();
+  described.memory = Tokens{endpoint->engine().memory_tokens()};
+  return described;
+}
+
 }  // namespace
 
 EndpointTable::EndpointTable(const Configuration& configuration,
@@ -91,8 +104,7 @@
     const EndpointId endpoint{id};
     if (candidates.size() < kMostGroupCandidates &&
         known.count(endpoint) == 0) {
-      candidates.push_back(SubsetEndpoint{
-          endpoint, configuration.FindEndpoint(endpoint)->link_address()});
+      candidates.push_back(Describe(configuration, endpoint));
     }
   }
   return candidates;
@@ -114,8 +126,9 @@
   const std::size_t size = policy.subset_size();
   const std::string mine = key + " " + self_.value;
   auto ids = RendezvousTop(mine, std::move(sorted.near), size);
-  const auto fill =
-      RendezvousTop(mine, std::move(sorted.far), size - ids.size());
+  const std::size_t near_count = ids.size();
+  const auto fill = RendezvousTop(mine, std::move(sorted.far),
+                                  std::max(size - ids.size(), kFarSpares));
   ids.insert(ids.end(), fill.begin(), fill.end());
   const bool has_long = std::any_of(
       ids.begin(), ids.end(),
@@ -124,13 +137,12 @@
     ids.push_back(RendezvousTop(mine, long_ids, 1).front());
   }
   std::vector<SubsetEndpoint> subset;
-  for (const std::string& id : ids) {
-    const EndpointId endpoint{id};
-    const std::string& address =
-        configuration.FindEndpoint(endpoint)->link_address();
-    subset.push_back(
-        SubsetEndpoint{endpoint, address, takes_long.count(id) > 0});
-    wanted_.emplace(endpoint, address);
+  for (std::size_t i = 0; i < ids.size(); ++i) {
+    SubsetEndpoint endpoint = Describe(configuration, EndpointId{ids[i]});
+    endpoint.takes_long = takes_long.count(ids[i]) > 0;
+    endpoint.far = i >= near_count;
+    wanted_.emplace(endpoint.id, endpoint.link_address);
+    subset.push_back(std::move(endpoint));
   }
   return subset;
 }
--- a/src/entry/endpoint_table.h
+++ b/src/entry/endpoint_table.h
@@ -17,8 +17,12 @@
 struct SubsetEndpoint {
   EndpointId id;
   std::string link_address;
+  // Its engine's memory, as published; zero for a plain service.
+  Tokens memory;
   // Whether long requests may go there.
   bool takes_long = true;
+  // In another data centre: used only while no endpoint of this one can be.
+  bool far = false;
 };
 
 // The subsets of one revision, for one entry host. Immutable.
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -83,6 +83,8 @@
   }
   (*dump)["entry"] = {{"requests_in_hand", callers_.InHand()},
                       {"routing_policy", settings_.routing_policy},
+                      {"retries_left", dispatcher_.RetriesLeft()},
+                      {"limited_accounts", dispatcher_.LimitedAccounts()},
                       {"links", links}};
 }
 
--- a/src/entry/group_runner.cc
+++ b/src/entry/group_runner.cc
@@ -34,6 +34,12 @@
 GroupRunner::~GroupRunner() { ReleaseAll(); }
 
 AttemptResult GroupRunner::Run(AttemptEvidence* evidence) {
+  if (!CanEverFit()) {
+    return AttemptEnd{AttemptRefused{
+        "larger_than_engine",
+        "no group of the engines that serve this model can hold the prompt",
+        std::nullopt}};
+  }
   AttemptEnd why = NoRoom();
   if (!ReserveAll(&why)) {
     return why;
@@ -61,6 +67,22 @@
   return members_.empty() ? EndpointId{} : members_.back().segment.member;
 }
 
+bool GroupRunner::CanEverFit() const {
+  std::vector<SegmentCandidate> empty;
+  for (const SubsetEndpoint& endpoint : candidates_) {
+    const Tokens usable = WithoutHeadroom(endpoint.memory, endpoint.memory);
+    empty.push_back(SegmentCandidate{endpoint.id, usable, endpoint.memory});
+  }
+  return PlanSegments(request_.prompt_tokens, request_.answer_tokens,
+                      std::move(empty))
+      .has_value();
+}
+
+Tokens GroupRunner::WithoutHeadroom(Tokens free, Tokens memory) const {
+  // The sidecar refuses what would take the headroom of short requests.
+  return free - Tokens{memory.value * ports_.short_headroom_percent / kPercent};
+}
+
 bool GroupRunner::ReserveAll(AttemptEnd* why) {
   GroupReservation reservation(deadline_, ports_.attempt.clock, ports_.random);
   while (!IsOutOfTime(why)) {
@@ -392,10 +414,8 @@
       continue;
     }
     const EndpointView view = link->View();
-    // The sidecar refuses what would take the headroom of short requests.
-    const Tokens headroom{view.load.memory.value *
-                          ports_.short_headroom_percent / kPercent};
-    const Tokens free = view.load.free_memory - headroom;
+    const Tokens free =
+        WithoutHeadroom(view.load.free_memory, view.load.memory);
     candidates.push_back(SegmentCandidate{endpoint.id, free, view.load.memory});
   }
   return candidates;
--- a/src/entry/group_runner.h
+++ b/src/entry/group_runner.h
@@ -59,6 +59,8 @@
     wire::SegmentRef ref;
   };
 
+  bool CanEverFit() const;
+  Tokens WithoutHeadroom(Tokens free, Tokens memory) const;
   bool ReserveAll(AttemptEnd* why);
   GroupStep AskAll(GroupReservation* reservation,
                    const std::vector<Segment>& segments);
--- a/src/sidecar/http_engine.cc
+++ b/src/sidecar/http_engine.cc
@@ -113,22 +113,24 @@
   }
 };
 
-// Reads the lines of an answer. Returns its length, or nothing if it was cut.
+// Reads the lines of an answer. Returns its length, or nothing if it was cut or
+// a line is not what an engine writes.
 std::optional<std::int64_t> ReadLines(std::istream& body,
                                       const EnginePort::OnToken& on_token) {
   std::string line;
-  while (std::getline(body, line)) {
-    const json event = json::parse(line, nullptr, false);
-    if (event.is_discarded()) {
-      return std::nullopt;
-    }
-    if (event.contains("length")) {
-      return event["length"].get<std::int64_t>();
-    }
-    if (!on_token(event.at("p").get<std::int64_t>(),
-                  event.at("t").get<std::string>())) {
-      return std::nullopt;
+  try {
+    while (std::getline(body, line)) {
+      const json event = json::parse(line);
+      if (event.contains("length")) {
+        return event["length"].get<std::int64_t>();
+      }
+      if (!on_token(event.at("p").get<std::int64_t>(),
+                    event.at("t").get<std::string>())) {
+        return std::nullopt;
+      }
     }
+  } catch (const json::exception&) {
+    return std::nullopt;
   }
   return std::nullopt;
 }
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -340,6 +340,13 @@
     RunUnderReservation(stream);
     return;
   }
+  if (!node_.IsReady()) {
+    // Without a configuration, or with an engine that still holds what an
+    // earlier process left, nothing can be promised.
+    Refuse(stream, wire::Refused{stream->submit.stream, "not_ready",
+                                 "the sidecar has just begun", Millis(500)});
+    return;
+  }
   if (stream->submit.work == wire::Work::kGenerate &&
       !keeper_.HasModel(stream->submit.model)) {
     Refuse(stream, wire::Refused{stream->submit.stream, "model_not_loaded",
--- a/tests/bad_input_test.cc
+++ b/tests/bad_input_test.cc
@@ -43,6 +43,9 @@
       {"Harecrank-Ticket", "abc"}};
   add("unknown path", 404, "not_found").path = "/v2/completions";
   add("unknown service", 404, "unknown_service").path = "/v1/services/none/x";
+  CallerCall& ticket = add("ticket for an unknown model", 404, "unknown_model");
+  ticket.path = "/v1/tickets";
+  ticket.body = {{"model", "nobody"}};
   CallerCall& chat = add("chat without messages", 400, "bad_request");
   chat.path = "/v1/chat/completions";
   return bad;
--- a/tests/group_test.cc
+++ b/tests/group_test.cc
@@ -110,6 +110,17 @@
   CheckMemoryIsBack(&fleet);
 }
 
+TEST_CASE("A prompt that no group can ever hold is refused without a wait") {
+  Fleet fleet(GroupOptions());
+  REQUIRE(fleet.WaitReady());
+  CallerCall call = Completion(fleet.Callers(0), "too large", 90000, 4, false);
+  // Ten minutes: the answer must not wait for it.
+  call.fields = {{"Harecrank-Time-Limit-Ms", "600000"}};
+  const CallerAnswer answer = Call(call);
+  CHECK(answer.Code() == "larger_than_engine");
+  CHECK(answer.Outcome() == "not_run");
+}
+
 TEST_CASE("A group's memory comes back when its entry host dies") {
   Fleet fleet(GroupOptions());
   REQUIRE(fleet.WaitReady());
--- a/tests/leaving_test.cc
+++ b/tests/leaving_test.cc
@@ -39,6 +39,20 @@
   return true;
 }
 
+// Returns whether both entry hosts come to know that an endpoint drains.
+bool IsSeenDraining(Fleet* fleet, int engine) {
+  const auto knows = [&](const std::string& entry) {
+    const json dump = fleet->Dump(entry);
+    for (const json& link : dump["entry"]["links"]) {
+      if (link["endpoint"] == Fleet::EngineNode(engine)) {
+        return link["draining"].get<bool>();
+      }
+    }
+    return false;
+  };
+  return WaitUntil([&] { return knows("entry-0") && knows("entry-1"); });
+}
+
 TEST_CASE("A planned stop of a sidecar cuts off no stream") {
   FleetOptions options;
   options.step_ms = 10;
@@ -50,6 +64,7 @@
   const int engine = WorkingEngine(&fleet);
   REQUIRE(engine >= 0);
   fleet.Get("sidecar-" + std::to_string(engine)).Signal(SIGTERM);
+  REQUIRE(IsSeenDraining(&fleet, engine));
   CHECK(AvoidsEngine(&fleet, engine, 6));
   const CallerAnswer got = answer.get();
   INFO("the stream ended with '" << got.end_event << "' " << got.end.dump());
