--- a/bench/fleet_runs.cc
+++ b/bench/fleet_runs.cc
@@ -6,6 +6,7 @@
 #include <iostream>
 #include <thread>
 
+#include "bench/load_plan.h"
 #include "bench/measure.h"
 #include "bench/runs.h"
 #include "src/cli/load_run.h"
@@ -27,6 +28,16 @@
 constexpr double kMicros = 1e6;
 constexpr double kMillis = 1e3;
 
+// A fleet of one entry host without endpoints of its own.
+FleetOptions BareFleet(int bare_sidecars) {
+  FleetOptions options;
+  options.entries = 1;
+  options.engines = 0;
+  options.services = 0;
+  options.bare_sidecars = bare_sidecars;
+  return options;
+}
+
 void SleepFor(double seconds) {
   std::this_thread::sleep_for(std::chrono::duration<double>(seconds));
 }
@@ -80,11 +91,8 @@
 };
 
 SpreadFigures MeasureSpreadAt(int sidecars, int rounds, double idle_seconds) {
-  FleetOptions options;
+  FleetOptions options = BareFleet(sidecars);
   options.entries = 2;
-  options.engines = 0;
-  options.services = 0;
-  options.bare_sidecars = sidecars;
   options.data_centres = 2;
   options.entry_settings = {{"compare_interval_ms", 2000}};
   options.sidecar_settings = {{"compare_interval_ms", 2000},
@@ -122,11 +130,7 @@
   Slope memory{"entry host, idle: resident memory", "links", "MiB", {}};
   const double seconds = options.quick ? 4 : 20;
   for (const int links : {10, 20, 40, 80}) {
-    FleetOptions fleet_options;
-    fleet_options.entries = 1;
-    fleet_options.engines = 0;
-    fleet_options.services = 0;
-    fleet_options.bare_sidecars = links;
+    FleetOptions fleet_options = BareFleet(links);
     fleet_options.policy = {{"subset_size", 256}};
     fleet_options.entry_settings = {{"compare_interval_ms", 2000}};
     fleet_options.sidecar_settings = {{"pulse_interval_ms", 1000},
@@ -164,11 +168,7 @@
   Slope size{"document", "listed endpoints", "KB", {}};
   const int changes = options.quick ? 5 : 20;
   for (const int listed : {500, 1000, 2000, 3700}) {
-    FleetOptions fleet_options;
-    fleet_options.entries = 1;
-    fleet_options.engines = 0;
-    fleet_options.services = 0;
-    fleet_options.bare_sidecars = 1;
+    FleetOptions fleet_options = BareFleet(1);
     fleet_options.listed_endpoints = listed;
     fleet_options.listed_accounts = listed * 490 / 3700;
     fleet_options.data_centres = 14;
@@ -218,21 +218,12 @@
                 "answer tokens",
                 "microseconds",
                 {}};
-  FleetOptions fleet_options;
-  fleet_options.entries = 1;
-  fleet_options.engines = 1;
-  fleet_options.services = 0;
-  fleet_options.engine_memory = 4000000;
-  fleet_options.prefill_rate = 10000000;
-  fleet_options.max_running = 256;
+  FleetOptions fleet_options = testing::FastFleet();
   fleet_options.step_ms = 5;
   Fleet fleet(fleet_options);
   fleet.WaitReady();
   for (const int tokens : {8, 32, 64, 128, 256}) {
-    LoadPlan plan;
-    plan.targets = {fleet.Callers(0)};
-    plan.key = testing::kAccountKey;
-    plan.model = testing::kModel;
+    LoadPlan plan = PlanFor(fleet, 1);
     plan.rate = 50;
     plan.seconds = options.quick ? 3 : 10;
     plan.answer_tokens = tokens;
@@ -261,22 +252,14 @@
   Slope entry{"entry host: resident memory", "requests in hand", "MiB", {}};
   Slope sidecar{"sidecar: resident memory", "requests in hand", "MiB", {}};
   for (const int in_hand : {50, 100, 200, 400}) {
-    FleetOptions fleet_options;
-    fleet_options.entries = 1;
-    fleet_options.engines = 1;
-    fleet_options.services = 0;
-    fleet_options.engine_memory = 4000000;
-    fleet_options.prefill_rate = 10000000;
+    FleetOptions fleet_options = testing::FastFleet();
     fleet_options.max_running = 512;
     fleet_options.max_requests = 512;
     fleet_options.step_ms = 50;
     fleet_options.step_ms_per_stream = 0;
     Fleet fleet(fleet_options);
     fleet.WaitReady();
-    LoadPlan plan;
-    plan.targets = {fleet.Callers(0)};
-    plan.key = testing::kAccountKey;
-    plan.model = testing::kModel;
+    LoadPlan plan = PlanFor(fleet, 1);
     plan.rate = in_hand;
     plan.seconds = 1;
     plan.answer_tokens = 120;
--- a/bench/load_runs.cc
+++ b/bench/load_runs.cc
@@ -6,6 +6,7 @@
 #include <iostream>
 #include <thread>
 
+#include "bench/load_plan.h"
 #include "bench/measure.h"
 #include "bench/runs.h"
 #include "src/cli/load_run.h"
@@ -22,18 +23,6 @@
 constexpr std::int64_t kMiddleTokens = 8000;
 constexpr std::int64_t kLongTokens = 60000;
 
-LoadPlan PlanFor(const Fleet& fleet, int entries, double rate, double seconds) {
-  LoadPlan plan;
-  for (int i = 0; i < entries; ++i) {
-    plan.targets.push_back(fleet.Callers(i));
-  }
-  plan.key = testing::kAccountKey;
-  plan.model = testing::kModel;
-  plan.rate = rate;
-  plan.seconds = seconds;
-  return plan;
-}
-
 json Load(const LoadPlan& plan) { return json::parse(RunLoad(plan).json); }
 
 // Adds the processor time that `name`'s process used while `run` ran.
@@ -87,8 +76,9 @@
   const FleetOptions options = PolicyFleet(variant);
   Fleet fleet(options);
   fleet.WaitReady();
-  LoadPlan plan =
-      PlanFor(fleet, options.entries, Capacity(options) * share, seconds);
+  LoadPlan plan = PlanFor(fleet, options.entries);
+  plan.rate = Capacity(options) * share;
+  plan.seconds = seconds;
   plan.mix = {"1000:0.90", "8000:0.06"};
   if (with_long) {
     plan.mix.emplace_back("60000:0.04");
@@ -125,21 +115,16 @@
 }  // namespace
 
 json MeasureHops(const RunOptions& options) {
-  FleetOptions fleet_options;
-  fleet_options.entries = 1;
-  fleet_options.engines = 1;
-  fleet_options.services = 0;
-  fleet_options.engine_memory = 4000000;
-  fleet_options.prefill_rate = 10000000;
-  fleet_options.max_running = 256;
-  Fleet fleet(fleet_options);
+  Fleet fleet(testing::FastFleet());
   fleet.WaitReady();
   const double seconds = options.quick ? 3 : 15;
   json figures = json::array();
   std::cout << "rate    direct p50   p99 ms    through p50   p99 ms    entry "
                "ms/request   sidecar ms/request\n";
   for (const double rate : {25.0, 50.0, 100.0, 200.0}) {
-    LoadPlan plan = PlanFor(fleet, 1, rate, seconds);
+    LoadPlan plan = PlanFor(fleet, 1);
+    plan.rate = rate;
+    plan.seconds = seconds;
     plan.threads = 128;
     LoadPlan direct = plan;
     direct.engine_direct = fleet.Engine(0);
@@ -206,7 +191,7 @@
        {1000, 10000, 100000, 300000, 500000, 700000, 1000000}) {
     std::vector<double> first;
     for (int i = 0; i < repeats; ++i) {
-      LoadPlan plan = PlanFor(fleet, 1, 1000, 0.001);
+      LoadPlan plan = PlanFor(fleet, 1);
       plan.seed = static_cast<std::uint64_t>(tokens + i);
       plan.mix = {std::to_string(tokens)};
       plan.threads = 1;
--- /dev/null
+++ b/include/harecrank/core/http_status.h
@@ -0,0 +1,28 @@
+// The HTTP statuses that the system uses.
+
+#ifndef HARECRANK_CORE_HTTP_STATUS_H_
+#define HARECRANK_CORE_HTTP_STATUS_H_
+
+namespace harecrank::http_status {
+
+constexpr int kOk = 200;
+constexpr int kNotModified = 304;
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorised = 401;
+constexpr int kForbidden = 403;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kTooLarge = 413;
+constexpr int kFailedDependency = 424;
+// Precondition required.
+constexpr int kTicketRequired = 428;
+constexpr int kTooManyRequests = 429;
+// Seen by nobody: the caller has left.
+constexpr int kClientClosed = 499;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+}  // namespace harecrank::http_status
+
+#endif  // HARECRANK_CORE_HTTP_STATUS_H_
--- a/src/adapters/http.cc
+++ b/src/adapters/http.cc
@@ -226,6 +226,21 @@
   }
 }
 
+bool IsCallerThere(Poco::Net::HTTPServerRequest& request) {
+  auto& implementation =
+      static_cast<Poco::Net::HTTPServerRequestImpl&>(request);
+  Poco::Net::StreamSocket& socket = implementation.socket();
+  try {
+    if (!socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+      return true;
+    }
+    char byte = 0;
+    return socket.receiveBytes(&byte, 1, MSG_PEEK) > 0;
+  } catch (const Poco::Exception&) {
+    return false;
+  }
+}
+
 std::string QueryValue(const std::string& uri, const std::string& name,
                        const std::string& otherwise) {
   for (const auto& [key, value] : Poco::URI(uri).getQueryParameters()) {
--- a/src/adapters/http.h
+++ b/src/adapters/http.h
@@ -121,6 +121,10 @@
 // still sending would lose an answer that came before its last byte was read.
 void DiscardBody(Poco::Net::HTTPServerRequest& request, std::size_t limit);
 
+// Returns whether the caller's side of the connection is still open. Does not
+// wait.
+bool IsCallerThere(Poco::Net::HTTPServerRequest& request);
+
 // Returns the value of `name` in the query of `uri`, or `otherwise`.
 std::string QueryValue(const std::string& uri, const std::string& name,
                        const std::string& otherwise);
--- a/src/cli/load_run.cc
+++ b/src/cli/load_run.cc
@@ -14,6 +14,7 @@
 #include <sstream>
 #include <thread>
 
+#include "harecrank/core/http_status.h"
 #include "src/adapters/http.h"
 
 namespace harecrank {
@@ -23,7 +24,6 @@
 using nlohmann::json;
 using Clock = std::chrono::steady_clock;
 
-constexpr int kOk = 200;
 constexpr std::size_t kBytesPerToken = 4;
 constexpr double kMedian = 0.50;
 constexpr double kP95 = 0.95;
@@ -145,7 +145,7 @@
     sample_->status = status;
     std::string line;
     while (std::getline(body, line)) {
-      if (status != kOk) {
+      if (status != http_status::kOk) {
         sample_->error = ErrorCode(line);
         return;
       }
--- a/src/cli/operator_commands.cc
+++ b/src/cli/operator_commands.cc
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "harecrank/core/configuration.h"
+#include "harecrank/core/http_status.h"
 #include "src/adapters/http.h"
 #include "src/adapters/settings.h"
 #include "src/cli/commands.h"
@@ -14,7 +15,6 @@
 
 namespace leaf = boost::leaf;
 
-constexpr int kOk = 200;
 constexpr Millis kCallTimeout{30000};
 constexpr char kKeyVariable[] = "HARECRANK_OPERATOR_KEY";
 
@@ -39,7 +39,7 @@
       [&]() -> leaf::result<int> {
         BOOST_LEAF_AUTO(answer, CallHttp(call));
         std::cout << answer.body << "\n";
-        return answer.status == kOk ? kExitOk : kExitRefused;
+        return answer.status == http_status::kOk ? kExitOk : kExitRefused;
       },
       [&](const HttpError& error) {
         std::cerr << "harecrank: " << asked.node << ": " << Describe(error)
--- a/src/core/attempt_policy.cc
+++ b/src/core/attempt_policy.cc
@@ -3,16 +3,11 @@
 #include <set>
 #include <utility>
 
+#include "harecrank/core/http_status.h"
+
 namespace harecrank {
 namespace {
 
-constexpr int kBadRequest = 400;
-constexpr int kTooManyRequests = 429;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
-// What a caller sees when nobody is there to see it.
-constexpr int kClientClosed = 499;
 constexpr Millis kDefaultRetryAfter{1000};
 
 // Refusals that no other endpoint would answer differently.
@@ -24,16 +19,16 @@
 
 int StatusOfRefusal(const std::string& code) {
   if (code == "overloaded") {
-    return kTooManyRequests;
+    return http_status::kTooManyRequests;
   }
   if (code == "deadline_exceeded") {
-    return kGatewayTimeout;
+    return http_status::kGatewayTimeout;
   }
   if (code == "bad_request" || code == "ticket_ended" ||
       code == "larger_than_engine") {
-    return kBadRequest;
+    return http_status::kBadRequest;
   }
-  return kUnavailable;
+  return http_status::kUnavailable;
 }
 
 // Turns the end of an attempt into the answer that callers see.
@@ -49,20 +44,21 @@
     return refusal;
   }
   Refusal operator()(const AttemptFailed& end) const {
-    return Refusal{kBadGateway, end.code, end.message, outcome, std::nullopt};
+    return Refusal{http_status::kBadGateway, end.code, end.message, outcome,
+                   std::nullopt};
   }
   Refusal operator()(const AttemptLost& end) const {
-    return Refusal{kBadGateway, "endpoint_lost", end.reason, outcome,
-                   std::nullopt};
+    return Refusal{http_status::kBadGateway, "endpoint_lost", end.reason,
+                   outcome, std::nullopt};
   }
   Refusal operator()(const AttemptOutOfTime&) const {
-    return Refusal{kGatewayTimeout, "deadline_exceeded",
+    return Refusal{http_status::kGatewayTimeout, "deadline_exceeded",
                    "the request's time limit has passed", outcome,
                    std::nullopt};
   }
   Refusal operator()(const CallerLeft&) const {
-    return Refusal{kClientClosed, "caller_left", "the caller left", outcome,
-                   std::nullopt};
+    return Refusal{http_status::kClientClosed, "caller_left", "the caller left",
+                   outcome, std::nullopt};
   }
 };
 
--- a/src/entry/answer_writer.cc
+++ b/src/entry/answer_writer.cc
@@ -1,11 +1,9 @@
 #include "src/entry/answer_writer.h"
 
-#include <Poco/Net/HTTPServerRequestImpl.h>
-#include <Poco/Net/NetException.h>
-
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "harecrank/core/http_status.h"
 #include "src/adapters/http.h"
 
 namespace harecrank {
@@ -13,7 +11,6 @@
 
 using nlohmann::json;
 
-constexpr int kOk = 200;
 // Well under the shortest idle limit of common balancers and proxies.
 constexpr Millis kPingAfter{5000};
 constexpr std::int64_t kMillisPerSecond = 1000;
@@ -70,7 +67,7 @@
 }
 
 bool AnswerWriter::OnSilence() {
-  if (!IsCallerThere()) {
+  if (!IsCallerThere(*ports_.request)) {
     return false;
   }
   if (!asked_.stream || ports_.clock() - last_written_ < kPingAfter) {
@@ -98,21 +95,6 @@
   FinishWhole(std::get<Answered>(result));
 }
 
-bool AnswerWriter::IsCallerThere() {
-  auto& implementation =
-      static_cast<Poco::Net::HTTPServerRequestImpl&>(*ports_.request);
-  Poco::Net::StreamSocket& socket = implementation.socket();
-  try {
-    if (!socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
-      return true;
-    }
-    char byte = 0;
-    return socket.receiveBytes(&byte, 1, MSG_PEEK) > 0;
-  } catch (const Poco::Exception&) {
-    return false;
-  }
-}
-
 void AnswerWriter::BeginStream() {
   if (stream_ != nullptr) {
     return;
@@ -191,7 +173,7 @@
            type.empty() ? "application/octet-stream" : type);
     return;
   }
-  Answer(*ports_.response, kOk, WholeJson(answered));
+  Answer(*ports_.response, http_status::kOk, WholeJson(answered));
 }
 
 }  // namespace harecrank
--- a/src/entry/answer_writer.h
+++ b/src/entry/answer_writer.h
@@ -50,7 +50,6 @@
   void Finish(const DispatchResult& result);
 
  private:
-  bool IsCallerThere();
   void BeginStream();
   bool WriteEvent(const std::string& data);
   bool Flush();
--- a/src/entry/caller_request.cc
+++ b/src/entry/caller_request.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "harecrank/core/http_status.h"
 #include "src/adapters/system_sources.h"
 
 namespace harecrank {
@@ -15,10 +16,6 @@
 constexpr char kBearer[] = "Bearer ";
 constexpr char kServicePrefix[] = "/v1/services/";
 constexpr std::int64_t kDefaultAnswerTokens = 16;
-constexpr int kBadRequest = 400;
-constexpr int kUnauthorised = 401;
-constexpr int kNotFound = 404;
-constexpr int kTicketRequired = 428;
 
 auto Refuse(int status, const std::string& code, const std::string& message) {
   return leaf::new_error(
@@ -28,7 +25,8 @@
 leaf::result<json> ParseBody(const std::string& body) {
   json parsed = json::parse(body, nullptr, false);
   if (parsed.is_discarded() || !parsed.is_object()) {
-    return Refuse(kBadRequest, "bad_json", "the body holds no JSON object");
+    return Refuse(http_status::kBadRequest, "bad_json",
+                  "the body holds no JSON object");
   }
   return parsed;
 }
@@ -43,7 +41,7 @@
   try {
     return found->get<T>();
   } catch (const json::exception&) {
-    return Refuse(kBadRequest, "bad_request",
+    return Refuse(http_status::kBadRequest, "bad_request",
                   std::string("the field '") + name + "' has the wrong type");
   }
 }
@@ -52,14 +50,14 @@
   const auto messages = body.find("messages");
   if (messages == body.end() || !messages->is_array() || messages->empty()) {
     return Refuse(
-        kBadRequest, "bad_request",
+        http_status::kBadRequest, "bad_request",
         "the field 'messages' must be a list with one entry at least");
   }
   std::string prompt;
   for (const json& message : *messages) {
     if (!message.is_object() || !message.contains("content") ||
         !message["content"].is_string()) {
-      return Refuse(kBadRequest, "bad_request",
+      return Refuse(http_status::kBadRequest, "bad_request",
                     "each message needs a string 'content'");
     }
     prompt += message.value("role", std::string("user")) + ": " +
@@ -73,18 +71,18 @@
   const auto& models = configuration.GetDocument().models();
   const auto model = models.find(request.model.value);
   if (model == models.end()) {
-    return Refuse(kNotFound, "unknown_model",
+    return Refuse(http_status::kNotFound, "unknown_model",
                   "there is no model called '" + request.model.value + "'");
   }
   if (!request.adapter.value.empty() &&
       model->second.adapters().count(request.adapter.value) == 0) {
     return Refuse(
-        kNotFound, "unknown_adapter",
+        http_status::kNotFound, "unknown_adapter",
         "the model has no adapter called '" + request.adapter.value + "'");
   }
   const Tokens total = request.prompt_tokens + request.answer_tokens;
   if (Tokens{model->second.context_tokens()} < total) {
-    return Refuse(kBadRequest, "context_too_long",
+    return Refuse(http_status::kBadRequest, "context_too_long",
                   "prompt and answer need " + std::to_string(total.value) +
                       " tokens; the model takes " +
                       std::to_string(model->second.context_tokens()));
@@ -103,7 +101,7 @@
   BOOST_LEAF_ASSIGN(request->answer_tokens.value,
                     Field(body, "max_tokens", kDefaultAnswerTokens));
   if (request->answer_tokens.value < 1) {
-    return Refuse(kBadRequest, "bad_request",
+    return Refuse(http_status::kBadRequest, "bad_request",
                   "the field 'max_tokens' must be 1 or more");
   }
   if (request->form == AnswerForm::kChat) {
@@ -112,7 +110,8 @@
     BOOST_LEAF_ASSIGN(request->prompt, Field(body, "prompt", std::string()));
   }
   if (request->prompt.empty()) {
-    return Refuse(kBadRequest, "bad_request", "the prompt is empty");
+    return Refuse(http_status::kBadRequest, "bad_request",
+                  "the prompt is empty");
   }
   request->prompt_tokens = EstimateTokens(request->prompt.size());
   return CheckModel(configuration, *request);
@@ -132,7 +131,7 @@
   request->content_type = headers.content_type;
   if (configuration.EndpointsOf(request->service).empty()) {
     return Refuse(
-        kNotFound, "unknown_service",
+        http_status::kNotFound, "unknown_service",
         "there is no service called '" + request->service.value + "'");
   }
   // A call that may change something is not sent twice, even unmarked.
@@ -151,7 +150,7 @@
   const char* end = text.data() + text.size();
   const auto parsed = std::from_chars(text.data(), end, millis);
   if (parsed.ptr != end || millis < 1 || millis > policy.max_time_limit_ms()) {
-    return Refuse(kBadRequest, "bad_time_limit",
+    return Refuse(http_status::kBadRequest, "bad_time_limit",
                   "Harecrank-Time-Limit-Ms must be a whole number from 1 to " +
                       std::to_string(policy.max_time_limit_ms()));
   }
@@ -164,7 +163,7 @@
     return {};
   }
   if (headers.ticket.empty()) {
-    return Refuse(kTicketRequired, "ticket_required",
+    return Refuse(http_status::kTicketRequired, "ticket_required",
                   "a request that may not be repeated needs a ticket: POST "
                   "/v1/tickets, keep the ticket with your id, and send it in "
                   "Harecrank-Ticket");
@@ -208,13 +207,14 @@
                                      const std::string& authorization) {
   const std::size_t prefix = sizeof(kBearer) - 1;
   if (authorization.compare(0, prefix, kBearer) != 0) {
-    return Refuse(kUnauthorised, "no_key",
+    return Refuse(http_status::kUnauthorised, "no_key",
                   "the Authorization header must be 'Bearer KEY'");
   }
   const AccountId* account =
       configuration.FindAccountByKey(Sha256Hex(authorization.substr(prefix)));
   if (account == nullptr) {
-    return Refuse(kUnauthorised, "wrong_key", "no client account has this key");
+    return Refuse(http_status::kUnauthorised, "wrong_key",
+                  "no client account has this key");
   }
   return *account;
 }
--- a/src/entry/caller_server.cc
+++ b/src/entry/caller_server.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "harecrank/core/http_status.h"
 #include "src/entry/answer_writer.h"
 
 namespace harecrank {
@@ -13,13 +14,6 @@
 using Poco::Net::HTTPServerRequest;
 using Poco::Net::HTTPServerResponse;
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kTooLarge = 413;
-constexpr int kTooManyRequests = 429;
-constexpr int kUnavailable = 503;
-constexpr int kClientClosed = 499;
 // Threads that remain to refuse, and to answer tickets and probes, while every
 // place is taken.
 constexpr int kSpareThreads = 32;
@@ -45,12 +39,12 @@
                                const ServiceName& service) {
   if (!service.value.empty() && configuration.EndpointsOf(service).empty()) {
     return leaf::new_error(
-        NotRun(kNotFound, "unknown_service",
+        NotRun(http_status::kNotFound, "unknown_service",
                "there is no service called '" + service.value + "'"));
   }
   if (service.value.empty() && configuration.EnginesOf(model).empty()) {
     return leaf::new_error(
-        NotRun(kNotFound, "unknown_model",
+        NotRun(http_status::kNotFound, "unknown_model",
                "no endpoint serves a model called '" + model.value + "'"));
   }
   return {};
@@ -115,25 +109,26 @@
                           HTTPServerResponse& response) {
   const std::string path = PathOf(request.getURI());
   if (path == "/healthz") {
-    Answer(response, kOk, "{\"status\":\"ok\"}");
+    Answer(response, http_status::kOk, "{\"status\":\"ok\"}");
     return;
   }
   if (path == "/readyz") {
     const bool ready = node_->IsReady() && !draining_;
-    Answer(response, ready ? kOk : kUnavailable,
+    Answer(response, ready ? http_status::kOk : http_status::kUnavailable,
            ready ? "{\"status\":\"ready\"}" : "{\"status\":\"not_ready\"}");
     return;
   }
   requests_->Add();
   if (draining_ || !node_->IsReady()) {
     response.setKeepAlive(false);
-    Refuse(response,
-           NotRun(kUnavailable, draining_ ? "draining" : "not_ready",
-                  "this entry host takes no requests now", kRetryAfterDrain));
+    Refuse(
+        response,
+        NotRun(http_status::kUnavailable, draining_ ? "draining" : "not_ready",
+               "this entry host takes no requests now", kRetryAfterDrain));
     return;
   }
   if (!TakePlace()) {
-    Refuse(response, NotRun(kTooManyRequests, "entry_full",
+    Refuse(response, NotRun(http_status::kTooManyRequests, "entry_full",
                             "this entry host has all the requests it can hold",
                             kRetryAfterFull));
     return;
@@ -147,8 +142,8 @@
              StartsWith(path, kServices)) {
     HandleRequest(request, response);
   } else {
-    Refuse(response,
-           NotRun(kNotFound, "not_found", "there is nothing at " + path));
+    Refuse(response, NotRun(http_status::kNotFound, "not_found",
+                            "there is nothing at " + path));
   }
 }
 
@@ -164,15 +159,16 @@
           const std::string ticket = headers.path.substr(
               std::min(headers.path.size(), sizeof(kTickets)));
           const Outcome outcome = dispatcher_->RevokeTicket(account, ticket);
-          Answer(response, kOk, json{{"outcome", OutcomeName(outcome)}}.dump());
+          Answer(response, http_status::kOk,
+                 json{{"outcome", OutcomeName(outcome)}}.dump());
           return {};
         }
         std::string text;
         ReadBody(request, settings_.max_body_bytes, &text);
         const json body = json::parse(text, nullptr, false);
         if (!body.is_object()) {
-          return leaf::new_error(
-              NotRun(kBadRequest, "bad_json", "the body holds no JSON object"));
+          return leaf::new_error(NotRun(http_status::kBadRequest, "bad_json",
+                                        "the body holds no JSON object"));
         }
         const ModelId model{body.value("model", std::string())};
         const ServiceName service{body.value("service", std::string())};
@@ -182,7 +178,7 @@
           return leaf::new_error(*refusal);
         }
         const auto& ticket = std::get<IssuedTicket>(issued);
-        Answer(response, kOk,
+        Answer(response, http_status::kOk,
                json{{"ticket", ticket.ticket},
                     {"expires_in_ms", ticket.ttl.count()}}
                    .dump());
@@ -190,7 +186,8 @@
       },
       [&](const Refusal& refusal) { Refuse(response, refusal); },
       [&] {
-        Refuse(response, NotRun(kBadRequest, "bad_request", "not understood"));
+        Refuse(response, NotRun(http_status::kBadRequest, "bad_request",
+                                "not understood"));
       });
 }
 
@@ -201,7 +198,7 @@
     DiscardBody(request, kMostDiscarded);
     response.setKeepAlive(false);
     Refuse(response,
-           NotRun(kTooLarge, "body_too_large",
+           NotRun(http_status::kTooLarge, "body_too_large",
                   "the body is larger than " +
                       std::to_string(settings_.max_body_bytes) + " bytes"));
     return;
@@ -217,7 +214,8 @@
       },
       [&](const Refusal& refusal) { Refuse(response, refusal); },
       [&] {
-        Refuse(response, NotRun(kBadRequest, "bad_request", "not understood"));
+        Refuse(response, NotRun(http_status::kBadRequest, "bad_request",
+                                "not understood"));
       });
 }
 
@@ -236,7 +234,8 @@
   const DispatchResult result = dispatcher_->Run(asked, &writer);
   const auto* refusal = std::get_if<Refusal>(&result);
   (refusal == nullptr ? answered_ : refused_)->Add();
-  if (refusal != nullptr && refusal->http_status == kClientClosed) {
+  if (refusal != nullptr &&
+      refusal->http_status == http_status::kClientClosed) {
     response.setKeepAlive(false);
     return;
   }
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -4,6 +4,7 @@
 #include <thread>
 #include <utility>
 
+#include "harecrank/core/http_status.h"
 #include "harecrank/core/rendezvous.h"
 #include "harecrank/core/ticket_book.h"
 #include "src/entry/group_runner.h"
@@ -11,10 +12,6 @@
 namespace harecrank {
 namespace {
 
-constexpr int kBadRequest = 400;
-constexpr int kTooManyRequests = 429;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
 constexpr int kPercent = 100;
 constexpr int kDefaultRetryPercent = 10;
 constexpr Millis kLinkWait{1500};
@@ -26,14 +23,14 @@
 constexpr int kTicketTries = 3;
 
 Refusal NoEndpoint() {
-  return Refusal{kUnavailable, "no_endpoint",
+  return Refusal{http_status::kUnavailable, "no_endpoint",
                  "no endpoint that serves this can be reached now",
                  Outcome::kNotRun, kRetryAfter};
 }
 
 Refusal TicketUnusable(const std::string& why) {
-  return Refusal{kBadGateway, "ticket_unknown", why, Outcome::kUnknown,
-                 std::nullopt};
+  return Refusal{http_status::kBadGateway, "ticket_unknown", why,
+                 Outcome::kUnknown, std::nullopt};
 }
 
 }  // namespace
@@ -157,7 +154,7 @@
     return std::nullopt;
   }
   limited_->Add();
-  return Refusal{kTooManyRequests, "account_limit",
+  return Refusal{http_status::kTooManyRequests, "account_limit",
                  "the account's limit of tokens a second is used up",
                  Outcome::kNotRun, *wait};
 }
@@ -201,7 +198,7 @@
 DispatchResult Dispatcher::RunTicketed(Context* context, AnswerSink* sink) {
   const auto ticket = ParseTicket(context->request.ticket);
   if (!ticket) {
-    return Refusal{kBadRequest, "bad_ticket",
+    return Refusal{http_status::kBadRequest, "bad_ticket",
                    "Harecrank-Ticket holds no ticket", Outcome::kNotRun,
                    std::nullopt};
   }
--- a/src/node/administration.cc
+++ b/src/node/administration.cc
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "harecrank/core/change_planner.h"
+#include "harecrank/core/http_status.h"
 #include "src/adapters/http.h"
 
 namespace harecrank {
@@ -23,10 +24,6 @@
 namespace pb = google::protobuf;
 using nlohmann::json;
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kConflict = 409;
 constexpr Millis kLocateTimeout{1000};
 constexpr std::size_t kLocateThreads = 16;
 
@@ -173,7 +170,7 @@
   const pb::MethodDescriptor* descriptor =
       service->GetDescriptor()->FindMethodByName(method);
   if (descriptor == nullptr) {
-    return {kNotFound,
+    return {http_status::kNotFound,
             ErrorJson("unknown_method", "there is no call named " + method)};
   }
   const std::unique_ptr<pb::Message> request(
@@ -183,13 +180,15 @@
   const auto read = pb::util::JsonStringToMessage(
       request_json.empty() ? "{}" : request_json, request.get());
   if (!read.ok()) {
-    return {kBadRequest, ErrorJson("bad_request", std::string(read.message()))};
+    return {http_status::kBadRequest,
+            ErrorJson("bad_request", std::string(read.message()))};
   }
   Controller controller;
   service->CallMethod(descriptor, &controller, request.get(), response.get(),
                       pb::NewCallback(&pb::DoNothing));
   if (controller.Failed()) {
-    return {kConflict, ErrorJson("refused", controller.ErrorText())};
+    return {http_status::kConflict,
+            ErrorJson("refused", controller.ErrorText())};
   }
   pb::util::JsonPrintOptions options;
   options.preserve_proto_field_names = true;
@@ -197,9 +196,10 @@
   std::string text;
   const auto written = pb::util::MessageToJsonString(*response, &text, options);
   if (!written.ok()) {
-    return {kConflict, ErrorJson("refused", std::string(written.message()))};
+    return {http_status::kConflict,
+            ErrorJson("refused", std::string(written.message()))};
   }
-  return {kOk, text};
+  return {http_status::kOk, text};
 }
 
 }  // namespace harecrank
--- a/src/node/config_feed.cc
+++ b/src/node/config_feed.cc
@@ -6,6 +6,7 @@
 #include <future>
 #include <utility>
 
+#include "harecrank/core/http_status.h"
 #include "src/adapters/http.h"
 
 namespace harecrank {
@@ -25,7 +26,6 @@
 constexpr int kBootstrapRounds = 4;
 constexpr std::size_t kBootstrapPeers = 3;
 constexpr Millis kBootstrapPause{250};
-constexpr int kOk = 200;
 
 std::string ToJson(const v1::ChangeLog& log) {
   std::string text;
@@ -46,7 +46,7 @@
   return leaf::try_handle_all(
       [&]() -> leaf::result<std::optional<std::string>> {
         BOOST_LEAF_AUTO(answer, CallHttp(call));
-        if (answer.status != kOk) {
+        if (answer.status != http_status::kOk) {
           return std::optional<std::string>();
         }
         return std::optional<std::string>(std::move(answer.body));
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "harecrank/core/http_status.h"
 #include "src/adapters/system_sources.h"
 
 namespace harecrank {
@@ -19,11 +20,6 @@
 constexpr char kRpcPrefix[] = "/rpc/harecrank.v1.Administration/";
 constexpr char kPeerPrefix[] = "/peer/";
 constexpr char kBearer[] = "Bearer ";
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kForbidden = 403;
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
 
 bool StartsWith(const std::string& text, const std::string& prefix) {
   return text.compare(0, prefix.size(), prefix) == 0;
@@ -86,13 +82,14 @@
   if (StartsWith(path, kPeerPrefix)) {
     HandlePeer(path, request, response);
   } else if (path == "/healthz") {
-    Answer(response, kOk, "{\"status\":\"ok\"}");
+    Answer(response, http_status::kOk, "{\"status\":\"ok\"}");
   } else if (path == "/readyz") {
     const bool ready = IsReady();
-    Answer(response, ready ? kOk : kUnavailable,
+    Answer(response, ready ? http_status::kOk : http_status::kUnavailable,
            ready ? "{\"status\":\"ready\"}" : "{\"status\":\"not_ready\"}");
   } else if (path == "/metrics") {
-    Answer(response, kOk, metrics_.Text(), "text/plain; version=0.0.4");
+    Answer(response, http_status::kOk, metrics_.Text(),
+           "text/plain; version=0.0.4");
   } else {
     HandleOperator(path, request, response);
   }
@@ -102,48 +99,50 @@
                       HTTPServerResponse& response) {
   std::string body;
   if (!ReadBody(request, kMostPeerBody, &body)) {
-    Answer(response, kBadRequest, "");
+    Answer(response, http_status::kBadRequest, "");
     return;
   }
   if (path == "/peer/compare") {
     const auto theirs = DecodePeerState(body);
     if (theirs) {
-      Answer(response, kOk, EncodePeerUpdate(feed_.OnCompare(*theirs)),
-             "application/cbor");
+      Answer(response, http_status::kOk,
+             EncodePeerUpdate(feed_.OnCompare(*theirs)), "application/cbor");
       return;
     }
   }
   if (path == "/peer/offer") {
     const auto update = DecodePeerUpdate(body);
     if (update) {
-      Answer(response, kOk, EncodePeerState(feed_.OnOffer(*update)),
-             "application/cbor");
+      Answer(response, http_status::kOk,
+             EncodePeerState(feed_.OnOffer(*update)), "application/cbor");
       return;
     }
   }
-  Answer(response, kBadRequest, "");
+  Answer(response, http_status::kBadRequest, "");
 }
 
 void Node::HandleOperator(const std::string& path, HTTPServerRequest& request,
                           HTTPServerResponse& response) {
   const bool rpc = StartsWith(path, kRpcPrefix);
   if (!rpc && path != "/dump") {
-    Answer(response, kNotFound, "{\"error\":{\"code\":\"not_found\"}}");
+    Answer(response, http_status::kNotFound,
+           "{\"error\":{\"code\":\"not_found\"}}");
     return;
   }
   if (!IsOperator(request)) {
-    Answer(response, kForbidden,
+    Answer(response, http_status::kForbidden,
            "{\"error\":{\"code\":\"forbidden\",\"message\":\"this call needs "
            "an operator's key as a bearer token\"}}");
     return;
   }
   if (!rpc) {
-    Answer(response, kOk, Dump());
+    Answer(response, http_status::kOk, Dump());
     return;
   }
   std::string body;
   if (!ReadBody(request, kMostRpcBody, &body)) {
-    Answer(response, kBadRequest, "{\"error\":{\"code\":\"body_too_large\"}}");
+    Answer(response, http_status::kBadRequest,
+           "{\"error\":{\"code\":\"body_too_large\"}}");
     return;
   }
   const std::string method = path.substr(sizeof(kRpcPrefix) - 1);
--- a/src/node/platform.cc
+++ b/src/node/platform.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "harecrank/core/http_status.h"
 #include "src/adapters/http.h"
 
 namespace harecrank {
@@ -11,8 +12,6 @@
 namespace leaf = boost::leaf;
 using nlohmann::json;
 
-constexpr int kOk = 200;
-constexpr int kNotModified = 304;
 constexpr Millis kReadTimeout{2000};
 // Past the wait itself, how long an answer may take.
 constexpr Millis kWatchMargin{2000};
@@ -53,7 +52,7 @@
 }
 
 leaf::result<PublishedValue> ToValue(const HttpAnswer& answer) {
-  if (answer.status != kOk) {
+  if (answer.status != http_status::kOk) {
     return leaf::new_error(PlatformError{PlatformRefused{answer.status}});
   }
   BOOST_LEAF_AUTO(body, ParseBody(answer.body));
@@ -86,7 +85,7 @@
                            "?after=" + std::to_string(known) +
                            "&wait_ms=" + std::to_string(wait.count());
   BOOST_LEAF_AUTO(answer, Get(address_, path, wait + kWatchMargin));
-  if (answer.status == kNotModified) {
+  if (answer.status == http_status::kNotModified) {
     return std::optional<PublishedValue>();
   }
   BOOST_LEAF_AUTO(value, ToValue(answer));
@@ -98,7 +97,7 @@
 
 leaf::result<HostListVersion> HttpHostList::Read() {
   BOOST_LEAF_AUTO(answer, Get(address_, "/v1/hosts", kReadTimeout));
-  if (answer.status != kOk) {
+  if (answer.status != http_status::kOk) {
     return leaf::new_error(PlatformError{PlatformRefused{answer.status}});
   }
   BOOST_LEAF_AUTO(body, ParseBody(answer.body));
--- a/src/sidecar/http_engine.cc
+++ b/src/sidecar/http_engine.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 
+#include "harecrank/core/http_status.h"
 #include "src/adapters/http.h"
 
 namespace harecrank {
@@ -12,8 +13,6 @@
 namespace leaf = boost::leaf;
 using nlohmann::json;
 
-constexpr int kOk = 200;
-constexpr int kConflict = 409;
 constexpr Millis kShortTimeout{2000};
 // An order to load weights is answered when they are loaded.
 constexpr Millis kOrderTimeout{120000};
@@ -60,7 +59,7 @@
 
 leaf::result<HttpAnswer> CallExpectingOk(const HttpCall& call) {
   BOOST_LEAF_AUTO(answer, Call(call));
-  if (answer.status != kOk) {
+  if (answer.status != http_status::kOk) {
     return leaf::new_error(
         EngineError{EngineRefused{answer.status, answer.body}});
   }
@@ -172,7 +171,7 @@
   std::string reason;
   const auto read = [&](int got, std::istream& body) {
     status = got;
-    if (status != kOk) {
+    if (status != http_status::kOk) {
       std::getline(body, reason);
       return;
     }
@@ -180,7 +179,7 @@
     length = ReadLines(body, on_token);
   };
   auto sent = TurnErrors<void>([&] { return StreamHttp(call, read); });
-  if (status != 0 && status != kOk) {
+  if (status != 0 && status != http_status::kOk) {
     return leaf::new_error(EngineError{EngineRefused{status, reason}});
   }
   if (!sent) {
@@ -221,10 +220,10 @@
   body["fence"] = fence.value;
   call.body = body.dump();
   BOOST_LEAF_AUTO(answer, Call(call));
-  if (answer.status == kConflict) {
+  if (answer.status == http_status::kConflict) {
     return leaf::new_error(EngineError{EngineFenced{}});
   }
-  if (answer.status != kOk) {
+  if (answer.status != http_status::kOk) {
     return leaf::new_error(
         EngineError{EngineRefused{answer.status, answer.body}});
   }
--- a/standins/engine_server.cc
+++ b/standins/engine_server.cc
@@ -1,5 +1,3 @@
-#include <Poco/Net/HTTPServerRequestImpl.h>
-
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -7,6 +5,7 @@
 #include <thread>
 #include <utility>
 
+#include "harecrank/core/http_status.h"
 #include "src/adapters/http.h"
 #include "standins/servers.h"
 
@@ -18,11 +17,6 @@
 using Poco::Net::HTTPServerRequest;
 using Poco::Net::HTTPServerResponse;
 
-constexpr int kOk = 200;
-constexpr int kNotFound = 404;
-constexpr int kConflict = 409;
-constexpr int kFailedDependency = 424;
-constexpr int kUnavailable = 503;
 constexpr int kThreads = 600;
 constexpr std::size_t kMostBody = 64U << 20U;
 constexpr std::size_t kLabelBytes = 32;
@@ -63,20 +57,6 @@
   return work;
 }
 
-bool IsCallerThere(HTTPServerRequest& request) {
-  auto& socket =
-      static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
-  try {
-    if (!socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
-      return true;
-    }
-    char byte = 0;
-    return socket.receiveBytes(&byte, 1, MSG_PEEK) > 0;
-  } catch (const Poco::Exception&) {
-    return false;
-  }
-}
-
 // A model as the engine holds it.
 struct Held {
   std::string version;
@@ -114,19 +94,19 @@
       HandleExport(path.substr(segments.size()), response);
     } else if (path.compare(0, holdings.size(), holdings) == 0) {
       model_.Remove(path.substr(holdings.size()));
-      Answer(response, kOk, "{}");
+      Answer(response, http_status::kOk, "{}");
     } else if (path == "/v1/account") {
       HandleAccount(response);
     } else if (path == "/v1/orders") {
       HandleOrder(request, response);
     } else if (path == "/control/runs") {
       const std::lock_guard<std::mutex> lock(mutex_);
-      Answer(response, kOk, json(runs_).dump());
+      Answer(response, http_status::kOk, json(runs_).dump());
     } else if (path == "/control/orders") {
       const std::lock_guard<std::mutex> lock(mutex_);
-      Answer(response, kOk, json(orders_).dump());
+      Answer(response, http_status::kOk, json(orders_).dump());
     } else {
-      Answer(response, kNotFound, "{}");
+      Answer(response, http_status::kNotFound, "{}");
     }
   }
 
@@ -137,7 +117,7 @@
     *body = json::parse(text);
     const std::lock_guard<std::mutex> lock(mutex_);
     if (models_.count(body->value("model", std::string())) == 0) {
-      Answer(response, kNotFound, "model not loaded");
+      Answer(response, http_status::kNotFound, "model not loaded");
       return false;
     }
     // Counted by the prompt's beginning, so that a test can tell whether a
@@ -154,11 +134,11 @@
     EngineWork work = ToWork(body);
     const json members = body.value("segments", json::array());
     if (!Gather(members, &work)) {
-      Answer(response, kFailedDependency, "a segment is gone");
+      Answer(response, http_status::kFailedDependency, "a segment is gone");
       return;
     }
     if (!model_.Add(work)) {
-      Answer(response, kUnavailable, "out of memory");
+      Answer(response, http_status::kUnavailable, "out of memory");
       return;
     }
     if (Stream(request, response, work, members)) {
@@ -238,7 +218,7 @@
     return leaf::try_handle_all(
         [&]() -> leaf::result<std::optional<TextDigest>> {
           BOOST_LEAF_AUTO(answer, CallHttp(call));
-          if (answer.status != kOk) {
+          if (answer.status != http_status::kOk) {
             return std::optional<TextDigest>();
           }
           const json body = json::parse(answer.body);
@@ -269,7 +249,7 @@
     work.is_segment = true;
     work.answer_tokens = 0;
     if (!model_.Add(work)) {
-      Answer(response, kUnavailable, "out of memory");
+      Answer(response, http_status::kUnavailable, "out of memory");
       return;
     }
     WorkState state = WorkState::kRunning;
@@ -278,19 +258,19 @@
       state = model_.Wait(work.id, &none);
     }
     if (state != WorkState::kDone) {
-      Answer(response, kUnavailable, "cancelled");
+      Answer(response, http_status::kUnavailable, "cancelled");
       return;
     }
-    Answer(response, kOk, "{}");
+    Answer(response, http_status::kOk, "{}");
   }
 
   void HandleExport(const std::string& id, HTTPServerResponse& response) {
     const auto digest = model_.Segment(id);
     if (!digest) {
-      Answer(response, kNotFound, "{}");
+      Answer(response, http_status::kNotFound, "{}");
       return;
     }
-    Answer(response, kOk,
+    Answer(response, http_status::kOk,
            json{{"hash", digest->hash},
                 {"power", digest->power},
                 {"bytes", digest->bytes}}
@@ -309,7 +289,7 @@
     for (const auto& [name, held] : models_) {
       models[name] = {{"version", held.version}, {"adapters", held.adapters}};
     }
-    Answer(response, kOk,
+    Answer(response, http_status::kOk,
            json{{"memory", model_.Memory()},
                 {"used", model_.Used()},
                 {"holdings", holdings},
@@ -325,7 +305,7 @@
       const std::lock_guard<std::mutex> lock(mutex_);
       const auto fence = order.at("fence").get<std::uint64_t>();
       if (!options_.ignores_fences && fence < fence_) {
-        Answer(response, kConflict, "an older fence");
+        Answer(response, http_status::kConflict, "an older fence");
         return;
       }
       fence_ = fence;
@@ -333,11 +313,11 @@
     }
     const std::string kind = order.at("kind").get<std::string>();
     if (kind != "unload_model" && !LoadWeights(order)) {
-      Answer(response, kUnavailable, "the weight store refused");
+      Answer(response, http_status::kUnavailable, "the weight store refused");
       return;
     }
     Apply(kind, order);
-    Answer(response, kOk, "{}");
+    Answer(response, http_status::kOk, "{}");
   }
 
   bool LoadWeights(const json& order) {
@@ -351,7 +331,7 @@
     return leaf::try_handle_all(
         [&]() -> leaf::result<bool> {
           BOOST_LEAF_AUTO(answer, CallHttp(call));
-          return answer.status == kOk;
+          return answer.status == http_status::kOk;
         },
         [] { return false; });
   }
--- a/standins/fault_proxy.cc
+++ b/standins/fault_proxy.cc
@@ -10,6 +10,7 @@
 #include <thread>
 #include <utility>
 
+#include "harecrank/core/http_status.h"
 #include "src/adapters/http.h"
 #include "standins/servers.h"
 
@@ -19,7 +20,6 @@
 using nlohmann::json;
 using Poco::Net::StreamSocket;
 
-constexpr int kOk = 200;
 constexpr std::size_t kPiece = 16384;
 constexpr std::chrono::milliseconds kPoll{5};
 constexpr std::int64_t kMicrosPerMilli = 1000;
@@ -53,7 +53,7 @@
           std::string body;
           ReadBody(request, kPiece, &body);
           Set(json::parse(body));
-          Answer(response, kOk, "{}");
+          Answer(response, http_status::kOk, "{}");
         });
     acceptor_ = std::thread([this] { Accept(); });
   }
--- a/standins/platform_servers.cc
+++ b/standins/platform_servers.cc
@@ -8,6 +8,7 @@
 #include <thread>
 #include <utility>
 
+#include "harecrank/core/http_status.h"
 #include "src/adapters/http.h"
 #include "standins/servers.h"
 
@@ -19,11 +20,6 @@
 using Poco::Net::HTTPServerRequest;
 using Poco::Net::HTTPServerResponse;
 
-constexpr int kOk = 200;
-constexpr int kNotModified = 304;
-constexpr int kNotFound = 404;
-constexpr int kTooManyRequests = 429;
-constexpr int kUnavailable = 503;
 constexpr std::size_t kMostBody = 8U << 20U;
 constexpr std::size_t kMostValue = 1U << 20U;
 constexpr std::chrono::seconds kRateWindow{1};
@@ -76,7 +72,7 @@
     const std::string body = BodyOf(request);
     if (path == "/control/calls") {
       const std::lock_guard<std::mutex> lock(mutex_);
-      Answer(response, kOk, json(calls_).dump());
+      Answer(response, http_status::kOk, json(calls_).dump());
       return;
     }
     {
@@ -85,7 +81,7 @@
     }
     const int delay = std::stoi(QueryValue(request.getURI(), "delay_ms", "0"));
     std::this_thread::sleep_for(std::chrono::milliseconds(delay));
-    Answer(response, kOk,
+    Answer(response, http_status::kOk,
            json{{"path", path}, {"method", request.getMethod()}, {"echo", body}}
                .dump());
   }
@@ -119,16 +115,16 @@
       HandleRead(path.substr(values.size()), request, response);
     } else if (path.compare(0, control.size(), control) == 0) {
       Publish(path.substr(control.size()), BodyOf(request));
-      Answer(response, kOk, "{}");
+      Answer(response, http_status::kOk, "{}");
     } else if (path == "/control/fault") {
       HandleFault(json::parse(BodyOf(request)));
-      Answer(response, kOk, "{}");
+      Answer(response, http_status::kOk, "{}");
     } else if (path == "/control/stats") {
       const std::lock_guard<std::mutex> lock(mutex_);
-      Answer(response, kOk,
+      Answer(response, http_status::kOk,
              json{{"calls", calls_}, {"refused", refused_}}.dump());
     } else {
-      Answer(response, kNotFound, "{}");
+      Answer(response, http_status::kNotFound, "{}");
     }
   }
 
@@ -165,7 +161,7 @@
     std::unique_lock<std::mutex> lock(mutex_);
     if (!CountCall()) {
       lock.unlock();
-      Answer(response, kTooManyRequests, "{}");
+      Answer(response, http_status::kTooManyRequests, "{}");
       return;
     }
     const auto differs = [&] { return down_ || Current(key).version != after; };
@@ -176,13 +172,13 @@
     const Value value = Current(key);
     lock.unlock();
     if (down || value.text.size() > kMostValue) {
-      Answer(response, kUnavailable, "{}");
+      Answer(response, http_status::kUnavailable, "{}");
     } else if (value.version == 0) {
-      Answer(response, kNotFound, "{}");
+      Answer(response, http_status::kNotFound, "{}");
     } else if (wait.count() > 0 && value.version == after) {
-      Answer(response, kNotModified, "");
+      Answer(response, http_status::kNotModified, "");
     } else {
-      Answer(response, kOk,
+      Answer(response, http_status::kOk,
              json{{"version", value.version}, {"value", value.text}}.dump());
     }
   }
@@ -233,7 +229,7 @@
     if (path == "/control/hosts") {
       pending_.push_back(
           Pending{Clock::now() + lag_, json::parse(BodyOf(request))});
-      Answer(response, kOk, "{}");
+      Answer(response, http_status::kOk, "{}");
       return;
     }
     while (!pending_.empty() && pending_.front().shows <= Clock::now()) {
@@ -241,7 +237,7 @@
       ++version_;
       pending_.pop_front();
     }
-    Answer(response, kOk,
+    Answer(response, http_status::kOk,
            json{{"version", version_}, {"hosts", hosts_}}.dump());
   }
 
@@ -271,20 +267,20 @@
               HTTPServerResponse& response) override {
     if (path == "/control/stats") {
       Answer(
-          response, kOk,
+          response, http_status::kOk,
           json{{"loads", loads_.load()}, {"refused", refused_.load()}}.dump());
       return;
     }
     if (loading_.fetch_add(1) >= at_once_) {
       loading_.fetch_sub(1);
       ++refused_;
-      Answer(response, kTooManyRequests, "{}");
+      Answer(response, http_status::kTooManyRequests, "{}");
       return;
     }
     ++loads_;
     std::this_thread::sleep_for(load_);
     loading_.fetch_sub(1);
-    Answer(response, kOk, "{}");
+    Answer(response, http_status::kOk, "{}");
   }
 
  private:
--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -8,6 +8,7 @@
 #include <thread>
 #include <utility>
 
+#include "harecrank/core/http_status.h"
 #include "src/adapters/system_sources.h"
 #include "standins/engine_model.h"
 
@@ -17,7 +18,6 @@
 namespace leaf = boost::leaf;
 using nlohmann::json;
 
-constexpr int kOk = 200;
 constexpr int kFirstPort = 20000;
 constexpr Millis kPoll{10};
 constexpr Millis kCallTimeout{5000};
@@ -100,6 +100,17 @@
 
 }  // namespace
 
+FleetOptions FastFleet() {
+  FleetOptions options;
+  options.entries = 1;
+  options.engines = 1;
+  options.services = 0;
+  options.engine_memory = 4000000;
+  options.prefill_rate = 10000000;
+  options.max_running = 256;
+  return options;
+}
+
 Fleet::Fleet(const FleetOptions& options)
     : options_(options), ip_(OwnIp()), next_port_(kFirstPort) {
   directory_ = (std::filesystem::temp_directory_path() /
@@ -109,7 +120,8 @@
   BuildDocument();
   AddStandIns();
   WaitUntil([this] {
-    return Request(ConfigService(), "GET", "/control/stats").status == kOk;
+    return Request(ConfigService(), "GET", "/control/stats").status ==
+           http_status::kOk;
   });
   Publish("document", document_.dump());
   Publish("changes", "{\"changes\":[]}");
@@ -144,8 +156,9 @@
 bool Fleet::WaitReady() {
   for (const std::string& node : nodes_) {
     const std::string address = Operations(node);
-    if (!WaitUntil(
-            [&] { return Request(address, "GET", "/readyz").status == kOk; })) {
+    if (!WaitUntil([&] {
+          return Request(address, "GET", "/readyz").status == http_status::kOk;
+        })) {
       return false;
     }
   }
@@ -213,7 +226,7 @@
   const HttpAnswer answer =
       Request(Operations(node), "POST", "/rpc/harecrank.v1.Administration/Plan",
               request.dump(), kOperatorKey);
-  if (answer.status != kOk) {
+  if (answer.status != http_status::kOk) {
     return 0;
   }
   const json plan = Parsed(answer.body);
@@ -542,7 +555,7 @@
       [&]() -> leaf::result<void> {
         return StreamHttp(call, [&](int status, std::istream& body) {
           answer.status = status;
-          if (status == kOk) {
+          if (status == http_status::kOk) {
             ReadEvents(body, &answer);
             return;
           }
@@ -588,8 +601,9 @@
   call.path = "/v1/tickets";
   call.body = target;
   const CallerAnswer answer = Call(call);
-  return answer.status == kOk ? answer.body.value("ticket", std::string())
-                              : std::string();
+  return answer.status == http_status::kOk
+             ? answer.body.value("ticket", std::string())
+             : std::string();
 }
 
 int RunsOf(Fleet* fleet, int engines, const std::string& label) {
--- a/testing/fleet.h
+++ b/testing/fleet.h
@@ -61,6 +61,10 @@
 constexpr char kOperatorKey[] = "operator-key";
 constexpr char kModel[] = "hare";
 
+// A fleet of one entry host and one engine so fast and large that it does not
+// count: what is left to measure is the system itself.
+FleetOptions FastFleet();
+
 // Starts and ends all processes; those that live end with the fleet.
 //
 // Each fleet has an address of the loopback range of its own, taken from its
