Long prompts are spread by weight, and only seen beginnings follow a cache

Changes: affinity only for a beginning that the host has seen before; beyond weight 50 a long prompt becomes a group.

--- a/include/harecrank/core/router.h
+++ b/include/harecrank/core/router.h
@@ -79,6 +79,13 @@
 // `long_weight_percent`: a quarter at 0, all at 100, and one at least.
 std::size_t LongShare(std::size_t endpoints, int long_weight_percent);
 
+// Returns among how many engines to spread a long prompt that one could hold:
+// one up to a weight of 50, then more, up to `endpoints` at 100, but never so
+// many that a part would be smaller than kLeastPart.
+std::size_t SpreadOf(Tokens prompt, std::size_t endpoints,
+                     int long_weight_percent);
+constexpr Tokens kLeastPart{8000};
+
 }  // namespace harecrank
 
 #endif  // HARECRANK_CORE_ROUTER_H_
--- a/src/core/router.cc
+++ b/src/core/router.cc
@@ -133,6 +133,16 @@
   return std::visit(Choose{request, endpoints, random}, policy);
 }
 
+std::size_t SpreadOf(Tokens prompt, std::size_t endpoints,
+                     int long_weight_percent) {
+  constexpr int kFrom = 50;
+  const int beyond = std::max(long_weight_percent - kFrom, 0);
+  const std::size_t allowed = 1 + (std::max<std::size_t>(endpoints, 1) - 1) *
+                                      static_cast<std::size_t>(beyond) / kFrom;
+  const auto parts = static_cast<std::size_t>(prompt.value / kLeastPart.value);
+  return std::max<std::size_t>(std::min(allowed, parts), 1);
+}
+
 std::size_t LongShare(std::size_t endpoints, int long_weight_percent) {
   const double share = kLeastLongShare +
                        (1.0 - kLeastLongShare) * long_weight_percent / kPercent;
--- a/src/core/router_test.cc
+++ b/src/core/router_test.cc
@@ -76,5 +76,14 @@
   CHECK(LongShare(0, 50) == 0);
 }
 
+TEST_CASE("A long prompt is spread only as the weight and its length allow") {
+  CHECK(SpreadOf(Tokens{60000}, 6, 50) == 1);
+  CHECK(SpreadOf(Tokens{60000}, 6, 100) == 6);
+  CHECK(SpreadOf(Tokens{60000}, 6, 75) == 3);
+  CHECK(SpreadOf(Tokens{16000}, 6, 100) == 2);
+  CHECK(SpreadOf(Tokens{100}, 6, 100) == 1);
+  CHECK(SpreadOf(Tokens{60000}, 0, 100) == 1);
+}
+
 }  // namespace
 }  // namespace harecrank
--- a/src/core/small_parts_test.cc
+++ b/src/core/small_parts_test.cc
@@ -7,6 +7,7 @@
 
 #include "harecrank/core/answer_assembler.h"
 #include "harecrank/core/pause_guard.h"
+#include "harecrank/core/prefix_memory.h"
 #include "harecrank/core/rendezvous.h"
 #include "harecrank/core/weight_loads.h"
 
@@ -56,6 +57,14 @@
   CHECK(assembler.NextPosition() == 5);
 }
 
+TEST_CASE("A beginning counts as seen from its second time on") {
+  PrefixMemory memory;
+  CHECK_FALSE(memory.SeenBefore(17));
+  CHECK(memory.SeenBefore(17));
+  CHECK_FALSE(memory.SeenBefore(0));
+  CHECK_FALSE(memory.SeenBefore(0));
+}
+
 TEST_CASE("A decision that a pause overtook is not acted on") {
   TimePoint now{};
   PauseGuard guard(Millis(100), [&] { return now; });
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -21,6 +21,7 @@
 // How much of a prompt's beginning stands for its prefix.
 constexpr std::size_t kPrefixBytes = 2048;
 constexpr int kTicketTries = 3;
+constexpr char kLengthAware[] = "length_aware";
 
 Refusal NoEndpoint() {
   return Refusal{http_status::kUnavailable, "no_endpoint",
@@ -81,6 +82,7 @@
   if (auto refusal = CheckLimit(context)) {
     return std::move(*refusal);
   }
+  NotePrefix(&context);
   DispatchResult result = request.ticket.empty() ? RunAttempts(&context, sink)
                                                  : RunTicketed(&context, sink);
   const auto* refusal = std::get_if<Refusal>(&result);
@@ -164,13 +166,14 @@
   AttemptPorts ports{ports_.links, ports_.clock, &assembler, sink};
   AttemptPolicy policy(context->request.repeat, context->deadline, ports_.clock,
                        &budget_);
-  const bool group = NeedsGroup(*context);
+  // Zero for a request that one engine serves.
+  const std::size_t members = GroupSize(*context);
   while (true) {
     AttemptEvidence evidence;
     AttemptResult result = AttemptEnd{CallerLeft{}};
     Answered answered;
-    if (group) {
-      result = RunGroup(context, ports, &evidence, &answered);
+    if (members > 0) {
+      result = RunGroup(context, members, ports, &evidence, &answered);
     } else {
       const auto link = WaitForLink(*context, sink);
       if (link == nullptr) {
@@ -226,7 +229,8 @@
   return std::get<GiveUp>(step).refusal;
 }
 
-AttemptResult Dispatcher::RunGroup(Context* context, AttemptPorts ports,
+AttemptResult Dispatcher::RunGroup(Context* context, std::size_t least_members,
+                                   AttemptPorts ports,
                                    AttemptEvidence* evidence,
                                    Answered* answered) {
   groups_->Add();
@@ -237,6 +241,7 @@
   group.short_headroom_percent = static_cast<int>(
       context->configuration->GetDocument().policy().short_headroom_percent());
   group.segments_redone = segments_redone_;
+  group.least_members = least_members;
   GroupRunner runner(
       std::move(group), context->request,
       context->table->ForGroup(*context->configuration, context->request.model),
@@ -282,16 +287,35 @@
   return submit;
 }
 
-bool Dispatcher::NeedsGroup(const Context& context) const {
+std::size_t Dispatcher::GroupSize(const Context& context) const {
   const CallerRequest& request = context.request;
-  if (request.form == AnswerForm::kService) {
-    return false;
+  if (request.form == AnswerForm::kService || !request.ticket.empty()) {
+    return 0;
   }
   const v1::Policy& policy = context.configuration->GetDocument().policy();
   const Tokens largest = context.configuration->LargestEngine(request.model);
   const Tokens usable{largest.value *
                       (kPercent - policy.short_headroom_percent()) / kPercent};
-  return usable < request.prompt_tokens + request.answer_tokens;
+  const Tokens needed = request.prompt_tokens + request.answer_tokens;
+  const std::size_t spread =
+      policy_name_ == kLengthAware
+          ? SpreadOf(request.prompt_tokens, Subset(context).size(),
+                     static_cast<int>(policy.long_weight_percent()))
+          : 1;
+  if (usable < needed) {
+    return spread;
+  }
+  const bool worth_it = context.length == LengthClass::kLong && spread > 1;
+  return worth_it ? spread : 0;
+}
+
+void Dispatcher::NotePrefix(Context* context) {
+  const CallerRequest& request = context->request;
+  std::string prefix = request.model.value + " " + request.adapter.value + " " +
+                       request.prompt.substr(0, kPrefixBytes);
+  if (prefixes_.SeenBefore(RendezvousWeight("prefix", prefix))) {
+    context->warm_prefix = std::move(prefix);
+  }
 }
 
 const std::vector<SubsetEndpoint>& Dispatcher::Subset(
@@ -331,11 +355,11 @@
     return nullptr;
   }
   const CallerRequest& request = context.request;
-  const std::string prefix = request.model.value + " " + request.adapter.value +
-                             " " + request.prompt.substr(0, kPrefixBytes);
-  const std::string warm = RendezvousTop(prefix, ids, 1).front();
-  for (EndpointView& view : views) {
-    view.affinity_rank = view.id.value == warm ? 1 : 0;
+  if (!context.warm_prefix.empty()) {
+    const std::string warm = RendezvousTop(context.warm_prefix, ids, 1).front();
+    for (EndpointView& view : views) {
+      view.affinity_rank = view.id.value == warm ? 1 : 0;
+    }
   }
   const auto policy = RoutingPolicyFromName(
       policy_name_,
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "harecrank/core/account_limiter.h"
+#include "harecrank/core/prefix_memory.h"
 #include "harecrank/core/rcu_cell.h"
 #include "harecrank/core/retry_budget.h"
 #include "harecrank/core/router.h"
@@ -86,19 +87,23 @@
     std::shared_ptr<const EndpointTable> table;
     TimePoint deadline;
     LengthClass length = LengthClass::kShort;
+    // Names the prompt's beginning; empty if no cache can have it.
+    std::string warm_prefix{};
     std::set<EndpointId> tried{};
   };
 
   std::optional<Refusal> CheckLimit(const Context& context);
   DispatchResult RunAttempts(Context* context, AnswerSink* sink);
   DispatchResult RunTicketed(Context* context, AnswerSink* sink);
-  AttemptResult RunGroup(Context* context, AttemptPorts ports,
-                         AttemptEvidence* evidence, Answered* answered);
+  AttemptResult RunGroup(Context* context, std::size_t least_members,
+                         AttemptPorts ports, AttemptEvidence* evidence,
+                         Answered* answered);
   AttemptResult RunOnce(Context* context, const std::shared_ptr<Link>& link,
                         AttemptPorts ports, AttemptEvidence* evidence);
   wire::Submit MakeSubmit(const Context& context,
                           const AnswerAssembler& assembler) const;
-  bool NeedsGroup(const Context& context) const;
+  std::size_t GroupSize(const Context& context) const;
+  void NotePrefix(Context* context);
   const std::vector<SubsetEndpoint>& Subset(const Context& context) const;
   std::shared_ptr<Link> Choose(const Context& context);
   std::shared_ptr<Link> ChooseAmong(const Context& context, bool far);
@@ -115,6 +120,7 @@
   DispatcherPorts ports_;
   std::string policy_name_;
   RetryBudget budget_;
+  PrefixMemory prefixes_;
   std::mutex limiter_mutex_;
   AccountLimiter limiter_;
   std::mutex table_mutex_;
--- a/src/entry/group_runner.cc
+++ b/src/entry/group_runner.cc
@@ -86,8 +86,9 @@
 bool GroupRunner::ReserveAll(AttemptEnd* why) {
   GroupReservation reservation(deadline_, ports_.attempt.clock, ports_.random);
   while (!IsOutOfTime(why)) {
-    const auto plan = PlanSegments(request_.prompt_tokens,
-                                   request_.answer_tokens, Candidates());
+    const auto plan =
+        PlanSegments(request_.prompt_tokens, request_.answer_tokens,
+                     Candidates(), ports_.least_members);
     if (!plan) {
       // Reports are late: what looks full now may be free at the next one.
       if (!ports_.attempt.sink->OnSilence()) {
@@ -107,6 +108,7 @@
       return false;
     }
     std::this_thread::sleep_for(back->pause);
+    ports_.least_members = std::max<std::size_t>(ports_.least_members / 2, 1);
   }
   return false;
 }
