Long prompts spread at every weight; a change costs less; lost members' segments

The share is dropped; every weight spreads a long prompt over the subset's engines. A member may now hold a second segment, and more than one look is taken. Configuration. At 3,700 listed endpoints one change cost 105 ms of a core and the node held 61 MiB; the result of a patch was rendered twice and memory of reading stayed with the allocator.

--- a/include/harecrank/core/router.h
+++ b/include/harecrank/core/router.h
@@ -37,8 +37,6 @@
   // How well the endpoint's cache suits this prompt: 0 for not at all, or the
   // rendezvous rank among its peers, 1 for the first.
   int affinity_rank = 0;
-  // Whether long requests may go there, by the policy's share.
-  bool takes_long = true;
 };
 
 // What a decision needs to know of a request.
@@ -75,15 +73,10 @@
                                  const std::vector<EndpointView>& endpoints,
                                  const RandomSource& random);
 
-// Returns how many of `endpoints` may take long requests under a weight of
-// `long_weight_percent`: a quarter at 0, all at 100, and one at least.
-std::size_t LongShare(std::size_t endpoints, int long_weight_percent);
-
-// Returns among how many engines to spread a long prompt that one could hold:
-// one up to a weight of 50, then more, up to `endpoints` at 100, but never so
-// many that a part would be smaller than kLeastPart.
-std::size_t SpreadOf(Tokens prompt, std::size_t endpoints,
-                     int long_weight_percent);
+// Returns among how many of `endpoints` to spread a long prompt that one could
+// hold: all of them, but never so many that a part would be smaller than
+// kLeastPart, and one at least.
+std::size_t SpreadOf(Tokens prompt, std::size_t endpoints);
 constexpr Tokens kLeastPart{8000};
 
 }  // namespace harecrank
--- a/src/core/configuration.cc
+++ b/src/core/configuration.cc
@@ -56,6 +56,15 @@
   return document;
 }
 
+leaf::result<v1::Document> ReadValid(const std::string& text) {
+  BOOST_LEAF_AUTO(document, ReadDocument(text));
+  std::vector<ConfigProblem> problems = ValidateDocument(document);
+  if (!problems.empty()) {
+    return leaf::new_error(ConfigError{InvalidDocument{std::move(problems)}});
+  }
+  return document;
+}
+
 // Returns the one text that stands for `document`, whatever the spaces and the
 // order of keys it was published with.
 leaf::result<std::string> Canonical(const v1::Document& document) {
@@ -84,11 +93,7 @@
 
 leaf::result<std::shared_ptr<const Configuration>> Configuration::Parse(
     const std::string& document_json) {
-  BOOST_LEAF_AUTO(document, ReadDocument(document_json));
-  std::vector<ConfigProblem> problems = ValidateDocument(document);
-  if (!problems.empty()) {
-    return leaf::new_error(ConfigError{InvalidDocument{std::move(problems)}});
-  }
+  BOOST_LEAF_AUTO(document, ReadValid(document_json));
   BOOST_LEAF_AUTO(canonical, Canonical(document));
   return std::shared_ptr<const Configuration>(
       new Configuration(std::move(document), std::move(canonical)));
@@ -107,13 +112,19 @@
   } catch (const json::exception& error) {
     return leaf::new_error(ConfigError{ChangeDoesNotApply{error.what()}});
   }
-  BOOST_LEAF_AUTO(next, Parse(next_json));
-  if (next->GetDigest().value != change.digest() ||
-      next->GetRevision().value != change.revision()) {
-    return leaf::new_error(ConfigError{ChangeDoesNotApply{
-        "its result has another digest or revision than it states"}});
+  // The digest shows that the result is the planner's canonical text, so it is
+  // not made canonical once more: at the target that is half of the work.
+  if (DigestOf(next_json).value != change.digest()) {
+    return leaf::new_error(ConfigError{
+        ChangeDoesNotApply{"its result has another digest than it states"}});
+  }
+  BOOST_LEAF_AUTO(document, ReadValid(next_json));
+  if (document.revision() != change.revision()) {
+    return leaf::new_error(ConfigError{
+        ChangeDoesNotApply{"its result has another revision than it states"}});
   }
-  return next;
+  return std::shared_ptr<const Configuration>(
+      new Configuration(std::move(document), std::move(next_json)));
 }
 
 v1::Change Configuration::ChangeTo(const Configuration& next) const {
--- a/src/core/router.cc
+++ b/src/core/router.cc
@@ -1,14 +1,12 @@
 #include "harecrank/core/router.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 
 namespace harecrank {
 namespace {
 
 constexpr double kPercent = 100.0;
-constexpr double kLeastLongShare = 0.25;
 // How much more work than the average the endpoint with a warm cache may have
 // before the request goes elsewhere.
 constexpr double kAffinityBound = 1.25;
@@ -69,10 +67,6 @@
     double score = short_work;
     if (request.length == LengthClass::kLong) {
       score += long_work;
-      if (!view.takes_long) {
-        // Kept finite: a long request still goes there if nothing else is left.
-        score += std::numeric_limits<float>::max();
-      }
     } else {
       // The engine puts short prefill first, so long work costs a short
       // request only its steps' length; how much that may matter is policy.
@@ -133,22 +127,9 @@
   return std::visit(Choose{request, endpoints, random}, policy);
 }
 
-std::size_t SpreadOf(Tokens prompt, std::size_t endpoints,
-                     int long_weight_percent) {
-  constexpr int kFrom = 50;
-  const int beyond = std::max(long_weight_percent - kFrom, 0);
-  const std::size_t allowed = 1 + (std::max<std::size_t>(endpoints, 1) - 1) *
-                                      static_cast<std::size_t>(beyond) / kFrom;
+std::size_t SpreadOf(Tokens prompt, std::size_t endpoints) {
   const auto parts = static_cast<std::size_t>(prompt.value / kLeastPart.value);
-  return std::max<std::size_t>(std::min(allowed, parts), 1);
-}
-
-std::size_t LongShare(std::size_t endpoints, int long_weight_percent) {
-  const double share = kLeastLongShare +
-                       (1.0 - kLeastLongShare) * long_weight_percent / kPercent;
-  const auto count = static_cast<std::size_t>(
-      std::lround(share * static_cast<double>(endpoints)));
-  return std::min(std::max<std::size_t>(count, 1), endpoints);
+  return std::max<std::size_t>(std::min(endpoints, parts), 1);
 }
 
 }  // namespace harecrank
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -299,8 +299,7 @@
   const Tokens needed = request.prompt_tokens + request.answer_tokens;
   const std::size_t spread =
       policy_name_ == kLengthAware
-          ? SpreadOf(request.prompt_tokens, Subset(context).size(),
-                     static_cast<int>(policy.long_weight_percent()))
+          ? SpreadOf(request.prompt_tokens, Subset(context).size())
           : 1;
   if (usable < needed) {
     return spread;
@@ -345,9 +344,7 @@
         link->IsDraining() || !MayUse(endpoint.id)) {
       continue;
     }
-    EndpointView view = link->View();
-    view.takes_long = endpoint.takes_long;
-    views.push_back(std::move(view));
+    views.push_back(link->View());
     links.push_back(link);
     ids.push_back(endpoint.id.value);
   }
--- a/src/entry/endpoint_table.cc
+++ b/src/entry/endpoint_table.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "harecrank/core/rendezvous.h"
-#include "harecrank/core/router.h"
 
 namespace harecrank {
 namespace {
@@ -115,14 +114,6 @@
     const std::vector<EndpointId>& endpoints) {
   const v1::Policy& policy = configuration.GetDocument().policy();
   ByDistance sorted = Sort(configuration, endpoints, data_centre_);
-  std::vector<std::string> all = sorted.near;
-  all.insert(all.end(), sorted.far.begin(), sorted.far.end());
-  // Every host agrees on which endpoints take long requests.
-  const auto long_ids = RendezvousTop(
-      "long " + key, all,
-      LongShare(all.size(), static_cast<int>(policy.long_weight_percent())));
-  const std::set<std::string> takes_long(long_ids.begin(), long_ids.end());
-
   const std::size_t size = policy.subset_size();
   const std::string mine = key + " " + self_.value;
   auto ids = RendezvousTop(mine, std::move(sorted.near), size);
@@ -130,16 +121,9 @@
   const auto fill = RendezvousTop(mine, std::move(sorted.far),
                                   std::max(size - ids.size(), kFarSpares));
   ids.insert(ids.end(), fill.begin(), fill.end());
-  const bool has_long = std::any_of(
-      ids.begin(), ids.end(),
-      [&](const std::string& id) { return takes_long.count(id) > 0; });
-  if (!has_long && !long_ids.empty()) {
-    ids.push_back(RendezvousTop(mine, long_ids, 1).front());
-  }
   std::vector<SubsetEndpoint> subset;
   for (std::size_t i = 0; i < ids.size(); ++i) {
     SubsetEndpoint endpoint = Describe(configuration, EndpointId{ids[i]});
-    endpoint.takes_long = takes_long.count(ids[i]) > 0;
     endpoint.far = i >= near_count;
     wanted_.emplace(endpoint.id, endpoint.link_address);
     subset.push_back(std::move(endpoint));
--- a/src/entry/endpoint_table.h
+++ b/src/entry/endpoint_table.h
@@ -19,8 +19,6 @@
   std::string link_address;
   // Its engine's memory, as published; zero for a plain service.
   Tokens memory;
-  // Whether long requests may go there.
-  bool takes_long = true;
   // In another data centre: used only while no endpoint of this one can be.
   bool far = false;
 };
--- a/src/entry/group_runner.cc
+++ b/src/entry/group_runner.cc
@@ -10,6 +10,7 @@
 constexpr Millis kReservationTtl{6000};
 constexpr Millis kRenewEvery{2000};
 constexpr Millis kAnswerWait{1000};
+constexpr Millis kReplaceWait{3000};
 constexpr Millis kLook{100};
 constexpr int kPercent = 100;
 constexpr int kMostGenerations = 4;
@@ -59,6 +60,14 @@
       return result;
     }
     MarkLostMembers();
+    const bool any_lost =
+        std::any_of(members_.begin(), members_.end(),
+                    [](const Member& member) { return member.lost; });
+    if (!any_lost) {
+      // Some engine lost its segment while its sidecar lives on; which one is
+      // not known, so the group is formed anew and finds out in prefill.
+      return result;
+    }
   }
   return result;
 }
@@ -265,41 +274,62 @@
 }
 
 bool GroupRunner::Replace(Member* member) {
+  // Reports are late, so one look is not enough to say that nobody has room.
+  const TimePoint until =
+      std::min(deadline_, ports_.attempt.clock() + kReplaceWait);
+  constexpr bool kMembersToo = true;
+  while (ports_.attempt.clock() < until) {
+    if (ReplaceAmong(member, !kMembersToo) ||
+        ReplaceAmong(member, kMembersToo)) {
+      return true;
+    }
+    std::this_thread::sleep_for(kLook);
+  }
+  return false;
+}
+
+bool GroupRunner::ReplaceAmong(Member* member, bool members_too) {
   std::set<EndpointId> taken = failed_;
   for (const Member& other : members_) {
-    taken.insert(other.segment.member);
+    if (!members_too) {
+      taken.insert(other.segment.member);
+    }
   }
   for (const SegmentCandidate& candidate : Candidates()) {
-    if (taken.count(candidate.id) > 0 ||
-        candidate.free_memory < member->segment.reserve) {
+    if (taken.count(candidate.id) == 0 &&
+        !(candidate.free_memory < member->segment.reserve) &&
+        ReserveAt(candidate.id, member)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool GroupRunner::ReserveAt(const EndpointId& id, Member* member) {
+  Member fresh;
+  fresh.segment = member->segment;
+  fresh.segment.member = id;
+  fresh.link = LinkTo(id);
+  GroupReservation one(deadline_, ports_.attempt.clock, ports_.random);
+  one.Begin({fresh.segment});
+  Ask(&one, &fresh);
+  *member = std::move(fresh);
+  const TimePoint until = ports_.attempt.clock() + kAnswerWait;
+  while (auto event = inbox_->Take(until)) {
+    const auto* message = std::get_if<wire::Message>(&*event);
+    const bool about_this =
+        message != nullptr && StreamOf(*message) == member->reservation;
+    if (!about_this) {
+      AttemptEvidence ignored;
+      OnEvent(*event, &ignored);
       continue;
     }
-    Member fresh;
-    fresh.segment = member->segment;
-    fresh.segment.member = candidate.id;
-    fresh.link = LinkTo(candidate.id);
-    GroupReservation one(deadline_, ports_.attempt.clock, ports_.random);
-    one.Begin({fresh.segment});
-    Ask(&one, &fresh);
-    *member = std::move(fresh);
-    const TimePoint until = ports_.attempt.clock() + kAnswerWait;
-    while (auto event = inbox_->Take(until)) {
-      const auto* message = std::get_if<wire::Message>(&*event);
-      const bool about_this =
-          message != nullptr && StreamOf(*message) == member->reservation;
-      if (!about_this) {
-        AttemptEvidence ignored;
-        OnEvent(*event, &ignored);
-        continue;
-      }
-      if (std::holds_alternative<wire::Reserved>(*message)) {
-        return true;
-      }
-      break;
+    if (std::holds_alternative<wire::Reserved>(*message)) {
+      return true;
     }
-    Release(member);
-    taken.insert(candidate.id);
+    break;
   }
+  Release(member);
   return false;
 }
 
--- a/src/entry/group_runner.h
+++ b/src/entry/group_runner.h
@@ -73,6 +73,8 @@
   void OnEvent(const StreamEvent& event, AttemptEvidence* evidence);
   bool ReplaceLost(AttemptEnd* why);
   bool Replace(Member* member);
+  bool ReplaceAmong(Member* member, bool members_too);
+  bool ReserveAt(const EndpointId& id, Member* member);
   AttemptResult Generate(AttemptEvidence* evidence);
   void MarkLostMembers();
   void RenewAll();
--- a/src/node/config_feed.cc
+++ b/src/node/config_feed.cc
@@ -1,6 +1,7 @@
 #include "src/node/config_feed.h"
 
 #include <google/protobuf/util/json_util.h>
+#include <malloc.h>
 
 #include <algorithm>
 #include <future>
@@ -24,8 +25,15 @@
 constexpr Millis kPeerTimeout{800};
 constexpr Millis kHostListInterval{2000};
 constexpr int kBootstrapRounds = 4;
+// After so many comparisons in a row without an answer a node looks at the
+// service itself: its data centre may have lost its readers.
+constexpr int kFailuresBeforeLook = 5;
+// Rare enough that all nodes of the target, cut off from each other at once,
+// stay within the service's rate.
+constexpr Millis kLonelyInterval{5000};
 constexpr std::size_t kBootstrapPeers = 3;
 constexpr Millis kBootstrapPause{250};
+constexpr Millis kLookPoll{250};
 
 std::string ToJson(const v1::ChangeLog& log) {
   std::string text;
@@ -140,11 +148,28 @@
     }
     const NodeAddress* peer = plan->PickPeer(ports_.random);
     if (peer != nullptr) {
-      CompareWith(peer->operations);
+      const bool answered = CompareWith(peer->operations);
+      failures_ = answered ? 0 : failures_ + 1;
     }
   }
 }
 
+bool ConfigFeed::WaitToLook(Millis interval) {
+  const TimePoint due = ports_.clock() + interval;
+  const TimePoint lonely_due =
+      ports_.clock() + std::min(interval, kLonelyInterval);
+  while (ports_.clock() < due) {
+    const bool lonely = failures_ >= kFailuresBeforeLook;
+    if (lonely && ports_.clock() >= lonely_due) {
+      return true;
+    }
+    if (!Sleep(kLookPoll)) {
+      return false;
+    }
+  }
+  return true;
+}
+
 void ConfigFeed::RunPush() {
   while (!stopping_) {
     {
@@ -206,7 +231,7 @@
 
 void ConfigFeed::LookOnce() {
   const auto plan = Plan();
-  if (!Sleep(Jittered(plan->FallbackInterval()))) {
+  if (!WaitToLook(Jittered(plan->FallbackInterval()))) {
     return;
   }
   service_calls_->Add();
@@ -416,6 +441,9 @@
   if (listener_) {
     listener_();
   }
+  // Reading a document takes many times its size for a moment. Given back at
+  // once, that does not count against the node's memory for ever.
+  malloc_trim(0);
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     push_due_ = true;
--- a/src/node/config_feed.h
+++ b/src/node/config_feed.h
@@ -78,6 +78,7 @@
   void TakeChanges(const std::string& changes_json, ConfigSource source);
   void WatchOnce();
   void LookOnce();
+  bool WaitToLook(Millis interval);
   void ReadHosts();
   void Bootstrap();
   bool CompareWith(const std::string& address);
@@ -98,6 +99,8 @@
   // On this process's monotonic clock.
   std::atomic<std::int64_t> in_force_since_{0};
   std::atomic<bool> stopping_{false};
+  // Comparisons in a row that brought no answer.
+  std::atomic<int> failures_{0};
   std::mutex mutex_;
   std::condition_variable wake_;
   bool push_due_ = false;
--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -476,8 +476,11 @@
         endpoint(addresses_["bare-link-" + n], Operations(BareNode(i)), i);
   }
   for (int i = 0; i < options_.listed_endpoints; ++i) {
-    document_["endpoints"]["listed-" + std::to_string(i)] =
-        endpoint(ip_ + ":1", ip_ + ":1", i);
+    document_["endpoints"]["listed-" + std::to_string(i)] = endpoint(
+        ip_ + ":1", ip_ + ":1",
+        // None in the first data centre: those listed there would be
+        // its readers, and no process is behind them.
+        options_.data_centres > 1 ? 1 + i % (options_.data_centres - 1) : 0);
   }
   for (int i = 0; i < options_.listed_accounts; ++i) {
     const std::string id = "account-" + std::to_string(i);
--- a/tests/configuration_test.cc
+++ b/tests/configuration_test.cc
@@ -74,6 +74,21 @@
   CHECK(ComesIntoForce(&fleet, revision));
 }
 
+TEST_CASE("A node whose readers are all gone reads the service itself") {
+  FleetOptions options;
+  options.entries = 1;
+  options.engines = 0;
+  options.services = 0;
+  // Listed in the same data centre, with no process behind them: nearly always
+  // they are its readers.
+  options.listed_endpoints = 60;
+  options.entry_settings = {{"compare_interval_ms", 100}};
+  Fleet fleet(options);
+  REQUIRE(WaitUntil([&] { return IsInForce(&fleet, "entry-0", 1); }));
+  REQUIRE(fleet.Change("entry-0", PutAccount("tan", 'a')) == 2);
+  CHECK(WaitUntil([&] { return IsInForce(&fleet, "entry-0", 2); }));
+}
+
 TEST_CASE("A newcomer to a stale service takes its peers' revision first") {
   Fleet fleet(FleetOptions{});
   REQUIRE(fleet.WaitReady());
