--- a/src/node/config_feed.cc
+++ b/src/node/config_feed.cc
@@ -359,38 +359,41 @@
 }
 
 void ConfigFeed::PushTo(const std::string& address) {
-  // What the child has is not known: offer the latest step, which is nearly
-  // always what it lacks, and send the rest once it has said where it stands.
-  peer_calls_->Add();
-  const LedgerState state = ports_.ledger->State();
-  PeerState guess = MyState();
-  guess.host_version = 0;
-  guess.revision = state.revision.value;
-  PeerUpdate first = UpdateFor(guess);
-  const auto configuration = ports_.ledger->InForce();
-  if (configuration != nullptr) {
-    const auto latest = ports_.ledger->LatestChange();
-    if (latest) {
-      v1::ChangeLog log;
-      *log.add_changes() = *latest;
-      first.changes_json = ToJson(log);
-    }
+  // What the other has is not known: the latest step is nearly always what it
+  // lacks, and it says where it stands in any case.
+  const auto theirs = Give(address, LatestStep());
+  if (theirs && theirs->revision < MyState().revision) {
+    Give(address, UpdateFor(*theirs));
   }
-  std::string body = EncodePeerUpdate(first);
+}
+
+std::optional<PeerState> ConfigFeed::Give(const std::string& address,
+                                          const PeerUpdate& update) {
+  peer_calls_->Add();
+  const std::string body = EncodePeerUpdate(update);
   bytes_sent_->Add(body.size());
   const auto answer = Post(address, "/peer/offer", body);
   const auto theirs = answer ? DecodePeerState(*answer) : std::nullopt;
   if (!theirs) {
     peer_errors_->Add();
-    return;
+    return std::nullopt;
   }
   bytes_received_->Add(answer->size());
-  if (theirs->revision >= MyState().revision) {
-    return;
+  return theirs;
+}
+
+PeerUpdate ConfigFeed::LatestStep() const {
+  // As for one that has this revision, but no host list.
+  PeerState level = MyState();
+  level.host_version = 0;
+  PeerUpdate update = UpdateFor(level);
+  const auto latest = ports_.ledger->LatestChange();
+  if (latest) {
+    v1::ChangeLog log;
+    *log.add_changes() = *latest;
+    update.changes_json = ToJson(log);
   }
-  body = EncodePeerUpdate(UpdateFor(*theirs));
-  bytes_sent_->Add(body.size());
-  Post(address, "/peer/offer", body);
+  return update;
 }
 
 PeerUpdate ConfigFeed::UpdateFor(const PeerState& theirs) const {
--- a/src/node/config_feed.h
+++ b/src/node/config_feed.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -84,6 +85,9 @@
   bool CompareWith(const std::string& address);
   void TakeUpdate(const PeerUpdate& update);
   void PushTo(const std::string& address);
+  std::optional<PeerState> Give(const std::string& address,
+                                const PeerUpdate& update);
+  PeerUpdate LatestStep() const;
   void OfferDocument(const std::string& document, ConfigSource source);
   void Settle(Offer offer);
   std::shared_ptr<const DisseminationPlan> Plan();
