--- a/src/node/config_feed.cc
+++ b/src/node/config_feed.cc
@@ -373,7 +373,7 @@
   const std::string body = EncodePeerUpdate(update);
   bytes_sent_->Add(body.size());
   const auto answer = Post(address, "/peer/offer", body);
-  const auto theirs = answer ? DecodePeerState(*answer) : std::nullopt;
+  auto theirs = answer ? DecodePeerState(*answer) : std::nullopt;
   if (!theirs) {
     peer_errors_->Add();
     return std::nullopt;
