--- a/src/entry/endpoint_table.h
+++ b/src/entry/endpoint_table.h
@@ -26,8 +26,9 @@
 // The subsets of one revision, for one entry host. Immutable.
 //
 // A host keeps links to a few endpoints of each model: those of its own data
-// centre that rank first for it, and others only where those are too few. So
-// links grow with hosts times models, and not with hosts times endpoints.
+// centre that rank first for it, and two of others in reserve, or more where
+// its own has too few. So links grow with hosts times models, and not with
+// hosts times endpoints.
 class EndpointTable {
  public:
   // An empty table, in which nothing is found.
--- a/standins/engine_model.h
+++ b/standins/engine_model.h
@@ -51,8 +51,8 @@
   // The prompt's beginning in blocks, for the prefix cache.
   std::vector<std::uint64_t> blocks;
   std::int64_t prompt_tokens = 0;
-  // Already held elsewhere: counted for the digest but not prefilled here.
   std::int64_t answer_tokens = 0;
+  // The first position of the answer that is still wanted.
   std::int64_t resume_from = 0;
   int priority = 0;
   std::int64_t chunk_tokens = 4096;
