A stream that has begun and is stuck goes on elsewhere

Cause: with one-way loss towards the sidecar the submission can be the last thing to come through. Ruled out: silence of the link. A repeatable stream that brings nothing for 3 s after a token now leaves its link. 22 of 22 related tests pass; the whole suite was not run again after this change.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -12,6 +12,9 @@
 // that the sidecar's word can still come in time.
 constexpr Millis kWithdrawBefore{150};
 constexpr Millis kWordWait{300};
+// A stream that has begun and brings nothing for so long is stuck: far beyond
+// the time between two tokens. One-way loss can hold back its credit.
+constexpr Millis kMostStall{3000};
 
 AttemptEnd ToEnd(const wire::Refused& refused) {
   AttemptRefused end{refused.code, refused.message, std::nullopt};
@@ -134,6 +137,7 @@
 }
 
 std::optional<AttemptResult> Attempt::OnOutput(const wire::Output& output) {
+  last_output_ = ports_.clock();
   std::int64_t position = output.position;
   for (const std::string& text : output.tokens) {
     for (const AnswerToken& token :
@@ -173,6 +177,10 @@
                     AttemptEnd{AttemptLost{"the link to the endpoint is "
                                            "silent"}});
   }
+  if (times_.acknowledge.count() > 0 && last_output_ &&
+      now - *last_output_ > kMostStall) {
+    return AttemptEnd{AttemptLost{"the stream is stuck"}};
+  }
   return std::nullopt;
 }
 
--- a/src/entry/attempt.h
+++ b/src/entry/attempt.h
@@ -4,6 +4,7 @@
 #define HARECRANK_SRC_ENTRY_ATTEMPT_H_
 
 #include <memory>
+#include <optional>
 #include <variant>
 
 #include "harecrank/core/answer_assembler.h"
@@ -68,6 +69,8 @@
   bool started_ = false;
   bool caller_left_ = false;
   TimePoint acknowledge_by_;
+  // When the latest part came; none before the first.
+  std::optional<TimePoint> last_output_;
   std::int64_t uncredited_ = 0;
 };
 
