--- /dev/null
+++ b/include/harecrank/core/endpoint_health.h
@@ -0,0 +1,62 @@
+// Which endpoints have failed lately, seen from a host's own requests.
+
+#ifndef HARECRANK_CORE_ENDPOINT_HEALTH_H_
+#define HARECRANK_CORE_ENDPOINT_HEALTH_H_
+
+#include <unordered_map>
+
+#include "harecrank/core/clock.h"
+#include "harecrank/core/strong_types.h"
+
+namespace harecrank {
+
+// A circuit for each endpoint: failures in a row open it for a time that
+// doubles, and a high share of failures makes it a last choice. Not
+// thread-safe.
+class EndpointHealth {
+ public:
+  explicit EndpointHealth(MonotonicClock clock);
+
+  // Notes that an answer or a first event came, and how long that took in
+  // relation to what was expected: 1 is as expected.
+  void OnSuccess(const EndpointId& id, double pace);
+
+  // Notes an answer that came as expected in time but was a failure.
+  void OnErrorAnswer(const EndpointId& id);
+
+  // Notes that it could not be reached, fell silent or broke off.
+  void OnUnreachable(const EndpointId& id);
+
+  // Returns whether requests should go elsewhere if they can.
+  bool IsSuspect(const EndpointId& id) const;
+
+  // Returns how much slower than expected it has lately been; 1 if not known.
+  double Pace(const EndpointId& id) const;
+
+  // Forgets endpoints that are gone.
+  void Forget(const EndpointId& id) { states_.erase(id); }
+
+  // The first time that an unreachable endpoint is left alone: about as long
+  // as a host needs to be found dead by its heartbeats is too long, a
+  // connection's set-up too short.
+  static constexpr Millis kFirstBlock{700};
+  static constexpr Millis kLongestBlock{5600};
+  // Share of failures above which an endpoint is a last choice. Plain services
+  // fail one in seven in ordinary running.
+  static constexpr double kSuspectShare = 0.34;
+
+ private:
+  struct State {
+    int failures_in_a_row = 0;
+    TimePoint blocked_until{};
+    double failure_share = 0;
+    double pace = 1;
+  };
+
+  MonotonicClock clock_;
+  std::unordered_map<EndpointId, State> states_;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_CORE_ENDPOINT_HEALTH_H_
--- /dev/null
+++ b/include/harecrank/core/endpoint_loads.h
@@ -0,0 +1,105 @@
+// What is under way at each endpoint, as far as this host knows.
+//
+// It knows its own requests exactly, and those of its peers from what they
+// tell a few times a second. Reports of the endpoints themselves are older
+// than that and cost a call each.
+
+#ifndef HARECRANK_CORE_ENDPOINT_LOADS_H_
+#define HARECRANK_CORE_ENDPOINT_LOADS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "harecrank/core/clock.h"
+#include "harecrank/core/engine_estimate.h"
+#include "harecrank/core/strong_types.h"
+
+namespace harecrank {
+
+// Names one piece of work of this host at one endpoint.
+using WorkId = StrongNumber<struct WorkTag, std::uint64_t>;
+
+// How a request weighs on those beside it.
+enum class WorkClass { kShort, kLong, kHelper };
+
+// What is under way at one endpoint.
+struct EndpointLoad {
+  // Until prompts that were given to it are read, if it does nothing else.
+  FractionalMillis read_backlog{0};
+  // Requests that read or write, by class.
+  int short_members = 0;
+  int long_members = 0;
+  // KV memory that they need up to their expected end.
+  Tokens memory;
+
+  int Members() const { return short_members + long_members; }
+};
+
+// Keeps the loads. Not thread-safe.
+class EndpointLoads {
+ public:
+  explicit EndpointLoads(MonotonicClock clock);
+
+  // Notes that work was sent to `endpoint`: a prompt or part of one that takes
+  // `read` to read, and that needs `memory` until it ends.
+  WorkId Begin(const EndpointId& endpoint, WorkClass work_class,
+               FractionalMillis read, Tokens memory);
+
+  // Notes that the work's prompt has been read: its first event came.
+  void OnRead(WorkId id);
+
+  // Notes that the work has ended, however. Unknown ids are passed over.
+  void End(WorkId id);
+
+  // Replaces what `peer` has under way. It counts for `kPeerWordHolds`.
+  void SetPeer(const NodeId& peer,
+               std::unordered_map<EndpointId, EndpointLoad> loads);
+
+  // Returns the load of one endpoint, own and peers' work together.
+  EndpointLoad Of(const EndpointId& endpoint) const;
+
+  // Returns how many short requests are under way at all endpoints.
+  int ShortMembers() const;
+
+  // Returns this host's own work, for its peers.
+  std::unordered_map<EndpointId, EndpointLoad> Own() const;
+
+  // How long a peer's word counts: several of the intervals at which peers
+  // tell, so that one lost datagram changes nothing.
+  static constexpr Millis kPeerWordHolds{1500};
+
+ private:
+  struct Work {
+    EndpointId endpoint;
+    WorkClass work_class = WorkClass::kShort;
+    FractionalMillis read{0};
+    Tokens memory;
+    bool is_read = false;
+  };
+  struct OwnLoad {
+    EndpointLoad load;
+    // When the prompts given so far will be read.
+    TimePoint read_until{};
+    int unread = 0;
+  };
+  struct PeerWord {
+    std::unordered_map<EndpointId, EndpointLoad> loads;
+    TimePoint heard;
+  };
+
+  EndpointLoad OwnAt(const OwnLoad& own, TimePoint now) const;
+  void MarkRead(Work* work);
+
+  MonotonicClock clock_;
+  std::uint64_t next_id_ = 1;
+  std::unordered_map<WorkId, Work> work_;
+  std::unordered_map<EndpointId, OwnLoad> own_;
+  std::map<NodeId, PeerWord> peers_;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_CORE_ENDPOINT_LOADS_H_
--- /dev/null
+++ b/include/harecrank/core/engine_estimate.h
@@ -0,0 +1,25 @@
+// How long a model engine takes, by the costs that its operator publishes.
+
+#ifndef HARECRANK_CORE_ENGINE_ESTIMATE_H_
+#define HARECRANK_CORE_ENGINE_ESTIMATE_H_
+
+#include "harecrank/core/routing_table.h"
+#include "harecrank/core/strong_types.h"
+
+namespace harecrank {
+
+// A duration in milliseconds, with fractions: engine steps take under one.
+using FractionalMillis = std::chrono::duration<double, std::milli>;
+
+// Returns how long one engine alone reads a prompt of `prompt` tokens. The
+// pairs make it grow with the square of long prompts.
+FractionalMillis ReadTime(const EngineProfile& engine, Tokens prompt);
+
+// Returns how long one pass over `members` requests takes that hold `context`
+// tokens in all and read no prompt.
+FractionalMillis PassTime(const EngineProfile& engine, int members,
+                          Tokens context);
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_CORE_ENGINE_ESTIMATE_H_
--- /dev/null
+++ b/include/harecrank/core/placement.h
@@ -0,0 +1,94 @@
+// Which endpoint takes a request, and which others help to read its prompt.
+//
+// Short prompts are packed onto as few engines as keep them in time, from one
+// end of an order that all hosts share; long ones are read in parts by many
+// engines from the other end. So a short request rarely waits while an engine
+// reads a long prompt, and a long one does not wait for its whole reading
+// time. docs/PLATFORM.md gives the figures.
+
+#ifndef HARECRANK_CORE_PLACEMENT_H_
+#define HARECRANK_CORE_PLACEMENT_H_
+
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "harecrank/core/clock.h"
+#include "harecrank/core/endpoint_directory.h"
+#include "harecrank/core/endpoint_health.h"
+#include "harecrank/core/endpoint_loads.h"
+#include "harecrank/core/routing_table.h"
+
+namespace harecrank {
+
+// What a decision needs to know of a request.
+struct PlacementRequest {
+  const RouteRule* route = nullptr;
+  const ServiceProfile* service = nullptr;
+  // Zero where the request tells no tokens.
+  Tokens prompt;
+  // The likely length of the answer.
+  Tokens answer;
+  // The shortest pause between events that any route to the service allows.
+  Millis tightest_gap{0};
+  // Endpoints that this request has been sent to, which are not asked again.
+  std::set<EndpointId> tried;
+};
+
+// Where a request goes.
+struct Placement {
+  const EndpointRecord* endpoint = nullptr;
+  // Each reads an even part of the prompt.
+  std::vector<const EndpointRecord*> helpers;
+  WorkClass work_class = WorkClass::kShort;
+  // How long each of them reads.
+  FractionalMillis read{0};
+  // Until the first event, as predicted.
+  FractionalMillis first_event{0};
+  // How many endpoints there were to choose from.
+  std::size_t candidates = 0;
+};
+
+// Chooses endpoints. Not thread-safe; reads what it was built on.
+class Placer {
+ public:
+  // All of them must outlive this. `self` is this host's data centre.
+  Placer(const EndpointDirectory* directory, const EndpointLoads* loads,
+         const EndpointHealth* health, DataCentreId self, RandomSource random);
+
+  // Returns nothing if no endpoint of the service may be used. What it returns
+  // points into the directory and is valid until that changes.
+  std::optional<Placement> Choose(const PlacementRequest& request) const;
+
+  // The most helpers that engines take for one request.
+  static constexpr std::size_t kMostHelpers = 16;
+
+ private:
+  struct Candidate {
+    const EndpointRecord* record = nullptr;
+    EndpointLoad load;
+    double pace = 1;
+  };
+
+  std::vector<Candidate> CandidatesFor(const PlacementRequest& request) const;
+  std::optional<Placement> ChoosePlain(
+      const std::vector<Candidate>& candidates) const;
+  std::optional<Placement> ChooseShort(
+      const PlacementRequest& request,
+      const std::vector<Candidate>& candidates) const;
+  std::optional<Placement> ChooseLong(const PlacementRequest& request,
+                                      std::vector<Candidate> candidates) const;
+  std::size_t EnginesForShort(const EngineProfile& engine,
+                              std::size_t engines) const;
+  double Noise() const;
+
+  const EndpointDirectory* directory_;
+  const EndpointLoads* loads_;
+  const EndpointHealth* health_;
+  DataCentreId self_;
+  RandomSource random_;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_CORE_PLACEMENT_H_
--- /dev/null
+++ b/src/adapters/event_log.h
@@ -0,0 +1,61 @@
+// Structured logs: one JSON object a line on standard output.
+//
+// Writing never waits for whoever reads standard output: lines go through a
+// bounded buffer, and those for which there is no room are dropped and counted.
+
+#ifndef HARECRANK_SRC_ADAPTERS_EVENT_LOG_H_
+#define HARECRANK_SRC_ADAPTERS_EVENT_LOG_H_
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <unordered_map>
+
+#include "harecrank/core/clock.h"
+#include "harecrank/core/strong_types.h"
+
+namespace harecrank {
+
+// Whether a line may be left out when its kind exceeds its rate.
+enum class LogWeight { kOrdinary, kAlwaysKept };
+
+// Thread-compatible: one thread writes.
+class EventLog {
+ public:
+  // `node` stands in every line. Starts the thread that writes.
+  EventLog(std::string node, MonotonicClock clock);
+  // Writes what is buffered, as far as its reader takes it.
+  ~EventLog();
+  EventLog(const EventLog&) = delete;
+  EventLog& operator=(const EventLog&) = delete;
+
+  // Writes a line of `kind` with `fields`.
+  void Write(const char* kind, nlohmann::json fields,
+             LogWeight weight = LogWeight::kOrdinary);
+
+  // Lines that were left out, for either reason.
+  std::uint64_t Dropped() const { return dropped_; }
+
+  // Lines of one kind in a second, beyond which they are counted only. Some
+  // hundred requests a second and host are the most that its share of a core
+  // carries; failures are always kept.
+  static constexpr int kLinesPerSecond = 300;
+
+ private:
+  struct Rate {
+    TimePoint second{};
+    int lines = 0;
+    std::uint64_t left_out = 0;
+  };
+
+  bool Admit(const char* kind, LogWeight weight, nlohmann::json* fields);
+
+  std::string node_;
+  MonotonicClock clock_;
+  std::unordered_map<std::string, Rate> rates_;
+  std::uint64_t dropped_ = 0;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_ADAPTERS_EVENT_LOG_H_
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 #include <set>
+#include <sstream>
 #include <utility>
 
 namespace harecrank {
@@ -14,6 +15,8 @@
 constexpr std::int64_t kMostThreads = 4096;
 constexpr std::int64_t kMostQueue = 1000000;
 constexpr std::int64_t kMostBytes = 64LL << 20;
+constexpr double kMostRepeats = 1e6;
+constexpr std::int64_t kMostDescriptors = 1LL << 24;
 
 struct Describer {
   std::string operator()(const UnreadableSettings& error) const {
@@ -76,6 +79,31 @@
     *value = static_cast<Number>(found->get<std::int64_t>());
   }
 
+  // A number with a fraction, in the unit that the key names.
+  void Fraction(const char* key, double least, double most, double* value) {
+    std::ostringstream allowed;
+    allowed << "a number from " << least << " to " << most;
+    const json* found = Find(key, Need::kOptional, allowed.str());
+    if (found == nullptr) {
+      return;
+    }
+    if (!found->is_number() || found->get<double>() < least ||
+        found->get<double>() > most) {
+      Add(key, found->dump(), allowed.str());
+      return;
+    }
+    *value = found->get<double>();
+  }
+
+  // A duration in seconds; the unit is part of the key: "..._s".
+  void Seconds(const char* key, Millis* value) {
+    constexpr double kMillisPerSecond = 1000;
+    double seconds = static_cast<double>(value->count()) / kMillisPerSecond;
+    Fraction(key, 0, static_cast<double>(kMostMillis) / kMillisPerSecond,
+             &seconds);
+    *value = Millis(static_cast<std::int64_t>(seconds * kMillisPerSecond));
+  }
+
   // The unit is part of the key: "..._ms".
   void Duration(const char* key, Millis* value) {
     std::int64_t count = value->count();
@@ -222,4 +250,27 @@
   return Finish(&reader, std::move(settings));
 }
 
+leaf::result<GatewaySettings> ParseGatewaySettings(const std::string& text) {
+  BOOST_LEAF_AUTO(object, ReadObject(text));
+  SettingsReader reader(object);
+  GatewaySettings settings;
+  reader.Id("node_id", &settings.node_id.value);
+  reader.Id("data_centre", &settings.data_centre.value);
+  reader.Address("callers_address", Need::kRequired, &settings.callers_address);
+  reader.Address("readiness_address", Need::kRequired,
+                 &settings.readiness_address);
+  reader.Address("operations_address", Need::kRequired,
+                 &settings.operations_address);
+  reader.Address("directory_service", Need::kRequired,
+                 &settings.directory_service);
+  reader.Texts("seed_peers", &settings.seed_peers);
+  reader.Fraction("repeat_ratio", 0, 1, &settings.repeat_bound.ratio);
+  reader.Fraction("repeat_allowance", 0, kMostRepeats,
+                  &settings.repeat_bound.allowance);
+  reader.Seconds("repeat_window_s", &settings.repeat_bound.window);
+  reader.Seconds("stop_limit_s", &settings.stop_limit);
+  reader.Count("descriptors", 1, kMostDescriptors, &settings.descriptors);
+  return Finish(&reader, std::move(settings));
+}
+
 }  // namespace harecrank
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "harecrank/core/document_validator.h"
+#include "harecrank/core/repeat_budget.h"
 #include "harecrank/core/strong_types.h"
 
 namespace harecrank {
@@ -60,6 +61,27 @@
   Millis drain_limit{600000};
 };
 
+// Settings of an entry host that forwards straight to endpoints.
+struct GatewaySettings {
+  NodeId node_id;
+  DataCentreId data_centre;
+  std::string callers_address;
+  // Where the balancer asks whether this host takes new connections.
+  std::string readiness_address;
+  // Metrics, dump and peers.
+  std::string operations_address;
+  // The platform's service that publishes routes and endpoints.
+  std::string directory_service;
+  // Operations addresses of some other hosts, which may be stale.
+  std::vector<std::string> seed_peers;
+  // Requests that may be sent once more, for all hosts together.
+  RepeatBound repeat_bound;
+  // How long the platform waits after a stop signal before it kills.
+  Millis stop_limit{8000};
+  // Descriptors that this process may have open.
+  std::size_t descriptors = 1024;
+};
+
 // Why settings were refused.
 struct UnreadableSettings {
   std::string reason;
@@ -77,6 +99,8 @@
 boost::leaf::result<EntrySettings> ParseEntrySettings(const std::string& text);
 boost::leaf::result<SidecarSettings> ParseSidecarSettings(
     const std::string& text);
+boost::leaf::result<GatewaySettings> ParseGatewaySettings(
+    const std::string& text);
 
 }  // namespace harecrank
 
--- /dev/null
+++ b/src/cli/gateway_command.h
@@ -0,0 +1,19 @@
+// "gateway": the entry host's process that forwards straight to endpoints.
+
+#ifndef HARECRANK_SRC_CLI_GATEWAY_COMMAND_H_
+#define HARECRANK_SRC_CLI_GATEWAY_COMMAND_H_
+
+#include <CLI/CLI.hpp>
+
+#include "src/gateway/gateway_node.h"
+
+namespace harecrank {
+
+// Adds the subcommand, for a platform that uses `names` and is read by the feed
+// that `make_feed` makes.
+void AddGatewayCommand(CLI::App* app, int* exit_code, ProtocolNames names,
+                       FeedFactory make_feed);
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_CLI_GATEWAY_COMMAND_H_
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -2,6 +2,7 @@
 
 #include <CLI/CLI.hpp>
 
+#include "platform/gateway_command.h"
 #include "src/cli/commands.h"
 
 namespace {
@@ -14,6 +15,7 @@
   app.footer(harecrank::kExitCodeHelp);
   int exit_code = harecrank::kExitOk;
   harecrank::AddEntryCommand(&app, &exit_code);
+  harecrank::platform::AddGatewayCommand(&app, &exit_code);
   harecrank::AddSidecarCommand(&app, &exit_code);
   harecrank::AddAdminCommand(&app, &exit_code);
   harecrank::AddCheckCommand(&app, &exit_code);
--- /dev/null
+++ b/src/core/endpoint_health.cc
@@ -0,0 +1,58 @@
+#include "harecrank/core/endpoint_health.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace harecrank {
+namespace {
+
+// Weight of the newest answer in the running means.
+constexpr double kNewest = 0.15;
+// A single answer's pace is cut to this, so that one outlier cannot dominate.
+constexpr double kMostPace = 10;
+
+void Fold(double* mean, double newest) { *mean += kNewest * (newest - *mean); }
+
+}  // namespace
+
+EndpointHealth::EndpointHealth(MonotonicClock clock)
+    : clock_(std::move(clock)) {}
+
+void EndpointHealth::OnSuccess(const EndpointId& id, double pace) {
+  State& state = states_[id];
+  state.failures_in_a_row = 0;
+  state.blocked_until = TimePoint{};
+  Fold(&state.failure_share, 0);
+  Fold(&state.pace, std::min(pace, kMostPace));
+}
+
+void EndpointHealth::OnErrorAnswer(const EndpointId& id) {
+  Fold(&states_[id].failure_share, 1);
+}
+
+void EndpointHealth::OnUnreachable(const EndpointId& id) {
+  State& state = states_[id];
+  Fold(&state.failure_share, 1);
+  Millis block = kFirstBlock;
+  for (int i = 0; i < state.failures_in_a_row && block < kLongestBlock; ++i) {
+    block *= 2;
+  }
+  ++state.failures_in_a_row;
+  state.blocked_until = clock_() + std::min(block, kLongestBlock);
+}
+
+bool EndpointHealth::IsSuspect(const EndpointId& id) const {
+  const auto found = states_.find(id);
+  if (found == states_.end()) {
+    return false;
+  }
+  return clock_() < found->second.blocked_until ||
+         found->second.failure_share > kSuspectShare;
+}
+
+double EndpointHealth::Pace(const EndpointId& id) const {
+  const auto found = states_.find(id);
+  return found == states_.end() ? 1 : found->second.pace;
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/core/engine_estimate.cc
@@ -0,0 +1,28 @@
+#include "harecrank/core/engine_estimate.h"
+
+namespace harecrank {
+namespace {
+
+constexpr double kThousand = 1e3;
+constexpr double kMillion = 1e6;
+
+}  // namespace
+
+FractionalMillis ReadTime(const EngineProfile& engine, Tokens prompt) {
+  const auto tokens = static_cast<double>(prompt.value);
+  const double linear = tokens / engine.read_tokens_per_ms;
+  // A token is paired with each one before it.
+  const double pairs = tokens * tokens / 2;
+  return FractionalMillis(linear +
+                          pairs / kMillion * engine.read_ms_per_million_pairs);
+}
+
+FractionalMillis PassTime(const EngineProfile& engine, int members,
+                          Tokens context) {
+  const double step = engine.step_ms + members * engine.step_ms_per_member +
+                      static_cast<double>(context.value) / kThousand *
+                          engine.step_ms_per_thousand_context;
+  return FractionalMillis(step * engine.steps_per_pass);
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/core/placement.cc
@@ -0,0 +1,227 @@
+#include "harecrank/core/placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "harecrank/core/rendezvous.h"
+
+namespace harecrank {
+namespace {
+
+// A prompt is short if an engine can read it between two events of the
+// tightest stream beside it: in less than this share of that stream's gap.
+constexpr double kShortShareOfGap = 0.45;
+// A part of a long prompt may take this share of the tightest gap.
+constexpr double kPartShareOfGap = 0.6;
+// The share of an engine's slots that short requests are packed into. A fuller
+// batch writes more slowly and leaves no room for what peers place unseen.
+constexpr double kShortShareOfSlots = 0.4;
+// Engines kept for short requests beyond those that the count needs.
+constexpr std::size_t kSpareShortEngines = 1;
+// The share of an engine's memory that is given away. Answers grow longer than
+// the callers guess.
+constexpr double kMemoryShare = 0.92;
+// The spread of the random part of a plain endpoint's load, in requests, so
+// that hosts that know the same do not all choose the same.
+constexpr double kPlainNoise = 0.5;
+// The spread of the random part of a predicted time.
+constexpr double kTimeNoiseMs = 8;
+// What another data centre costs in the choice among equals.
+constexpr double kElsewherePenalty = 0.25;
+// The key of the order of engines that all hosts share.
+constexpr char kOrderKey[] = "short-first";
+
+FractionalMillis FirstEvent(const EngineProfile& engine,
+                            const EndpointLoad& load, double pace,
+                            FractionalMillis read) {
+  // On average half of a pass under way, then the request's own first.
+  constexpr double kPassesBefore = 1.5;
+  const FractionalMillis pass =
+      PassTime(engine, load.Members() + 1, load.memory);
+  return pace * (load.read_backlog + read + kPassesBefore * pass);
+}
+
+bool HasRoom(const EngineProfile& engine, const EndpointLoad& load,
+             Tokens needed) {
+  const double most = kMemoryShare * static_cast<double>(engine.memory.value);
+  return static_cast<double>((load.memory + needed).value) <= most;
+}
+
+}  // namespace
+
+Placer::Placer(const EndpointDirectory* directory, const EndpointLoads* loads,
+               const EndpointHealth* health, DataCentreId self,
+               RandomSource random)
+    : directory_(directory),
+      loads_(loads),
+      health_(health),
+      self_(std::move(self)),
+      random_(std::move(random)) {}
+
+std::optional<Placement> Placer::Choose(const PlacementRequest& request) const {
+  const std::vector<Candidate> candidates = CandidatesFor(request);
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  std::optional<Placement> placement;
+  if (!request.service->engine.has_value()) {
+    placement = ChoosePlain(candidates);
+  } else {
+    const FractionalMillis read =
+        ReadTime(*request.service->engine, request.prompt);
+    placement =
+        read <= kShortShareOfGap * FractionalMillis(request.tightest_gap)
+            ? ChooseShort(request, candidates)
+            : ChooseLong(request, candidates);
+  }
+  if (placement.has_value()) {
+    placement->candidates = candidates.size();
+  }
+  return placement;
+}
+
+std::vector<Placer::Candidate> Placer::CandidatesFor(
+    const PlacementRequest& request) const {
+  std::vector<Candidate> sound;
+  std::vector<Candidate> suspect;
+  for (const EndpointRecord* record :
+       directory_->UsableOf(request.service->name)) {
+    if (request.tried.count(record->id) != 0) {
+      continue;
+    }
+    Candidate candidate{record, loads_->Of(record->id),
+                        std::max(1.0, health_->Pace(record->id))};
+    (health_->IsSuspect(record->id) ? suspect : sound)
+        .push_back(std::move(candidate));
+  }
+  return sound.empty() ? suspect : sound;
+}
+
+std::optional<Placement> Placer::ChoosePlain(
+    const std::vector<Candidate>& candidates) const {
+  const Candidate* best = nullptr;
+  double best_cost = 0;
+  for (const Candidate& candidate : candidates) {
+    const double elsewhere =
+        candidate.record->data_centre == self_ ? 0 : kElsewherePenalty;
+    const double cost =
+        (candidate.load.Members() + kPlainNoise * Noise()) * candidate.pace +
+        elsewhere;
+    if (best == nullptr || cost < best_cost) {
+      best = &candidate;
+      best_cost = cost;
+    }
+  }
+  Placement placement;
+  placement.endpoint = best->record;
+  return placement;
+}
+
+std::optional<Placement> Placer::ChooseShort(
+    const PlacementRequest& request,
+    const std::vector<Candidate>& candidates) const {
+  const EngineProfile& engine = *request.service->engine;
+  const FractionalMillis read = ReadTime(engine, request.prompt);
+  struct Ranked {
+    std::uint64_t weight;
+    const Candidate* candidate;
+  };
+  std::vector<Ranked> order;
+  order.reserve(candidates.size());
+  for (const Candidate& candidate : candidates) {
+    order.push_back(Ranked{
+        RendezvousWeight(kOrderKey, candidate.record->id.value), &candidate});
+  }
+  std::sort(order.begin(), order.end(), [](const Ranked& a, const Ranked& b) {
+    return a.weight > b.weight;
+  });
+  const std::size_t wanted = EnginesForShort(engine, order.size());
+  const Candidate* best = nullptr;
+  FractionalMillis best_time{0};
+  for (std::size_t i = 0; i < order.size(); ++i) {
+    const Candidate& candidate = *order[i].candidate;
+    FractionalMillis time =
+        FirstEvent(engine, candidate.load, candidate.pace, read) +
+        FractionalMillis(kTimeNoiseMs * Noise());
+    if (i >= wanted) {
+      // Beyond the engines that short requests need: only if those are late.
+      time += FractionalMillis(request.route->target_latency) / 2;
+    }
+    if (candidate.load.Members() >= engine.slots ||
+        !HasRoom(engine, candidate.load, request.prompt + request.answer)) {
+      time += FractionalMillis(request.route->target_latency);
+    }
+    if (best == nullptr || time < best_time) {
+      best = &candidate;
+      best_time = time;
+    }
+  }
+  Placement placement;
+  placement.endpoint = best->record;
+  placement.work_class = WorkClass::kShort;
+  placement.read = read;
+  placement.first_event = FirstEvent(engine, best->load, best->pace, read);
+  return placement;
+}
+
+std::optional<Placement> Placer::ChooseLong(
+    const PlacementRequest& request, std::vector<Candidate> candidates) const {
+  const EngineProfile& engine = *request.service->engine;
+  const FractionalMillis whole = ReadTime(engine, request.prompt);
+  const FractionalMillis part_wanted =
+      kPartShareOfGap * FractionalMillis(request.tightest_gap);
+  const auto wanted = static_cast<std::size_t>(
+      std::ceil(whole.count() / std::max(1.0, part_wanted.count())));
+  // Engines with few short requests first, then those with little to read.
+  const auto cost = [](const Candidate& c) {
+    constexpr double kShortMemberMs = 60;
+    return c.pace * (c.load.read_backlog.count() +
+                     kShortMemberMs * c.load.short_members);
+  };
+  std::sort(candidates.begin(), candidates.end(),
+            [&cost](const Candidate& a, const Candidate& b) {
+              return cost(a) < cost(b);
+            });
+  const std::size_t readers =
+      std::min({wanted, candidates.size(), kMostHelpers + 1});
+  candidates.resize(std::max<std::size_t>(1, readers));
+  // The first of them holds the memory and writes the answer.
+  const Tokens needed = request.prompt + request.answer;
+  const auto writer = std::min_element(
+      candidates.begin(), candidates.end(),
+      [&](const Candidate& a, const Candidate& b) {
+        const bool a_fits = HasRoom(engine, a.load, needed);
+        const bool b_fits = HasRoom(engine, b.load, needed);
+        return a_fits != b_fits ? a_fits : a.load.memory < b.load.memory;
+      });
+  Placement placement;
+  placement.endpoint = writer->record;
+  placement.work_class = WorkClass::kLong;
+  placement.read = whole / static_cast<double>(candidates.size());
+  for (const Candidate& candidate : candidates) {
+    placement.first_event = std::max(
+        placement.first_event,
+        FirstEvent(engine, candidate.load, candidate.pace, placement.read));
+    if (candidate.record != writer->record) {
+      placement.helpers.push_back(candidate.record);
+    }
+  }
+  return placement;
+}
+
+std::size_t Placer::EnginesForShort(const EngineProfile& engine,
+                                    std::size_t engines) const {
+  const double per_engine =
+      std::max(1.0, kShortShareOfSlots * static_cast<double>(engine.slots));
+  const auto needed = static_cast<std::size_t>(
+      std::ceil(static_cast<double>(loads_->ShortMembers()) / per_engine));
+  return std::min(engines, needed + kSpareShortEngines);
+}
+
+double Placer::Noise() const {
+  constexpr double kRange = 18446744073709551616.0;
+  return static_cast<double>(random_()) / kRange;
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/core/routing_table.cc
@@ -0,0 +1,88 @@
+#include "harecrank/core/routing_table.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace harecrank {
+namespace {
+
+// Returns `host` in lower case and without its port.
+std::string NormalHost(std::string_view host) {
+  std::string normal(host.substr(0, host.rfind(':')));
+  std::transform(
+      normal.begin(), normal.end(), normal.begin(),
+      [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+  return normal;
+}
+
+}  // namespace
+
+RoutingTable::RoutingTable(RoutingDocument document)
+    : document_(std::move(document)) {
+  for (std::size_t i = 0; i < document_.routes.size(); ++i) {
+    const RouteRule& route = document_.routes[i];
+    routes_[NormalHost(route.host)].emplace(route.path_prefix, i);
+    if (route.target_gap <= Millis(0)) {
+      continue;
+    }
+    for (const WeightedService& target : route.services) {
+      Millis& gap = tightest_gaps_.try_emplace(target.service, route.target_gap)
+                        .first->second;
+      gap = std::min(gap, route.target_gap);
+    }
+  }
+  for (std::size_t i = 0; i < document_.services.size(); ++i) {
+    services_.emplace(document_.services[i].name, i);
+  }
+  if (!document_.accounts.has_value()) {
+    return;
+  }
+  for (std::size_t i = 0; i < document_.accounts->size(); ++i) {
+    for (const std::string& key : (*document_.accounts)[i].keys) {
+      account_by_key_.emplace(key, i);
+    }
+  }
+}
+
+const RouteRule* RoutingTable::FindRoute(std::string_view host,
+                                         std::string_view path) const {
+  const auto on_host = routes_.find(NormalHost(host));
+  if (on_host == routes_.end()) {
+    return nullptr;
+  }
+  // Every prefix ends with a slash, so only those ends need a look.
+  std::size_t slash = path.rfind('/');
+  while (slash != std::string_view::npos) {
+    const auto found =
+        on_host->second.find(std::string(path.substr(0, slash + 1)));
+    if (found != on_host->second.end()) {
+      return &document_.routes[found->second];
+    }
+    if (slash == 0) {
+      break;
+    }
+    slash = path.rfind('/', slash - 1);
+  }
+  return nullptr;
+}
+
+const ServiceProfile* RoutingTable::FindService(const ServiceName& name) const {
+  const auto found = services_.find(name);
+  return found == services_.end() ? nullptr
+                                  : &document_.services[found->second];
+}
+
+Millis RoutingTable::TightestGap(const ServiceName& service) const {
+  const auto found = tightest_gaps_.find(service);
+  return found == tightest_gaps_.end() ? Millis(0) : found->second;
+}
+
+const AccountEntry* RoutingTable::FindAccountByKey(
+    const std::string& key) const {
+  const auto found = account_by_key_.find(key);
+  return found == account_by_key_.end() ? nullptr
+                                        : &(*document_.accounts)[found->second];
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/answer_port.h
@@ -0,0 +1,40 @@
+// Where the answer to one request goes.
+
+#ifndef HARECRANK_SRC_GATEWAY_ANSWER_PORT_H_
+#define HARECRANK_SRC_GATEWAY_ANSWER_PORT_H_
+
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <string>
+
+namespace harecrank {
+
+// Status, reason and headers of an answer, without framing headers.
+using AnswerHead =
+    boost::beast::http::response_header<boost::beast::http::fields>;
+
+// One request's way back to its caller. Exactly one of these sequences is
+// called: SendWhole; or BeginStream, SendEvents any number of times, and
+// EndStream or AbortStream.
+class AnswerPort {
+ public:
+  AnswerPort() = default;
+  AnswerPort(const AnswerPort&) = delete;
+  AnswerPort& operator=(const AnswerPort&) = delete;
+  virtual ~AnswerPort() = default;
+
+  // Sends a whole answer.
+  virtual void SendWhole(AnswerHead head, std::string body) = 0;
+
+  // Sends the head of an answer whose length is not known yet.
+  virtual void BeginStream(AnswerHead head) = 0;
+  virtual void SendEvents(std::string bytes) = 0;
+  virtual void EndStream() = 0;
+  // Closes the connection so that the answer does not look complete.
+  virtual void AbortStream() = 0;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_GATEWAY_ANSWER_PORT_H_
--- /dev/null
+++ b/src/gateway/attempt.cc
@@ -0,0 +1,250 @@
+#include "src/gateway/attempt.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <charconv>
+#include <utility>
+
+#include "src/gateway/http_client.h"
+#include "src/gateway/socket_options.h"
+
+namespace harecrank {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+// Heads of endpoints' answers are small; a larger one is no answer.
+constexpr std::uint32_t kMostHeadBytes = 64U << 10U;
+// Answers to earlier requests that are read over before a connection counts as
+// spoiled. An endpoint sends one too many, not a series.
+constexpr int kMostForeignMessages = 2;
+
+}  // namespace
+
+Attempt::Attempt(asio::io_context* io, EndpointConnections* connections,
+                 const ProtocolNames* names, AttemptObserver* observer)
+    : io_(io),
+      connections_(connections),
+      names_(names),
+      observer_(observer),
+      connect_timer_(*io) {}
+
+void Attempt::Start(std::unique_ptr<EndpointConnection> connection,
+                    const std::string& address, OutgoingRequest request,
+                    Millis connect_timeout) {
+  connection_ = std::move(connection);
+  request_ = std::move(request);
+  if (connection_->kept) {
+    Send();
+  } else {
+    Connect(address, connect_timeout);
+  }
+}
+
+void Attempt::Cancel() {
+  ended_ = true;
+  connect_timer_.cancel();
+  if (connection_ != nullptr) {
+    Error ignored;
+    connection_->socket.close(ignored);
+  }
+}
+
+void Attempt::Connect(const std::string& address, Millis timeout) {
+  const auto endpoint = ParseTcpEndpoint(address);
+  if (!endpoint.has_value()) {
+    // The observer may not be ready to hear of it before Start returns.
+    asio::post(*io_, [self = shared_from_this()] {
+      self->Fail(AttemptNotSent{"the endpoint's address cannot be read"});
+    });
+    return;
+  }
+  connect_timer_.expires_after(timeout);
+  connect_timer_.async_wait([self = shared_from_this()](const Error& error) {
+    if (!error) {
+      self->Fail(AttemptNotSent{"no connection in time"});
+    }
+  });
+  connection_->socket.async_connect(
+      *endpoint, [self = shared_from_this()](const Error& error) {
+        self->OnConnected(error);
+      });
+}
+
+void Attempt::OnConnected(const Error& error) {
+  if (ended_) {
+    return;
+  }
+  connect_timer_.cancel();
+  if (error) {
+    Fail(AttemptNotSent{"connect: " + error.message()});
+    return;
+  }
+  SetConnectionOptions(&connection_->socket);
+  Send();
+}
+
+void Attempt::Send() {
+  observer_->OnSent();
+  const std::array<asio::const_buffer, 2> parts = {
+      asio::buffer(request_.head), asio::buffer(*request_.body)};
+  asio::async_write(
+      connection_->socket, parts,
+      [self = shared_from_this()](const Error& error, std::size_t) {
+        self->OnWritten(error);
+      });
+  ReadHead();
+}
+
+void Attempt::OnWritten(const Error& error) {
+  if (ended_) {
+    return;
+  }
+  // A failed write is not the end: the endpoint may have answered before it
+  // read all. The read tells.
+  written_ = !error;
+}
+
+void Attempt::ReadHead() {
+  parser_ = std::make_unique<Parser>();
+  parser_->header_limit(kMostHeadBytes);
+  parser_->body_limit(boost::none);
+  if (request_.answer_has_no_body) {
+    parser_->skip(true);
+  }
+  http::async_read_header(
+      connection_->socket, connection_->buffer, *parser_,
+      [self = shared_from_this()](const Error& error, std::size_t) {
+        self->OnHead(error);
+      });
+}
+
+void Attempt::OnHead(const Error& error) {
+  if (ended_) {
+    return;
+  }
+  if (error) {
+    Break("answer", error);
+    return;
+  }
+  const AnswerHead& head = parser_->get();
+  if (head.result_int() / 100 == 1) {
+    ReadHead();
+    return;
+  }
+  foreign_ = !IsForThisRequest();
+  if (foreign_ && ++foreign_messages_ > kMostForeignMessages) {
+    Fail(AttemptBroken{"answers of other requests", false, connection_->kept});
+    return;
+  }
+  if (!foreign_) {
+    answer_began_ = true;
+    NoteKeepAlive(head);
+    observer_->OnAnswerHead(head);
+    if (ended_) {
+      return;
+    }
+  }
+  if (parser_->is_done()) {
+    OnMessageEnd();
+  } else {
+    ReadBody();
+  }
+}
+
+bool Attempt::IsForThisRequest() const {
+  const auto& head = parser_->get();
+  const auto id = head.find(names_->request_id);
+  return id != head.end() && id->value() == request_.request_id;
+}
+
+void Attempt::ReadBody() {
+  auto& body = parser_->get().body();
+  body.data = bytes_.data();
+  body.size = bytes_.size();
+  http::async_read_some(
+      connection_->socket, connection_->buffer, *parser_,
+      [self = shared_from_this()](const Error& error, std::size_t) {
+        self->OnBody(error);
+      });
+}
+
+void Attempt::OnBody(const Error& error) {
+  if (ended_) {
+    return;
+  }
+  const std::size_t got = bytes_.size() - parser_->get().body().size;
+  if (!foreign_ && got > 0) {
+    observer_->OnAnswerBytes(std::string_view(bytes_.data(), got));
+    if (ended_) {
+      return;
+    }
+  }
+  if (error && error != http::error::need_buffer) {
+    Break("answer's body", error);
+    return;
+  }
+  if (parser_->is_done()) {
+    OnMessageEnd();
+  } else {
+    ReadBody();
+  }
+}
+
+void Attempt::OnMessageEnd() {
+  if (foreign_) {
+    if (parser_->keep_alive()) {
+      ReadHead();
+    } else {
+      Break("another request's answer", asio::error::eof);
+    }
+    return;
+  }
+  ended_ = true;
+  // Bytes behind the answer belong to no request: such a connection is spoiled,
+  // and so is one on which the endpoint answered before it had read all.
+  const bool reusable =
+      written_ && parser_->keep_alive() && connection_->buffer.size() == 0;
+  if (reusable) {
+    connections_->PutIdle(std::move(connection_));
+  } else {
+    Error ignored;
+    connection_->socket.close(ignored);
+  }
+  observer_->OnAnswerEnd();
+}
+
+void Attempt::NoteKeepAlive(const AnswerHead& head) {
+  const auto field = head.find(http::field::keep_alive);
+  if (field == head.end()) {
+    return;
+  }
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::string_view value(field->value().data(), field->value().size());
+  const std::size_t at = value.find(kTimeout);
+  if (at == std::string_view::npos) {
+    return;
+  }
+  const std::string_view digits = value.substr(at + kTimeout.size());
+  int seconds = 0;
+  std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  connection_->idle_limit =
+      std::max(Millis(1), Millis(std::chrono::seconds(seconds)) -
+                              EndpointConnections::kIdleMargin);
+}
+
+void Attempt::Fail(AttemptFailure failure) {
+  if (ended_) {
+    return;
+  }
+  Cancel();
+  observer_->OnFailure(failure);
+}
+
+void Attempt::Break(const std::string& step, const Error& error) {
+  Fail(AttemptBroken{step + ": " + error.message(), answer_began_,
+                     connection_->kept});
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/attempt.h
@@ -0,0 +1,122 @@
+// One sending of a request to one endpoint, and what comes back.
+
+#ifndef HARECRANK_SRC_GATEWAY_ATTEMPT_H_
+#define HARECRANK_SRC_GATEWAY_ATTEMPT_H_
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "src/gateway/answer_port.h"
+#include "src/gateway/endpoint_connections.h"
+#include "src/gateway/protocol_names.h"
+
+namespace harecrank {
+
+// How an attempt came to nothing.
+struct AttemptNotSent {
+  // No byte of the request left this host for the endpoint.
+  std::string reason;
+};
+struct AttemptBroken {
+  // The request may have run. `answer_began` tells whether a head had come;
+  // `kept` whether the connection had been used before, and may have been
+  // closed by the endpoint while the request was on its way.
+  std::string reason;
+  bool answer_began = false;
+  bool kept = false;
+};
+using AttemptFailure = std::variant<AttemptNotSent, AttemptBroken>;
+
+// What is to be sent. `body` is shared, since a request may be sent again.
+struct OutgoingRequest {
+  std::string request_id;
+  std::string head;
+  std::shared_ptr<const std::string> body;
+  // The answer to a HEAD request has no body.
+  bool answer_has_no_body = false;
+};
+
+// Told of what an attempt brings. After OnAnswerEnd or OnFailure nothing more
+// is told.
+class AttemptObserver {
+ public:
+  AttemptObserver() = default;
+  AttemptObserver(const AttemptObserver&) = delete;
+  AttemptObserver& operator=(const AttemptObserver&) = delete;
+  virtual ~AttemptObserver() = default;
+
+  virtual void OnSent() = 0;
+  virtual void OnAnswerHead(const AnswerHead& head) = 0;
+  virtual void OnAnswerBytes(std::string_view bytes) = 0;
+  // The answer is whole.
+  virtual void OnAnswerEnd() = 0;
+  virtual void OnFailure(const AttemptFailure& failure) = 0;
+};
+
+// Not thread-safe; runs on its io_context.
+class Attempt : public std::enable_shared_from_this<Attempt> {
+ public:
+  // `observer` must stay until the attempt has ended or was cancelled.
+  // `connections` gets the connection back if it can be used again.
+  Attempt(boost::asio::io_context* io, EndpointConnections* connections,
+          const ProtocolNames* names, AttemptObserver* observer);
+
+  // Sends over `connection`, which is opened to `address` first if it is new.
+  // Fails with AttemptNotSent if that takes longer than `connect_timeout`.
+  void Start(std::unique_ptr<EndpointConnection> connection,
+             const std::string& address, OutgoingRequest request,
+             Millis connect_timeout);
+
+  // Closes the connection, which tells the endpoint to stop. The observer
+  // hears nothing more.
+  void Cancel();
+
+ private:
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+  using Error = boost::system::error_code;
+  static constexpr std::size_t kReadBytes = 4096;
+
+  void Connect(const std::string& address, Millis timeout);
+  void OnConnected(const Error& error);
+  void Send();
+  void OnWritten(const Error& error);
+  void ReadHead();
+  void OnHead(const Error& error);
+  bool IsForThisRequest() const;
+  void ReadBody();
+  void OnBody(const Error& error);
+  void OnMessageEnd();
+  void NoteKeepAlive(const AnswerHead& head);
+  void Fail(AttemptFailure failure);
+  void Break(const std::string& step, const Error& error);
+
+  boost::asio::io_context* io_;
+  EndpointConnections* connections_;
+  const ProtocolNames* names_;
+  AttemptObserver* observer_;
+  std::unique_ptr<EndpointConnection> connection_;
+  boost::asio::steady_timer connect_timer_;
+  OutgoingRequest request_;
+  std::unique_ptr<Parser> parser_;
+  std::array<char, kReadBytes> bytes_{};
+  bool written_ = false;
+  bool answer_began_ = false;
+  // The message being read belongs to an earlier request on the connection.
+  bool foreign_ = false;
+  int foreign_messages_ = 0;
+  bool ended_ = false;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_GATEWAY_ATTEMPT_H_
--- /dev/null
+++ b/src/gateway/caller_listener.cc
@@ -0,0 +1,109 @@
+#include "src/gateway/caller_listener.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/gateway/small_server.h"
+
+namespace harecrank {
+namespace {
+
+namespace asio = boost::asio;
+
+// How long to wait for descriptors when none are left.
+constexpr Millis kAcceptPause{50};
+// Ended sessions are swept out of the list when it has grown to twice what was
+// left by the sweep before, and to this at least.
+constexpr std::size_t kLeastSweep = 64;
+
+}  // namespace
+
+CallerListener::CallerListener(asio::io_context* io, const std::string& address,
+                               std::size_t most_sessions,
+                               SessionContext context)
+    : io_(io),
+      acceptor_(Listen(io, address)),
+      retry_timer_(*io),
+      most_sessions_(most_sessions),
+      context_(std::move(context)),
+      clean_at_(kLeastSweep) {}
+
+void CallerListener::Start() { Accept(); }
+
+void CallerListener::Stop() {
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  retry_timer_.cancel();
+}
+
+void CallerListener::CloseIdle() {
+  // Closing changes the list's owners, not the list.
+  for (const auto& weak : sessions_) {
+    if (const auto session = weak.lock()) {
+      session->CloseIfIdle();
+    }
+  }
+  DropClosed();
+}
+
+std::size_t CallerListener::BusyCount() {
+  DropClosed();
+  return static_cast<std::size_t>(
+      std::count_if(sessions_.begin(), sessions_.end(), [](const auto& weak) {
+        const auto session = weak.lock();
+        return session != nullptr && session->IsBusy();
+      }));
+}
+
+void CallerListener::Accept() {
+  acceptor_.async_accept(*io_, [this](boost::system::error_code error,
+                                      asio::ip::tcp::socket socket) {
+    if (error == asio::error::operation_aborted) {
+      return;
+    }
+    if (error) {
+      AcceptLater();
+      return;
+    }
+    const auto session =
+        std::make_shared<CallerSession>(std::move(socket), &context_);
+    sessions_.push_back(session);
+    session->Start();
+    if (sessions_.size() >= clean_at_) {
+      DropClosed();
+      clean_at_ = std::max(kLeastSweep, 2 * sessions_.size());
+    }
+    if (sessions_.size() >= most_sessions_) {
+      AcceptLater();
+    } else {
+      Accept();
+    }
+  });
+}
+
+void CallerListener::AcceptLater() {
+  retry_timer_.expires_after(kAcceptPause);
+  retry_timer_.async_wait([this](boost::system::error_code error) {
+    if (error) {
+      return;
+    }
+    DropClosed();
+    if (sessions_.size() >= most_sessions_) {
+      AcceptLater();
+    } else {
+      Accept();
+    }
+  });
+}
+
+void CallerListener::DropClosed() {
+  sessions_.erase(std::remove_if(sessions_.begin(), sessions_.end(),
+                                 [](const auto& weak) {
+                                   const auto session = weak.lock();
+                                   return session == nullptr ||
+                                          session->IsClosed();
+                                 }),
+                  sessions_.end());
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/caller_listener.h
@@ -0,0 +1,54 @@
+// Accepts callers' connections and keeps track of them.
+
+#ifndef HARECRANK_SRC_GATEWAY_CALLER_LISTENER_H_
+#define HARECRANK_SRC_GATEWAY_CALLER_LISTENER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/gateway/caller_session.h"
+
+namespace harecrank {
+
+// Not thread-safe; runs on its io_context.
+class CallerListener {
+ public:
+  // Throws boost::system::system_error if `address` cannot be had. At most
+  // `most_sessions` connections are open at once; more wait to be accepted.
+  CallerListener(boost::asio::io_context* io, const std::string& address,
+                 std::size_t most_sessions, SessionContext context);
+
+  void Start();
+
+  // Closes the connections on which nothing is under way.
+  void CloseIdle();
+
+  // Stops accepting.
+  void Stop();
+
+  // Returns how many connections have a request under way.
+  std::size_t BusyCount();
+
+  std::size_t Count() const { return sessions_.size(); }
+
+ private:
+  void Accept();
+  void AcceptLater();
+  void DropClosed();
+
+  boost::asio::io_context* io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer retry_timer_;
+  std::size_t most_sessions_;
+  SessionContext context_;
+  std::vector<std::weak_ptr<CallerSession>> sessions_;
+  std::size_t clean_at_;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_GATEWAY_CALLER_LISTENER_H_
--- /dev/null
+++ b/src/gateway/caller_session.cc
@@ -0,0 +1,357 @@
+#include "src/gateway/caller_session.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <utility>
+
+#include "harecrank/core/http_status.h"
+#include "src/gateway/message_text.h"
+#include "src/gateway/socket_options.h"
+
+namespace harecrank {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+// An answer that its caller does not take for this long is given up.
+constexpr Millis kFlushLimit{10000};
+// What is buffered for a caller that reads slowly before it is dropped. The
+// longest streams of a million-token prompt stay far below.
+constexpr std::size_t kMostQueuedBytes = 4U << 20U;
+constexpr int kVersion11 = 11;
+
+}  // namespace
+
+CallerSession::CallerSession(asio::ip::tcp::socket socket,
+                             const SessionContext* context)
+    : socket_(std::move(socket)),
+      context_(context),
+      timer_(socket_.get_executor()) {}
+
+void CallerSession::Start() {
+  SetConnectionOptions(&socket_);
+  AwaitRequest();
+}
+
+void CallerSession::CloseIfIdle() {
+  if (state_ == State::kIdle) {
+    Close();
+  }
+}
+
+void CallerSession::AwaitRequest() {
+  state_ = State::kIdle;
+  if (buffer_.size() > 0) {
+    ReadHead();
+    return;
+  }
+  buffer_.shrink_to_fit();
+  StartTimer(context_->limits().idle_timeout, &CallerSession::OnIdleTooLong);
+  WatchSocket();
+}
+
+void CallerSession::WatchSocket() {
+  if (watching_) {
+    return;
+  }
+  watching_ = true;
+  socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](const Error& error) {
+                       self->watching_ = false;
+                       self->OnReadable(error);
+                     });
+}
+
+void CallerSession::OnReadable(const Error& error) {
+  if (error) {
+    if (error != asio::error::operation_aborted) {
+      Close();
+    }
+    return;
+  }
+  if (state_ == State::kIdle) {
+    ReadHead();
+  } else if (state_ == State::kAnswering) {
+    CheckWhetherCallerLeft();
+  }
+}
+
+void CallerSession::CheckWhetherCallerLeft() {
+  char byte = 0;
+  const ssize_t got =
+      ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (got > 0) {
+    // The next request is there already. It waits; its caller is there.
+    return;
+  }
+  if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+    WatchSocket();
+    return;
+  }
+  Close();
+}
+
+void CallerSession::ReadHead() {
+  state_ = State::kReading;
+  answer_complete_ = false;
+  const CallerLimits limits = context_->limits();
+  StartTimer(limits.header_timeout, &CallerSession::OnTooSlow);
+  parser_.emplace();
+  parser_->header_limit(limits.max_header_bytes);
+  parser_->body_limit(limits.max_body_bytes);
+  http::async_read_header(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](const Error& error, std::size_t) {
+        self->OnHead(error);
+      });
+}
+
+void CallerSession::OnHead(const Error& error) {
+  if (state_ != State::kReading) {
+    return;
+  }
+  if (error) {
+    RefuseUnreadable(error);
+    return;
+  }
+  arrived_ = context_->clock();
+  keep_alive_ = parser_->keep_alive();
+  answer_has_no_body_ = parser_->get().method() == http::verb::head;
+  chunked_ = parser_->get().version() >= kVersion11;
+  if (parser_->is_done()) {
+    OnRequest();
+    return;
+  }
+  if (boost::beast::iequals(parser_->get()[http::field::expect],
+                            "100-continue")) {
+    Queue("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  ReadBody();
+}
+
+void CallerSession::ReadBody() {
+  StartTimer(context_->limits().idle_timeout, &CallerSession::OnTooSlow);
+  http::async_read(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](const Error& error, std::size_t) {
+        if (self->state_ != State::kReading) {
+          return;
+        }
+        if (error) {
+          self->RefuseUnreadable(error);
+          return;
+        }
+        self->OnRequest();
+      });
+}
+
+void CallerSession::OnRequest() {
+  state_ = State::kAnswering;
+  ++timer_round_;
+  timer_.cancel();
+  CallerRequest request = parser_->release();
+  parser_.reset();
+  std::shared_ptr<RequestHandle> handle =
+      context_->start_request(std::move(request), arrived_, shared_from_this());
+  if (state_ == State::kAnswering && !answer_complete_) {
+    request_ = std::move(handle);
+    WatchSocket();
+  }
+}
+
+void CallerSession::RefuseUnreadable(const Error& error) {
+  if (error == http::error::end_of_stream ||
+      error.category() == asio::error::get_system_category() ||
+      error == asio::error::eof || error == http::error::partial_message) {
+    Close();
+  } else if (error == http::error::header_limit) {
+    AnswerAndClose(431, "the head is larger than allowed");
+  } else if (error == http::error::body_limit) {
+    AnswerAndClose(http_status::kTooLarge, "the body is larger than allowed");
+  } else {
+    AnswerAndClose(http_status::kBadRequest,
+                   "not a request: " + error.message());
+  }
+}
+
+void CallerSession::StartTimer(Millis limit, void (CallerSession::*expired)()) {
+  const std::uint64_t round = ++timer_round_;
+  timer_.expires_after(limit);
+  timer_.async_wait(
+      [self = weak_from_this(), round, expired](const Error& error) {
+        const auto session = self.lock();
+        if (!error && session != nullptr && session->timer_round_ == round) {
+          ((*session).*expired)();
+        }
+      });
+}
+
+void CallerSession::OnIdleTooLong() { Close(); }
+
+void CallerSession::OnTooSlow() {
+  AnswerAndClose(408, "the request did not come in time");
+}
+
+void CallerSession::AnswerAndClose(unsigned status, const std::string& reason) {
+  state_ = State::kAnswering;
+  keep_alive_ = false;
+  AnswerHead head;
+  head.result(status);
+  head.set(http::field::content_type, "text/plain");
+  SendWhole(std::move(head), reason + "\n");
+}
+
+void CallerSession::SendWhole(AnswerHead head, std::string body) {
+  if (state_ != State::kAnswering) {
+    return;
+  }
+  keep_alive_ = keep_alive_ && !context_->is_draining();
+  std::string text;
+  AppendAnswerHead(head, &text);
+  const unsigned status = head.result_int();
+  const bool may_have_body = status != 204 && status != 304;
+  if (may_have_body && !(answer_has_no_body_ && body.empty())) {
+    AppendHeader("Content-Length", std::to_string(body.size()), &text);
+  } else if (answer_has_no_body_) {
+    const auto length = head.find(http::field::content_length);
+    if (length != head.end()) {
+      AppendHeader(
+          "Content-Length",
+          std::string_view(length->value().data(), length->value().size()),
+          &text);
+    }
+  }
+  if (!keep_alive_) {
+    AppendHeader("Connection", "close", &text);
+  }
+  text.append("\r\n");
+  if (may_have_body && !answer_has_no_body_) {
+    text.append(body);
+  }
+  Queue(std::move(text));
+  FinishAnswer();
+}
+
+void CallerSession::BeginStream(AnswerHead head) {
+  if (state_ != State::kAnswering) {
+    return;
+  }
+  keep_alive_ = keep_alive_ && chunked_ && !context_->is_draining();
+  std::string text;
+  AppendAnswerHead(head, &text);
+  if (chunked_) {
+    AppendHeader("Transfer-Encoding", "chunked", &text);
+  }
+  if (!keep_alive_) {
+    AppendHeader("Connection", "close", &text);
+  }
+  text.append("\r\n");
+  Queue(std::move(text));
+}
+
+void CallerSession::SendEvents(std::string bytes) {
+  if (state_ != State::kAnswering) {
+    return;
+  }
+  if (!chunked_) {
+    Queue(std::move(bytes));
+    return;
+  }
+  std::string chunk;
+  AppendChunk(bytes, &chunk);
+  Queue(std::move(chunk));
+}
+
+void CallerSession::EndStream() {
+  if (state_ != State::kAnswering) {
+    return;
+  }
+  if (chunked_) {
+    Queue(std::string(kLastChunk));
+  }
+  FinishAnswer();
+}
+
+void CallerSession::AbortStream() {
+  request_.reset();
+  close_after_flush_ = true;
+  // What is whole still goes out; the missing end shows that it is not all.
+  if (in_flight_.empty() && queued_.empty()) {
+    Close();
+  }
+}
+
+void CallerSession::Queue(std::string bytes) {
+  if (state_ == State::kClosed) {
+    return;
+  }
+  queued_.append(bytes);
+  if (queued_.size() > kMostQueuedBytes) {
+    Close();
+    return;
+  }
+  if (in_flight_.empty()) {
+    Flush();
+  }
+}
+
+void CallerSession::Flush() {
+  in_flight_.swap(queued_);
+  StartTimer(kFlushLimit, &CallerSession::Close);
+  asio::async_write(
+      socket_, asio::buffer(in_flight_),
+      [self = shared_from_this()](const Error& error, std::size_t) {
+        self->OnFlushed(error);
+      });
+}
+
+void CallerSession::OnFlushed(const Error& error) {
+  if (state_ == State::kClosed) {
+    return;
+  }
+  if (error) {
+    Close();
+    return;
+  }
+  in_flight_.clear();
+  if (!queued_.empty()) {
+    Flush();
+    return;
+  }
+  ++timer_round_;
+  if (close_after_flush_) {
+    Close();
+  } else if (answer_complete_) {
+    std::string().swap(in_flight_);
+    std::string().swap(queued_);
+    AwaitRequest();
+  }
+}
+
+void CallerSession::FinishAnswer() {
+  request_.reset();
+  answer_complete_ = true;
+  close_after_flush_ = !keep_alive_;
+}
+
+void CallerSession::Close() {
+  if (state_ == State::kClosed) {
+    return;
+  }
+  state_ = State::kClosed;
+  ++timer_round_;
+  timer_.cancel();
+  // The handle may drop the last reference to this.
+  const auto self = shared_from_this();
+  if (const auto request = std::move(request_)) {
+    request->OnCallerLeft();
+  }
+  Error ignored;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+  socket_.close(ignored);
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/caller_session.h
@@ -0,0 +1,127 @@
+// One connection of a caller: requests in, answers out, one at a time.
+
+#ifndef HARECRANK_SRC_GATEWAY_CALLER_SESSION_H_
+#define HARECRANK_SRC_GATEWAY_CALLER_SESSION_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "harecrank/core/clock.h"
+#include "harecrank/core/routing_table.h"
+#include "src/gateway/answer_port.h"
+
+namespace harecrank {
+
+using CallerRequest =
+    boost::beast::http::request<boost::beast::http::string_body>;
+
+// A request that is under way, as its caller's session sees it.
+class RequestHandle {
+ public:
+  RequestHandle() = default;
+  RequestHandle(const RequestHandle&) = delete;
+  RequestHandle& operator=(const RequestHandle&) = delete;
+  virtual ~RequestHandle() = default;
+
+  // The caller has closed its connection: nobody waits for the answer.
+  virtual void OnCallerLeft() = 0;
+};
+
+// Starts the handling of one request that arrived at `arrived`. The answer goes
+// to `answer`. Returns nothing if it was given at once.
+using RequestStarter = std::function<std::shared_ptr<RequestHandle>(
+    CallerRequest request, TimePoint arrived,
+    std::shared_ptr<AnswerPort> answer)>;
+
+// What sessions ask of their owner.
+struct SessionContext {
+  RequestStarter start_request;
+  // Returns the limits in force.
+  std::function<CallerLimits()> limits;
+  // Returns whether connections should end after the answer under way.
+  std::function<bool()> is_draining;
+  MonotonicClock clock;
+};
+
+// Not thread-safe; runs on its socket's io_context.
+class CallerSession : public AnswerPort,
+                      public std::enable_shared_from_this<CallerSession> {
+ public:
+  // `context` must outlive this.
+  CallerSession(boost::asio::ip::tcp::socket socket,
+                const SessionContext* context);
+
+  // Reads requests until the connection ends.
+  void Start();
+
+  // Closes the connection if no request is under way on it and no byte of one
+  // has come.
+  void CloseIfIdle();
+
+  // Returns whether a request is under way or being read.
+  bool IsBusy() const { return state_ != State::kIdle; }
+  bool IsClosed() const { return state_ == State::kClosed; }
+
+  void SendWhole(AnswerHead head, std::string body) override;
+  void BeginStream(AnswerHead head) override;
+  void SendEvents(std::string bytes) override;
+  void EndStream() override;
+  void AbortStream() override;
+
+ private:
+  enum class State { kIdle, kReading, kAnswering, kClosed };
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Error = boost::system::error_code;
+
+  void AwaitRequest();
+  void WatchSocket();
+  void OnReadable(const Error& error);
+  void CheckWhetherCallerLeft();
+  void ReadHead();
+  void OnHead(const Error& error);
+  void ReadBody();
+  void OnRequest();
+  void RefuseUnreadable(const Error& error);
+  void StartTimer(Millis limit, void (CallerSession::*expired)());
+  void OnIdleTooLong();
+  void OnTooSlow();
+  void AnswerAndClose(unsigned status, const std::string& reason);
+  void Queue(std::string bytes);
+  void Flush();
+  void OnFlushed(const Error& error);
+  void FinishAnswer();
+  void Close();
+
+  boost::asio::ip::tcp::socket socket_;
+  const SessionContext* context_;
+  boost::asio::steady_timer timer_;
+  // Set while a wait on the timer counts; an earlier wait that fires late does
+  // not match.
+  std::uint64_t timer_round_ = 0;
+  boost::beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  TimePoint arrived_{};
+  State state_ = State::kIdle;
+  bool watching_ = false;
+  std::shared_ptr<RequestHandle> request_;
+  // Of the request under way.
+  bool keep_alive_ = false;
+  bool answer_has_no_body_ = false;
+  bool chunked_ = false;
+  bool close_after_flush_ = false;
+  bool answer_complete_ = false;
+  std::string queued_;
+  std::string in_flight_;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_GATEWAY_CALLER_SESSION_H_
--- /dev/null
+++ b/src/gateway/endpoint_connections.cc
@@ -0,0 +1,85 @@
+#include "src/gateway/endpoint_connections.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace harecrank {
+
+EndpointConnections::EndpointConnections(boost::asio::io_context* io,
+                                         MonotonicClock clock)
+    : io_(io), clock_(std::move(clock)) {}
+
+std::unique_ptr<EndpointConnection> EndpointConnections::TakeIdle(
+    const EndpointId& endpoint) {
+  const auto found = idle_.find(endpoint);
+  if (found == idle_.end()) {
+    return nullptr;
+  }
+  auto& connections = found->second;
+  std::unique_ptr<EndpointConnection> taken;
+  while (!connections.empty() && taken == nullptr) {
+    if (!IsSpent(connections.back().get())) {
+      taken = std::move(connections.back());
+    }
+    connections.pop_back();
+  }
+  if (connections.empty()) {
+    idle_.erase(found);
+  }
+  return taken;
+}
+
+std::unique_ptr<EndpointConnection> EndpointConnections::MakeNew(
+    const EndpointId& endpoint) {
+  auto connection = std::make_unique<EndpointConnection>(io_);
+  connection->endpoint = endpoint;
+  return connection;
+}
+
+void EndpointConnections::PutIdle(
+    std::unique_ptr<EndpointConnection> connection) {
+  auto& connections = idle_[connection->endpoint];
+  if (connections.size() >= kMostIdle) {
+    return;
+  }
+  connection->kept = true;
+  connection->idle_since = clock_();
+  if (connection->idle_limit == Millis(0)) {
+    connection->idle_limit = kIdleUnlessTold;
+  }
+  connections.push_back(std::move(connection));
+}
+
+void EndpointConnections::Sweep() {
+  for (auto it = idle_.begin(); it != idle_.end();) {
+    auto& connections = it->second;
+    connections.erase(
+        std::remove_if(connections.begin(), connections.end(),
+                       [this](const auto& c) { return IsSpent(c.get()); }),
+        connections.end());
+    it = connections.empty() ? idle_.erase(it) : std::next(it);
+  }
+}
+
+std::size_t EndpointConnections::IdleCount() const {
+  std::size_t count = 0;
+  for (const auto& [endpoint, connections] : idle_) {
+    count += connections.size();
+  }
+  return count;
+}
+
+bool EndpointConnections::IsSpent(EndpointConnection* connection) const {
+  if (clock_() - connection->idle_since >= connection->idle_limit) {
+    return true;
+  }
+  char byte = 0;
+  const ssize_t got = ::recv(connection->socket.native_handle(), &byte, 1,
+                             MSG_PEEK | MSG_DONTWAIT);
+  // An idle connection has nothing to say: neither bytes nor its end.
+  return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/exchange.cc
@@ -0,0 +1,642 @@
+#include "src/gateway/exchange.h"
+
+#include <algorithm>
+#include <boost/beast/core/string.hpp>
+#include <charconv>
+#include <utility>
+
+#include "harecrank/core/http_status.h"
+#include "src/gateway/message_text.h"
+
+namespace harecrank {
+namespace {
+
+namespace http = boost::beast::http;
+
+// A connection inside a region comes up within milliseconds. One packet lost
+// on the way costs a second; another endpoint is sooner.
+constexpr Millis kConnectTimeout{250};
+// How often one request is put to endpoints that cannot be reached.
+constexpr int kMostConnectFailures = 5;
+// An answer that is not a stream is kept whole before it goes on.
+constexpr std::size_t kMostAnswerBytes = 16U << 20U;
+// A caller that was refused comes back after about as long as short requests
+// take; it waits at most a third of what it has left.
+constexpr Millis kRetryAfterRefusal{500};
+// How long a first event may take beyond several times its prediction before
+// the request goes elsewhere.
+constexpr Millis kPatienceBase{500};
+constexpr double kPatienceFactor = 3;
+// A plain answer is overdue at this multiple of its target.
+constexpr int kPlainPatienceFactor = 2;
+// A stream has stalled after this multiple of its target gap, and not before
+// kLeastStall: engines that are cut off stand still for longer than that.
+constexpr int kStallFactor = 3;
+constexpr Millis kLeastStall{700};
+// With less left than this a further attempt cannot bring anything.
+constexpr Millis kLeastTimeForAttempt{60};
+// Answers that their endpoint says are no run: RFC 9110 for 408, 421 and 503,
+// RFC 6585 for 429.
+constexpr unsigned kRequestTimeout = 408;
+constexpr unsigned kMisdirected = 421;
+constexpr int kLeastUrgent = 9;
+
+std::string_view View(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+// Reads a whole number at the start of `text`.
+std::optional<std::int64_t> ReadNumber(std::string_view text) {
+  while (!text.empty() && text.front() == ' ') {
+    text.remove_prefix(1);
+  }
+  std::int64_t number = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc() || end == text.data()) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+// Returns the key of an "Authorization: Bearer KEY", or empty.
+std::string BearerKey(std::string_view value) {
+  constexpr std::string_view kScheme = "Bearer ";
+  if (value.size() <= kScheme.size() ||
+      !boost::beast::iequals(
+          boost::beast::string_view(value.data(), kScheme.size()),
+          boost::beast::string_view(kScheme.data(), kScheme.size()))) {
+    return "";
+  }
+  return std::string(value.substr(kScheme.size()));
+}
+
+std::string_view PathOf(std::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
+}  // namespace
+
+Exchange::Exchange(const GatewayServices* services, CallerRequest request,
+                   TimePoint arrived, std::shared_ptr<AnswerPort> answer)
+    : services_(services),
+      request_(std::move(request)),
+      arrived_(arrived),
+      answer_(std::move(answer)),
+      timer_(*services->io) {}
+
+void Exchange::Start() {
+  id_ = std::string(request_[services_->names->request_id]);
+  body_ = std::make_shared<const std::string>(std::move(request_.body()));
+  table_ = services_->routing->InForce();
+  if (table_ == nullptr) {
+    Refuse(http_status::kUnavailable, "no_configuration", kRetryAfterRefusal);
+    return;
+  }
+  if (!FindRoute() || !Authenticate()) {
+    return;
+  }
+  ReadSizes();
+  ChooseService();
+  if (service_ == nullptr) {
+    Refuse(http_status::kUnavailable, "no_service", kRetryAfterRefusal);
+    return;
+  }
+  services_->budgets->OnFirst(service_->name);
+  TryNext();
+}
+
+bool Exchange::FindRoute() {
+  const std::string_view target = View(request_.target());
+  route_ = table_->FindRoute(View(request_[http::field::host]), PathOf(target));
+  if (route_ == nullptr) {
+    Refuse(http_status::kNotFound, "no_route", std::nullopt);
+    return false;
+  }
+  Millis held = route_->timeout;
+  const auto asked = ReadNumber(View(request_[services_->names->time_left]));
+  if (asked.has_value()) {
+    held = std::min(held, Millis(*asked));
+  }
+  deadline_ = arrived_ + held;
+  return true;
+}
+
+bool Exchange::Authenticate() {
+  if (!table_->NeedsKeys()) {
+    return true;
+  }
+  const std::string key = BearerKey(View(request_[http::field::authorization]));
+  account_ = table_->FindAccountByKey(key);
+  strip_key_ = !route_->open || account_ != nullptr;
+  if (account_ == nullptr && !route_->open) {
+    Refuse(http_status::kUnauthorised, "unknown_key", std::nullopt);
+    return false;
+  }
+  return true;
+}
+
+void Exchange::ReadSizes() {
+  const std::string_view counts =
+      View(request_[services_->names->token_counts]);
+  placement_request_.route = route_;
+  placement_request_.prompt = Tokens{ReadNumber(counts).value_or(0)};
+  const std::size_t comma = counts.find(',');
+  std::int64_t answer = 0;
+  if (comma != std::string_view::npos) {
+    answer = ReadNumber(counts.substr(comma + 1)).value_or(0);
+  }
+  const auto guess = ReadNumber(View(request_[services_->names->answer_guess]));
+  if (guess.has_value()) {
+    answer = answer > 0 ? std::min(answer, *guess) : *guess;
+  }
+  placement_request_.answer = Tokens{answer};
+}
+
+void Exchange::ChooseService() {
+  std::uint64_t total = 0;
+  for (const WeightedService& target : route_->services) {
+    total += target.weight;
+  }
+  if (total == 0) {
+    return;
+  }
+  std::uint64_t drawn = services_->random() % total;
+  for (const WeightedService& target : route_->services) {
+    if (drawn < target.weight) {
+      service_ = table_->FindService(target.service);
+      break;
+    }
+    drawn -= target.weight;
+  }
+  placement_request_.service = service_;
+  if (service_ != nullptr) {
+    placement_request_.tightest_gap = table_->TightestGap(service_->name);
+  }
+}
+
+void Exchange::TryNext() {
+  const std::optional<Placement> placement =
+      services_->placer->Choose(placement_request_);
+  if (!placement.has_value()) {
+    GiveUp("no_endpoint");
+    return;
+  }
+  Send(*placement);
+}
+
+void Exchange::Send(const Placement& placement) {
+  endpoint_ = placement.endpoint->id;
+  placement_request_.tried.insert(endpoint_);
+  predicted_ = placement.first_event;
+  attempt_sent_ = false;
+  first_event_seen_ = false;
+  use_ = AnswerUse::kNone;
+  answer_body_.clear();
+  BeginWork(placement);
+  nlohmann::json fields = LogFields();
+  fields["endpoint"] = endpoint_.value;
+  fields["entry_revision"] = placement.endpoint->revision.value;
+  fields["candidates"] = placement.candidates;
+  fields["helpers"] = placement.helpers.size();
+  fields["predicted_ms"] = placement.first_event.count();
+  fields["read_ms"] = placement.read.count();
+  fields["prompt"] = placement_request_.prompt.value;
+  services_->log->Write("placed", std::move(fields));
+
+  OutgoingRequest outgoing;
+  outgoing.request_id = id_;
+  outgoing.head = HeadFor(placement);
+  outgoing.body = body_;
+  outgoing.answer_has_no_body = request_.method() == http::verb::head;
+  std::unique_ptr<EndpointConnection> connection;
+  // On a kept connection a request can cross the endpoint's close, and nobody
+  // could tell whether it ran.
+  if (route_->MayRepeat()) {
+    connection = services_->connections->TakeIdle(endpoint_);
+  }
+  if (connection == nullptr) {
+    connection = services_->connections->MakeNew(endpoint_);
+    services_->metrics->GetCounter("harecrank_gateway_connections_total")
+        ->Add();
+  }
+  sent_at_ = services_->clock();
+  last_bytes_at_ = sent_at_;
+  attempt_ = std::make_shared<Attempt>(services_->io, services_->connections,
+                                       services_->names, this);
+  attempt_->Start(std::move(connection), placement.endpoint->address,
+                  std::move(outgoing), kConnectTimeout);
+  ArmTimer();
+}
+
+std::string Exchange::HeadFor(const Placement& placement) const {
+  const ProtocolNames& names = *services_->names;
+  std::string head(View(request_.method_string()));
+  head.append(" ");
+  head.append(View(request_.target()));
+  head.append(" HTTP/1.1\r\n");
+  const std::string connection(request_[http::field::connection]);
+  for (const auto& field : request_) {
+    const std::string_view name = View(field.name_string());
+    if (!IsHopByHop(name, connection) && !IsSetByGateway(name)) {
+      AppendHeader(name, View(field.value()), &head);
+    }
+  }
+  AppendHeader(names.time_left, std::to_string(TimeLeft().count()), &head);
+  AppendHeader(names.expected_endpoint, placement.endpoint->id.value, &head);
+  if (account_ != nullptr) {
+    AppendHeader(names.account, account_->id.value, &head);
+  }
+  if (service_->engine.has_value()) {
+    const int priority = account_ != nullptr && account_->priority.has_value()
+                             ? *account_->priority
+                             : route_->priority;
+    AppendHeader(names.urgency,
+                 std::to_string(std::clamp(priority, 0, kLeastUrgent)), &head);
+  }
+  std::string helpers;
+  for (const EndpointRecord* helper : placement.helpers) {
+    helpers += (helpers.empty() ? "" : ",") + helper->address;
+  }
+  if (!helpers.empty()) {
+    AppendHeader(names.helpers, helpers, &head);
+  }
+  if (stream_begun_ && !scanner_.LastId().empty()) {
+    AppendHeader("Last-Event-ID", scanner_.LastId(), &head);
+  }
+  if (!body_->empty() || request_.method() == http::verb::post ||
+      request_.method() == http::verb::put) {
+    AppendHeader("Content-Length", std::to_string(body_->size()), &head);
+  }
+  head.append("\r\n");
+  return head;
+}
+
+bool Exchange::IsSetByGateway(std::string_view name) const {
+  const ProtocolNames& names = *services_->names;
+  const boost::beast::string_view given(name.data(), name.size());
+  const auto is = [&given](const std::string& known) {
+    return boost::beast::iequals(known, given);
+  };
+  if (is("Authorization")) {
+    return strip_key_;
+  }
+  if (is("Last-Event-ID")) {
+    return stream_begun_ && !scanner_.LastId().empty();
+  }
+  return is(names.time_left) || is(names.expected_endpoint) ||
+         is(names.account) || is(names.urgency) || is(names.helpers);
+}
+
+void Exchange::BeginWork(const Placement& placement) {
+  const Tokens memory = placement_request_.prompt + placement_request_.answer;
+  helpers_.clear();
+  work_.push_back(services_->loads->Begin(endpoint_, placement.work_class,
+                                          placement.read, memory));
+  for (const EndpointRecord* helper : placement.helpers) {
+    helpers_.push_back(helper->id);
+    work_.push_back(services_->loads->Begin(helper->id, WorkClass::kHelper,
+                                            placement.read, Tokens{0}));
+  }
+}
+
+void Exchange::EndWork() {
+  for (const WorkId id : work_) {
+    services_->loads->End(id);
+  }
+  work_.clear();
+}
+
+void Exchange::OnFirstEvent() {
+  if (first_event_seen_) {
+    return;
+  }
+  first_event_seen_ = true;
+  const FractionalMillis taken = services_->clock() - sent_at_;
+  // A single slow answer says little of short waits; what counts is how the
+  // longer ones compare.
+  constexpr FractionalMillis kNegligible{200};
+  const double pace = (taken + kNegligible) / (predicted_ + kNegligible);
+  services_->health->OnSuccess(endpoint_, pace);
+  for (std::size_t i = 0; i < work_.size(); ++i) {
+    if (i == 0) {
+      services_->loads->OnRead(work_[i]);
+    } else {
+      services_->loads->End(work_[i]);
+    }
+  }
+  if (!work_.empty()) {
+    work_.resize(1);
+  }
+}
+
+void Exchange::OnSent() {
+  attempt_sent_ = true;
+  ++sendings_;
+}
+
+void Exchange::OnAnswerHead(const AnswerHead& head) {
+  last_bytes_at_ = services_->clock();
+  JudgeHead(head);
+}
+
+void Exchange::JudgeHead(const AnswerHead& head) {
+  const auto self = shared_from_this();
+  const ProtocolNames& names = *services_->names;
+  const unsigned status = head.result_int();
+  const bool says_not_run =
+      head.count(names.not_run) != 0 || status == kMisdirected;
+  if (says_not_run && status != http_status::kBadRequest) {
+    if (status == kMisdirected) {
+      services_->health->OnUnreachable(endpoint_);
+    }
+    AbandonAttempt();
+    OnNotRun("endpoint_answered_" + std::to_string(status));
+    return;
+  }
+  const bool success = status / 100 == 2;
+  if (success && head.count(names.answer_signature) == 0) {
+    AbandonAttempt();
+    services_->health->OnErrorAnswer(endpoint_);
+    OnMayHaveRun("unsigned_answer");
+    return;
+  }
+  if (!success && (stream_begun_ || status >= 500) && route_->MayRepeat()) {
+    services_->health->OnErrorAnswer(endpoint_);
+    if (stream_begun_ || MaySendAgain()) {
+      may_have_run_ = true;
+      AbandonAttempt();
+      if (stream_begun_) {
+        OnMayHaveRun("resumption_answered_" + std::to_string(status));
+      } else {
+        TryNext();
+      }
+      return;
+    }
+  }
+  const bool events =
+      View(head[http::field::content_type])
+          .substr(0, std::string_view("text/event-stream").size()) ==
+      "text/event-stream";
+  if (success && route_->kind == RequestKind::kStreaming && events) {
+    use_ = AnswerUse::kStream;
+    if (!stream_begun_) {
+      stream_begun_ = true;
+      answer_->BeginStream(head);
+    }
+    return;
+  }
+  use_ = AnswerUse::kRelay;
+  head_ = head;
+}
+
+void Exchange::OnAnswerBytes(std::string_view bytes) {
+  last_bytes_at_ = services_->clock();
+  if (use_ == AnswerUse::kRelay) {
+    answer_body_.append(bytes);
+    if (answer_body_.size() > kMostAnswerBytes) {
+      AbandonAttempt();
+      OnMayHaveRun("answer_too_large");
+    }
+    return;
+  }
+  std::string events = scanner_.Accept(bytes);
+  if (!events.empty()) {
+    OnFirstEvent();
+    answer_->SendEvents(std::move(events));
+  }
+}
+
+void Exchange::OnAnswerEnd() {
+  const auto self = shared_from_this();
+  attempt_.reset();
+  EndWork();
+  if (use_ == AnswerUse::kStream) {
+    if (scanner_.HasPartial()) {
+      scanner_.DropPartial();
+      services_->health->OnErrorAnswer(endpoint_);
+      OnMayHaveRun("ended_inside_an_event");
+      return;
+    }
+    answer_->EndStream();
+    Finish("completed", http_status::kOk, "");
+    return;
+  }
+  const unsigned status = head_->result_int();
+  if (status < http_status::kBadRequest) {
+    OnFirstEvent();
+  }
+  answer_->SendWhole(std::move(*head_), std::move(answer_body_));
+  Finish(status < http_status::kBadRequest ? "completed" : "failed", status,
+         status < http_status::kBadRequest ? "" : "endpoint_answer");
+}
+
+void Exchange::OnFailure(const AttemptFailure& failure) {
+  const auto self = shared_from_this();
+  attempt_.reset();
+  EndWork();
+  services_->health->OnUnreachable(endpoint_);
+  if (const auto* not_sent = std::get_if<AttemptNotSent>(&failure)) {
+    ++connect_failures_;
+    if (connect_failures_ < kMostConnectFailures) {
+      TryNext();
+    } else {
+      OnNotRun("not_reached: " + not_sent->reason);
+    }
+    return;
+  }
+  scanner_.DropPartial();
+  OnMayHaveRun(std::get<AttemptBroken>(failure).reason);
+}
+
+void Exchange::OnNotRun(const std::string& reason) {
+  if (MaySendAgain()) {
+    nlohmann::json fields = LogFields();
+    fields["endpoint"] = endpoint_.value;
+    fields["reason"] = reason;
+    services_->log->Write("sent_again", std::move(fields));
+    TryNext();
+    return;
+  }
+  GiveUp(reason);
+}
+
+void Exchange::OnMayHaveRun(const std::string& reason) {
+  may_have_run_ = true;
+  if (route_->MayRepeat() && MaySendAgain()) {
+    nlohmann::json fields = LogFields();
+    fields["endpoint"] = endpoint_.value;
+    fields["reason"] = reason;
+    fields["resumes_after"] = scanner_.LastId();
+    services_->log->Write("sent_again", std::move(fields));
+    TryNext();
+    return;
+  }
+  GiveUp(reason);
+}
+
+bool Exchange::MaySendAgain() {
+  if (sendings_ >= route_->max_attempts || TimeLeft() < kLeastTimeForAttempt) {
+    return false;
+  }
+  budget_refused_ = !services_->budgets->TryRepeat(service_->name);
+  return !budget_refused_;
+}
+
+void Exchange::AbandonAttempt() {
+  if (attempt_ != nullptr) {
+    attempt_->Cancel();
+    attempt_.reset();
+  }
+  EndWork();
+}
+
+void Exchange::ArmTimer() {
+  TimePoint next = deadline_;
+  if (const auto patience = PatienceEnd()) {
+    next = std::min(next, *patience);
+  }
+  timer_.expires_at(next);
+  timer_.async_wait(
+      [self = weak_from_this()](const boost::system::error_code& error) {
+        const auto exchange = self.lock();
+        if (!error && exchange != nullptr && !exchange->finished_) {
+          exchange->OnTimer();
+        }
+      });
+}
+
+void Exchange::OnTimer() {
+  const auto self = shared_from_this();
+  const TimePoint now = services_->clock();
+  if (now >= deadline_) {
+    may_have_run_ = may_have_run_ || attempt_sent_;
+    AbandonAttempt();
+    GiveUp("out_of_time");
+    return;
+  }
+  const auto patience = PatienceEnd();
+  if (patience.has_value() && now >= *patience && attempt_ != nullptr) {
+    // A second sending only pays while it can still bring something.
+    if (sendings_ < route_->max_attempts && MaySendAgain()) {
+      may_have_run_ = may_have_run_ || attempt_sent_;
+      AbandonAttempt();
+      services_->health->OnUnreachable(endpoint_);
+      scanner_.DropPartial();
+      nlohmann::json fields = LogFields();
+      fields["endpoint"] = endpoint_.value;
+      fields["reason"] = "overdue";
+      fields["predicted_ms"] = predicted_.count();
+      fields["resumes_after"] = scanner_.LastId();
+      services_->log->Write("sent_again", std::move(fields));
+      TryNext();
+      return;
+    }
+    budget_refused_ = true;
+  }
+  ArmTimer();
+}
+
+std::optional<TimePoint> Exchange::PatienceEnd() const {
+  if (attempt_ == nullptr || !route_->MayRepeat() || budget_refused_ ||
+      sendings_ >= route_->max_attempts) {
+    return std::nullopt;
+  }
+  if (route_->kind != RequestKind::kStreaming) {
+    return sent_at_ + kPlainPatienceFactor * route_->target_latency;
+  }
+  if (!first_event_seen_) {
+    const auto expected =
+        std::chrono::duration_cast<Millis>(kPatienceFactor * predicted_);
+    return sent_at_ + kPatienceBase + expected;
+  }
+  return last_bytes_at_ +
+         std::max(kLeastStall, kStallFactor * route_->target_gap);
+}
+
+Millis Exchange::TimeLeft() const {
+  const auto left =
+      std::chrono::duration_cast<Millis>(deadline_ - services_->clock());
+  return std::max(Millis(0), left);
+}
+
+void Exchange::GiveUp(const std::string& reason) {
+  if (stream_begun_) {
+    answer_->AbortStream();
+    Finish("broken_off", http_status::kOk, reason);
+    return;
+  }
+  if (!may_have_run_) {
+    Refuse(http_status::kUnavailable, reason, kRetryAfterRefusal);
+    return;
+  }
+  Refuse(TimeLeft() == Millis(0) ? http_status::kGatewayTimeout
+                                 : http_status::kBadGateway,
+         reason, std::nullopt);
+}
+
+void Exchange::Refuse(unsigned status, const std::string& code,
+                      std::optional<Millis> retry_after) {
+  AnswerHead head;
+  head.result(status);
+  head.set(services_->names->request_id, id_);
+  head.set(http::field::content_type, "application/json");
+  if (retry_after.has_value()) {
+    constexpr double kMillisPerSecond = 1000;
+    const double seconds =
+        static_cast<double>(retry_after->count()) / kMillisPerSecond;
+    head.set(http::field::retry_after, std::to_string(seconds));
+  }
+  const bool refused = retry_after.has_value();
+  nlohmann::json body = {{"error", code},
+                         {"outcome", refused ? "not_run" : "failed"}};
+  answer_->SendWhole(std::move(head), body.dump() + "\n");
+  Finish(refused ? "refused" : "failed", status, code);
+}
+
+void Exchange::OnCallerLeft() {
+  const auto self = shared_from_this();
+  if (finished_) {
+    return;
+  }
+  AbandonAttempt();
+  Finish("caller_left", 0, "");
+}
+
+void Exchange::Finish(const char* outcome, unsigned status,
+                      const std::string& reason) {
+  if (finished_) {
+    return;
+  }
+  finished_ = true;
+  timer_.cancel();
+  AbandonAttempt();
+  const auto taken = services_->clock() - arrived_;
+  services_->metrics
+      ->GetCounter("harecrank_gateway_requests_total",
+                   std::string("outcome=\"") + outcome + "\"")
+      ->Add();
+  nlohmann::json fields = LogFields();
+  fields["outcome"] = outcome;
+  fields["status"] = status;
+  fields["reason"] = reason;
+  fields["events"] = scanner_.Count();
+  fields["sendings"] = sendings_;
+  fields["endpoint"] = endpoint_.value;
+  const bool failed = std::string_view(outcome) != "completed";
+  services_->log->Write("ended", std::move(fields),
+                        failed ? LogWeight::kAlwaysKept : LogWeight::kOrdinary);
+  (void)taken;
+}
+
+nlohmann::json Exchange::LogFields() const {
+  nlohmann::json fields;
+  fields["request"] = id_;
+  fields["route"] = route_ == nullptr ? "" : route_->name;
+  fields["configuration"] = table_ == nullptr ? 0 : table_->Version().value;
+  fields["age_ms"] =
+      std::chrono::duration_cast<Millis>(services_->clock() - arrived_).count();
+  return fields;
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/exchange.h
@@ -0,0 +1,120 @@
+// One caller's request, from its arrival to its final answer.
+
+#ifndef HARECRANK_SRC_GATEWAY_EXCHANGE_H_
+#define HARECRANK_SRC_GATEWAY_EXCHANGE_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "harecrank/core/event_scanner.h"
+#include "src/gateway/attempt.h"
+#include "src/gateway/caller_session.h"
+#include "src/gateway/gateway_services.h"
+
+namespace harecrank {
+
+// Not thread-safe; runs on its io_context.
+class Exchange : public RequestHandle,
+                 public AttemptObserver,
+                 public std::enable_shared_from_this<Exchange> {
+ public:
+  // `services` must outlive this.
+  Exchange(const GatewayServices* services, CallerRequest request,
+           TimePoint arrived, std::shared_ptr<AnswerPort> answer);
+
+  // Admits the request and sends it, or answers it at once.
+  void Start();
+
+  void OnCallerLeft() override;
+  void OnSent() override;
+  void OnAnswerHead(const AnswerHead& head) override;
+  void OnAnswerBytes(std::string_view bytes) override;
+  void OnAnswerEnd() override;
+  void OnFailure(const AttemptFailure& failure) override;
+
+ private:
+  // What is done with the bytes of the answer under way.
+  enum class AnswerUse { kNone, kRelay, kStream, kPassOver };
+
+  // Admission: each returns false after it has answered.
+  bool FindRoute();
+  bool Authenticate();
+  void ReadSizes();
+  void ChooseService();
+
+  // Attempts.
+  void TryNext();
+  void Send(const Placement& placement);
+  std::string HeadFor(const Placement& placement) const;
+  bool IsSetByGateway(std::string_view name) const;
+  void BeginWork(const Placement& placement);
+  void EndWork();
+  void OnFirstEvent();
+
+  // What follows an attempt.
+  void OnNotRun(const std::string& reason);
+  void OnMayHaveRun(const std::string& reason);
+  bool MaySendAgain();
+  void AbandonAttempt();
+
+  // Time.
+  void ArmTimer();
+  void OnTimer();
+  std::optional<TimePoint> PatienceEnd() const;
+  Millis TimeLeft() const;
+
+  // Answers.
+  void JudgeHead(const AnswerHead& head);
+  void Refuse(unsigned status, const std::string& code,
+              std::optional<Millis> retry_after);
+  void GiveUp(const std::string& reason);
+  void Finish(const char* outcome, unsigned status, const std::string& reason);
+
+  // Logs.
+  nlohmann::json LogFields() const;
+
+  const GatewayServices* services_;
+  CallerRequest request_;
+  TimePoint arrived_;
+  std::shared_ptr<AnswerPort> answer_;
+  boost::asio::steady_timer timer_;
+
+  std::string id_;
+  std::shared_ptr<const std::string> body_;
+  std::shared_ptr<const RoutingTable> table_;
+  const RouteRule* route_ = nullptr;
+  const ServiceProfile* service_ = nullptr;
+  const AccountEntry* account_ = nullptr;
+  bool strip_key_ = false;
+  TimePoint deadline_{};
+  PlacementRequest placement_request_;
+
+  std::shared_ptr<Attempt> attempt_;
+  EndpointId endpoint_;
+  std::vector<EndpointId> helpers_;
+  std::vector<WorkId> work_;
+  FractionalMillis predicted_{0};
+  TimePoint sent_at_{};
+  TimePoint last_bytes_at_{};
+  int sendings_ = 0;
+  int connect_failures_ = 0;
+  bool may_have_run_ = false;
+  bool attempt_sent_ = false;
+  bool budget_refused_ = false;
+
+  AnswerUse use_ = AnswerUse::kNone;
+  std::optional<AnswerHead> head_;
+  std::string answer_body_;
+  EventScanner scanner_;
+  bool stream_begun_ = false;
+  bool first_event_seen_ = false;
+  bool finished_ = false;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_GATEWAY_EXCHANGE_H_
--- /dev/null
+++ b/src/gateway/gateway_node.cc
@@ -0,0 +1,264 @@
+#include "src/gateway/gateway_node.h"
+
+#include <algorithm>
+#include <csignal>
+#include <utility>
+
+#include "harecrank/core/http_status.h"
+#include "src/gateway/exchange.h"
+
+namespace harecrank {
+namespace {
+
+// How often the process looks after itself.
+constexpr Millis kTick{100};
+// How often idle connections to endpoints are looked at.
+constexpr Millis kSweepInterval{1000};
+// After a stop signal callers' idle connections are kept for as long as the
+// balancer needs to miss two checks, one a second, and a moment more.
+constexpr Millis kBalancerNotices{3000};
+// What is left of the platform's patience when the process gives up waiting.
+constexpr Millis kStopMargin{400};
+// Descriptors that are not callers': files, listening sockets, endpoints.
+constexpr std::size_t kReservedDescriptors = 1200;
+constexpr std::size_t kLeastSessions = 256;
+
+// How many hosts share a bound where fewer are known.
+constexpr int kLeastHosts = 3;
+
+std::size_t MostSessions(std::size_t descriptors) {
+  return descriptors > kReservedDescriptors + kLeastSessions
+             ? descriptors - kReservedDescriptors
+             : kLeastSessions;
+}
+
+}  // namespace
+
+GatewayNode::GatewayNode(GatewaySettings settings, ProtocolNames names,
+                         const FeedFactory& make_feed, MonotonicClock clock,
+                         RandomSource random)
+    : settings_(std::move(settings)),
+      names_(std::move(names)),
+      clock_(std::move(clock)),
+      random_(std::move(random)),
+      io_(1),
+      log_(settings_.node_id.value, clock_),
+      directory_(clock_),
+      loads_(clock_),
+      health_(clock_),
+      connections_(&io_, clock_),
+      placer_(&directory_, &loads_, &health_, settings_.data_centre, random_),
+      budgets_(
+          settings_.repeat_bound, [this] { return KnownHosts(); }, clock_),
+      services_{&io_,      &names_,       &routing_, &directory_, &loads_,
+                &health_,  &connections_, &placer_,  &budgets_,   &log_,
+                &metrics_, clock_,        random_},
+      feed_(make_feed(&io_, settings_, this)),
+      callers_(&io_, settings_.callers_address,
+               MostSessions(settings_.descriptors), MakeSessionContext()),
+      readiness_(&io_, settings_.readiness_address,
+                 [this](const HttpRequest& r) { return AnswerReadiness(r); }),
+      operations_(&io_, settings_.operations_address,
+                  [this](const HttpRequest& r) { return AnswerOperations(r); }),
+      signals_(io_, SIGTERM, SIGINT, SIGHUP),
+      tick_timer_(io_) {
+  RegisterGauges();
+}
+
+GatewayNode::~GatewayNode() = default;
+
+void GatewayNode::Run() {
+  log_.Write("start",
+             {{"version", HARECRANK_VERSION},
+              {"data_centre", settings_.data_centre.value},
+              {"callers_address", settings_.callers_address}},
+             LogWeight::kAlwaysKept);
+  feed_->Start();
+  callers_.Start();
+  readiness_.Start();
+  operations_.Start();
+  AwaitSignal();
+  Tick();
+  io_.run();
+  log_.Write("stop", {{"requests_cut", callers_.BusyCount()}},
+             LogWeight::kAlwaysKept);
+}
+
+SessionContext GatewayNode::MakeSessionContext() {
+  SessionContext context;
+  context.start_request = [this](CallerRequest request, TimePoint arrived,
+                                 std::shared_ptr<AnswerPort> answer) {
+    auto exchange = std::make_shared<Exchange>(&services_, std::move(request),
+                                               arrived, std::move(answer));
+    exchange->Start();
+    return std::shared_ptr<RequestHandle>(exchange);
+  };
+  context.limits = [this] {
+    const auto table = routing_.InForce();
+    return table == nullptr ? CallerLimits{} : table->Limits();
+  };
+  context.is_draining = [this] { return draining_; };
+  context.clock = clock_;
+  return context;
+}
+
+int GatewayNode::KnownHosts() const {
+  return std::max(kLeastHosts, static_cast<int>(settings_.seed_peers.size()));
+}
+
+bool GatewayNode::IsReady() const {
+  return !draining_ && routing_.InForce() != nullptr && directory_.Count() > 0;
+}
+
+HttpReply GatewayNode::AnswerReadiness(const HttpRequest& request) {
+  if (request.target() != names_.readiness_path) {
+    return MakeReply(http_status::kNotFound, "text/plain", "no such page\n");
+  }
+  return IsReady() ? MakeReply(http_status::kOk, "text/plain", "ready\n")
+                   : MakeReply(http_status::kUnavailable, "text/plain",
+                               "not ready\n");
+}
+
+HttpReply GatewayNode::AnswerOperations(const HttpRequest& request) {
+  if (request.target() == "/metrics") {
+    return MakeReply(http_status::kOk, "text/plain; version=0.0.4",
+                     metrics_.Text());
+  }
+  return MakeReply(http_status::kNotFound, "text/plain", "no such page\n");
+}
+
+void GatewayNode::RegisterGauges() {
+  metrics_.AddGauge("harecrank_gateway_configuration_version", [this] {
+    const auto table = routing_.InForce();
+    return table == nullptr ? 0.0 : static_cast<double>(table->Version().value);
+  });
+  metrics_.AddGauge("harecrank_gateway_endpoints",
+                    [this] { return static_cast<double>(directory_.Count()); });
+  metrics_.AddGauge("harecrank_gateway_source_well",
+                    [this] { return source_well_ ? 1.0 : 0.0; });
+  metrics_.AddGauge("harecrank_gateway_callers",
+                    [this] { return static_cast<double>(callers_.Count()); });
+  metrics_.AddGauge("harecrank_gateway_log_lines_dropped",
+                    [this] { return static_cast<double>(log_.Dropped()); });
+}
+
+void GatewayNode::OnRouting(RoutingDocument document) {
+  const auto table = std::make_shared<const RoutingTable>(std::move(document));
+  if (!routing_.Offer(table)) {
+    return;
+  }
+  log_.Write("configuration",
+             {{"version", table->Version().value},
+              {"routes", table->Document().routes.size()},
+              {"services", table->Document().services.size()}},
+             LogWeight::kAlwaysKept);
+}
+
+void GatewayNode::OnListing(std::vector<EndpointRecord> records,
+                            StoreRevision at) {
+  directory_.ReplaceAll(records, at);
+  log_.Write("listing", {{"endpoints", records.size()}, {"at", at.value}});
+}
+
+void GatewayNode::OnEndpoint(const EndpointRecord& record) {
+  if (directory_.Upsert(record)) {
+    log_.Write("endpoint", {{"endpoint", record.id.value},
+                            {"service", record.service.value},
+                            {"address", record.address},
+                            {"draining", record.draining},
+                            {"revision", record.revision.value}});
+  }
+}
+
+void GatewayNode::OnEndpointGone(const EndpointId& id, StoreRevision revision) {
+  directory_.Remove(id, revision);
+  log_.Write("endpoint_gone",
+             {{"endpoint", id.value}, {"revision", revision.value}});
+}
+
+void GatewayNode::OnSourceWell(StoreRevision at) {
+  known_up_to_ = at;
+  if (source_well_) {
+    return;
+  }
+  source_well_ = true;
+  directory_.OnSourceBack();
+  log_.Write("source_regained", {{"at", at.value}}, LogWeight::kAlwaysKept);
+}
+
+void GatewayNode::OnSourceLost(const std::string& reason) {
+  if (!source_well_) {
+    return;
+  }
+  source_well_ = false;
+  directory_.OnSourceLost();
+  log_.Write("source_lost",
+             {{"reason", reason}, {"known_up_to", known_up_to_.value}},
+             LogWeight::kAlwaysKept);
+}
+
+void GatewayNode::OnUnusable(const std::string& what,
+                             const std::string& reason) {
+  metrics_.GetCounter("harecrank_gateway_unusable_entries_total")->Add();
+  log_.Write("unusable", {{"what", what}, {"reason", reason}},
+             LogWeight::kAlwaysKept);
+}
+
+void GatewayNode::AwaitSignal() {
+  signals_.async_wait([this](boost::system::error_code error, int signal) {
+    if (!error) {
+      OnSignal(signal);
+      AwaitSignal();
+    }
+  });
+}
+
+void GatewayNode::OnSignal(int signal) {
+  if (signal == SIGHUP) {
+    log_.Write("reload", {{"reason", "SIGHUP"}}, LogWeight::kAlwaysKept);
+    return;
+  }
+  BeginDrain();
+}
+
+void GatewayNode::BeginDrain() {
+  if (draining_) {
+    return;
+  }
+  draining_ = true;
+  drain_began_ = clock_();
+  log_.Write("drain", {{"requests", callers_.BusyCount()}},
+             LogWeight::kAlwaysKept);
+}
+
+void GatewayNode::Tick() {
+  const TimePoint now = clock_();
+  directory_.DropLapsed();
+  if (now - swept_ >= kSweepInterval) {
+    swept_ = now;
+    connections_.Sweep();
+  }
+  if (draining_) {
+    ContinueDrain();
+  }
+  tick_timer_.expires_after(kTick);
+  tick_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      Tick();
+    }
+  });
+}
+
+void GatewayNode::ContinueDrain() {
+  const auto passed = clock_() - drain_began_;
+  if (passed < kBalancerNotices) {
+    return;
+  }
+  callers_.CloseIdle();
+  const bool late = passed + kStopMargin >= settings_.stop_limit;
+  if (late || callers_.BusyCount() == 0) {
+    io_.stop();
+  }
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/gateway_node.h
@@ -0,0 +1,91 @@
+// The process of an entry host that forwards straight to endpoints.
+
+#ifndef HARECRANK_SRC_GATEWAY_GATEWAY_NODE_H_
+#define HARECRANK_SRC_GATEWAY_GATEWAY_NODE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "src/adapters/settings.h"
+#include "src/gateway/caller_listener.h"
+#include "src/gateway/directory_feed.h"
+#include "src/gateway/gateway_services.h"
+#include "src/gateway/small_server.h"
+
+namespace harecrank {
+
+// Makes the feed that tells `sink` what the platform publishes.
+using FeedFactory = std::function<std::unique_ptr<DirectoryFeed>(
+    boost::asio::io_context* io, const GatewaySettings& settings,
+    DirectorySink* sink)>;
+
+// One thread runs all of it: a host's share of a core is less than one, and
+// docs/PLATFORM.md has the figures.
+class GatewayNode : public DirectorySink {
+ public:
+  // Throws boost::system::system_error if an address cannot be had.
+  GatewayNode(GatewaySettings settings, ProtocolNames names,
+              const FeedFactory& make_feed, MonotonicClock clock,
+              RandomSource random);
+  ~GatewayNode() override;
+
+  // Runs until a stop signal has been obeyed.
+  void Run();
+
+  void OnRouting(RoutingDocument document) override;
+  void OnListing(std::vector<EndpointRecord> records,
+                 StoreRevision at) override;
+  void OnEndpoint(const EndpointRecord& record) override;
+  void OnEndpointGone(const EndpointId& id, StoreRevision revision) override;
+  void OnSourceWell(StoreRevision at) override;
+  void OnSourceLost(const std::string& reason) override;
+  void OnUnusable(const std::string& what, const std::string& reason) override;
+
+ private:
+  SessionContext MakeSessionContext();
+  HttpReply AnswerReadiness(const HttpRequest& request);
+  HttpReply AnswerOperations(const HttpRequest& request);
+  void AwaitSignal();
+  void OnSignal(int signal);
+  void BeginDrain();
+  void Tick();
+  void ContinueDrain();
+  void RegisterGauges();
+  int KnownHosts() const;
+  bool IsReady() const;
+
+  GatewaySettings settings_;
+  ProtocolNames names_;
+  MonotonicClock clock_;
+  RandomSource random_;
+  boost::asio::io_context io_;
+  EventLog log_;
+  Metrics metrics_;
+  RoutingState routing_;
+  EndpointDirectory directory_;
+  EndpointLoads loads_;
+  EndpointHealth health_;
+  EndpointConnections connections_;
+  Placer placer_;
+  RepeatBudgets budgets_;
+  GatewayServices services_;
+  std::unique_ptr<DirectoryFeed> feed_;
+  CallerListener callers_;
+  SmallServer readiness_;
+  SmallServer operations_;
+  boost::asio::signal_set signals_;
+  boost::asio::steady_timer tick_timer_;
+  bool source_well_ = false;
+  StoreRevision known_up_to_;
+  bool draining_ = false;
+  TimePoint drain_began_{};
+  TimePoint swept_{};
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_GATEWAY_GATEWAY_NODE_H_
--- /dev/null
+++ b/src/gateway/gateway_services.h
@@ -0,0 +1,74 @@
+// What the parts of one gateway share.
+
+#ifndef HARECRANK_SRC_GATEWAY_GATEWAY_SERVICES_H_
+#define HARECRANK_SRC_GATEWAY_GATEWAY_SERVICES_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "harecrank/core/endpoint_directory.h"
+#include "harecrank/core/endpoint_health.h"
+#include "harecrank/core/endpoint_loads.h"
+#include "harecrank/core/placement.h"
+#include "harecrank/core/repeat_budget.h"
+#include "harecrank/core/routing_table.h"
+#include "src/adapters/event_log.h"
+#include "src/adapters/metrics.h"
+#include "src/gateway/endpoint_connections.h"
+#include "src/gateway/protocol_names.h"
+
+namespace harecrank {
+
+// The routing table in force. Never goes back within one life of a process.
+class RoutingState {
+ public:
+  // Puts `table` in force if it is newer. Returns whether it is.
+  bool Offer(std::shared_ptr<const RoutingTable> table);
+
+  // Returns the table in force, or null before the first.
+  std::shared_ptr<const RoutingTable> InForce() const { return table_; }
+
+ private:
+  std::shared_ptr<const RoutingTable> table_;
+};
+
+// The budgets of all services.
+class RepeatBudgets {
+ public:
+  RepeatBudgets(RepeatBound bound, std::function<int()> hosts,
+                MonotonicClock clock);
+
+  void OnFirst(const ServiceName& service);
+  bool TryRepeat(const ServiceName& service);
+
+ private:
+  RepeatBudget* Of(const ServiceName& service);
+
+  RepeatBound bound_;
+  std::function<int()> hosts_;
+  MonotonicClock clock_;
+  std::map<ServiceName, RepeatBudget> budgets_;
+};
+
+// References to what one process has once. All outlive every request.
+struct GatewayServices {
+  boost::asio::io_context* io = nullptr;
+  const ProtocolNames* names = nullptr;
+  const RoutingState* routing = nullptr;
+  EndpointDirectory* directory = nullptr;
+  EndpointLoads* loads = nullptr;
+  EndpointHealth* health = nullptr;
+  EndpointConnections* connections = nullptr;
+  const Placer* placer = nullptr;
+  RepeatBudgets* budgets = nullptr;
+  EventLog* log = nullptr;
+  Metrics* metrics = nullptr;
+  MonotonicClock clock;
+  RandomSource random;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_GATEWAY_GATEWAY_SERVICES_H_
--- /dev/null
+++ b/src/gateway/http_client.cc
@@ -0,0 +1,142 @@
+#include "src/gateway/http_client.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <charconv>
+#include <utility>
+
+namespace harecrank {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+// The platform's values hold a megabyte at most, and pages of them a few.
+constexpr std::uint64_t kMostReplyBytes = 16U << 20U;
+constexpr unsigned kHttp11 = 11;
+
+}  // namespace
+
+std::optional<asio::ip::tcp::endpoint> ParseTcpEndpoint(
+    const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  boost::system::error_code error;
+  const auto ip = asio::ip::make_address(text.substr(0, colon), error);
+  std::uint16_t port = 0;
+  const char* first = text.data() + colon + 1;
+  const char* last = text.data() + text.size();
+  const auto [end, number_error] = std::from_chars(first, last, port);
+  if (error || number_error != std::errc() || end != last) {
+    return std::nullopt;
+  }
+  return asio::ip::tcp::endpoint(ip, port);
+}
+
+HttpClient::HttpClient(asio::io_context* io, std::string address)
+    : io_(io), address_(std::move(address)) {}
+
+void HttpClient::Get(const std::string& target, Millis timeout,
+                     Handler handler) {
+  Start(HttpRequest(http::verb::get, target, kHttp11), timeout,
+        std::move(handler));
+}
+
+void HttpClient::Post(const std::string& target, std::string json,
+                      Millis timeout, Handler handler) {
+  HttpRequest request(http::verb::post, target, kHttp11);
+  request.set(http::field::content_type, "application/json");
+  request.body() = std::move(json);
+  Start(std::move(request), timeout, std::move(handler));
+}
+
+void HttpClient::Start(HttpRequest request, Millis timeout, Handler handler) {
+  request_ = std::move(request);
+  request_.set(http::field::host, address_);
+  request_.prepare_payload();
+  handler_ = std::move(handler);
+  kept_ = stream_ != nullptr;
+  if (stream_ == nullptr) {
+    stream_ = std::make_unique<beast::tcp_stream>(*io_);
+  }
+  stream_->expires_after(timeout);
+  if (kept_) {
+    Send();
+  } else {
+    Connect();
+  }
+}
+
+void HttpClient::Connect() {
+  const auto endpoint = ParseTcpEndpoint(address_);
+  if (!endpoint.has_value()) {
+    Fail("address", asio::error::invalid_argument);
+    return;
+  }
+  stream_->async_connect(*endpoint, [self = shared_from_this()](
+                                        boost::system::error_code error) {
+    if (error) {
+      self->Fail("connect", error);
+      return;
+    }
+    boost::system::error_code ignored;
+    self->stream_->socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    self->Send();
+  });
+}
+
+void HttpClient::Send() {
+  http::async_write(*stream_, request_,
+                    [self = shared_from_this()](boost::system::error_code error,
+                                                std::size_t) {
+                      if (error) {
+                        self->Fail("write", error);
+                        return;
+                      }
+                      self->Receive();
+                    });
+}
+
+void HttpClient::Receive() {
+  parser_.emplace();
+  parser_->body_limit(kMostReplyBytes);
+  http::async_read(*stream_, buffer_, *parser_,
+                   [self = shared_from_this()](boost::system::error_code error,
+                                               std::size_t) {
+                     if (error) {
+                       self->Fail("read", error);
+                       return;
+                     }
+                     const bool keep = self->parser_->keep_alive();
+                     HttpReply reply = self->parser_->release();
+                     if (!keep) {
+                       self->stream_.reset();
+                       self->buffer_.clear();
+                     }
+                     self->Finish(std::move(reply));
+                   });
+}
+
+void HttpClient::Fail(const std::string& step,
+                      const boost::system::error_code& error) {
+  stream_.reset();
+  buffer_.clear();
+  Finish(CallFailure{step + ": " + error.message() +
+                     (kept_ ? " on a kept connection" : "")});
+}
+
+void HttpClient::Finish(CallResult result) {
+  // The handler may start the next call.
+  Handler handler = std::move(handler_);
+  handler_ = nullptr;
+  parser_.reset();
+  if (handler) {
+    handler(std::move(result));
+  }
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/http_client.h
@@ -0,0 +1,79 @@
+// Calls to one address, one at a time over one kept connection.
+
+#ifndef HARECRANK_SRC_GATEWAY_HTTP_CLIENT_H_
+#define HARECRANK_SRC_GATEWAY_HTTP_CLIENT_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "harecrank/core/strong_types.h"
+
+namespace harecrank {
+
+// Reads "IP:PORT". Returns nothing if `text` is no such address.
+std::optional<boost::asio::ip::tcp::endpoint> ParseTcpEndpoint(
+    const std::string& text);
+
+// Why a call brought no answer.
+struct CallFailure {
+  std::string reason;
+};
+
+using HttpRequest =
+    boost::beast::http::request<boost::beast::http::string_body>;
+using HttpReply = boost::beast::http::response<boost::beast::http::string_body>;
+using CallResult = std::variant<CallFailure, HttpReply>;
+
+// Not thread-safe; runs on its io_context. A call that is under way when the
+// client is dropped ends without its handler.
+class HttpClient : public std::enable_shared_from_this<HttpClient> {
+ public:
+  using Handler = std::function<void(CallResult)>;
+
+  HttpClient(boost::asio::io_context* io, std::string address);
+
+  // Sends a GET of `target` and hands over what comes of it within `timeout`,
+  // which covers connecting too. No other call may be under way.
+  void Get(const std::string& target, Millis timeout, Handler handler);
+
+  // Sends a POST with a JSON body, as Get.
+  void Post(const std::string& target, std::string json, Millis timeout,
+            Handler handler);
+
+  const std::string& Address() const { return address_; }
+
+ private:
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void Start(HttpRequest request, Millis timeout, Handler handler);
+  void Connect();
+  void Send();
+  void Receive();
+  void Finish(CallResult result);
+  void Fail(const std::string& step, const boost::system::error_code& error);
+
+  boost::asio::io_context* io_;
+  std::string address_;
+  std::unique_ptr<boost::beast::tcp_stream> stream_;
+  boost::beast::flat_buffer buffer_;
+  HttpRequest request_;
+  std::optional<Parser> parser_;
+  Handler handler_;
+  // The connection has served a call before: a failure may be its age's.
+  bool kept_ = false;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_GATEWAY_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/gateway/message_text.cc
@@ -0,0 +1,75 @@
+#include "src/gateway/message_text.h"
+
+#include <array>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <cstdio>
+
+namespace harecrank {
+namespace {
+
+namespace beast = boost::beast;
+
+beast::string_view ToBeast(std::string_view text) {
+  return {text.data(), text.size()};
+}
+
+std::string_view FromBeast(beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+}  // namespace
+
+bool IsHopByHop(std::string_view name, std::string_view connection) {
+  // RFC 9110, section 7.6.1. Content-Length belongs to the framing, which each
+  // connection has of its own.
+  constexpr std::array<std::string_view, 10> kNames = {
+      "Connection",         "Keep-Alive", "Proxy-Connection", "TE",
+      "Transfer-Encoding",  "Trailer",    "Upgrade",          "Content-Length",
+      "Proxy-Authenticate", "Expect"};
+  for (const std::string_view known : kNames) {
+    if (beast::iequals(ToBeast(known), ToBeast(name))) {
+      return true;
+    }
+  }
+  return !connection.empty() &&
+         beast::http::token_list(ToBeast(connection)).exists(ToBeast(name));
+}
+
+void AppendHeader(std::string_view name, std::string_view value,
+                  std::string* text) {
+  text->append(name);
+  text->append(": ");
+  text->append(value);
+  text->append("\r\n");
+}
+
+void AppendAnswerHead(const AnswerHead& head, std::string* text) {
+  text->append("HTTP/1.1 ");
+  text->append(std::to_string(head.result_int()));
+  text->append(" ");
+  text->append(FromBeast(head.reason()));
+  text->append("\r\n");
+  const std::string connection(head[beast::http::field::connection]);
+  for (const auto& field : head) {
+    const std::string_view name = FromBeast(field.name_string());
+    if (!IsHopByHop(name, connection)) {
+      AppendHeader(name, FromBeast(field.value()), text);
+    }
+  }
+}
+
+void AppendChunk(std::string_view bytes, std::string* text) {
+  if (bytes.empty()) {
+    return;
+  }
+  constexpr std::size_t kMostSizeText = 24;
+  std::array<char, kMostSizeText> size{};
+  const int length =
+      std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+  text->append(size.data(), static_cast<std::size_t>(length));
+  text->append(bytes);
+  text->append("\r\n");
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/small_server.cc
@@ -0,0 +1,109 @@
+#include "src/gateway/small_server.h"
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <utility>
+
+namespace harecrank {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+// Peers, the balancer and operators ask small things and come back often.
+constexpr Millis kIdleLimit{30000};
+constexpr unsigned kHttp11 = 11;
+constexpr int kBacklog = 1024;
+
+// One connection.
+class SmallSession : public std::enable_shared_from_this<SmallSession> {
+ public:
+  SmallSession(asio::ip::tcp::socket socket,
+               std::shared_ptr<const SmallHandler> handler)
+      : stream_(std::move(socket)), handler_(std::move(handler)) {}
+
+  void Read() {
+    request_ = {};
+    stream_.expires_after(kIdleLimit);
+    http::async_read(stream_, buffer_, request_,
+                     [self = shared_from_this()](
+                         boost::system::error_code error, std::size_t) {
+                       if (!error) {
+                         self->Answer();
+                       }
+                     });
+  }
+
+ private:
+  void Answer() {
+    reply_ = (*handler_)(request_);
+    reply_.keep_alive(request_.keep_alive());
+    reply_.prepare_payload();
+    http::async_write(stream_, reply_,
+                      [self = shared_from_this()](
+                          boost::system::error_code error, std::size_t) {
+                        if (!error && self->reply_.keep_alive()) {
+                          self->Read();
+                        }
+                      });
+  }
+
+  beast::tcp_stream stream_;
+  std::shared_ptr<const SmallHandler> handler_;
+  beast::flat_buffer buffer_;
+  HttpRequest request_;
+  HttpReply reply_;
+};
+
+}  // namespace
+
+HttpReply MakeReply(unsigned status, const std::string& content_type,
+                    std::string body) {
+  HttpReply reply(http::int_to_status(status), kHttp11);
+  reply.set(http::field::content_type, content_type);
+  reply.body() = std::move(body);
+  return reply;
+}
+
+asio::ip::tcp::acceptor Listen(asio::io_context* io,
+                               const std::string& address) {
+  const auto endpoint = ParseTcpEndpoint(address);
+  if (!endpoint.has_value()) {
+    throw boost::system::system_error(asio::error::invalid_argument,
+                                      "'" + address + "' is no IP:PORT");
+  }
+  asio::ip::tcp::acceptor acceptor(*io, endpoint->protocol());
+  acceptor.set_option(asio::socket_base::reuse_address(true));
+  acceptor.bind(*endpoint);
+  acceptor.listen(kBacklog);
+  return acceptor;
+}
+
+SmallServer::SmallServer(asio::io_context* io, const std::string& address,
+                         SmallHandler handler)
+    : io_(io),
+      acceptor_(Listen(io, address)),
+      handler_(std::make_shared<const SmallHandler>(std::move(handler))) {}
+
+void SmallServer::Start() { Accept(); }
+
+void SmallServer::Stop() {
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+}
+
+void SmallServer::Accept() {
+  acceptor_.async_accept(*io_, [this](boost::system::error_code error,
+                                      asio::ip::tcp::socket socket) {
+    if (error == asio::error::operation_aborted) {
+      return;
+    }
+    if (!error) {
+      std::make_shared<SmallSession>(std::move(socket), handler_)->Read();
+    }
+    Accept();
+  });
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/small_server.h
@@ -0,0 +1,48 @@
+// A server of small answers: readiness, metrics, and what peers ask.
+
+#ifndef HARECRANK_SRC_GATEWAY_SMALL_SERVER_H_
+#define HARECRANK_SRC_GATEWAY_SMALL_SERVER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "src/gateway/http_client.h"
+
+namespace harecrank {
+
+// Answers one request at once.
+using SmallHandler = std::function<HttpReply(const HttpRequest& request)>;
+
+// Makes an answer of `status` with `body`.
+HttpReply MakeReply(unsigned status, const std::string& content_type,
+                    std::string body);
+
+// Not thread-safe; runs on its io_context.
+class SmallServer {
+ public:
+  // Throws boost::system::system_error if `address` cannot be had.
+  SmallServer(boost::asio::io_context* io, const std::string& address,
+              SmallHandler handler);
+
+  void Start();
+  void Stop();
+
+ private:
+  void Accept();
+
+  boost::asio::io_context* io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::shared_ptr<const SmallHandler> handler_;
+};
+
+// Opens a listening socket. Throws boost::system::system_error if `address`
+// cannot be had or is no "IP:PORT".
+boost::asio::ip::tcp::acceptor Listen(boost::asio::io_context* io,
+                                      const std::string& address);
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_GATEWAY_SMALL_SERVER_H_
