Entry hosts tell each other their loads, and long prompts keep apart

Long prompts are read by the engines that short ones do not need, in an order that all hosts share.

Ruled out: reports of the engines. They are priced and 200 ms old.

--- a/include/harecrank/core/placement.h
+++ b/include/harecrank/core/placement.h
@@ -68,16 +68,19 @@
     const EndpointRecord* record = nullptr;
     EndpointLoad load;
     double pace = 1;
+    // The place in the order that all hosts share.
+    std::uint64_t rank = 0;
   };
 
   std::vector<Candidate> CandidatesFor(const PlacementRequest& request) const;
+  static void SortInSharedOrder(std::vector<Candidate>* candidates);
   std::optional<Placement> ChoosePlain(
       const std::vector<Candidate>& candidates) const;
   std::optional<Placement> ChooseShort(
       const PlacementRequest& request,
-      const std::vector<Candidate>& candidates) const;
+      const std::vector<Candidate>& in_order) const;
   std::optional<Placement> ChooseLong(const PlacementRequest& request,
-                                      std::vector<Candidate> candidates) const;
+                                      std::vector<Candidate> in_order) const;
   std::size_t EnginesForShort(const EngineProfile& engine,
                               std::size_t engines) const;
   double Noise() const;
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -261,6 +261,7 @@
                  &settings.readiness_address);
   reader.Address("operations_address", Need::kRequired,
                  &settings.operations_address);
+  reader.Address("peers_address", Need::kRequired, &settings.peers_address);
   reader.Address("directory_service", Need::kRequired,
                  &settings.directory_service);
   reader.Texts("seed_peers", &settings.seed_peers);
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -68,8 +68,10 @@
   std::string callers_address;
   // Where the balancer asks whether this host takes new connections.
   std::string readiness_address;
-  // Metrics, dump and peers.
+  // Metrics, dump and peers' questions.
   std::string operations_address;
+  // Where peers' datagrams arrive. All hosts use the same port.
+  std::string peers_address;
   // The platform's service that publishes routes and endpoints.
   std::string directory_service;
   // Operations addresses of some other hosts, which may be stale.
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -19,6 +19,11 @@
 constexpr double kShortShareOfSlots = 0.4;
 // Engines kept for short requests beyond those that the count needs.
 constexpr std::size_t kSpareShortEngines = 1;
+// Short requests never push long ones off more engines than this share.
+constexpr double kMostShortShare = 0.8;
+// What a short request under way counts among reading times when engines for a
+// long prompt are compared.
+constexpr double kShortMemberMs = 60;
 // The share of an engine's memory that is given away. Answers grow longer than
 // the callers guess.
 constexpr double kMemoryShare = 0.92;
@@ -60,7 +65,7 @@
       random_(std::move(random)) {}
 
 std::optional<Placement> Placer::Choose(const PlacementRequest& request) const {
-  const std::vector<Candidate> candidates = CandidatesFor(request);
+  std::vector<Candidate> candidates = CandidatesFor(request);
   if (candidates.empty()) {
     return std::nullopt;
   }
@@ -68,6 +73,7 @@
   if (!request.service->engine.has_value()) {
     placement = ChoosePlain(candidates);
   } else {
+    SortInSharedOrder(&candidates);
     const FractionalMillis read =
         ReadTime(*request.service->engine, request.prompt);
     placement =
@@ -91,13 +97,22 @@
       continue;
     }
     Candidate candidate{record, loads_->Of(record->id),
-                        std::max(1.0, health_->Pace(record->id))};
+                        std::max(1.0, health_->Pace(record->id)), 0};
     (health_->IsSuspect(record->id) ? suspect : sound)
         .push_back(std::move(candidate));
   }
   return sound.empty() ? suspect : sound;
 }
 
+void Placer::SortInSharedOrder(std::vector<Candidate>* candidates) {
+  for (Candidate& candidate : *candidates) {
+    candidate.rank = RendezvousWeight(kOrderKey, candidate.record->id.value);
+  }
+  std::sort(
+      candidates->begin(), candidates->end(),
+      [](const Candidate& a, const Candidate& b) { return a.rank > b.rank; });
+}
+
 std::optional<Placement> Placer::ChoosePlain(
     const std::vector<Candidate>& candidates) const {
   const Candidate* best = nullptr;
@@ -120,27 +135,14 @@
 
 std::optional<Placement> Placer::ChooseShort(
     const PlacementRequest& request,
-    const std::vector<Candidate>& candidates) const {
+    const std::vector<Candidate>& in_order) const {
   const EngineProfile& engine = *request.service->engine;
   const FractionalMillis read = ReadTime(engine, request.prompt);
-  struct Ranked {
-    std::uint64_t weight;
-    const Candidate* candidate;
-  };
-  std::vector<Ranked> order;
-  order.reserve(candidates.size());
-  for (const Candidate& candidate : candidates) {
-    order.push_back(Ranked{
-        RendezvousWeight(kOrderKey, candidate.record->id.value), &candidate});
-  }
-  std::sort(order.begin(), order.end(), [](const Ranked& a, const Ranked& b) {
-    return a.weight > b.weight;
-  });
-  const std::size_t wanted = EnginesForShort(engine, order.size());
+  const std::size_t wanted = EnginesForShort(engine, in_order.size());
   const Candidate* best = nullptr;
   FractionalMillis best_time{0};
-  for (std::size_t i = 0; i < order.size(); ++i) {
-    const Candidate& candidate = *order[i].candidate;
+  for (std::size_t i = 0; i < in_order.size(); ++i) {
+    const Candidate& candidate = in_order[i];
     FractionalMillis time =
         FirstEvent(engine, candidate.load, candidate.pace, read) +
         FractionalMillis(kTimeNoiseMs * Noise());
@@ -166,16 +168,20 @@
 }
 
 std::optional<Placement> Placer::ChooseLong(
-    const PlacementRequest& request, std::vector<Candidate> candidates) const {
+    const PlacementRequest& request, std::vector<Candidate> in_order) const {
   const EngineProfile& engine = *request.service->engine;
   const FractionalMillis whole = ReadTime(engine, request.prompt);
   const FractionalMillis part_wanted =
       kPartShareOfGap * FractionalMillis(request.tightest_gap);
   const auto wanted = static_cast<std::size_t>(
       std::ceil(whole.count() / std::max(1.0, part_wanted.count())));
-  // Engines with few short requests first, then those with little to read.
+  // The engines that short requests do not need.
+  const std::size_t kept = EnginesForShort(engine, in_order.size());
+  std::vector<Candidate> candidates(
+      in_order.begin() +
+          static_cast<std::ptrdiff_t>(std::min(kept, in_order.size() - 1)),
+      in_order.end());
   const auto cost = [](const Candidate& c) {
-    constexpr double kShortMemberMs = 60;
     return c.pace * (c.load.read_backlog.count() +
                      kShortMemberMs * c.load.short_members);
   };
@@ -216,7 +222,9 @@
       std::max(1.0, kShortShareOfSlots * static_cast<double>(engine.slots));
   const auto needed = static_cast<std::size_t>(
       std::ceil(static_cast<double>(loads_->ShortMembers()) / per_engine));
-  return std::min(engines, needed + kSpareShortEngines);
+  const auto most = static_cast<std::size_t>(
+      std::ceil(kMostShortShare * static_cast<double>(engines)));
+  return std::min(most, needed + kSpareShortEngines);
 }
 
 double Placer::Noise() const {
--- a/src/gateway/directory_feed.h
+++ b/src/gateway/directory_feed.h
@@ -4,6 +4,7 @@
 #define HARECRANK_SRC_GATEWAY_DIRECTORY_FEED_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,14 @@
 
   virtual void Start() = 0;
   virtual void Stop() = 0;
+
+  // Returns what has been read, in the feed's own form, for hosts that the
+  // platform does not answer. Empty before the first listing.
+  virtual std::string Export() const = 0;
+
+  // Takes what another host's feed exported, and tells the sink of it. Returns
+  // up to which revision it is complete, or nothing if it cannot be used.
+  virtual std::optional<StoreRevision> Import(const std::string& exported) = 0;
 };
 
 }  // namespace harecrank
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -194,6 +194,9 @@
   use_ = AnswerUse::kNone;
   answer_body_.clear();
   BeginWork(placement);
+  if (placement.work_class == WorkClass::kLong) {
+    services_->on_placed();
+  }
   nlohmann::json fields = LogFields();
   fields["endpoint"] = endpoint_.value;
   fields["entry_revision"] = placement.endpoint->revision.value;
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -50,9 +50,15 @@
       placer_(&directory_, &loads_, &health_, settings_.data_centre, random_),
       budgets_(
           settings_.repeat_bound, [this] { return KnownHosts(); }, clock_),
-      services_{&io_,      &names_,       &routing_, &directory_, &loads_,
-                &health_,  &connections_, &placer_,  &budgets_,   &log_,
-                &metrics_, clock_,        random_},
+      services_{&io_,          &names_,   &routing_,
+                &directory_,   &loads_,   &health_,
+                &connections_, &placer_,  &budgets_,
+                &log_,         &metrics_, [this] { peers_.TellSoon(); },
+                clock_,        random_},
+      peer_book_(settings_.operations_address, settings_.seed_peers, clock_,
+                 random_),
+      peers_(&io_, settings_.peers_address, &peer_book_, MakePeerPorts(), &log_,
+             &metrics_, clock_),
       feed_(make_feed(&io_, settings_, this)),
       callers_(&io_, settings_.callers_address,
                MostSessions(settings_.descriptors), MakeSessionContext()),
@@ -74,6 +80,7 @@
               {"callers_address", settings_.callers_address}},
              LogWeight::kAlwaysKept);
   feed_->Start();
+  peers_.Start();
   callers_.Start();
   readiness_.Start();
   operations_.Start();
@@ -103,7 +110,8 @@
 }
 
 int GatewayNode::KnownHosts() const {
-  return std::max(kLeastHosts, static_cast<int>(settings_.seed_peers.size()));
+  return std::max({kLeastHosts, static_cast<int>(settings_.seed_peers.size()),
+                   peer_book_.AliveHosts()});
 }
 
 bool GatewayNode::IsReady() const {
@@ -124,9 +132,38 @@
     return MakeReply(http_status::kOk, "text/plain; version=0.0.4",
                      metrics_.Text());
   }
+  if (request.target() == PeerExchange::kSnapshotPath) {
+    return MakeReply(http_status::kOk, "application/cbor", feed_->Export());
+  }
   return MakeReply(http_status::kNotFound, "text/plain", "no such page\n");
 }
 
+PeerExchangePorts GatewayNode::MakePeerPorts() {
+  PeerExchangePorts ports;
+  ports.own_word = [this] {
+    PeerWord word;
+    word.node = settings_.node_id;
+    word.operations_address = settings_.operations_address;
+    const auto table = routing_.InForce();
+    word.routing = table == nullptr ? RoutingVersion{} : table->Version();
+    word.known_up_to = known_up_to_;
+    word.source_well = source_well_;
+    word.loads = loads_.Own();
+    return word;
+  };
+  ports.on_word = [this](const PeerWord& word) {
+    loads_.SetPeer(word.node, word.loads);
+  };
+  ports.on_snapshot = [this](const std::string& snapshot) {
+    const auto at = feed_->Import(snapshot);
+    if (at.has_value()) {
+      known_up_to_ = std::max(known_up_to_, *at);
+    }
+    return at.has_value();
+  };
+  return ports;
+}
+
 void GatewayNode::RegisterGauges() {
   metrics_.AddGauge("harecrank_gateway_configuration_version", [this] {
     const auto table = routing_.InForce();
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -14,6 +14,7 @@
 #include "src/gateway/caller_listener.h"
 #include "src/gateway/directory_feed.h"
 #include "src/gateway/gateway_services.h"
+#include "src/gateway/peer_exchange.h"
 #include "src/gateway/small_server.h"
 
 namespace harecrank {
@@ -49,6 +50,7 @@
   SessionContext MakeSessionContext();
   HttpReply AnswerReadiness(const HttpRequest& request);
   HttpReply AnswerOperations(const HttpRequest& request);
+  PeerExchangePorts MakePeerPorts();
   void AwaitSignal();
   void OnSignal(int signal);
   void BeginDrain();
@@ -73,6 +75,8 @@
   Placer placer_;
   RepeatBudgets budgets_;
   GatewayServices services_;
+  PeerBook peer_book_;
+  PeerExchange peers_;
   std::unique_ptr<DirectoryFeed> feed_;
   CallerListener callers_;
   SmallServer readiness_;
--- a/src/gateway/gateway_services.h
+++ b/src/gateway/gateway_services.h
@@ -65,6 +65,8 @@
   RepeatBudgets* budgets = nullptr;
   EventLog* log = nullptr;
   Metrics* metrics = nullptr;
+  // Called when something was placed that peers should soon hear of.
+  std::function<void()> on_placed;
   MonotonicClock clock;
   RandomSource random;
 };
