Long prompts wait in the host; what leaves after a cut is gone at once

The log shows source_regained at revision 48 and the endpoint's end at 49. Now the revision decides; unit test "What leaves after the source is back is gone at once" failed before. Now what cannot start waits in the host, those first that can still be in time.

Ruled out for cause 1: a late watch (the event came 260 ms after the change).

--- a/include/harecrank/core/endpoint_directory.h
+++ b/include/harecrank/core/endpoint_directory.h
@@ -52,9 +52,13 @@
   // Takes a complete listing: what is held and not listed has vanished.
   void ReplaceAll(const std::vector<EndpointRecord>& records, StoreRevision at);
 
-  // Notes that the source of the records cannot be reached, or can again.
+  // Notes that the source of the records cannot be reached.
   void OnSourceLost();
-  void OnSourceBack();
+
+  // Notes that the source answers again, and was at `at` when it did. What
+  // vanishes at a later revision has left; what vanished before may have
+  // lapsed while the source was away.
+  void OnSourceBack(StoreRevision at);
 
   // Drops entries whose grace period has ended.
   void DropLapsed();
@@ -94,6 +98,7 @@
   std::map<EndpointId, Entry> entries_;
   bool source_lost_ = true;
   TimePoint source_back_at_{};
+  StoreRevision source_back_revision_;
   mutable bool stale_index_ = true;
   mutable std::unordered_map<ServiceName, std::vector<const EndpointRecord*>>
       usable_;
--- a/include/harecrank/core/placement.h
+++ b/include/harecrank/core/placement.h
@@ -11,6 +11,7 @@
 
 #include <optional>
 #include <set>
+#include <variant>
 #include <vector>
 
 #include "harecrank/core/clock.h"
@@ -49,6 +50,12 @@
   std::size_t candidates = 0;
 };
 
+// No endpoint of the service may be used.
+struct NoEndpoint {};
+// All engines that could read the prompt have enough to read for now.
+struct EnginesBusy {};
+using PlacementResult = std::variant<Placement, NoEndpoint, EnginesBusy>;
+
 // Chooses endpoints. Not thread-safe; reads what it was built on.
 class Placer {
  public:
@@ -56,9 +63,8 @@
   Placer(const EndpointDirectory* directory, const EndpointLoads* loads,
          const EndpointHealth* health, DataCentreId self, RandomSource random);
 
-  // Returns nothing if no endpoint of the service may be used. What it returns
-  // points into the directory and is valid until that changes.
-  std::optional<Placement> Choose(const PlacementRequest& request) const;
+  // What a placement points to is valid until the directory changes.
+  PlacementResult Choose(const PlacementRequest& request) const;
 
   // The most helpers that engines take for one request.
   static constexpr std::size_t kMostHelpers = 16;
@@ -74,13 +80,13 @@
 
   std::vector<Candidate> CandidatesFor(const PlacementRequest& request) const;
   static void SortInSharedOrder(std::vector<Candidate>* candidates);
-  std::optional<Placement> ChoosePlain(
-      const std::vector<Candidate>& candidates) const;
-  std::optional<Placement> ChooseShort(
-      const PlacementRequest& request,
-      const std::vector<Candidate>& in_order) const;
-  std::optional<Placement> ChooseLong(const PlacementRequest& request,
-                                      std::vector<Candidate> in_order) const;
+  Placement ChoosePlain(const std::vector<Candidate>& candidates) const;
+  Placement ChooseShort(const PlacementRequest& request,
+                        const std::vector<Candidate>& in_order) const;
+  PlacementResult ChooseLong(const PlacementRequest& request,
+                             const std::vector<Candidate>& in_order) const;
+  static std::size_t ReadersWanted(const PlacementRequest& request,
+                                   FractionalMillis whole);
   std::size_t EnginesForShort(const EngineProfile& engine,
                               std::size_t engines) const;
   double Noise() const;
--- /dev/null
+++ b/include/harecrank/core/waiting_room.h
@@ -0,0 +1,50 @@
+// The order in which long prompts that wait for engines are tried.
+
+#ifndef HARECRANK_CORE_WAITING_ROOM_H_
+#define HARECRANK_CORE_WAITING_ROOM_H_
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "harecrank/core/clock.h"
+#include "harecrank/core/engine_estimate.h"
+#include "harecrank/core/strong_types.h"
+
+namespace harecrank {
+
+// Names one request that waits.
+using WaiterId = StrongNumber<struct WaiterTag, std::uint64_t>;
+
+// What the order depends on.
+struct Waiter {
+  // Its first event is in time until then.
+  TimePoint in_time_until{};
+  // How long its prompt takes to read, with the helpers that it wants.
+  FractionalMillis service{0};
+};
+
+// Requests that can still be in time go first, by how little time they have to
+// spare; those that cannot follow, the quickest first. Not thread-safe.
+class WaitingRoom {
+ public:
+  explicit WaitingRoom(MonotonicClock clock);
+
+  WaiterId Add(const Waiter& waiter);
+  void Remove(WaiterId id) { waiters_.erase(id); }
+
+  // Returns at most `most` of those that wait, first to last.
+  std::vector<WaiterId> InOrder(std::size_t most) const;
+
+  bool IsEmpty() const { return waiters_.empty(); }
+  std::size_t Count() const { return waiters_.size(); }
+
+ private:
+  MonotonicClock clock_;
+  std::uint64_t next_id_ = 1;
+  std::map<WaiterId, Waiter> waiters_;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_CORE_WAITING_ROOM_H_
--- a/src/core/endpoint_directory.cc
+++ b/src/core/endpoint_directory.cc
@@ -35,7 +35,9 @@
   if (found == entries_.end() || revision < found->second.record.revision) {
     return;
   }
-  Drop(id, SourceIsCalm(clock_()));
+  const bool left_after_return =
+      !source_lost_ && source_back_revision_ < revision;
+  Drop(id, left_after_return || SourceIsCalm(clock_()));
 }
 
 void EndpointDirectory::ReplaceAll(const std::vector<EndpointRecord>& records,
@@ -60,9 +62,10 @@
 
 void EndpointDirectory::OnSourceLost() { source_lost_ = true; }
 
-void EndpointDirectory::OnSourceBack() {
+void EndpointDirectory::OnSourceBack(StoreRevision at) {
   if (source_lost_) {
     source_lost_ = false;
+    source_back_revision_ = at;
     source_back_at_ = clock_();
   }
 }
--- /dev/null
+++ b/src/core/endpoint_directory_test.cc
@@ -0,0 +1,105 @@
+#include "harecrank/core/endpoint_directory.h"
+
+#include <catch2/catch.hpp>
+
+namespace harecrank {
+namespace {
+
+const ServiceName kService{"writers"};
+
+class DirectoryFixture {
+ protected:
+  void Pass(Millis time) { now_ += time; }
+
+  EndpointRecord Record(const std::string& id, std::uint64_t revision) const {
+    EndpointRecord record;
+    record.id = EndpointId{id};
+    record.service = kService;
+    record.address = "127.0.0.1:1";
+    record.revision = StoreRevision{revision};
+    return record;
+  }
+
+  // Three endpoints, known from a source that has long been well.
+  void Settle() {
+    directory_.OnSourceBack(StoreRevision{1});
+    directory_.ReplaceAll({Record("a", 1), Record("b", 1), Record("c", 1)},
+                          StoreRevision{1});
+    Pass(EndpointDirectory::kCalmAfter);
+  }
+
+  std::size_t Usable() const { return directory_.UsableOf(kService).size(); }
+
+  TimePoint now_{};
+  EndpointDirectory directory_{[this] { return now_; }};
+};
+
+TEST_CASE_METHOD(DirectoryFixture,
+                 "An endpoint that vanishes in calm times is gone at once") {
+  Settle();
+  directory_.Remove(EndpointId{"a"}, StoreRevision{2});
+  CHECK(Usable() == 2);
+}
+
+TEST_CASE_METHOD(DirectoryFixture,
+                 "A draining endpoint takes no new work but is still known") {
+  Settle();
+  EndpointRecord leaving = Record("a", 2);
+  leaving.draining = true;
+  CHECK(directory_.Upsert(leaving));
+  CHECK(Usable() == 2);
+  CHECK(directory_.Find(EndpointId{"a"}) != nullptr);
+}
+
+TEST_CASE_METHOD(DirectoryFixture,
+                 "An older entry never replaces a newer one") {
+  Settle();
+  EndpointRecord leaving = Record("a", 5);
+  leaving.draining = true;
+  directory_.Upsert(leaving);
+  CHECK_FALSE(directory_.Upsert(Record("a", 4)));
+  CHECK(Usable() == 2);
+}
+
+TEST_CASE_METHOD(DirectoryFixture,
+                 "Entries that lapsed during an outage stay until the grace "
+                 "after its end is over") {
+  Settle();
+  directory_.OnSourceLost();
+  Pass(Millis(5000));
+  directory_.OnSourceBack(StoreRevision{9});
+  directory_.ReplaceAll({Record("a", 1)}, StoreRevision{9});
+  directory_.DropLapsed();
+  CHECK(Usable() == 3);
+  directory_.Upsert(Record("b", 10));
+  Pass(EndpointDirectory::kLapseGrace);
+  directory_.DropLapsed();
+  CHECK(Usable() == 2);
+}
+
+// Found by a hunt: a host that had been cut off kept an endpoint that left
+// after the cut for two seconds too long.
+TEST_CASE_METHOD(DirectoryFixture,
+                 "What leaves after the source is back is gone at once, "
+                 "however short a time that is") {
+  Settle();
+  directory_.OnSourceLost();
+  Pass(Millis(8000));
+  directory_.OnSourceBack(StoreRevision{48});
+  Pass(Millis(300));
+  directory_.Remove(EndpointId{"a"}, StoreRevision{49});
+  CHECK(Usable() == 2);
+  directory_.Remove(EndpointId{"b"}, StoreRevision{38});
+  CHECK(Usable() == 2);
+}
+
+TEST_CASE_METHOD(DirectoryFixture,
+                 "Many entries missing from one listing are a lapse, even "
+                 "when no outage was seen") {
+  Settle();
+  directory_.ReplaceAll({Record("a", 1)}, StoreRevision{2});
+  CHECK(Usable() == 3);
+}
+
+}  // namespace
+}  // namespace harecrank
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -14,6 +14,12 @@
 constexpr double kShortShareOfGap = 0.45;
 // A part of a long prompt may take this share of the tightest gap.
 constexpr double kPartShareOfGap = 0.6;
+// An engine is open for a further long prompt while what it has yet to read
+// takes at most this share of a wanted part: enough to keep it busy until the
+// next decision, and not so much that its streams pause.
+constexpr double kOpenShareOfPart = 0.7;
+// A part may grow by this factor where engines are few, rather than wait.
+constexpr double kPartStretch = 2;
 // The share of an engine's slots that short requests are packed into. A fuller
 // batch writes more slowly and leaves no room for what peers place unseen.
 constexpr double kShortShareOfSlots = 0.4;
@@ -64,27 +70,28 @@
       self_(std::move(self)),
       random_(std::move(random)) {}
 
-std::optional<Placement> Placer::Choose(const PlacementRequest& request) const {
+PlacementResult Placer::Choose(const PlacementRequest& request) const {
   std::vector<Candidate> candidates = CandidatesFor(request);
   if (candidates.empty()) {
-    return std::nullopt;
+    return NoEndpoint{};
   }
-  std::optional<Placement> placement;
+  PlacementResult result;
   if (!request.service->engine.has_value()) {
-    placement = ChoosePlain(candidates);
+    result = ChoosePlain(candidates);
   } else {
     SortInSharedOrder(&candidates);
     const FractionalMillis read =
         ReadTime(*request.service->engine, request.prompt);
-    placement =
-        read <= kShortShareOfGap * FractionalMillis(request.tightest_gap)
-            ? ChooseShort(request, candidates)
-            : ChooseLong(request, candidates);
+    if (read <= kShortShareOfGap * FractionalMillis(request.tightest_gap)) {
+      result = ChooseShort(request, candidates);
+    } else {
+      result = ChooseLong(request, candidates);
+    }
   }
-  if (placement.has_value()) {
+  if (auto* placement = std::get_if<Placement>(&result)) {
     placement->candidates = candidates.size();
   }
-  return placement;
+  return result;
 }
 
 std::vector<Placer::Candidate> Placer::CandidatesFor(
@@ -113,8 +120,7 @@
       [](const Candidate& a, const Candidate& b) { return a.rank > b.rank; });
 }
 
-std::optional<Placement> Placer::ChoosePlain(
-    const std::vector<Candidate>& candidates) const {
+Placement Placer::ChoosePlain(const std::vector<Candidate>& candidates) const {
   const Candidate* best = nullptr;
   double best_cost = 0;
   for (const Candidate& candidate : candidates) {
@@ -133,9 +139,8 @@
   return placement;
 }
 
-std::optional<Placement> Placer::ChooseShort(
-    const PlacementRequest& request,
-    const std::vector<Candidate>& in_order) const {
+Placement Placer::ChooseShort(const PlacementRequest& request,
+                              const std::vector<Candidate>& in_order) const {
   const EngineProfile& engine = *request.service->engine;
   const FractionalMillis read = ReadTime(engine, request.prompt);
   const std::size_t wanted = EnginesForShort(engine, in_order.size());
@@ -167,36 +172,53 @@
   return placement;
 }
 
-std::optional<Placement> Placer::ChooseLong(
-    const PlacementRequest& request, std::vector<Candidate> in_order) const {
+std::size_t Placer::ReadersWanted(const PlacementRequest& request,
+                                  FractionalMillis whole) {
+  const FractionalMillis part =
+      kPartShareOfGap * FractionalMillis(request.tightest_gap);
+  const double readers = std::ceil(whole / std::max(FractionalMillis(1), part));
+  return std::min(static_cast<std::size_t>(readers), kMostHelpers + 1);
+}
+
+PlacementResult Placer::ChooseLong(
+    const PlacementRequest& request,
+    const std::vector<Candidate>& in_order) const {
   const EngineProfile& engine = *request.service->engine;
   const FractionalMillis whole = ReadTime(engine, request.prompt);
+  // The engines that short requests do not need.
+  const std::size_t kept =
+      std::min(EnginesForShort(engine, in_order.size()), in_order.size() - 1);
+  const std::size_t zone = in_order.size() - kept;
+  const std::size_t wanted = std::min(ReadersWanted(request, whole), zone);
   const FractionalMillis part_wanted =
       kPartShareOfGap * FractionalMillis(request.tightest_gap);
-  const auto wanted = static_cast<std::size_t>(
-      std::ceil(whole.count() / std::max(1.0, part_wanted.count())));
-  // The engines that short requests do not need.
-  const std::size_t kept = EnginesForShort(engine, in_order.size());
-  std::vector<Candidate> candidates(
-      in_order.begin() +
-          static_cast<std::ptrdiff_t>(std::min(kept, in_order.size() - 1)),
-      in_order.end());
+  std::vector<Candidate> open;
+  for (std::size_t i = kept; i < in_order.size(); ++i) {
+    if (in_order[i].load.read_backlog <= kOpenShareOfPart * part_wanted) {
+      open.push_back(in_order[i]);
+    }
+  }
+  const auto readers = static_cast<double>(std::min(wanted, open.size()));
+  const FractionalMillis part = whole / std::max(1.0, readers);
+  const FractionalMillis part_allowed =
+      std::max(kPartStretch * part_wanted,
+               kPartStretch * whole / static_cast<double>(wanted));
+  if (open.empty() || part > part_allowed) {
+    return EnginesBusy{};
+  }
   const auto cost = [](const Candidate& c) {
     return c.pace * (c.load.read_backlog.count() +
                      kShortMemberMs * c.load.short_members);
   };
-  std::sort(candidates.begin(), candidates.end(),
+  std::sort(open.begin(), open.end(),
             [&cost](const Candidate& a, const Candidate& b) {
               return cost(a) < cost(b);
             });
-  const std::size_t readers =
-      std::min({wanted, candidates.size(), kMostHelpers + 1});
-  candidates.resize(std::max<std::size_t>(1, readers));
+  open.resize(static_cast<std::size_t>(readers));
   // The first of them holds the memory and writes the answer.
   const Tokens needed = request.prompt + request.answer;
   const auto writer = std::min_element(
-      candidates.begin(), candidates.end(),
-      [&](const Candidate& a, const Candidate& b) {
+      open.begin(), open.end(), [&](const Candidate& a, const Candidate& b) {
         const bool a_fits = HasRoom(engine, a.load, needed);
         const bool b_fits = HasRoom(engine, b.load, needed);
         return a_fits != b_fits ? a_fits : a.load.memory < b.load.memory;
@@ -204,8 +226,8 @@
   Placement placement;
   placement.endpoint = writer->record;
   placement.work_class = WorkClass::kLong;
-  placement.read = whole / static_cast<double>(candidates.size());
-  for (const Candidate& candidate : candidates) {
+  placement.read = part;
+  for (const Candidate& candidate : open) {
     placement.first_event = std::max(
         placement.first_event,
         FirstEvent(engine, candidate.load, candidate.pace, placement.read));
--- /dev/null
+++ b/src/gateway/dispatch_queue.h
@@ -0,0 +1,55 @@
+// Long prompts that wait in this host until engines are open for them.
+//
+// An engine that is given more than it can read between two events of its
+// streams makes all of them pause. So what cannot start yet waits here.
+
+#ifndef HARECRANK_SRC_GATEWAY_DISPATCH_QUEUE_H_
+#define HARECRANK_SRC_GATEWAY_DISPATCH_QUEUE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+
+#include "harecrank/core/waiting_room.h"
+
+namespace harecrank {
+
+// Not thread-safe; runs on its io_context.
+class DispatchQueue {
+ public:
+  // Tries to start the request. Returns false if it has to wait on.
+  using Start = std::function<bool()>;
+
+  DispatchQueue(boost::asio::io_context* io, MonotonicClock clock);
+
+  // `start` may be called until the waiter has been removed, also from within
+  // Pump. A waiter whose `start` returns true is removed.
+  WaiterId Add(const Waiter& waiter, Start start);
+  void Remove(WaiterId id);
+
+  // Tries those that wait, soon. Called when an engine may have opened.
+  void PumpSoon();
+
+  std::size_t Count() const { return room_.Count(); }
+
+  // Of those that wait, so many are tried at a time: the first may want more
+  // engines than are open, and the next fewer.
+  static constexpr std::size_t kTried = 4;
+  // How often those that wait are tried while nothing is heard: a tenth of the
+  // reading time that keeps an engine open.
+  static constexpr Millis kInterval{10};
+
+ private:
+  void Pump();
+  void Schedule(Millis pause);
+
+  WaitingRoom room_;
+  std::map<WaiterId, Start> starts_;
+  boost::asio::steady_timer timer_;
+  bool scheduled_ = false;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_GATEWAY_DISPATCH_QUEUE_H_
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -27,6 +27,9 @@
 // the request goes elsewhere.
 constexpr Millis kPatienceBase{500};
 constexpr double kPatienceFactor = 3;
+// An engine whose helper has died stands still for a second and a half before
+// it says so; to give it up earlier would leave that unsaid.
+constexpr Millis kHelperStall{1700};
 // A plain answer is overdue at this multiple of its target.
 constexpr int kPlainPatienceFactor = 2;
 // A stream has stalled after this multiple of its target gap, and not before
@@ -176,13 +179,48 @@
 }
 
 void Exchange::TryNext() {
-  const std::optional<Placement> placement =
-      services_->placer->Choose(placement_request_);
-  if (!placement.has_value()) {
+  if (!TryPlace()) {
+    Wait();
+  }
+}
+
+bool Exchange::TryPlace() {
+  const PlacementResult result = services_->placer->Choose(placement_request_);
+  if (std::holds_alternative<EnginesBusy>(result)) {
+    return false;
+  }
+  if (const auto* placement = std::get_if<Placement>(&result)) {
+    Send(*placement);
+  } else {
     GiveUp("no_endpoint");
-    return;
   }
-  Send(*placement);
+  return true;
+}
+
+void Exchange::Wait() {
+  const Waiter waiter{arrived_ + route_->target_latency,
+                      ReadTime(*service_->engine, placement_request_.prompt) /
+                          static_cast<double>(Placer::kMostHelpers + 1)};
+  waits_since_ = services_->clock();
+  waiter_ = services_->queue->Add(waiter, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self == nullptr || self->finished_) {
+      return true;
+    }
+    if (!self->TryPlace()) {
+      return false;
+    }
+    self->waiter_.reset();
+    return true;
+  });
+  ArmTimer();
+}
+
+void Exchange::LeaveQueue() {
+  if (waiter_.has_value()) {
+    services_->queue->Remove(*waiter_);
+    waiter_.reset();
+  }
 }
 
 void Exchange::Send(const Placement& placement) {
@@ -205,6 +243,11 @@
   fields["predicted_ms"] = placement.first_event.count();
   fields["read_ms"] = placement.read.count();
   fields["prompt"] = placement_request_.prompt.value;
+  if (waits_since_ != TimePoint{}) {
+    fields["waited_ms"] =
+        std::chrono::duration_cast<Millis>(services_->clock() - waits_since_)
+            .count();
+  }
   services_->log->Write("placed", std::move(fields));
 
   OutgoingRequest outgoing;
@@ -304,6 +347,7 @@
 }
 
 void Exchange::EndWork() {
+  services_->queue->PumpSoon();
   for (const WorkId id : work_) {
     services_->loads->End(id);
   }
@@ -315,6 +359,7 @@
     return;
   }
   first_event_seen_ = true;
+  services_->queue->PumpSoon();
   const FractionalMillis taken = services_->clock() - sent_at_;
   // A single slow answer says little of short waits; what counts is how the
   // longer ones compare.
@@ -487,6 +532,7 @@
 }
 
 void Exchange::AbandonAttempt() {
+  LeaveQueue();
   if (attempt_ != nullptr) {
     attempt_->Cancel();
     attempt_.reset();
@@ -551,7 +597,8 @@
   if (!first_event_seen_) {
     const auto expected =
         std::chrono::duration_cast<Millis>(kPatienceFactor * predicted_);
-    return sent_at_ + kPatienceBase + expected;
+    const Millis base = helpers_.empty() ? kPatienceBase : kHelperStall;
+    return sent_at_ + base + expected;
   }
   return last_bytes_at_ +
          std::max(kLeastStall, kStallFactor * route_->target_gap);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -48,6 +48,10 @@
 
   // Attempts.
   void TryNext();
+  // Returns false if all engines that could take it are busy.
+  bool TryPlace();
+  void Wait();
+  void LeaveQueue();
   void Send(const Placement& placement);
   std::string HeadFor(const Placement& placement) const;
   bool IsSetByGateway(std::string_view name) const;
@@ -100,6 +104,8 @@
   FractionalMillis predicted_{0};
   TimePoint sent_at_{};
   TimePoint last_bytes_at_{};
+  std::optional<WaiterId> waiter_;
+  TimePoint waits_since_{};
   int sendings_ = 0;
   int connect_failures_ = 0;
   bool may_have_run_ = false;
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -50,11 +50,8 @@
       placer_(&directory_, &loads_, &health_, settings_.data_centre, random_),
       budgets_(
           settings_.repeat_bound, [this] { return KnownHosts(); }, clock_),
-      services_{&io_,          &names_,   &routing_,
-                &directory_,   &loads_,   &health_,
-                &connections_, &placer_,  &budgets_,
-                &log_,         &metrics_, [this] { peers_.TellSoon(); },
-                clock_,        random_},
+      queue_(&io_, clock_),
+      services_(MakeServices()),
       peer_book_(settings_.operations_address, settings_.seed_peers, clock_,
                  random_),
       peers_(&io_, settings_.peers_address, &peer_book_, MakePeerPorts(), &log_,
@@ -91,6 +88,26 @@
              LogWeight::kAlwaysKept);
 }
 
+GatewayServices GatewayNode::MakeServices() {
+  GatewayServices services;
+  services.io = &io_;
+  services.names = &names_;
+  services.routing = &routing_;
+  services.directory = &directory_;
+  services.loads = &loads_;
+  services.health = &health_;
+  services.connections = &connections_;
+  services.placer = &placer_;
+  services.budgets = &budgets_;
+  services.queue = &queue_;
+  services.log = &log_;
+  services.metrics = &metrics_;
+  services.on_placed = [this] { peers_.TellSoon(); };
+  services.clock = clock_;
+  services.random = random_;
+  return services;
+}
+
 SessionContext GatewayNode::MakeSessionContext() {
   SessionContext context;
   context.start_request = [this](CallerRequest request, TimePoint arrived,
@@ -153,6 +170,7 @@
   };
   ports.on_word = [this](const PeerWord& word) {
     loads_.SetPeer(word.node, word.loads);
+    queue_.PumpSoon();
   };
   ports.on_snapshot = [this](const std::string& snapshot) {
     const auto at = feed_->Import(snapshot);
@@ -173,6 +191,8 @@
                     [this] { return static_cast<double>(directory_.Count()); });
   metrics_.AddGauge("harecrank_gateway_source_well",
                     [this] { return source_well_ ? 1.0 : 0.0; });
+  metrics_.AddGauge("harecrank_gateway_waiting",
+                    [this] { return static_cast<double>(queue_.Count()); });
   metrics_.AddGauge("harecrank_gateway_callers",
                     [this] { return static_cast<double>(callers_.Count()); });
   metrics_.AddGauge("harecrank_gateway_log_lines_dropped",
@@ -219,7 +239,7 @@
     return;
   }
   source_well_ = true;
-  directory_.OnSourceBack();
+  directory_.OnSourceBack(at);
   log_.Write("source_regained", {{"at", at.value}}, LogWeight::kAlwaysKept);
 }
 
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -47,6 +47,7 @@
   void OnUnusable(const std::string& what, const std::string& reason) override;
 
  private:
+  GatewayServices MakeServices();
   SessionContext MakeSessionContext();
   HttpReply AnswerReadiness(const HttpRequest& request);
   HttpReply AnswerOperations(const HttpRequest& request);
@@ -74,6 +75,7 @@
   EndpointConnections connections_;
   Placer placer_;
   RepeatBudgets budgets_;
+  DispatchQueue queue_;
   GatewayServices services_;
   PeerBook peer_book_;
   PeerExchange peers_;
--- a/src/gateway/gateway_services.h
+++ b/src/gateway/gateway_services.h
@@ -16,6 +16,7 @@
 #include "harecrank/core/routing_table.h"
 #include "src/adapters/event_log.h"
 #include "src/adapters/metrics.h"
+#include "src/gateway/dispatch_queue.h"
 #include "src/gateway/endpoint_connections.h"
 #include "src/gateway/protocol_names.h"
 
@@ -63,6 +64,7 @@
   EndpointConnections* connections = nullptr;
   const Placer* placer = nullptr;
   RepeatBudgets* budgets = nullptr;
+  DispatchQueue* queue = nullptr;
   EventLog* log = nullptr;
   Metrics* metrics = nullptr;
   // Called when something was placed that peers should soon hear of.
