Engines for short and for long prompts, sized by the short ones

Cause: short requests were confined to 80% of the engines at a density that their burst exceeds (16 slots, 33 events of about 60 ms, so 7 a second and engine), and large drafts shared engines with long prompts.

Reading on every engine takes time from every writer: in a burst of short requests slots run out.

--- a/include/harecrank/core/placement.h
+++ b/include/harecrank/core/placement.h
@@ -1,10 +1,10 @@
 // Which endpoint takes a request, and which others help to read its prompt.
 //
 // Short prompts are packed onto as few engines as keep them in time, from one
-// end of an order that all hosts share; long ones are read in parts by many
-// engines from the other end. So a short request rarely waits while an engine
-// reads a long prompt, and a long one does not wait for its whole reading
-// time. docs/PLATFORM.md gives the figures.
+// end of an order that all hosts share. Long ones are read in parts by several
+// of the others, and wait while those have enough to read. So a short request
+// rarely waits while an engine reads a long prompt, and a long one does not
+// wait for its whole reading time. docs/PLATFORM.md gives the figures.
 
 #ifndef HARECRANK_CORE_PLACEMENT_H_
 #define HARECRANK_CORE_PLACEMENT_H_
@@ -32,6 +32,9 @@
   Tokens answer;
   // The shortest pause between events that any route to the service allows.
   Millis tightest_gap{0};
+  // What is left until the first event is late, and until the request fails.
+  FractionalMillis until_late{0};
+  FractionalMillis until_deadline{0};
   // Endpoints that this request has been sent to, which are not asked again.
   std::set<EndpointId> tried;
 };
@@ -85,8 +88,19 @@
                         const std::vector<Candidate>& in_order) const;
   PlacementResult ChooseLong(const PlacementRequest& request,
                              const std::vector<Candidate>& in_order) const;
-  static std::size_t ReadersWanted(const PlacementRequest& request,
-                                   FractionalMillis whole);
+  // Returns as many of `engines` as read `whole` without making any stream
+  // beside it pause for too long, or nothing.
+  static std::vector<Candidate> HarmlessReaders(
+      const PlacementRequest& request, FractionalMillis whole,
+      const std::vector<Candidate>& engines);
+  // Returns those of `zone` that have little to read, if they are enough for
+  // parts of about the wanted size, or nothing.
+  static std::vector<Candidate> OpenReaders(const PlacementRequest& request,
+                                            FractionalMillis whole,
+                                            const std::vector<Candidate>& zone);
+  static Placement PlaceOn(const PlacementRequest& request,
+                           FractionalMillis whole,
+                           const std::vector<Candidate>& readers);
   std::size_t EnginesForShort(const EngineProfile& engine,
                               std::size_t engines) const;
   double Noise() const;
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -14,19 +14,24 @@
 constexpr double kShortShareOfGap = 0.45;
 // A part of a long prompt may take this share of the tightest gap.
 constexpr double kPartShareOfGap = 0.6;
+// How much of the tightest gap a part of a long prompt may make the streams
+// beside it pause, with the pass that it is read in.
+constexpr double kPauseShareOfGap = 0.85;
 // An engine is open for a further long prompt while what it has yet to read
 // takes at most this share of a wanted part: enough to keep it busy until the
 // next decision, and not so much that its streams pause.
 constexpr double kOpenShareOfPart = 0.7;
-// A part may grow by this factor where engines are few, rather than wait.
+// A part may grow by this factor where few engines are open, rather than wait.
 constexpr double kPartStretch = 2;
+// Routes whose gap is at most this multiple of the tightest count as tight.
+constexpr double kTightFactor = 1.5;
 // The share of an engine's slots that short requests are packed into. A fuller
 // batch writes more slowly and leaves no room for what peers place unseen.
-constexpr double kShortShareOfSlots = 0.4;
+constexpr double kShortShareOfSlots = 0.6;
 // Engines kept for short requests beyond those that the count needs.
 constexpr std::size_t kSpareShortEngines = 1;
 // Short requests never push long ones off more engines than this share.
-constexpr double kMostShortShare = 0.8;
+constexpr double kMostShortShare = 0.9;
 // What a short request under way counts among reading times when engines for a
 // long prompt are compared.
 constexpr double kShortMemberMs = 60;
@@ -53,6 +58,11 @@
   return pace * (load.read_backlog + read + kPassesBefore * pass);
 }
 
+bool IsTight(const PlacementRequest& request) {
+  return FractionalMillis(request.route->target_gap) <=
+         kTightFactor * FractionalMillis(request.tightest_gap);
+}
+
 bool HasRoom(const EngineProfile& engine, const EndpointLoad& load,
              Tokens needed) {
   const double most = kMemoryShare * static_cast<double>(engine.memory.value);
@@ -172,62 +182,117 @@
   return placement;
 }
 
-std::size_t Placer::ReadersWanted(const PlacementRequest& request,
-                                  FractionalMillis whole) {
-  const FractionalMillis part =
-      kPartShareOfGap * FractionalMillis(request.tightest_gap);
-  const double readers = std::ceil(whole / std::max(FractionalMillis(1), part));
-  return std::min(static_cast<std::size_t>(readers), kMostHelpers + 1);
-}
-
 PlacementResult Placer::ChooseLong(
     const PlacementRequest& request,
     const std::vector<Candidate>& in_order) const {
+  const FractionalMillis whole =
+      ReadTime(*request.service->engine, request.prompt);
+  const std::size_t for_short =
+      std::min(EnginesForShort(*request.service->engine, in_order.size()),
+               in_order.size() - 1);
+  const auto border = in_order.begin() + static_cast<std::ptrdiff_t>(for_short);
+  std::vector<Candidate> readers;
+  if (IsTight(request)) {
+    readers = HarmlessReaders(request, whole, {in_order.begin(), border});
+  }
+  if (readers.empty()) {
+    readers = OpenReaders(request, whole, {border, in_order.end()});
+  }
+  if (readers.empty()) {
+    return EnginesBusy{};
+  }
+  return PlaceOn(request, whole, readers);
+}
+
+std::vector<Placer::Candidate> Placer::HarmlessReaders(
+    const PlacementRequest& request, FractionalMillis whole,
+    const std::vector<Candidate>& engines) {
   const EngineProfile& engine = *request.service->engine;
-  const FractionalMillis whole = ReadTime(engine, request.prompt);
-  // The engines that short requests do not need.
-  const std::size_t kept =
-      std::min(EnginesForShort(engine, in_order.size()), in_order.size() - 1);
-  const std::size_t zone = in_order.size() - kept;
-  const std::size_t wanted = std::min(ReadersWanted(request, whole), zone);
-  const FractionalMillis part_wanted =
-      kPartShareOfGap * FractionalMillis(request.tightest_gap);
+  const FractionalMillis gap(request.tightest_gap);
+  struct Room {
+    FractionalMillis part;
+    const Candidate* candidate;
+  };
+  std::vector<Room> rooms;
+  for (const Candidate& candidate : engines) {
+    const EndpointLoad& load = candidate.load;
+    const FractionalMillis pause = kPauseShareOfGap * gap;
+    const FractionalMillis pass =
+        PassTime(engine, load.Members() + 1, load.memory);
+    const FractionalMillis part =
+        (pause - pass) / candidate.pace - load.read_backlog;
+    rooms.push_back(Room{part, &candidate});
+  }
+  std::sort(rooms.begin(), rooms.end(),
+            [](const Room& a, const Room& b) { return a.part > b.part; });
+  const FractionalMillis wanted_part =
+      std::max(FractionalMillis(1), kPartShareOfGap * gap);
+  const auto least = static_cast<std::size_t>(std::ceil(whole / wanted_part));
+  const std::size_t most = std::min(rooms.size(), kMostHelpers + 1);
+  for (std::size_t count = std::min(least, most); count <= most; ++count) {
+    if (whole / static_cast<double>(count) <= rooms[count - 1].part) {
+      std::vector<Candidate> readers;
+      for (std::size_t i = 0; i < count; ++i) {
+        readers.push_back(*rooms[i].candidate);
+      }
+      return readers;
+    }
+  }
+  return {};
+}
+
+std::vector<Placer::Candidate> Placer::OpenReaders(
+    const PlacementRequest& request, FractionalMillis whole,
+    const std::vector<Candidate>& zone) {
+  const FractionalMillis wanted_part =
+      std::max(FractionalMillis(1),
+               kPartShareOfGap * FractionalMillis(request.tightest_gap));
   std::vector<Candidate> open;
-  for (std::size_t i = kept; i < in_order.size(); ++i) {
-    if (in_order[i].load.read_backlog <= kOpenShareOfPart * part_wanted) {
-      open.push_back(in_order[i]);
+  for (const Candidate& candidate : zone) {
+    if (candidate.load.read_backlog <= kOpenShareOfPart * wanted_part) {
+      open.push_back(candidate);
     }
   }
-  const auto readers = static_cast<double>(std::min(wanted, open.size()));
-  const FractionalMillis part = whole / std::max(1.0, readers);
+  const auto wanted =
+      std::min({static_cast<std::size_t>(std::ceil(whole / wanted_part)),
+                zone.size(), kMostHelpers + 1});
+  const std::size_t readers = std::min(wanted, open.size());
   const FractionalMillis part_allowed =
-      std::max(kPartStretch * part_wanted,
-               kPartStretch * whole / static_cast<double>(wanted));
-  if (open.empty() || part > part_allowed) {
-    return EnginesBusy{};
+      kPartStretch * std::max(wanted_part, whole / static_cast<double>(wanted));
+  if (readers == 0 || whole / static_cast<double>(readers) > part_allowed) {
+    return {};
   }
-  const auto cost = [](const Candidate& c) {
-    return c.pace * (c.load.read_backlog.count() +
-                     kShortMemberMs * c.load.short_members);
-  };
   std::sort(open.begin(), open.end(),
-            [&cost](const Candidate& a, const Candidate& b) {
+            [](const Candidate& a, const Candidate& b) {
+              const auto cost = [](const Candidate& c) {
+                return c.pace * (c.load.read_backlog.count() +
+                                 kShortMemberMs * c.load.short_members);
+              };
               return cost(a) < cost(b);
             });
-  open.resize(static_cast<std::size_t>(readers));
-  // The first of them holds the memory and writes the answer.
+  open.resize(readers);
+  return open;
+}
+
+Placement Placer::PlaceOn(const PlacementRequest& request,
+                          FractionalMillis whole,
+                          const std::vector<Candidate>& readers) {
+  const EngineProfile& engine = *request.service->engine;
+  // One of them holds the memory and writes the answer.
   const Tokens needed = request.prompt + request.answer;
   const auto writer = std::min_element(
-      open.begin(), open.end(), [&](const Candidate& a, const Candidate& b) {
+      readers.begin(), readers.end(),
+      [&](const Candidate& a, const Candidate& b) {
         const bool a_fits = HasRoom(engine, a.load, needed);
         const bool b_fits = HasRoom(engine, b.load, needed);
         return a_fits != b_fits ? a_fits : a.load.memory < b.load.memory;
       });
   Placement placement;
   placement.endpoint = writer->record;
-  placement.work_class = WorkClass::kLong;
-  placement.read = part;
-  for (const Candidate& candidate : open) {
+  placement.work_class =
+      IsTight(request) ? WorkClass::kShort : WorkClass::kLong;
+  placement.read = whole / static_cast<double>(readers.size());
+  for (const Candidate& candidate : readers) {
     placement.first_event = std::max(
         placement.first_event,
         FirstEvent(engine, candidate.load, candidate.pace, placement.read));
