A slow engine is not a dead one; parts of long prompts are bounded

Requests overdue on engines that were reading long prompts marked those engines unreachable, the rest got larger parts, and more became overdue. Also a prompt that arrived while the engines for long ones were few was given to them in parts of one to 2.5 s.

Now only silence towards all requests counts as unreachable; a part may take a quarter of the target, and more only when time runs out.

--- a/include/harecrank/core/endpoint_health.h
+++ b/include/harecrank/core/endpoint_health.h
@@ -21,6 +21,13 @@
   // relation to what was expected: 1 is as expected.
   void OnSuccess(const EndpointId& id, double pace);
 
+  // Notes that bytes came from it: it is alive, however slow.
+  void OnHeard(const EndpointId& id);
+
+  // Notes that a request waited in vain since `since`. That tells of the
+  // endpoint only if nothing else was heard from it either.
+  void OnOverdue(const EndpointId& id, TimePoint since);
+
   // Notes an answer that came as expected in time but was a failure.
   void OnErrorAnswer(const EndpointId& id);
 
@@ -42,13 +49,18 @@
   static constexpr Millis kFirstBlock{700};
   static constexpr Millis kLongestBlock{5600};
   // Share of failures above which an endpoint is a last choice. Plain services
-  // fail one in seven in ordinary running.
-  static constexpr double kSuspectShare = 0.34;
+  // fail one in seven in ordinary running, and to leave a host that fails a
+  // third of its requests unused costs more than it saves while all are busy.
+  static constexpr double kSuspectShare = 0.5;
+  // An endpoint that was heard from this long after a request's last byte is
+  // slow and not silent.
+  static constexpr Millis kAliveMargin{300};
 
  private:
   struct State {
     int failures_in_a_row = 0;
     TimePoint blocked_until{};
+    TimePoint heard{};
     double failure_share = 0;
     double pace = 1;
   };
--- a/include/harecrank/core/placement.h
+++ b/include/harecrank/core/placement.h
@@ -93,6 +93,10 @@
   static std::vector<Candidate> HarmlessReaders(
       const PlacementRequest& request, FractionalMillis whole,
       const std::vector<Candidate>& engines);
+  // Returns how long a part may take to read, given how much time is left.
+  static FractionalMillis PartAllowed(const PlacementRequest& request,
+                                      FractionalMillis whole,
+                                      FractionalMillis wanted_part);
   // Returns those of `zone` that have little to read, if they are enough for
   // parts of about the wanted size, or nothing.
   static std::vector<Candidate> OpenReaders(const PlacementRequest& request,
--- a/src/core/endpoint_health.cc
+++ b/src/core/endpoint_health.cc
@@ -26,6 +26,16 @@
   Fold(&state.pace, std::min(pace, kMostPace));
 }
 
+void EndpointHealth::OnHeard(const EndpointId& id) {
+  states_[id].heard = clock_();
+}
+
+void EndpointHealth::OnOverdue(const EndpointId& id, TimePoint since) {
+  if (states_[id].heard < since + kAliveMargin) {
+    OnUnreachable(id);
+  }
+}
+
 void EndpointHealth::OnErrorAnswer(const EndpointId& id) {
   Fold(&states_[id].failure_share, 1);
 }
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -23,6 +23,12 @@
 constexpr double kOpenShareOfPart = 0.7;
 // A part may grow by this factor where few engines are open, rather than wait.
 constexpr double kPartStretch = 2;
+// A part may take this share of the request's target.
+constexpr double kPartShareOfTarget = 0.25;
+// A request hurries when less than this share of its target is left: then a
+// part may take this share of what is left.
+constexpr double kHurryShare = 0.65;
+constexpr double kTimeShareUsed = 0.8;
 // Routes whose gap is at most this multiple of the tightest count as tight.
 constexpr double kTightFactor = 1.5;
 // The share of an engine's slots that short requests are packed into. A fuller
@@ -241,6 +247,23 @@
   return {};
 }
 
+FractionalMillis Placer::PartAllowed(const PlacementRequest& request,
+                                     FractionalMillis whole,
+                                     FractionalMillis wanted_part) {
+  const FractionalMillis target(request.route->target_latency);
+  if (request.until_late < FractionalMillis(0)) {
+    // Late already: wherever it can still be served.
+    return whole;
+  }
+  const FractionalMillis smallest =
+      whole / static_cast<double>(kMostHelpers + 1);
+  const FractionalMillis calm =
+      std::max({kPartStretch * wanted_part, kPartStretch * smallest,
+                kPartShareOfTarget * target});
+  const bool hurries = request.until_late < kHurryShare * target;
+  return hurries ? std::max(calm, kTimeShareUsed * request.until_late) : calm;
+}
+
 std::vector<Placer::Candidate> Placer::OpenReaders(
     const PlacementRequest& request, FractionalMillis whole,
     const std::vector<Candidate>& zone) {
@@ -258,7 +281,7 @@
                 zone.size(), kMostHelpers + 1});
   const std::size_t readers = std::min(wanted, open.size());
   const FractionalMillis part_allowed =
-      kPartStretch * std::max(wanted_part, whole / static_cast<double>(wanted));
+      PartAllowed(request, whole, wanted_part);
   if (readers == 0 || whole / static_cast<double>(readers) > part_allowed) {
     return {};
   }
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -33,9 +33,10 @@
 // A plain answer is overdue at this multiple of its target.
 constexpr int kPlainPatienceFactor = 2;
 // A stream has stalled after this multiple of its target gap, and not before
-// kLeastStall: engines that are cut off stand still for longer than that.
+// kLeastStall. Callers give a stream up after eight of its gaps, and after two
+// seconds at the least; what is left of that must do for the resumption.
 constexpr int kStallFactor = 3;
-constexpr Millis kLeastStall{700};
+constexpr Millis kLeastStall{1300};
 // With less left than this a further attempt cannot bring anything.
 constexpr Millis kLeastTimeForAttempt{60};
 // Answers that their endpoint says are no run: RFC 9110 for 408, 421 and 503,
@@ -362,6 +363,9 @@
     return;
   }
   first_event_seen_ = true;
+  if (first_event_at_ == TimePoint{}) {
+    first_event_at_ = services_->clock();
+  }
   services_->queue->PumpSoon();
   const FractionalMillis taken = services_->clock() - sent_at_;
   // A single slow answer says little of short waits; what counts is how the
@@ -443,6 +447,7 @@
 
 void Exchange::OnAnswerBytes(std::string_view bytes) {
   last_bytes_at_ = services_->clock();
+  services_->health->OnHeard(endpoint_);
   if (use_ == AnswerUse::kRelay) {
     answer_body_.append(bytes);
     if (answer_body_.size() > kMostAnswerBytes) {
@@ -573,7 +578,7 @@
     if (sendings_ < route_->max_attempts && MaySendAgain()) {
       may_have_run_ = may_have_run_ || attempt_sent_;
       AbandonAttempt();
-      services_->health->OnUnreachable(endpoint_);
+      services_->health->OnOverdue(endpoint_, last_bytes_at_);
       scanner_.DropPartial();
       nlohmann::json fields = LogFields();
       fields["endpoint"] = endpoint_.value;
@@ -664,7 +669,6 @@
   finished_ = true;
   timer_.cancel();
   AbandonAttempt();
-  const auto taken = services_->clock() - arrived_;
   services_->metrics
       ->GetCounter("harecrank_gateway_requests_total",
                    std::string("outcome=\"") + outcome + "\"")
@@ -674,12 +678,15 @@
   fields["status"] = status;
   fields["reason"] = reason;
   fields["events"] = scanner_.Count();
+  if (first_event_at_ != TimePoint{}) {
+    fields["first_event_ms"] =
+        std::chrono::duration_cast<Millis>(first_event_at_ - arrived_).count();
+  }
   fields["sendings"] = sendings_;
   fields["endpoint"] = endpoint_.value;
   const bool failed = std::string_view(outcome) != "completed";
   services_->log->Write("ended", std::move(fields),
                         failed ? LogWeight::kAlwaysKept : LogWeight::kOrdinary);
-  (void)taken;
 }
 
 nlohmann::json Exchange::LogFields() const {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -104,6 +104,7 @@
   FractionalMillis predicted_{0};
   TimePoint sent_at_{};
   TimePoint last_bytes_at_{};
+  TimePoint first_event_at_{};
   std::optional<WaiterId> waiter_;
   TimePoint waits_since_{};
   int sendings_ = 0;
