Prompts larger than one engine's memory are served; bulk keeps apart

Also: an engine that answers others is slow and not dead, for what is sent again too; one broken answer no longer closes an engine; callers wait up to 0.7 s for a process that has just started.

--- a/include/harecrank/core/endpoint_health.h
+++ b/include/harecrank/core/endpoint_health.h
@@ -34,6 +34,9 @@
   // Notes that it could not be reached, fell silent or broke off.
   void OnUnreachable(const EndpointId& id);
 
+  // Returns whether bytes came from it clearly later than `time`.
+  bool WasHeardAfter(const EndpointId& id, TimePoint time) const;
+
   // Returns whether requests should go elsewhere if they can.
   bool IsSuspect(const EndpointId& id) const;
 
--- a/include/harecrank/core/placement.h
+++ b/include/harecrank/core/placement.h
@@ -11,6 +11,7 @@
 
 #include <optional>
 #include <set>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -39,11 +40,18 @@
   std::set<EndpointId> tried;
 };
 
+// An endpoint that reads a part of a prompt.
+struct Helper {
+  EndpointRecord record;
+  // How much of the prompt's memory lies there; zero in most cases.
+  Tokens held;
+};
+
 // Where a request goes.
 struct Placement {
-  const EndpointRecord* endpoint = nullptr;
+  EndpointRecord endpoint;
   // Each reads an even part of the prompt.
-  std::vector<const EndpointRecord*> helpers;
+  std::vector<Helper> helpers;
   WorkClass work_class = WorkClass::kShort;
   // How long each of them reads.
   FractionalMillis read{0};
@@ -66,7 +74,6 @@
   Placer(const EndpointDirectory* directory, const EndpointLoads* loads,
          const EndpointHealth* health, DataCentreId self, RandomSource random);
 
-  // What a placement points to is valid until the directory changes.
   PlacementResult Choose(const PlacementRequest& request) const;
 
   // The most helpers that engines take for one request.
@@ -102,9 +109,19 @@
   static std::vector<Candidate> OpenReaders(const PlacementRequest& request,
                                             FractionalMillis whole,
                                             const std::vector<Candidate>& zone);
-  static Placement PlaceOn(const PlacementRequest& request,
-                           FractionalMillis whole,
-                           const std::vector<Candidate>& readers);
+  // Returns the engines that read bulk, if most of them are open, or nothing.
+  static std::vector<Candidate> BulkReaders(
+      const PlacementRequest& request, FractionalMillis whole,
+      std::size_t for_short, const std::vector<Candidate>& in_order);
+  // Returns nothing if the memory of `readers` does not hold the request.
+  static std::optional<Placement> PlaceOn(
+      const PlacementRequest& request, FractionalMillis whole,
+      const std::vector<Candidate>& readers);
+  // Lays `beyond` tokens on the placement's helpers. Returns false if they do
+  // not hold it.
+  static bool SpreadMemory(const EngineProfile& engine,
+                           const std::vector<Candidate>& readers, Tokens beyond,
+                           Placement* placement);
   std::size_t EnginesForShort(const EngineProfile& engine,
                               std::size_t engines) const;
   double Noise() const;
--- a/src/cli/gateway_command.cc
+++ b/src/cli/gateway_command.cc
@@ -15,12 +15,11 @@
 
 namespace leaf = boost::leaf;
 
-int RunGateway(GatewaySettings settings, const ProtocolNames& names,
-               const FeedFactory& make_feed) {
+int RunGateway(GatewaySettings settings, const PlatformAdapters& platform) {
   // A peer that closes a socket is an error to handle, not a reason to die.
   std::signal(SIGPIPE, SIG_IGN);
   try {
-    GatewayNode node(std::move(settings), names, make_feed, SystemClock(),
+    GatewayNode node(std::move(settings), platform, SystemClock(),
                      SystemRandom());
     node.Run();
     return kExitOk;
@@ -30,8 +29,7 @@
   return kExitUnavailable;
 }
 
-int RunWithSettings(const std::string& path, const ProtocolNames& names,
-                    const FeedFactory& make_feed) {
+int RunWithSettings(const std::string& path, const PlatformAdapters& platform) {
   std::string text;
   if (!ReadFile(path, &text)) {
     return kExitBadInput;
@@ -39,7 +37,7 @@
   return leaf::try_handle_all(
       [&]() -> leaf::result<int> {
         BOOST_LEAF_AUTO(settings, ParseGatewaySettings(text));
-        return RunGateway(std::move(settings), names, make_feed);
+        return RunGateway(std::move(settings), platform);
       },
       [&](const SettingsError& error) {
         std::cerr << "harecrank: " << path << ": " << Describe(error) << "\n";
@@ -50,15 +48,14 @@
 
 }  // namespace
 
-void AddGatewayCommand(CLI::App* app, int* exit_code, ProtocolNames names,
-                       FeedFactory make_feed) {
+void AddGatewayCommand(CLI::App* app, int* exit_code,
+                       PlatformAdapters platform) {
   auto* command = app->add_subcommand(
       "gateway", "run an entry host that forwards straight to endpoints");
   const auto path = std::make_shared<std::string>();
   command->add_option("--settings", *path, "the settings file")->required();
-  command->callback([path, exit_code, names = std::move(names),
-                     make_feed = std::move(make_feed)] {
-    *exit_code = RunWithSettings(*path, names, make_feed);
+  command->callback([path, exit_code, platform = std::move(platform)] {
+    *exit_code = RunWithSettings(*path, platform);
   });
 }
 
--- a/src/cli/gateway_command.h
+++ b/src/cli/gateway_command.h
@@ -9,10 +9,9 @@
 
 namespace harecrank {
 
-// Adds the subcommand, for a platform that uses `names` and is read by the feed
-// that `make_feed` makes.
-void AddGatewayCommand(CLI::App* app, int* exit_code, ProtocolNames names,
-                       FeedFactory make_feed);
+// Adds the subcommand, for the platform that `platform` speaks to.
+void AddGatewayCommand(CLI::App* app, int* exit_code,
+                       PlatformAdapters platform);
 
 }  // namespace harecrank
 
--- a/src/core/endpoint_health.cc
+++ b/src/core/endpoint_health.cc
@@ -31,11 +31,16 @@
 }
 
 void EndpointHealth::OnOverdue(const EndpointId& id, TimePoint since) {
-  if (states_[id].heard < since + kAliveMargin) {
+  if (!WasHeardAfter(id, since)) {
     OnUnreachable(id);
   }
 }
 
+bool EndpointHealth::WasHeardAfter(const EndpointId& id, TimePoint time) const {
+  const auto found = states_.find(id);
+  return found != states_.end() && found->second.heard >= time + kAliveMargin;
+}
+
 void EndpointHealth::OnErrorAnswer(const EndpointId& id) {
   Fold(&states_[id].failure_share, 1);
 }
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -29,6 +29,14 @@
 // part may take this share of what is left.
 constexpr double kHurryShare = 0.65;
 constexpr double kTimeShareUsed = 0.8;
+// A prompt that one engine reads in more than this many times its target is
+// bulk. Its worth grows with its length, its cost with the square.
+constexpr double kBulkFactor = 2;
+// Bulk is read by the engines at the far end of the shared order, by this share
+// of all, so that the others stay open for what gains more.
+constexpr double kBulkShare = 0.25;
+// So many of them must be open for it.
+constexpr double kBulkOpenShare = 0.75;
 // Routes whose gap is at most this multiple of the tightest count as tight.
 constexpr double kTightFactor = 1.5;
 // The share of an engine's slots that short requests are packed into. A fuller
@@ -69,10 +77,17 @@
          kTightFactor * FractionalMillis(request.tightest_gap);
 }
 
-bool HasRoom(const EngineProfile& engine, const EndpointLoad& load,
-             Tokens needed) {
-  const double most = kMemoryShare * static_cast<double>(engine.memory.value);
-  return static_cast<double>((load.memory + needed).value) <= most;
+// Returns whether the prompt takes so long to read that it would hold up all
+// others if all engines read it.
+bool IsBulk(const PlacementRequest& request, FractionalMillis whole) {
+  return whole > kBulkFactor * FractionalMillis(request.route->target_latency);
+}
+
+// Returns how much of an engine's memory may still be given away.
+Tokens FreeMemory(const EngineProfile& engine, const EndpointLoad& load) {
+  const auto most = static_cast<std::int64_t>(
+      kMemoryShare * static_cast<double>(engine.memory.value));
+  return Tokens{std::max<std::int64_t>(0, most - load.memory.value)};
 }
 
 }  // namespace
@@ -151,7 +166,7 @@
     }
   }
   Placement placement;
-  placement.endpoint = best->record;
+  placement.endpoint = *best->record;
   return placement;
 }
 
@@ -172,7 +187,7 @@
       time += FractionalMillis(request.route->target_latency) / 2;
     }
     if (candidate.load.Members() >= engine.slots ||
-        !HasRoom(engine, candidate.load, request.prompt + request.answer)) {
+        FreeMemory(engine, candidate.load) < request.prompt + request.answer) {
       time += FractionalMillis(request.route->target_latency);
     }
     if (best == nullptr || time < best_time) {
@@ -181,7 +196,7 @@
     }
   }
   Placement placement;
-  placement.endpoint = best->record;
+  placement.endpoint = *best->record;
   placement.work_class = WorkClass::kShort;
   placement.read = read;
   placement.first_event = FirstEvent(engine, best->load, best->pace, read);
@@ -201,13 +216,19 @@
   if (IsTight(request)) {
     readers = HarmlessReaders(request, whole, {in_order.begin(), border});
   }
-  if (readers.empty()) {
+  if (IsBulk(request, whole)) {
+    readers = BulkReaders(request, whole, for_short, in_order);
+  } else if (readers.empty()) {
     readers = OpenReaders(request, whole, {border, in_order.end()});
   }
   if (readers.empty()) {
     return EnginesBusy{};
   }
-  return PlaceOn(request, whole, readers);
+  std::optional<Placement> placement = PlaceOn(request, whole, readers);
+  if (!placement.has_value()) {
+    return EnginesBusy{};
+  }
+  return *std::move(placement);
 }
 
 std::vector<Placer::Candidate> Placer::HarmlessReaders(
@@ -297,21 +318,43 @@
   return open;
 }
 
-Placement Placer::PlaceOn(const PlacementRequest& request,
-                          FractionalMillis whole,
-                          const std::vector<Candidate>& readers) {
+std::vector<Placer::Candidate> Placer::BulkReaders(
+    const PlacementRequest& request, FractionalMillis whole,
+    std::size_t for_short, const std::vector<Candidate>& in_order) {
+  const FractionalMillis wanted_part =
+      kPartShareOfGap * FractionalMillis(request.tightest_gap);
+  const auto bulk_engines = static_cast<std::size_t>(
+      std::ceil(kBulkShare * static_cast<double>(in_order.size())));
+  const std::size_t first = std::max(for_short, in_order.size() - bulk_engines);
+  std::vector<Candidate> open;
+  for (std::size_t i = first; i < in_order.size(); ++i) {
+    if (in_order[i].load.read_backlog <= kOpenShareOfPart * wanted_part) {
+      open.push_back(in_order[i]);
+    }
+  }
+  const auto least = static_cast<std::size_t>(
+      std::ceil(kBulkOpenShare * static_cast<double>(in_order.size() - first)));
+  const FractionalMillis part =
+      whole / std::max(1.0, static_cast<double>(open.size()));
+  const bool in_time = part <= kTimeShareUsed * request.until_deadline;
+  if (open.empty() || open.size() < least || !in_time) {
+    return {};
+  }
+  return open;
+}
+
+std::optional<Placement> Placer::PlaceOn(
+    const PlacementRequest& request, FractionalMillis whole,
+    const std::vector<Candidate>& readers) {
   const EngineProfile& engine = *request.service->engine;
-  // One of them holds the memory and writes the answer.
-  const Tokens needed = request.prompt + request.answer;
-  const auto writer = std::min_element(
-      readers.begin(), readers.end(),
-      [&](const Candidate& a, const Candidate& b) {
-        const bool a_fits = HasRoom(engine, a.load, needed);
-        const bool b_fits = HasRoom(engine, b.load, needed);
-        return a_fits != b_fits ? a_fits : a.load.memory < b.load.memory;
-      });
+  // One of them holds the memory, as far as it can, and writes the answer.
+  const auto writer =
+      std::min_element(readers.begin(), readers.end(),
+                       [](const Candidate& a, const Candidate& b) {
+                         return a.load.memory < b.load.memory;
+                       });
   Placement placement;
-  placement.endpoint = writer->record;
+  placement.endpoint = *writer->record;
   placement.work_class =
       IsTight(request) ? WorkClass::kShort : WorkClass::kLong;
   placement.read = whole / static_cast<double>(readers.size());
@@ -320,12 +363,39 @@
         placement.first_event,
         FirstEvent(engine, candidate.load, candidate.pace, placement.read));
     if (candidate.record != writer->record) {
-      placement.helpers.push_back(candidate.record);
+      placement.helpers.push_back(Helper{*candidate.record, Tokens{0}});
     }
   }
+  const Tokens needed = request.prompt + request.answer;
+  const Tokens beyond = needed - FreeMemory(engine, writer->load);
+  if (Tokens{0} < beyond &&
+      !SpreadMemory(engine, readers, beyond, &placement)) {
+    return std::nullopt;
+  }
   return placement;
 }
 
+bool Placer::SpreadMemory(const EngineProfile& engine,
+                          const std::vector<Candidate>& readers, Tokens beyond,
+                          Placement* placement) {
+  std::unordered_map<EndpointId, Tokens> free;
+  for (const Candidate& candidate : readers) {
+    free[candidate.record->id] = FreeMemory(engine, candidate.load);
+  }
+  std::sort(placement->helpers.begin(), placement->helpers.end(),
+            [&free](const Helper& a, const Helper& b) {
+              return free[b.record.id] < free[a.record.id];
+            });
+  for (Helper& helper : placement->helpers) {
+    helper.held = std::min(beyond, free[helper.record.id]);
+    beyond = beyond - helper.held;
+    if (!(Tokens{0} < beyond)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::size_t Placer::EnginesForShort(const EngineProfile& engine,
                                     std::size_t engines) const {
   const double per_engine =
--- a/src/gateway/dispatch_queue.h
+++ b/src/gateway/dispatch_queue.h
@@ -35,7 +35,7 @@
 
   // Of those that wait, so many are tried at a time: the first may want more
   // engines than are open, and the next fewer.
-  static constexpr std::size_t kTried = 4;
+  static constexpr std::size_t kTried = 8;
   // How often those that wait are tried while nothing is heard: a tenth of the
   // reading time that keeps an engine open.
   static constexpr Millis kInterval{10};
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -37,6 +37,13 @@
 // seconds at the least; what is left of that must do for the resumption.
 constexpr int kStallFactor = 3;
 constexpr Millis kLeastStall{1300};
+// Callers give a stream up when nothing came for the longest of these: a fixed
+// time, so many targets, so many gaps. A slow endpoint gets this much of it.
+constexpr Millis kCallerLeastPatience{2000};
+constexpr int kCallerPatienceTargets = 4;
+constexpr int kCallerPatienceGaps = 8;
+constexpr int kPatienceUsed = 75;
+constexpr int kPercent = 100;
 // With less left than this a further attempt cannot bring anything.
 constexpr Millis kLeastTimeForAttempt{60};
 // Answers that their endpoint says are no run: RFC 9110 for 408, 421 and 503,
@@ -194,7 +201,7 @@
     return false;
   }
   if (const auto* placement = std::get_if<Placement>(&result)) {
-    Send(*placement);
+    Prepare(*placement);
   } else {
     GiveUp("no_endpoint");
   }
@@ -227,21 +234,64 @@
   }
 }
 
+void Exchange::Prepare(const Placement& placement) {
+  ++placements_;
+  endpoint_ = placement.endpoint.id;
+  BeginWork(placement);
+  if (placement.work_class == WorkClass::kLong) {
+    services_->on_placed();
+  }
+  std::vector<MemoryNeed> needs;
+  for (const Helper& helper : placement.helpers) {
+    if (Tokens{0} < helper.held) {
+      needs.push_back(MemoryNeed{helper.record.address,
+                                 TicketFor(helper.record.id), helper.held});
+    }
+  }
+  if (needs.empty()) {
+    Send(placement);
+    return;
+  }
+  hold_ = std::make_shared<MemoryHold>(services_->io, services_->orders,
+                                       std::move(needs));
+  hold_->Acquire([weak = weak_from_this(), placement](bool held) {
+    const auto self = weak.lock();
+    if (self != nullptr && !self->finished_) {
+      self->OnMemory(placement, held);
+    }
+  });
+  ArmTimer();
+}
+
+void Exchange::OnMemory(const Placement& placement, bool held) {
+  nlohmann::json fields = LogFields();
+  fields["held"] = held;
+  fields["prompt"] = placement_request_.prompt.value;
+  services_->log->Write("memory", std::move(fields));
+  if (held) {
+    Send(placement);
+    return;
+  }
+  EndWork();
+  Wait();
+}
+
+MemoryTicket Exchange::TicketFor(const EndpointId& holder) const {
+  // One for each placement: memory of an earlier one may still be ending.
+  return MemoryTicket{id_ + "-" + std::to_string(placements_) + "-" +
+                      holder.value};
+}
+
 void Exchange::Send(const Placement& placement) {
-  endpoint_ = placement.endpoint->id;
   placement_request_.tried.insert(endpoint_);
   predicted_ = placement.first_event;
   attempt_sent_ = false;
   first_event_seen_ = false;
   use_ = AnswerUse::kNone;
   answer_body_.clear();
-  BeginWork(placement);
-  if (placement.work_class == WorkClass::kLong) {
-    services_->on_placed();
-  }
   nlohmann::json fields = LogFields();
   fields["endpoint"] = endpoint_.value;
-  fields["entry_revision"] = placement.endpoint->revision.value;
+  fields["entry_revision"] = placement.endpoint.revision.value;
   fields["candidates"] = placement.candidates;
   fields["helpers"] = placement.helpers.size();
   fields["predicted_ms"] = placement.first_event.count();
@@ -274,7 +324,7 @@
   last_bytes_at_ = sent_at_;
   attempt_ = std::make_shared<Attempt>(services_->io, services_->connections,
                                        services_->names, this);
-  attempt_->Start(std::move(connection), placement.endpoint->address,
+  attempt_->Start(std::move(connection), placement.endpoint.address,
                   std::move(outgoing), kConnectTimeout);
   ArmTimer();
 }
@@ -293,7 +343,7 @@
     }
   }
   AppendHeader(names.time_left, std::to_string(TimeLeft().count()), &head);
-  AppendHeader(names.expected_endpoint, placement.endpoint->id.value, &head);
+  AppendHeader(names.expected_endpoint, placement.endpoint.id.value, &head);
   if (account_ != nullptr) {
     AppendHeader(names.account, account_->id.value, &head);
   }
@@ -305,8 +355,11 @@
                  std::to_string(std::clamp(priority, 0, kLeastUrgent)), &head);
   }
   std::string helpers;
-  for (const EndpointRecord* helper : placement.helpers) {
-    helpers += (helpers.empty() ? "" : ",") + helper->address;
+  for (const Helper& helper : placement.helpers) {
+    helpers += (helpers.empty() ? "" : ",") + helper.record.address;
+    if (Tokens{0} < helper.held) {
+      helpers += "/" + TicketFor(helper.record.id).value;
+    }
   }
   if (!helpers.empty()) {
     AppendHeader(names.helpers, helpers, &head);
@@ -339,15 +392,18 @@
 }
 
 void Exchange::BeginWork(const Placement& placement) {
-  const Tokens memory = placement_request_.prompt + placement_request_.answer;
+  Tokens memory = placement_request_.prompt + placement_request_.answer;
+  std::vector<WorkId> helpers;
   helpers_.clear();
+  for (const Helper& helper : placement.helpers) {
+    memory = memory - helper.held;
+    helpers_.push_back(helper.record.id);
+    helpers.push_back(services_->loads->Begin(
+        helper.record.id, WorkClass::kHelper, placement.read, helper.held));
+  }
   work_.push_back(services_->loads->Begin(endpoint_, placement.work_class,
                                           placement.read, memory));
-  for (const EndpointRecord* helper : placement.helpers) {
-    helpers_.push_back(helper->id);
-    work_.push_back(services_->loads->Begin(helper->id, WorkClass::kHelper,
-                                            placement.read, Tokens{0}));
-  }
+  work_.insert(work_.end(), helpers.begin(), helpers.end());
 }
 
 void Exchange::EndWork() {
@@ -356,6 +412,10 @@
     services_->loads->End(id);
   }
   work_.clear();
+  if (hold_ != nullptr) {
+    hold_->Release();
+    hold_.reset();
+  }
 }
 
 void Exchange::OnFirstEvent() {
@@ -373,15 +433,8 @@
   constexpr FractionalMillis kNegligible{200};
   const double pace = (taken + kNegligible) / (predicted_ + kNegligible);
   services_->health->OnSuccess(endpoint_, pace);
-  for (std::size_t i = 0; i < work_.size(); ++i) {
-    if (i == 0) {
-      services_->loads->OnRead(work_[i]);
-    } else {
-      services_->loads->End(work_[i]);
-    }
-  }
-  if (!work_.empty()) {
-    work_.resize(1);
+  for (const WorkId id : work_) {
+    services_->loads->OnRead(id);
   }
 }
 
@@ -491,8 +544,8 @@
   const auto self = shared_from_this();
   attempt_.reset();
   EndWork();
-  services_->health->OnUnreachable(endpoint_);
   if (const auto* not_sent = std::get_if<AttemptNotSent>(&failure)) {
+    services_->health->OnUnreachable(endpoint_);
     ++connect_failures_;
     if (connect_failures_ < kMostConnectFailures) {
       TryNext();
@@ -501,6 +554,8 @@
     }
     return;
   }
+  // One broken answer is not a dead endpoint; the next connection tells.
+  services_->health->OnErrorAnswer(endpoint_);
   scanner_.DropPartial();
   OnMayHaveRun(std::get<AttemptBroken>(failure).reason);
 }
@@ -602,14 +657,25 @@
   if (route_->kind != RequestKind::kStreaming) {
     return sent_at_ + kPlainPatienceFactor * route_->target_latency;
   }
+  Millis limit = std::max(kLeastStall, kStallFactor * route_->target_gap);
   if (!first_event_seen_) {
     const auto expected =
         std::chrono::duration_cast<Millis>(kPatienceFactor * predicted_);
-    const Millis base = helpers_.empty() ? kPatienceBase : kHelperStall;
-    return sent_at_ + base + expected;
+    limit = expected + (helpers_.empty() ? kPatienceBase : kHelperStall);
+  }
+  if (services_->health->WasHeardAfter(endpoint_, last_bytes_at_)) {
+    // The endpoint is alive and slow. To begin anew elsewhere costs more than
+    // to wait, until the caller is about to give the stream up.
+    limit = std::max(limit, CallerPatience());
   }
-  return last_bytes_at_ +
-         std::max(kLeastStall, kStallFactor * route_->target_gap);
+  return last_bytes_at_ + limit;
+}
+
+Millis Exchange::CallerPatience() const {
+  const Millis given_up = std::max(
+      {kCallerLeastPatience, kCallerPatienceTargets * route_->target_latency,
+       kCallerPatienceGaps * route_->target_gap});
+  return given_up * kPatienceUsed / kPercent;
 }
 
 Millis Exchange::TimeLeft() const {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -14,6 +14,7 @@
 #include "src/gateway/attempt.h"
 #include "src/gateway/caller_session.h"
 #include "src/gateway/gateway_services.h"
+#include "src/gateway/memory_hold.h"
 
 namespace harecrank {
 
@@ -52,9 +53,13 @@
   bool TryPlace();
   void Wait();
   void LeaveQueue();
+  // Sets memory aside first if the placement needs that.
+  void Prepare(const Placement& placement);
+  void OnMemory(const Placement& placement, bool held);
   void Send(const Placement& placement);
   std::string HeadFor(const Placement& placement) const;
   bool IsSetByGateway(std::string_view name) const;
+  MemoryTicket TicketFor(const EndpointId& holder) const;
   void BeginWork(const Placement& placement);
   void EndWork();
   void OnFirstEvent();
@@ -69,6 +74,8 @@
   void ArmTimer();
   void OnTimer();
   std::optional<TimePoint> PatienceEnd() const;
+  // How long the caller's patience with a silent stream may be used.
+  Millis CallerPatience() const;
   Millis TimeLeft() const;
 
   // Answers.
@@ -100,7 +107,10 @@
   std::shared_ptr<Attempt> attempt_;
   EndpointId endpoint_;
   std::vector<EndpointId> helpers_;
+  // Of the endpoint first, then of the helpers.
   std::vector<WorkId> work_;
+  std::shared_ptr<MemoryHold> hold_;
+  int placements_ = 0;
   FractionalMillis predicted_{0};
   TimePoint sent_at_{};
   TimePoint last_bytes_at_{};
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -23,6 +23,9 @@
 constexpr std::size_t kReservedDescriptors = 1200;
 constexpr std::size_t kLeastSessions = 256;
 
+// How long callers wait for a process that has just started to know anything.
+// They allow a connection a second.
+constexpr Millis kFirstConfiguration{700};
 // How many hosts share a bound where fewer are known.
 constexpr int kLeastHosts = 3;
 
@@ -34,11 +37,11 @@
 
 }  // namespace
 
-GatewayNode::GatewayNode(GatewaySettings settings, ProtocolNames names,
-                         const FeedFactory& make_feed, MonotonicClock clock,
+GatewayNode::GatewayNode(GatewaySettings settings,
+                         const PlatformAdapters& platform, MonotonicClock clock,
                          RandomSource random)
     : settings_(std::move(settings)),
-      names_(std::move(names)),
+      names_(platform.names),
       clock_(std::move(clock)),
       random_(std::move(random)),
       io_(1),
@@ -51,12 +54,13 @@
       budgets_(
           settings_.repeat_bound, [this] { return KnownHosts(); }, clock_),
       queue_(&io_, clock_),
+      orders_(platform.make_orders(&io_)),
       services_(MakeServices()),
       peer_book_(settings_.operations_address, settings_.seed_peers, clock_,
                  random_),
       peers_(&io_, settings_.peers_address, &peer_book_, MakePeerPorts(), &log_,
              &metrics_, clock_),
-      feed_(make_feed(&io_, settings_, this)),
+      feed_(platform.make_feed(&io_, settings_, this)),
       callers_(&io_, settings_.callers_address,
                MostSessions(settings_.descriptors), MakeSessionContext()),
       readiness_(&io_, settings_.readiness_address,
@@ -76,9 +80,9 @@
               {"data_centre", settings_.data_centre.value},
               {"callers_address", settings_.callers_address}},
              LogWeight::kAlwaysKept);
+  started_ = clock_();
   feed_->Start();
   peers_.Start();
-  callers_.Start();
   readiness_.Start();
   operations_.Start();
   AwaitSignal();
@@ -100,6 +104,7 @@
   services.placer = &placer_;
   services.budgets = &budgets_;
   services.queue = &queue_;
+  services.orders = orders_.get();
   services.log = &log_;
   services.metrics = &metrics_;
   services.on_placed = [this] { peers_.TellSoon(); };
@@ -214,6 +219,7 @@
 void GatewayNode::OnListing(std::vector<EndpointRecord> records,
                             StoreRevision at) {
   directory_.ReplaceAll(records, at);
+  AcceptCallers();
   log_.Write("listing", {{"endpoints", records.size()}, {"at", at.value}});
 }
 
@@ -288,8 +294,19 @@
              LogWeight::kAlwaysKept);
 }
 
+void GatewayNode::AcceptCallers() {
+  // Connections wait in the listening socket for the moment that the first
+  // configuration takes; without one for longer they are told so.
+  const bool waited = clock_() - started_ >= kFirstConfiguration;
+  if (!accepting_ && (IsReady() || waited)) {
+    accepting_ = true;
+    callers_.Start();
+  }
+}
+
 void GatewayNode::Tick() {
   const TimePoint now = clock_();
+  AcceptCallers();
   directory_.DropLapsed();
   if (now - swept_ >= kSweepInterval) {
     swept_ = now;
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -24,14 +24,24 @@
     boost::asio::io_context* io, const GatewaySettings& settings,
     DirectorySink* sink)>;
 
+// Makes what sends orders to engines.
+using OrdersFactory =
+    std::function<std::unique_ptr<MemoryOrders>(boost::asio::io_context* io)>;
+
+// What a gateway needs to know of the platform that it serves on.
+struct PlatformAdapters {
+  ProtocolNames names;
+  FeedFactory make_feed;
+  OrdersFactory make_orders;
+};
+
 // One thread runs all of it: a host's share of a core is less than one, and
 // docs/PLATFORM.md has the figures.
 class GatewayNode : public DirectorySink {
  public:
   // Throws boost::system::system_error if an address cannot be had.
-  GatewayNode(GatewaySettings settings, ProtocolNames names,
-              const FeedFactory& make_feed, MonotonicClock clock,
-              RandomSource random);
+  GatewayNode(GatewaySettings settings, const PlatformAdapters& platform,
+              MonotonicClock clock, RandomSource random);
   ~GatewayNode() override;
 
   // Runs until a stop signal has been obeyed.
@@ -55,6 +65,7 @@
   void AwaitSignal();
   void OnSignal(int signal);
   void BeginDrain();
+  void AcceptCallers();
   void Tick();
   void ContinueDrain();
   void RegisterGauges();
@@ -76,6 +87,7 @@
   Placer placer_;
   RepeatBudgets budgets_;
   DispatchQueue queue_;
+  std::unique_ptr<MemoryOrders> orders_;
   GatewayServices services_;
   PeerBook peer_book_;
   PeerExchange peers_;
@@ -87,6 +99,8 @@
   boost::asio::steady_timer tick_timer_;
   bool source_well_ = false;
   StoreRevision known_up_to_;
+  TimePoint started_{};
+  bool accepting_ = false;
   bool draining_ = false;
   TimePoint drain_began_{};
   TimePoint swept_{};
--- a/src/gateway/gateway_services.h
+++ b/src/gateway/gateway_services.h
@@ -18,6 +18,7 @@
 #include "src/adapters/metrics.h"
 #include "src/gateway/dispatch_queue.h"
 #include "src/gateway/endpoint_connections.h"
+#include "src/gateway/memory_orders.h"
 #include "src/gateway/protocol_names.h"
 
 namespace harecrank {
@@ -65,6 +66,7 @@
   const Placer* placer = nullptr;
   RepeatBudgets* budgets = nullptr;
   DispatchQueue* queue = nullptr;
+  MemoryOrders* orders = nullptr;
   EventLog* log = nullptr;
   Metrics* metrics = nullptr;
   // Called when something was placed that peers should soon hear of.
--- /dev/null
+++ b/src/gateway/memory_hold.h
@@ -0,0 +1,62 @@
+// Memory of several engines that one request needs: all of it or none.
+
+#ifndef HARECRANK_SRC_GATEWAY_MEMORY_HOLD_H_
+#define HARECRANK_SRC_GATEWAY_MEMORY_HOLD_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/gateway/memory_orders.h"
+
+namespace harecrank {
+
+// What is needed at one engine.
+struct MemoryNeed {
+  std::string address;
+  MemoryTicket ticket;
+  Tokens amount;
+};
+
+// Never waits for memory, so that holds of several hosts cannot lock each other
+// out: what is not free now is given up with the rest. Not thread-safe.
+class MemoryHold : public std::enable_shared_from_this<MemoryHold> {
+ public:
+  // `orders` must outlive this.
+  MemoryHold(boost::asio::io_context* io, MemoryOrders* orders,
+             std::vector<MemoryNeed> needs);
+
+  // Calls `done` once with whether all of it is held. Holds are renewed until
+  // Release.
+  void Acquire(std::function<void(bool held)> done);
+
+  // Gives all of it back. `done` is not called any more.
+  void Release();
+
+  // How long the memory stays set aside without a word from here: shorter than
+  // the time for which engines may keep memory that no request uses, so that a
+  // host that died leaves nothing behind for longer.
+  static constexpr Millis kHold{3000};
+  // Several renewals fit in one hold, so that one may be lost.
+  static constexpr Millis kRenewal{900};
+
+ private:
+  void OnAnswer(bool held);
+  void RenewLater();
+  void Renew();
+
+  MemoryOrders* orders_;
+  std::vector<MemoryNeed> needs_;
+  boost::asio::steady_timer timer_;
+  std::function<void(bool)> done_;
+  std::size_t unanswered_ = 0;
+  bool failed_ = false;
+  bool released_ = false;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_GATEWAY_MEMORY_HOLD_H_
