--- a/include/harecrank/core/endpoint_loads.h
+++ b/include/harecrank/core/endpoint_loads.h
@@ -84,6 +84,8 @@
     // When the prompts given so far will be read.
     TimePoint read_until{};
     int unread = 0;
+    // Of these, those that take long.
+    int unread_long = 0;
   };
   struct PeerWord {
     std::unordered_map<EndpointId, EndpointLoad> loads;
--- a/include/harecrank/core/placement.h
+++ b/include/harecrank/core/placement.h
@@ -67,6 +67,10 @@
 struct EnginesBusy {};
 using PlacementResult = std::variant<Placement, NoEndpoint, EnginesBusy>;
 
+// Returns whether the memory of one engine of `service` cannot hold a request
+// that needs `needed` tokens, even if it holds nothing else.
+bool IsOversize(const ServiceProfile& service, Tokens needed);
+
 // Chooses endpoints. Not thread-safe; reads what it was built on.
 class Placer {
  public:
@@ -109,10 +113,11 @@
   static std::vector<Candidate> OpenReaders(const PlacementRequest& request,
                                             FractionalMillis whole,
                                             const std::vector<Candidate>& zone);
-  // Returns the engines that read bulk, if most of them are open, or nothing.
-  static std::vector<Candidate> BulkReaders(
-      const PlacementRequest& request, FractionalMillis whole,
-      std::size_t for_short, const std::vector<Candidate>& in_order);
+  // Returns all of `zone`, if all of it is idle and its parts are small enough,
+  // or nothing.
+  static std::vector<Candidate> IdleReaders(const PlacementRequest& request,
+                                            FractionalMillis whole,
+                                            const std::vector<Candidate>& zone);
   // Returns nothing if the memory of `readers` does not hold the request.
   static std::optional<Placement> PlaceOn(
       const PlacementRequest& request, FractionalMillis whole,
--- a/src/core/endpoint_loads.cc
+++ b/src/core/endpoint_loads.cc
@@ -6,6 +6,11 @@
 namespace harecrank {
 namespace {
 
+// What an engine counts as having to read, at the least, while a part that
+// takes as long or longer has not been followed by its first event: where a
+// prediction fails, the engine is not open because its time is over.
+constexpr FractionalMillis kOverdueBacklog{120};
+
 int* MembersOf(EndpointLoad* load, WorkClass work_class) {
   switch (work_class) {
     case WorkClass::kShort:
@@ -40,6 +45,7 @@
   OwnLoad& own = own_[endpoint];
   own.read_until = std::max(own.read_until, clock_()) + ToSteady(read);
   ++own.unread;
+  own.unread_long += read >= kOverdueBacklog ? 1 : 0;
   own.load.memory = own.load.memory + memory;
   if (int* members = MembersOf(&own.load, work_class)) {
     ++*members;
@@ -138,6 +144,7 @@
   work->is_read = true;
   OwnLoad& own = own_[work->endpoint];
   --own.unread;
+  own.unread_long -= work->read >= kOverdueBacklog ? 1 : 0;
   if (own.unread == 0) {
     own.read_until = clock_();
   }
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -29,14 +29,12 @@
 // part may take this share of what is left.
 constexpr double kHurryShare = 0.65;
 constexpr double kTimeShareUsed = 0.8;
-// A prompt that one engine reads in more than this many times its target is
-// bulk. Its worth grows with its length, its cost with the square.
-constexpr double kBulkFactor = 2;
-// Bulk is read by the engines at the far end of the shared order, by this share
-// of all, so that the others stay open for what gains more.
-constexpr double kBulkShare = 0.25;
-// So many of them must be open for it.
-constexpr double kBulkOpenShare = 0.75;
+// A prompt that no engine's memory holds is read by all engines for long ones
+// at once, when they are idle: its worth grows with its length, its cost with
+// the square, and tried beside others it held all of them up. An engine is idle
+// with less than this to read, and a part may take this share of the target.
+constexpr FractionalMillis kIdleBacklog{20};
+constexpr double kOversizePartShareOfTarget = 0.5;
 // Routes whose gap is at most this multiple of the tightest count as tight.
 constexpr double kTightFactor = 1.5;
 // The share of an engine's slots that short requests are packed into. A fuller
@@ -77,12 +75,6 @@
          kTightFactor * FractionalMillis(request.tightest_gap);
 }
 
-// Returns whether the prompt takes so long to read that it would hold up all
-// others if all engines read it.
-bool IsBulk(const PlacementRequest& request, FractionalMillis whole) {
-  return whole > kBulkFactor * FractionalMillis(request.route->target_latency);
-}
-
 // Returns how much of an engine's memory may still be given away.
 Tokens FreeMemory(const EngineProfile& engine, const EndpointLoad& load) {
   const auto most = static_cast<std::int64_t>(
@@ -92,6 +84,11 @@
 
 }  // namespace
 
+bool IsOversize(const ServiceProfile& service, Tokens needed) {
+  return service.engine.has_value() &&
+         FreeMemory(*service.engine, EndpointLoad{}) < needed;
+}
+
 Placer::Placer(const EndpointDirectory* directory, const EndpointLoads* loads,
                const EndpointHealth* health, DataCentreId self,
                RandomSource random)
@@ -216,8 +213,8 @@
   if (IsTight(request)) {
     readers = HarmlessReaders(request, whole, {in_order.begin(), border});
   }
-  if (IsBulk(request, whole)) {
-    readers = BulkReaders(request, whole, for_short, in_order);
+  if (IsOversize(*request.service, request.prompt + request.answer)) {
+    readers = IdleReaders(request, whole, {border, in_order.end()});
   } else if (readers.empty()) {
     readers = OpenReaders(request, whole, {border, in_order.end()});
   }
@@ -318,29 +315,23 @@
   return open;
 }
 
-std::vector<Placer::Candidate> Placer::BulkReaders(
+std::vector<Placer::Candidate> Placer::IdleReaders(
     const PlacementRequest& request, FractionalMillis whole,
-    std::size_t for_short, const std::vector<Candidate>& in_order) {
-  const FractionalMillis wanted_part =
-      kPartShareOfGap * FractionalMillis(request.tightest_gap);
-  const auto bulk_engines = static_cast<std::size_t>(
-      std::ceil(kBulkShare * static_cast<double>(in_order.size())));
-  const std::size_t first = std::max(for_short, in_order.size() - bulk_engines);
-  std::vector<Candidate> open;
-  for (std::size_t i = first; i < in_order.size(); ++i) {
-    if (in_order[i].load.read_backlog <= kOpenShareOfPart * wanted_part) {
-      open.push_back(in_order[i]);
+    const std::vector<Candidate>& zone) {
+  std::vector<Candidate> idle;
+  for (const Candidate& candidate : zone) {
+    if (candidate.load.read_backlog <= kIdleBacklog) {
+      idle.push_back(candidate);
     }
   }
-  const auto least = static_cast<std::size_t>(
-      std::ceil(kBulkOpenShare * static_cast<double>(in_order.size() - first)));
-  const FractionalMillis part =
-      whole / std::max(1.0, static_cast<double>(open.size()));
-  const bool in_time = part <= kTimeShareUsed * request.until_deadline;
-  if (open.empty() || open.size() < least || !in_time) {
+  if (idle.size() < zone.size()) {
     return {};
   }
-  return open;
+  idle.resize(std::min(idle.size(), kMostHelpers + 1));
+  const FractionalMillis part = whole / static_cast<double>(idle.size());
+  const FractionalMillis target(request.route->target_latency);
+  return part <= kOversizePartShareOfTarget * target ? idle
+                                                     : std::vector<Candidate>{};
 }
 
 std::optional<Placement> Placer::PlaceOn(
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -44,6 +44,9 @@
 constexpr int kCallerPatienceGaps = 8;
 constexpr int kPatienceUsed = 75;
 constexpr int kPercent = 100;
+// A prompt that needs all engines idle waits for that for this part of its
+// target.
+constexpr int kOversizeWaitShare = 4;
 // With less left than this a further attempt cannot bring anything.
 constexpr Millis kLeastTimeForAttempt{60};
 // Answers that their endpoint says are no run: RFC 9110 for 408, 421 and 503,
@@ -608,6 +611,9 @@
   if (const auto patience = PatienceEnd()) {
     next = std::min(next, *patience);
   }
+  if (const auto limit = WaitEnd()) {
+    next = std::min(next, *limit);
+  }
   timer_.expires_at(next);
   timer_.async_wait(
       [self = weak_from_this()](const boost::system::error_code& error) {
@@ -627,6 +633,12 @@
     GiveUp("out_of_time");
     return;
   }
+  const auto wait_end = WaitEnd();
+  if (wait_end.has_value() && now >= *wait_end) {
+    LeaveQueue();
+    GiveUp("engines_not_idle");
+    return;
+  }
   const auto patience = PatienceEnd();
   if (patience.has_value() && now >= *patience && attempt_ != nullptr) {
     // A second sending only pays while it can still bring something.
@@ -649,6 +661,15 @@
   ArmTimer();
 }
 
+std::optional<TimePoint> Exchange::WaitEnd() const {
+  const Tokens needed = placement_request_.prompt + placement_request_.answer;
+  if (!waiter_.has_value() || may_have_run_ || !IsOversize(*service_, needed)) {
+    return std::nullopt;
+  }
+  // A caller that is told early can still come back in time.
+  return arrived_ + route_->target_latency / kOversizeWaitShare;
+}
+
 std::optional<TimePoint> Exchange::PatienceEnd() const {
   if (attempt_ == nullptr || !route_->MayRepeat() || budget_refused_ ||
       sendings_ >= route_->max_attempts) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -74,6 +74,8 @@
   void ArmTimer();
   void OnTimer();
   std::optional<TimePoint> PatienceEnd() const;
+  // Until when a request of its kind waits for engines, if that is limited.
+  std::optional<TimePoint> WaitEnd() const;
   // How long the caller's patience with a silent stream may be used.
   Millis CallerPatience() const;
   Millis TimeLeft() const;
