--- a/include/harecrank/core/placement.h
+++ b/include/harecrank/core/placement.h
@@ -113,8 +113,8 @@
   static std::vector<Candidate> OpenReaders(const PlacementRequest& request,
                                             FractionalMillis whole,
                                             const std::vector<Candidate>& zone);
-  // Returns all of `zone`, if all of it is idle and its parts are small enough,
-  // or nothing.
+  // Returns the engines of `zone` on which nothing runs, if those are enough to
+  // be in time, or nothing.
   static std::vector<Candidate> IdleReaders(const PlacementRequest& request,
                                             FractionalMillis whole,
                                             const std::vector<Candidate>& zone);
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 #include "harecrank/core/rendezvous.h"
@@ -29,12 +30,12 @@
 // part may take this share of what is left.
 constexpr double kHurryShare = 0.65;
 constexpr double kTimeShareUsed = 0.8;
-// A prompt that no engine's memory holds is read by all engines for long ones
-// at once, when they are idle: its worth grows with its length, its cost with
-// the square, and tried beside others it held all of them up. An engine is idle
-// with less than this to read, and a part may take this share of the target.
+// A prompt that no engine's memory holds is read by engines on which nothing
+// runs: its parts take so long that streams beside them would pause. An engine
+// is idle with less than this to read.
 constexpr FractionalMillis kIdleBacklog{20};
-constexpr double kOversizePartShareOfTarget = 0.5;
+// Streams of long prompts are packed up to this many on an engine.
+constexpr int kPackedWriters = 3;
 // Routes whose gap is at most this multiple of the tightest count as tight.
 constexpr double kTightFactor = 1.5;
 // The share of an engine's slots that short requests are packed into. A fuller
@@ -318,19 +319,18 @@
 std::vector<Placer::Candidate> Placer::IdleReaders(
     const PlacementRequest& request, FractionalMillis whole,
     const std::vector<Candidate>& zone) {
+  // Its parts would make every stream beside them pause for too long.
   std::vector<Candidate> idle;
   for (const Candidate& candidate : zone) {
-    if (candidate.load.read_backlog <= kIdleBacklog) {
+    if (candidate.load.Members() == 0 &&
+        candidate.load.read_backlog <= kIdleBacklog) {
       idle.push_back(candidate);
     }
   }
-  if (idle.size() < zone.size()) {
-    return {};
-  }
   idle.resize(std::min(idle.size(), kMostHelpers + 1));
-  const FractionalMillis part = whole / static_cast<double>(idle.size());
-  const FractionalMillis target(request.route->target_latency);
-  return part <= kOversizePartShareOfTarget * target ? idle
+  const FractionalMillis part =
+      whole / std::max(1.0, static_cast<double>(idle.size()));
+  return part <= kTimeShareUsed * request.until_late ? idle
                                                      : std::vector<Candidate>{};
 }
 
@@ -339,10 +339,18 @@
     const std::vector<Candidate>& readers) {
   const EngineProfile& engine = *request.service->engine;
   // One of them holds the memory, as far as it can, and writes the answer.
+  // Writers are packed, so that other engines stay free of streams that a
+  // large part would hold up.
+  const Tokens needed = request.prompt + request.answer;
+  const auto cost = [&](const Candidate& c) {
+    const bool fits = !(FreeMemory(engine, c.load) < needed);
+    const int packed = std::min(c.load.long_members, kPackedWriters);
+    return std::make_tuple(!fits, fits ? -packed : 0, c.load.memory);
+  };
   const auto writer =
       std::min_element(readers.begin(), readers.end(),
-                       [](const Candidate& a, const Candidate& b) {
-                         return a.load.memory < b.load.memory;
+                       [&cost](const Candidate& a, const Candidate& b) {
+                         return cost(a) < cost(b);
                        });
   Placement placement;
   placement.endpoint = *writer->record;
@@ -357,7 +365,6 @@
       placement.helpers.push_back(Helper{*candidate.record, Tokens{0}});
     }
   }
-  const Tokens needed = request.prompt + request.answer;
   const Tokens beyond = needed - FreeMemory(engine, writer->load);
   if (Tokens{0} < beyond &&
       !SpreadMemory(engine, readers, beyond, &placement)) {
