Engines that write long answers do not help to read; hosts take turns

Cause 1: streams of long prompts took 4 to 12 s for 8 to 27 events, since the engines that wrote them read parts for others in nearly every pass. Now a host that knows of peers with something more urgent waiting takes engines for open 20 ms later for each of them, and placements are told within 1 ms.

--- a/include/harecrank/core/peer_word.h
+++ b/include/harecrank/core/peer_word.h
@@ -13,6 +13,7 @@
 #include "harecrank/core/endpoint_loads.h"
 #include "harecrank/core/routing_table.h"
 #include "harecrank/core/strong_types.h"
+#include "harecrank/core/waiting_room.h"
 
 namespace harecrank {
 
@@ -27,6 +28,8 @@
   bool source_well = false;
   // What it has under way, by endpoint.
   std::unordered_map<EndpointId, EndpointLoad> loads;
+  // How urgent its most urgent waiting request is, if any waits.
+  std::optional<Urgency> urgency;
   // Some other hosts that it knows.
   std::vector<std::string> peers;
 };
@@ -62,6 +65,9 @@
   std::optional<std::string> BetterInformed(RoutingVersion routing,
                                             StoreRevision known_up_to) const;
 
+  // Returns how many peers lately had something more urgent waiting.
+  int PeersAhead(Urgency urgency) const;
+
   // Returns how many hosts are alive, this one among them.
   int AliveHosts() const;
 
@@ -70,6 +76,8 @@
   static constexpr Millis kAliveFor{3000};
   // A node's control traffic is bounded, however many hosts there are.
   static constexpr std::size_t kMostTold = 8;
+  // How long what a peer said of its waiting requests counts.
+  static constexpr Millis kUrgencyHolds{400};
 
  private:
   struct Peer {
@@ -77,6 +85,7 @@
     RoutingVersion routing;
     StoreRevision known_up_to;
     bool source_well = false;
+    std::optional<Urgency> urgency;
     TimePoint heard{};
   };
 
--- a/include/harecrank/core/waiting_room.h
+++ b/include/harecrank/core/waiting_room.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "harecrank/core/clock.h"
@@ -13,6 +14,10 @@
 
 namespace harecrank {
 
+// Orders requests that wait, over all hosts: the least first. While a request
+// can still be in time this is the time that it has to spare.
+using Urgency = FractionalMillis;
+
 // Names one request that waits.
 using WaiterId = StrongNumber<struct WaiterTag, std::uint64_t>;
 
@@ -24,6 +29,9 @@
   FractionalMillis service{0};
 };
 
+// Returns how urgent `waiter` is at `now`.
+Urgency UrgencyOf(const Waiter& waiter, TimePoint now);
+
 // Requests that can still be in time go first, by how little time they have to
 // spare; those that cannot follow, the quickest first. Not thread-safe.
 class WaitingRoom {
@@ -36,6 +44,9 @@
   // Returns at most `most` of those that wait, first to last.
   std::vector<WaiterId> InOrder(std::size_t most) const;
 
+  // Returns the urgency of the first that waits, if any does.
+  std::optional<Urgency> MostUrgent() const;
+
   bool IsEmpty() const { return waiters_.empty(); }
   std::size_t Count() const { return waiters_.size(); }
 
--- a/src/core/peer_word.cc
+++ b/src/core/peer_word.cc
@@ -40,13 +40,16 @@
   for (const auto& [id, load] : word.loads) {
     loads.push_back(EncodeLoad(id, load));
   }
-  const json object = {{"node", word.node.value},
-                       {"at", word.operations_address},
-                       {"routing", word.routing.value},
-                       {"known", word.known_up_to.value},
-                       {"well", word.source_well},
-                       {"loads", std::move(loads)},
-                       {"peers", word.peers}};
+  json object = {{"node", word.node.value},
+                 {"at", word.operations_address},
+                 {"routing", word.routing.value},
+                 {"known", word.known_up_to.value},
+                 {"well", word.source_well},
+                 {"loads", std::move(loads)},
+                 {"peers", word.peers}};
+  if (word.urgency.has_value()) {
+    object["urgency"] = word.urgency->count();
+  }
   std::string bytes;
   json::to_cbor(object, bytes);
   return bytes;
@@ -65,6 +68,9 @@
       word.loads.insert(DecodeLoad(item));
     }
     object.at("peers").get_to(word.peers);
+    if (object.contains("urgency")) {
+      word.urgency = Urgency(object.at("urgency").get<double>());
+    }
     return word;
   } catch (const json::exception&) {
     // Whatever reaches the port: the caller counts it.
@@ -89,8 +95,8 @@
   }
   Peer& peer = peers_[word.operations_address];
   const bool is_new = peer.heard == TimePoint{} || !IsAlive(peer);
-  peer = Peer{word.node, word.routing, word.known_up_to, word.source_well,
-              clock_()};
+  peer = Peer{word.node,        word.routing, word.known_up_to,
+              word.source_well, word.urgency, clock_()};
   for (const std::string& address : word.peers) {
     if (address != self_) {
       peers_.try_emplace(address);
@@ -150,6 +156,19 @@
   return best == nullptr ? std::nullopt : std::make_optional(*best);
 }
 
+int PeerBook::PeersAhead(Urgency urgency) const {
+  const TimePoint now = clock_();
+  int ahead = 0;
+  for (const auto& [address, peer] : peers_) {
+    const auto age = now - peer.heard;
+    const bool known = peer.urgency.has_value() && age <= kUrgencyHolds;
+    if (known && *peer.urgency - age < urgency) {
+      ++ahead;
+    }
+  }
+  return ahead;
+}
+
 int PeerBook::AliveHosts() const {
   return 1 + static_cast<int>(std::count_if(
                  peers_.begin(), peers_.end(),
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -22,6 +22,11 @@
 // takes at most this share of a wanted part: enough to keep it busy until the
 // next decision, and not so much that its streams pause.
 constexpr double kOpenShareOfPart = 0.7;
+// All hosts see an engine open at the same moment. A host that knows of peers
+// with something more urgent takes it for open so much later for each of them,
+// which is longer than word of a placement takes.
+constexpr FractionalMillis kDeference{20};
+constexpr FractionalMillis kLeastOpenBacklog{2};
 // A part may grow by this factor where few engines are open, rather than wait.
 constexpr double kPartStretch = 2;
 // A part may take this share of the request's target.
@@ -35,7 +40,7 @@
 // is idle with less than this to read.
 constexpr FractionalMillis kIdleBacklog{20};
 // Streams of long prompts are packed up to this many on an engine.
-constexpr int kPackedWriters = 3;
+constexpr int kPackedWriters = 4;
 // Routes whose gap is at most this multiple of the tightest count as tight.
 constexpr double kTightFactor = 1.5;
 // The share of an engine's slots that short requests are packed into. A fuller
@@ -289,16 +294,34 @@
   const FractionalMillis wanted_part =
       std::max(FractionalMillis(1),
                kPartShareOfGap * FractionalMillis(request.tightest_gap));
+  const FractionalMillis open_backlog =
+      std::max(kLeastOpenBacklog, kOpenShareOfPart * wanted_part -
+                                      request.peers_ahead * kDeference);
   std::vector<Candidate> open;
+  std::optional<Candidate> writer;
+  const Tokens needed = request.prompt + request.answer;
   for (const Candidate& candidate : zone) {
-    if (candidate.load.read_backlog <= kOpenShareOfPart * wanted_part) {
+    const EndpointLoad& load = candidate.load;
+    if (load.read_backlog > open_backlog) {
+      continue;
+    }
+    if (load.long_members == 0) {
       open.push_back(candidate);
+      continue;
+    }
+    // Engines that write long answers read for new ones of their own only.
+    const bool fits = !(FreeMemory(*request.service->engine, load) < needed);
+    const bool more =
+        !writer.has_value() || writer->load.long_members < load.long_members;
+    if (fits && more && load.long_members < kPackedWriters) {
+      writer = candidate;
     }
   }
   const auto wanted =
       std::min({static_cast<std::size_t>(std::ceil(whole / wanted_part)),
                 zone.size(), kMostHelpers + 1});
-  const std::size_t readers = std::min(wanted, open.size());
+  const std::size_t writers = writer.has_value() ? 1 : 0;
+  const std::size_t readers = std::min(wanted, open.size() + writers);
   const FractionalMillis part_allowed =
       PartAllowed(request, whole, wanted_part);
   if (readers == 0 || whole / static_cast<double>(readers) > part_allowed) {
@@ -312,7 +335,10 @@
               };
               return cost(a) < cost(b);
             });
-  open.resize(readers);
+  open.resize(readers - writers);
+  if (writer.has_value()) {
+    open.push_back(*writer);
+  }
   return open;
 }
 
--- a/src/core/waiting_room.cc
+++ b/src/core/waiting_room.cc
@@ -1,11 +1,18 @@
 #include "harecrank/core/waiting_room.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace harecrank {
 
+Urgency UrgencyOf(const Waiter& waiter, TimePoint now) {
+  // More than any request has to spare, so that those which cannot be in time
+  // follow, the quickest first.
+  constexpr Urgency kLate{1e7};
+  const Urgency spare = Urgency(waiter.in_time_until - now) - waiter.service;
+  return spare < Urgency(0) ? kLate + waiter.service : spare;
+}
+
 WaitingRoom::WaitingRoom(MonotonicClock clock) : clock_(std::move(clock)) {}
 
 WaiterId WaitingRoom::Add(const Waiter& waiter) {
@@ -15,24 +22,29 @@
 }
 
 std::vector<WaiterId> WaitingRoom::InOrder(std::size_t most) const {
-  using Key = std::tuple<bool, FractionalMillis, WaiterId>;
+  using Key = std::pair<Urgency, WaiterId>;
   const TimePoint now = clock_();
   std::vector<Key> keys;
   keys.reserve(waiters_.size());
   for (const auto& [id, waiter] : waiters_) {
-    const FractionalMillis spare =
-        FractionalMillis(waiter.in_time_until - now) - waiter.service;
-    const bool late = spare < FractionalMillis(0);
-    keys.emplace_back(late, late ? waiter.service : spare, id);
+    keys.emplace_back(UrgencyOf(waiter, now), id);
   }
   std::sort(keys.begin(), keys.end());
   keys.resize(std::min(most, keys.size()));
   std::vector<WaiterId> order;
   order.reserve(keys.size());
   for (const Key& key : keys) {
-    order.push_back(std::get<WaiterId>(key));
+    order.push_back(key.second);
   }
   return order;
 }
 
+std::optional<Urgency> WaitingRoom::MostUrgent() const {
+  const std::vector<WaiterId> first = InOrder(1);
+  if (first.empty()) {
+    return std::nullopt;
+  }
+  return UrgencyOf(waiters_.at(first.front()), clock_());
+}
+
 }  // namespace harecrank
--- a/src/gateway/dispatch_queue.h
+++ b/src/gateway/dispatch_queue.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
+#include <optional>
 
 #include "harecrank/core/waiting_room.h"
 
@@ -31,6 +32,8 @@
   // Tries those that wait, soon. Called when an engine may have opened.
   void PumpSoon();
 
+  std::optional<Urgency> MostUrgent() const { return room_.MostUrgent(); }
+
   std::size_t Count() const { return room_.Count(); }
 
   // Of those that wait, so many are tried at a time: the first may want more
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -199,6 +199,10 @@
   const TimePoint now = services_->clock();
   placement_request_.until_late = arrived_ + route_->target_latency - now;
   placement_request_.until_deadline = deadline_ - now;
+  if (service_->engine.has_value()) {
+    placement_request_.peers_ahead =
+        services_->peers_ahead(UrgencyOf(AsWaiter(), now));
+  }
   const PlacementResult result = services_->placer->Choose(placement_request_);
   if (std::holds_alternative<EnginesBusy>(result)) {
     return false;
@@ -212,11 +216,8 @@
 }
 
 void Exchange::Wait() {
-  const Waiter waiter{arrived_ + route_->target_latency,
-                      ReadTime(*service_->engine, placement_request_.prompt) /
-                          static_cast<double>(Placer::kMostHelpers + 1)};
   waits_since_ = services_->clock();
-  waiter_ = services_->queue->Add(waiter, [weak = weak_from_this()] {
+  waiter_ = services_->queue->Add(AsWaiter(), [weak = weak_from_this()] {
     const auto self = weak.lock();
     if (self == nullptr || self->finished_) {
       return true;
@@ -227,9 +228,16 @@
     self->waiter_.reset();
     return true;
   });
+  services_->on_placed();
   ArmTimer();
 }
 
+Waiter Exchange::AsWaiter() const {
+  return Waiter{arrived_ + route_->target_latency,
+                ReadTime(*service_->engine, placement_request_.prompt) /
+                    static_cast<double>(Placer::kMostHelpers + 1)};
+}
+
 void Exchange::LeaveQueue() {
   if (waiter_.has_value()) {
     services_->queue->Remove(*waiter_);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -52,6 +52,7 @@
   // Returns false if all engines that could take it are busy.
   bool TryPlace();
   void Wait();
+  Waiter AsWaiter() const;
   void LeaveQueue();
   // Sets memory aside first if the placement needs that.
   void Prepare(const Placement& placement);
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -107,6 +107,9 @@
   services.orders = orders_.get();
   services.log = &log_;
   services.metrics = &metrics_;
+  services.peers_ahead = [this](Urgency urgency) {
+    return peer_book_.PeersAhead(urgency);
+  };
   services.on_placed = [this] { peers_.TellSoon(); };
   services.clock = clock_;
   services.random = random_;
@@ -171,6 +174,7 @@
     word.known_up_to = known_up_to_;
     word.source_well = source_well_;
     word.loads = loads_.Own();
+    word.urgency = queue_.MostUrgent();
     return word;
   };
   ports.on_word = [this](const PeerWord& word) {
--- a/src/gateway/gateway_services.h
+++ b/src/gateway/gateway_services.h
@@ -69,7 +69,10 @@
   MemoryOrders* orders = nullptr;
   EventLog* log = nullptr;
   Metrics* metrics = nullptr;
-  // Called when something was placed that peers should soon hear of.
+  // Returns how many peers have something more urgent waiting.
+  std::function<int(Urgency)> peers_ahead;
+  // Called when something was placed, or began to wait, that peers should soon
+  // hear of.
   std::function<void()> on_placed;
   MonotonicClock clock;
   RandomSource random;
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -10,8 +10,9 @@
 
 namespace asio = boost::asio;
 
-// How soon after a change peers are told: enough to tell several at once.
-constexpr Millis kSoon{10};
+// How soon after a change peers are told. Hosts that see the same engines open
+// decide within milliseconds of each other.
+constexpr Millis kSoon{1};
 // The pause between two questions to peers, and how long an answer may take.
 constexpr Millis kAskInterval{250};
 constexpr Millis kAskTimeout{500};
