--- a/include/harecrank/core/placement.h
+++ b/include/harecrank/core/placement.h
@@ -36,8 +36,6 @@
   // What is left until the first event is late, and until the request fails.
   FractionalMillis until_late{0};
   FractionalMillis until_deadline{0};
-  // How many peers have something more urgent waiting. They go first.
-  int peers_ahead = 0;
   // Endpoints that this request has been sent to, which are not asked again.
   std::set<EndpointId> tried;
 };
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -19,14 +19,10 @@
 // beside it pause, with the pass that it is read in.
 constexpr double kPauseShareOfGap = 0.85;
 // An engine is open for a further long prompt while what it has yet to read
-// takes at most this share of a wanted part: enough to keep it busy until the
-// next decision, and not so much that its streams pause.
-constexpr double kOpenShareOfPart = 0.7;
-// All hosts see an engine open at the same moment. A host that knows of peers
-// with something more urgent takes it for open so much later for each of them,
-// which is longer than word of a placement takes.
-constexpr FractionalMillis kDeference{20};
-constexpr FractionalMillis kLeastOpenBacklog{2};
+// takes at most this share of a wanted part. Seen on the bench: a newer part
+// for another engine's prompt is read before an older one, so that parts which
+// overlap hold the older prompt up for seconds.
+constexpr double kOpenShareOfPart = 0.15;
 // A part may grow by this factor where few engines are open, rather than wait.
 constexpr double kPartStretch = 2;
 // A part may take this share of the request's target.
@@ -294,15 +290,12 @@
   const FractionalMillis wanted_part =
       std::max(FractionalMillis(1),
                kPartShareOfGap * FractionalMillis(request.tightest_gap));
-  const FractionalMillis open_backlog =
-      std::max(kLeastOpenBacklog, kOpenShareOfPart * wanted_part -
-                                      request.peers_ahead * kDeference);
   std::vector<Candidate> open;
   std::optional<Candidate> writer;
   const Tokens needed = request.prompt + request.answer;
   for (const Candidate& candidate : zone) {
     const EndpointLoad& load = candidate.load;
-    if (load.read_backlog > open_backlog) {
+    if (load.read_backlog > kOpenShareOfPart * wanted_part) {
       continue;
     }
     if (load.long_members == 0) {
--- a/src/gateway/dispatch_queue.cc
+++ b/src/gateway/dispatch_queue.cc
@@ -4,13 +4,17 @@
 
 namespace harecrank {
 
-DispatchQueue::DispatchQueue(boost::asio::io_context* io, MonotonicClock clock)
-    : room_(std::move(clock)), timer_(*io) {}
+DispatchQueue::DispatchQueue(boost::asio::io_context* io, MonotonicClock clock,
+                             std::function<int(Urgency)> peers_ahead)
+    : room_(clock),
+      peers_ahead_(std::move(peers_ahead)),
+      timer_(*io),
+      clock_(std::move(clock)) {}
 
 WaiterId DispatchQueue::Add(const Waiter& waiter, Start start) {
   const WaiterId id = room_.Add(waiter);
   starts_.emplace(id, std::move(start));
-  Schedule(kInterval);
+  PumpSoon();
   return id;
 }
 
@@ -20,8 +24,9 @@
 }
 
 void DispatchQueue::PumpSoon() {
-  if (!room_.IsEmpty()) {
-    Schedule(Millis(0));
+  const auto urgency = room_.MostUrgent();
+  if (urgency.has_value()) {
+    Schedule(peers_ahead_(*urgency) * kTurn);
   }
 }
 
@@ -43,14 +48,15 @@
 }
 
 void DispatchQueue::Schedule(Millis pause) {
-  if (scheduled_ && pause > Millis(0)) {
+  const TimePoint due = clock_() + pause;
+  if (due >= due_) {
     return;
   }
-  scheduled_ = true;
-  timer_.expires_after(pause);
+  due_ = due;
+  timer_.expires_at(due);
   timer_.async_wait([this](boost::system::error_code error) {
     if (!error) {
-      scheduled_ = false;
+      due_ = TimePoint::max();
       Pump();
     }
   });
--- a/src/gateway/dispatch_queue.h
+++ b/src/gateway/dispatch_queue.h
@@ -22,14 +22,18 @@
   // Tries to start the request. Returns false if it has to wait on.
   using Start = std::function<bool()>;
 
-  DispatchQueue(boost::asio::io_context* io, MonotonicClock clock);
+  // `peers_ahead` returns how many other hosts have something more urgent.
+  DispatchQueue(boost::asio::io_context* io, MonotonicClock clock,
+                std::function<int(Urgency)> peers_ahead);
 
   // `start` may be called until the waiter has been removed, also from within
   // Pump. A waiter whose `start` returns true is removed.
   WaiterId Add(const Waiter& waiter, Start start);
   void Remove(WaiterId id);
 
-  // Tries those that wait, soon. Called when an engine may have opened.
+  // Tries those that wait: soon, or later by kTurn for each peer with something
+  // more urgent. All hosts hear at about the same moment that engines are open.
+  // Called when one may have opened.
   void PumpSoon();
 
   std::optional<Urgency> MostUrgent() const { return room_.MostUrgent(); }
@@ -39,18 +43,22 @@
   // Of those that wait, so many are tried at a time: the first may want more
   // engines than are open, and the next fewer.
   static constexpr std::size_t kTried = 8;
-  // How often those that wait are tried while nothing is heard: a tenth of the
-  // reading time that keeps an engine open.
-  static constexpr Millis kInterval{10};
+  // How often those that wait are tried while nothing is heard.
+  static constexpr Millis kInterval{40};
+  // Longer than word of a placement takes to reach the peers.
+  static constexpr Millis kTurn{6};
 
  private:
   void Pump();
   void Schedule(Millis pause);
 
   WaitingRoom room_;
+  std::function<int(Urgency)> peers_ahead_;
   std::map<WaiterId, Start> starts_;
   boost::asio::steady_timer timer_;
-  bool scheduled_ = false;
+  // When the next try is due; the clock's end while none is.
+  TimePoint due_ = TimePoint::max();
+  MonotonicClock clock_;
 };
 
 }  // namespace harecrank
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -190,19 +190,24 @@
 }
 
 void Exchange::TryNext() {
-  if (!TryPlace()) {
+  // Where peers have something more urgent waiting, they go first.
+  const bool defers =
+      service_->engine.has_value() && IsLong() &&
+      services_->peers_ahead(UrgencyOf(AsWaiter(), services_->clock())) > 0;
+  if (defers || !TryPlace()) {
     Wait();
   }
 }
 
+bool Exchange::IsLong() const {
+  return ReadTime(*service_->engine, placement_request_.prompt) >
+         FractionalMillis(route_->target_gap);
+}
+
 bool Exchange::TryPlace() {
   const TimePoint now = services_->clock();
   placement_request_.until_late = arrived_ + route_->target_latency - now;
   placement_request_.until_deadline = deadline_ - now;
-  if (service_->engine.has_value()) {
-    placement_request_.peers_ahead =
-        services_->peers_ahead(UrgencyOf(AsWaiter(), now));
-  }
   const PlacementResult result = services_->placer->Choose(placement_request_);
   if (std::holds_alternative<EnginesBusy>(result)) {
     return false;
@@ -228,7 +233,7 @@
     self->waiter_.reset();
     return true;
   });
-  services_->on_placed();
+  services_->on_load_changed();
   ArmTimer();
 }
 
@@ -250,7 +255,7 @@
   endpoint_ = placement.endpoint.id;
   BeginWork(placement);
   if (placement.work_class == WorkClass::kLong) {
-    services_->on_placed();
+    services_->on_load_changed();
   }
   std::vector<MemoryNeed> needs;
   for (const Helper& helper : placement.helpers) {
@@ -305,6 +310,13 @@
   fields["entry_revision"] = placement.endpoint.revision.value;
   fields["candidates"] = placement.candidates;
   fields["helpers"] = placement.helpers.size();
+  if (!helpers_.empty()) {
+    std::string ids;
+    for (const EndpointId& helper : helpers_) {
+      ids += (ids.empty() ? "" : " ") + helper.value;
+    }
+    fields["helper_ids"] = std::move(ids);
+  }
   fields["predicted_ms"] = placement.first_event.count();
   fields["read_ms"] = placement.read.count();
   fields["prompt"] = placement_request_.prompt.value;
@@ -438,6 +450,9 @@
     first_event_at_ = services_->clock();
   }
   services_->queue->PumpSoon();
+  if (!helpers_.empty()) {
+    services_->on_load_changed();
+  }
   const FractionalMillis taken = services_->clock() - sent_at_;
   // A single slow answer says little of short waits; what counts is how the
   // longer ones compare.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -52,6 +52,8 @@
   // Returns false if all engines that could take it are busy.
   bool TryPlace();
   void Wait();
+  // Whether the prompt takes so long to read that its engines must be free.
+  bool IsLong() const;
   Waiter AsWaiter() const;
   void LeaveQueue();
   // Sets memory aside first if the placement needs that.
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -53,7 +53,9 @@
       placer_(&directory_, &loads_, &health_, settings_.data_centre, random_),
       budgets_(
           settings_.repeat_bound, [this] { return KnownHosts(); }, clock_),
-      queue_(&io_, clock_),
+      queue_(
+          &io_, clock_,
+          [this](Urgency urgency) { return peer_book_.PeersAhead(urgency); }),
       orders_(platform.make_orders(&io_)),
       services_(MakeServices()),
       peer_book_(settings_.operations_address, settings_.seed_peers, clock_,
@@ -110,7 +112,7 @@
   services.peers_ahead = [this](Urgency urgency) {
     return peer_book_.PeersAhead(urgency);
   };
-  services.on_placed = [this] { peers_.TellSoon(); };
+  services.on_load_changed = [this] { peers_.TellSoon(); };
   services.clock = clock_;
   services.random = random_;
   return services;
--- a/src/gateway/gateway_services.h
+++ b/src/gateway/gateway_services.h
@@ -71,9 +71,9 @@
   Metrics* metrics = nullptr;
   // Returns how many peers have something more urgent waiting.
   std::function<int(Urgency)> peers_ahead;
-  // Called when something was placed, or began to wait, that peers should soon
-  // hear of.
-  std::function<void()> on_placed;
+  // Called when a long prompt was placed, was read, or began to wait: peers
+  // should hear of it soon.
+  std::function<void()> on_load_changed;
   MonotonicClock clock;
   RandomSource random;
 };
