--- a/include/harecrank/core/endpoint_loads.h
+++ b/include/harecrank/core/endpoint_loads.h
@@ -29,6 +29,10 @@
 struct EndpointLoad {
   // Until prompts that were given to it are read, if it does nothing else.
   FractionalMillis read_backlog{0};
+  // Prompts or parts of them that take long and have not been followed by a
+  // first event. Where a prediction fails they are still there when the
+  // backlog has run out.
+  int unread_parts = 0;
   // Requests that read or write, by class.
   int short_members = 0;
   int long_members = 0;
@@ -70,6 +74,9 @@
   // How long a peer's word counts: several of the intervals at which peers
   // tell, so that one lost datagram changes nothing.
   static constexpr Millis kPeerWordHolds{1500};
+  // What takes this long to read counts as a part: about as long as the parts
+  // that prompts are cut into.
+  static constexpr FractionalMillis kLongPart{100};
 
  private:
   struct Work {
@@ -84,8 +91,6 @@
     // When the prompts given so far will be read.
     TimePoint read_until{};
     int unread = 0;
-    // Of these, those that take long.
-    int unread_long = 0;
   };
   struct PeerWord {
     std::unordered_map<EndpointId, EndpointLoad> loads;
--- a/src/core/endpoint_loads.cc
+++ b/src/core/endpoint_loads.cc
@@ -6,11 +6,6 @@
 namespace harecrank {
 namespace {
 
-// What an engine counts as having to read, at the least, while a part that
-// takes as long or longer has not been followed by its first event: where a
-// prediction fails, the engine is not open because its time is over.
-constexpr FractionalMillis kOverdueBacklog{120};
-
 int* MembersOf(EndpointLoad* load, WorkClass work_class) {
   switch (work_class) {
     case WorkClass::kShort:
@@ -25,6 +20,7 @@
 
 void Add(EndpointLoad* sum, const EndpointLoad& part) {
   sum->read_backlog += part.read_backlog;
+  sum->unread_parts += part.unread_parts;
   sum->short_members += part.short_members;
   sum->long_members += part.long_members;
   sum->memory = sum->memory + part.memory;
@@ -45,7 +41,7 @@
   OwnLoad& own = own_[endpoint];
   own.read_until = std::max(own.read_until, clock_()) + ToSteady(read);
   ++own.unread;
-  own.unread_long += read >= kOverdueBacklog ? 1 : 0;
+  own.load.unread_parts += read >= kLongPart ? 1 : 0;
   own.load.memory = own.load.memory + memory;
   if (int* members = MembersOf(&own.load, work_class)) {
     ++*members;
@@ -144,7 +140,7 @@
   work->is_read = true;
   OwnLoad& own = own_[work->endpoint];
   --own.unread;
-  own.unread_long -= work->read >= kOverdueBacklog ? 1 : 0;
+  own.load.unread_parts -= work->read >= kLongPart ? 1 : 0;
   if (own.unread == 0) {
     own.read_until = clock_();
   }
--- a/src/core/peer_word.cc
+++ b/src/core/peer_word.cc
@@ -13,13 +13,15 @@
 // its fleet again after minutes of being cut off.
 constexpr std::chrono::minutes kForgetAfter{10};
 
-// A load as [id, backlog in microseconds, short members, long members, memory].
+// A load as [id, backlog in microseconds, short members, long members, memory,
+// unread parts].
 json EncodeLoad(const EndpointId& id, const EndpointLoad& load) {
   constexpr double kMicrosPerMilli = 1000;
   return json::array(
       {id.value,
        static_cast<std::int64_t>(load.read_backlog.count() * kMicrosPerMilli),
-       load.short_members, load.long_members, load.memory.value});
+       load.short_members, load.long_members, load.memory.value,
+       load.unread_parts});
 }
 
 std::pair<EndpointId, EndpointLoad> DecodeLoad(const json& item) {
@@ -30,6 +32,7 @@
   item.at(2).get_to(load.short_members);
   item.at(3).get_to(load.long_members);
   item.at(4).get_to(load.memory.value);
+  item.at(5).get_to(load.unread_parts);
   return {EndpointId{item.at(0).get<std::string>()}, load};
 }
 
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -295,7 +295,8 @@
   const Tokens needed = request.prompt + request.answer;
   for (const Candidate& candidate : zone) {
     const EndpointLoad& load = candidate.load;
-    if (load.read_backlog > kOpenShareOfPart * wanted_part) {
+    if (load.unread_parts > 0 ||
+        load.read_backlog > kOpenShareOfPart * wanted_part) {
       continue;
     }
     if (load.long_members == 0) {
@@ -341,7 +342,7 @@
   // Its parts would make every stream beside them pause for too long.
   std::vector<Candidate> idle;
   for (const Candidate& candidate : zone) {
-    if (candidate.load.Members() == 0 &&
+    if (candidate.load.Members() == 0 && candidate.load.unread_parts == 0 &&
         candidate.load.read_backlog <= kIdleBacklog) {
       idle.push_back(candidate);
     }
