--- a/src/cli/gateway_command.cc
+++ b/src/cli/gateway_command.cc
@@ -4,6 +4,7 @@
 #include <exception>
 #include <iostream>
 #include <memory>
+#include <optional>
 #include <utility>
 
 #include "src/adapters/settings.h"
@@ -15,12 +16,39 @@
 
 namespace leaf = boost::leaf;
 
-int RunGateway(GatewaySettings settings, const PlatformAdapters& platform) {
+// Reads and checks the settings. Returns nothing, and says why on standard
+// error, if they cannot be used.
+std::optional<GatewaySettings> ReadSettings(const std::string& path) {
+  std::string text;
+  if (!ReadFile(path, &text)) {
+    return std::nullopt;
+  }
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::optional<GatewaySettings>> {
+        BOOST_LEAF_AUTO(settings, ParseGatewaySettings(text));
+        return std::make_optional(std::move(settings));
+      },
+      [&](const SettingsError& error) -> std::optional<GatewaySettings> {
+        std::cerr << "harecrank: " << path << ": " << Describe(error) << "\n";
+        return std::nullopt;
+      },
+      [&]() -> std::optional<GatewaySettings> {
+        std::cerr << "harecrank: " << path << ": cannot be read\n";
+        return std::nullopt;
+      });
+}
+
+int RunGateway(const std::string& path, const PlatformAdapters& platform) {
   // A peer that closes a socket is an error to handle, not a reason to die.
   std::signal(SIGPIPE, SIG_IGN);
+  std::optional<GatewaySettings> settings = ReadSettings(path);
+  if (!settings.has_value()) {
+    return kExitBadInput;
+  }
   try {
-    GatewayNode node(std::move(settings), platform, SystemClock(),
-                     SystemRandom());
+    GatewayNode node(
+        *std::move(settings), [path] { return ReadSettings(path); }, platform,
+        SystemClock(), SystemRandom());
     node.Run();
     return kExitOk;
   } catch (const std::exception& error) {
@@ -29,23 +57,6 @@
   return kExitUnavailable;
 }
 
-int RunWithSettings(const std::string& path, const PlatformAdapters& platform) {
-  std::string text;
-  if (!ReadFile(path, &text)) {
-    return kExitBadInput;
-  }
-  return leaf::try_handle_all(
-      [&]() -> leaf::result<int> {
-        BOOST_LEAF_AUTO(settings, ParseGatewaySettings(text));
-        return RunGateway(std::move(settings), platform);
-      },
-      [&](const SettingsError& error) {
-        std::cerr << "harecrank: " << path << ": " << Describe(error) << "\n";
-        return kExitBadInput;
-      },
-      [] { return kExitBadInput; });
-}
-
 }  // namespace
 
 void AddGatewayCommand(CLI::App* app, int* exit_code,
@@ -55,7 +66,7 @@
   const auto path = std::make_shared<std::string>();
   command->add_option("--settings", *path, "the settings file")->required();
   command->callback([path, exit_code, platform = std::move(platform)] {
-    *exit_code = RunWithSettings(*path, platform);
+    *exit_code = RunGateway(*path, platform);
   });
 }
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -23,6 +23,8 @@
 // A caller that was refused comes back after about as long as short requests
 // take; it waits at most a third of what it has left.
 constexpr Millis kRetryAfterRefusal{500};
+// A caller of a host that stops goes to another one, at once.
+constexpr Millis kRetryElsewhere{50};
 // How long a first event may take beyond several times its prediction before
 // the request goes elsewhere.
 constexpr Millis kPatienceBase{500};
@@ -107,7 +109,7 @@
     Refuse(http_status::kUnavailable, "no_configuration", kRetryAfterRefusal);
     return;
   }
-  if (!FindRoute() || !Authenticate()) {
+  if (!FindRoute() || !Authenticate() || !FitsBeforeStop()) {
     return;
   }
   ReadSizes();
@@ -136,6 +138,20 @@
   return true;
 }
 
+bool Exchange::FitsBeforeStop() {
+  const std::optional<TimePoint> stop = services_->stops_at();
+  if (!stop.has_value()) {
+    return true;
+  }
+  if (route_->kind == RequestKind::kStreaming) {
+    // Nobody knows how long a stream takes, and the stop would cut it.
+    Refuse(http_status::kUnavailable, "stopping", kRetryElsewhere);
+    return false;
+  }
+  deadline_ = std::min(deadline_, *stop);
+  return true;
+}
+
 bool Exchange::Authenticate() {
   if (!table_->NeedsKeys()) {
     return true;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -44,6 +44,7 @@
   // Admission: each returns false after it has answered.
   bool FindRoute();
   bool Authenticate();
+  bool FitsBeforeStop();
   void ReadSizes();
   void ChooseService();
 
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -17,6 +17,9 @@
 // After a stop signal callers' idle connections are kept for as long as the
 // balancer needs to miss two checks, one a second, and a moment more.
 constexpr Millis kBalancerNotices{3000};
+// After a stop signal streams are still begun for this long: those that are
+// begun later could not end before the process has to.
+constexpr Millis kTakesStreams{2700};
 // What is left of the platform's patience when the process gives up waiting.
 constexpr Millis kStopMargin{400};
 // Descriptors that are not callers': files, listening sockets, endpoints.
@@ -38,9 +41,11 @@
 }  // namespace
 
 GatewayNode::GatewayNode(GatewaySettings settings,
+                         SettingsSource reread_settings,
                          const PlatformAdapters& platform, MonotonicClock clock,
                          RandomSource random)
     : settings_(std::move(settings)),
+      reread_settings_(std::move(reread_settings)),
       names_(platform.names),
       clock_(std::move(clock)),
       random_(std::move(random)),
@@ -109,6 +114,12 @@
   services.orders = orders_.get();
   services.log = &log_;
   services.metrics = &metrics_;
+  services.stops_at = [this]() -> std::optional<TimePoint> {
+    if (!draining_ || clock_() - drain_began_ < kTakesStreams) {
+      return std::nullopt;
+    }
+    return drain_began_ + settings_.stop_limit - 2 * kStopMargin;
+  };
   services.peers_ahead = [this](Urgency urgency) {
     return peer_book_.PeersAhead(urgency);
   };
@@ -284,12 +295,31 @@
 
 void GatewayNode::OnSignal(int signal) {
   if (signal == SIGHUP) {
-    log_.Write("reload", {{"reason", "SIGHUP"}}, LogWeight::kAlwaysKept);
+    Reload("signal");
     return;
   }
   BeginDrain();
 }
 
+void GatewayNode::Reload(const char* cause) {
+  const std::optional<GatewaySettings> fresh = reread_settings_();
+  if (!fresh.has_value()) {
+    log_.Write("reload", {{"cause", cause}, {"taken", false}},
+               LogWeight::kAlwaysKept);
+    return;
+  }
+  // Addresses are those of this life of the process; a change of them needs a
+  // restart, and the platform restarts where it moves a process.
+  settings_.seed_peers = fresh->seed_peers;
+  settings_.stop_limit = fresh->stop_limit;
+  peer_book_.SetSeeds(fresh->seed_peers);
+  log_.Write("reload",
+             {{"cause", cause},
+              {"taken", true},
+              {"seed_peers", fresh->seed_peers.size()}},
+             LogWeight::kAlwaysKept);
+}
+
 void GatewayNode::BeginDrain() {
   if (draining_) {
     return;
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "src/adapters/settings.h"
@@ -35,13 +36,18 @@
   OrdersFactory make_orders;
 };
 
+// Returns the settings as they are now, or nothing if they cannot be used.
+using SettingsSource = std::function<std::optional<GatewaySettings>()>;
+
 // One thread runs all of it: a host's share of a core is less than one, and
 // docs/PLATFORM.md has the figures.
 class GatewayNode : public DirectorySink {
  public:
   // Throws boost::system::system_error if an address cannot be had.
-  GatewayNode(GatewaySettings settings, const PlatformAdapters& platform,
-              MonotonicClock clock, RandomSource random);
+  // `reread_settings` is called when the settings may have changed.
+  GatewayNode(GatewaySettings settings, SettingsSource reread_settings,
+              const PlatformAdapters& platform, MonotonicClock clock,
+              RandomSource random);
   ~GatewayNode() override;
 
   // Runs until a stop signal has been obeyed.
@@ -64,6 +70,7 @@
   PeerExchangePorts MakePeerPorts();
   void AwaitSignal();
   void OnSignal(int signal);
+  void Reload(const char* cause);
   void BeginDrain();
   void AcceptCallers();
   void Tick();
@@ -73,6 +80,7 @@
   bool IsReady() const;
 
   GatewaySettings settings_;
+  SettingsSource reread_settings_;
   ProtocolNames names_;
   MonotonicClock clock_;
   RandomSource random_;
--- a/src/gateway/gateway_services.h
+++ b/src/gateway/gateway_services.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 #include "harecrank/core/endpoint_directory.h"
 #include "harecrank/core/endpoint_health.h"
@@ -69,6 +70,9 @@
   MemoryOrders* orders = nullptr;
   EventLog* log = nullptr;
   Metrics* metrics = nullptr;
+  // Returns until when requests that begin now must have ended, if this host is
+  // about to stop.
+  std::function<std::optional<TimePoint>()> stops_at;
   // Returns how many peers have something more urgent waiting.
   std::function<int(Urgency)> peers_ahead;
   // Called when a long prompt was placed, was read, or began to wait: peers
