--- /dev/null
+++ b/src/core/endpoint_health_test.cc
@@ -0,0 +1,71 @@
+#include "harecrank/core/endpoint_health.h"
+
+#include <catch2/catch.hpp>
+
+namespace harecrank {
+namespace {
+
+const EndpointId kEngine{"e"};
+
+class HealthFixture {
+ protected:
+  TimePoint now_{std::chrono::hours(1)};
+  EndpointHealth health_{[this] { return now_; }};
+};
+
+TEST_CASE_METHOD(HealthFixture,
+                 "An endpoint that cannot be reached is left alone for longer "
+                 "each time, and at once taken back when it answers") {
+  health_.OnUnreachable(kEngine);
+  CHECK(health_.IsSuspect(kEngine));
+  now_ += EndpointHealth::kFirstBlock;
+  CHECK_FALSE(health_.IsSuspect(kEngine));
+  health_.OnUnreachable(kEngine);
+  now_ += EndpointHealth::kFirstBlock;
+  CHECK(health_.IsSuspect(kEngine));
+  health_.OnSuccess(kEngine, 1);
+  CHECK_FALSE(health_.IsSuspect(kEngine));
+}
+
+// Seen on the bench: streams that paused behind a long prompt closed the
+// engines that read it, and the rest were given more than they could read.
+TEST_CASE_METHOD(HealthFixture,
+                 "An overdue request tells nothing of an endpoint that was "
+                 "heard from since") {
+  const TimePoint since = now_;
+  now_ += Millis(1000);
+  health_.OnHeard(kEngine);
+  health_.OnOverdue(kEngine, since);
+  CHECK_FALSE(health_.IsSuspect(kEngine));
+  now_ += Millis(2000);
+  health_.OnOverdue(kEngine, now_ - Millis(1500));
+  CHECK(health_.IsSuspect(kEngine));
+}
+
+TEST_CASE_METHOD(HealthFixture,
+                 "Failures now and then do not close an endpoint; most "
+                 "answers failing do") {
+  for (int i = 0; i < 50; ++i) {
+    if (i % 7 == 0) {
+      health_.OnErrorAnswer(kEngine);
+    } else {
+      health_.OnSuccess(kEngine, 1);
+    }
+  }
+  CHECK_FALSE(health_.IsSuspect(kEngine));
+  for (int i = 0; i < 10; ++i) {
+    health_.OnErrorAnswer(kEngine);
+  }
+  CHECK(health_.IsSuspect(kEngine));
+}
+
+TEST_CASE_METHOD(HealthFixture, "A slow endpoint's pace is learned") {
+  for (int i = 0; i < 40; ++i) {
+    health_.OnSuccess(kEngine, 4);
+  }
+  CHECK(health_.Pace(kEngine) > 3);
+  CHECK(health_.Pace(EndpointId{"unknown"}) == 1);
+}
+
+}  // namespace
+}  // namespace harecrank
--- /dev/null
+++ b/src/core/endpoint_loads_test.cc
@@ -0,0 +1,70 @@
+#include "harecrank/core/endpoint_loads.h"
+
+#include <catch2/catch.hpp>
+
+namespace harecrank {
+namespace {
+
+const EndpointId kEngine{"e"};
+
+class LoadsFixture {
+ protected:
+  TimePoint now_{};
+  EndpointLoads loads_{[this] { return now_; }};
+};
+
+TEST_CASE_METHOD(LoadsFixture, "A backlog adds up and runs out with time") {
+  loads_.Begin(kEngine, WorkClass::kShort, FractionalMillis(30), Tokens{100});
+  loads_.Begin(kEngine, WorkClass::kShort, FractionalMillis(30), Tokens{100});
+  CHECK(loads_.Of(kEngine).read_backlog == FractionalMillis(60));
+  now_ += Millis(40);
+  CHECK(loads_.Of(kEngine).read_backlog == FractionalMillis(20));
+  CHECK(loads_.Of(kEngine).memory == Tokens{200});
+  CHECK(loads_.ShortMembers() == 2);
+}
+
+TEST_CASE_METHOD(LoadsFixture, "Work that has ended weighs nothing") {
+  const WorkId id = loads_.Begin(kEngine, WorkClass::kLong,
+                                 FractionalMillis(300), Tokens{100});
+  loads_.End(id);
+  loads_.End(id);
+  const EndpointLoad load = loads_.Of(kEngine);
+  CHECK(load.Members() == 0);
+  CHECK(load.unread_parts == 0);
+  CHECK(load.memory == Tokens{0});
+  CHECK(loads_.Own().empty());
+}
+
+// Seen on the bench: a host took an engine for open when the prediction said
+// so, while the part was still being read.
+TEST_CASE_METHOD(LoadsFixture,
+                 "A long part counts until its first event, and not until its "
+                 "prediction has run out") {
+  const WorkId id = loads_.Begin(kEngine, WorkClass::kHelper,
+                                 FractionalMillis(300), Tokens{0});
+  now_ += Millis(1000);
+  CHECK(loads_.Of(kEngine).read_backlog == FractionalMillis(0));
+  CHECK(loads_.Of(kEngine).unread_parts == 1);
+  loads_.OnRead(id);
+  CHECK(loads_.Of(kEngine).unread_parts == 0);
+}
+
+TEST_CASE_METHOD(LoadsFixture,
+                 "A peer's word adds to the host's own, does not lose its "
+                 "unread parts with time, and is forgotten in the end") {
+  EndpointLoad told;
+  told.read_backlog = FractionalMillis(50);
+  told.unread_parts = 1;
+  told.short_members = 2;
+  loads_.SetPeer(NodeId{"p"}, {{kEngine, told}});
+  loads_.Begin(kEngine, WorkClass::kShort, FractionalMillis(10), Tokens{1});
+  now_ += Millis(100);
+  CHECK(loads_.Of(kEngine).short_members == 3);
+  CHECK(loads_.Of(kEngine).unread_parts == 1);
+  CHECK(loads_.ShortMembers() == 3);
+  now_ += EndpointLoads::kPeerWordHolds;
+  CHECK(loads_.Of(kEngine).short_members == 1);
+}
+
+}  // namespace
+}  // namespace harecrank
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -1,6 +1,7 @@
 #include "src/gateway/gateway_node.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <csignal>
 #include <utility>
 
@@ -129,6 +130,10 @@
   return services;
 }
 
+void GatewayNode::RequestStop() {
+  boost::asio::post(io_, [this] { BeginDrain(); });
+}
+
 SessionContext GatewayNode::MakeSessionContext() {
   SessionContext context;
   context.start_request = [this](CallerRequest request, TimePoint arrived,
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -53,6 +53,9 @@
   // Runs until a stop signal has been obeyed.
   void Run();
 
+  // Does what a stop signal does. Thread-safe.
+  void RequestStop();
+
   void OnRouting(RoutingDocument document) override;
   void OnListing(std::vector<EndpointRecord> records,
                  StoreRevision at) override;
