--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -30,6 +30,7 @@
 void AddCheckCommand(CLI::App* app, int* exit_code);
 void AddDumpCommand(CLI::App* app, int* exit_code);
 void AddLoadCommand(CLI::App* app, int* exit_code);
+void AddExplainCommand(CLI::App* app, int* exit_code);
 
 // Reads a whole file. Returns false, and says why on standard error, if that
 // cannot be done.
--- /dev/null
+++ b/src/cli/explain.cc
@@ -0,0 +1,128 @@
+#include "src/cli/explain.h"
+
+#include <algorithm>
+#include <set>
+#include <sstream>
+#include <utility>
+
+namespace harecrank {
+namespace {
+
+using nlohmann::json;
+
+// Kinds of lines that tell what a host came to believe.
+const std::set<std::string>& BeliefKinds() {
+  static const std::set<std::string> kKinds = {
+      "start",           "stop",          "reload",
+      "drain",           "configuration", "source_lost",
+      "source_regained", "endpoint_gone", "peer_asked"};
+  return kKinds;
+}
+
+// Fields that every line has and that the telling shows apart.
+const std::set<std::string>& CommonFields() {
+  static const std::set<std::string> kFields = {"event", "node", "request",
+                                                "time_ms", "steady_ms"};
+  return kFields;
+}
+
+bool IsOf(const json& line, const std::string& request) {
+  return line.value("request", "") == request;
+}
+
+std::string DetailsOf(const json& line) {
+  std::ostringstream text;
+  for (const auto& [key, value] : line.items()) {
+    if (CommonFields().count(key) == 0) {
+      text << " " << key << "=" << value.dump();
+    }
+  }
+  return text.str();
+}
+
+}  // namespace
+
+void ReadStory(std::istream* input, const std::string& request,
+               RequestStory* story) {
+  std::string text;
+  while (std::getline(*input, text)) {
+    // Collectors put words of their own before a line.
+    const std::size_t begin = text.find('{');
+    constexpr bool kThrow = false;
+    json line = begin == std::string::npos
+                    ? json()
+                    : json::parse(text.substr(begin), nullptr, kThrow);
+    if (!line.is_object() || !line.contains("event")) {
+      ++story->unreadable;
+      continue;
+    }
+    story->left_out += line.value("left_out_before", std::size_t{0});
+    if (IsOf(line, request) ||
+        BeliefKinds().count(line.value("event", "")) != 0) {
+      story->lines.push_back(std::move(line));
+    }
+  }
+}
+
+void FinishStory(const std::string& request, RequestStory* story) {
+  std::set<std::string> nodes;
+  std::int64_t first = INT64_MAX;
+  std::int64_t last = 0;
+  for (const json& line : story->lines) {
+    if (IsOf(line, request)) {
+      nodes.insert(line.value("node", ""));
+      const auto time = line.value("time_ms", std::int64_t{0});
+      first = std::min(first, time);
+      last = std::max(last, time);
+    }
+  }
+  // What a host came to believe up to this long before the request may have
+  // decided it: an outage of the platform's service and what follows.
+  constexpr std::int64_t kBeforeMs = 5000;
+  auto& lines = story->lines;
+  lines.erase(
+      std::remove_if(lines.begin(), lines.end(),
+                     [&](const json& line) {
+                       const auto time = line.value("time_ms", std::int64_t{0});
+                       return !IsOf(line, request) &&
+                              (nodes.count(line.value("node", "")) == 0 ||
+                               time < first - kBeforeMs || time > last);
+                     }),
+      lines.end());
+  std::stable_sort(lines.begin(), lines.end(),
+                   [](const json& a, const json& b) {
+                     return a.value("time_ms", std::int64_t{0}) <
+                            b.value("time_ms", std::int64_t{0});
+                   });
+}
+
+std::string TellStory(const std::string& request, const RequestStory& story) {
+  std::ostringstream text;
+  const auto first_own =
+      std::find_if(story.lines.begin(), story.lines.end(),
+                   [&](const json& line) { return IsOf(line, request); });
+  if (first_own == story.lines.end()) {
+    text << "request " << request << ": no line in these logs\n";
+  }
+  const std::int64_t start =
+      first_own == story.lines.end()
+          ? 0
+          : first_own->value("time_ms", std::int64_t{0}) -
+                first_own->value("age_ms", std::int64_t{0});
+  for (const json& line : story.lines) {
+    const auto time = line.value("time_ms", std::int64_t{0});
+    text << (IsOf(line, request) ? "  " : "  (host) ") << time - start
+         << " ms  " << line.value("node", "") << "  " << line.value("event", "")
+         << DetailsOf(line) << "\n";
+  }
+  if (story.left_out > 0) {
+    text << "  " << story.left_out
+         << " lines were left out by the processes under load\n";
+  }
+  if (story.unreadable > 0) {
+    text << "  " << story.unreadable << " lines could not be read\n";
+  }
+  return text.str();
+}
+
+}  // namespace harecrank
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -21,6 +21,7 @@
   harecrank::AddCheckCommand(&app, &exit_code);
   harecrank::AddDumpCommand(&app, &exit_code);
   harecrank::AddLoadCommand(&app, &exit_code);
+  harecrank::AddExplainCommand(&app, &exit_code);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -133,10 +134,9 @@
     if (request.tried.count(record->id) != 0) {
       continue;
     }
-    Candidate candidate{record, loads_->Of(record->id),
-                        std::max(1.0, health_->Pace(record->id)), 0};
-    (health_->IsSuspect(record->id) ? suspect : sound)
-        .push_back(std::move(candidate));
+    const Candidate candidate{record, loads_->Of(record->id),
+                              std::max(1.0, health_->Pace(record->id)), 0};
+    (health_->IsSuspect(record->id) ? suspect : sound).push_back(candidate);
   }
   return sound.empty() ? suspect : sound;
 }
@@ -151,15 +151,16 @@
 }
 
 Placement Placer::ChoosePlain(const std::vector<Candidate>& candidates) const {
-  const Candidate* best = nullptr;
-  double best_cost = 0;
+  // There is one at least.
+  const Candidate* best = &candidates.front();
+  double best_cost = std::numeric_limits<double>::max();
   for (const Candidate& candidate : candidates) {
     const double elsewhere =
         candidate.record->data_centre == self_ ? 0 : kElsewherePenalty;
     const double cost =
         (candidate.load.Members() + kPlainNoise * Noise()) * candidate.pace +
         elsewhere;
-    if (best == nullptr || cost < best_cost) {
+    if (cost < best_cost) {
       best = &candidate;
       best_cost = cost;
     }
@@ -174,8 +175,9 @@
   const EngineProfile& engine = *request.service->engine;
   const FractionalMillis read = ReadTime(engine, request.prompt);
   const std::size_t wanted = EnginesForShort(engine, in_order.size());
-  const Candidate* best = nullptr;
-  FractionalMillis best_time{0};
+  // There is one at least.
+  const Candidate* best = &in_order.front();
+  FractionalMillis best_time = FractionalMillis::max();
   for (std::size_t i = 0; i < in_order.size(); ++i) {
     const Candidate& candidate = in_order[i];
     FractionalMillis time =
@@ -189,7 +191,7 @@
         FreeMemory(engine, candidate.load) < request.prompt + request.answer) {
       time += FractionalMillis(request.route->target_latency);
     }
-    if (best == nullptr || time < best_time) {
+    if (time < best_time) {
       best = &candidate;
       best_time = time;
     }
--- a/src/gateway/attempt.cc
+++ b/src/gateway/attempt.cc
@@ -234,7 +234,7 @@
                               EndpointConnections::kIdleMargin);
 }
 
-void Attempt::Fail(AttemptFailure failure) {
+void Attempt::Fail(const AttemptFailure& failure) {
   if (ended_) {
     return;
   }
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -97,7 +97,7 @@
   void OnBody(const Error& error);
   void OnMessageEnd();
   void NoteKeepAlive(const AnswerHead& head);
-  void Fail(AttemptFailure failure);
+  void Fail(const AttemptFailure& failure);
   void Break(const std::string& step, const Error& error);
 
   boost::asio::io_context* io_;
--- a/src/gateway/caller_session.cc
+++ b/src/gateway/caller_session.cc
@@ -231,7 +231,7 @@
   if (may_have_body && !answer_has_no_body_) {
     text.append(body);
   }
-  Queue(std::move(text));
+  Queue(text);
   FinishAnswer();
 }
 
@@ -249,7 +249,7 @@
     AppendHeader("Connection", "close", &text);
   }
   text.append("\r\n");
-  Queue(std::move(text));
+  Queue(text);
 }
 
 void CallerSession::SendEvents(std::string bytes) {
@@ -257,12 +257,12 @@
     return;
   }
   if (!chunked_) {
-    Queue(std::move(bytes));
+    Queue(bytes);
     return;
   }
   std::string chunk;
   AppendChunk(bytes, &chunk);
-  Queue(std::move(chunk));
+  Queue(chunk);
 }
 
 void CallerSession::EndStream() {
@@ -270,7 +270,7 @@
     return;
   }
   if (chunked_) {
-    Queue(std::string(kLastChunk));
+    Queue(kLastChunk);
   }
   FinishAnswer();
 }
@@ -284,7 +284,7 @@
   }
 }
 
-void CallerSession::Queue(std::string bytes) {
+void CallerSession::Queue(std::string_view bytes) {
   if (state_ == State::kClosed) {
     return;
   }
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "harecrank/core/clock.h"
 #include "harecrank/core/routing_table.h"
@@ -94,7 +95,7 @@
   void OnIdleTooLong();
   void OnTooSlow();
   void AnswerAndClose(unsigned status, const std::string& reason);
-  void Queue(std::string bytes);
+  void Queue(std::string_view bytes);
   void Flush();
   void OnFlushed(const Error& error);
   void FinishAnswer();
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -51,9 +51,7 @@
 constexpr int kOversizeWaitShare = 4;
 // With less left than this a further attempt cannot bring anything.
 constexpr Millis kLeastTimeForAttempt{60};
-// Answers that their endpoint says are no run: RFC 9110 for 408, 421 and 503,
-// RFC 6585 for 429.
-constexpr unsigned kRequestTimeout = 408;
+// RFC 9110: the endpoint is not the one that was expected, and ran nothing.
 constexpr unsigned kMisdirected = 421;
 constexpr int kLeastUrgent = 9;
 
