--- a/src/adapters/settings_test.cc
+++ b/src/adapters/settings_test.cc
@@ -32,6 +32,34 @@
 
 TEST_CASE("Good settings are taken") { CHECK(ErrorOf(kGood).empty()); }
 
+// Returns the words in which gateway settings are refused, or "".
+std::string GatewayErrorOf(const std::string& text) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::string> {
+        BOOST_LEAF_CHECK(ParseGatewaySettings(text));
+        return std::string();
+      },
+      [](const SettingsError& error) { return Describe(error); },
+      [] { return std::string("another layer"); });
+}
+
+TEST_CASE("A gateway's settings are checked with units and bounds") {
+  const std::string good = R"({
+    "node_id": "g1", "data_centre": "pasig",
+    "callers_address": "127.0.0.1:1", "readiness_address": "127.0.0.1:2",
+    "operations_address": "127.0.0.1:3", "peers_address": "127.0.0.1:4",
+    "directory_service": "127.0.0.1:5")";
+  CHECK(GatewayErrorOf(good + R"(, "repeat_ratio": 0.2, "stop_limit_s": 8})")
+            .empty());
+  CHECK(GatewayErrorOf(good + R"(, "repeat_ratio": 2})")
+            .find("repeat_ratio: found 2; allowed: a number from 0 to 1") !=
+        std::string::npos);
+  CHECK(GatewayErrorOf(good + R"(, "descriptors": "many"})")
+            .find("descriptors") != std::string::npos);
+  CHECK(GatewayErrorOf("{}").find("peers_address: found nothing") !=
+        std::string::npos);
+}
+
 TEST_CASE("Each fault of settings is named with its place and its remedy") {
   struct Case {
     std::string text;
--- a/src/cli/operator_commands.cc
+++ b/src/cli/operator_commands.cc
@@ -135,11 +135,13 @@
   const auto document = std::make_shared<std::string>();
   const auto entry = std::make_shared<std::string>();
   const auto sidecar = std::make_shared<std::string>();
+  const auto gateway = std::make_shared<std::string>();
   command->add_option("--document", *document, "a published configuration");
   command->add_option("--entry", *entry, "settings of an entry host");
   command->add_option("--sidecar", *sidecar, "settings of a sidecar");
-  command->require_option(1, 3);
-  command->callback([document, entry, sidecar, exit_code] {
+  command->add_option("--gateway", *gateway, "settings of a gateway");
+  command->require_option(1, 4);
+  command->callback([document, entry, sidecar, gateway, exit_code] {
     int worst = kExitOk;
     if (!document->empty()) {
       worst = std::max(worst, CheckDocument(*document));
@@ -150,6 +152,9 @@
     if (!sidecar->empty()) {
       worst = std::max(worst, CheckSettings(*sidecar, ParseSidecarSettings));
     }
+    if (!gateway->empty()) {
+      worst = std::max(worst, CheckSettings(*gateway, ParseGatewaySettings));
+    }
     *exit_code = worst;
   });
 }
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -605,7 +605,7 @@
     nlohmann::json fields = LogFields();
     fields["endpoint"] = endpoint_.value;
     fields["reason"] = reason;
-    services_->log->Write("sent_again", std::move(fields));
+    NoteSentAgain(std::move(fields));
     TryNext();
     return;
   }
@@ -619,13 +619,19 @@
     fields["endpoint"] = endpoint_.value;
     fields["reason"] = reason;
     fields["resumes_after"] = scanner_.LastId();
-    services_->log->Write("sent_again", std::move(fields));
+    NoteSentAgain(std::move(fields));
     TryNext();
     return;
   }
   GiveUp(reason);
 }
 
+void Exchange::NoteSentAgain(nlohmann::json fields) {
+  services_->metrics->GetCounter("harecrank_gateway_sent_again_total")->Add();
+  services_->log->Write("sent_again", std::move(fields),
+                        LogWeight::kAlwaysKept);
+}
+
 bool Exchange::MaySendAgain() {
   if (sendings_ >= route_->max_attempts || TimeLeft() < kLeastTimeForAttempt) {
     return false;
@@ -689,7 +695,7 @@
       fields["reason"] = "overdue";
       fields["predicted_ms"] = predicted_.count();
       fields["resumes_after"] = scanner_.LastId();
-      services_->log->Write("sent_again", std::move(fields));
+      NoteSentAgain(std::move(fields));
       TryNext();
       return;
     }
@@ -793,10 +799,15 @@
   finished_ = true;
   timer_.cancel();
   AbandonAttempt();
-  services_->metrics
-      ->GetCounter("harecrank_gateway_requests_total",
-                   std::string("outcome=\"") + outcome + "\"")
+  const std::string label = std::string("outcome=\"") + outcome + "\"";
+  services_->metrics->GetCounter("harecrank_gateway_requests_total", label)
       ->Add();
+  services_->metrics->GetHistogram("harecrank_gateway_request_seconds", label)
+      ->Record(services_->clock() - arrived_);
+  if (first_event_at_ != TimePoint{}) {
+    services_->metrics->GetHistogram("harecrank_gateway_first_event_seconds")
+        ->Record(first_event_at_ - arrived_);
+  }
   nlohmann::json fields = LogFields();
   fields["outcome"] = outcome;
   fields["status"] = status;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -71,6 +71,7 @@
   // What follows an attempt.
   void OnNotRun(const std::string& reason);
   void OnMayHaveRun(const std::string& reason);
+  void NoteSentAgain(nlohmann::json fields);
   bool MaySendAgain();
   void AbandonAttempt();
 
--- a/tests/documentation_test.cc
+++ b/tests/documentation_test.cc
@@ -86,6 +86,12 @@
         return {};
       },
       [&](const SettingsError& error) { check(Describe(error)); }, [] {});
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_CHECK(ParseGatewaySettings("{\"x\": 1}"));
+        return {};
+      },
+      [&](const SettingsError& error) { check(Describe(error)); }, [] {});
 }
 
 }  // namespace
