--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -1,12 +1,10 @@
 #include "src/gateway/exchange.h"
 
 #include <algorithm>
-#include <boost/beast/core/string.hpp>
-#include <charconv>
 #include <utility>
 
 #include "harecrank/core/http_status.h"
-#include "src/gateway/message_text.h"
+#include "src/gateway/endpoint_request.h"
 
 namespace harecrank {
 namespace {
@@ -55,40 +53,6 @@
 constexpr unsigned kMisdirected = 421;
 constexpr int kLeastUrgent = 9;
 
-std::string_view View(boost::beast::string_view text) {
-  return {text.data(), text.size()};
-}
-
-// Reads a whole number at the start of `text`.
-std::optional<std::int64_t> ReadNumber(std::string_view text) {
-  while (!text.empty() && text.front() == ' ') {
-    text.remove_prefix(1);
-  }
-  std::int64_t number = 0;
-  const auto [end, error] =
-      std::from_chars(text.data(), text.data() + text.size(), number);
-  if (error != std::errc() || end == text.data()) {
-    return std::nullopt;
-  }
-  return number;
-}
-
-// Returns the key of an "Authorization: Bearer KEY", or empty.
-std::string BearerKey(std::string_view value) {
-  constexpr std::string_view kScheme = "Bearer ";
-  if (value.size() <= kScheme.size() ||
-      !boost::beast::iequals(
-          boost::beast::string_view(value.data(), kScheme.size()),
-          boost::beast::string_view(kScheme.data(), kScheme.size()))) {
-    return "";
-  }
-  return std::string(value.substr(kScheme.size()));
-}
-
-std::string_view PathOf(std::string_view target) {
-  return target.substr(0, target.find('?'));
-}
-
 }  // namespace
 
 Exchange::Exchange(const GatewayServices* services, CallerRequest request,
@@ -367,65 +331,31 @@
 }
 
 std::string Exchange::HeadFor(const Placement& placement) const {
-  const ProtocolNames& names = *services_->names;
-  std::string head(View(request_.method_string()));
-  head.append(" ");
-  head.append(View(request_.target()));
-  head.append(" HTTP/1.1\r\n");
-  const std::string connection(request_[http::field::connection]);
-  for (const auto& field : request_) {
-    const std::string_view name = View(field.name_string());
-    if (!IsHopByHop(name, connection) && !IsSetByGateway(name)) {
-      AppendHeader(name, View(field.value()), &head);
-    }
-  }
-  AppendHeader(names.time_left, std::to_string(TimeLeft().count()), &head);
-  AppendHeader(names.expected_endpoint, placement.endpoint.id.value, &head);
+  HeadChanges changes;
+  changes.time_left = TimeLeft();
+  changes.endpoint = placement.endpoint.id;
+  changes.strip_key = strip_key_;
+  changes.body_bytes = body_->size();
   if (account_ != nullptr) {
-    AppendHeader(names.account, account_->id.value, &head);
+    changes.account = account_->id;
   }
   if (service_->engine.has_value()) {
     const int priority = account_ != nullptr && account_->priority.has_value()
                              ? *account_->priority
                              : route_->priority;
-    AppendHeader(names.urgency,
-                 std::to_string(std::clamp(priority, 0, kLeastUrgent)), &head);
+    changes.urgency = std::clamp(priority, 0, kLeastUrgent);
   }
-  std::string helpers;
   for (const Helper& helper : placement.helpers) {
-    helpers += (helpers.empty() ? "" : ",") + helper.record.address;
+    changes.helpers +=
+        (changes.helpers.empty() ? "" : ",") + helper.record.address;
     if (Tokens{0} < helper.held) {
-      helpers += "/" + TicketFor(helper.record.id).value;
+      changes.helpers += "/" + TicketFor(helper.record.id).value;
     }
   }
-  if (!helpers.empty()) {
-    AppendHeader(names.helpers, helpers, &head);
-  }
-  if (stream_begun_ && !scanner_.LastId().empty()) {
-    AppendHeader("Last-Event-ID", scanner_.LastId(), &head);
-  }
-  if (!body_->empty() || request_.method() == http::verb::post ||
-      request_.method() == http::verb::put) {
-    AppendHeader("Content-Length", std::to_string(body_->size()), &head);
+  if (stream_begun_) {
+    changes.resume_after = scanner_.LastId();
   }
-  head.append("\r\n");
-  return head;
-}
-
-bool Exchange::IsSetByGateway(std::string_view name) const {
-  const ProtocolNames& names = *services_->names;
-  const boost::beast::string_view given(name.data(), name.size());
-  const auto is = [&given](const std::string& known) {
-    return boost::beast::iequals(known, given);
-  };
-  if (is("Authorization")) {
-    return strip_key_;
-  }
-  if (is("Last-Event-ID")) {
-    return stream_begun_ && !scanner_.LastId().empty();
-  }
-  return is(names.time_left) || is(names.expected_endpoint) ||
-         is(names.account) || is(names.urgency) || is(names.helpers);
+  return EndpointHead(request_, *services_->names, changes);
 }
 
 void Exchange::BeginWork(const Placement& placement) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -62,7 +62,6 @@
   void OnMemory(const Placement& placement, bool held);
   void Send(const Placement& placement);
   std::string HeadFor(const Placement& placement) const;
-  bool IsSetByGateway(std::string_view name) const;
   MemoryTicket TicketFor(const EndpointId& holder) const;
   void BeginWork(const Placement& placement);
   void EndWork();
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -13,6 +13,9 @@
 
 // How often the process looks after itself.
 constexpr Millis kTick{100};
+// How often the settings are read again: they may change without a signal, and
+// what changes in them is not urgent.
+constexpr Millis kRereadInterval{3000};
 // How often idle connections to endpoints are looked at.
 constexpr Millis kSweepInterval{1000};
 // After a stop signal callers' idle connections are kept for as long as the
@@ -300,14 +303,25 @@
 
 void GatewayNode::OnSignal(int signal) {
   if (signal == SIGHUP) {
-    Reload("signal");
+    Apply(reread_settings_(), "signal");
     return;
   }
   BeginDrain();
 }
 
-void GatewayNode::Reload(const char* cause) {
+void GatewayNode::RereadSettings() {
+  reread_ = clock_();
   const std::optional<GatewaySettings> fresh = reread_settings_();
+  const bool changed =
+      fresh.has_value() && (fresh->seed_peers != settings_.seed_peers ||
+                            fresh->stop_limit != settings_.stop_limit);
+  if (changed) {
+    Apply(fresh, "file");
+  }
+}
+
+void GatewayNode::Apply(const std::optional<GatewaySettings>& fresh,
+                        const char* cause) {
   if (!fresh.has_value()) {
     log_.Write("reload", {{"cause", cause}, {"taken", false}},
                LogWeight::kAlwaysKept);
@@ -353,6 +367,9 @@
     swept_ = now;
     connections_.Sweep();
   }
+  if (now - reread_ >= kRereadInterval) {
+    RereadSettings();
+  }
   if (draining_) {
     ContinueDrain();
   }
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -73,7 +73,9 @@
   PeerExchangePorts MakePeerPorts();
   void AwaitSignal();
   void OnSignal(int signal);
-  void Reload(const char* cause);
+  void RereadSettings();
+  // Takes over what may change while the process runs.
+  void Apply(const std::optional<GatewaySettings>& fresh, const char* cause);
   void BeginDrain();
   void AcceptCallers();
   void Tick();
@@ -115,6 +117,7 @@
   bool draining_ = false;
   TimePoint drain_began_{};
   TimePoint swept_{};
+  TimePoint reread_{};
 };
 
 }  // namespace harecrank
--- /dev/null
+++ b/src/gateway/memory_hold_test.cc
@@ -0,0 +1,94 @@
+#include "src/gateway/memory_hold.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <utility>
+
+namespace harecrank {
+namespace {
+
+// Engines that answer when the test says so.
+class ScriptedOrders : public MemoryOrders {
+ public:
+  void Reserve(const std::string& address, const MemoryTicket&, Tokens, Millis,
+               std::function<void(bool held)> done) override {
+    ++reserved_[address];
+    answers_.push_back(std::move(done));
+  }
+  void Release(const std::string& address, const MemoryTicket&) override {
+    ++released_[address];
+  }
+
+  void Answer(std::size_t which, bool held) { answers_.at(which)(held); }
+
+  std::map<std::string, int> reserved_;
+  std::map<std::string, int> released_;
+
+ private:
+  std::vector<std::function<void(bool)>> answers_;
+};
+
+class HoldFixture {
+ protected:
+  std::shared_ptr<MemoryHold> Acquire() {
+    auto hold = std::make_shared<MemoryHold>(
+        &io_, &orders_,
+        std::vector<MemoryNeed>{{"a", MemoryTicket{"t1"}, Tokens{5}},
+                                {"b", MemoryTicket{"t2"}, Tokens{5}}});
+    hold->Acquire([this](bool held) { outcomes_.push_back(held); });
+    return hold;
+  }
+
+  boost::asio::io_context io_;
+  ScriptedOrders orders_;
+  std::vector<bool> outcomes_;
+};
+
+TEST_CASE_METHOD(HoldFixture, "Memory is held when every engine has given it") {
+  const auto hold = Acquire();
+  orders_.Answer(0, true);
+  CHECK(outcomes_.empty());
+  orders_.Answer(1, true);
+  CHECK(outcomes_ == std::vector<bool>{true});
+  CHECK(orders_.released_.empty());
+  hold->Release();
+  hold->Release();
+  CHECK(orders_.released_ == std::map<std::string, int>{{"a", 1}, {"b", 1}});
+}
+
+TEST_CASE_METHOD(HoldFixture,
+                 "When one engine gives nothing, all is given back at once, "
+                 "also where no answer came") {
+  const auto hold = Acquire();
+  orders_.Answer(0, true);
+  orders_.Answer(1, false);
+  CHECK(outcomes_ == std::vector<bool>{false});
+  CHECK(orders_.released_ == std::map<std::string, int>{{"a", 1}, {"b", 1}});
+}
+
+TEST_CASE_METHOD(HoldFixture,
+                 "A request that ends before the engines answer leaves nothing "
+                 "held and hears nothing") {
+  const auto hold = Acquire();
+  hold->Release();
+  orders_.Answer(0, true);
+  orders_.Answer(1, true);
+  CHECK(outcomes_.empty());
+  CHECK(orders_.released_.size() == 2);
+}
+
+TEST_CASE_METHOD(HoldFixture, "What is held is renewed until it is released") {
+  const auto hold = Acquire();
+  orders_.Answer(0, true);
+  orders_.Answer(1, true);
+  // Runs the one timer that waits.
+  io_.run_one();
+  CHECK(orders_.reserved_ == std::map<std::string, int>{{"a", 2}, {"b", 2}});
+  hold->Release();
+  io_.restart();
+  io_.run();
+  CHECK(orders_.reserved_ == std::map<std::string, int>{{"a", 2}, {"b", 2}});
+}
+
+}  // namespace
+}  // namespace harecrank
