--- a/include/harecrank/core/placement.h
+++ b/include/harecrank/core/placement.h
@@ -33,9 +33,8 @@
   Tokens answer;
   // The shortest pause between events that any route to the service allows.
   Millis tightest_gap{0};
-  // What is left until the first event is late, and until the request fails.
+  // What is left until the first event is late.
   FractionalMillis until_late{0};
-  FractionalMillis until_deadline{0};
   // Endpoints that this request has been sent to, which are not asked again.
   std::set<EndpointId> tried;
 };
--- a/src/core/endpoint_health_test.cc
+++ b/src/core/endpoint_health_test.cc
@@ -59,6 +59,12 @@
   CHECK(health_.IsSuspect(kEngine));
 }
 
+TEST_CASE_METHOD(HealthFixture, "Nothing is kept of a forgotten endpoint") {
+  health_.OnUnreachable(kEngine);
+  health_.Forget(kEngine);
+  CHECK_FALSE(health_.IsSuspect(kEngine));
+}
+
 TEST_CASE_METHOD(HealthFixture, "A slow endpoint's pace is learned") {
   for (int i = 0; i < 40; ++i) {
     health_.OnSuccess(kEngine, 4);
--- a/src/core/placement_test.cc
+++ b/src/core/placement_test.cc
@@ -58,7 +58,6 @@
     request.answer = Tokens{1500};
     request.tightest_gap = Millis(250);
     request.until_late = FractionalMillis(route.target_latency);
-    request.until_deadline = FractionalMillis(15000);
     return placer_.Choose(request);
   }
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -185,7 +185,6 @@
 bool Exchange::TryPlace() {
   const TimePoint now = services_->clock();
   placement_request_.until_late = arrived_ + route_->target_latency - now;
-  placement_request_.until_deadline = deadline_ - now;
   const PlacementResult result = services_->placer->Choose(placement_request_);
   if (std::holds_alternative<EnginesBusy>(result)) {
     return false;
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -223,6 +223,9 @@
                     [this] { return source_well_ ? 1.0 : 0.0; });
   metrics_.AddGauge("harecrank_gateway_waiting",
                     [this] { return static_cast<double>(queue_.Count()); });
+  metrics_.AddGauge("harecrank_gateway_idle_connections", [this] {
+    return static_cast<double>(connections_.IdleCount());
+  });
   metrics_.AddGauge("harecrank_gateway_callers",
                     [this] { return static_cast<double>(callers_.Count()); });
   metrics_.AddGauge("harecrank_gateway_log_lines_dropped",
@@ -260,6 +263,8 @@
 
 void GatewayNode::OnEndpointGone(const EndpointId& id, StoreRevision revision) {
   directory_.Remove(id, revision);
+  // Ids are never used again; should it still be there, it is learned anew.
+  health_.Forget(id);
   log_.Write("endpoint_gone",
              {{"endpoint", id.value}, {"revision", revision.value}});
 }
--- a/src/gateway/protocol_names.h
+++ b/src/gateway/protocol_names.h
@@ -32,8 +32,6 @@
   std::string answer_signature;
   // In an endpoint's answer: it did not run the request and will not.
   std::string not_run;
-  // In an endpoint's failure: the endpoint at fault, where that is another.
-  std::string faulty_endpoint;
   // Path of the balancer's check.
   std::string readiness_path;
 };
