A connect timer that was already due no longer disowns a sent request

The host had fallen 380 ms behind, so its event loop found the new connection and the connection's timer ready in one turn. The connection's handler cancelled the timer and sent the request; a queued timer handler cannot be cancelled and reported the request as not sent, so it went to a second server.

Ruled out: a kept connection (none is used for such requests); the caller's own retry (one client attempt, one host).

--- a/src/gateway/attempt.cc
+++ b/src/gateway/attempt.cc
@@ -60,9 +60,13 @@
     });
     return;
   }
+  connecting_ = true;
   connect_timer_.expires_after(timeout);
   connect_timer_.async_wait([self = shared_from_this()](const Error& error) {
-    if (!error) {
+    // A host that was held up finds the connection and the timer ready in one
+    // turn of its loop. Then the request is on its way, and a cancelled timer
+    // reports success all the same.
+    if (!error && self->connecting_) {
       self->Fail(AttemptNotSent{"no connection in time"});
     }
   });
@@ -76,6 +80,7 @@
   if (ended_) {
     return;
   }
+  connecting_ = false;
   connect_timer_.cancel();
   if (error) {
     Fail(AttemptNotSent{"connect: " + error.message()});
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -109,6 +109,8 @@
   OutgoingRequest request_;
   std::unique_ptr<Parser> parser_;
   std::array<char, kReadBytes> bytes_{};
+  // No byte of the request has been handed to the connection yet.
+  bool connecting_ = false;
   bool written_ = false;
   bool answer_began_ = false;
   // The message being read belongs to an earlier request on the connection.
--- /dev/null
+++ b/src/gateway/attempt_test.cc
@@ -0,0 +1,94 @@
+#include "src/gateway/attempt.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "src/adapters/system_sources.h"
+
+namespace harecrank {
+namespace {
+
+namespace asio = boost::asio;
+
+class RecordingObserver : public AttemptObserver {
+ public:
+  void OnSent() override { ++sent_; }
+  void OnAnswerHead(const AnswerHead&) override {}
+  void OnAnswerBytes(std::string_view) override {}
+  void OnAnswerEnd() override {}
+  void OnFailure(const AttemptFailure& failure) override {
+    failures_.push_back(failure);
+  }
+
+  int Sent() const { return sent_; }
+  const std::vector<AttemptFailure>& Failures() const { return failures_; }
+
+ private:
+  int sent_ = 0;
+  std::vector<AttemptFailure> failures_;
+};
+
+// An attempt at a listening socket that accepts and never answers.
+class SilentEndpoint {
+ public:
+  explicit SilentEndpoint(asio::io_context* io)
+      : acceptor_(*io, {asio::ip::make_address("127.0.0.1"), 0}) {}
+
+  std::string Address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+
+ private:
+  asio::ip::tcp::acceptor acceptor_;
+};
+
+TEST_CASE("A connection that comes up with its timer counts as sent",
+          "[gateway][attempt]") {
+  asio::io_context io;
+  const SilentEndpoint endpoint(&io);
+  EndpointConnections connections(&io, SystemClock());
+  const ProtocolNames names;
+  RecordingObserver observer;
+  const auto attempt =
+      std::make_shared<Attempt>(&io, &connections, &names, &observer);
+  OutgoingRequest request;
+  request.head = "GET / HTTP/1.1\r\n\r\n";
+  request.body = std::make_shared<const std::string>();
+  constexpr Millis kConnectTimeout{1};
+  attempt->Start(connections.MakeNew(EndpointId{"e"}), endpoint.Address(),
+                 std::move(request), kConnectTimeout);
+
+  // The process is held up: both are due when its loop turns next.
+  std::this_thread::sleep_for(20 * kConnectTimeout);
+  io.run_for(20 * kConnectTimeout);
+
+  REQUIRE(observer.Sent() == 1);
+  REQUIRE(observer.Failures().empty());
+  attempt->Cancel();
+}
+
+TEST_CASE("An endpoint that cannot be reached has been sent nothing",
+          "[gateway][attempt]") {
+  asio::io_context io;
+  EndpointConnections connections(&io, SystemClock());
+  const ProtocolNames names;
+  RecordingObserver observer;
+  const auto attempt =
+      std::make_shared<Attempt>(&io, &connections, &names, &observer);
+  OutgoingRequest request;
+  request.body = std::make_shared<const std::string>();
+  attempt->Start(connections.MakeNew(EndpointId{"e"}), "no address",
+                 std::move(request), Millis(1000));
+  io.run_for(Millis(20));
+
+  REQUIRE(observer.Sent() == 0);
+  REQUIRE(observer.Failures().size() == 1);
+  REQUIRE(std::holds_alternative<AttemptNotSent>(observer.Failures().front()));
+}
+
+}  // namespace
+}  // namespace harecrank
