Large parts keep off engines with short requests; the log tells the longest pause

Readers were taken up to the wanted count even where the last ones had short requests, and among equals from the front of the shared order, where peers place short requests that are not known here yet.

Change: beside short requests only if the part is harmless or the prompt would be late otherwise; parts are laid from the end of the order.

Both new tests failed against the code before.

--- a/include/harecrank/core/placement.h
+++ b/include/harecrank/core/placement.h
@@ -115,6 +115,14 @@
   static std::vector<Candidate> OpenReaders(const PlacementRequest& request,
                                             FractionalMillis whole,
                                             const std::vector<Candidate>& zone);
+  // Returns how many of `open` and `writers` read in parts, the first of `open`
+  // first, or zero if all of them are too few. `open` is in order of
+  // preference.
+  static std::size_t CountReaders(const PlacementRequest& request,
+                                  FractionalMillis whole,
+                                  FractionalMillis wanted_part,
+                                  const std::vector<Candidate>& open,
+                                  std::size_t writers);
   // Returns the engines of `zone` on which nothing runs, if those are enough to
   // be in time, or nothing.
   static std::vector<Candidate> IdleReaders(const PlacementRequest& request,
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -47,9 +47,9 @@
 constexpr std::size_t kSpareShortEngines = 1;
 // Short requests never push long ones off more engines than this share.
 constexpr double kMostShortShare = 0.9;
-// What a short request under way counts among reading times when engines for a
-// long prompt are compared.
-constexpr double kShortMemberMs = 60;
+// From this pace on an engine counts as slow among readers: a part on it takes
+// as much longer, and the first token follows the last part.
+constexpr double kSlowPace = 1.5;
 // The share of an engine's memory that is given away. Answers grow longer than
 // the callers guess.
 constexpr double kMemoryShare = 0.92;
@@ -321,24 +321,22 @@
       writer = candidate;
     }
   }
-  const auto wanted =
-      std::min({static_cast<std::size_t>(std::ceil(whole / wanted_part)),
-                zone.size(), kMostHelpers + 1});
-  const std::size_t writers = writer.has_value() ? 1 : 0;
-  const std::size_t readers = std::min(wanted, open.size() + writers);
-  const FractionalMillis part_allowed =
-      PartAllowed(request, whole, wanted_part);
-  if (readers == 0 || whole / static_cast<double>(readers) > part_allowed) {
-    return {};
-  }
+  // Short requests that peers have just placed are not known yet. They come
+  // from the front of the shared order, so parts are laid from its end.
   std::sort(open.begin(), open.end(),
             [](const Candidate& a, const Candidate& b) {
               const auto cost = [](const Candidate& c) {
-                return c.pace * (c.load.read_backlog.count() +
-                                 kShortMemberMs * c.load.short_members);
+                return std::make_tuple(c.load.short_members,
+                                       c.pace >= kSlowPace, c.rank);
               };
               return cost(a) < cost(b);
             });
+  const std::size_t writers = writer.has_value() ? 1 : 0;
+  const std::size_t readers =
+      CountReaders(request, whole, wanted_part, open, writers);
+  if (readers == 0) {
+    return {};
+  }
   open.resize(readers - writers);
   if (writer.has_value()) {
     open.push_back(*writer);
@@ -346,6 +344,38 @@
   return open;
 }
 
+std::size_t Placer::CountReaders(const PlacementRequest& request,
+                                 FractionalMillis whole,
+                                 FractionalMillis wanted_part,
+                                 const std::vector<Candidate>& open,
+                                 std::size_t writers) {
+  const std::size_t all = open.size() + writers;
+  const auto wanted =
+      std::min({static_cast<std::size_t>(std::ceil(whole / wanted_part)), all,
+                kMostHelpers + 1});
+  const auto part = [whole](std::size_t count) {
+    return whole / std::max(1.0, static_cast<double>(count));
+  };
+  if (wanted == 0) {
+    return 0;
+  }
+  if (part(wanted) <= wanted_part) {
+    // Harmless to every stream beside it.
+    return wanted;
+  }
+  const auto clean = static_cast<std::size_t>(std::count_if(
+      open.begin(), open.end(),
+      [](const Candidate& c) { return c.load.short_members == 0; }));
+  const FractionalMillis allowed = PartAllowed(request, whole, wanted_part);
+  std::size_t count =
+      std::max<std::size_t>(1, std::min(wanted, clean + writers));
+  // Beside short requests only as far as it would be too late otherwise.
+  while (count < wanted && part(count) > allowed) {
+    ++count;
+  }
+  return part(count) <= allowed ? count : 0;
+}
+
 std::vector<Placer::Candidate> Placer::IdleReaders(
     const PlacementRequest& request, FractionalMillis whole,
     const std::vector<Candidate>& zone) {
--- a/src/core/placement_test.cc
+++ b/src/core/placement_test.cc
@@ -1,7 +1,10 @@
 #include "harecrank/core/placement.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
+#include "harecrank/core/rendezvous.h"
+
 namespace harecrank {
 namespace {
 
@@ -123,6 +126,44 @@
   CHECK(used(21) >= 5);
 }
 
+TEST_CASE_METHOD(PlacementFixture,
+                 "Large parts keep off engines with short requests while there "
+                 "is time") {
+  std::set<EndpointId> with_short;
+  for (int i = 0; i < kEngines / 3; ++i) {
+    const EndpointId id{"e" + std::to_string(i)};
+    loads_.Begin(id, WorkClass::kShort, FractionalMillis(0), Tokens{2000});
+    with_short.insert(id);
+  }
+  const auto placement = std::get<Placement>(Choose(long_route_, 154000));
+  CHECK(with_short.count(placement.endpoint.id) == 0);
+  for (const Helper& helper : placement.helpers) {
+    CHECK(with_short.count(helper.record.id) == 0);
+  }
+}
+
+TEST_CASE_METHOD(PlacementFixture,
+                 "Parts are laid as far from short requests as can be") {
+  std::vector<std::string> order;
+  for (int i = 0; i < kEngines; ++i) {
+    order.push_back("e" + std::to_string(i));
+  }
+  std::sort(order.begin(), order.end(),
+            [](const std::string& a, const std::string& b) {
+              return RendezvousWeight("short-first", a) >
+                     RendezvousWeight("short-first", b);
+            });
+  CHECK(std::get<Placement>(Choose(short_route_, 2000)).endpoint.id.value ==
+        order.front());
+  const auto placement = std::get<Placement>(Choose(long_route_, 40000));
+  std::set<std::string> readers{placement.endpoint.id.value};
+  for (const Helper& helper : placement.helpers) {
+    readers.insert(helper.record.id.value);
+  }
+  const std::set<std::string> last(order.end() - 3, order.end());
+  CHECK(readers == last);
+}
+
 TEST_CASE_METHOD(PlacementFixture,
                  "A long prompt is read by many engines, none of which a "
                  "short request uses") {
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -407,6 +407,14 @@
   }
 }
 
+void Exchange::NotePause() {
+  const TimePoint now = services_->clock();
+  if (last_event_at_ != TimePoint{}) {
+    longest_pause_ = std::max(longest_pause_, now - last_event_at_);
+  }
+  last_event_at_ = now;
+}
+
 void Exchange::OnSent() {
   attempt_sent_ = true;
   ++sendings_;
@@ -481,6 +489,7 @@
   std::string events = scanner_.Accept(bytes);
   if (!events.empty()) {
     OnFirstEvent();
+    NotePause();
     answer_->SendEvents(std::move(events));
   }
 }
@@ -746,6 +755,10 @@
     fields["first_event_ms"] =
         std::chrono::duration_cast<Millis>(first_event_at_ - arrived_).count();
   }
+  if (longest_pause_.count() > 0) {
+    fields["longest_pause_ms"] =
+        std::chrono::duration_cast<Millis>(longest_pause_).count();
+  }
   fields["sendings"] = sendings_;
   fields["endpoint"] = endpoint_.value;
   const bool failed = std::string_view(outcome) != "completed";
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -66,6 +66,7 @@
   void BeginWork(const Placement& placement);
   void EndWork();
   void OnFirstEvent();
+  void NotePause();
 
   // What follows an attempt.
   void OnNotRun(const std::string& reason);
@@ -121,6 +122,9 @@
   TimePoint sent_at_{};
   TimePoint last_bytes_at_{};
   TimePoint first_event_at_{};
+  TimePoint last_event_at_{};
+  // Between two events of the stream, also across a resumption.
+  std::chrono::steady_clock::duration longest_pause_{0};
   std::optional<WaiterId> waiter_;
   TimePoint waits_since_{};
   int sendings_ = 0;
