--- a/src/core/placement_test.cc
+++ b/src/core/placement_test.cc
@@ -145,6 +145,7 @@
 TEST_CASE_METHOD(PlacementFixture,
                  "Parts are laid as far from short requests as can be") {
   std::vector<std::string> order;
+  order.reserve(kEngines);
   for (int i = 0; i < kEngines; ++i) {
     order.push_back("e" + std::to_string(i));
   }
--- a/standins/fault_proxy.cc
+++ b/standins/fault_proxy.cc
@@ -28,6 +28,8 @@
 struct Faults {
   // Connections are closed, and new ones refused.
   std::atomic<bool> cut{false};
+  // Connections are reset, and new ones too.
+  std::atomic<bool> reset{false};
   // Bytes are held both ways until it ends.
   std::atomic<bool> freeze{false};
   // Bytes of one direction are held: a one-way loss, as TCP shows it.
@@ -68,7 +70,9 @@
 
  private:
   void Set(const json& fault) {
-    faults_.cut = fault.value("cut", false);
+    faults_.reset = fault.value("reset", false);
+    // The pumps end by `cut`, and then close as `reset` says.
+    faults_.cut = faults_.reset || fault.value("cut", false);
     faults_.freeze = fault.value("freeze", false);
     faults_.hold_up = fault.value("hold_up", false);
     faults_.hold_down = fault.value("hold_down", false);
@@ -85,6 +89,7 @@
       }
       StreamSocket caller = listener_.acceptConnection();
       if (faults_.cut) {
+        Shutdown(&caller);
         caller.close();
         continue;
       }
@@ -148,8 +153,14 @@
     }
   }
 
-  static void Shutdown(StreamSocket* socket) {
+  void Shutdown(StreamSocket* socket) const {
     try {
+      if (faults_.reset) {
+        // To close with no time to linger discards what is unsent and resets.
+        socket->setLinger(true, 0);
+        socket->close();
+        return;
+      }
       socket->shutdown();
     } catch (const Poco::Exception&) {
       // It was closed already.
