A reader of standard output that is stuck no longer keeps a process from stopping

Cause: the log went through log4cxx's asynchronous appender, whose end waits until its last line has been taken. With a full pipe the process hung at its end and the platform had to kill it. Lines that the appender left out were not counted either, so Dropped() told 0.

Ruled out: writing itself did not wait.

Change: a bounded writer of our own on one thread; it polls before each write and gives the reader 0.3 s at the end. Drops stand in the next line and the metric.

--- a/src/adapters/event_log.h
+++ b/src/adapters/event_log.h
@@ -13,6 +13,7 @@
 
 #include "harecrank/core/clock.h"
 #include "harecrank/core/strong_types.h"
+#include "src/adapters/line_writer.h"
 
 namespace harecrank {
 
@@ -22,18 +23,15 @@
 // Thread-compatible: one thread writes.
 class EventLog {
  public:
-  // `node` stands in every line. Starts the thread that writes.
+  // `node` stands in every line.
   EventLog(std::string node, MonotonicClock clock);
-  // Writes what is buffered, as far as its reader takes it.
-  ~EventLog();
-  EventLog(const EventLog&) = delete;
-  EventLog& operator=(const EventLog&) = delete;
 
   // Writes a line of `kind` with `fields`.
   void Write(const char* kind, nlohmann::json fields,
              LogWeight weight = LogWeight::kOrdinary);
 
-  // Lines that were left out, for either reason.
+  // Lines that were left out: beyond their kind's rate, or because the reader
+  // of standard output did not keep up.
   std::uint64_t Dropped() const { return dropped_; }
 
   // Lines of one kind in a second, beyond which they are counted only. Some
@@ -54,6 +52,9 @@
   MonotonicClock clock_;
   std::unordered_map<std::string, Rate> rates_;
   std::uint64_t dropped_ = 0;
+  // Lines for which there was no room since the last that got in.
+  std::uint64_t no_room_ = 0;
+  LineWriter writer_;
 };
 
 }  // namespace harecrank
