The callers' door refuses two lengths and wrong methods, and lists the models

Now: several lengths, or a length and chunks, get 400 two_lengths and the connection is closed; other methods get 405 with Allow; the models of the document are listed to callers with a key. Tests with real processes for each; that they fail against the code before was not run.

--- a/include/harecrank/core/http_status.h
+++ b/include/harecrank/core/http_status.h
@@ -11,6 +11,7 @@
 constexpr int kUnauthorised = 401;
 constexpr int kForbidden = 403;
 constexpr int kNotFound = 404;
+constexpr int kMethodNotAllowed = 405;
 constexpr int kConflict = 409;
 constexpr int kTooLarge = 413;
 constexpr int kFailedDependency = 424;
--- a/src/entry/caller_server.cc
+++ b/src/entry/caller_server.cc
@@ -1,5 +1,7 @@
 #include "src/entry/caller_server.h"
 
+#include <Poco/String.h>
+
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -23,6 +25,7 @@
 constexpr Millis kRetryAfterDrain{1000};
 constexpr char kTickets[] = "/v1/tickets";
 constexpr char kServices[] = "/v1/services/";
+constexpr char kModels[] = "/v1/models";
 
 bool StartsWith(const std::string& text, const std::string& prefix) {
   return text.compare(0, prefix.size(), prefix) == 0;
@@ -33,6 +36,24 @@
   return Refusal{status, code, message, Outcome::kNotRun, retry_after};
 }
 
+// Returns whether the request's body ends at one place for everyone who reads
+// it. Where it does not, a second request can be hidden inside the first.
+bool HasOneLength(const HTTPServerRequest& request) {
+  const auto count = [&request](const std::string& name) {
+    auto it = request.find(name);
+    int found = 0;
+    for (; it != request.end() && Poco::icompare(it->first, name) == 0; ++it) {
+      ++found;
+    }
+    return found;
+  };
+  return count("Content-Length") + count("Transfer-Encoding") <= 1;
+}
+
+bool IsCompletions(const std::string& path) {
+  return path == "/v1/completions" || path == "/v1/chat/completions";
+}
+
 // Checks that what a ticket is asked for is published.
 leaf::result<void> CheckTarget(const Configuration& configuration,
                                const ModelId& model,
@@ -119,6 +140,13 @@
     return;
   }
   requests_->Add();
+  if (!HasOneLength(request)) {
+    response.setKeepAlive(false);
+    Refuse(response, NotRun(http_status::kBadRequest, "two_lengths",
+                            "send either one Content-Length or one "
+                            "Transfer-Encoding"));
+    return;
+  }
   if (draining_ || !node_->IsReady()) {
     response.setKeepAlive(false);
     Refuse(
@@ -138,8 +166,14 @@
                                     [this](void*) { in_hand_.fetch_sub(1); });
   if (StartsWith(path, kTickets)) {
     HandleTicket(request, response);
-  } else if (path == "/v1/completions" || path == "/v1/chat/completions" ||
-             StartsWith(path, kServices)) {
+  } else if (path == kModels) {
+    HandleModels(request, response);
+  } else if (IsCompletions(path) &&
+             request.getMethod() != HTTPServerRequest::HTTP_POST) {
+    response.set("Allow", HTTPServerRequest::HTTP_POST);
+    Refuse(response, NotRun(http_status::kMethodNotAllowed,
+                            "method_not_allowed", path + " takes POST only"));
+  } else if (IsCompletions(path) || StartsWith(path, kServices)) {
     HandleRequest(request, response);
   } else {
     Refuse(response, NotRun(http_status::kNotFound, "not_found",
@@ -147,6 +181,29 @@
   }
 }
 
+void CallerServer::HandleModels(HTTPServerRequest& request,
+                                HTTPServerResponse& response) {
+  const auto configuration = node_->InForce();
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_CHECK(
+            Authenticate(*configuration, HeadersOf(request).authorization));
+        json models = json::array();
+        for (const auto& [name, model] :
+             configuration->GetDocument().models()) {
+          models.push_back({{"id", name}, {"object", "model"}});
+        }
+        Answer(response, http_status::kOk,
+               json{{"object", "list"}, {"data", models}}.dump());
+        return {};
+      },
+      [&](const Refusal& refusal) { Refuse(response, refusal); },
+      [&] {
+        Refuse(response, NotRun(http_status::kBadRequest, "bad_request",
+                                "not understood"));
+      });
+}
+
 void CallerServer::HandleTicket(HTTPServerRequest& request,
                                 HTTPServerResponse& response) {
   const CallerHeaders headers = HeadersOf(request);
--- a/src/entry/caller_server.h
+++ b/src/entry/caller_server.h
@@ -38,6 +38,9 @@
  private:
   void Handle(Poco::Net::HTTPServerRequest& request,
               Poco::Net::HTTPServerResponse& response);
+  // Lists the models that the document names.
+  void HandleModels(Poco::Net::HTTPServerRequest& request,
+                    Poco::Net::HTTPServerResponse& response);
   void HandleTicket(Poco::Net::HTTPServerRequest& request,
                     Poco::Net::HTTPServerResponse& response);
   void HandleRequest(Poco::Net::HTTPServerRequest& request,
--- a/tests/bad_input_test.cc
+++ b/tests/bad_input_test.cc
@@ -1,5 +1,9 @@
 // What callers get for requests that cannot be served as they are.
 
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <array>
 #include <catch2/catch.hpp>
 
 #include "testing/fleet.h"
@@ -17,6 +21,22 @@
   std::string code;
 };
 
+// Sends bytes as they are and returns all that comes until the other side
+// closes.
+std::string Exchange(const std::string& address, const std::string& bytes) {
+  Poco::Net::StreamSocket socket{Poco::Net::SocketAddress(address)};
+  socket.setReceiveTimeout(Poco::Timespan(10, 0));
+  socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+  std::string all;
+  std::array<char, 4096> piece{};
+  int got = 0;
+  while ((got = socket.receiveBytes(piece.data(),
+                                    static_cast<int>(piece.size()))) > 0) {
+    all.append(piece.data(), static_cast<std::size_t>(got));
+  }
+  return all;
+}
+
 std::vector<BadRequest> BadRequests(const std::string& address) {
   const CallerCall good = Completion(address, "good", 10, 4, false);
   std::vector<BadRequest> bad;
@@ -41,6 +61,7 @@
       {"Harecrank-Not-Repeatable", "order-1"}};
   add("no ticket at all", 400, "bad_ticket").fields = {
       {"Harecrank-Ticket", "abc"}};
+  add("wrong method", 405, "method_not_allowed").method = "GET";
   add("unknown path", 404, "not_found").path = "/v2/completions";
   add("unknown service", 404, "unknown_service").path = "/v1/services/none/x";
   CallerCall& ticket = add("ticket for an unknown model", 404, "unknown_model");
@@ -67,6 +88,43 @@
   CHECK(RunsOf(&fleet, options.engines, "good") == 0);
 }
 
+TEST_CASE("A request with two lengths is refused and its connection closed") {
+  FleetOptions options;
+  Fleet fleet(options);
+  REQUIRE(fleet.WaitReady());
+  const std::string body = R"({"model":"hare","prompt":"hidden"})";
+  const std::string head =
+      "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+      "Authorization: Bearer " +
+      std::string(kAccountKey) +
+      "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+  for (const std::string second :
+       {"Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n"}) {
+    // Read whole: the entry host must close, also with bytes left over.
+    const std::string answer =
+        Exchange(fleet.Callers(0), head + second + "\r\n" + body);
+    INFO(answer);
+    CHECK(answer.rfind("HTTP/1.1 400", 0) == 0);
+    CHECK(answer.find("two_lengths") != std::string::npos);
+    CHECK(answer.find("HTTP/1.1", 1) == std::string::npos);
+  }
+  CHECK(RunsOf(&fleet, options.engines, "hidden") == 0);
+}
+
+TEST_CASE("Callers can list the models, with a key") {
+  Fleet fleet(FleetOptions{});
+  REQUIRE(fleet.WaitReady());
+  CallerCall call;
+  call.address = fleet.Callers(0);
+  call.path = "/v1/models";
+  call.method = "GET";
+  const CallerAnswer answer = Call(call);
+  CHECK(answer.status == 200);
+  CHECK(answer.body["data"][0]["id"] == kModel);
+  call.key = "wrong";
+  CHECK(Call(call).status == 401);
+}
+
 TEST_CASE("An operator's call without an operator's key is refused") {
   Fleet fleet(FleetOptions{});
   REQUIRE(fleet.WaitReady());
