An endpoint's host that is silent is given up after 3 s, and the memory held for it

The entry host saw nothing, since a writer that reads a long prompt is silent anyway, and renewed the holds for as long as its patience with a long prompt ran.

Ruled out: the release itself (it is sent, and on time, where the attempt ends); cutting the request when its endpoint's entry goes (some endpoints leave without a word and serve on).

Change: connections to endpoints ask the peer's host each second whether it is there, and give it up after 3 s; bytes that stay unacknowledged count the same.

--- a/src/gateway/attempt.cc
+++ b/src/gateway/attempt.cc
@@ -86,7 +86,7 @@
     Fail(AttemptNotSent{"connect: " + error.message()});
     return;
   }
-  SetConnectionOptions(&connection_->socket);
+  SetEndpointOptions(&connection_->socket);
   Send();
 }
 
--- a/src/gateway/attempt_test.cc
+++ b/src/gateway/attempt_test.cc
@@ -1,5 +1,7 @@
 #include "src/gateway/attempt.h"
 
+#include <netinet/tcp.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
@@ -8,6 +10,8 @@
 #include <vector>
 
 #include "src/adapters/system_sources.h"
+#include "src/gateway/http_client.h"
+#include "src/gateway/socket_options.h"
 
 namespace harecrank {
 namespace {
@@ -90,5 +94,32 @@
   REQUIRE(std::holds_alternative<AttemptNotSent>(observer.Failures().front()));
 }
 
+TEST_CASE("An endpoint's host is asked whether it is there",
+          "[gateway][attempt]") {
+  asio::io_context io;
+  const SilentEndpoint endpoint(&io);
+  asio::ip::tcp::socket socket(io);
+  socket.connect(*ParseTcpEndpoint(endpoint.Address()));
+  SetEndpointOptions(&socket);
+
+  asio::socket_base::keep_alive asked;
+  socket.get_option(asked);
+  CHECK(asked.value());
+  asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE> idle;
+  socket.get_option(idle);
+  asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL> interval;
+  socket.get_option(interval);
+  asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT> count;
+  socket.get_option(count);
+  const Millis given_up(1000 *
+                        (idle.value() + interval.value() * count.value()));
+  CHECK(given_up == kSilentHostLimit);
+  asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT> limit;
+  socket.get_option(limit);
+  CHECK(Millis(limit.value()) == kSilentHostLimit);
+  // Engines must have back what nobody uses after four seconds.
+  CHECK(kSilentHostLimit < Millis(4000));
+}
+
 }  // namespace
 }  // namespace harecrank
--- a/src/gateway/socket_options.cc
+++ b/src/gateway/socket_options.cc
@@ -4,15 +4,39 @@
 
 namespace harecrank {
 
-void SetConnectionOptions(boost::asio::ip::tcp::socket* socket) {
+namespace {
+
+void SetOptions(boost::asio::ip::tcp::socket* socket, Millis unacknowledged) {
   using UserTimeout =
       boost::asio::detail::socket_option::integer<IPPROTO_TCP,
                                                   TCP_USER_TIMEOUT>;
   // An option that is not taken costs time under faults, never an answer.
   boost::system::error_code ignored;
   socket->set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-  socket->set_option(
-      UserTimeout(static_cast<int>(kUnacknowledgedLimit.count())), ignored);
+  socket->set_option(UserTimeout(static_cast<int>(unacknowledged.count())),
+                     ignored);
+}
+
+}  // namespace
+
+void SetConnectionOptions(boost::asio::ip::tcp::socket* socket) {
+  SetOptions(socket, kUnacknowledgedLimit);
+}
+
+void SetEndpointOptions(boost::asio::ip::tcp::socket* socket) {
+  // Where it is set, this limit also decides for unanswered probes.
+  SetOptions(socket, kSilentHostLimit);
+  using Idle =
+      boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+  using Interval =
+      boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+  using Count =
+      boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+  boost::system::error_code ignored;
+  socket->set_option(boost::asio::socket_base::keep_alive(true), ignored);
+  socket->set_option(Idle(kProbeIntervalSeconds), ignored);
+  socket->set_option(Interval(kProbeIntervalSeconds), ignored);
+  socket->set_option(Count(kUnansweredProbes), ignored);
 }
 
 }  // namespace harecrank
