--- a/src/gateway/attempt_test.cc
+++ b/src/gateway/attempt_test.cc
@@ -50,48 +50,50 @@
   asio::ip::tcp::acceptor acceptor_;
 };
 
-TEST_CASE("A connection that comes up with its timer counts as sent",
-          "[gateway][attempt]") {
-  asio::io_context io;
-  const SilentEndpoint endpoint(&io);
-  EndpointConnections connections(&io, SystemClock());
-  const ProtocolNames names;
-  RecordingObserver observer;
-  const auto attempt =
-      std::make_shared<Attempt>(&io, &connections, &names, &observer);
-  OutgoingRequest request;
-  request.head = "GET / HTTP/1.1\r\n\r\n";
-  request.body = std::make_shared<const std::string>();
+// One attempt and what it tells.
+class AttemptFixture {
+ protected:
+  void Start(const std::string& address, Millis connect_timeout) {
+    OutgoingRequest request;
+    request.head = "GET / HTTP/1.1\r\n\r\n";
+    request.body = std::make_shared<const std::string>();
+    attempt_->Start(connections_.MakeNew(EndpointId{"e"}), address,
+                    std::move(request), connect_timeout);
+  }
+
+  asio::io_context io_;
+  EndpointConnections connections_{&io_, SystemClock()};
+  ProtocolNames names_;
+  RecordingObserver observer_;
+  std::shared_ptr<Attempt> attempt_ =
+      std::make_shared<Attempt>(&io_, &connections_, &names_, &observer_);
+};
+
+TEST_CASE_METHOD(AttemptFixture,
+                 "A connection that comes up with its timer counts as sent",
+                 "[gateway][attempt]") {
+  const SilentEndpoint endpoint(&io_);
   constexpr Millis kConnectTimeout{1};
-  attempt->Start(connections.MakeNew(EndpointId{"e"}), endpoint.Address(),
-                 std::move(request), kConnectTimeout);
+  Start(endpoint.Address(), kConnectTimeout);
 
   // The process is held up: both are due when its loop turns next.
   std::this_thread::sleep_for(20 * kConnectTimeout);
-  io.run_for(20 * kConnectTimeout);
+  io_.run_for(20 * kConnectTimeout);
 
-  REQUIRE(observer.Sent() == 1);
-  REQUIRE(observer.Failures().empty());
-  attempt->Cancel();
+  REQUIRE(observer_.Sent() == 1);
+  REQUIRE(observer_.Failures().empty());
+  attempt_->Cancel();
 }
 
-TEST_CASE("An endpoint that cannot be reached has been sent nothing",
-          "[gateway][attempt]") {
-  asio::io_context io;
-  EndpointConnections connections(&io, SystemClock());
-  const ProtocolNames names;
-  RecordingObserver observer;
-  const auto attempt =
-      std::make_shared<Attempt>(&io, &connections, &names, &observer);
-  OutgoingRequest request;
-  request.body = std::make_shared<const std::string>();
-  attempt->Start(connections.MakeNew(EndpointId{"e"}), "no address",
-                 std::move(request), Millis(1000));
-  io.run_for(Millis(20));
-
-  REQUIRE(observer.Sent() == 0);
-  REQUIRE(observer.Failures().size() == 1);
-  REQUIRE(std::holds_alternative<AttemptNotSent>(observer.Failures().front()));
+TEST_CASE_METHOD(AttemptFixture,
+                 "An endpoint that cannot be reached has been sent nothing",
+                 "[gateway][attempt]") {
+  Start("no address", Millis(1000));
+  io_.run_for(Millis(20));
+
+  REQUIRE(observer_.Sent() == 0);
+  REQUIRE(observer_.Failures().size() == 1);
+  REQUIRE(std::holds_alternative<AttemptNotSent>(observer_.Failures().front()));
 }
 
 TEST_CASE("An endpoint's host is asked whether it is there",
--- a/tests/bad_input_test.cc
+++ b/tests/bad_input_test.cc
@@ -101,8 +101,9 @@
   for (const std::string second :
        {"Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n"}) {
     // Read whole: the entry host must close, also with bytes left over.
-    const std::string answer =
-        Exchange(fleet.Callers(0), head + second + "\r\n" + body);
+    std::string request = head;
+    request.append(second).append("\r\n").append(body);
+    const std::string answer = Exchange(fleet.Callers(0), request);
     INFO(answer);
     CHECK(answer.rfind("HTTP/1.1 400", 0) == 0);
     CHECK(answer.find("two_lengths") != std::string::npos);
