--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -11,6 +11,7 @@
 #include "harecrank/core/http_status.h"
 #include "src/adapters/system_sources.h"
 #include "standins/engine_model.h"
+#include "testing/loopback.h"
 
 namespace harecrank::testing {
 namespace {
@@ -18,21 +19,11 @@
 namespace leaf = boost::leaf;
 using nlohmann::json;
 
-constexpr int kFirstPort = 20000;
 constexpr Millis kPoll{10};
 constexpr Millis kCallTimeout{5000};
 constexpr std::size_t kLabelBytes = 32;
 constexpr std::size_t kBytesPerToken = 4;
 
-// An address of 127.0.0.0/8 that no other process has while this one lives.
-std::string OwnIp() {
-  constexpr unsigned kByte = 256;
-  const auto pid = static_cast<unsigned>(getpid());
-  return "127." + std::to_string(1 + (pid / kByte / kByte) % 250) + "." +
-         std::to_string((pid / kByte) % kByte) + "." +
-         std::to_string(1 + pid % 254);
-}
-
 HttpAnswer CallOrEmpty(const HttpCall& call) {
   return leaf::try_handle_all([&] { return CallHttp(call); },
                               [] { return HttpAnswer(); });
