--- a/include/harecrank/core/endpoint_health.h
+++ b/include/harecrank/core/endpoint_health.h
@@ -4,12 +4,19 @@
 #define HARECRANK_CORE_ENDPOINT_HEALTH_H_
 
 #include <unordered_map>
+#include <vector>
 
 #include "harecrank/core/clock.h"
 #include "harecrank/core/strong_types.h"
 
 namespace harecrank {
 
+// An endpoint that is left alone, and for how much longer.
+struct AvoidedEndpoint {
+  EndpointId id;
+  Millis left{0};
+};
+
 // A circuit for each endpoint: failures in a row open it for a time that
 // doubles, and a high share of failures makes it a last choice. Not
 // thread-safe.
@@ -34,6 +41,18 @@
   // Notes that it could not be reached, fell silent or broke off.
   void OnUnreachable(const EndpointId& id);
 
+  // Notes that another endpoint named it as the one that a request failed by:
+  // it leaves, is gone, or takes no more. Its own answers do not change that,
+  // since one that leaves still ends what it has begun.
+  void OnNamedAtFault(const EndpointId& id);
+
+  // Notes that a peer leaves it alone for `left` more.
+  void OnPeerAvoids(const EndpointId& id, Millis left);
+
+  // Returns the endpoints that this host leaves alone by what it has seen
+  // itself, and for how much longer.
+  std::vector<AvoidedEndpoint> Avoided() const;
+
   // Returns whether bytes came from it clearly later than `time`.
   bool WasHeardAfter(const EndpointId& id, TimePoint time) const;
 
@@ -51,6 +70,10 @@
   // connection's set-up too short.
   static constexpr Millis kFirstBlock{700};
   static constexpr Millis kLongestBlock{5600};
+  // How long an endpoint is left alone that another has named. One that leaves
+  // is gone, or published as leaving, after about this; with the platform
+  // silent it is named again, once for each host.
+  static constexpr Millis kNamedBlock{3000};
   // Share of failures above which an endpoint is a last choice. Plain services
   // fail one in seven in ordinary running, and to leave a host that fails a
   // third of its requests unused costs more than it saves while all are busy.
@@ -63,6 +86,9 @@
   struct State {
     int failures_in_a_row = 0;
     TimePoint blocked_until{};
+    TimePoint named_until{};
+    // As peers say.
+    TimePoint avoided_until{};
     TimePoint heard{};
     double failure_share = 0;
     double pace = 1;
--- a/include/harecrank/core/endpoint_loads.h
+++ b/include/harecrank/core/endpoint_loads.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -38,6 +39,9 @@
   int long_members = 0;
   // KV memory that they need up to their expected end.
   Tokens memory;
+  // The shortest pause that keeps all of its streams in time; zero if no
+  // stream is under way.
+  FractionalMillis tightest_gap{0};
 
   int Members() const { return short_members + long_members; }
 };
@@ -48,9 +52,10 @@
   explicit EndpointLoads(MonotonicClock clock);
 
   // Notes that work was sent to `endpoint`: a prompt or part of one that takes
-  // `read` to read, and that needs `memory` until it ends.
+  // `read` to read, and that needs `memory` until it ends. `gap` is the longest
+  // pause that keeps its stream in time, or zero if it has none there.
   WorkId Begin(const EndpointId& endpoint, WorkClass work_class,
-               FractionalMillis read, Tokens memory);
+               FractionalMillis read, Tokens memory, Millis gap);
 
   // Notes that the work's prompt has been read: its first event came.
   void OnRead(WorkId id);
@@ -84,6 +89,7 @@
     WorkClass work_class = WorkClass::kShort;
     FractionalMillis read{0};
     Tokens memory;
+    Millis gap{0};
     bool is_read = false;
   };
   struct OwnLoad {
@@ -91,6 +97,8 @@
     // When the prompts given so far will be read.
     TimePoint read_until{};
     int unread = 0;
+    // Of its streams.
+    std::multiset<Millis> gaps;
   };
   struct PeerWord {
     std::unordered_map<EndpointId, EndpointLoad> loads;
--- a/include/harecrank/core/peer_word.h
+++ b/include/harecrank/core/peer_word.h
@@ -10,6 +10,7 @@
 
 #include "harecrank/core/clock.h"
 #include "harecrank/core/endpoint_directory.h"
+#include "harecrank/core/endpoint_health.h"
 #include "harecrank/core/endpoint_loads.h"
 #include "harecrank/core/routing_table.h"
 #include "harecrank/core/strong_types.h"
@@ -28,6 +29,8 @@
   bool source_well = false;
   // What it has under way, by endpoint.
   std::unordered_map<EndpointId, EndpointLoad> loads;
+  // Endpoints that it leaves alone by what it has seen itself.
+  std::vector<AvoidedEndpoint> avoided;
   // How urgent its most urgent waiting request is, if any waits.
   std::optional<Urgency> urgency;
   // Some other hosts that it knows.
--- a/include/harecrank/core/placement.h
+++ b/include/harecrank/core/placement.h
@@ -20,6 +20,8 @@
 #include "harecrank/core/endpoint_directory.h"
 #include "harecrank/core/endpoint_health.h"
 #include "harecrank/core/endpoint_loads.h"
+#include "harecrank/core/placement_policy.h"
+#include "harecrank/core/reader_choice.h"
 #include "harecrank/core/routing_table.h"
 
 namespace harecrank {
@@ -78,64 +80,27 @@
   // returns how many hosts place requests, this one among them.
   Placer(const EndpointDirectory* directory, const EndpointLoads* loads,
          const EndpointHealth* health, DataCentreId self,
-         std::function<int()> hosts, RandomSource random);
+         std::function<int()> hosts, const PlacementPolicy& policy,
+         RandomSource random);
 
   PlacementResult Choose(const PlacementRequest& request) const;
 
-  // The most helpers that engines take for one request.
-  static constexpr std::size_t kMostHelpers = 16;
-
  private:
-  struct Candidate {
-    const EndpointRecord* record = nullptr;
-    EndpointLoad load;
-    double pace = 1;
-    // The place in the order that all hosts share.
-    std::uint64_t rank = 0;
-  };
-
-  std::vector<Candidate> CandidatesFor(const PlacementRequest& request) const;
-  static void SortInSharedOrder(std::vector<Candidate>* candidates);
-  Placement ChoosePlain(const std::vector<Candidate>& candidates) const;
+  std::vector<EngineCandidate> CandidatesFor(
+      const PlacementRequest& request) const;
+  static void SortInSharedOrder(std::vector<EngineCandidate>* candidates);
+  Placement ChoosePlain(const std::vector<EngineCandidate>& candidates) const;
   Placement ChooseShort(const PlacementRequest& request,
-                        const std::vector<Candidate>& in_order) const;
+                        const std::vector<EngineCandidate>& in_order) const;
   PlacementResult ChooseLong(const PlacementRequest& request,
-                             const std::vector<Candidate>& in_order) const;
-  // Returns as many of `engines` as read `whole` without making any stream
-  // beside it pause for too long, or nothing.
-  static std::vector<Candidate> HarmlessReaders(
-      const PlacementRequest& request, FractionalMillis whole,
-      const std::vector<Candidate>& engines);
-  // Returns how long a part may take to read, given how much time is left.
-  static FractionalMillis PartAllowed(const PlacementRequest& request,
-                                      FractionalMillis whole,
-                                      FractionalMillis wanted_part);
-  // Returns those of `zone` that have little to read, if they are enough for
-  // parts of about the wanted size, or nothing.
-  static std::vector<Candidate> OpenReaders(const PlacementRequest& request,
-                                            FractionalMillis whole,
-                                            const std::vector<Candidate>& zone);
-  // Returns how many of `open` and `writers` read in parts, the first of `open`
-  // first, or zero if all of them are too few. `open` is in order of
-  // preference.
-  static std::size_t CountReaders(const PlacementRequest& request,
-                                  FractionalMillis whole,
-                                  FractionalMillis wanted_part,
-                                  const std::vector<Candidate>& open,
-                                  std::size_t writers);
-  // Returns the engines of `zone` on which nothing runs, if those are enough to
-  // be in time, or nothing.
-  static std::vector<Candidate> IdleReaders(const PlacementRequest& request,
-                                            FractionalMillis whole,
-                                            const std::vector<Candidate>& zone);
-  // Returns nothing if the memory of `readers` does not hold the request.
-  static std::optional<Placement> PlaceOn(
-      const PlacementRequest& request, FractionalMillis whole,
-      const std::vector<Candidate>& readers);
+                             std::vector<EngineCandidate> in_order) const;
+  // Returns nothing if the memory of `group` does not hold the request.
+  std::optional<Placement> PlaceOn(const PlacementRequest& request,
+                                   const ReaderGroup& group) const;
   // Lays `beyond` tokens on the placement's helpers. Returns false if they do
   // not hold it.
   static bool SpreadMemory(const EngineProfile& engine,
-                           const std::vector<Candidate>& readers, Tokens beyond,
+                           const ReaderGroup& group, Tokens beyond,
                            Placement* placement);
   std::size_t EnginesForShort(const EngineProfile& engine,
                               std::size_t engines) const;
@@ -150,6 +115,7 @@
   const EndpointHealth* health_;
   DataCentreId self_;
   std::function<int()> hosts_;
+  PlacementPolicy policy_;
   RandomSource random_;
 };
 
--- /dev/null
+++ b/include/harecrank/core/placement_policy.h
@@ -0,0 +1,61 @@
+// The figures and switches by which engines are chosen.
+//
+// docs/DECISIONS.md tells what each of them was measured to be worth. They are
+// settings so that an operator can try another value on a fleet of their own.
+
+#ifndef HARECRANK_CORE_PLACEMENT_POLICY_H_
+#define HARECRANK_CORE_PLACEMENT_POLICY_H_
+
+namespace harecrank {
+
+// A gap is the longest pause between two events that still keeps a stream in
+// time; the tightest gap is the shortest of any route to the service.
+struct PlacementPolicy {
+  // A prompt is short if an engine reads it in less than this share of the
+  // tightest gap: then it may be read between two events of any stream.
+  double short_share_of_gap = 0.45;
+  // A part of a long prompt takes this share of the tightest gap where engines
+  // suffice.
+  double part_share_of_gap = 0.6;
+  // With the pass that it is read in, a part that is laid beside short requests
+  // may make them pause for this share of the tightest gap.
+  double pause_share_of_gap = 0.85;
+  // An engine is open for a further long prompt while what it has yet to read
+  // takes at most this share of a wanted part. A part is read before older ones
+  // of other engines' prompts, which parts that overlap hold up for seconds.
+  double open_share_of_part = 0.15;
+  // A part may grow by this factor where few engines are open, rather than
+  // wait.
+  double part_stretch = 2;
+  // A part may take this share of the request's target.
+  double part_share_of_target = 0.25;
+  // A request hurries when less than this share of its target is left: then a
+  // part may take `time_share_used` of what is left.
+  double hurry_share = 0.65;
+  double time_share_used = 0.8;
+  // Streams of long prompts are packed up to this many on an engine.
+  double packed_writers = 4;
+  // The share of an engine's slots that short requests are packed into. A
+  // fuller batch writes more slowly and leaves no room for what peers place
+  // unseen.
+  double short_share_of_slots = 0.6;
+  // Engines kept for short requests beyond those that their count needs.
+  double spare_short = 1;
+  // A short request goes to another engine where that saves more than this
+  // share of its target.
+  double beyond_short_share = 0.5;
+  // A prompt that is late already is cut into parts like others. Read whole by
+  // one engine, it holds the others up for seconds.
+  bool bound_late_parts = true;
+  // A prompt that needs all engines idle waits for that for this part of its
+  // target.
+  double oversize_wait_share = 0.25;
+  // Of the prompts that wait in a host, so many are tried at a time.
+  double tried = 8;
+  // A prompt waits behind more urgent ones of its own host, too.
+  bool keeps_own_order = true;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_CORE_PLACEMENT_POLICY_H_
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -95,6 +95,37 @@
     *value = found->get<double>();
   }
 
+  void Switch(const char* key, bool* value) {
+    const json* found = Find(key, Need::kOptional, "true or false");
+    if (found == nullptr) {
+      return;
+    }
+    if (!found->is_boolean()) {
+      Add(key, found->dump(), "true or false");
+      return;
+    }
+    *value = found->get<bool>();
+  }
+
+  // An object of its own: `read` reads it with a reader of its own.
+  template <typename Read>
+  void Section(const char* key, Read read) {
+    const json* found = Find(key, Need::kOptional, "an object");
+    if (found == nullptr) {
+      return;
+    }
+    if (!found->is_object()) {
+      Add(key, found->dump(), "an object");
+      return;
+    }
+    SettingsReader section(*found);
+    read(&section);
+    for (ConfigProblem& problem : section.Finish()) {
+      problem.path = std::string(key) + "." + problem.path;
+      problems_.push_back(std::move(problem));
+    }
+  }
+
   // A duration in seconds; the unit is part of the key: "..._s".
   void Seconds(const char* key, Millis* value) {
     constexpr double kMillisPerSecond = 1000;
@@ -189,6 +220,36 @@
                 &node->log_level);
 }
 
+void ReadPlacement(SettingsReader* reader, PlacementPolicy* policy) {
+  // Shares of a gap or a target: beyond a few of them nothing is in time.
+  constexpr double kMostShare = 4;
+  constexpr double kMostOfAnEngine = 64;
+  reader->Fraction("short_share_of_gap", 0, kMostShare,
+                   &policy->short_share_of_gap);
+  reader->Fraction("part_share_of_gap", 0, kMostShare,
+                   &policy->part_share_of_gap);
+  reader->Fraction("pause_share_of_gap", 0, kMostShare,
+                   &policy->pause_share_of_gap);
+  reader->Fraction("open_share_of_part", 0, kMostShare,
+                   &policy->open_share_of_part);
+  reader->Fraction("part_stretch", 1, kMostOfAnEngine, &policy->part_stretch);
+  reader->Fraction("part_share_of_target", 0, kMostShare,
+                   &policy->part_share_of_target);
+  reader->Fraction("hurry_share", 0, 1, &policy->hurry_share);
+  reader->Fraction("time_share_used", 0, 1, &policy->time_share_used);
+  reader->Fraction("packed_writers", 1, kMostOfAnEngine,
+                   &policy->packed_writers);
+  reader->Fraction("short_share_of_slots", 0, 1, &policy->short_share_of_slots);
+  reader->Fraction("spare_short", 0, kMostOfAnEngine, &policy->spare_short);
+  reader->Fraction("beyond_short_share", 0, kMostShare,
+                   &policy->beyond_short_share);
+  reader->Switch("bound_late_parts", &policy->bound_late_parts);
+  reader->Fraction("tried", 1, kMostOfAnEngine, &policy->tried);
+  reader->Switch("keeps_own_order", &policy->keeps_own_order);
+  reader->Fraction("oversize_wait_share", 0, kMostShare,
+                   &policy->oversize_wait_share);
+}
+
 leaf::result<json> ReadObject(const std::string& text) {
   constexpr bool kThrow = true;
   constexpr bool kComments = true;
@@ -271,6 +332,9 @@
   reader.Seconds("repeat_window_s", &settings.repeat_bound.window);
   reader.Seconds("stop_limit_s", &settings.stop_limit);
   reader.Count("descriptors", 1, kMostDescriptors, &settings.descriptors);
+  reader.Section("placement", [&settings](SettingsReader* section) {
+    ReadPlacement(section, &settings.placement);
+  });
   return Finish(&reader, std::move(settings));
 }
 
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "harecrank/core/document_validator.h"
+#include "harecrank/core/placement_policy.h"
 #include "harecrank/core/repeat_budget.h"
 #include "harecrank/core/strong_types.h"
 
@@ -82,6 +83,7 @@
   Millis stop_limit{8000};
   // Descriptors that this process may have open.
   std::size_t descriptors = 1024;
+  PlacementPolicy placement;
 };
 
 // Why settings were refused.
--- a/src/core/endpoint_health.cc
+++ b/src/core/endpoint_health.cc
@@ -36,6 +36,27 @@
   }
 }
 
+void EndpointHealth::OnNamedAtFault(const EndpointId& id) {
+  states_[id].named_until = clock_() + kNamedBlock;
+}
+
+void EndpointHealth::OnPeerAvoids(const EndpointId& id, Millis left) {
+  states_[id].avoided_until = clock_() + std::min(left, kLongestBlock);
+}
+
+std::vector<AvoidedEndpoint> EndpointHealth::Avoided() const {
+  const TimePoint now = clock_();
+  std::vector<AvoidedEndpoint> avoided;
+  for (const auto& [id, state] : states_) {
+    const TimePoint until = std::max(state.blocked_until, state.named_until);
+    if (now < until) {
+      avoided.push_back(
+          AvoidedEndpoint{id, std::chrono::duration_cast<Millis>(until - now)});
+    }
+  }
+  return avoided;
+}
+
 bool EndpointHealth::WasHeardAfter(const EndpointId& id, TimePoint time) const {
   const auto found = states_.find(id);
   return found != states_.end() && found->second.heard >= time + kAliveMargin;
@@ -61,8 +82,10 @@
   if (found == states_.end()) {
     return false;
   }
-  return clock_() < found->second.blocked_until ||
-         found->second.failure_share > kSuspectShare;
+  const State& state = found->second;
+  const TimePoint until =
+      std::max({state.blocked_until, state.named_until, state.avoided_until});
+  return clock_() < until || state.failure_share > kSuspectShare;
 }
 
 double EndpointHealth::Pace(const EndpointId& id) const {
--- a/src/core/endpoint_health_test.cc
+++ b/src/core/endpoint_health_test.cc
@@ -73,5 +73,28 @@
   CHECK(health_.Pace(EndpointId{"unknown"}) == 1);
 }
 
+TEST_CASE_METHOD(HealthFixture,
+                 "An endpoint that another names is left alone, whatever it "
+                 "still answers itself") {
+  health_.OnNamedAtFault(kEngine);
+  health_.OnSuccess(kEngine, 1);
+  CHECK(health_.IsSuspect(kEngine));
+  REQUIRE(health_.Avoided().size() == 1);
+  CHECK(health_.Avoided().front().left == EndpointHealth::kNamedBlock);
+  now_ += EndpointHealth::kNamedBlock;
+  CHECK_FALSE(health_.IsSuspect(kEngine));
+  CHECK(health_.Avoided().empty());
+}
+
+TEST_CASE_METHOD(HealthFixture,
+                 "What a peer leaves alone is left alone for as long, and is "
+                 "not told on") {
+  health_.OnPeerAvoids(kEngine, Millis(500));
+  CHECK(health_.IsSuspect(kEngine));
+  CHECK(health_.Avoided().empty());
+  now_ += Millis(500);
+  CHECK_FALSE(health_.IsSuspect(kEngine));
+}
+
 }  // namespace
 }  // namespace harecrank
--- a/src/core/endpoint_loads.cc
+++ b/src/core/endpoint_loads.cc
@@ -24,6 +24,12 @@
   sum->short_members += part.short_members;
   sum->long_members += part.long_members;
   sum->memory = sum->memory + part.memory;
+  const FractionalMillis none(0);
+  if (sum->tightest_gap == none) {
+    sum->tightest_gap = part.tightest_gap;
+  } else if (part.tightest_gap > none) {
+    sum->tightest_gap = std::min(sum->tightest_gap, part.tightest_gap);
+  }
 }
 
 std::chrono::steady_clock::duration ToSteady(FractionalMillis time) {
@@ -35,12 +41,15 @@
 EndpointLoads::EndpointLoads(MonotonicClock clock) : clock_(std::move(clock)) {}
 
 WorkId EndpointLoads::Begin(const EndpointId& endpoint, WorkClass work_class,
-                            FractionalMillis read, Tokens memory) {
+                            FractionalMillis read, Tokens memory, Millis gap) {
   const WorkId id{next_id_++};
-  work_.emplace(id, Work{endpoint, work_class, read, memory, false});
+  work_.emplace(id, Work{endpoint, work_class, read, memory, gap, false});
   OwnLoad& own = own_[endpoint];
   own.read_until = std::max(own.read_until, clock_()) + ToSteady(read);
   ++own.unread;
+  if (gap > Millis(0)) {
+    own.gaps.insert(gap);
+  }
   own.load.unread_parts += read >= kLongPart ? 1 : 0;
   own.load.memory = own.load.memory + memory;
   if (int* members = MembersOf(&own.load, work_class)) {
@@ -65,6 +74,9 @@
   MarkRead(&work);
   OwnLoad& own = own_[work.endpoint];
   own.load.memory = own.load.memory - work.memory;
+  if (const auto gap = own.gaps.find(work.gap); gap != own.gaps.end()) {
+    own.gaps.erase(gap);
+  }
   if (int* members = MembersOf(&own.load, work.work_class)) {
     --*members;
   }
@@ -130,6 +142,9 @@
   EndpointLoad load = own.load;
   load.read_backlog =
       std::max(FractionalMillis(0), FractionalMillis(own.read_until - now));
+  if (!own.gaps.empty()) {
+    load.tightest_gap = FractionalMillis(*own.gaps.begin());
+  }
   return load;
 }
 
--- a/src/core/endpoint_loads_test.cc
+++ b/src/core/endpoint_loads_test.cc
@@ -6,6 +6,7 @@
 namespace {
 
 const EndpointId kEngine{"e"};
+constexpr Millis kNoGap{0};
 
 class LoadsFixture {
  protected:
@@ -14,8 +15,10 @@
 };
 
 TEST_CASE_METHOD(LoadsFixture, "A backlog adds up and runs out with time") {
-  loads_.Begin(kEngine, WorkClass::kShort, FractionalMillis(30), Tokens{100});
-  loads_.Begin(kEngine, WorkClass::kShort, FractionalMillis(30), Tokens{100});
+  loads_.Begin(kEngine, WorkClass::kShort, FractionalMillis(30), Tokens{100},
+               kNoGap);
+  loads_.Begin(kEngine, WorkClass::kShort, FractionalMillis(30), Tokens{100},
+               kNoGap);
   CHECK(loads_.Of(kEngine).read_backlog == FractionalMillis(60));
   now_ += Millis(40);
   CHECK(loads_.Of(kEngine).read_backlog == FractionalMillis(20));
@@ -25,7 +28,7 @@
 
 TEST_CASE_METHOD(LoadsFixture, "Work that has ended weighs nothing") {
   const WorkId id = loads_.Begin(kEngine, WorkClass::kLong,
-                                 FractionalMillis(300), Tokens{100});
+                                 FractionalMillis(300), Tokens{100}, kNoGap);
   loads_.End(id);
   loads_.End(id);
   const EndpointLoad load = loads_.Of(kEngine);
@@ -41,7 +44,7 @@
                  "A long part counts until its first event, and not until its "
                  "prediction has run out") {
   const WorkId id = loads_.Begin(kEngine, WorkClass::kHelper,
-                                 FractionalMillis(300), Tokens{0});
+                                 FractionalMillis(300), Tokens{0}, kNoGap);
   now_ += Millis(1000);
   CHECK(loads_.Of(kEngine).read_backlog == FractionalMillis(0));
   CHECK(loads_.Of(kEngine).unread_parts == 1);
@@ -57,7 +60,8 @@
   told.unread_parts = 1;
   told.short_members = 2;
   loads_.SetPeer(NodeId{"p"}, {{kEngine, told}});
-  loads_.Begin(kEngine, WorkClass::kShort, FractionalMillis(10), Tokens{1});
+  loads_.Begin(kEngine, WorkClass::kShort, FractionalMillis(10), Tokens{1},
+               kNoGap);
   now_ += Millis(100);
   CHECK(loads_.Of(kEngine).short_members == 3);
   CHECK(loads_.Of(kEngine).unread_parts == 1);
@@ -66,5 +70,22 @@
   CHECK(loads_.Of(kEngine).short_members == 1);
 }
 
+TEST_CASE_METHOD(LoadsFixture,
+                 "An engine's tightest gap is that of the streams that are "
+                 "still under way there, own and peers'") {
+  const WorkId tight = loads_.Begin(
+      kEngine, WorkClass::kShort, FractionalMillis(10), Tokens{1}, Millis(250));
+  loads_.Begin(kEngine, WorkClass::kLong, FractionalMillis(10), Tokens{1},
+               Millis(1000));
+  CHECK(loads_.Of(kEngine).tightest_gap == FractionalMillis(250));
+  loads_.End(tight);
+  CHECK(loads_.Of(kEngine).tightest_gap == FractionalMillis(1000));
+  EndpointLoad told;
+  told.tightest_gap = FractionalMillis(600);
+  loads_.SetPeer(NodeId{"p"}, {{kEngine, told}});
+  CHECK(loads_.Of(kEngine).tightest_gap == FractionalMillis(600));
+  CHECK(loads_.Own().at(kEngine).tightest_gap == FractionalMillis(1000));
+}
+
 }  // namespace
 }  // namespace harecrank
--- a/src/core/peer_word.cc
+++ b/src/core/peer_word.cc
@@ -14,14 +14,14 @@
 constexpr std::chrono::minutes kForgetAfter{10};
 
 // A load as [id, backlog in microseconds, short members, long members, memory,
-// unread parts].
+// unread parts, tightest gap].
 json EncodeLoad(const EndpointId& id, const EndpointLoad& load) {
   constexpr double kMicrosPerMilli = 1000;
   return json::array(
       {id.value,
        static_cast<std::int64_t>(load.read_backlog.count() * kMicrosPerMilli),
        load.short_members, load.long_members, load.memory.value,
-       load.unread_parts});
+       load.unread_parts, load.tightest_gap.count()});
 }
 
 std::pair<EndpointId, EndpointLoad> DecodeLoad(const json& item) {
@@ -33,6 +33,7 @@
   item.at(3).get_to(load.long_members);
   item.at(4).get_to(load.memory.value);
   item.at(5).get_to(load.unread_parts);
+  load.tightest_gap = FractionalMillis(item.at(6).get<double>());
   return {EndpointId{item.at(0).get<std::string>()}, load};
 }
 
@@ -43,13 +44,15 @@
   for (const auto& [id, load] : word.loads) {
     loads.push_back(EncodeLoad(id, load));
   }
-  json object = {{"node", word.node.value},
-                 {"at", word.operations_address},
-                 {"routing", word.routing.value},
-                 {"known", word.known_up_to.value},
-                 {"well", word.source_well},
-                 {"loads", std::move(loads)},
-                 {"peers", word.peers}};
+  json avoided = json::array();
+  for (const AvoidedEndpoint& endpoint : word.avoided) {
+    avoided.push_back({endpoint.id.value, endpoint.left.count()});
+  }
+  json object = {
+      {"node", word.node.value},       {"at", word.operations_address},
+      {"routing", word.routing.value}, {"known", word.known_up_to.value},
+      {"well", word.source_well},      {"loads", std::move(loads)},
+      {"avoided", std::move(avoided)}, {"peers", word.peers}};
   if (word.urgency.has_value()) {
     object["urgency"] = word.urgency->count();
   }
@@ -70,6 +73,11 @@
     for (const json& item : object.at("loads")) {
       word.loads.insert(DecodeLoad(item));
     }
+    for (const json& item : object.at("avoided")) {
+      word.avoided.push_back(
+          AvoidedEndpoint{EndpointId{item.at(0).get<std::string>()},
+                          Millis(item.at(1).get<std::int64_t>())});
+    }
     object.at("peers").get_to(word.peers);
     if (object.contains("urgency")) {
       word.urgency = Urgency(object.at("urgency").get<double>());
--- a/src/core/peer_word_test.cc
+++ b/src/core/peer_word_test.cc
@@ -31,7 +31,9 @@
   load.unread_parts = 2;
   load.long_members = 1;
   load.memory = Tokens{7};
+  load.tightest_gap = FractionalMillis(600);
   word.loads = {{EndpointId{"e"}, load}};
+  word.avoided = {AvoidedEndpoint{EndpointId{"f"}, Millis(70)}};
   word.urgency = Urgency(33);
   word.peers = {"10.0.0.2:1"};
   const auto read = DecodePeerWord(EncodePeerWord(word));
@@ -40,6 +42,10 @@
   CHECK(read->routing == word.routing);
   CHECK(read->loads.at(EndpointId{"e"}).unread_parts == 2);
   CHECK(read->loads.at(EndpointId{"e"}).read_backlog == load.read_backlog);
+  CHECK(read->loads.at(EndpointId{"e"}).tightest_gap == load.tightest_gap);
+  REQUIRE(read->avoided.size() == 1);
+  CHECK(read->avoided.front().id == EndpointId{"f"});
+  CHECK(read->avoided.front().left == Millis(70));
   CHECK(read->urgency == word.urgency);
   CHECK(read->peers == word.peers);
 }
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -11,48 +11,10 @@
 namespace harecrank {
 namespace {
 
-// A prompt is short if an engine can read it between two events of the
-// tightest stream beside it: in less than this share of that stream's gap.
-constexpr double kShortShareOfGap = 0.45;
-// A part of a long prompt may take this share of the tightest gap.
-constexpr double kPartShareOfGap = 0.6;
-// How much of the tightest gap a part of a long prompt may make the streams
-// beside it pause, with the pass that it is read in.
-constexpr double kPauseShareOfGap = 0.85;
-// An engine is open for a further long prompt while what it has yet to read
-// takes at most this share of a wanted part. Seen on the bench: a newer part
-// for another engine's prompt is read before an older one, so that parts which
-// overlap hold the older prompt up for seconds.
-constexpr double kOpenShareOfPart = 0.15;
-// A part may grow by this factor where few engines are open, rather than wait.
-constexpr double kPartStretch = 2;
-// A part may take this share of the request's target.
-constexpr double kPartShareOfTarget = 0.25;
-// A request hurries when less than this share of its target is left: then a
-// part may take this share of what is left.
-constexpr double kHurryShare = 0.65;
-constexpr double kTimeShareUsed = 0.8;
-// A prompt that no engine's memory holds is read by engines on which nothing
-// runs: its parts take so long that streams beside them would pause. An engine
-// is idle with less than this to read.
-constexpr FractionalMillis kIdleBacklog{20};
-// Streams of long prompts are packed up to this many on an engine.
-constexpr int kPackedWriters = 4;
 // Routes whose gap is at most this multiple of the tightest count as tight.
 constexpr double kTightFactor = 1.5;
-// The share of an engine's slots that short requests are packed into. A fuller
-// batch writes more slowly and leaves no room for what peers place unseen.
-constexpr double kShortShareOfSlots = 0.6;
-// Engines kept for short requests beyond those that the count needs.
-constexpr std::size_t kSpareShortEngines = 1;
 // Short requests never push long ones off more engines than this share.
 constexpr double kMostShortShare = 0.9;
-// From this pace on an engine counts as slow among readers: a part on it takes
-// as much longer, and the first token follows the last part.
-constexpr double kSlowPace = 1.5;
-// The share of an engine's memory that is given away. Answers grow longer than
-// the callers guess.
-constexpr double kMemoryShare = 0.92;
 // The spread of the random part of a plain endpoint's load, in requests, so
 // that hosts that know the same do not all choose the same.
 constexpr double kPlainNoise = 0.5;
@@ -84,13 +46,6 @@
          kTightFactor * FractionalMillis(request.tightest_gap);
 }
 
-// Returns how much of an engine's memory may still be given away.
-Tokens FreeMemory(const EngineProfile& engine, const EndpointLoad& load) {
-  const auto most = static_cast<std::int64_t>(
-      kMemoryShare * static_cast<double>(engine.memory.value));
-  return Tokens{std::max<std::int64_t>(0, most - load.memory.value)};
-}
-
 }  // namespace
 
 bool IsOversize(const ServiceProfile& service, Tokens needed) {
@@ -100,19 +55,22 @@
 
 Placer::Placer(const EndpointDirectory* directory, const EndpointLoads* loads,
                const EndpointHealth* health, DataCentreId self,
-               std::function<int()> hosts, RandomSource random)
+               std::function<int()> hosts, const PlacementPolicy& policy,
+               RandomSource random)
     : directory_(directory),
       loads_(loads),
       health_(health),
       self_(std::move(self)),
       hosts_(std::move(hosts)),
+      policy_(policy),
       random_(std::move(random)) {}
 
 PlacementResult Placer::Choose(const PlacementRequest& request) const {
-  std::vector<Candidate> candidates = CandidatesFor(request);
+  std::vector<EngineCandidate> candidates = CandidatesFor(request);
   if (candidates.empty()) {
     return NoEndpoint{};
   }
+  const std::size_t count = candidates.size();
   PlacementResult result;
   if (!request.service->engine.has_value()) {
     result = ChoosePlain(candidates);
@@ -120,48 +78,53 @@
     SortInSharedOrder(&candidates);
     const FractionalMillis read =
         ReadTime(*request.service->engine, request.prompt);
-    if (read <= kShortShareOfGap * FractionalMillis(request.tightest_gap)) {
+    if (read <=
+        policy_.short_share_of_gap * FractionalMillis(request.tightest_gap)) {
       result = ChooseShort(request, candidates);
     } else {
-      result = ChooseLong(request, candidates);
+      result = ChooseLong(request, std::move(candidates));
     }
   }
   if (auto* placement = std::get_if<Placement>(&result)) {
-    placement->candidates = candidates.size();
+    placement->candidates = count;
   }
   return result;
 }
 
-std::vector<Placer::Candidate> Placer::CandidatesFor(
+std::vector<EngineCandidate> Placer::CandidatesFor(
     const PlacementRequest& request) const {
-  std::vector<Candidate> sound;
-  std::vector<Candidate> suspect;
+  std::vector<EngineCandidate> sound;
+  std::vector<EngineCandidate> suspect;
   for (const EndpointRecord* record :
        directory_->UsableOf(request.service->name)) {
     if (request.tried.count(record->id) != 0) {
       continue;
     }
-    const Candidate candidate{record, loads_->Of(record->id),
-                              std::max(1.0, health_->Pace(record->id)), 0};
+    EngineCandidate candidate;
+    candidate.record = record;
+    candidate.load = loads_->Of(record->id);
+    candidate.pace = std::max(1.0, health_->Pace(record->id));
     (health_->IsSuspect(record->id) ? suspect : sound).push_back(candidate);
   }
   return sound.empty() ? suspect : sound;
 }
 
-void Placer::SortInSharedOrder(std::vector<Candidate>* candidates) {
-  for (Candidate& candidate : *candidates) {
+void Placer::SortInSharedOrder(std::vector<EngineCandidate>* candidates) {
+  for (EngineCandidate& candidate : *candidates) {
     candidate.rank = RendezvousWeight(kOrderKey, candidate.record->id.value);
   }
-  std::sort(
-      candidates->begin(), candidates->end(),
-      [](const Candidate& a, const Candidate& b) { return a.rank > b.rank; });
+  std::sort(candidates->begin(), candidates->end(),
+            [](const EngineCandidate& a, const EngineCandidate& b) {
+              return a.rank > b.rank;
+            });
 }
 
-Placement Placer::ChoosePlain(const std::vector<Candidate>& candidates) const {
+Placement Placer::ChoosePlain(
+    const std::vector<EngineCandidate>& candidates) const {
   // There is one at least.
-  const Candidate* best = &candidates.front();
+  const EngineCandidate* best = &candidates.front();
   double best_cost = std::numeric_limits<double>::max();
-  for (const Candidate& candidate : candidates) {
+  for (const EngineCandidate& candidate : candidates) {
     const double elsewhere =
         candidate.record->data_centre == self_ ? 0 : kElsewherePenalty;
     const double cost =
@@ -177,23 +140,25 @@
   return placement;
 }
 
-Placement Placer::ChooseShort(const PlacementRequest& request,
-                              const std::vector<Candidate>& in_order) const {
+Placement Placer::ChooseShort(
+    const PlacementRequest& request,
+    const std::vector<EngineCandidate>& in_order) const {
   const EngineProfile& engine = *request.service->engine;
   const FractionalMillis read = ReadTime(engine, request.prompt);
   const std::size_t wanted = EnginesForShort(engine, in_order.size());
   const FractionalMillis spread = TimeSpread(request);
   // There is one at least.
-  const Candidate* best = &in_order.front();
+  const EngineCandidate* best = &in_order.front();
   FractionalMillis best_time = FractionalMillis::max();
   for (std::size_t i = 0; i < in_order.size(); ++i) {
-    const Candidate& candidate = in_order[i];
+    const EngineCandidate& candidate = in_order[i];
     FractionalMillis time =
         FirstEvent(engine, candidate.load, candidate.pace, read) +
         Noise() * spread;
     if (i >= wanted) {
       // Beyond the engines that short requests need: only if those are late.
-      time += FractionalMillis(request.route->target_latency) / 2;
+      time += policy_.beyond_short_share *
+              FractionalMillis(request.route->target_latency);
     }
     if (candidate.load.Members() >= engine.slots ||
         FreeMemory(engine, candidate.load) < request.prompt + request.answer) {
@@ -214,230 +179,60 @@
 
 PlacementResult Placer::ChooseLong(
     const PlacementRequest& request,
-    const std::vector<Candidate>& in_order) const {
-  const FractionalMillis whole =
-      ReadTime(*request.service->engine, request.prompt);
+    std::vector<EngineCandidate> in_order) const {
+  const EngineProfile& engine = *request.service->engine;
   const std::size_t for_short =
-      std::min(EnginesForShort(*request.service->engine, in_order.size()),
-               in_order.size() - 1);
-  const auto border = in_order.begin() + static_cast<std::ptrdiff_t>(for_short);
-  std::vector<Candidate> readers;
-  if (IsTight(request)) {
-    readers = HarmlessReaders(request, whole, {in_order.begin(), border});
+      std::min(EnginesForShort(engine, in_order.size()), in_order.size() - 1);
+  for (std::size_t i = 0; i < for_short; ++i) {
+    in_order[i].for_short = true;
   }
-  if (IsOversize(*request.service, request.prompt + request.answer)) {
-    readers = IdleReaders(request, whole, {border, in_order.end()});
-  } else if (readers.empty()) {
-    readers = OpenReaders(request, whole, {border, in_order.end()});
-  }
-  if (readers.empty()) {
+  LongPrompt prompt;
+  prompt.whole = ReadTime(engine, request.prompt);
+  prompt.needed = request.prompt + request.answer;
+  prompt.target = FractionalMillis(request.route->target_latency);
+  prompt.until_late = request.until_late;
+  prompt.gap = FractionalMillis(request.route->target_gap);
+  prompt.tightest_gap = FractionalMillis(request.tightest_gap);
+  const std::optional<ReaderGroup> group =
+      ChooseReaders(engine, policy_, prompt, in_order);
+  if (!group.has_value()) {
     return EnginesBusy{};
   }
-  std::optional<Placement> placement = PlaceOn(request, whole, readers);
+  std::optional<Placement> placement = PlaceOn(request, *group);
   if (!placement.has_value()) {
     return EnginesBusy{};
   }
   return *std::move(placement);
 }
 
-std::vector<Placer::Candidate> Placer::HarmlessReaders(
-    const PlacementRequest& request, FractionalMillis whole,
-    const std::vector<Candidate>& engines) {
+std::optional<Placement> Placer::PlaceOn(const PlacementRequest& request,
+                                         const ReaderGroup& group) const {
   const EngineProfile& engine = *request.service->engine;
-  const FractionalMillis gap(request.tightest_gap);
-  struct Room {
-    FractionalMillis part;
-    const Candidate* candidate;
-  };
-  std::vector<Room> rooms;
-  for (const Candidate& candidate : engines) {
-    const EndpointLoad& load = candidate.load;
-    const FractionalMillis pause = kPauseShareOfGap * gap;
-    const FractionalMillis pass =
-        PassTime(engine, load.Members() + 1, load.memory);
-    const FractionalMillis part =
-        (pause - pass) / candidate.pace - load.read_backlog;
-    rooms.push_back(Room{part, &candidate});
-  }
-  std::sort(rooms.begin(), rooms.end(),
-            [](const Room& a, const Room& b) { return a.part > b.part; });
-  const FractionalMillis wanted_part =
-      std::max(FractionalMillis(1), kPartShareOfGap * gap);
-  const auto least = static_cast<std::size_t>(std::ceil(whole / wanted_part));
-  const std::size_t most = std::min(rooms.size(), kMostHelpers + 1);
-  for (std::size_t count = std::min(least, most); count <= most; ++count) {
-    if (whole / static_cast<double>(count) <= rooms[count - 1].part) {
-      std::vector<Candidate> readers;
-      for (std::size_t i = 0; i < count; ++i) {
-        readers.push_back(*rooms[i].candidate);
-      }
-      return readers;
-    }
-  }
-  return {};
-}
-
-FractionalMillis Placer::PartAllowed(const PlacementRequest& request,
-                                     FractionalMillis whole,
-                                     FractionalMillis wanted_part) {
-  const FractionalMillis target(request.route->target_latency);
-  if (request.until_late < FractionalMillis(0)) {
-    // Late already: wherever it can still be served.
-    return whole;
-  }
-  const FractionalMillis smallest =
-      whole / static_cast<double>(kMostHelpers + 1);
-  const FractionalMillis calm =
-      std::max({kPartStretch * wanted_part, kPartStretch * smallest,
-                kPartShareOfTarget * target});
-  const bool hurries = request.until_late < kHurryShare * target;
-  return hurries ? std::max(calm, kTimeShareUsed * request.until_late) : calm;
-}
-
-std::vector<Placer::Candidate> Placer::OpenReaders(
-    const PlacementRequest& request, FractionalMillis whole,
-    const std::vector<Candidate>& zone) {
-  const FractionalMillis wanted_part =
-      std::max(FractionalMillis(1),
-               kPartShareOfGap * FractionalMillis(request.tightest_gap));
-  std::vector<Candidate> open;
-  std::optional<Candidate> writer;
-  const Tokens needed = request.prompt + request.answer;
-  for (const Candidate& candidate : zone) {
-    const EndpointLoad& load = candidate.load;
-    if (load.unread_parts > 0 ||
-        load.read_backlog > kOpenShareOfPart * wanted_part) {
-      continue;
-    }
-    if (load.long_members == 0) {
-      open.push_back(candidate);
-      continue;
-    }
-    // Engines that write long answers read for new ones of their own only.
-    const bool fits = !(FreeMemory(*request.service->engine, load) < needed);
-    const bool more =
-        !writer.has_value() || writer->load.long_members < load.long_members;
-    if (fits && more && load.long_members < kPackedWriters) {
-      writer = candidate;
-    }
-  }
-  // Short requests that peers have just placed are not known yet. They come
-  // from the front of the shared order, so parts are laid from its end.
-  std::sort(open.begin(), open.end(),
-            [](const Candidate& a, const Candidate& b) {
-              const auto cost = [](const Candidate& c) {
-                return std::make_tuple(c.load.short_members,
-                                       c.pace >= kSlowPace, c.rank);
-              };
-              return cost(a) < cost(b);
-            });
-  const std::size_t writers = writer.has_value() ? 1 : 0;
-  const std::size_t readers =
-      CountReaders(request, whole, wanted_part, open, writers);
-  if (readers == 0) {
-    return {};
-  }
-  open.resize(readers - writers);
-  if (writer.has_value()) {
-    open.push_back(*writer);
-  }
-  return open;
-}
-
-std::size_t Placer::CountReaders(const PlacementRequest& request,
-                                 FractionalMillis whole,
-                                 FractionalMillis wanted_part,
-                                 const std::vector<Candidate>& open,
-                                 std::size_t writers) {
-  const std::size_t all = open.size() + writers;
-  const auto wanted =
-      std::min({static_cast<std::size_t>(std::ceil(whole / wanted_part)), all,
-                kMostHelpers + 1});
-  const auto part = [whole](std::size_t count) {
-    return whole / std::max(1.0, static_cast<double>(count));
-  };
-  if (wanted == 0) {
-    return 0;
-  }
-  if (part(wanted) <= wanted_part) {
-    // Harmless to every stream beside it.
-    return wanted;
-  }
-  const auto clean = static_cast<std::size_t>(std::count_if(
-      open.begin(), open.end(),
-      [](const Candidate& c) { return c.load.short_members == 0; }));
-  const FractionalMillis allowed = PartAllowed(request, whole, wanted_part);
-  std::size_t count =
-      std::max<std::size_t>(1, std::min(wanted, clean + writers));
-  // Beside short requests only as far as it would be too late otherwise.
-  while (count < wanted && part(count) > allowed) {
-    ++count;
-  }
-  return part(count) <= allowed ? count : 0;
-}
-
-std::vector<Placer::Candidate> Placer::IdleReaders(
-    const PlacementRequest& request, FractionalMillis whole,
-    const std::vector<Candidate>& zone) {
-  // Its parts would make every stream beside them pause for too long.
-  std::vector<Candidate> idle;
-  for (const Candidate& candidate : zone) {
-    if (candidate.load.Members() == 0 && candidate.load.unread_parts == 0 &&
-        candidate.load.read_backlog <= kIdleBacklog) {
-      idle.push_back(candidate);
-    }
-  }
-  idle.resize(std::min(idle.size(), kMostHelpers + 1));
-  const FractionalMillis part =
-      whole / std::max(1.0, static_cast<double>(idle.size()));
-  return part <= kTimeShareUsed * request.until_late ? idle
-                                                     : std::vector<Candidate>{};
-}
-
-std::optional<Placement> Placer::PlaceOn(
-    const PlacementRequest& request, FractionalMillis whole,
-    const std::vector<Candidate>& readers) {
-  const EngineProfile& engine = *request.service->engine;
-  // One of them holds the memory, as far as it can, and writes the answer.
-  // Writers are packed, so that other engines stay free of streams that a
-  // large part would hold up.
-  const Tokens needed = request.prompt + request.answer;
-  const auto cost = [&](const Candidate& c) {
-    const bool fits = !(FreeMemory(engine, c.load) < needed);
-    const int packed = std::min(c.load.long_members, kPackedWriters);
-    return std::make_tuple(!fits, fits ? -packed : 0, c.load.memory);
-  };
-  const auto writer =
-      std::min_element(readers.begin(), readers.end(),
-                       [&cost](const Candidate& a, const Candidate& b) {
-                         return cost(a) < cost(b);
-                       });
   Placement placement;
-  placement.endpoint = *writer->record;
+  placement.endpoint = *group.writer.record;
   placement.work_class =
       IsTight(request) ? WorkClass::kShort : WorkClass::kLong;
-  placement.read = whole / static_cast<double>(readers.size());
-  for (const Candidate& candidate : readers) {
-    placement.first_event = std::max(
-        placement.first_event,
-        FirstEvent(engine, candidate.load, candidate.pace, placement.read));
-    if (candidate.record != writer->record) {
-      placement.helpers.push_back(Helper{*candidate.record, Tokens{0}});
-    }
+  placement.read = group.part;
+  placement.first_event =
+      FirstEvent(engine, group.writer.load, group.writer.pace, placement.read);
+  for (const EngineCandidate& helper : group.helpers) {
+    placement.first_event =
+        std::max(placement.first_event,
+                 FirstEvent(engine, helper.load, helper.pace, placement.read));
+    placement.helpers.push_back(Helper{*helper.record, Tokens{0}});
   }
-  const Tokens beyond = needed - FreeMemory(engine, writer->load);
-  if (Tokens{0} < beyond &&
-      !SpreadMemory(engine, readers, beyond, &placement)) {
+  const Tokens needed = request.prompt + request.answer;
+  const Tokens beyond = needed - FreeMemory(engine, group.writer.load);
+  if (Tokens{0} < beyond && !SpreadMemory(engine, group, beyond, &placement)) {
     return std::nullopt;
   }
   return placement;
 }
 
-bool Placer::SpreadMemory(const EngineProfile& engine,
-                          const std::vector<Candidate>& readers, Tokens beyond,
-                          Placement* placement) {
+bool Placer::SpreadMemory(const EngineProfile& engine, const ReaderGroup& group,
+                          Tokens beyond, Placement* placement) {
   std::unordered_map<EndpointId, Tokens> free;
-  for (const Candidate& candidate : readers) {
+  for (const EngineCandidate& candidate : group.helpers) {
     free[candidate.record->id] = FreeMemory(engine, candidate.load);
   }
   std::sort(placement->helpers.begin(), placement->helpers.end(),
@@ -456,13 +251,13 @@
 
 std::size_t Placer::EnginesForShort(const EngineProfile& engine,
                                     std::size_t engines) const {
-  const double per_engine =
-      std::max(1.0, kShortShareOfSlots * static_cast<double>(engine.slots));
+  const double per_engine = std::max(
+      1.0, policy_.short_share_of_slots * static_cast<double>(engine.slots));
   const auto needed = static_cast<std::size_t>(
       std::ceil(static_cast<double>(loads_->ShortMembers()) / per_engine));
   const auto most = static_cast<std::size_t>(
       std::ceil(kMostShortShare * static_cast<double>(engines)));
-  return std::min(most, needed + kSpareShortEngines);
+  return std::min(most, needed + static_cast<std::size_t>(policy_.spare_short));
 }
 
 FractionalMillis Placer::TimeSpread(const PlacementRequest& request) const {
--- a/src/core/placement_test.cc
+++ b/src/core/placement_test.cc
@@ -68,10 +68,10 @@
   Placement Place(const RouteRule& route, std::int64_t prompt) {
     Placement placement = std::get<Placement>(Choose(route, prompt));
     loads_.Begin(placement.endpoint.id, placement.work_class, placement.read,
-                 Tokens{prompt});
+                 Tokens{prompt}, route.target_gap);
     for (const Helper& helper : placement.helpers) {
       loads_.Begin(helper.record.id, WorkClass::kHelper, placement.read,
-                   helper.held);
+                   helper.held, Millis(0));
     }
     return placement;
   }
@@ -87,6 +87,7 @@
                  &health_,
                  DataCentreId{"a"},
                  [this] { return hosts_; },
+                 PlacementPolicy{},
                  [this] { return drawn_ += 0x9e3779b97f4a7c15; }};
   ServiceProfile engines_;
   ServiceProfile pages_;
@@ -109,7 +110,7 @@
   for (int i = 0; i < kEngines; ++i) {
     for (int member = 0; member < 8; ++member) {
       loads_.Begin(EndpointId{"e" + std::to_string(i)}, WorkClass::kShort,
-                   i * step / 8, Tokens{2000});
+                   i * step / 8, Tokens{2000}, short_route_.target_gap);
     }
   }
   const auto used = [this](int hosts) {
@@ -132,7 +133,8 @@
   std::set<EndpointId> with_short;
   for (int i = 0; i < kEngines / 3; ++i) {
     const EndpointId id{"e" + std::to_string(i)};
-    loads_.Begin(id, WorkClass::kShort, FractionalMillis(0), Tokens{2000});
+    loads_.Begin(id, WorkClass::kShort, FractionalMillis(0), Tokens{2000},
+                 short_route_.target_gap);
     with_short.insert(id);
   }
   const auto placement = std::get<Placement>(Choose(long_route_, 154000));
@@ -215,7 +217,7 @@
                  "anything runs") {
   for (int i = 0; i < kEngines; ++i) {
     loads_.Begin(EndpointId{"e" + std::to_string(i)}, WorkClass::kLong,
-                 FractionalMillis(1), Tokens{1000});
+                 FractionalMillis(1), Tokens{1000}, long_route_.target_gap);
   }
   now_ += Millis(100);
   CHECK(std::holds_alternative<EnginesBusy>(Choose(long_route_, 420000)));
@@ -251,9 +253,9 @@
   request.service = &pages_;
   drawn_ = 0;
   loads_.Begin(EndpointId{"p0"}, WorkClass::kShort, FractionalMillis(0),
-               Tokens{0});
+               Tokens{0}, Millis(0));
   loads_.Begin(EndpointId{"p0"}, WorkClass::kShort, FractionalMillis(0),
-               Tokens{0});
+               Tokens{0}, Millis(0));
   CHECK(std::get<Placement>(placer_.Choose(request)).endpoint.id ==
         EndpointId{"p1"});
 }
--- /dev/null
+++ b/src/core/reader_choice_test.cc
@@ -0,0 +1,140 @@
+#include "harecrank/core/reader_choice.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace harecrank {
+namespace {
+
+constexpr FractionalMillis kTightestGap{250};
+
+EngineProfile Engine() {
+  EngineProfile engine;
+  engine.slots = 16;
+  engine.memory = Tokens{400000};
+  engine.step_ms = 1;
+  engine.steps_per_pass = 40;
+  engine.read_tokens_per_ms = 150;
+  return engine;
+}
+
+// Engines e0, e1 and so on; e0 has the highest rank.
+class ReadersFixture {
+ protected:
+  ReadersFixture() {
+    constexpr int kEngines = 6;
+    records_.resize(kEngines);
+    for (int i = 0; i < kEngines; ++i) {
+      records_[i].id = EndpointId{"e" + std::to_string(i)};
+      EngineCandidate candidate;
+      candidate.record = &records_[i];
+      candidate.rank = kEngines - i;
+      candidates_.push_back(candidate);
+    }
+    prompt_.whole = FractionalMillis(900);
+    prompt_.needed = Tokens{100000};
+    prompt_.target = FractionalMillis(3000);
+    prompt_.until_late = FractionalMillis(3000);
+    prompt_.gap = FractionalMillis(1000);
+    prompt_.tightest_gap = kTightestGap;
+  }
+
+  void AddStreams(int engine, int count, FractionalMillis gap) {
+    EndpointLoad& load = candidates_[engine].load;
+    (gap <= kTightestGap ? load.short_members : load.long_members) += count;
+    load.tightest_gap = gap;
+  }
+
+  std::optional<ReaderGroup> Choose() const {
+    return ChooseReaders(engine_, policy_, prompt_, candidates_);
+  }
+
+  static bool Reads(const ReaderGroup& group, const std::string& id) {
+    const auto is = [&id](const EngineCandidate& candidate) {
+      return candidate.record->id.value == id;
+    };
+    return is(group.writer) ||
+           std::any_of(group.helpers.begin(), group.helpers.end(), is);
+  }
+
+  EngineProfile engine_ = Engine();
+  PlacementPolicy policy_;
+  LongPrompt prompt_;
+  std::vector<EndpointRecord> records_;
+  std::vector<EngineCandidate> candidates_;
+};
+
+TEST_CASE_METHOD(ReadersFixture,
+                 "No part pauses a stream beside it for longer than its gap") {
+  AddStreams(5, 1, FractionalMillis(600));
+  AddStreams(4, 1, kTightestGap);
+  // Cut for four engines, a part takes 300 ms: too long for e4 alone.
+  prompt_.whole = FractionalMillis(1200);
+  prompt_.until_late = FractionalMillis(1000);
+  const auto group = Choose();
+  REQUIRE(group.has_value());
+  CHECK(Reads(*group, "e5"));
+  CHECK_FALSE(Reads(*group, "e4"));
+  CHECK(group->part == FractionalMillis(240));
+}
+
+TEST_CASE_METHOD(ReadersFixture,
+                 "Long streams are written where others are, while the parts "
+                 "are harmless there") {
+  AddStreams(2, 1, FractionalMillis(600));
+  const auto group = Choose();
+  REQUIRE(group.has_value());
+  CHECK(group->writer.record->id.value == "e2");
+  // A prompt that needs a larger part than e2's stream bears goes elsewhere.
+  prompt_.whole = FractionalMillis(6000);
+  prompt_.until_late = FractionalMillis(1800);
+  const auto large = Choose();
+  REQUIRE(large.has_value());
+  CHECK_FALSE(Reads(*large, "e2"));
+}
+
+TEST_CASE_METHOD(ReadersFixture,
+                 "A stream with a tight gap is written beside short requests") {
+  candidates_[0].for_short = true;
+  prompt_.whole = FractionalMillis(150);
+  prompt_.gap = kTightestGap;
+  const auto group = Choose();
+  REQUIRE(group.has_value());
+  CHECK(group->writer.record->id.value == "e0");
+}
+
+TEST_CASE_METHOD(ReadersFixture,
+                 "Engines kept for short requests read small parts only") {
+  for (int i = 0; i < 5; ++i) {
+    candidates_[i].for_short = true;
+  }
+  prompt_.whole = FractionalMillis(6 * 140);
+  CHECK(Choose().has_value());
+  prompt_.whole = FractionalMillis(6 * 220);
+  CHECK_FALSE(Choose().has_value());
+}
+
+TEST_CASE_METHOD(ReadersFixture,
+                 "An engine that has yet to read a part takes no other") {
+  for (EngineCandidate& candidate : candidates_) {
+    candidate.load.unread_parts = 1;
+  }
+  CHECK_FALSE(Choose().has_value());
+}
+
+// One that is late can no longer be in time, and read whole by one engine it
+// makes the next ones late.
+TEST_CASE_METHOD(ReadersFixture, "A late prompt is cut like others") {
+  for (int i = 1; i < 6; ++i) {
+    candidates_[i].load.unread_parts = 1;
+  }
+  prompt_.whole = FractionalMillis(4000);
+  prompt_.until_late = FractionalMillis(-100);
+  CHECK_FALSE(Choose().has_value());
+  policy_.bound_late_parts = false;
+  CHECK(Choose().has_value());
+}
+
+}  // namespace
+}  // namespace harecrank
--- a/src/gateway/dispatch_queue.cc
+++ b/src/gateway/dispatch_queue.cc
@@ -5,8 +5,10 @@
 namespace harecrank {
 
 DispatchQueue::DispatchQueue(boost::asio::io_context* io, MonotonicClock clock,
+                             std::size_t tried,
                              std::function<int(Urgency)> peers_ahead)
     : room_(clock),
+      tried_(tried),
       peers_ahead_(std::move(peers_ahead)),
       timer_(*io),
       clock_(std::move(clock)) {}
@@ -31,7 +33,7 @@
 }
 
 void DispatchQueue::Pump() {
-  for (const WaiterId id : room_.InOrder(kTried)) {
+  for (const WaiterId id : room_.InOrder(tried_)) {
     const auto found = starts_.find(id);
     if (found == starts_.end()) {
       continue;
--- a/src/gateway/dispatch_queue.h
+++ b/src/gateway/dispatch_queue.h
@@ -23,8 +23,10 @@
   using Start = std::function<bool()>;
 
   // `peers_ahead` returns how many other hosts have something more urgent.
+  // Of those that wait, `tried` are tried at a time: the first may want more
+  // engines than are open, and the next fewer.
   DispatchQueue(boost::asio::io_context* io, MonotonicClock clock,
-                std::function<int(Urgency)> peers_ahead);
+                std::size_t tried, std::function<int(Urgency)> peers_ahead);
 
   // `start` may be called until the waiter has been removed, also from within
   // Pump. A waiter whose `start` returns true is removed.
@@ -40,9 +42,6 @@
 
   std::size_t Count() const { return room_.Count(); }
 
-  // Of those that wait, so many are tried at a time: the first may want more
-  // engines than are open, and the next fewer.
-  static constexpr std::size_t kTried = 8;
   // How often those that wait are tried while nothing is heard.
   static constexpr Millis kInterval{40};
   // Longer than word of a placement takes to reach the peers.
@@ -53,6 +52,7 @@
   void Schedule(Millis pause);
 
   WaitingRoom room_;
+  std::size_t tried_;
   std::function<int(Urgency)> peers_ahead_;
   std::map<WaiterId, Start> starts_;
   boost::asio::steady_timer timer_;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -44,9 +44,6 @@
 constexpr int kCallerPatienceGaps = 8;
 constexpr int kPatienceUsed = 75;
 constexpr int kPercent = 100;
-// A prompt that needs all engines idle waits for that for this part of its
-// target.
-constexpr int kOversizeWaitShare = 4;
 // With less left than this a further attempt cannot bring anything.
 constexpr Millis kLeastTimeForAttempt{60};
 // RFC 9110: the endpoint is not the one that was expected, and ran nothing.
@@ -168,15 +165,19 @@
 }
 
 void Exchange::TryNext() {
-  // Where peers have something more urgent waiting, they go first.
-  const bool defers =
-      service_->engine.has_value() && IsLong() &&
-      services_->peers_ahead(UrgencyOf(AsWaiter(), services_->clock())) > 0;
-  if (defers || !TryPlace()) {
+  if ((service_->engine.has_value() && IsLong() && IsBehind()) || !TryPlace()) {
     Wait();
   }
 }
 
+bool Exchange::IsBehind() const {
+  const Urgency urgency = UrgencyOf(AsWaiter(), services_->clock());
+  const std::optional<Urgency> first = services_->queue->MostUrgent();
+  const bool behind_own = services_->policy->keeps_own_order &&
+                          first.has_value() && *first < urgency;
+  return behind_own || services_->peers_ahead(urgency) > 0;
+}
+
 bool Exchange::IsLong() const {
   return ReadTime(*service_->engine, placement_request_.prompt) >
          FractionalMillis(route_->target_gap);
@@ -217,7 +218,7 @@
 Waiter Exchange::AsWaiter() const {
   return Waiter{arrived_ + route_->target_latency,
                 ReadTime(*service_->engine, placement_request_.prompt) /
-                    static_cast<double>(Placer::kMostHelpers + 1)};
+                    static_cast<double>(kMostHelpers + 1)};
 }
 
 void Exchange::LeaveQueue() {
@@ -364,11 +365,13 @@
   for (const Helper& helper : placement.helpers) {
     memory = memory - helper.held;
     helpers_.push_back(helper.record.id);
-    helpers.push_back(services_->loads->Begin(
-        helper.record.id, WorkClass::kHelper, placement.read, helper.held));
+    helpers.push_back(
+        services_->loads->Begin(helper.record.id, WorkClass::kHelper,
+                                placement.read, helper.held, Millis(0)));
   }
   work_.push_back(services_->loads->Begin(endpoint_, placement.work_class,
-                                          placement.read, memory));
+                                          placement.read, memory,
+                                          route_->target_gap));
   work_.insert(work_.end(), helpers.begin(), helpers.end());
 }
 
@@ -435,6 +438,7 @@
     if (status == kMisdirected) {
       services_->health->OnUnreachable(endpoint_);
     }
+    NoteFault(head);
     AbandonAttempt();
     OnNotRun("endpoint_answered_" + std::to_string(status));
     return;
@@ -475,6 +479,26 @@
   head_ = head;
 }
 
+void Exchange::NoteFault(const AnswerHead& head) {
+  const std::string named(head[services_->names->endpoint_at_fault]);
+  if (named.empty()) {
+    return;
+  }
+  nlohmann::json fields = LogFields();
+  fields["endpoint"] = endpoint_.value;
+  fields["at_fault"] = named;
+  services_->log->Write("endpoint_blamed", std::move(fields),
+                        LogWeight::kAlwaysKept);
+  for (const EndpointId& helper : helpers_) {
+    const EndpointRecord* record = services_->directory->Find(helper);
+    const bool is_address = record != nullptr && record->address == named;
+    if (helper.value == named || is_address) {
+      services_->health->OnNamedAtFault(helper);
+      services_->on_load_changed();
+    }
+  }
+}
+
 void Exchange::OnAnswerBytes(std::string_view bytes) {
   last_bytes_at_ = services_->clock();
   services_->health->OnHeard(endpoint_);
@@ -648,7 +672,9 @@
     return std::nullopt;
   }
   // A caller that is told early can still come back in time.
-  return arrived_ + route_->target_latency / kOversizeWaitShare;
+  const FractionalMillis waits = services_->policy->oversize_wait_share *
+                                 FractionalMillis(route_->target_latency);
+  return arrived_ + std::chrono::duration_cast<Millis>(waits);
 }
 
 std::optional<TimePoint> Exchange::PatienceEnd() const {
@@ -760,6 +786,7 @@
         std::chrono::duration_cast<Millis>(longest_pause_).count();
   }
   fields["sendings"] = sendings_;
+  fields["prompt"] = placement_request_.prompt.value;
   fields["endpoint"] = endpoint_.value;
   const bool failed = std::string_view(outcome) != "completed";
   services_->log->Write("ended", std::move(fields),
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -53,6 +53,8 @@
   // Returns false if all engines that could take it are busy.
   bool TryPlace();
   void Wait();
+  // Whether something more urgent waits in this host or a peer.
+  bool IsBehind() const;
   // Whether the prompt takes so long to read that its engines must be free.
   bool IsLong() const;
   Waiter AsWaiter() const;
@@ -87,6 +89,8 @@
 
   // Answers.
   void JudgeHead(const AnswerHead& head);
+  // Marks the helper that a refusal names, if it names one.
+  void NoteFault(const AnswerHead& head);
   void Refuse(unsigned status, const std::string& code,
               std::optional<Millis> retry_after);
   void GiveUp(const std::string& reason);
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -61,11 +61,11 @@
       connections_(&io_, clock_),
       placer_(
           &directory_, &loads_, &health_, settings_.data_centre,
-          [this] { return KnownHosts(); }, random_),
+          [this] { return KnownHosts(); }, settings_.placement, random_),
       budgets_(
           settings_.repeat_bound, [this] { return KnownHosts(); }, clock_),
       queue_(
-          &io_, clock_,
+          &io_, clock_, static_cast<std::size_t>(settings_.placement.tried),
           [this](Urgency urgency) { return peer_book_.PeersAhead(urgency); }),
       orders_(platform.make_orders(&io_)),
       services_(MakeServices()),
@@ -115,6 +115,7 @@
   services.health = &health_;
   services.connections = &connections_;
   services.placer = &placer_;
+  services.policy = &settings_.placement;
   services.budgets = &budgets_;
   services.queue = &queue_;
   services.orders = orders_.get();
@@ -197,11 +198,15 @@
     word.known_up_to = known_up_to_;
     word.source_well = source_well_;
     word.loads = loads_.Own();
+    word.avoided = health_.Avoided();
     word.urgency = queue_.MostUrgent();
     return word;
   };
   ports.on_word = [this](const PeerWord& word) {
     loads_.SetPeer(word.node, word.loads);
+    for (const AvoidedEndpoint& endpoint : word.avoided) {
+      health_.OnPeerAvoids(endpoint.id, endpoint.left);
+    }
     queue_.PumpSoon();
   };
   ports.on_snapshot = [this](const std::string& snapshot) {
--- a/src/gateway/gateway_services.h
+++ b/src/gateway/gateway_services.h
@@ -65,6 +65,7 @@
   EndpointHealth* health = nullptr;
   EndpointConnections* connections = nullptr;
   const Placer* placer = nullptr;
+  const PlacementPolicy* policy = nullptr;
   RepeatBudgets* budgets = nullptr;
   DispatchQueue* queue = nullptr;
   MemoryOrders* orders = nullptr;
--- a/src/gateway/protocol_names.h
+++ b/src/gateway/protocol_names.h
@@ -32,6 +32,9 @@
   std::string answer_signature;
   // In an endpoint's answer: it did not run the request and will not.
   std::string not_run;
+  // In an endpoint's refusal: the endpoint, by id or address, that is at fault,
+  // where it is a helper and not the endpoint that answers.
+  std::string endpoint_at_fault;
   // Path of the balancer's check.
   std::string readiness_path;
 };
