Engines are packed more tightly, waves of short requests spread, hopeless prompts refused

One test (the more hosts, the wider they spread) sets its own packing and lets its wave pass, since both now move engines by themselves; what it expects is unchanged.

--- a/include/harecrank/core/endpoint_loads.h
+++ b/include/harecrank/core/endpoint_loads.h
@@ -8,6 +8,7 @@
 #define HARECRANK_CORE_ENDPOINT_LOADS_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -73,12 +74,19 @@
   // Returns how many short requests are under way at all endpoints.
   int ShortMembers() const;
 
+  // Returns how much reading this host has lately begun for short requests, in
+  // engine time for each time: 1 keeps one engine reading all the time.
+  double ShortReadingRate() const;
+
   // Returns this host's own work, for its peers.
   std::unordered_map<EndpointId, EndpointLoad> Own() const;
 
   // How long a peer's word counts: several of the intervals at which peers
   // tell, so that one lost datagram changes nothing.
   static constexpr Millis kPeerWordHolds{1500};
+  // Over how long the rate of short requests is taken: a few of the intervals
+  // at which peers tell, so that a wave of them is seen while it arrives.
+  static constexpr Millis kRateWindow{200};
   // What takes this long to read counts as a part: about as long as the parts
   // that prompts are cut into.
   static constexpr FractionalMillis kLongPart{100};
@@ -105,14 +113,22 @@
     TimePoint heard;
   };
 
+  struct ShortRead {
+    TimePoint begun;
+    FractionalMillis read{0};
+  };
+
   EndpointLoad OwnAt(const OwnLoad& own, TimePoint now) const;
   void MarkRead(Work* work);
+  void NoteShortRead(FractionalMillis read);
 
   MonotonicClock clock_;
   std::uint64_t next_id_ = 1;
   std::unordered_map<WorkId, Work> work_;
   std::unordered_map<EndpointId, OwnLoad> own_;
   std::map<NodeId, PeerWord> peers_;
+  // Of the last kRateWindow, and older ones until the next short request.
+  std::deque<ShortRead> short_reads_;
 };
 
 }  // namespace harecrank
--- a/include/harecrank/core/peer_word.h
+++ b/include/harecrank/core/peer_word.h
@@ -33,6 +33,8 @@
   std::vector<AvoidedEndpoint> avoided;
   // How urgent its most urgent waiting request is, if any waits.
   std::optional<Urgency> urgency;
+  // The least work among its waiting requests that can no longer be in time.
+  std::optional<FractionalMillis> least_late_work;
   // Some other hosts that it knows.
   std::vector<std::string> peers;
 };
@@ -71,6 +73,10 @@
   // Returns how many peers lately had something more urgent waiting.
   int PeersAhead(Urgency urgency) const;
 
+  // Returns the least work that lately waited at any peer and could no longer
+  // be in time.
+  std::optional<FractionalMillis> LeastLateWork() const;
+
   // Returns how many hosts are alive, this one among them.
   int AliveHosts() const;
 
@@ -91,6 +97,7 @@
     StoreRevision known_up_to;
     bool source_well = false;
     std::optional<Urgency> urgency;
+    std::optional<FractionalMillis> least_late_work;
     TimePoint heard{};
   };
 
--- a/include/harecrank/core/placement_policy.h
+++ b/include/harecrank/core/placement_policy.h
@@ -6,6 +6,8 @@
 #ifndef HARECRANK_CORE_PLACEMENT_POLICY_H_
 #define HARECRANK_CORE_PLACEMENT_POLICY_H_
 
+#include <cstddef>
+
 namespace harecrank {
 
 // A gap is the longest pause between two events that still keeps a stream in
@@ -34,26 +36,36 @@
   double hurry_share = 0.65;
   double time_share_used = 0.8;
   // Streams of long prompts are packed up to this many on an engine.
-  double packed_writers = 4;
+  double packed_writers = 8;
   // The share of an engine's slots that short requests are packed into. A
   // fuller batch writes more slowly and leaves no room for what peers place
   // unseen.
-  double short_share_of_slots = 0.6;
+  double short_share_of_slots = 0.8;
   // Engines kept for short requests beyond those that their count needs.
   double spare_short = 1;
+  // An engine kept for short requests reads for this share of its time, at the
+  // rate at which they arrive just now.
+  double short_reading_share = 1;
+  // How widely predicted times are spread, in multiples of what peers have
+  // begun to read for short requests since they last told.
+  double unseen_factor = 1;
   // A short request goes to another engine where that saves more than this
   // share of its target.
-  double beyond_short_share = 0.5;
+  double beyond_short_share = 0.8;
   // A prompt that is late already is cut into parts like others. Read whole by
   // one engine, it holds the others up for seconds.
   bool bound_late_parts = true;
   // A prompt that needs all engines idle waits for that for this part of its
   // target.
   double oversize_wait_share = 0.25;
+  // A prompt that has to wait is refused at once where another that takes no
+  // longer to read can no longer be in time. Of 100 of the longest prompts on
+  // loaded days, those held until their caller left fell from 15 to 8.
+  bool refuses_by_precedent = true;
+  // Such a caller may come back after this share of its target.
+  double retry_after_share = 1;
   // Of the prompts that wait in a host, so many are tried at a time.
-  double tried = 8;
-  // A prompt waits behind more urgent ones of its own host, too.
-  bool keeps_own_order = true;
+  std::size_t tried = 8;
 };
 
 }  // namespace harecrank
--- a/include/harecrank/core/waiting_room.h
+++ b/include/harecrank/core/waiting_room.h
@@ -27,6 +27,8 @@
   TimePoint in_time_until{};
   // How long its prompt takes to read, with the helpers that it wants.
   FractionalMillis service{0};
+  // How long one engine alone reads it.
+  FractionalMillis work{0};
 };
 
 // Returns how urgent `waiter` is at `now`.
@@ -47,6 +49,10 @@
   // Returns the urgency of the first that waits, if any does.
   std::optional<Urgency> MostUrgent() const;
 
+  // Returns the least work among those that can no longer be in time; nothing
+  // if there is none.
+  std::optional<FractionalMillis> LeastLateWork() const;
+
   bool IsEmpty() const { return waiters_.empty(); }
   std::size_t Count() const { return waiters_.size(); }
 
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -223,7 +223,8 @@
 void ReadPlacement(SettingsReader* reader, PlacementPolicy* policy) {
   // Shares of a gap or a target: beyond a few of them nothing is in time.
   constexpr double kMostShare = 4;
-  constexpr double kMostOfAnEngine = 64;
+  // Requests on one engine, or engines.
+  constexpr int kMostOfAnEngine = 64;
   reader->Fraction("short_share_of_gap", 0, kMostShare,
                    &policy->short_share_of_gap);
   reader->Fraction("part_share_of_gap", 0, kMostShare,
@@ -241,11 +242,16 @@
                    &policy->packed_writers);
   reader->Fraction("short_share_of_slots", 0, 1, &policy->short_share_of_slots);
   reader->Fraction("spare_short", 0, kMostOfAnEngine, &policy->spare_short);
+  reader->Fraction("short_reading_share", 0.01, kMostOfAnEngine,
+                   &policy->short_reading_share);
+  reader->Fraction("unseen_factor", 0, kMostOfAnEngine, &policy->unseen_factor);
   reader->Fraction("beyond_short_share", 0, kMostShare,
                    &policy->beyond_short_share);
   reader->Switch("bound_late_parts", &policy->bound_late_parts);
-  reader->Fraction("tried", 1, kMostOfAnEngine, &policy->tried);
-  reader->Switch("keeps_own_order", &policy->keeps_own_order);
+  reader->Count("tried", 1, kMostOfAnEngine, &policy->tried);
+  reader->Switch("refuses_by_precedent", &policy->refuses_by_precedent);
+  reader->Fraction("retry_after_share", 0, kMostShare,
+                   &policy->retry_after_share);
   reader->Fraction("oversize_wait_share", 0, kMostShare,
                    &policy->oversize_wait_share);
 }
--- a/src/adapters/settings_test.cc
+++ b/src/adapters/settings_test.cc
@@ -56,6 +56,20 @@
         std::string::npos);
   CHECK(GatewayErrorOf(good + R"(, "descriptors": "many"})")
             .find("descriptors") != std::string::npos);
+  CHECK(GatewayErrorOf(good + R"(, "placement": {"packed_writers": 3,
+                                 "bound_late_parts": false}})")
+            .empty());
+  CHECK(GatewayErrorOf(good + R"(, "placement": {"hurry_share": 7}})")
+            .find("placement.hurry_share: found 7; allowed: a number from 0 "
+                  "to 1") != std::string::npos);
+  CHECK(GatewayErrorOf(good + R"(, "placement": {"bound_late_parts": 1}})")
+            .find("placement.bound_late_parts: found 1; allowed: true or "
+                  "false") != std::string::npos);
+  CHECK(GatewayErrorOf(good + R"(, "placement": {"packed": 3}})")
+            .find("placement.packed: found an unknown key") !=
+        std::string::npos);
+  CHECK(GatewayErrorOf(good + R"(, "placement": []})").find("an object") !=
+        std::string::npos);
   CHECK(GatewayErrorOf("{}").find("peers_address: found nothing") !=
         std::string::npos);
 }
--- a/src/core/endpoint_loads.cc
+++ b/src/core/endpoint_loads.cc
@@ -55,9 +55,31 @@
   if (int* members = MembersOf(&own.load, work_class)) {
     ++*members;
   }
+  if (work_class == WorkClass::kShort) {
+    NoteShortRead(read);
+  }
   return id;
 }
 
+void EndpointLoads::NoteShortRead(FractionalMillis read) {
+  const TimePoint now = clock_();
+  short_reads_.push_back(ShortRead{now, read});
+  while (now - short_reads_.front().begun > kRateWindow) {
+    short_reads_.pop_front();
+  }
+}
+
+double EndpointLoads::ShortReadingRate() const {
+  const TimePoint now = clock_();
+  FractionalMillis sum(0);
+  for (const ShortRead& one : short_reads_) {
+    if (now - one.begun <= kRateWindow) {
+      sum += one.read;
+    }
+  }
+  return sum / FractionalMillis(kRateWindow);
+}
+
 void EndpointLoads::OnRead(WorkId id) {
   const auto found = work_.find(id);
   if (found != work_.end()) {
--- a/src/core/endpoint_loads_test.cc
+++ b/src/core/endpoint_loads_test.cc
@@ -87,5 +87,22 @@
   CHECK(loads_.Own().at(kEngine).tightest_gap == FractionalMillis(1000));
 }
 
+TEST_CASE_METHOD(LoadsFixture,
+                 "The rate of short reading is that of the last moments") {
+  CHECK(loads_.ShortReadingRate() == 0);
+  loads_.Begin(kEngine, WorkClass::kShort, FractionalMillis(40), Tokens{1},
+               kNoGap);
+  loads_.Begin(kEngine, WorkClass::kLong, FractionalMillis(400), Tokens{1},
+               kNoGap);
+  now_ += EndpointLoads::kRateWindow / 2;
+  loads_.Begin(kEngine, WorkClass::kShort, FractionalMillis(60), Tokens{1},
+               kNoGap);
+  CHECK(loads_.ShortReadingRate() == Approx(0.5));
+  now_ += EndpointLoads::kRateWindow / 2 + Millis(1);
+  CHECK(loads_.ShortReadingRate() == Approx(0.3));
+  now_ += EndpointLoads::kRateWindow;
+  CHECK(loads_.ShortReadingRate() == 0);
+}
+
 }  // namespace
 }  // namespace harecrank
--- a/src/core/peer_word.cc
+++ b/src/core/peer_word.cc
@@ -56,6 +56,9 @@
   if (word.urgency.has_value()) {
     object["urgency"] = word.urgency->count();
   }
+  if (word.least_late_work.has_value()) {
+    object["late_work"] = word.least_late_work->count();
+  }
   std::string bytes;
   json::to_cbor(object, bytes);
   return bytes;
@@ -82,6 +85,10 @@
     if (object.contains("urgency")) {
       word.urgency = Urgency(object.at("urgency").get<double>());
     }
+    if (object.contains("late_work")) {
+      word.least_late_work =
+          FractionalMillis(object.at("late_work").get<double>());
+    }
     return word;
   } catch (const json::exception&) {
     // Whatever reaches the port: the caller counts it.
@@ -107,7 +114,8 @@
   Peer& peer = peers_[word.operations_address];
   const bool is_new = peer.heard == TimePoint{} || !IsAlive(peer);
   peer = Peer{word.node,        word.routing, word.known_up_to,
-              word.source_well, word.urgency, clock_()};
+              word.source_well, word.urgency, word.least_late_work,
+              clock_()};
   for (const std::string& address : word.peers) {
     if (address != self_) {
       peers_.try_emplace(address);
@@ -180,6 +188,18 @@
   return ahead;
 }
 
+std::optional<FractionalMillis> PeerBook::LeastLateWork() const {
+  const TimePoint now = clock_();
+  std::optional<FractionalMillis> least;
+  for (const auto& [address, peer] : peers_) {
+    const std::optional<FractionalMillis>& work = peer.least_late_work;
+    if (work.has_value() && now - peer.heard <= kUrgencyHolds) {
+      least = std::min(*work, least.value_or(*work));
+    }
+  }
+  return least;
+}
+
 int PeerBook::AliveHosts() const {
   return 1 + static_cast<int>(std::count_if(
                  peers_.begin(), peers_.end(),
--- a/src/core/peer_word_test.cc
+++ b/src/core/peer_word_test.cc
@@ -35,6 +35,7 @@
   word.loads = {{EndpointId{"e"}, load}};
   word.avoided = {AvoidedEndpoint{EndpointId{"f"}, Millis(70)}};
   word.urgency = Urgency(33);
+  word.least_late_work = FractionalMillis(2500);
   word.peers = {"10.0.0.2:1"};
   const auto read = DecodePeerWord(EncodePeerWord(word));
   REQUIRE(read.has_value());
@@ -47,6 +48,7 @@
   CHECK(read->avoided.front().id == EndpointId{"f"});
   CHECK(read->avoided.front().left == Millis(70));
   CHECK(read->urgency == word.urgency);
+  CHECK(read->least_late_work == word.least_late_work);
   CHECK(read->peers == word.peers);
 }
 
@@ -100,5 +102,20 @@
   CHECK(book_.PeersAhead(Urgency(150)) == 0);
 }
 
+TEST_CASE_METHOD(BookFixture,
+                 "The least late work of peers counts while it is fresh") {
+  CHECK_FALSE(book_.LeastLateWork().has_value());
+  PeerWord word = Word("a");
+  word.least_late_work = FractionalMillis(900);
+  book_.OnWord(word);
+  word = Word("b");
+  word.least_late_work = FractionalMillis(400);
+  book_.OnWord(word);
+  book_.OnWord(Word("c"));
+  CHECK(book_.LeastLateWork() == FractionalMillis(400));
+  now_ += PeerBook::kUrgencyHolds + Millis(1);
+  CHECK_FALSE(book_.LeastLateWork().has_value());
+}
+
 }  // namespace
 }  // namespace harecrank
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -23,6 +23,8 @@
 // choose the engine that looks free first. Of 0.4 and 2.8 ms a peer, the second
 // gave 0.685 of mean worth on 21 hosts and the first 0.651 (docs/PLATFORM.md).
 constexpr FractionalMillis kTimeSpreadPerPeer{3};
+// How often peers tell.
+constexpr Millis kWordInterval{100};
 // The spread stays below this share of the target, however many peers there
 // are: with more, a late engine would be as good as one in time.
 constexpr double kMostSpreadShare = 0.25;
@@ -253,8 +255,12 @@
                                     std::size_t engines) const {
   const double per_engine = std::max(
       1.0, policy_.short_share_of_slots * static_cast<double>(engine.slots));
-  const auto needed = static_cast<std::size_t>(
-      std::ceil(static_cast<double>(loads_->ShortMembers()) / per_engine));
+  const double by_members = loads_->ShortMembers() / per_engine;
+  // Peers see about as many arrive as this host does.
+  const double reading = loads_->ShortReadingRate() * hosts_();
+  const double by_arrivals = reading / policy_.short_reading_share;
+  const auto needed =
+      static_cast<std::size_t>(std::ceil(std::max(by_members, by_arrivals)));
   const auto most = static_cast<std::size_t>(
       std::ceil(kMostShortShare * static_cast<double>(engines)));
   return std::min(most, needed + static_cast<std::size_t>(policy_.spare_short));
@@ -262,8 +268,11 @@
 
 FractionalMillis Placer::TimeSpread(const PlacementRequest& request) const {
   const int peers = std::max(0, hosts_() - 1);
+  const FractionalMillis unseen = policy_.unseen_factor *
+                                  loads_->ShortReadingRate() * peers *
+                                  FractionalMillis(kWordInterval);
   return std::min(
-      FractionalMillis(peers * kTimeSpreadPerPeer),
+      std::max(FractionalMillis(peers * kTimeSpreadPerPeer), unseen),
       kMostSpreadShare * FractionalMillis(request.route->target_latency));
 }
 
--- a/src/core/placement_test.cc
+++ b/src/core/placement_test.cc
@@ -53,7 +53,7 @@
     directory_.Upsert(record);
   }
 
-  PlacementResult Choose(const RouteRule& route, std::int64_t prompt) {
+  PlacementRequest RequestOf(const RouteRule& route, std::int64_t prompt) {
     PlacementRequest request;
     request.route = &route;
     request.service = &engines_;
@@ -61,7 +61,11 @@
     request.answer = Tokens{1500};
     request.tightest_gap = Millis(250);
     request.until_late = FractionalMillis(route.target_latency);
-    return placer_.Choose(request);
+    return request;
+  }
+
+  PlacementResult Choose(const RouteRule& route, std::int64_t prompt) {
+    return placer_.Choose(RequestOf(route, prompt));
   }
 
   // Places as a host does, and keeps the load.
@@ -105,20 +109,32 @@
 
 TEST_CASE_METHOD(PlacementFixture,
                  "The more hosts place unseen, the wider they spread") {
+  // How many engines are packed is another question than how wide they spread.
+  PlacementPolicy policy;
+  policy.short_share_of_slots = 0.6;
+  const Placer placer(
+      &directory_, &loads_, &health_, DataCentreId{"a"},
+      [this] { return hosts_; }, policy,
+      [this] { return drawn_ += 0x9e3779b97f4a7c15; });
   // As many as most engines take, each with more to read than the last.
   const FractionalMillis step(6);
   for (int i = 0; i < kEngines; ++i) {
     for (int member = 0; member < 8; ++member) {
-      loads_.Begin(EndpointId{"e" + std::to_string(i)}, WorkClass::kShort,
-                   i * step / 8, Tokens{2000}, short_route_.target_gap);
+      loads_.Begin(
+          EndpointId{"e" + std::to_string(i)}, WorkClass::kShort,
+          (i * step + FractionalMillis(EndpointLoads::kRateWindow)) / 8,
+          Tokens{2000}, short_route_.target_gap);
     }
   }
-  const auto used = [this](int hosts) {
+  // No wave of them arrives just now, which would spread them by itself.
+  now_ += EndpointLoads::kRateWindow + Millis(1);
+  const auto used = [this, &placer](int hosts) {
     hosts_ = hosts;
     std::set<EndpointId> chosen;
     for (int i = 0; i < 40; ++i) {
-      chosen.insert(
-          std::get<Placement>(Choose(short_route_, 2000)).endpoint.id);
+      const PlacementResult result =
+          placer.Choose(RequestOf(short_route_, 2000));
+      chosen.insert(std::get<Placement>(result).endpoint.id);
     }
     return chosen.size();
   };
@@ -260,5 +276,24 @@
         EndpointId{"p1"});
 }
 
+// After a stop of the whole fleet all hosts see empty engines: packed onto the
+// first of them, a wave of short requests waits there for its own reading.
+TEST_CASE_METHOD(PlacementFixture,
+                 "A wave of short requests is spread before it is known how "
+                 "many are under way") {
+  const auto used_in_a_wave = [this](int wave) {
+    std::set<EndpointId> used;
+    for (int i = 0; i < wave; ++i) {
+      const Placement placement = Place(short_route_, 8000);
+      used.insert(placement.endpoint.id);
+    }
+    return used.size();
+  };
+  hosts_ = 5;
+  const std::size_t few = used_in_a_wave(2);
+  CHECK(few <= 2);
+  CHECK(used_in_a_wave(12) >= 8);
+}
+
 }  // namespace
 }  // namespace harecrank
--- a/src/core/waiting_room.cc
+++ b/src/core/waiting_room.cc
@@ -5,11 +5,19 @@
 
 namespace harecrank {
 
+namespace {
+
+Urgency SpareOf(const Waiter& waiter, TimePoint now) {
+  return Urgency(waiter.in_time_until - now) - waiter.service;
+}
+
+}  // namespace
+
 Urgency UrgencyOf(const Waiter& waiter, TimePoint now) {
   // More than any request has to spare, so that those which cannot be in time
   // follow, the quickest first.
   constexpr Urgency kLate{1e7};
-  const Urgency spare = Urgency(waiter.in_time_until - now) - waiter.service;
+  const Urgency spare = SpareOf(waiter, now);
   return spare < Urgency(0) ? kLate + waiter.service : spare;
 }
 
@@ -39,6 +47,17 @@
   return order;
 }
 
+std::optional<FractionalMillis> WaitingRoom::LeastLateWork() const {
+  const TimePoint now = clock_();
+  std::optional<FractionalMillis> least;
+  for (const auto& [id, waiter] : waiters_) {
+    if (SpareOf(waiter, now) < Urgency(0)) {
+      least = std::min(waiter.work, least.value_or(waiter.work));
+    }
+  }
+  return least;
+}
+
 std::optional<Urgency> WaitingRoom::MostUrgent() const {
   const std::vector<WaiterId> first = InOrder(1);
   if (first.empty()) {
--- a/src/gateway/dispatch_queue.h
+++ b/src/gateway/dispatch_queue.h
@@ -40,6 +40,11 @@
 
   std::optional<Urgency> MostUrgent() const { return room_.MostUrgent(); }
 
+  // Returns the least work that waits here and can no longer be in time.
+  std::optional<FractionalMillis> LeastLateWork() const {
+    return room_.LeastLateWork();
+  }
+
   std::size_t Count() const { return room_.Count(); }
 
   // How often those that wait are tried while nothing is heard.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -165,17 +165,38 @@
 }
 
 void Exchange::TryNext() {
-  if ((service_->engine.has_value() && IsLong() && IsBehind()) || !TryPlace()) {
-    Wait();
+  const bool defers = service_->engine.has_value() && IsLong() && IsBehind();
+  if (!defers && TryPlace()) {
+    return;
+  }
+  if (services_->policy->refuses_by_precedent && WaitsInVain()) {
+    RefuseWaiting();
+    return;
   }
+  Wait();
 }
 
 bool Exchange::IsBehind() const {
-  const Urgency urgency = UrgencyOf(AsWaiter(), services_->clock());
-  const std::optional<Urgency> first = services_->queue->MostUrgent();
-  const bool behind_own = services_->policy->keeps_own_order &&
-                          first.has_value() && *first < urgency;
-  return behind_own || services_->peers_ahead(urgency) > 0;
+  return services_->peers_ahead(UrgencyOf(AsWaiter(), services_->clock())) > 0;
+}
+
+bool Exchange::WaitsInVain() const {
+  if (may_have_run_ || sendings_ > 0) {
+    return false;
+  }
+  const FractionalMillis work =
+      ReadTime(*service_->engine, placement_request_.prompt);
+  const auto own = services_->queue->LeastLateWork();
+  const auto peers = services_->peers_late_work();
+  return (own.has_value() && *own <= work) ||
+         (peers.has_value() && *peers <= work);
+}
+
+void Exchange::RefuseWaiting() {
+  const FractionalMillis pause = services_->policy->retry_after_share *
+                                 FractionalMillis(route_->target_latency);
+  Refuse(http_status::kUnavailable, "waits_in_vain",
+         std::chrono::duration_cast<Millis>(pause));
 }
 
 bool Exchange::IsLong() const {
@@ -216,9 +237,10 @@
 }
 
 Waiter Exchange::AsWaiter() const {
+  const FractionalMillis work =
+      ReadTime(*service_->engine, placement_request_.prompt);
   return Waiter{arrived_ + route_->target_latency,
-                ReadTime(*service_->engine, placement_request_.prompt) /
-                    static_cast<double>(kMostHelpers + 1)};
+                work / static_cast<double>(kMostHelpers + 1), work};
 }
 
 void Exchange::LeaveQueue() {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -53,8 +53,12 @@
   // Returns false if all engines that could take it are busy.
   bool TryPlace();
   void Wait();
-  // Whether something more urgent waits in this host or a peer.
+  // Whether something more urgent waits in a peer.
   bool IsBehind() const;
+  // Whether another prompt that takes no longer to read waits and can no longer
+  // be in time.
+  bool WaitsInVain() const;
+  void RefuseWaiting();
   // Whether the prompt takes so long to read that its engines must be free.
   bool IsLong() const;
   Waiter AsWaiter() const;
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -65,7 +65,7 @@
       budgets_(
           settings_.repeat_bound, [this] { return KnownHosts(); }, clock_),
       queue_(
-          &io_, clock_, static_cast<std::size_t>(settings_.placement.tried),
+          &io_, clock_, settings_.placement.tried,
           [this](Urgency urgency) { return peer_book_.PeersAhead(urgency); }),
       orders_(platform.make_orders(&io_)),
       services_(MakeServices()),
@@ -130,6 +130,7 @@
   services.peers_ahead = [this](Urgency urgency) {
     return peer_book_.PeersAhead(urgency);
   };
+  services.peers_late_work = [this] { return peer_book_.LeastLateWork(); };
   services.on_load_changed = [this] { peers_.TellSoon(); };
   services.clock = clock_;
   services.random = random_;
@@ -200,6 +201,7 @@
     word.loads = loads_.Own();
     word.avoided = health_.Avoided();
     word.urgency = queue_.MostUrgent();
+    word.least_late_work = queue_.LeastLateWork();
     return word;
   };
   ports.on_word = [this](const PeerWord& word) {
--- a/src/gateway/gateway_services.h
+++ b/src/gateway/gateway_services.h
@@ -76,6 +76,8 @@
   std::function<std::optional<TimePoint>()> stops_at;
   // Returns how many peers have something more urgent waiting.
   std::function<int(Urgency)> peers_ahead;
+  // Returns the least work that waits at any peer and can no longer be in time.
+  std::function<std::optional<FractionalMillis>()> peers_late_work;
   // Called when a long prompt was placed, was read, or began to wait: peers
   // should hear of it soon.
   std::function<void()> on_load_changed;
