--- a/include/harecrank/core/placement.h
+++ b/include/harecrank/core/placement.h
@@ -1,10 +1,9 @@
 // Which endpoint takes a request, and which others help to read its prompt.
 //
 // Short prompts are packed onto as few engines as keep them in time, from one
-// end of an order that all hosts share. Long ones are read in parts by several
-// of the others, and wait while those have enough to read. So a short request
-// rarely waits while an engine reads a long prompt, and a long one does not
-// wait for its whole reading time. docs/PLATFORM.md gives the figures.
+// end of an order that all hosts share. Long ones are read in parts, each as
+// large as the streams of its engine bear (reader_choice.h), and wait while
+// there are too few such engines. docs/DECISIONS.md gives the figures.
 
 #ifndef HARECRANK_CORE_PLACEMENT_H_
 #define HARECRANK_CORE_PLACEMENT_H_
--- a/src/core/reader_choice_test.cc
+++ b/src/core/reader_choice_test.cc
@@ -23,9 +23,9 @@
 class ReadersFixture {
  protected:
   ReadersFixture() {
-    constexpr int kEngines = 6;
+    constexpr std::size_t kEngines = 6;
     records_.resize(kEngines);
-    for (int i = 0; i < kEngines; ++i) {
+    for (std::size_t i = 0; i < kEngines; ++i) {
       records_[i].id = EndpointId{"e" + std::to_string(i)};
       EngineCandidate candidate;
       candidate.record = &records_[i];
@@ -40,7 +40,7 @@
     prompt_.tightest_gap = kTightestGap;
   }
 
-  void AddStreams(int engine, int count, FractionalMillis gap) {
+  void AddStreams(std::size_t engine, int count, FractionalMillis gap) {
     EndpointLoad& load = candidates_[engine].load;
     (gap <= kTightestGap ? load.short_members : load.long_members) += count;
     load.tightest_gap = gap;
@@ -106,7 +106,7 @@
 
 TEST_CASE_METHOD(ReadersFixture,
                  "Engines kept for short requests read small parts only") {
-  for (int i = 0; i < 5; ++i) {
+  for (std::size_t i = 0; i < 5; ++i) {
     candidates_[i].for_short = true;
   }
   prompt_.whole = FractionalMillis(6 * 140);
@@ -126,7 +126,7 @@
 // One that is late can no longer be in time, and read whole by one engine it
 // makes the next ones late.
 TEST_CASE_METHOD(ReadersFixture, "A late prompt is cut like others") {
-  for (int i = 1; i < 6; ++i) {
+  for (std::size_t i = 1; i < 6; ++i) {
     candidates_[i].load.unread_parts = 1;
   }
   prompt_.whole = FractionalMillis(4000);
--- a/tests/documentation_test.cc
+++ b/tests/documentation_test.cc
@@ -92,6 +92,12 @@
         return {};
       },
       [&](const SettingsError& error) { check(Describe(error)); }, [] {});
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_CHECK(ParseGatewaySettings("{\"placement\": {\"x\": 1}}"));
+        return {};
+      },
+      [&](const SettingsError& error) { check(Describe(error)); }, [] {});
 }
 
 }  // namespace
