One copy of what counts as a tight gap; two test comments say their purpose

IsTightGap serves both places now; assertions and behaviour are as they were. Ruled out for now: one constant for the interval of peers' words, which core cannot take from the gateway.

--- a/include/harecrank/core/reader_choice.h
+++ b/include/harecrank/core/reader_choice.h
@@ -56,6 +56,10 @@
   FractionalMillis part{0};
 };
 
+// Returns whether a stream with `gap` counts as one with the tightest gap of
+// its service.
+bool IsTightGap(FractionalMillis gap, FractionalMillis tightest_gap);
+
 // Returns how much of an engine's memory may still be given away.
 Tokens FreeMemory(const EngineProfile& engine, const EndpointLoad& load);
 
--- a/src/core/endpoint_health_test.cc
+++ b/src/core/endpoint_health_test.cc
@@ -27,8 +27,8 @@
   CHECK_FALSE(health_.IsSuspect(kEngine));
 }
 
-// Seen on the bench: streams that paused behind a long prompt closed the
-// engines that read it, and the rest were given more than they could read.
+// Otherwise streams that pause behind a long prompt close the engines that
+// read it, and the rest are given more than they can read.
 TEST_CASE_METHOD(HealthFixture,
                  "An overdue request tells nothing of an endpoint that was "
                  "heard from since") {
--- a/src/core/endpoint_loads_test.cc
+++ b/src/core/endpoint_loads_test.cc
@@ -38,8 +38,8 @@
   CHECK(loads_.Own().empty());
 }
 
-// Seen on the bench: a host took an engine for open when the prediction said
-// so, while the part was still being read.
+// Otherwise a host takes an engine for open when the prediction says so, while
+// the part is still being read.
 TEST_CASE_METHOD(LoadsFixture,
                  "A long part counts until its first event, and not until its "
                  "prediction has run out") {
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -11,8 +11,6 @@
 namespace harecrank {
 namespace {
 
-// Routes whose gap is at most this multiple of the tightest count as tight.
-constexpr double kTightFactor = 1.5;
 // Short requests never push long ones off more engines than this share.
 constexpr double kMostShortShare = 0.9;
 // The spread of the random part of a plain endpoint's load, in requests, so
@@ -44,8 +42,8 @@
 }
 
 bool IsTight(const PlacementRequest& request) {
-  return FractionalMillis(request.route->target_gap) <=
-         kTightFactor * FractionalMillis(request.tightest_gap);
+  return IsTightGap(FractionalMillis(request.route->target_gap),
+                    FractionalMillis(request.tightest_gap));
 }
 
 }  // namespace
--- a/src/core/reader_choice.cc
+++ b/src/core/reader_choice.cc
@@ -145,7 +145,7 @@
       const EngineCandidate& candidate) const {
     const EndpointLoad& load = candidate.load;
     const bool fits = !(FreeMemory(engine_, load) < prompt_.needed);
-    const bool tight = prompt_.gap <= kTightFactor * prompt_.tightest_gap;
+    const bool tight = IsTightGap(prompt_.gap, prompt_.tightest_gap);
     const bool beside_short = PlaceOf(candidate) == Place::kBesideShort;
     const bool full = load.long_members >= policy_.packed_writers;
     const double packed = fits && !full ? load.long_members : 0;
@@ -160,6 +160,10 @@
 
 }  // namespace
 
+bool IsTightGap(FractionalMillis gap, FractionalMillis tightest_gap) {
+  return gap <= kTightFactor * tightest_gap;
+}
+
 Tokens FreeMemory(const EngineProfile& engine, const EndpointLoad& load) {
   const auto most = static_cast<std::int64_t>(
       kMemoryShare * static_cast<double>(engine.memory.value));
