--- a/include/harecrank/core/endpoint_loads.h
+++ b/include/harecrank/core/endpoint_loads.h
@@ -1,15 +1,13 @@
-// What is under way at each endpoint, as far as this host knows.
+// What is under way at each endpoint, as far as its owner knows.
 //
-// It knows its own requests exactly, and those of its peers from what they
-// tell a few times a second. Reports of the endpoints themselves are older
-// than that and cost a call each.
+// A host knows its own requests, a planner those of all hosts. Reports of the
+// endpoints themselves are older than that and cost a call each.
 
 #ifndef HARECRANK_CORE_ENDPOINT_LOADS_H_
 #define HARECRANK_CORE_ENDPOINT_LOADS_H_
 
 #include <cstdint>
 #include <deque>
-#include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -47,16 +45,25 @@
   int Members() const { return short_members + long_members; }
 };
 
+// What one request has under way at one endpoint.
+struct WorkPart {
+  EndpointId endpoint;
+  WorkClass work_class = WorkClass::kShort;
+  // How long the prompt, or its part, takes to read.
+  FractionalMillis read{0};
+  // Needed until it ends.
+  Tokens memory;
+  // The longest pause that keeps its stream in time; zero if it has none there.
+  Millis gap{0};
+};
+
 // Keeps the loads. Not thread-safe.
 class EndpointLoads {
  public:
   explicit EndpointLoads(MonotonicClock clock);
 
-  // Notes that work was sent to `endpoint`: a prompt or part of one that takes
-  // `read` to read, and that needs `memory` until it ends. `gap` is the longest
-  // pause that keeps its stream in time, or zero if it has none there.
-  WorkId Begin(const EndpointId& endpoint, WorkClass work_class,
-               FractionalMillis read, Tokens memory, Millis gap);
+  // Notes that work was sent to its endpoint.
+  WorkId Begin(const WorkPart& part);
 
   // Notes that the work's prompt has been read: its first event came.
   void OnRead(WorkId id);
@@ -64,28 +71,18 @@
   // Notes that the work has ended, however. Unknown ids are passed over.
   void End(WorkId id);
 
-  // Replaces what `peer` has under way. It counts for `kPeerWordHolds`.
-  void SetPeer(const NodeId& peer,
-               std::unordered_map<EndpointId, EndpointLoad> loads);
-
-  // Returns the load of one endpoint, own and peers' work together.
+  // Returns the load of one endpoint.
   EndpointLoad Of(const EndpointId& endpoint) const;
 
   // Returns how many short requests are under way at all endpoints.
-  int ShortMembers() const;
+  int ShortMembers() const { return short_members_; }
 
-  // Returns how much reading this host has lately begun for short requests, in
+  // Returns how much reading has lately been begun for short requests, in
   // engine time for each time: 1 keeps one engine reading all the time.
   double ShortReadingRate() const;
 
-  // Returns this host's own work, for its peers.
-  std::unordered_map<EndpointId, EndpointLoad> Own() const;
-
-  // How long a peer's word counts: several of the intervals at which peers
-  // tell, so that one lost datagram changes nothing.
-  static constexpr Millis kPeerWordHolds{1500};
-  // Over how long the rate of short requests is taken: a few of the intervals
-  // at which peers tell, so that a wave of them is seen while it arrives.
+  // Over how long the rate of short requests is taken: short, so that a wave of
+  // them is seen while it arrives.
   static constexpr Millis kRateWindow{200};
   // What takes this long to read counts as a part: about as long as the parts
   // that prompts are cut into.
@@ -93,11 +90,7 @@
 
  private:
   struct Work {
-    EndpointId endpoint;
-    WorkClass work_class = WorkClass::kShort;
-    FractionalMillis read{0};
-    Tokens memory;
-    Millis gap{0};
+    WorkPart part;
     bool is_read = false;
   };
   struct OwnLoad {
@@ -108,11 +101,6 @@
     // Of its streams.
     std::multiset<Millis> gaps;
   };
-  struct PeerWord {
-    std::unordered_map<EndpointId, EndpointLoad> loads;
-    TimePoint heard;
-  };
-
   struct ShortRead {
     TimePoint begun;
     FractionalMillis read{0};
@@ -126,7 +114,7 @@
   std::uint64_t next_id_ = 1;
   std::unordered_map<WorkId, Work> work_;
   std::unordered_map<EndpointId, OwnLoad> own_;
-  std::map<NodeId, PeerWord> peers_;
+  int short_members_ = 0;
   // Of the last kRateWindow, and older ones until the next short request.
   std::deque<ShortRead> short_reads_;
 };
--- /dev/null
+++ b/include/harecrank/core/fleet_messages.h
@@ -0,0 +1,161 @@
+// What entry hosts tell each other, by datagram.
+//
+// One host of a group plans for all of it. The others ask it for a place for
+// each prompt, note what became of it, and tell a few times a second what they
+// have under way, so that a planner that is new learns everything from the
+// hosts themselves. Any message may be lost or come twice.
+
+#ifndef HARECRANK_CORE_FLEET_MESSAGES_H_
+#define HARECRANK_CORE_FLEET_MESSAGES_H_
+
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "harecrank/core/endpoint_directory.h"
+#include "harecrank/core/endpoint_health.h"
+#include "harecrank/core/endpoint_loads.h"
+#include "harecrank/core/routing_table.h"
+#include "harecrank/core/strong_types.h"
+
+namespace harecrank {
+
+// Names a host: IP number and port where it answers operators and other hosts.
+using HostAddress = StrongString<struct HostAddressTag>;
+
+// Names one place that a host asked for. Never used twice in one life of it.
+using AskId = StrongNumber<struct AskTag, std::uint64_t>;
+
+// The processor share of a host's machine. Strong hosts plan for weak ones.
+using HostPower = StrongNumber<struct HostPowerTag, double>;
+
+// A host that another one knows.
+struct KnownHost {
+  HostAddress address;
+  HostPower power;
+};
+
+// What a host has under way by one ask.
+struct AskedWork {
+  AskId id;
+  // The first event has come.
+  bool is_read = false;
+  // Of the endpoint first, then of the helpers.
+  std::vector<WorkPart> parts;
+};
+
+// A host's account of itself.
+struct HostWord {
+  NodeId node;
+  HostAddress address;
+  Incarnation life;
+  HostPower power;
+  RoutingVersion routing;
+  StoreRevision known_up_to;
+  // The platform answers it, or it hears from a host that the platform answers.
+  bool source_well = false;
+  // Whom it takes for the planner; itself if it plans. Empty if it knows none.
+  HostAddress planner;
+  // It is about to stop, and plans no more.
+  bool leaving = false;
+  bool wants_reply = false;
+  // How many hosts it knows to be alive, itself among them.
+  int alive_hosts = 1;
+  // Some that it knows to be alive.
+  std::vector<KnownHost> hosts;
+  // Endpoints that it leaves alone by what it has seen itself.
+  std::vector<AvoidedEndpoint> avoided;
+  // All that it has under way; nothing where the word does not tell that.
+  std::optional<std::vector<AskedWork>> work;
+};
+
+// Asks the planner for a place.
+struct PlaceAsk {
+  HostAddress host;
+  Incarnation life;
+  AskId id;
+  ServiceName service;
+  Millis target_latency{0};
+  Millis target_gap{0};
+  Tokens prompt;
+  Tokens answer;
+  // What is left until the first event is late; negative if it is.
+  FractionalMillis until_late{0};
+  // An endpoint may have run it already: it is not refused while it waits.
+  bool may_have_run = false;
+  std::set<EndpointId> tried;
+};
+
+// A helper and how much of the prompt's memory lies there.
+struct PlannedHelper {
+  EndpointId endpoint;
+  Tokens held;
+};
+
+// Where the request goes.
+struct PlannedPlacement {
+  EndpointId endpoint;
+  std::vector<PlannedHelper> helpers;
+  WorkClass work_class = WorkClass::kShort;
+  FractionalMillis read{0};
+  FractionalMillis first_event{0};
+  std::size_t candidates = 0;
+};
+
+// The ask stands in the planner's queue; a place follows when there is one.
+struct AskWaits {};
+// It would wait in vain.
+struct AskRefused {};
+// No endpoint of the service may be used.
+struct NoEndpoint {};
+// The host that was asked does not plan. Names the one that it takes for the
+// planner; empty if it knows none.
+struct NotPlanner {
+  HostAddress planner;
+};
+using PlaceDecision = std::variant<PlannedPlacement, AskWaits, AskRefused,
+                                   NoEndpoint, NotPlanner>;
+
+// The planner's answer.
+struct PlaceAnswer {
+  HostAddress from;
+  Incarnation life;
+  AskId id;
+  PlaceDecision decision;
+};
+
+// The first event of a request came.
+struct ReadNote {
+  AskId id;
+  // How long that took in relation to the prediction.
+  double pace = 1;
+};
+// A request ended, however.
+struct EndNote {
+  AskId id;
+  // Its endpoint answered with a failure or broke off.
+  bool failed = false;
+};
+
+// Tells the planner what became of places that it gave.
+struct WorkNote {
+  HostAddress host;
+  Incarnation life;
+  std::vector<ReadNote> read;
+  std::vector<EndNote> ended;
+};
+
+using FleetMessage = std::variant<HostWord, PlaceAsk, PlaceAnswer, WorkNote>;
+
+// Returns `message` as CBOR.
+std::string EncodeFleetMessage(const FleetMessage& message);
+
+// Reads what EncodeFleetMessage wrote. Returns nothing if `bytes` is no such
+// message.
+std::optional<FleetMessage> DecodeFleetMessage(const std::string& bytes);
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_CORE_FLEET_MESSAGES_H_
--- /dev/null
+++ b/include/harecrank/core/host_book.h
@@ -0,0 +1,134 @@
+// The hosts that this one knows, and which of them plans for all.
+//
+// Every host derives the planner from what it has heard: of the hosts that say
+// that they plan, the one of highest rank; if none does, the host of highest
+// rank that seems to be alive. Hosts that see different memberships for a while
+// follow different planners, place worse for that time and break nothing.
+
+#ifndef HARECRANK_CORE_HOST_BOOK_H_
+#define HARECRANK_CORE_HOST_BOOK_H_
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "harecrank/core/clock.h"
+#include "harecrank/core/fleet_messages.h"
+
+namespace harecrank {
+
+// Not thread-safe.
+class HostBook {
+ public:
+  // `seeds` may be stale.
+  HostBook(KnownHost self, std::vector<HostAddress> seeds, MonotonicClock clock,
+           RandomSource random);
+
+  void SetSeeds(std::vector<HostAddress> seeds);
+
+  // Notes a host's word. Returns whether the host was not known as alive.
+  bool OnWord(const HostWord& word);
+
+  // Notes that another message came from `host`.
+  void OnHeard(const HostAddress& host);
+
+  // Notes that `host` left questions unanswered for longer than it may.
+  void OnSilent(const HostAddress& host);
+
+  // Notes that `host` does not plan, and takes `planner` for the planner.
+  void OnRedirect(const HostAddress& host, const HostAddress& planner);
+
+  // This host is about to stop: it plans no more.
+  void Leave();
+  bool IsLeaving() const { return leaving_; }
+
+  // Returns the host that plans; nothing if it is not known yet.
+  std::optional<HostAddress> Planner();
+
+  // Returns whether this host plans.
+  bool IsPlanner() { return Planner() == self_.address; }
+
+  // Returns hosts beside the planner to tell this host's word now: seeds and
+  // known hosts while no planner is known, and a stranger now and then, so that
+  // two parts of a fleet that follow different planners find each other.
+  std::vector<HostAddress> Strangers() const;
+
+  // Returns all other hosts that are known to be alive.
+  std::vector<HostAddress> AliveOthers() const;
+
+  // Returns what to tell `reader` of: all hosts if it may plan next, otherwise
+  // those of highest rank and a few more.
+  std::vector<KnownHost> HostsFor(const HostAddress& reader) const;
+
+  // Returns the host that was heard lately and knows the most, if that is more
+  // than `routing` and `known_up_to`; nothing otherwise.
+  std::optional<HostAddress> BetterInformed(RoutingVersion routing,
+                                            StoreRevision known_up_to) const;
+
+  // Returns how many hosts are alive, this one among them, by what reached this
+  // host itself: what a word may tell.
+  int CountedHosts() const;
+
+  // Returns the most that this host has counted or was lately told.
+  int AliveHosts() const;
+
+  // How long a host counts as alive after its last word: many times the pause
+  // between two words.
+  static constexpr Millis kAliveFor{3000};
+  // How long a silent host is not taken for the planner, unless it is heard.
+  static constexpr Millis kSuspectFor{2000};
+  // A host that has just started waits so long for word of a planner before it
+  // takes one by rank. Hosts of a fleet start within 0.3 s of each other.
+  static constexpr Millis kSettles{500};
+  // Those that may plan next: so many fail together without a search.
+  static constexpr std::size_t kSuccessors = 3;
+  // How many other hosts are named beside them.
+  static constexpr std::size_t kNamedBeside = 4;
+  // How many hosts are asked at a time while no planner is known.
+  static constexpr std::size_t kAskedAtStart = 6;
+
+ private:
+  struct Host {
+    HostPower power;
+    RoutingVersion routing;
+    StoreRevision known_up_to;
+    bool source_well = false;
+    bool leaving = false;
+    HostAddress planner;
+    int alive_hosts = 0;
+    // When it was heard, when another host vouched for it, and until when it
+    // is suspect.
+    TimePoint heard{};
+    TimePoint vouched{};
+    TimePoint suspect_until{};
+  };
+
+  // Sorts before another if it is the better planner.
+  using Rank = std::pair<double, std::uint64_t>;
+  static Rank RankOf(const HostAddress& address, HostPower power);
+
+  bool IsRecent(TimePoint time) const;
+  bool IsAlive(const Host& host) const;
+  // Whether it may be taken for the planner.
+  bool IsEligible(const Host& host) const;
+  std::optional<HostAddress> BestClaimant() const;
+  std::optional<HostAddress> BestCandidate() const;
+  std::vector<KnownHost> AliveByRank() const;
+  void DropForgotten();
+
+  KnownHost self_;
+  std::vector<HostAddress> seeds_;
+  MonotonicClock clock_;
+  RandomSource random_;
+  TimePoint started_;
+  bool leaving_ = false;
+  // This host plans, or would if no better one said that it does.
+  bool claims_ = false;
+  // It has known a planner in this life.
+  bool has_followed_ = false;
+  std::map<HostAddress, Host> hosts_;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_CORE_HOST_BOOK_H_
--- a/include/harecrank/core/placement.h
+++ b/include/harecrank/core/placement.h
@@ -19,6 +19,7 @@
 #include "harecrank/core/endpoint_directory.h"
 #include "harecrank/core/endpoint_health.h"
 #include "harecrank/core/endpoint_loads.h"
+#include "harecrank/core/fleet_messages.h"
 #include "harecrank/core/placement_policy.h"
 #include "harecrank/core/reader_choice.h"
 #include "harecrank/core/routing_table.h"
@@ -27,8 +28,11 @@
 
 // What a decision needs to know of a request.
 struct PlacementRequest {
-  const RouteRule* route = nullptr;
   const ServiceProfile* service = nullptr;
+  // Within this the first event is in time, and the longest pause between
+  // events that still is.
+  Millis target_latency{0};
+  Millis target_gap{0};
   // Zero where the request tells no tokens.
   Tokens prompt;
   // The likely length of the answer.
@@ -62,8 +66,6 @@
   std::size_t candidates = 0;
 };
 
-// No endpoint of the service may be used.
-struct NoEndpoint {};
 // All engines that could read the prompt have enough to read for now.
 struct EnginesBusy {};
 using PlacementResult = std::variant<Placement, NoEndpoint, EnginesBusy>;
@@ -72,13 +74,27 @@
 // that needs `needed` tokens, even if it holds nothing else.
 bool IsOversize(const ServiceProfile& service, Tokens needed);
 
+// Returns what `placement` puts under way, the endpoint's part first.
+std::vector<WorkPart> PartsOf(const Placement& placement,
+                              const PlacementRequest& request);
+
+// Whose work the loads tell.
+enum class LoadsOf {
+  // All hosts' work: engines are packed from one end of a shared order.
+  kAllHosts,
+  // This host's alone. Hosts that see the same empty engines would all choose
+  // the same, so each has an order of its own and packs nothing.
+  kThisHost
+};
+
 // Chooses endpoints. Not thread-safe; reads what it was built on.
 class Placer {
  public:
   // All of them must outlive this. `self` is this host's data centre. `hosts`
-  // returns how many hosts place requests, this one among them.
+  // returns how many hosts place requests without knowing of each other's, this
+  // one among them.
   Placer(const EndpointDirectory* directory, const EndpointLoads* loads,
-         const EndpointHealth* health, DataCentreId self,
+         const EndpointHealth* health, DataCentreId self, LoadsOf loads_of,
          std::function<int()> hosts, const PlacementPolicy& policy,
          RandomSource random);
 
@@ -87,7 +103,7 @@
  private:
   std::vector<EngineCandidate> CandidatesFor(
       const PlacementRequest& request) const;
-  static void SortInSharedOrder(std::vector<EngineCandidate>* candidates);
+  void SortInOrder(std::vector<EngineCandidate>* candidates) const;
   Placement ChoosePlain(const std::vector<EngineCandidate>& candidates) const;
   Placement ChooseShort(const PlacementRequest& request,
                         const std::vector<EngineCandidate>& in_order) const;
@@ -113,6 +129,9 @@
   const EndpointLoads* loads_;
   const EndpointHealth* health_;
   DataCentreId self_;
+  LoadsOf loads_of_;
+  // The key of the order of engines: of all hosts, or of this one.
+  std::string order_key_;
   std::function<int()> hosts_;
   PlacementPolicy policy_;
   RandomSource random_;
--- /dev/null
+++ b/include/harecrank/core/planner.h
@@ -0,0 +1,130 @@
+// Gives places to the prompts of all hosts of a group.
+//
+// The load that it answers: long prompts that want many engines at once, among
+// waves of short ones that arrive at a hundred hosts. Hosts that each know a
+// part of that, late, all choose the engine that looked free first, and a
+// prompt that wants sixteen engines finds some of them just taken. One host
+// that gives every place knows all of it at once.
+//
+// All that it knows is soft: hosts tell what they have under way, and what no
+// host tells of is forgotten.
+
+#ifndef HARECRANK_CORE_PLANNER_H_
+#define HARECRANK_CORE_PLANNER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "harecrank/core/clock.h"
+#include "harecrank/core/endpoint_directory.h"
+#include "harecrank/core/endpoint_health.h"
+#include "harecrank/core/endpoint_loads.h"
+#include "harecrank/core/fleet_messages.h"
+#include "harecrank/core/placement.h"
+#include "harecrank/core/routing_table.h"
+#include "harecrank/core/waiting_room.h"
+
+namespace harecrank {
+
+// A place for an ask that waited.
+struct DuePlace {
+  HostAddress host;
+  Incarnation life;
+  AskId id;
+  PlaceDecision decision;
+};
+
+// Returns the routing table in force, or null.
+using RoutingSource = std::function<std::shared_ptr<const RoutingTable>()>;
+
+// Not thread-safe.
+class Planner {
+ public:
+  // All of them must outlive this.
+  Planner(const EndpointDirectory* directory, EndpointHealth* health,
+          DataCentreId self, RoutingSource routing,
+          const PlacementPolicy& policy, MonotonicClock clock,
+          RandomSource random);
+
+  // Decides on an ask. The same ask once more gets the same answer.
+  PlaceDecision OnAsk(const PlaceAsk& ask);
+
+  // Takes what became of places.
+  void OnNote(const WorkNote& note);
+
+  // Takes a host's account of what it has under way, which replaces what was
+  // known of it, but for places so new that the account may have crossed them.
+  void OnWord(const HostWord& word);
+
+  // Tries those that wait, first to last, and returns those that start.
+  std::vector<DuePlace> TryWaiting();
+
+  // Forgets hosts that have been silent for kHostHolds.
+  void DropSilent();
+
+  // Forgets everything: another host plans now.
+  void Clear();
+
+  std::size_t WaitingCount() const { return room_.Count(); }
+  std::size_t HostCount() const { return hosts_.size(); }
+
+  // How long a silent host's work counts: engines end it soon after the host's
+  // connections have closed.
+  static constexpr Millis kHostHolds{1500};
+  // A place that is as new as this may not have reached its host when the host
+  // gave its account.
+  static constexpr Millis kUntold{400};
+  // An ask that waits and is not repeated for this long was given up: several
+  // times the pause between two repetitions.
+  static constexpr Millis kAskHolds{1000};
+
+ private:
+  struct Entry {
+    PlaceAsk ask;
+    TimePoint late_at{};
+    TimePoint asked_at{};
+    TimePoint placed_at{};
+    std::optional<WaiterId> waiter;
+    std::optional<PlannedPlacement> placed;
+    std::vector<WorkId> work;
+    EndpointId endpoint;
+  };
+  struct Host {
+    Incarnation life;
+    TimePoint heard{};
+    std::unordered_map<AskId, Entry> asks;
+  };
+  struct AskKey {
+    HostAddress host;
+    AskId id;
+  };
+
+  Host* HostOf(const HostAddress& address, Incarnation life);
+  // Returns nothing if all engines that could take it are busy.
+  std::optional<PlaceDecision> TryPlace(Entry* entry);
+  std::optional<PlacementRequest> RequestOf(const Entry& entry) const;
+  bool WaitsInVain(const PlaceAsk& ask, const PlacementRequest& request) const;
+  void Wait(Entry* entry, const PlacementRequest& request);
+  void Adopt(Host* host, const AskedWork& work);
+  void DropEntry(Entry* entry);
+  void DropAsks(Host* host);
+
+  const EndpointDirectory* directory_;
+  EndpointHealth* health_;
+  RoutingSource routing_;
+  PlacementPolicy policy_;
+  MonotonicClock clock_;
+  EndpointLoads loads_;
+  Placer placer_;
+  WaitingRoom room_;
+  std::map<WaiterId, AskKey> waiting_;
+  std::map<HostAddress, Host> hosts_;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_CORE_PLANNER_H_
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -16,6 +16,7 @@
 constexpr std::int64_t kMostQueue = 1000000;
 constexpr std::int64_t kMostBytes = 64LL << 20;
 constexpr double kMostRepeats = 1e6;
+constexpr double kMostPower = 1024;
 constexpr std::int64_t kMostDescriptors = 1LL << 24;
 
 struct Describer {
@@ -338,6 +339,7 @@
   reader.Seconds("repeat_window_s", &settings.repeat_bound.window);
   reader.Seconds("stop_limit_s", &settings.stop_limit);
   reader.Count("descriptors", 1, kMostDescriptors, &settings.descriptors);
+  reader.Fraction("power", 0, kMostPower, &settings.power);
   reader.Section("placement", [&settings](SettingsReader* section) {
     ReadPlacement(section, &settings.placement);
   });
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -83,6 +83,8 @@
   Millis stop_limit{8000};
   // Descriptors that this process may have open.
   std::size_t descriptors = 1024;
+  // The share of a core that this host has: the strongest plans for the fleet.
+  double power = 1;
   PlacementPolicy placement;
 };
 
--- a/src/core/endpoint_loads.cc
+++ b/src/core/endpoint_loads.cc
@@ -18,20 +18,6 @@
   return nullptr;
 }
 
-void Add(EndpointLoad* sum, const EndpointLoad& part) {
-  sum->read_backlog += part.read_backlog;
-  sum->unread_parts += part.unread_parts;
-  sum->short_members += part.short_members;
-  sum->long_members += part.long_members;
-  sum->memory = sum->memory + part.memory;
-  const FractionalMillis none(0);
-  if (sum->tightest_gap == none) {
-    sum->tightest_gap = part.tightest_gap;
-  } else if (part.tightest_gap > none) {
-    sum->tightest_gap = std::min(sum->tightest_gap, part.tightest_gap);
-  }
-}
-
 std::chrono::steady_clock::duration ToSteady(FractionalMillis time) {
   return std::chrono::duration_cast<std::chrono::steady_clock::duration>(time);
 }
@@ -40,23 +26,23 @@
 
 EndpointLoads::EndpointLoads(MonotonicClock clock) : clock_(std::move(clock)) {}
 
-WorkId EndpointLoads::Begin(const EndpointId& endpoint, WorkClass work_class,
-                            FractionalMillis read, Tokens memory, Millis gap) {
+WorkId EndpointLoads::Begin(const WorkPart& part) {
   const WorkId id{next_id_++};
-  work_.emplace(id, Work{endpoint, work_class, read, memory, gap, false});
-  OwnLoad& own = own_[endpoint];
-  own.read_until = std::max(own.read_until, clock_()) + ToSteady(read);
+  work_.emplace(id, Work{part, false});
+  OwnLoad& own = own_[part.endpoint];
+  own.read_until = std::max(own.read_until, clock_()) + ToSteady(part.read);
   ++own.unread;
-  if (gap > Millis(0)) {
-    own.gaps.insert(gap);
+  if (part.gap > Millis(0)) {
+    own.gaps.insert(part.gap);
   }
-  own.load.unread_parts += read >= kLongPart ? 1 : 0;
-  own.load.memory = own.load.memory + memory;
-  if (int* members = MembersOf(&own.load, work_class)) {
+  own.load.unread_parts += part.read >= kLongPart ? 1 : 0;
+  own.load.memory = own.load.memory + part.memory;
+  if (int* members = MembersOf(&own.load, part.work_class)) {
     ++*members;
   }
-  if (work_class == WorkClass::kShort) {
-    NoteShortRead(read);
+  if (part.work_class == WorkClass::kShort) {
+    ++short_members_;
+    NoteShortRead(part.read);
   }
   return id;
 }
@@ -94,70 +80,27 @@
   }
   Work& work = found->second;
   MarkRead(&work);
-  OwnLoad& own = own_[work.endpoint];
-  own.load.memory = own.load.memory - work.memory;
-  if (const auto gap = own.gaps.find(work.gap); gap != own.gaps.end()) {
+  const WorkPart& part = work.part;
+  OwnLoad& own = own_[part.endpoint];
+  own.load.memory = own.load.memory - part.memory;
+  if (const auto gap = own.gaps.find(part.gap); gap != own.gaps.end()) {
     own.gaps.erase(gap);
   }
-  if (int* members = MembersOf(&own.load, work.work_class)) {
+  if (int* members = MembersOf(&own.load, part.work_class)) {
     --*members;
   }
+  if (part.work_class == WorkClass::kShort) {
+    --short_members_;
+  }
   if (own.unread == 0 && own.load.Members() == 0) {
-    own_.erase(work.endpoint);
+    own_.erase(part.endpoint);
   }
   work_.erase(found);
 }
 
-void EndpointLoads::SetPeer(
-    const NodeId& peer, std::unordered_map<EndpointId, EndpointLoad> loads) {
-  peers_[peer] = PeerWord{std::move(loads), clock_()};
-}
-
 EndpointLoad EndpointLoads::Of(const EndpointId& endpoint) const {
-  const TimePoint now = clock_();
-  EndpointLoad sum;
   const auto own = own_.find(endpoint);
-  if (own != own_.end()) {
-    sum = OwnAt(own->second, now);
-  }
-  for (const auto& [peer, word] : peers_) {
-    const auto told = word.loads.find(endpoint);
-    if (now - word.heard > kPeerWordHolds || told == word.loads.end()) {
-      continue;
-    }
-    EndpointLoad load = told->second;
-    load.read_backlog =
-        std::max(FractionalMillis(0),
-                 FractionalMillis(load.read_backlog - (now - word.heard)));
-    Add(&sum, load);
-  }
-  return sum;
-}
-
-int EndpointLoads::ShortMembers() const {
-  const TimePoint now = clock_();
-  int members = 0;
-  for (const auto& [endpoint, own] : own_) {
-    members += own.load.short_members;
-  }
-  for (const auto& [peer, word] : peers_) {
-    if (now - word.heard > kPeerWordHolds) {
-      continue;
-    }
-    for (const auto& [endpoint, load] : word.loads) {
-      members += load.short_members;
-    }
-  }
-  return members;
-}
-
-std::unordered_map<EndpointId, EndpointLoad> EndpointLoads::Own() const {
-  const TimePoint now = clock_();
-  std::unordered_map<EndpointId, EndpointLoad> loads;
-  for (const auto& [endpoint, own] : own_) {
-    loads.emplace(endpoint, OwnAt(own, now));
-  }
-  return loads;
+  return own == own_.end() ? EndpointLoad{} : OwnAt(own->second, clock_());
 }
 
 EndpointLoad EndpointLoads::OwnAt(const OwnLoad& own, TimePoint now) const {
@@ -175,9 +118,9 @@
     return;
   }
   work->is_read = true;
-  OwnLoad& own = own_[work->endpoint];
+  OwnLoad& own = own_[work->part.endpoint];
   --own.unread;
-  own.load.unread_parts -= work->read >= kLongPart ? 1 : 0;
+  own.load.unread_parts -= work->part.read >= kLongPart ? 1 : 0;
   if (own.unread == 0) {
     own.read_until = clock_();
   }
--- /dev/null
+++ b/src/core/fleet_messages.cc
@@ -0,0 +1,341 @@
+#include "harecrank/core/fleet_messages.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace harecrank {
+namespace {
+
+using nlohmann::json;
+
+// The first element of each message. Kept small: an ask is sent for each
+// request.
+enum class Kind { kWord = 1, kAsk = 2, kAnswer = 3, kNote = 4 };
+
+// The first element of a decision.
+enum class DecisionKind {
+  kPlaced = 1,
+  kWaits = 2,
+  kRefused = 3,
+  kNoEndpoint = 4,
+  kNotPlanner = 5
+};
+
+// A number that stands for none of the kinds that this version knows.
+struct UnknownNumber {};
+
+// Takes the elements of an array one after the other. Throws json::exception
+// where one is missing or of another type.
+class ArrayReader {
+ public:
+  explicit ArrayReader(const json& array) : array_(array) {}
+
+  const json& Next() { return array_.at(next_++); }
+
+  template <typename T>
+  T Take() {
+    return Next().get<T>();
+  }
+
+  template <typename T>
+  T TakeString() {
+    return T{Take<std::string>()};
+  }
+
+  template <typename T>
+  T TakeNumber() {
+    return T{Take<decltype(T::value)>()};
+  }
+
+  Millis TakeMillis() { return Millis(Take<std::int64_t>()); }
+  FractionalMillis TakeTime() { return FractionalMillis(Take<double>()); }
+
+  // Calls `read` with a reader of each element of an array of arrays.
+  template <typename Read>
+  void EachOf(const Read& read) {
+    for (const json& entry : Next()) {
+      ArrayReader reader(entry);
+      read(&reader);
+    }
+  }
+
+ private:
+  const json& array_;
+  std::size_t next_ = 0;
+};
+
+json EncodePart(const WorkPart& part) {
+  return json::array({part.endpoint.value, static_cast<int>(part.work_class),
+                      part.read.count(), part.memory.value, part.gap.count()});
+}
+
+WorkClass TakeWorkClass(ArrayReader* reader) {
+  const int number = reader->Take<int>();
+  if (number < static_cast<int>(WorkClass::kShort) ||
+      number > static_cast<int>(WorkClass::kHelper)) {
+    throw UnknownNumber{};
+  }
+  return static_cast<WorkClass>(number);
+}
+
+WorkPart TakePart(ArrayReader* reader) {
+  WorkPart part;
+  part.endpoint = reader->TakeString<EndpointId>();
+  part.work_class = TakeWorkClass(reader);
+  part.read = reader->TakeTime();
+  part.memory = reader->TakeNumber<Tokens>();
+  part.gap = reader->TakeMillis();
+  return part;
+}
+
+json EncodeWork(const std::vector<AskedWork>& work) {
+  json list = json::array();
+  for (const AskedWork& one : work) {
+    json parts = json::array();
+    for (const WorkPart& part : one.parts) {
+      parts.push_back(EncodePart(part));
+    }
+    list.push_back({one.id.value, one.is_read, std::move(parts)});
+  }
+  return list;
+}
+
+std::vector<AskedWork> TakeWork(ArrayReader* reader) {
+  std::vector<AskedWork> work;
+  reader->EachOf([&work](ArrayReader* entry) {
+    AskedWork one;
+    one.id = entry->TakeNumber<AskId>();
+    one.is_read = entry->Take<bool>();
+    entry->EachOf(
+        [&one](ArrayReader* part) { one.parts.push_back(TakePart(part)); });
+    work.push_back(std::move(one));
+  });
+  return work;
+}
+
+json EncodeDecision(const PlaceDecision& decision) {
+  struct Encoder {
+    json operator()(const PlannedPlacement& placed) const {
+      json helpers = json::array();
+      for (const PlannedHelper& helper : placed.helpers) {
+        helpers.push_back({helper.endpoint.value, helper.held.value});
+      }
+      return json::array(
+          {static_cast<int>(DecisionKind::kPlaced), placed.endpoint.value,
+           std::move(helpers), static_cast<int>(placed.work_class),
+           placed.read.count(), placed.first_event.count(), placed.candidates});
+    }
+    json operator()(const AskWaits& /*waits*/) const {
+      return json::array({static_cast<int>(DecisionKind::kWaits)});
+    }
+    json operator()(const AskRefused& /*refused*/) const {
+      return json::array({static_cast<int>(DecisionKind::kRefused)});
+    }
+    json operator()(const NoEndpoint& /*none*/) const {
+      return json::array({static_cast<int>(DecisionKind::kNoEndpoint)});
+    }
+    json operator()(const NotPlanner& other) const {
+      return json::array(
+          {static_cast<int>(DecisionKind::kNotPlanner), other.planner.value});
+    }
+  };
+  return std::visit(Encoder{}, decision);
+}
+
+PlannedPlacement TakePlacement(ArrayReader* reader) {
+  PlannedPlacement placed;
+  placed.endpoint = reader->TakeString<EndpointId>();
+  reader->EachOf([&placed](ArrayReader* entry) {
+    PlannedHelper helper;
+    helper.endpoint = entry->TakeString<EndpointId>();
+    helper.held = entry->TakeNumber<Tokens>();
+    placed.helpers.push_back(std::move(helper));
+  });
+  placed.work_class = TakeWorkClass(reader);
+  placed.read = reader->TakeTime();
+  placed.first_event = reader->TakeTime();
+  placed.candidates = reader->Take<std::size_t>();
+  return placed;
+}
+
+PlaceDecision TakeDecision(ArrayReader* message) {
+  ArrayReader reader(message->Next());
+  switch (static_cast<DecisionKind>(reader.Take<int>())) {
+    case DecisionKind::kPlaced:
+      return TakePlacement(&reader);
+    case DecisionKind::kWaits:
+      return AskWaits{};
+    case DecisionKind::kRefused:
+      return AskRefused{};
+    case DecisionKind::kNoEndpoint:
+      return NoEndpoint{};
+    case DecisionKind::kNotPlanner:
+      return NotPlanner{reader.TakeString<HostAddress>()};
+  }
+  throw UnknownNumber{};
+}
+
+struct MessageEncoder {
+  json operator()(const HostWord& word) const {
+    json hosts = json::array();
+    for (const KnownHost& host : word.hosts) {
+      hosts.push_back({host.address.value, host.power.value});
+    }
+    json avoided = json::array();
+    for (const AvoidedEndpoint& endpoint : word.avoided) {
+      avoided.push_back({endpoint.id.value, endpoint.left.count()});
+    }
+    json array = json::array(
+        {static_cast<int>(Kind::kWord), word.node.value, word.address.value,
+         word.life.value, word.power.value, word.routing.value,
+         word.known_up_to.value, word.source_well, word.planner.value,
+         word.leaving, word.wants_reply, word.alive_hosts, std::move(hosts),
+         std::move(avoided)});
+    if (word.work.has_value()) {
+      array.push_back(EncodeWork(*word.work));
+    }
+    return array;
+  }
+
+  json operator()(const PlaceAsk& ask) const {
+    json tried = json::array();
+    for (const EndpointId& id : ask.tried) {
+      tried.push_back(id.value);
+    }
+    return json::array(
+        {static_cast<int>(Kind::kAsk), ask.host.value, ask.life.value,
+         ask.id.value, ask.service.value, ask.target_latency.count(),
+         ask.target_gap.count(), ask.prompt.value, ask.answer.value,
+         ask.until_late.count(), ask.may_have_run, std::move(tried)});
+  }
+
+  json operator()(const PlaceAnswer& answer) const {
+    return json::array({static_cast<int>(Kind::kAnswer), answer.from.value,
+                        answer.life.value, answer.id.value,
+                        EncodeDecision(answer.decision)});
+  }
+
+  json operator()(const WorkNote& note) const {
+    json read = json::array();
+    for (const ReadNote& one : note.read) {
+      read.push_back({one.id.value, one.pace});
+    }
+    json ended = json::array();
+    for (const EndNote& one : note.ended) {
+      ended.push_back({one.id.value, one.failed});
+    }
+    return json::array({static_cast<int>(Kind::kNote), note.host.value,
+                        note.life.value, std::move(read), std::move(ended)});
+  }
+};
+
+HostWord TakeWord(ArrayReader* reader, std::size_t size) {
+  constexpr std::size_t kSizeWithoutWork = 14;
+  HostWord word;
+  word.node = reader->TakeString<NodeId>();
+  word.address = reader->TakeString<HostAddress>();
+  word.life = reader->TakeNumber<Incarnation>();
+  word.power = reader->TakeNumber<HostPower>();
+  word.routing = reader->TakeNumber<RoutingVersion>();
+  word.known_up_to = reader->TakeNumber<StoreRevision>();
+  word.source_well = reader->Take<bool>();
+  word.planner = reader->TakeString<HostAddress>();
+  word.leaving = reader->Take<bool>();
+  word.wants_reply = reader->Take<bool>();
+  word.alive_hosts = reader->Take<int>();
+  reader->EachOf([&word](ArrayReader* entry) {
+    KnownHost host;
+    host.address = entry->TakeString<HostAddress>();
+    host.power = entry->TakeNumber<HostPower>();
+    word.hosts.push_back(std::move(host));
+  });
+  reader->EachOf([&word](ArrayReader* entry) {
+    AvoidedEndpoint endpoint;
+    endpoint.id = entry->TakeString<EndpointId>();
+    endpoint.left = entry->TakeMillis();
+    word.avoided.push_back(std::move(endpoint));
+  });
+  if (size > kSizeWithoutWork) {
+    word.work = TakeWork(reader);
+  }
+  return word;
+}
+
+PlaceAsk TakeAsk(ArrayReader* reader) {
+  PlaceAsk ask;
+  ask.host = reader->TakeString<HostAddress>();
+  ask.life = reader->TakeNumber<Incarnation>();
+  ask.id = reader->TakeNumber<AskId>();
+  ask.service = reader->TakeString<ServiceName>();
+  ask.target_latency = reader->TakeMillis();
+  ask.target_gap = reader->TakeMillis();
+  ask.prompt = reader->TakeNumber<Tokens>();
+  ask.answer = reader->TakeNumber<Tokens>();
+  ask.until_late = reader->TakeTime();
+  ask.may_have_run = reader->Take<bool>();
+  for (const json& id : reader->Next()) {
+    ask.tried.insert(EndpointId{id.get<std::string>()});
+  }
+  return ask;
+}
+
+PlaceAnswer TakeAnswer(ArrayReader* reader) {
+  PlaceAnswer answer;
+  answer.from = reader->TakeString<HostAddress>();
+  answer.life = reader->TakeNumber<Incarnation>();
+  answer.id = reader->TakeNumber<AskId>();
+  answer.decision = TakeDecision(reader);
+  return answer;
+}
+
+WorkNote TakeNote(ArrayReader* reader) {
+  WorkNote note;
+  note.host = reader->TakeString<HostAddress>();
+  note.life = reader->TakeNumber<Incarnation>();
+  reader->EachOf([&note](ArrayReader* entry) {
+    ReadNote one;
+    one.id = entry->TakeNumber<AskId>();
+    one.pace = entry->Take<double>();
+    note.read.push_back(one);
+  });
+  reader->EachOf([&note](ArrayReader* entry) {
+    EndNote one;
+    one.id = entry->TakeNumber<AskId>();
+    one.failed = entry->Take<bool>();
+    note.ended.push_back(one);
+  });
+  return note;
+}
+
+}  // namespace
+
+std::string EncodeFleetMessage(const FleetMessage& message) {
+  std::string bytes;
+  json::to_cbor(std::visit(MessageEncoder{}, message), bytes);
+  return bytes;
+}
+
+std::optional<FleetMessage> DecodeFleetMessage(const std::string& bytes) {
+  try {
+    const json array = json::from_cbor(bytes);
+    ArrayReader reader(array);
+    switch (static_cast<Kind>(reader.Take<int>())) {
+      case Kind::kWord:
+        return TakeWord(&reader, array.size());
+      case Kind::kAsk:
+        return TakeAsk(&reader);
+      case Kind::kAnswer:
+        return TakeAnswer(&reader);
+      case Kind::kNote:
+        return TakeNote(&reader);
+    }
+    return std::nullopt;
+  } catch (const json::exception&) {
+    // Whatever reaches the port: the caller counts it.
+    return std::nullopt;
+  } catch (const UnknownNumber&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/core/fleet_messages_test.cc
@@ -0,0 +1,160 @@
+#include "harecrank/core/fleet_messages.h"
+
+#include <catch2/catch.hpp>
+
+namespace harecrank {
+namespace {
+
+const HostAddress kHost{"10.0.0.1:1"};
+
+template <typename T>
+T SentAndRead(const T& message) {
+  const auto read = DecodeFleetMessage(EncodeFleetMessage(message));
+  REQUIRE(read.has_value());
+  return std::get<T>(*read);
+}
+
+HostWord Word() {
+  HostWord word;
+  word.node = NodeId{"n"};
+  word.address = kHost;
+  word.life = Incarnation{77};
+  word.power = HostPower{0.19};
+  word.routing = RoutingVersion{3};
+  word.known_up_to = StoreRevision{40};
+  word.source_well = true;
+  word.planner = HostAddress{"10.0.0.2:1"};
+  word.wants_reply = true;
+  word.alive_hosts = 9;
+  word.hosts = {KnownHost{HostAddress{"10.0.0.3:1"}, HostPower{0.5}}};
+  word.avoided = {AvoidedEndpoint{EndpointId{"f"}, Millis(70)}};
+  const WorkPart part{EndpointId{"e"}, WorkClass::kLong, FractionalMillis(12.5),
+                      Tokens{7}, Millis(600)};
+  word.work = {AskedWork{AskId{5}, true, {part}}};
+  return word;
+}
+
+TEST_CASE("A host's word comes back as it was told") {
+  const HostWord read = SentAndRead(Word());
+  CHECK(read.node == NodeId{"n"});
+  CHECK(read.address == kHost);
+  CHECK(read.life == Incarnation{77});
+  CHECK(read.power.value == 0.19);
+  CHECK(read.routing == RoutingVersion{3});
+  CHECK(read.known_up_to == StoreRevision{40});
+  CHECK(read.source_well);
+  CHECK(read.planner == HostAddress{"10.0.0.2:1"});
+  CHECK_FALSE(read.leaving);
+  CHECK(read.wants_reply);
+  CHECK(read.alive_hosts == 9);
+  REQUIRE(read.hosts.size() == 1);
+  CHECK(read.hosts.front().power.value == 0.5);
+  REQUIRE(read.avoided.size() == 1);
+  CHECK(read.avoided.front().left == Millis(70));
+  REQUIRE(read.work.has_value());
+  REQUIRE(read.work->size() == 1);
+  const AskedWork& work = read.work->front();
+  CHECK(work.id == AskId{5});
+  CHECK(work.is_read);
+  REQUIRE(work.parts.size() == 1);
+  CHECK(work.parts.front().endpoint == EndpointId{"e"});
+  CHECK(work.parts.front().work_class == WorkClass::kLong);
+  CHECK(work.parts.front().read == FractionalMillis(12.5));
+  CHECK(work.parts.front().memory == Tokens{7});
+  CHECK(work.parts.front().gap == Millis(600));
+}
+
+TEST_CASE("A word that tells no work is another than one that tells of none") {
+  HostWord word = Word();
+  word.work = std::vector<AskedWork>{};
+  CHECK(SentAndRead(word).work.has_value());
+  word.work.reset();
+  CHECK_FALSE(SentAndRead(word).work.has_value());
+}
+
+TEST_CASE("An ask comes back as it was sent") {
+  PlaceAsk ask;
+  ask.host = kHost;
+  ask.life = Incarnation{77};
+  ask.id = AskId{5};
+  ask.service = ServiceName{"writers"};
+  ask.target_latency = Millis(3000);
+  ask.target_gap = Millis(1000);
+  ask.prompt = Tokens{154000};
+  ask.answer = Tokens{800};
+  ask.until_late = FractionalMillis(-20);
+  ask.may_have_run = true;
+  ask.tried = {EndpointId{"e"}, EndpointId{"f"}};
+  const PlaceAsk read = SentAndRead(ask);
+  CHECK(read.host == ask.host);
+  CHECK(read.life == ask.life);
+  CHECK(read.id == ask.id);
+  CHECK(read.service == ask.service);
+  CHECK(read.target_latency == ask.target_latency);
+  CHECK(read.target_gap == ask.target_gap);
+  CHECK(read.prompt == ask.prompt);
+  CHECK(read.answer == ask.answer);
+  CHECK(read.until_late == ask.until_late);
+  CHECK(read.may_have_run);
+  CHECK(read.tried == ask.tried);
+}
+
+TEST_CASE("Every kind of decision comes back as it was taken") {
+  PlaceAnswer answer{kHost, Incarnation{77}, AskId{5}, {}};
+  PlannedPlacement placed;
+  placed.endpoint = EndpointId{"e"};
+  placed.helpers = {PlannedHelper{EndpointId{"f"}, Tokens{90}}};
+  placed.work_class = WorkClass::kLong;
+  placed.read = FractionalMillis(150);
+  placed.first_event = FractionalMillis(250);
+  placed.candidates = 12;
+  answer.decision = placed;
+  const auto read = std::get<PlannedPlacement>(SentAndRead(answer).decision);
+  CHECK(read.endpoint == placed.endpoint);
+  REQUIRE(read.helpers.size() == 1);
+  CHECK(read.helpers.front().held == Tokens{90});
+  CHECK(read.work_class == WorkClass::kLong);
+  CHECK(read.first_event == placed.first_event);
+  CHECK(read.candidates == 12);
+  answer.decision = AskWaits{};
+  CHECK(std::holds_alternative<AskWaits>(SentAndRead(answer).decision));
+  answer.decision = AskRefused{};
+  CHECK(std::holds_alternative<AskRefused>(SentAndRead(answer).decision));
+  answer.decision = NoEndpoint{};
+  CHECK(std::holds_alternative<NoEndpoint>(SentAndRead(answer).decision));
+  answer.decision = NotPlanner{kHost};
+  CHECK(std::get<NotPlanner>(SentAndRead(answer).decision).planner == kHost);
+}
+
+TEST_CASE("A note comes back as it was sent") {
+  const WorkNote note{kHost,
+                      Incarnation{77},
+                      {ReadNote{AskId{1}, 1.5}},
+                      {EndNote{AskId{2}, true}}};
+  const WorkNote read = SentAndRead(note);
+  REQUIRE(read.read.size() == 1);
+  CHECK(read.read.front().pace == 1.5);
+  REQUIRE(read.ended.size() == 1);
+  CHECK(read.ended.front().id == AskId{2});
+  CHECK(read.ended.front().failed);
+}
+
+TEST_CASE("Bytes that are no message are refused") {
+  CHECK_FALSE(DecodeFleetMessage("").has_value());
+  CHECK_FALSE(DecodeFleetMessage("\xff noise").has_value());
+  const std::string whole = EncodeFleetMessage(Word());
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    CHECK_FALSE(DecodeFleetMessage(whole.substr(0, size)).has_value());
+  }
+  // An array whose first number stands for no kind of message.
+  CHECK_FALSE(DecodeFleetMessage("\x81\x09").has_value());
+}
+
+TEST_CASE("A number that stands for no class of work is refused") {
+  HostWord word = Word();
+  word.work->front().parts.front().work_class = static_cast<WorkClass>(9);
+  CHECK_FALSE(DecodeFleetMessage(EncodeFleetMessage(word)).has_value());
+}
+
+}  // namespace
+}  // namespace harecrank
--- /dev/null
+++ b/src/core/host_book_test.cc
@@ -0,0 +1,217 @@
+#include "harecrank/core/host_book.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+
+namespace harecrank {
+namespace {
+
+HostAddress Address(int host) {
+  return HostAddress{"10.0.0." + std::to_string(host) + ":1"};
+}
+
+// Host 0 is the strongest.
+HostPower PowerOf(int host) { return HostPower{1.0 - 0.01 * host}; }
+
+// Hosts that tell each other what the test says, without a network.
+class FleetFixture {
+ protected:
+  explicit FleetFixture(int hosts = 6) {
+    for (int i = 0; i < hosts; ++i) {
+      AddHost(i);
+    }
+  }
+
+  void AddHost(int host) {
+    books_[host] = std::make_unique<HostBook>(
+        KnownHost{Address(host), PowerOf(host)},
+        std::vector<HostAddress>{Address(0), Address(1)},
+        [this] { return now_; }, [this] { return drawn_ += 7; });
+  }
+
+  HostWord WordOf(int host) {
+    HostWord word;
+    word.node = NodeId{std::to_string(host)};
+    word.address = Address(host);
+    word.power = PowerOf(host);
+    word.planner = books_.at(host)->Planner().value_or(HostAddress{});
+    word.leaving = books_.at(host)->IsLeaving();
+    return word;
+  }
+
+  // `from` tells `to`, and hears back.
+  void Talk(int from, int to) {
+    books_.at(to)->OnWord(WordOf(from));
+    HostWord reply = WordOf(to);
+    reply.hosts = books_.at(to)->HostsFor(Address(from));
+    books_.at(from)->OnWord(reply);
+  }
+
+  // Every living host tells the strangers that it would tell, and the planner.
+  void TalkRound() {
+    for (const auto& [host, book] : books_) {
+      std::vector<HostAddress> targets = book->Strangers();
+      if (const auto planner = book->Planner()) {
+        targets.push_back(*planner);
+      }
+      for (const auto& [other, other_book] : books_) {
+        const bool told = std::find(targets.begin(), targets.end(),
+                                    Address(other)) != targets.end();
+        if (told && other != host) {
+          Talk(host, other);
+        }
+      }
+    }
+  }
+
+  void TalkFor(Millis time) {
+    constexpr Millis kRound{100};
+    for (Millis passed{0}; passed < time; passed += kRound) {
+      TalkRound();
+      now_ += kRound;
+    }
+  }
+
+  // Returns how many living hosts follow `planner`.
+  int FollowersOf(int planner) {
+    return static_cast<int>(
+        std::count_if(books_.begin(), books_.end(), [&](const auto& item) {
+          return item.second->Planner() == Address(planner);
+        }));
+  }
+
+  TimePoint now_{std::chrono::hours(1)};
+  std::uint64_t drawn_ = 0;
+  std::map<int, std::unique_ptr<HostBook>> books_;
+};
+
+TEST_CASE_METHOD(FleetFixture,
+                 "A host that has just started follows nobody before it has "
+                 "had time to hear of a planner") {
+  CHECK_FALSE(books_.at(0)->Planner().has_value());
+  now_ += HostBook::kSettles;
+  CHECK(books_.at(0)->Planner() == Address(0));
+}
+
+TEST_CASE_METHOD(FleetFixture,
+                 "Hosts that start together agree on the strongest") {
+  TalkFor(HostBook::kSettles + Millis(300));
+  CHECK(FollowersOf(0) == 6);
+  CHECK(books_.at(0)->IsPlanner());
+  CHECK(books_.at(0)->CountedHosts() == 6);
+  CHECK(books_.at(5)->AliveHosts() >= 5);
+}
+
+TEST_CASE_METHOD(FleetFixture,
+                 "When the planner dies the others agree on the next, and a "
+                 "silent one is not asked again at once") {
+  TalkFor(HostBook::kSettles + Millis(300));
+  books_.erase(0);
+  for (const auto& [host, book] : books_) {
+    book->OnSilent(Address(0));
+  }
+  TalkFor(Millis(300));
+  CHECK(FollowersOf(1) == 5);
+}
+
+TEST_CASE_METHOD(FleetFixture, "A planner that stops hands over") {
+  TalkFor(HostBook::kSettles + Millis(300));
+  books_.at(0)->Leave();
+  for (int host = 1; host < 6; ++host) {
+    books_.at(host)->OnWord(WordOf(0));
+  }
+  TalkFor(Millis(300));
+  CHECK(FollowersOf(1) == 6);
+}
+
+TEST_CASE_METHOD(FleetFixture,
+                 "A strong host that joins does not displace the planner") {
+  books_.erase(0);
+  TalkFor(HostBook::kSettles + Millis(300));
+  REQUIRE(FollowersOf(1) == 5);
+  AddHost(0);
+  TalkFor(Millis(1000));
+  CHECK(FollowersOf(1) == 6);
+}
+
+// A part of a fleet that was cut off chose its own planner.
+TEST_CASE_METHOD(FleetFixture,
+                 "Two planners that hear of each other become one") {
+  for (int host = 0; host < 6; ++host) {
+    for (int other = 0; other < 6; ++other) {
+      if (host != other && host % 2 == other % 2) {
+        books_.at(host)->OnWord(WordOf(other));
+      }
+    }
+  }
+  now_ += HostBook::kSettles;
+  REQUIRE(FollowersOf(0) == 3);
+  REQUIRE(FollowersOf(1) == 3);
+  Talk(1, 0);
+  TalkFor(Millis(500));
+  CHECK(FollowersOf(0) == 6);
+}
+
+// A killed planner is back within a second, and knows nothing.
+TEST_CASE_METHOD(FleetFixture,
+                 "A planner that was started again does not plan before one "
+                 "that has found its fleet") {
+  TalkFor(HostBook::kSettles + Millis(300));
+  AddHost(0);
+  for (int host = 1; host < 6; ++host) {
+    books_.at(host)->OnWord(WordOf(0));
+  }
+  CHECK(FollowersOf(1) == 5);
+}
+
+TEST_CASE_METHOD(FleetFixture,
+                 "Hosts that say nothing are not alive for long") {
+  TalkFor(HostBook::kSettles + Millis(300));
+  now_ += HostBook::kAliveFor + Millis(1);
+  CHECK(books_.at(0)->CountedHosts() == 1);
+  CHECK(books_.at(3)->IsPlanner());
+}
+
+TEST_CASE_METHOD(FleetFixture,
+                 "Those that may plan next are told of all hosts, others of a "
+                 "bounded number") {
+  for (int host = 6; host < 40; ++host) {
+    AddHost(host);
+  }
+  for (int host = 1; host < 40; ++host) {
+    books_.at(0)->OnWord(WordOf(host));
+  }
+  CHECK(books_.at(0)->HostsFor(Address(1)).size() == 40);
+  CHECK(books_.at(0)->HostsFor(Address(30)).size() ==
+        HostBook::kSuccessors + 1 + HostBook::kNamedBeside);
+}
+
+TEST_CASE_METHOD(FleetFixture,
+                 "A host that is sent on to one that does not plan ends up "
+                 "with one that does") {
+  TalkFor(HostBook::kSettles + Millis(300));
+  books_.at(5)->OnRedirect(Address(0), HostAddress{});
+  CHECK(books_.at(5)->Planner() != Address(0));
+}
+
+TEST_CASE_METHOD(FleetFixture,
+                 "Only a living host that knows more is asked for it") {
+  HostBook& book = *books_.at(5);
+  HostWord word = WordOf(1);
+  word.routing = RoutingVersion{3};
+  word.known_up_to = StoreRevision{40};
+  word.source_well = true;
+  book.OnWord(word);
+  CHECK(book.BetterInformed(RoutingVersion{2}, StoreRevision{50}) ==
+        Address(1));
+  CHECK(book.BetterInformed(RoutingVersion{3}, StoreRevision{39}) ==
+        Address(1));
+  CHECK_FALSE(book.BetterInformed(RoutingVersion{3}, StoreRevision{40}));
+  now_ += HostBook::kAliveFor + Millis(1);
+  CHECK_FALSE(book.BetterInformed(RoutingVersion{2}, StoreRevision{0}));
+}
+
+}  // namespace
+}  // namespace harecrank
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -29,7 +29,7 @@
 // What another data centre costs in the choice among equals.
 constexpr double kElsewherePenalty = 0.25;
 // The key of the order of engines that all hosts share.
-constexpr char kOrderKey[] = "short-first";
+constexpr char kSharedOrderKey[] = "short-first";
 
 FractionalMillis FirstEvent(const EngineProfile& engine,
                             const EndpointLoad& load, double pace,
@@ -42,7 +42,7 @@
 }
 
 bool IsTight(const PlacementRequest& request) {
-  return IsTightGap(FractionalMillis(request.route->target_gap),
+  return IsTightGap(FractionalMillis(request.target_gap),
                     FractionalMillis(request.tightest_gap));
 }
 
@@ -53,17 +53,35 @@
          FreeMemory(*service.engine, EndpointLoad{}) < needed;
 }
 
+std::vector<WorkPart> PartsOf(const Placement& placement,
+                              const PlacementRequest& request) {
+  WorkPart own{placement.endpoint.id, placement.work_class, placement.read,
+               request.prompt + request.answer, request.target_gap};
+  std::vector<WorkPart> parts(1);
+  for (const Helper& helper : placement.helpers) {
+    own.memory = own.memory - helper.held;
+    parts.push_back(WorkPart{helper.record.id, WorkClass::kHelper,
+                             placement.read, helper.held, Millis(0)});
+  }
+  parts.front() = std::move(own);
+  return parts;
+}
+
 Placer::Placer(const EndpointDirectory* directory, const EndpointLoads* loads,
                const EndpointHealth* health, DataCentreId self,
-               std::function<int()> hosts, const PlacementPolicy& policy,
-               RandomSource random)
+               LoadsOf loads_of, std::function<int()> hosts,
+               const PlacementPolicy& policy, RandomSource random)
     : directory_(directory),
       loads_(loads),
       health_(health),
       self_(std::move(self)),
+      loads_of_(loads_of),
       hosts_(std::move(hosts)),
       policy_(policy),
-      random_(std::move(random)) {}
+      random_(std::move(random)) {
+  order_key_ = loads_of_ == LoadsOf::kAllHosts ? kSharedOrderKey
+                                               : std::to_string(random_());
+}
 
 PlacementResult Placer::Choose(const PlacementRequest& request) const {
   std::vector<EngineCandidate> candidates = CandidatesFor(request);
@@ -75,7 +93,7 @@
   if (!request.service->engine.has_value()) {
     result = ChoosePlain(candidates);
   } else {
-    SortInSharedOrder(&candidates);
+    SortInOrder(&candidates);
     const FractionalMillis read =
         ReadTime(*request.service->engine, request.prompt);
     if (read <=
@@ -109,9 +127,9 @@
   return sound.empty() ? suspect : sound;
 }
 
-void Placer::SortInSharedOrder(std::vector<EngineCandidate>* candidates) {
+void Placer::SortInOrder(std::vector<EngineCandidate>* candidates) const {
   for (EngineCandidate& candidate : *candidates) {
-    candidate.rank = RendezvousWeight(kOrderKey, candidate.record->id.value);
+    candidate.rank = RendezvousWeight(order_key_, candidate.record->id.value);
   }
   std::sort(candidates->begin(), candidates->end(),
             [](const EngineCandidate& a, const EngineCandidate& b) {
@@ -157,12 +175,12 @@
         Noise() * spread;
     if (i >= wanted) {
       // Beyond the engines that short requests need: only if those are late.
-      time += policy_.beyond_short_share *
-              FractionalMillis(request.route->target_latency);
+      time +=
+          policy_.beyond_short_share * FractionalMillis(request.target_latency);
     }
     if (candidate.load.Members() >= engine.slots ||
         FreeMemory(engine, candidate.load) < request.prompt + request.answer) {
-      time += FractionalMillis(request.route->target_latency);
+      time += FractionalMillis(request.target_latency);
     }
     if (time < best_time) {
       best = &candidate;
@@ -189,9 +207,9 @@
   LongPrompt prompt;
   prompt.whole = ReadTime(engine, request.prompt);
   prompt.needed = request.prompt + request.answer;
-  prompt.target = FractionalMillis(request.route->target_latency);
+  prompt.target = FractionalMillis(request.target_latency);
   prompt.until_late = request.until_late;
-  prompt.gap = FractionalMillis(request.route->target_gap);
+  prompt.gap = FractionalMillis(request.target_gap);
   prompt.tightest_gap = FractionalMillis(request.tightest_gap);
   const std::optional<ReaderGroup> group =
       ChooseReaders(engine, policy_, prompt, in_order);
@@ -251,6 +269,9 @@
 
 std::size_t Placer::EnginesForShort(const EngineProfile& engine,
                                     std::size_t engines) const {
+  if (loads_of_ == LoadsOf::kThisHost) {
+    return engines;
+  }
   const double per_engine = std::max(
       1.0, policy_.short_share_of_slots * static_cast<double>(engine.slots));
   const double by_members = loads_->ShortMembers() / per_engine;
@@ -271,7 +292,7 @@
                                   FractionalMillis(kWordInterval);
   return std::min(
       std::max(FractionalMillis(peers * kTimeSpreadPerPeer), unseen),
-      kMostSpreadShare * FractionalMillis(request.route->target_latency));
+      kMostSpreadShare * FractionalMillis(request.target_latency));
 }
 
 double Placer::Noise() const {
--- /dev/null
+++ b/src/core/planner.cc
@@ -0,0 +1,260 @@
+#include "harecrank/core/planner.h"
+
+#include <utility>
+
+namespace harecrank {
+namespace {
+
+PlannedPlacement Planned(const Placement& placement) {
+  PlannedPlacement planned;
+  planned.endpoint = placement.endpoint.id;
+  planned.work_class = placement.work_class;
+  planned.read = placement.read;
+  planned.first_event = placement.first_event;
+  planned.candidates = placement.candidates;
+  for (const Helper& helper : placement.helpers) {
+    planned.helpers.push_back(PlannedHelper{helper.record.id, helper.held});
+  }
+  return planned;
+}
+
+}  // namespace
+
+Planner::Planner(const EndpointDirectory* directory, EndpointHealth* health,
+                 DataCentreId self, RoutingSource routing,
+                 const PlacementPolicy& policy, MonotonicClock clock,
+                 RandomSource random)
+    : directory_(directory),
+      health_(health),
+      routing_(std::move(routing)),
+      policy_(policy),
+      clock_(clock),
+      loads_(clock),
+      placer_(
+          directory, &loads_, health, std::move(self), LoadsOf::kAllHosts,
+          [] { return 1; }, policy, std::move(random)),
+      room_(std::move(clock)) {}
+
+PlaceDecision Planner::OnAsk(const PlaceAsk& ask) {
+  Host* host = HostOf(ask.host, ask.life);
+  const auto [found, is_new] = host->asks.try_emplace(ask.id);
+  Entry& entry = found->second;
+  entry.asked_at = clock_();
+  if (!is_new) {
+    if (entry.placed.has_value()) {
+      return *entry.placed;
+    }
+    return AskWaits{};
+  }
+  entry.ask = ask;
+  entry.late_at = clock_() + std::chrono::duration_cast<TimePoint::duration>(
+                                 ask.until_late);
+  if (auto decision = TryPlace(&entry)) {
+    if (!entry.placed.has_value()) {
+      host->asks.erase(ask.id);
+    }
+    return *std::move(decision);
+  }
+  const auto request = RequestOf(entry);
+  if (policy_.refuses_by_precedent && WaitsInVain(ask, *request)) {
+    host->asks.erase(ask.id);
+    return AskRefused{};
+  }
+  Wait(&entry, *request);
+  return AskWaits{};
+}
+
+std::optional<PlacementRequest> Planner::RequestOf(const Entry& entry) const {
+  const auto table = routing_();
+  const ServiceProfile* service =
+      table == nullptr ? nullptr : table->FindService(entry.ask.service);
+  if (service == nullptr) {
+    return std::nullopt;
+  }
+  PlacementRequest request;
+  request.service = service;
+  request.target_latency = entry.ask.target_latency;
+  request.target_gap = entry.ask.target_gap;
+  request.prompt = entry.ask.prompt;
+  request.answer = entry.ask.answer;
+  request.tightest_gap = table->TightestGap(service->name);
+  request.until_late = entry.late_at - clock_();
+  request.tried = entry.ask.tried;
+  return request;
+}
+
+std::optional<PlaceDecision> Planner::TryPlace(Entry* entry) {
+  const auto request = RequestOf(*entry);
+  if (!request.has_value()) {
+    return NoEndpoint{};
+  }
+  const PlacementResult result = placer_.Choose(*request);
+  if (std::holds_alternative<EnginesBusy>(result)) {
+    return std::nullopt;
+  }
+  const auto* placement = std::get_if<Placement>(&result);
+  if (placement == nullptr) {
+    return NoEndpoint{};
+  }
+  for (const WorkPart& part : PartsOf(*placement, *request)) {
+    entry->work.push_back(loads_.Begin(part));
+  }
+  entry->endpoint = placement->endpoint.id;
+  entry->placed = Planned(*placement);
+  entry->placed_at = clock_();
+  return *entry->placed;
+}
+
+bool Planner::WaitsInVain(const PlaceAsk& ask,
+                          const PlacementRequest& request) const {
+  const auto least = room_.LeastLateWork();
+  return !ask.may_have_run && least.has_value() &&
+         *least <= ReadTime(*request.service->engine, ask.prompt);
+}
+
+void Planner::Wait(Entry* entry, const PlacementRequest& request) {
+  const FractionalMillis work =
+      ReadTime(*request.service->engine, entry->ask.prompt);
+  entry->waiter = room_.Add(Waiter{
+      entry->late_at, work / static_cast<double>(kMostHelpers + 1), work});
+  waiting_[*entry->waiter] = AskKey{entry->ask.host, entry->ask.id};
+}
+
+std::vector<DuePlace> Planner::TryWaiting() {
+  std::vector<DuePlace> due;
+  for (const WaiterId id : room_.InOrder(policy_.tried)) {
+    const AskKey key = waiting_.at(id);
+    Host& host = hosts_.at(key.host);
+    Entry& entry = host.asks.at(key.id);
+    auto decision = TryPlace(&entry);
+    if (!decision.has_value()) {
+      continue;
+    }
+    room_.Remove(id);
+    waiting_.erase(id);
+    entry.waiter.reset();
+    due.push_back(DuePlace{key.host, host.life, key.id, *std::move(decision)});
+    if (!entry.placed.has_value()) {
+      host.asks.erase(key.id);
+    }
+  }
+  return due;
+}
+
+void Planner::OnNote(const WorkNote& note) {
+  Host* host = HostOf(note.host, note.life);
+  for (const ReadNote& read : note.read) {
+    const auto found = host->asks.find(read.id);
+    if (found == host->asks.end()) {
+      continue;
+    }
+    for (const WorkId work : found->second.work) {
+      loads_.OnRead(work);
+    }
+    health_->OnSuccess(found->second.endpoint, read.pace);
+  }
+  for (const EndNote& ended : note.ended) {
+    const auto found = host->asks.find(ended.id);
+    if (found == host->asks.end()) {
+      continue;
+    }
+    if (ended.failed) {
+      health_->OnErrorAnswer(found->second.endpoint);
+    }
+    DropEntry(&found->second);
+    host->asks.erase(found);
+  }
+}
+
+void Planner::OnWord(const HostWord& word) {
+  if (!word.work.has_value()) {
+    return;
+  }
+  Host* host = HostOf(word.address, word.life);
+  std::unordered_map<AskId, const AskedWork*> told;
+  for (const AskedWork& work : *word.work) {
+    told[work.id] = &work;
+    Adopt(host, work);
+  }
+  const TimePoint now = clock_();
+  for (auto it = host->asks.begin(); it != host->asks.end();) {
+    Entry& entry = it->second;
+    const bool given_up =
+        entry.waiter.has_value() && now - entry.asked_at > kAskHolds;
+    const bool ended = !entry.waiter.has_value() &&
+                       told.count(it->first) == 0 &&
+                       now - entry.placed_at > kUntold;
+    const bool gone = given_up || ended;
+    if (gone) {
+      DropEntry(&entry);
+    }
+    it = gone ? host->asks.erase(it) : std::next(it);
+  }
+}
+
+void Planner::Adopt(Host* host, const AskedWork& work) {
+  Entry& entry = host->asks[work.id];
+  if (entry.work.empty() && !entry.waiter.has_value()) {
+    for (const WorkPart& part : work.parts) {
+      entry.work.push_back(loads_.Begin(part));
+    }
+    entry.placed_at = clock_();
+    if (!work.parts.empty()) {
+      entry.endpoint = work.parts.front().endpoint;
+    }
+  }
+  if (work.is_read) {
+    for (const WorkId id : entry.work) {
+      loads_.OnRead(id);
+    }
+  }
+}
+
+Planner::Host* Planner::HostOf(const HostAddress& address, Incarnation life) {
+  Host& host = hosts_[address];
+  if (host.life != life) {
+    DropAsks(&host);
+    host.life = life;
+  }
+  host.heard = clock_();
+  return &host;
+}
+
+void Planner::DropSilent() {
+  const TimePoint now = clock_();
+  for (auto it = hosts_.begin(); it != hosts_.end();) {
+    const bool silent = now - it->second.heard > kHostHolds;
+    if (silent) {
+      DropAsks(&it->second);
+    }
+    it = silent ? hosts_.erase(it) : std::next(it);
+  }
+}
+
+void Planner::Clear() {
+  for (auto& [address, host] : hosts_) {
+    DropAsks(&host);
+  }
+  hosts_.clear();
+}
+
+void Planner::DropEntry(Entry* entry) {
+  if (entry->waiter.has_value()) {
+    room_.Remove(*entry->waiter);
+    waiting_.erase(*entry->waiter);
+    entry->waiter.reset();
+  }
+  for (const WorkId work : entry->work) {
+    loads_.End(work);
+  }
+  entry->work.clear();
+}
+
+void Planner::DropAsks(Host* host) {
+  for (auto& [id, entry] : host->asks) {
+    DropEntry(&entry);
+  }
+  host->asks.clear();
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/core/planner_test.cc
@@ -0,0 +1,283 @@
+#include "harecrank/core/planner.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <set>
+
+namespace harecrank {
+namespace {
+
+const ServiceName kWriters{"writers"};
+constexpr int kEngines = 20;
+
+// Twenty engines that read 177 tokens a millisecond, and prompts as a day at
+// its worst brings them: short ones, and long ones that want sixteen engines.
+class PlannerFixture {
+ protected:
+  PlannerFixture() {
+    for (int i = 0; i < kEngines; ++i) {
+      EndpointRecord record;
+      record.id = EndpointId{"e" + std::to_string(i)};
+      record.service = kWriters;
+      record.address = record.id.value + ":1";
+      directory_.Upsert(record);
+    }
+    RoutingDocument document;
+    document.version = RoutingVersion{1};
+    ServiceProfile service;
+    service.name = kWriters;
+    service.engine.emplace();
+    service.engine->slots = 10;
+    service.engine->memory = Tokens{315000};
+    service.engine->step_ms = 0.85;
+    service.engine->step_ms_per_member = 0.004;
+    service.engine->step_ms_per_thousand_context = 0.003;
+    service.engine->read_tokens_per_ms = 177;
+    service.engine->read_ms_per_million_pairs = 0.184;
+    service.engine->steps_per_pass = 80;
+    document.services = {service};
+    for (const Millis gap : {Millis(300), Millis(1200)}) {
+      RouteRule route;
+      route.name = std::to_string(gap.count());
+      route.host = "a";
+      route.path_prefix = "/" + route.name + "/";
+      route.kind = RequestKind::kStreaming;
+      route.target_gap = gap;
+      route.services = {WeightedService{kWriters, 1}};
+      document.routes.push_back(route);
+    }
+    table_ = std::make_shared<const RoutingTable>(std::move(document));
+    planner_ = MakePlanner();
+  }
+
+  std::unique_ptr<Planner> MakePlanner() {
+    return std::make_unique<Planner>(
+        &directory_, &health_, DataCentreId{"a"}, [this] { return table_; },
+        policy_, [this] { return now_; }, [this] { return drawn_ += 77; });
+  }
+
+  PlaceAsk Short(int host) { return Ask(host, 5000, Millis(400), Millis(300)); }
+  PlaceAsk Long(int host, std::int64_t prompt = 220000) {
+    return Ask(host, prompt, Millis(4000), Millis(1200));
+  }
+
+  PlaceAsk Ask(int host, std::int64_t prompt, Millis target, Millis gap) {
+    PlaceAsk ask;
+    ask.host = HostAddress{"h" + std::to_string(host)};
+    ask.life = Incarnation{1};
+    ask.id = AskId{++last_id_};
+    ask.service = kWriters;
+    ask.target_latency = target;
+    ask.target_gap = gap;
+    ask.prompt = Tokens{prompt};
+    ask.answer = Tokens{900};
+    ask.until_late = target;
+    return ask;
+  }
+
+  void End(const PlaceAsk& ask) {
+    planner_->OnNote(
+        WorkNote{ask.host, ask.life, {}, {EndNote{ask.id, false}}});
+  }
+
+  // Returns the account of a host that has under way what `asks` were given.
+  static HostWord AccountOf(
+      const std::vector<std::pair<PlaceAsk, PlannedPlacement>>& asks) {
+    HostWord word;
+    word.address = asks.front().first.host;
+    word.life = asks.front().first.life;
+    word.work.emplace();
+    for (const auto& [ask, placed] : asks) {
+      AskedWork work;
+      work.id = ask.id;
+      work.parts.push_back(WorkPart{placed.endpoint, placed.work_class,
+                                    placed.read, ask.prompt, ask.target_gap});
+      for (const PlannedHelper& helper : placed.helpers) {
+        work.parts.push_back(WorkPart{helper.endpoint, WorkClass::kHelper,
+                                      placed.read, helper.held, Millis(0)});
+      }
+      word.work->push_back(std::move(work));
+    }
+    return word;
+  }
+
+  TimePoint now_{std::chrono::hours(1)};
+  std::uint64_t drawn_ = 0;
+  std::uint64_t last_id_ = 0;
+  PlacementPolicy policy_;
+  EndpointDirectory directory_{[this] { return now_; }};
+  EndpointHealth health_{[this] { return now_; }};
+  std::shared_ptr<const RoutingTable> table_;
+  std::unique_ptr<Planner> planner_;
+};
+
+// A hundred hosts that know each other's work 0.1 s late put the wave on the
+// engine that looked free first: it then had 2.9 times the mean.
+TEST_CASE_METHOD(PlannerFixture,
+                 "A wave of short prompts from as many hosts is laid evenly") {
+  std::map<EndpointId, int> members;
+  for (int host = 0; host < 100; ++host) {
+    const auto placed =
+        std::get<PlannedPlacement>(planner_->OnAsk(Short(host)));
+    ++members[placed.endpoint];
+  }
+  for (const auto& [endpoint, count] : members) {
+    CHECK(count <= 10);
+  }
+}
+
+TEST_CASE_METHOD(PlannerFixture,
+                 "Two long prompts of different hosts never share a reader") {
+  const auto first =
+      std::get<PlannedPlacement>(planner_->OnAsk(Long(1, 45000)));
+  const auto second =
+      std::get<PlannedPlacement>(planner_->OnAsk(Long(2, 45000)));
+  std::set<EndpointId> readers{first.endpoint};
+  for (const PlannedHelper& helper : first.helpers) {
+    readers.insert(helper.endpoint);
+  }
+  CHECK(readers.count(second.endpoint) == 0);
+  for (const PlannedHelper& helper : second.helpers) {
+    CHECK(readers.count(helper.endpoint) == 0);
+  }
+}
+
+TEST_CASE_METHOD(PlannerFixture,
+                 "A prompt that finds all engines reading waits, and starts "
+                 "when they have read") {
+  const PlaceAsk first = Long(1);
+  REQUIRE(std::holds_alternative<PlannedPlacement>(planner_->OnAsk(first)));
+  const PlaceAsk second = Long(2);
+  REQUIRE(std::holds_alternative<AskWaits>(planner_->OnAsk(second)));
+  CHECK(planner_->TryWaiting().empty());
+  planner_->OnNote(
+      WorkNote{first.host, first.life, {ReadNote{first.id, 1}}, {}});
+  const auto due = planner_->TryWaiting();
+  REQUIRE(due.size() == 1);
+  CHECK(due.front().host == second.host);
+  CHECK(due.front().id == second.id);
+  CHECK(std::holds_alternative<PlannedPlacement>(due.front().decision));
+  CHECK(planner_->WaitingCount() == 0);
+}
+
+TEST_CASE_METHOD(PlannerFixture,
+                 "Of two that wait the one with less time to spare starts "
+                 "first") {
+  const PlaceAsk first = Long(1);
+  planner_->OnAsk(first);
+  const PlaceAsk patient = Long(2);
+  planner_->OnAsk(patient);
+  PlaceAsk pressed = Long(3);
+  pressed.until_late = FractionalMillis(2000);
+  planner_->OnAsk(pressed);
+  planner_->OnNote(
+      WorkNote{first.host, first.life, {ReadNote{first.id, 1}}, {}});
+  const auto due = planner_->TryWaiting();
+  REQUIRE_FALSE(due.empty());
+  CHECK(due.front().id == pressed.id);
+}
+
+TEST_CASE_METHOD(PlannerFixture,
+                 "The same ask once more gets the same answer and no second "
+                 "place") {
+  const PlaceAsk ask = Long(1);
+  const auto first = std::get<PlannedPlacement>(planner_->OnAsk(ask));
+  const auto again = std::get<PlannedPlacement>(planner_->OnAsk(ask));
+  CHECK(first.endpoint == again.endpoint);
+  End(ask);
+  // All of it is free again.
+  CHECK(std::holds_alternative<PlannedPlacement>(planner_->OnAsk(Long(2))));
+}
+
+TEST_CASE_METHOD(PlannerFixture,
+                 "A prompt is refused at once where one that takes no longer "
+                 "can no longer be in time") {
+  planner_->OnAsk(Long(1));
+  PlaceAsk late = Long(2);
+  late.until_late = FractionalMillis(-1);
+  REQUIRE(std::holds_alternative<AskWaits>(planner_->OnAsk(late)));
+  CHECK(std::holds_alternative<AskRefused>(planner_->OnAsk(Long(3, 230000))));
+  // One that an endpoint may have run is never told that it was not.
+  PlaceAsk started = Long(3, 230000);
+  started.may_have_run = true;
+  CHECK(std::holds_alternative<AskWaits>(planner_->OnAsk(started)));
+}
+
+TEST_CASE_METHOD(PlannerFixture,
+                 "A planner that is new learns from the hosts what is under "
+                 "way") {
+  const PlaceAsk first = Long(1);
+  const auto placed = std::get<PlannedPlacement>(planner_->OnAsk(first));
+  planner_ = MakePlanner();
+  planner_->OnWord(AccountOf({{first, placed}}));
+  CHECK(std::holds_alternative<AskWaits>(planner_->OnAsk(Long(2))));
+}
+
+TEST_CASE_METHOD(PlannerFixture,
+                 "A place that its host does not tell of is free again, but "
+                 "not before the host can have told") {
+  const PlaceAsk taken = Long(1);
+  const auto placed = std::get<PlannedPlacement>(planner_->OnAsk(taken));
+  HostWord nothing = AccountOf({{taken, placed}});
+  nothing.work->clear();
+  planner_->OnWord(nothing);
+  CHECK(std::holds_alternative<AskWaits>(planner_->OnAsk(Long(2))));
+  now_ += Planner::kUntold + Millis(1);
+  planner_->OnWord(nothing);
+  CHECK(planner_->TryWaiting().size() == 1);
+}
+
+TEST_CASE_METHOD(PlannerFixture,
+                 "What silent and restarted hosts had under way is forgotten") {
+  planner_->OnAsk(Long(1));
+  PlaceAsk waits = Long(2);
+  REQUIRE(std::holds_alternative<AskWaits>(planner_->OnAsk(waits)));
+  PlaceAsk reborn = Long(1);
+  reborn.life = Incarnation{2};
+  CHECK(std::holds_alternative<PlannedPlacement>(planner_->OnAsk(reborn)));
+  now_ += Planner::kHostHolds + Millis(1);
+  planner_->DropSilent();
+  CHECK(planner_->HostCount() == 0);
+  CHECK(planner_->WaitingCount() == 0);
+}
+
+TEST_CASE_METHOD(PlannerFixture,
+                 "An ask that waits and is not repeated was given up") {
+  planner_->OnAsk(Long(1));
+  const PlaceAsk waits = Long(2);
+  planner_->OnAsk(waits);
+  HostWord alive;
+  alive.address = waits.host;
+  alive.life = waits.life;
+  alive.work.emplace();
+  planner_->OnWord(alive);
+  CHECK(planner_->WaitingCount() == 1);
+  now_ += Planner::kAskHolds + Millis(1);
+  planner_->OnWord(alive);
+  CHECK(planner_->WaitingCount() == 0);
+}
+
+TEST_CASE_METHOD(PlannerFixture,
+                 "An endpoint that failed a host's requests is left alone for "
+                 "all") {
+  const PlaceAsk ask = Short(1);
+  const auto placed = std::get<PlannedPlacement>(planner_->OnAsk(ask));
+  End(ask);
+  for (int i = 0; i < 10; ++i) {
+    PlaceAsk again = Short(1);
+    planner_->OnAsk(again);
+    planner_->OnNote(
+        WorkNote{again.host, again.life, {}, {EndNote{again.id, true}}});
+  }
+  const auto later = std::get<PlannedPlacement>(planner_->OnAsk(Short(2)));
+  CHECK(later.endpoint != placed.endpoint);
+}
+
+TEST_CASE_METHOD(PlannerFixture, "An unknown service has no endpoint") {
+  PlaceAsk ask = Short(1);
+  ask.service = ServiceName{"none"};
+  CHECK(std::holds_alternative<NoEndpoint>(planner_->OnAsk(ask)));
+}
+
+}  // namespace
+}  // namespace harecrank
--- a/src/gateway/dispatch_queue.cc
+++ b/src/gateway/dispatch_queue.cc
@@ -5,13 +5,8 @@
 namespace harecrank {
 
 DispatchQueue::DispatchQueue(boost::asio::io_context* io, MonotonicClock clock,
-                             std::size_t tried,
-                             std::function<int(Urgency)> peers_ahead)
-    : room_(clock),
-      tried_(tried),
-      peers_ahead_(std::move(peers_ahead)),
-      timer_(*io),
-      clock_(std::move(clock)) {}
+                             std::size_t tried)
+    : room_(clock), tried_(tried), timer_(*io), clock_(std::move(clock)) {}
 
 WaiterId DispatchQueue::Add(const Waiter& waiter, Start start) {
   const WaiterId id = room_.Add(waiter);
@@ -26,9 +21,8 @@
 }
 
 void DispatchQueue::PumpSoon() {
-  const auto urgency = room_.MostUrgent();
-  if (urgency.has_value()) {
-    Schedule(peers_ahead_(*urgency) * kTurn);
+  if (!room_.IsEmpty()) {
+    Schedule(Millis(0));
   }
 }
 
--- a/src/gateway/dispatch_queue.h
+++ b/src/gateway/dispatch_queue.h
@@ -1,4 +1,5 @@
-// Long prompts that wait in this host until engines are open for them.
+// Long prompts that wait in this host until engines are open for them, while no
+// other host plans for it.
 //
 // An engine that is given more than it can read between two events of its
 // streams makes all of them pause. So what cannot start yet waits here.
@@ -22,24 +23,19 @@
   // Tries to start the request. Returns false if it has to wait on.
   using Start = std::function<bool()>;
 
-  // `peers_ahead` returns how many other hosts have something more urgent.
   // Of those that wait, `tried` are tried at a time: the first may want more
   // engines than are open, and the next fewer.
   DispatchQueue(boost::asio::io_context* io, MonotonicClock clock,
-                std::size_t tried, std::function<int(Urgency)> peers_ahead);
+                std::size_t tried);
 
   // `start` may be called until the waiter has been removed, also from within
   // Pump. A waiter whose `start` returns true is removed.
   WaiterId Add(const Waiter& waiter, Start start);
   void Remove(WaiterId id);
 
-  // Tries those that wait: soon, or later by kTurn for each peer with something
-  // more urgent. All hosts hear at about the same moment that engines are open.
-  // Called when one may have opened.
+  // Tries those that wait, soon. Called when an engine may have opened.
   void PumpSoon();
 
-  std::optional<Urgency> MostUrgent() const { return room_.MostUrgent(); }
-
   // Returns the least work that waits here and can no longer be in time.
   std::optional<FractionalMillis> LeastLateWork() const {
     return room_.LeastLateWork();
@@ -49,8 +45,6 @@
 
   // How often those that wait are tried while nothing is heard.
   static constexpr Millis kInterval{40};
-  // Longer than word of a placement takes to reach the peers.
-  static constexpr Millis kTurn{6};
 
  private:
   void Pump();
@@ -58,7 +52,6 @@
 
   WaitingRoom room_;
   std::size_t tried_;
-  std::function<int(Urgency)> peers_ahead_;
   std::map<WaiterId, Start> starts_;
   boost::asio::steady_timer timer_;
   // When the next try is due; the clock's end while none is.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -49,6 +49,12 @@
 // RFC 9110: the endpoint is not the one that was expected, and ran nothing.
 constexpr unsigned kMisdirected = 421;
 constexpr int kLeastUrgent = 9;
+// How often one request is given a place that this host cannot use before it
+// places by itself.
+constexpr int kMostUnusablePlaces = 5;
+// How long a request waits before it asks for another place after memory that
+// was free has been taken by another.
+constexpr Millis kMemoryRetry{40};
 
 }  // namespace
 
@@ -58,7 +64,8 @@
       request_(std::move(request)),
       arrived_(arrived),
       answer_(std::move(answer)),
-      timer_(*services->io) {}
+      timer_(*services->io),
+      memory_timer_(*services->io) {}
 
 void Exchange::Start() {
   id_ = std::string(request_[services_->names->request_id]);
@@ -128,7 +135,8 @@
 void Exchange::ReadSizes() {
   const std::string_view counts =
       View(request_[services_->names->token_counts]);
-  placement_request_.route = route_;
+  placement_request_.target_latency = route_->target_latency;
+  placement_request_.target_gap = route_->target_gap;
   placement_request_.prompt = Tokens{ReadNumber(counts).value_or(0)};
   const std::size_t comma = counts.find(',');
   std::int64_t answer = 0;
@@ -165,19 +173,107 @@
 }
 
 void Exchange::TryNext() {
-  const bool defers = service_->engine.has_value() && IsLong() && IsBehind();
-  if (!defers && TryPlace()) {
+  // Plain services have few endpoints and short work: this host's own knowledge
+  // serves them as well, without the way to the planner.
+  if (service_->engine.has_value()) {
+    AskForPlace();
+  } else {
+    PlaceAlone();
+  }
+}
+
+void Exchange::AskForPlace() {
+  placement_request_.until_late =
+      arrived_ + route_->target_latency - services_->clock();
+  const bool started = may_have_run_ || sendings_ > 0;
+  ask_ = services_->places->Ask(
+      placement_request_, started,
+      [weak = weak_from_this()](const AskResult& result) {
+        const auto self = weak.lock();
+        if (self != nullptr && !self->finished_) {
+          self->OnPlaceResult(result);
+        }
+      });
+  ArmTimer();
+}
+
+void Exchange::OnPlaceResult(const AskResult& result) {
+  if (std::holds_alternative<AskWaits>(result)) {
+    waits_at_planner_ = true;
+    NoteWaiting();
+    ArmTimer();
     return;
   }
-  if (services_->policy->refuses_by_precedent && WaitsInVain()) {
+  waits_at_planner_ = false;
+  if (const auto* planned = std::get_if<PlannedPlacement>(&result)) {
+    UsePlanned(*planned);
+    return;
+  }
+  ask_.reset();
+  if (std::holds_alternative<AskRefused>(result)) {
     RefuseWaiting();
+  } else if (std::holds_alternative<NoEndpoint>(result)) {
+    GiveUp("no_endpoint");
+  } else {
+    PlaceAlone();
+  }
+}
+
+void Exchange::UsePlanned(const PlannedPlacement& planned) {
+  std::optional<Placement> placement = PlacementOf(planned);
+  if (placement.has_value()) {
+    Prepare(*placement);
     return;
   }
-  Wait();
+  // The listing of the planner and this host's differ.
+  EndAsk();
+  placement_request_.tried.insert(planned.endpoint);
+  ++unusable_places_;
+  if (unusable_places_ < kMostUnusablePlaces) {
+    AskForPlace();
+  } else {
+    PlaceAlone();
+  }
 }
 
-bool Exchange::IsBehind() const {
-  return services_->peers_ahead(UrgencyOf(AsWaiter(), services_->clock())) > 0;
+std::optional<Placement> Exchange::PlacementOf(
+    const PlannedPlacement& planned) const {
+  const auto usable = [this](const EndpointId& id) {
+    const EndpointRecord* record = services_->directory->Find(id);
+    return record != nullptr && !record->draining &&
+                   record->service == service_->name
+               ? record
+               : nullptr;
+  };
+  const EndpointRecord* endpoint = usable(planned.endpoint);
+  if (endpoint == nullptr) {
+    return std::nullopt;
+  }
+  Placement placement;
+  placement.endpoint = *endpoint;
+  placement.work_class = planned.work_class;
+  placement.read = planned.read;
+  placement.first_event = planned.first_event;
+  placement.candidates = planned.candidates;
+  for (const PlannedHelper& helper : planned.helpers) {
+    const EndpointRecord* record = usable(helper.endpoint);
+    if (record == nullptr) {
+      return std::nullopt;
+    }
+    placement.helpers.push_back(Helper{*record, helper.held});
+  }
+  return placement;
+}
+
+void Exchange::PlaceAlone() {
+  if (TryPlace()) {
+    return;
+  }
+  if (services_->policy->refuses_by_precedent && WaitsInVain()) {
+    RefuseWaiting();
+    return;
+  }
+  Wait();
 }
 
 bool Exchange::WaitsInVain() const {
@@ -186,10 +282,8 @@
   }
   const FractionalMillis work =
       ReadTime(*service_->engine, placement_request_.prompt);
-  const auto own = services_->queue->LeastLateWork();
-  const auto peers = services_->peers_late_work();
-  return (own.has_value() && *own <= work) ||
-         (peers.has_value() && *peers <= work);
+  const auto least = services_->queue->LeastLateWork();
+  return least.has_value() && *least <= work;
 }
 
 void Exchange::RefuseWaiting() {
@@ -199,11 +293,6 @@
          std::chrono::duration_cast<Millis>(pause));
 }
 
-bool Exchange::IsLong() const {
-  return ReadTime(*service_->engine, placement_request_.prompt) >
-         FractionalMillis(route_->target_gap);
-}
-
 bool Exchange::TryPlace() {
   const TimePoint now = services_->clock();
   placement_request_.until_late = arrived_ + route_->target_latency - now;
@@ -220,7 +309,7 @@
 }
 
 void Exchange::Wait() {
-  waits_since_ = services_->clock();
+  NoteWaiting();
   waiter_ = services_->queue->Add(AsWaiter(), [weak = weak_from_this()] {
     const auto self = weak.lock();
     if (self == nullptr || self->finished_) {
@@ -232,10 +321,15 @@
     self->waiter_.reset();
     return true;
   });
-  services_->on_load_changed();
   ArmTimer();
 }
 
+void Exchange::NoteWaiting() {
+  if (waits_since_ == TimePoint{}) {
+    waits_since_ = services_->clock();
+  }
+}
+
 Waiter Exchange::AsWaiter() const {
   const FractionalMillis work =
       ReadTime(*service_->engine, placement_request_.prompt);
@@ -244,6 +338,9 @@
 }
 
 void Exchange::LeaveQueue() {
+  if (waits_at_planner_) {
+    EndAsk();
+  }
   if (waiter_.has_value()) {
     services_->queue->Remove(*waiter_);
     waiter_.reset();
@@ -254,9 +351,6 @@
   ++placements_;
   endpoint_ = placement.endpoint.id;
   BeginWork(placement);
-  if (placement.work_class == WorkClass::kLong) {
-    services_->on_load_changed();
-  }
   std::vector<MemoryNeed> needs;
   for (const Helper& helper : placement.helpers) {
     if (Tokens{0} < helper.held) {
@@ -289,7 +383,16 @@
     return;
   }
   EndWork();
-  Wait();
+  NoteWaiting();
+  // The memory that was there a moment ago is another's now.
+  memory_timer_.expires_after(kMemoryRetry);
+  memory_timer_.async_wait(
+      [weak = weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self != nullptr && !self->finished_) {
+          self->TryNext();
+        }
+      });
 }
 
 MemoryTicket Exchange::TicketFor(const EndpointId& holder) const {
@@ -381,20 +484,22 @@
 }
 
 void Exchange::BeginWork(const Placement& placement) {
-  Tokens memory = placement_request_.prompt + placement_request_.answer;
-  std::vector<WorkId> helpers;
+  attempt_failed_ = false;
   helpers_.clear();
   for (const Helper& helper : placement.helpers) {
-    memory = memory - helper.held;
     helpers_.push_back(helper.record.id);
-    helpers.push_back(
-        services_->loads->Begin(helper.record.id, WorkClass::kHelper,
-                                placement.read, helper.held, Millis(0)));
   }
-  work_.push_back(services_->loads->Begin(endpoint_, placement.work_class,
-                                          placement.read, memory,
-                                          route_->target_gap));
-  work_.insert(work_.end(), helpers.begin(), helpers.end());
+  std::vector<WorkPart> parts = PartsOf(placement, placement_request_);
+  for (const WorkPart& part : parts) {
+    work_.push_back(services_->loads->Begin(part));
+  }
+  if (!service_->engine.has_value()) {
+    return;
+  }
+  if (!ask_.has_value()) {
+    ask_ = services_->places->NewId();
+  }
+  services_->places->OnStarted(*ask_, std::move(parts));
 }
 
 void Exchange::EndWork() {
@@ -403,12 +508,26 @@
     services_->loads->End(id);
   }
   work_.clear();
+  EndAsk();
   if (hold_ != nullptr) {
     hold_->Release();
     hold_.reset();
   }
 }
 
+void Exchange::EndAsk() {
+  if (ask_.has_value()) {
+    services_->places->OnEnd(*ask_, attempt_failed_);
+    ask_.reset();
+  }
+  waits_at_planner_ = false;
+}
+
+void Exchange::OnErrorAnswer() {
+  attempt_failed_ = true;
+  services_->health->OnErrorAnswer(endpoint_);
+}
+
 void Exchange::OnFirstEvent() {
   if (first_event_seen_) {
     return;
@@ -418,15 +537,15 @@
     first_event_at_ = services_->clock();
   }
   services_->queue->PumpSoon();
-  if (!helpers_.empty()) {
-    services_->on_load_changed();
-  }
   const FractionalMillis taken = services_->clock() - sent_at_;
   // A single slow answer says little of short waits; what counts is how the
   // longer ones compare.
   constexpr FractionalMillis kNegligible{200};
   const double pace = (taken + kNegligible) / (predicted_ + kNegligible);
   services_->health->OnSuccess(endpoint_, pace);
+  if (ask_.has_value()) {
+    services_->places->OnRead(*ask_, pace);
+  }
   for (const WorkId id : work_) {
     services_->loads->OnRead(id);
   }
@@ -459,6 +578,7 @@
   if (says_not_run && status != http_status::kBadRequest) {
     if (status == kMisdirected) {
       services_->health->OnUnreachable(endpoint_);
+      services_->on_fault();
     }
     NoteFault(head);
     AbandonAttempt();
@@ -467,13 +587,13 @@
   }
   const bool success = status / 100 == 2;
   if (success && head.count(names.answer_signature) == 0) {
+    OnErrorAnswer();
     AbandonAttempt();
-    services_->health->OnErrorAnswer(endpoint_);
     OnMayHaveRun("unsigned_answer");
     return;
   }
   if (!success && (stream_begun_ || status >= 500) && route_->MayRepeat()) {
-    services_->health->OnErrorAnswer(endpoint_);
+    OnErrorAnswer();
     if (stream_begun_ || MaySendAgain()) {
       may_have_run_ = true;
       AbandonAttempt();
@@ -516,7 +636,7 @@
     const bool is_address = record != nullptr && record->address == named;
     if (helper.value == named || is_address) {
       services_->health->OnNamedAtFault(helper);
-      services_->on_load_changed();
+      services_->on_fault();
     }
   }
 }
@@ -543,11 +663,14 @@
 void Exchange::OnAnswerEnd() {
   const auto self = shared_from_this();
   attempt_.reset();
+  const bool torn = use_ == AnswerUse::kStream && scanner_.HasPartial();
+  if (torn) {
+    OnErrorAnswer();
+  }
   EndWork();
   if (use_ == AnswerUse::kStream) {
-    if (scanner_.HasPartial()) {
+    if (torn) {
       scanner_.DropPartial();
-      services_->health->OnErrorAnswer(endpoint_);
       OnMayHaveRun("ended_inside_an_event");
       return;
     }
@@ -567,9 +690,10 @@
 void Exchange::OnFailure(const AttemptFailure& failure) {
   const auto self = shared_from_this();
   attempt_.reset();
-  EndWork();
   if (const auto* not_sent = std::get_if<AttemptNotSent>(&failure)) {
+    EndWork();
     services_->health->OnUnreachable(endpoint_);
+    services_->on_fault();
     ++connect_failures_;
     if (connect_failures_ < kMostConnectFailures) {
       TryNext();
@@ -579,7 +703,8 @@
     return;
   }
   // One broken answer is not a dead endpoint; the next connection tells.
-  services_->health->OnErrorAnswer(endpoint_);
+  OnErrorAnswer();
+  EndWork();
   scanner_.DropPartial();
   OnMayHaveRun(std::get<AttemptBroken>(failure).reason);
 }
@@ -673,6 +798,7 @@
       may_have_run_ = may_have_run_ || attempt_sent_;
       AbandonAttempt();
       services_->health->OnOverdue(endpoint_, last_bytes_at_);
+      services_->on_fault();
       scanner_.DropPartial();
       nlohmann::json fields = LogFields();
       fields["endpoint"] = endpoint_.value;
@@ -690,7 +816,7 @@
 
 std::optional<TimePoint> Exchange::WaitEnd() const {
   const Tokens needed = placement_request_.prompt + placement_request_.answer;
-  if (!waiter_.has_value() || may_have_run_ || !IsOversize(*service_, needed)) {
+  if (!IsWaiting() || may_have_run_ || !IsOversize(*service_, needed)) {
     return std::nullopt;
   }
   // A caller that is told early can still come back in time.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -48,19 +48,26 @@
   void ReadSizes();
   void ChooseService();
 
-  // Attempts.
+  // Places.
   void TryNext();
+  // Asks the planner; the answer comes to OnPlaceResult.
+  void AskForPlace();
+  void OnPlaceResult(const AskResult& result);
+  // Takes the place that the planner gave, unless this host knows better of its
+  // endpoints: then it asks again.
+  void UsePlanned(const PlannedPlacement& planned);
+  std::optional<Placement> PlacementOf(const PlannedPlacement& planned) const;
+  // Places by what this host knows itself, or waits here.
+  void PlaceAlone();
   // Returns false if all engines that could take it are busy.
   bool TryPlace();
   void Wait();
-  // Whether something more urgent waits in a peer.
-  bool IsBehind() const;
+  void NoteWaiting();
+  bool IsWaiting() const { return waiter_.has_value() || waits_at_planner_; }
   // Whether another prompt that takes no longer to read waits and can no longer
   // be in time.
   bool WaitsInVain() const;
   void RefuseWaiting();
-  // Whether the prompt takes so long to read that its engines must be free.
-  bool IsLong() const;
   Waiter AsWaiter() const;
   void LeaveQueue();
   // Sets memory aside first if the placement needs that.
@@ -71,6 +78,9 @@
   MemoryTicket TicketFor(const EndpointId& holder) const;
   void BeginWork(const Placement& placement);
   void EndWork();
+  // Ends the place that was asked for, given or not.
+  void EndAsk();
+  void OnErrorAnswer();
   void OnFirstEvent();
   void NotePause();
 
@@ -108,6 +118,7 @@
   TimePoint arrived_;
   std::shared_ptr<AnswerPort> answer_;
   boost::asio::steady_timer timer_;
+  boost::asio::steady_timer memory_timer_;
 
   std::string id_;
   std::shared_ptr<const std::string> body_;
@@ -133,10 +144,16 @@
   TimePoint last_event_at_{};
   // Between two events of the stream, also across a resumption.
   std::chrono::steady_clock::duration longest_pause_{0};
+  // The place that was asked for, while it is waited for or used.
+  std::optional<AskId> ask_;
+  bool waits_at_planner_ = false;
+  // The endpoint of the place failed.
+  bool attempt_failed_ = false;
   std::optional<WaiterId> waiter_;
   TimePoint waits_since_{};
   int sendings_ = 0;
   int connect_failures_ = 0;
+  int unusable_places_ = 0;
   bool may_have_run_ = false;
   bool attempt_sent_ = false;
   bool budget_refused_ = false;
--- /dev/null
+++ b/src/gateway/fleet_member.cc
@@ -0,0 +1,343 @@
+#include "src/gateway/fleet_member.h"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "harecrank/core/http_status.h"
+
+namespace harecrank {
+namespace {
+
+// How often this looks after itself: words, silence, prompts that wait.
+constexpr Millis kTick{40};
+// How soon after a change the planner is told.
+constexpr Millis kSoon{1};
+// The pause between two words to strangers: while no planner is known, and
+// then.
+constexpr Millis kSearchInterval{100};
+constexpr Millis kStrangerInterval{1000};
+// The pause between two questions to others for what the platform does not
+// answer, and how long an answer may take.
+constexpr Millis kAskInterval{250};
+constexpr Millis kAskTimeout{500};
+
+}  // namespace
+
+struct FleetMember::Receiver {
+  FleetMember* member;
+
+  void operator()(const HostWord& word) const { member->OnWord(word); }
+  void operator()(const PlaceAsk& ask) const { member->OnAsk(ask); }
+  void operator()(const PlaceAnswer& answer) const {
+    member->book_->OnHeard(answer.from);
+    if (answer.from == member->followed_) {
+      member->planner_heard_ = member->clock_();
+    }
+    member->places_.OnAnswer(answer);
+  }
+  void operator()(const WorkNote& note) const { member->OnNote(note); }
+};
+
+FleetMember::FleetMember(boost::asio::io_context* io, NodeId node,
+                         KnownHost self, Incarnation life, HostBook* book,
+                         Planner* planner, EndpointHealth* health,
+                         FleetSocket* socket, FleetMemberPorts ports,
+                         EventLog* log, Metrics* metrics, MonotonicClock clock)
+    : io_(io),
+      node_(std::move(node)),
+      self_(std::move(self)),
+      life_(life),
+      book_(book),
+      planner_(planner),
+      health_(health),
+      socket_(socket),
+      ports_(std::move(ports)),
+      log_(log),
+      metrics_(metrics),
+      clock_(std::move(clock)),
+      places_(io, self_.address, life, MakePlacePorts(), clock_),
+      tick_timer_(*io),
+      tell_timer_(*io),
+      try_timer_(*io) {}
+
+PlaceClientPorts FleetMember::MakePlacePorts() {
+  PlaceClientPorts ports;
+  ports.planner = [this] { return book_->Planner(); };
+  ports.send = [this](const HostAddress& to, const FleetMessage& message) {
+    Send(to, message);
+  };
+  ports.on_silent = [this](const HostAddress& host) {
+    book_->OnSilent(host);
+    log_->Write("planner_silent", {{"planner", host.value}, {"by", "ask"}},
+                LogWeight::kAlwaysKept);
+    FollowPlanner();
+  };
+  ports.on_redirect = [this](const HostAddress& host,
+                             const HostAddress& planner) {
+    book_->OnRedirect(host, planner);
+    Probe(planner);
+    FollowPlanner();
+  };
+  return ports;
+}
+
+void FleetMember::Start() {
+  socket_->Start([this](const FleetMessage& message) { OnMessage(message); });
+  Tick();
+}
+
+void FleetMember::Leave() {
+  book_->Leave();
+  FollowPlanner();
+  Announce();
+}
+
+void FleetMember::Send(const HostAddress& to, const FleetMessage& message) {
+  if (to != self_.address) {
+    socket_->Send(to, message);
+    return;
+  }
+  // As if it had come from another host, and never from within a call.
+  boost::asio::post(*io_, [this, message] { OnMessage(message); });
+}
+
+void FleetMember::OnMessage(const FleetMessage& message) {
+  std::visit(Receiver{this}, message);
+}
+
+void FleetMember::OnWord(const HostWord& word) {
+  const TimePoint now = clock_();
+  if (book_->OnWord(word)) {
+    log_->Write("peer_heard",
+                {{"peer", word.node.value}, {"address", word.address.value}});
+  }
+  if (word.address == followed_) {
+    planner_heard_ = now;
+  } else if (word.planner == word.address && followed_.has_value() &&
+             *followed_ != self_.address &&
+             now - planner_heard_ > kWordInterval + kAskInterval / 2) {
+    // Another host took over, and the old planner has missed a word.
+    book_->OnSilent(*followed_);
+  }
+  if (word.planner != word.address) {
+    Probe(word.planner);
+  }
+  for (const AvoidedEndpoint& endpoint : word.avoided) {
+    health_->OnPeerAvoids(endpoint.id, endpoint.left);
+  }
+  FollowPlanner();
+  if (IsPlanner()) {
+    planner_->OnWord(word);
+    TryWaitingSoon();
+  }
+  if (word.wants_reply) {
+    HostWord reply = OwnWord();
+    reply.hosts = book_->HostsFor(word.address);
+    Send(word.address, reply);
+  }
+}
+
+void FleetMember::Probe(const HostAddress& planner) {
+  const TimePoint now = clock_();
+  const bool is_known =
+      planner.value.empty() || planner == self_.address || planner == followed_;
+  if (is_known || now - probed_at_ < kSearchInterval) {
+    return;
+  }
+  probed_at_ = now;
+  HostWord word = OwnWord();
+  word.wants_reply = true;
+  Send(planner, word);
+}
+
+void FleetMember::OnAsk(const PlaceAsk& ask) {
+  PlaceAnswer answer{self_.address, ask.life, ask.id, NotPlanner{}};
+  if (IsPlanner()) {
+    answer.decision = planner_->OnAsk(ask);
+  } else if (const auto planner = book_->Planner()) {
+    answer.decision = NotPlanner{*planner};
+  }
+  Send(ask.host, answer);
+}
+
+void FleetMember::OnNote(const WorkNote& note) {
+  if (IsPlanner()) {
+    planner_->OnNote(note);
+    TryWaitingSoon();
+  }
+}
+
+HostWord FleetMember::OwnWord() const {
+  HostWord word;
+  word.node = node_;
+  word.address = self_.address;
+  word.life = life_;
+  word.power = self_.power;
+  word.leaving = book_->IsLeaving();
+  word.planner = followed_.value_or(HostAddress{});
+  word.alive_hosts = book_->CountedHosts();
+  word.avoided = health_->Avoided();
+  ports_.describe(&word);
+  return word;
+}
+
+void FleetMember::TellPlanner() {
+  told_at_ = clock_();
+  if (!followed_.has_value()) {
+    return;
+  }
+  HostWord word = OwnWord();
+  word.work = places_.Work();
+  word.wants_reply = *followed_ != self_.address;
+  if (*followed_ == self_.address) {
+    planner_->OnWord(word);
+    return;
+  }
+  Send(*followed_, word);
+}
+
+void FleetMember::TellSoon() {
+  if (tells_soon_) {
+    return;
+  }
+  tells_soon_ = true;
+  tell_timer_.expires_after(kSoon);
+  tell_timer_.async_wait([this](boost::system::error_code error) {
+    tells_soon_ = false;
+    if (!error) {
+      TellPlanner();
+    }
+  });
+}
+
+void FleetMember::TellStrangers() {
+  strangers_told_ = clock_();
+  HostWord word = OwnWord();
+  word.wants_reply = true;
+  for (const HostAddress& stranger : book_->Strangers()) {
+    Send(stranger, word);
+  }
+}
+
+void FleetMember::Announce() {
+  const HostWord word = OwnWord();
+  for (const HostAddress& host : book_->AliveOthers()) {
+    Send(host, word);
+  }
+}
+
+void FleetMember::FollowPlanner() {
+  const auto planner = book_->Planner();
+  if (planner == followed_) {
+    return;
+  }
+  const bool planned = followed_ == self_.address;
+  followed_ = planner;
+  planner_heard_ = clock_();
+  log_->Write("planner",
+              {{"planner", planner.value_or(HostAddress{}).value},
+               {"own", planner == self_.address},
+               {"hosts", book_->CountedHosts()}},
+              LogWeight::kAlwaysKept);
+  if (planned) {
+    planner_->Clear();
+  }
+  if (planner == self_.address) {
+    Announce();
+  }
+  TellSoon();
+  // Not from within what told of the change.
+  boost::asio::post(*io_, [this] { places_.OnPlannerChanged(); });
+}
+
+void FleetMember::LookForSilence() {
+  const bool follows_other =
+      followed_.has_value() && *followed_ != self_.address;
+  if (follows_other && clock_() - planner_heard_ > kWordSilence) {
+    log_->Write("planner_silent",
+                {{"planner", followed_->value}, {"by", "word"}},
+                LogWeight::kAlwaysKept);
+    book_->OnSilent(*followed_);
+  }
+  FollowPlanner();
+}
+
+void FleetMember::Tick() {
+  const TimePoint now = clock_();
+  LookForSilence();
+  if (now - told_at_ >= kWordInterval) {
+    TellPlanner();
+  }
+  const Millis strangers =
+      followed_.has_value() ? kStrangerInterval : kSearchInterval;
+  if (now - strangers_told_ >= strangers) {
+    TellStrangers();
+  }
+  if (IsPlanner()) {
+    planner_->DropSilent();
+    if (now - tried_at_ >= kTryInterval) {
+      TryWaiting();
+    }
+  }
+  AskBetterInformed();
+  tick_timer_.expires_after(kTick);
+  tick_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      Tick();
+    }
+  });
+}
+
+void FleetMember::TryWaiting() {
+  tried_at_ = clock_();
+  if (planner_->WaitingCount() == 0) {
+    return;
+  }
+  for (DuePlace& due : planner_->TryWaiting()) {
+    Send(due.host,
+         PlaceAnswer{self_.address, due.life, due.id, std::move(due.decision)});
+  }
+}
+
+void FleetMember::TryWaitingSoon() {
+  if (tries_soon_ || planner_->WaitingCount() == 0) {
+    return;
+  }
+  tries_soon_ = true;
+  try_timer_.expires_after(kTryPause);
+  try_timer_.async_wait([this](boost::system::error_code error) {
+    tries_soon_ = false;
+    if (!error && IsPlanner()) {
+      TryWaiting();
+    }
+  });
+}
+
+void FleetMember::AskBetterInformed() {
+  const TimePoint now = clock_();
+  if (now - asked_at_ < kAskInterval) {
+    return;
+  }
+  HostWord own;
+  ports_.describe(&own);
+  if (own.source_well) {
+    return;
+  }
+  const auto host = book_->BetterInformed(own.routing, own.known_up_to);
+  if (!host.has_value()) {
+    return;
+  }
+  asked_at_ = now;
+  asking_ = std::make_shared<HttpClient>(io_, host->value);
+  asking_->Get(
+      kSnapshotPath, kAskTimeout,
+      [this, host = *host](const CallResult& result) {
+        const auto* reply = std::get_if<HttpReply>(&result);
+        const bool taken = reply != nullptr &&
+                           reply->result_int() == http_status::kOk &&
+                           ports_.on_snapshot(reply->body());
+        log_->Write("peer_asked", {{"address", host.value}, {"taken", taken}});
+      });
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/fleet_member.h
@@ -0,0 +1,123 @@
+// This host's part in its fleet: it tells the others of itself, follows the
+// host that plans, or plans for them.
+
+#ifndef HARECRANK_SRC_GATEWAY_FLEET_MEMBER_H_
+#define HARECRANK_SRC_GATEWAY_FLEET_MEMBER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "harecrank/core/endpoint_health.h"
+#include "harecrank/core/host_book.h"
+#include "harecrank/core/planner.h"
+#include "src/adapters/event_log.h"
+#include "src/adapters/metrics.h"
+#include "src/gateway/fleet_socket.h"
+#include "src/gateway/http_client.h"
+#include "src/gateway/place_client.h"
+
+namespace harecrank {
+
+// What the member asks of its owner.
+struct FleetMemberPorts {
+  // Returns the owner's part of the host's word: what it knows of the platform.
+  std::function<void(HostWord* word)> describe;
+  // Takes what another host knows. Returns false if it cannot be used.
+  std::function<bool(const std::string& snapshot)> on_snapshot;
+};
+
+// Not thread-safe; runs on its io_context.
+class FleetMember {
+ public:
+  // All pointers must outlive this.
+  FleetMember(boost::asio::io_context* io, NodeId node, KnownHost self,
+              Incarnation life, HostBook* book, Planner* planner,
+              EndpointHealth* health, FleetSocket* socket,
+              FleetMemberPorts ports, EventLog* log, Metrics* metrics,
+              MonotonicClock clock);
+
+  void Start();
+
+  // This host is about to stop: another one plans from now on.
+  void Leave();
+
+  // Tells the planner soon, and not only when the next word is due.
+  void TellSoon();
+
+  PlaceClient* Places() { return &places_; }
+  bool IsPlanner() { return book_->IsPlanner(); }
+
+  // Path at which a host gives its snapshot.
+  static constexpr char kSnapshotPath[] = "/peer/snapshot";
+  // The pause between two words to the planner. A planner that dies is noticed
+  // by the asks that it does not answer; words find it where nothing is asked.
+  static constexpr Millis kWordInterval{300};
+  // A planner that answered no word for this long is silent.
+  static constexpr Millis kWordSilence{650};
+  // How often prompts that wait are tried while nothing is heard.
+  static constexpr Millis kTryInterval{40};
+  // What ends within so long is taken together before those that wait are
+  // tried. A try of one prompt looks at every engine.
+  static constexpr Millis kTryPause{4};
+
+ private:
+  // Handles each kind of message.
+  struct Receiver;
+
+  PlaceClientPorts MakePlacePorts();
+  void Send(const HostAddress& to, const FleetMessage& message);
+  void OnMessage(const FleetMessage& message);
+  void OnWord(const HostWord& word);
+  void OnAsk(const PlaceAsk& ask);
+  void OnNote(const WorkNote& note);
+  HostWord OwnWord() const;
+  // Asks a host that another one takes for the planner for its own word: two
+  // hosts plan, or this one follows the wrong one.
+  void Probe(const HostAddress& planner);
+  void TellPlanner();
+  void TellStrangers();
+  void Announce();
+  void Tick();
+  void TryWaiting();
+  void TryWaitingSoon();
+  // Looks whether another host plans now, and tells of it if so.
+  void FollowPlanner();
+  void LookForSilence();
+  void AskBetterInformed();
+
+  boost::asio::io_context* io_;
+  NodeId node_;
+  KnownHost self_;
+  Incarnation life_;
+  HostBook* book_;
+  Planner* planner_;
+  EndpointHealth* health_;
+  FleetSocket* socket_;
+  FleetMemberPorts ports_;
+  EventLog* log_;
+  Metrics* metrics_;
+  MonotonicClock clock_;
+  PlaceClient places_;
+  boost::asio::steady_timer tick_timer_;
+  boost::asio::steady_timer tell_timer_;
+  boost::asio::steady_timer try_timer_;
+  std::optional<HostAddress> followed_;
+  // When the followed planner was last heard.
+  TimePoint planner_heard_{};
+  TimePoint told_at_{};
+  TimePoint strangers_told_{};
+  TimePoint probed_at_{};
+  TimePoint tried_at_{};
+  bool tells_soon_ = false;
+  bool tries_soon_ = false;
+  std::shared_ptr<HttpClient> asking_;
+  TimePoint asked_at_{};
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_GATEWAY_FLEET_MEMBER_H_
--- /dev/null
+++ b/src/gateway/fleet_socket.cc
@@ -0,0 +1,79 @@
+#include "src/gateway/fleet_socket.h"
+
+#include <boost/asio/buffer.hpp>
+#include <utility>
+
+#include "src/gateway/http_client.h"
+
+namespace harecrank {
+namespace {
+
+namespace asio = boost::asio;
+
+asio::ip::udp::endpoint UdpEndpoint(const std::string& address) {
+  const auto endpoint = ParseTcpEndpoint(address);
+  if (!endpoint.has_value()) {
+    throw boost::system::system_error(asio::error::invalid_argument,
+                                      "'" + address + "' is no IP:PORT");
+  }
+  return {endpoint->address(), endpoint->port()};
+}
+
+}  // namespace
+
+FleetSocket::FleetSocket(asio::io_context* io, const std::string& address,
+                         Metrics* metrics)
+    : socket_(*io, UdpEndpoint(address)),
+      port_(socket_.local_endpoint().port()),
+      metrics_(metrics) {
+  // Hosts that are gone answer with errors, and a full buffer drops.
+  socket_.non_blocking(true);
+}
+
+void FleetSocket::Start(OnMessage on_message) {
+  on_message_ = std::move(on_message);
+  received_.resize(kMostDatagram);
+  Receive();
+}
+
+void FleetSocket::Receive() {
+  socket_.async_receive_from(
+      asio::buffer(received_), sender_,
+      [this](boost::system::error_code error, std::size_t size) {
+        if (error == asio::error::operation_aborted) {
+          return;
+        }
+        if (!error) {
+          OnDatagram(size);
+        }
+        Receive();
+      });
+}
+
+void FleetSocket::OnDatagram(std::size_t size) {
+  const auto message = DecodeFleetMessage(received_.substr(0, size));
+  if (!message.has_value()) {
+    metrics_->GetCounter("harecrank_gateway_bad_fleet_messages_total")->Add();
+    return;
+  }
+  on_message_(*message);
+}
+
+void FleetSocket::Send(const HostAddress& to, const FleetMessage& message) {
+  const auto target = ParseTcpEndpoint(to.value);
+  if (!target.has_value()) {
+    metrics_->GetCounter("harecrank_gateway_bad_host_addresses_total")->Add();
+    return;
+  }
+  const std::string bytes = EncodeFleetMessage(message);
+  boost::system::error_code error;
+  socket_.send_to(asio::buffer(bytes), {target->address(), port_}, 0, error);
+  if (error) {
+    // Counted and not logged: it comes again with each word to a host that is
+    // gone.
+    metrics_->GetCounter("harecrank_gateway_unsent_fleet_messages_total")
+        ->Add();
+  }
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/fleet_socket.h
@@ -0,0 +1,49 @@
+// Datagrams between the hosts of a fleet.
+
+#ifndef HARECRANK_SRC_GATEWAY_FLEET_SOCKET_H_
+#define HARECRANK_SRC_GATEWAY_FLEET_SOCKET_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+#include <string>
+
+#include "harecrank/core/fleet_messages.h"
+#include "src/adapters/metrics.h"
+
+namespace harecrank {
+
+// Sends and receives fleet messages. What is lost is not sent again here: each
+// kind of message has its own way to live with that. Not thread-safe.
+class FleetSocket {
+ public:
+  using OnMessage = std::function<void(const FleetMessage& message)>;
+
+  // Throws boost::system::system_error if `address` cannot be had. All hosts
+  // use the same port.
+  FleetSocket(boost::asio::io_context* io, const std::string& address,
+              Metrics* metrics);
+
+  // Calls `on_message` for each message until this ends.
+  void Start(OnMessage on_message);
+
+  void Send(const HostAddress& to, const FleetMessage& message);
+
+ private:
+  void Receive();
+  void OnDatagram(std::size_t size);
+
+  // The largest datagram of UDP over IPv4.
+  static constexpr std::size_t kMostDatagram = 65507;
+
+  boost::asio::ip::udp::socket socket_;
+  std::uint16_t port_;
+  Metrics* metrics_;
+  OnMessage on_message_;
+  std::string received_;
+  boost::asio::ip::udp::endpoint sender_;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_GATEWAY_FLEET_SOCKET_H_
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -42,6 +42,20 @@
              : kLeastSessions;
 }
 
+KnownHost Self(const GatewaySettings& settings) {
+  return KnownHost{HostAddress{settings.operations_address},
+                   HostPower{settings.power}};
+}
+
+std::vector<HostAddress> Addresses(const std::vector<std::string>& texts) {
+  std::vector<HostAddress> addresses;
+  addresses.reserve(texts.size());
+  for (const std::string& text : texts) {
+    addresses.push_back(HostAddress{text});
+  }
+  return addresses;
+}
+
 }  // namespace
 
 GatewayNode::GatewayNode(GatewaySettings settings,
@@ -61,18 +75,22 @@
       connections_(&io_, clock_),
       placer_(
           &directory_, &loads_, &health_, settings_.data_centre,
-          [this] { return KnownHosts(); }, settings_.placement, random_),
+          LoadsOf::kThisHost, [this] { return KnownHosts(); },
+          settings_.placement, random_),
       budgets_(
           settings_.repeat_bound, [this] { return KnownHosts(); }, clock_),
-      queue_(
-          &io_, clock_, settings_.placement.tried,
-          [this](Urgency urgency) { return peer_book_.PeersAhead(urgency); }),
+      queue_(&io_, clock_, settings_.placement.tried),
       orders_(platform.make_orders(&io_)),
+      hosts_(Self(settings_), Addresses(settings_.seed_peers), clock_, random_),
+      planner_(
+          &directory_, &health_, settings_.data_centre,
+          [this] { return routing_.InForce(); }, settings_.placement, clock_,
+          random_),
+      fleet_socket_(&io_, settings_.peers_address, &metrics_),
+      fleet_(&io_, settings_.node_id, Self(settings_), Incarnation{random_()},
+             &hosts_, &planner_, &health_, &fleet_socket_, MakeFleetPorts(),
+             &log_, &metrics_, clock_),
       services_(MakeServices()),
-      peer_book_(settings_.operations_address, settings_.seed_peers, clock_,
-                 random_),
-      peers_(&io_, settings_.peers_address, &peer_book_, MakePeerPorts(), &log_,
-             &metrics_, clock_),
       feed_(platform.make_feed(&io_, settings_, this)),
       callers_(&io_, settings_.callers_address,
                MostSessions(settings_.descriptors), MakeSessionContext()),
@@ -95,7 +113,7 @@
              LogWeight::kAlwaysKept);
   started_ = clock_();
   feed_->Start();
-  peers_.Start();
+  fleet_.Start();
   readiness_.Start();
   operations_.Start();
   AwaitSignal();
@@ -127,11 +145,8 @@
     }
     return drain_began_ + settings_.stop_limit - 2 * kStopMargin;
   };
-  services.peers_ahead = [this](Urgency urgency) {
-    return peer_book_.PeersAhead(urgency);
-  };
-  services.peers_late_work = [this] { return peer_book_.LeastLateWork(); };
-  services.on_load_changed = [this] { peers_.TellSoon(); };
+  services.places = fleet_.Places();
+  services.on_fault = [this] { fleet_.TellSoon(); };
   services.clock = clock_;
   services.random = random_;
   return services;
@@ -161,7 +176,7 @@
 
 int GatewayNode::KnownHosts() const {
   return std::max({kLeastHosts, static_cast<int>(settings_.seed_peers.size()),
-                   peer_book_.AliveHosts()});
+                   hosts_.AliveHosts()});
 }
 
 bool GatewayNode::IsReady() const {
@@ -182,34 +197,19 @@
     return MakeReply(http_status::kOk, "text/plain; version=0.0.4",
                      metrics_.Text());
   }
-  if (request.target() == PeerExchange::kSnapshotPath) {
+  if (request.target() == FleetMember::kSnapshotPath) {
     return MakeReply(http_status::kOk, "application/cbor", feed_->Export());
   }
   return MakeReply(http_status::kNotFound, "text/plain", "no such page\n");
 }
 
-PeerExchangePorts GatewayNode::MakePeerPorts() {
-  PeerExchangePorts ports;
-  ports.own_word = [this] {
-    PeerWord word;
-    word.node = settings_.node_id;
-    word.operations_address = settings_.operations_address;
+FleetMemberPorts GatewayNode::MakeFleetPorts() {
+  FleetMemberPorts ports;
+  ports.describe = [this](HostWord* word) {
     const auto table = routing_.InForce();
-    word.routing = table == nullptr ? RoutingVersion{} : table->Version();
-    word.known_up_to = known_up_to_;
-    word.source_well = source_well_;
-    word.loads = loads_.Own();
-    word.avoided = health_.Avoided();
-    word.urgency = queue_.MostUrgent();
-    word.least_late_work = queue_.LeastLateWork();
-    return word;
-  };
-  ports.on_word = [this](const PeerWord& word) {
-    loads_.SetPeer(word.node, word.loads);
-    for (const AvoidedEndpoint& endpoint : word.avoided) {
-      health_.OnPeerAvoids(endpoint.id, endpoint.left);
-    }
-    queue_.PumpSoon();
+    word->routing = table == nullptr ? RoutingVersion{} : table->Version();
+    word->known_up_to = known_up_to_;
+    word->source_well = source_well_;
   };
   ports.on_snapshot = [this](const std::string& snapshot) {
     const auto at = feed_->Import(snapshot);
@@ -232,6 +232,17 @@
                     [this] { return source_well_ ? 1.0 : 0.0; });
   metrics_.AddGauge("harecrank_gateway_waiting",
                     [this] { return static_cast<double>(queue_.Count()); });
+  metrics_.AddGauge("harecrank_gateway_is_planner",
+                    [this] { return fleet_.IsPlanner() ? 1.0 : 0.0; });
+  metrics_.AddGauge("harecrank_gateway_planned_hosts", [this] {
+    return static_cast<double>(planner_.HostCount());
+  });
+  metrics_.AddGauge("harecrank_gateway_waiting_at_planner", [this] {
+    return static_cast<double>(planner_.WaitingCount());
+  });
+  metrics_.AddGauge("harecrank_gateway_hosts_alive", [this] {
+    return static_cast<double>(hosts_.AliveHosts());
+  });
   metrics_.AddGauge("harecrank_gateway_idle_connections", [this] {
     return static_cast<double>(connections_.IdleCount());
   });
@@ -345,7 +356,7 @@
   // restart, and the platform restarts where it moves a process.
   settings_.seed_peers = fresh->seed_peers;
   settings_.stop_limit = fresh->stop_limit;
-  peer_book_.SetSeeds(fresh->seed_peers);
+  hosts_.SetSeeds(Addresses(fresh->seed_peers));
   log_.Write("reload",
              {{"cause", cause},
               {"taken", true},
@@ -361,6 +372,7 @@
   drain_began_ = clock_();
   log_.Write("drain", {{"requests", callers_.BusyCount()}},
              LogWeight::kAlwaysKept);
+  fleet_.Leave();
 }
 
 void GatewayNode::AcceptCallers() {
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -14,8 +14,8 @@
 #include "src/adapters/settings.h"
 #include "src/gateway/caller_listener.h"
 #include "src/gateway/directory_feed.h"
+#include "src/gateway/fleet_member.h"
 #include "src/gateway/gateway_services.h"
-#include "src/gateway/peer_exchange.h"
 #include "src/gateway/small_server.h"
 
 namespace harecrank {
@@ -70,7 +70,7 @@
   SessionContext MakeSessionContext();
   HttpReply AnswerReadiness(const HttpRequest& request);
   HttpReply AnswerOperations(const HttpRequest& request);
-  PeerExchangePorts MakePeerPorts();
+  FleetMemberPorts MakeFleetPorts();
   void AwaitSignal();
   void OnSignal(int signal);
   void RereadSettings();
@@ -101,9 +101,11 @@
   RepeatBudgets budgets_;
   DispatchQueue queue_;
   std::unique_ptr<MemoryOrders> orders_;
+  HostBook hosts_;
+  Planner planner_;
+  FleetSocket fleet_socket_;
+  FleetMember fleet_;
   GatewayServices services_;
-  PeerBook peer_book_;
-  PeerExchange peers_;
   std::unique_ptr<DirectoryFeed> feed_;
   CallerListener callers_;
   SmallServer readiness_;
--- a/src/gateway/gateway_services.h
+++ b/src/gateway/gateway_services.h
@@ -20,6 +20,7 @@
 #include "src/gateway/dispatch_queue.h"
 #include "src/gateway/endpoint_connections.h"
 #include "src/gateway/memory_orders.h"
+#include "src/gateway/place_client.h"
 #include "src/gateway/protocol_names.h"
 
 namespace harecrank {
@@ -74,13 +75,11 @@
   // Returns until when requests that begin now must have ended, if this host is
   // about to stop.
   std::function<std::optional<TimePoint>()> stops_at;
-  // Returns how many peers have something more urgent waiting.
-  std::function<int(Urgency)> peers_ahead;
-  // Returns the least work that waits at any peer and can no longer be in time.
-  std::function<std::optional<FractionalMillis>()> peers_late_work;
-  // Called when a long prompt was placed, was read, or began to wait: peers
-  // should hear of it soon.
-  std::function<void()> on_load_changed;
+  // Asks the planner for places.
+  PlaceClient* places = nullptr;
+  // Called when an endpoint was found at fault: the planner should hear of it
+  // soon.
+  std::function<void()> on_fault;
   MonotonicClock clock;
   RandomSource random;
 };
--- /dev/null
+++ b/src/gateway/place_client.cc
@@ -0,0 +1,270 @@
+#include "src/gateway/place_client.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace harecrank {
+namespace {
+
+// Notes of so long go in one datagram: far less than a step of any prompt
+// takes, and events of one pass come together.
+constexpr Millis kNotesWait{2};
+// A host that was sent on to this many others places by itself.
+constexpr int kMostHostsAsked = 3;
+// Weight of the newest answer in the mean of what answers take.
+constexpr double kNewest = 0.1;
+// How many of its usual times an answer may take before the ask is repeated,
+// and before its host counts as silent.
+constexpr double kResendAnswers = 3;
+constexpr double kSilentAnswers = 6;
+
+}  // namespace
+
+PlaceClient::PlaceClient(boost::asio::io_context* io, HostAddress self,
+                         Incarnation life, PlaceClientPorts ports,
+                         MonotonicClock clock)
+    : self_(std::move(self)),
+      life_(life),
+      ports_(std::move(ports)),
+      clock_(std::move(clock)),
+      timer_(*io),
+      flush_timer_(*io) {}
+
+AskId PlaceClient::Ask(const PlacementRequest& request, bool may_have_run,
+                       OnResult on_result) {
+  const AskId id = NewId();
+  Pending& pending = pending_[id];
+  PlaceAsk& ask = pending.ask;
+  ask.host = self_;
+  ask.life = life_;
+  ask.id = id;
+  ask.service = request.service->name;
+  ask.target_latency = request.target_latency;
+  ask.target_gap = request.target_gap;
+  ask.prompt = request.prompt;
+  ask.answer = request.answer;
+  ask.may_have_run = may_have_run;
+  ask.tried = request.tried;
+  pending.late_at = clock_() + std::chrono::duration_cast<TimePoint::duration>(
+                                   request.until_late);
+  pending.on_result = std::move(on_result);
+  SendToPlanner(id);
+  Arm();
+  return id;
+}
+
+void PlaceClient::SendToPlanner(AskId id) {
+  Pending& pending = pending_.at(id);
+  const auto planner = ports_.planner();
+  const bool again = pending.hosts_asked > 0 && planner == pending.asked;
+  if (!planner.has_value() || again || pending.hosts_asked >= kMostHostsAsked) {
+    // Looked at by the timer, so that Ask never calls back from within.
+    pending.asked = HostAddress{};
+    pending.since = pending.sent = TimePoint{};
+    return;
+  }
+  pending.asked = *planner;
+  pending.waits = false;
+  ++pending.hosts_asked;
+  pending.since = clock_();
+  SendAgain(&pending);
+}
+
+void PlaceClient::SendAgain(Pending* pending) {
+  pending->sent = clock_();
+  pending->ask.until_late = pending->late_at - pending->sent;
+  ports_.send(pending->asked, pending->ask);
+}
+
+void PlaceClient::OnAnswer(const PlaceAnswer& answer) {
+  if (answer.life != life_) {
+    return;
+  }
+  const auto found = pending_.find(answer.id);
+  if (found == pending_.end() || answer.from != found->second.asked) {
+    const bool placed =
+        std::holds_alternative<PlannedPlacement>(answer.decision);
+    if (placed && under_way_.count(answer.id) == 0) {
+      // Nobody waits for it any more.
+      GiveBack(answer.from, answer.id);
+    }
+    return;
+  }
+  Pending& pending = found->second;
+  if (const auto* other = std::get_if<NotPlanner>(&answer.decision)) {
+    ports_.on_redirect(answer.from, other->planner);
+    SendToPlanner(answer.id);
+    Arm();
+    return;
+  }
+  const TimePoint now = clock_();
+  answer_time_ +=
+      kNewest * (FractionalMillis(now - pending.sent) - answer_time_);
+  pending.since = now;
+  if (std::holds_alternative<AskWaits>(answer.decision)) {
+    const bool told = pending.waits;
+    pending.waits = true;
+    if (!told) {
+      // A copy, since what it does may end the ask.
+      const OnResult on_result = pending.on_result;
+      on_result(AskWaits{});
+    }
+    return;
+  }
+  struct ToResult {
+    AskResult operator()(const PlannedPlacement& placed) const {
+      return placed;
+    }
+    AskResult operator()(const AskWaits& waits) const { return waits; }
+    AskResult operator()(const AskRefused& refused) const { return refused; }
+    AskResult operator()(const NoEndpoint& none) const { return none; }
+    AskResult operator()(const NotPlanner& /*other*/) const {
+      return PlaceYourself{};
+    }
+  };
+  Resolve(answer.id, std::visit(ToResult{}, answer.decision));
+}
+
+void PlaceClient::GiveBack(const HostAddress& host, AskId id) {
+  ports_.send(host, WorkNote{self_, life_, {}, {EndNote{id, false}}});
+}
+
+void PlaceClient::Resolve(AskId id, const AskResult& result) {
+  const auto found = pending_.find(id);
+  const OnResult on_result = std::move(found->second.on_result);
+  pending_.erase(found);
+  on_result(result);
+}
+
+void PlaceClient::OnStarted(AskId id, std::vector<WorkPart> parts) {
+  under_way_[id] = AskedWork{id, false, std::move(parts)};
+}
+
+void PlaceClient::OnRead(AskId id, double pace) {
+  const auto found = under_way_.find(id);
+  if (found != under_way_.end()) {
+    found->second.is_read = true;
+    read_.push_back(ReadNote{id, pace});
+    FlushSoon();
+  }
+}
+
+void PlaceClient::OnEnd(AskId id, bool failed) {
+  const bool known = pending_.erase(id) + under_way_.erase(id) > 0;
+  if (known) {
+    ended_.push_back(EndNote{id, failed});
+    FlushSoon();
+  }
+}
+
+void PlaceClient::OnPlannerChanged() {
+  std::vector<AskId> ids;
+  for (const auto& [id, pending] : pending_) {
+    ids.push_back(id);
+  }
+  const auto planner = ports_.planner();
+  for (const AskId id : ids) {
+    Pending& pending = pending_.at(id);
+    if (planner.has_value() && *planner != pending.asked) {
+      SendToPlanner(id);
+    }
+  }
+  Arm();
+}
+
+std::vector<AskedWork> PlaceClient::Work() const {
+  std::vector<AskedWork> work;
+  work.reserve(under_way_.size());
+  for (const auto& [id, one] : under_way_) {
+    work.push_back(one);
+  }
+  return work;
+}
+
+Millis PlaceClient::Patience(Millis least, double answers) const {
+  return std::max(least,
+                  std::chrono::duration_cast<Millis>(answers * answer_time_));
+}
+
+TimePoint PlaceClient::DueOf(const Pending& pending) const {
+  return pending.sent +
+         (pending.waits ? kRepeat : Patience(kResend, kResendAnswers));
+}
+
+void PlaceClient::LookAt(AskId id) {
+  const auto found = pending_.find(id);
+  if (found == pending_.end()) {
+    return;
+  }
+  Pending& pending = found->second;
+  if (pending.asked.value.empty()) {
+    Resolve(id, PlaceYourself{});
+    return;
+  }
+  const TimePoint now = clock_();
+  if (now < DueOf(pending)) {
+    return;
+  }
+  const Millis silent =
+      Patience(kSilent, kSilentAnswers) + (pending.waits ? kRepeat : Millis(0));
+  if (now - pending.since < silent) {
+    SendAgain(&pending);
+    return;
+  }
+  GiveBack(pending.asked, id);
+  ports_.on_silent(pending.asked);
+  SendToPlanner(id);
+}
+
+void PlaceClient::Arm() {
+  if (pending_.empty()) {
+    return;
+  }
+  TimePoint due = TimePoint::max();
+  for (const auto& [id, pending] : pending_) {
+    due = std::min(due, DueOf(pending));
+  }
+  timer_.expires_at(std::max(due, clock_()));
+  timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      OnTimer();
+    }
+  });
+}
+
+void PlaceClient::OnTimer() {
+  std::vector<AskId> ids;
+  for (const auto& [id, pending] : pending_) {
+    ids.push_back(id);
+  }
+  for (const AskId id : ids) {
+    LookAt(id);
+  }
+  Arm();
+}
+
+void PlaceClient::FlushSoon() {
+  if (flushes_) {
+    return;
+  }
+  flushes_ = true;
+  flush_timer_.expires_after(kNotesWait);
+  flush_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      Flush();
+    }
+  });
+}
+
+void PlaceClient::Flush() {
+  flushes_ = false;
+  WorkNote note{self_, life_, std::move(read_), std::move(ended_)};
+  read_.clear();
+  ended_.clear();
+  // Without a planner the next one is told all by this host's word.
+  if (const auto planner = ports_.planner()) {
+    ports_.send(*planner, std::move(note));
+  }
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/place_client.h
@@ -0,0 +1,126 @@
+// Asks the planner for places, and tells it what became of them.
+
+#ifndef HARECRANK_SRC_GATEWAY_PLACE_CLIENT_H_
+#define HARECRANK_SRC_GATEWAY_PLACE_CLIENT_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "harecrank/core/clock.h"
+#include "harecrank/core/fleet_messages.h"
+#include "harecrank/core/placement.h"
+
+namespace harecrank {
+
+// What the client asks of its owner.
+struct PlaceClientPorts {
+  // Returns the host that plans, if it is known.
+  std::function<std::optional<HostAddress>()> planner;
+  std::function<void(const HostAddress& to, const FleetMessage& message)> send;
+  // A host left an ask unanswered for as long as one may.
+  std::function<void(const HostAddress& host)> on_silent;
+  // A host says that another one plans.
+  std::function<void(const HostAddress& host, const HostAddress& planner)>
+      on_redirect;
+};
+
+// Nobody answered: the host places by itself, from what it knows.
+struct PlaceYourself {};
+using AskResult = std::variant<PlannedPlacement, AskWaits, AskRefused,
+                               NoEndpoint, PlaceYourself>;
+
+// Not thread-safe; runs on its io_context. Never calls back from within Ask.
+class PlaceClient {
+ public:
+  // Called once with anything but AskWaits, before that perhaps with AskWaits.
+  using OnResult = std::function<void(const AskResult& result)>;
+
+  PlaceClient(boost::asio::io_context* io, HostAddress self, Incarnation life,
+              PlaceClientPorts ports, MonotonicClock clock);
+
+  // Asks for a place. Until OnEnd of the id that is returned it counts as under
+  // way.
+  AskId Ask(const PlacementRequest& request, bool may_have_run,
+            OnResult on_result);
+
+  // Returns an id for a place that this host has chosen itself.
+  AskId NewId() { return AskId{next_id_++}; }
+
+  // The request was sent to its endpoints.
+  void OnStarted(AskId id, std::vector<WorkPart> parts);
+  // Its first event came, `pace` times as late as predicted.
+  void OnRead(AskId id, double pace);
+  // It ended, or is not wanted any more. Ids that have ended are passed over.
+  void OnEnd(AskId id, bool failed);
+
+  void OnAnswer(const PlaceAnswer& answer);
+
+  // Another host plans now: what is not answered is asked there.
+  void OnPlannerChanged();
+
+  // Returns all that is under way, for the planner.
+  std::vector<AskedWork> Work() const;
+
+  // How long an answer may take before the ask is sent again, and before its
+  // host counts as silent: a lost datagram costs the first, a planner that died
+  // the second. Answers take 2 ms within a region; between regions the pauses
+  // follow what answers take.
+  static constexpr Millis kResend{30};
+  static constexpr Millis kSilent{100};
+  // How often an ask that waits is repeated, so that a planner that died, or a
+  // place that was lost, is noticed.
+  static constexpr Millis kRepeat{200};
+
+ private:
+  struct Pending {
+    PlaceAsk ask;
+    TimePoint late_at{};
+    OnResult on_result;
+    HostAddress asked;
+    // When this host was first asked or last answered, and when it was last
+    // asked.
+    TimePoint since{};
+    TimePoint sent{};
+    bool waits = false;
+    int hosts_asked = 0;
+  };
+
+  void SendToPlanner(AskId id);
+  void SendAgain(Pending* pending);
+  // Tells `host` that the place it gave, or may yet give, is not used.
+  void GiveBack(const HostAddress& host, AskId id);
+  void Resolve(AskId id, const AskResult& result);
+  // Returns when the ask is looked at next.
+  TimePoint DueOf(const Pending& pending) const;
+  void LookAt(AskId id);
+  void Arm();
+  void OnTimer();
+  void FlushSoon();
+  void Flush();
+  Millis Patience(Millis least, double answers) const;
+
+  HostAddress self_;
+  Incarnation life_;
+  PlaceClientPorts ports_;
+  MonotonicClock clock_;
+  boost::asio::steady_timer timer_;
+  boost::asio::steady_timer flush_timer_;
+  std::uint64_t next_id_ = 1;
+  std::map<AskId, Pending> pending_;
+  std::unordered_map<AskId, AskedWork> under_way_;
+  std::vector<ReadNote> read_;
+  std::vector<EndNote> ended_;
+  bool flushes_ = false;
+  // What answers lately took.
+  FractionalMillis answer_time_{0};
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_GATEWAY_PLACE_CLIENT_H_
