The planner is chosen by rank alone, and plans on after a quick restart

Change: rank alone decides; a host that others still take for the planner need not wait for word of another.

--- a/include/harecrank/core/host_book.h
+++ b/include/harecrank/core/host_book.h
@@ -124,8 +124,8 @@
   bool leaving_ = false;
   // This host plans, or would if no better one said that it does.
   bool claims_ = false;
-  // It has known a planner in this life.
-  bool has_followed_ = false;
+  // Others take this host for the planner: it planned in a former life.
+  bool expected_ = false;
   std::map<HostAddress, Host> hosts_;
 };
 
--- a/src/core/host_book.cc
+++ b/src/core/host_book.cc
@@ -51,6 +51,7 @@
       other.vouched = now;
     }
   }
+  expected_ = expected_ || word.planner == self_.address;
   DropForgotten();
   return is_new;
 }
@@ -87,15 +88,13 @@
   const std::optional<HostAddress> claimant = BestClaimant();
   if (claimant.has_value()) {
     claims_ = *claimant == self_.address;
-    has_followed_ = true;
     return claimant;
   }
-  if (clock_() - started_ < kSettles) {
+  if (!expected_ && clock_() - started_ < kSettles) {
     return std::nullopt;
   }
   const std::optional<HostAddress> candidate = BestCandidate();
   claims_ = candidate == self_.address;
-  has_followed_ = has_followed_ || claims_;
   return candidate;
 }
 
@@ -120,26 +119,20 @@
 }
 
 std::optional<HostAddress> HostBook::BestCandidate() const {
-  // Hosts that have found their fleet go before those that have just started.
-  using Key = std::pair<bool, Rank>;
   std::optional<HostAddress> best;
-  Key best_key;
+  Rank best_rank;
   if (!leaving_) {
     best = self_.address;
-    best_key = Key{has_followed_, RankOf(self_.address, self_.power)};
+    best_rank = RankOf(self_.address, self_.power);
   }
   for (const auto& [address, host] : hosts_) {
     if (!IsAlive(host) || !IsEligible(host)) {
       continue;
     }
-    // A host that another one vouched for since its own word has found that
-    // one.
-    const bool settled =
-        host.vouched > host.heard || !host.planner.value.empty();
-    const Key key{settled, RankOf(address, host.power)};
-    if (!best.has_value() || key > best_key) {
+    const Rank rank = RankOf(address, host.power);
+    if (!best.has_value() || rank > best_rank) {
       best = address;
-      best_key = key;
+      best_rank = rank;
     }
   }
   return best;
