The planner and two others read the platform's store and tell the rest

A host that nobody has told for 1 to 1.4 s that the store answers reads by itself (core/reading_duty), so that no rule that binds it rests on another for long.

--- a/include/harecrank/core/fleet_messages.h
+++ b/include/harecrank/core/fleet_messages.h
@@ -56,6 +56,12 @@
   StoreRevision known_up_to;
   // The platform answers it, or it hears from a host that the platform answers.
   bool source_well = false;
+  // It reads the platform's service itself, and is answered.
+  bool reads_source = false;
+  bool own_source_well = false;
+  // In a planner's reply: whether the host that it goes to should read the
+  // platform's service.
+  std::optional<bool> should_read;
   // Whom it takes for the planner; itself if it plans. Empty if it knows none.
   HostAddress planner;
   // It is about to stop, and plans no more.
@@ -147,7 +153,15 @@
   std::vector<EndNote> ended;
 };
 
-using FleetMessage = std::variant<HostWord, PlaceAsk, PlaceAnswer, WorkNote>;
+// What the platform has published since a revision, told by the planner.
+struct PublishedChanges {
+  HostAddress from;
+  // In the form of the feed that read it.
+  std::string changes;
+};
+
+using FleetMessage =
+    std::variant<HostWord, PlaceAsk, PlaceAnswer, WorkNote, PublishedChanges>;
 
 // Returns `message` as CBOR.
 std::string EncodeFleetMessage(const FleetMessage& message);
--- a/include/harecrank/core/host_book.h
+++ b/include/harecrank/core/host_book.h
@@ -60,8 +60,13 @@
   // those of highest rank and a few more.
   std::vector<KnownHost> HostsFor(const HostAddress& reader) const;
 
-  // Returns the host that was heard lately and knows the most, if that is more
-  // than `routing` and `known_up_to`; nothing otherwise.
+  // Returns the hosts beside the planner that should read the platform's
+  // service, as the planner sees it: those of highest rank, without any that
+  // the service has not answered for a while.
+  std::vector<HostAddress> SourceReaders() const;
+
+  // Returns one of the hosts that were heard lately and know the most, if that
+  // is more than `routing` and `known_up_to`; nothing otherwise.
   std::optional<HostAddress> BetterInformed(RoutingVersion routing,
                                             StoreRevision known_up_to) const;
 
@@ -78,10 +83,20 @@
   // How long a silent host is not taken for the planner, unless it is heard.
   static constexpr Millis kSuspectFor{2000};
   // A host that has just started waits so long for word of a planner before it
-  // takes one by rank. Hosts of a fleet start within 0.3 s of each other.
-  static constexpr Millis kSettles{500};
+  // takes one by rank: many times what a seed takes to answer, and as long as
+  // hosts of a fleet start after each other.
+  static constexpr Millis kSettles{300};
+  // A host that hears nobody, though it has seeds, takes itself for the planner
+  // after this. Sooner, hosts that come back together, one after the other,
+  // each plan for themselves and pack the same engines.
+  static constexpr Millis kAlone{1500};
   // Those that may plan next: so many fail together without a search.
   static constexpr std::size_t kSuccessors = 3;
+  // Those that read the platform's service beside the planner. Each call has a
+  // price; with three in all, two may be turned away and a third one tells.
+  static constexpr std::size_t kReadersBeside = 2;
+  // How long a host that reads and is not answered is passed over.
+  static constexpr Millis kPassedOver{5000};
   // How many other hosts are named beside them.
   static constexpr std::size_t kNamedBeside = 4;
   // How many hosts are asked at a time while no planner is known.
@@ -96,6 +111,8 @@
     bool leaving = false;
     HostAddress planner;
     int alive_hosts = 0;
+    // When it last said that it reads and is not answered.
+    TimePoint unanswered{};
     // When it was heard, when another host vouched for it, and until when it
     // is suspect.
     TimePoint heard{};
@@ -108,6 +125,8 @@
   static Rank RankOf(const HostAddress& address, HostPower power);
 
   bool IsRecent(TimePoint time) const;
+  // Whether there was time to hear of a planner.
+  bool HasSettled() const;
   bool IsAlive(const Host& host) const;
   // Whether it may be taken for the planner.
   bool IsEligible(const Host& host) const;
--- /dev/null
+++ b/include/harecrank/core/reading_duty.h
@@ -0,0 +1,68 @@
+// Whether this host reads the platform's service itself.
+//
+// Each call to the service has a price, and its rates grow more slowly than the
+// fleet. So the planner and a few others read, and tell the rest. A host that
+// is told by nobody that the service answers reads by itself: no rule that
+// binds it may depend on another host for long.
+
+#ifndef HARECRANK_CORE_READING_DUTY_H_
+#define HARECRANK_CORE_READING_DUTY_H_
+
+#include "harecrank/core/clock.h"
+#include "harecrank/core/strong_types.h"
+
+namespace harecrank {
+
+// Not thread-safe.
+class ReadingDuty {
+ public:
+  ReadingDuty(MonotonicClock clock, const RandomSource& random);
+
+  // This host plans, or the planner wants it to read or not to. What it has
+  // read counts on, as if another host had told it.
+  void SetAsked(bool asked);
+
+  // The service answers this host, or not as it should.
+  void OnOwnSource(bool well) { own_well_ = well; }
+
+  // A host that the service answers has told this one all that it knows.
+  void OnInformed() {
+    was_informed_ = true;
+    informed_at_ = clock_();
+  }
+
+  // Returns whether others rely on this host's reading.
+  bool ReadsForOthers() const { return asked_; }
+
+  // Returns whether this host has to read, for others or for itself.
+  bool Reads() const;
+
+  // Returns whether the service answers this host's own reading.
+  bool IsOwnWell() const { return own_well_ && Reads(); }
+
+  // Returns whether this host knows what is published, from the service or from
+  // another host.
+  bool IsWell() const;
+
+  // How long a word that the service answers counts: three of the pauses
+  // between two words, so that lost ones change nothing.
+  static constexpr Millis kInformedFor{1000};
+  // Hosts that hear nothing begin to read within so long of each other, and not
+  // all at once: the first that is answered can tell the others.
+  static constexpr Millis kSpread{400};
+  // A host that has just started finds the planner and hears from it within
+  // this, or reads by itself.
+  static constexpr Millis kPatienceAtStart{500};
+
+ private:
+  MonotonicClock clock_;
+  Millis spread_;
+  bool asked_ = false;
+  bool own_well_ = false;
+  bool was_informed_ = false;
+  TimePoint informed_at_;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_CORE_READING_DUTY_H_
--- a/src/core/fleet_messages.cc
+++ b/src/core/fleet_messages.cc
@@ -10,7 +10,7 @@
 
 // The first element of each message. Kept small: an ask is sent for each
 // request.
-enum class Kind { kWord = 1, kAsk = 2, kAnswer = 3, kNote = 4 };
+enum class Kind { kWord = 1, kAsk = 2, kAnswer = 3, kNote = 4, kChanges = 5 };
 
 // The first element of a decision.
 enum class DecisionKind {
@@ -190,7 +190,8 @@
          word.life.value, word.power.value, word.routing.value,
          word.known_up_to.value, word.source_well, word.planner.value,
          word.leaving, word.wants_reply, word.alive_hosts, std::move(hosts),
-         std::move(avoided)});
+         std::move(avoided), word.reads_source, word.own_source_well,
+         word.should_read.has_value() ? json(*word.should_read) : json()});
     if (word.work.has_value()) {
       array.push_back(EncodeWork(*word.work));
     }
@@ -215,6 +216,12 @@
                         EncodeDecision(answer.decision)});
   }
 
+  json operator()(const PublishedChanges& published) const {
+    return json::array(
+        {static_cast<int>(Kind::kChanges), published.from.value,
+         json::binary({published.changes.begin(), published.changes.end()})});
+  }
+
   json operator()(const WorkNote& note) const {
     json read = json::array();
     for (const ReadNote& one : note.read) {
@@ -230,7 +237,7 @@
 };
 
 HostWord TakeWord(ArrayReader* reader, std::size_t size) {
-  constexpr std::size_t kSizeWithoutWork = 14;
+  constexpr std::size_t kSizeWithoutWork = 17;
   HostWord word;
   word.node = reader->TakeString<NodeId>();
   word.address = reader->TakeString<HostAddress>();
@@ -255,6 +262,11 @@
     endpoint.left = entry->TakeMillis();
     word.avoided.push_back(std::move(endpoint));
   });
+  word.reads_source = reader->Take<bool>();
+  word.own_source_well = reader->Take<bool>();
+  if (const json& should_read = reader->Next(); !should_read.is_null()) {
+    word.should_read = should_read.get<bool>();
+  }
   if (size > kSizeWithoutWork) {
     word.work = TakeWork(reader);
   }
@@ -288,6 +300,14 @@
   return answer;
 }
 
+PublishedChanges TakeChanges(ArrayReader* reader) {
+  PublishedChanges published;
+  published.from = reader->TakeString<HostAddress>();
+  const json::binary_t& bytes = reader->Next().get_binary();
+  published.changes.assign(bytes.begin(), bytes.end());
+  return published;
+}
+
 WorkNote TakeNote(ArrayReader* reader) {
   WorkNote note;
   note.host = reader->TakeString<HostAddress>();
@@ -328,6 +348,8 @@
         return TakeAnswer(&reader);
       case Kind::kNote:
         return TakeNote(&reader);
+      case Kind::kChanges:
+        return TakeChanges(&reader);
     }
     return std::nullopt;
   } catch (const json::exception&) {
--- a/src/core/host_book.cc
+++ b/src/core/host_book.cc
@@ -42,6 +42,9 @@
   host.leaving = word.leaving;
   host.planner = word.planner;
   host.alive_hosts = word.alive_hosts;
+  if (word.reads_source && !word.own_source_well) {
+    host.unanswered = now;
+  }
   host.heard = now;
   host.suspect_until = TimePoint{};
   for (const KnownHost& known : word.hosts) {
@@ -90,7 +93,7 @@
     claims_ = *claimant == self_.address;
     return claimant;
   }
-  if (!expected_ && clock_() - started_ < kSettles) {
+  if (!HasSettled()) {
     return std::nullopt;
   }
   const std::optional<HostAddress> candidate = BestCandidate();
@@ -209,22 +212,41 @@
   return alive;
 }
 
+std::vector<HostAddress> HostBook::SourceReaders() const {
+  const TimePoint now = clock_();
+  std::vector<HostAddress> readers;
+  for (const KnownHost& host : AliveByRank()) {
+    if (host.address == self_.address || readers.size() == kReadersBeside) {
+      continue;
+    }
+    const TimePoint unanswered = hosts_.at(host.address).unanswered;
+    if (unanswered == TimePoint{} || now - unanswered > kPassedOver) {
+      readers.push_back(host.address);
+    }
+  }
+  return readers;
+}
+
 std::optional<HostAddress> HostBook::BetterInformed(
     RoutingVersion routing, StoreRevision known_up_to) const {
-  const HostAddress* best = nullptr;
-  const Host* best_host = nullptr;
+  std::vector<HostAddress> best;
+  StoreRevision most;
   for (const auto& [address, host] : hosts_) {
     const bool better = routing < host.routing ||
                         (host.source_well && known_up_to < host.known_up_to);
-    if (!IsRecent(host.heard) || !better) {
+    if (!IsRecent(host.heard) || !better || host.known_up_to < most) {
       continue;
     }
-    if (best_host == nullptr || best_host->known_up_to < host.known_up_to) {
-      best = &address;
-      best_host = &host;
+    if (most < host.known_up_to) {
+      best.clear();
+      most = host.known_up_to;
     }
+    best.push_back(address);
+  }
+  if (best.empty()) {
+    return std::nullopt;
   }
-  return best == nullptr ? std::nullopt : std::make_optional(*best);
+  return best[random_() % best.size()];
 }
 
 int HostBook::CountedHosts() const {
@@ -245,6 +267,15 @@
   return {power.value, RendezvousWeight(kPlannerKey, address.value)};
 }
 
+bool HostBook::HasSettled() const {
+  const bool has_seeds =
+      std::any_of(seeds_.begin(), seeds_.end(),
+                  [this](const HostAddress& s) { return s != self_.address; });
+  const bool hears_nobody = has_seeds && hosts_.empty();
+  const Millis needed = hears_nobody ? kAlone : kSettles;
+  return expected_ || clock_() - started_ >= needed;
+}
+
 bool HostBook::IsRecent(TimePoint time) const {
   return time != TimePoint{} && clock_() - time <= kAliveFor;
 }
--- a/src/core/host_book_test.cc
+++ b/src/core/host_book_test.cc
@@ -90,11 +90,22 @@
 TEST_CASE_METHOD(FleetFixture,
                  "A host that has just started follows nobody before it has "
                  "had time to hear of a planner") {
+  books_.at(0)->OnWord(WordOf(1));
   CHECK_FALSE(books_.at(0)->Planner().has_value());
   now_ += HostBook::kSettles;
   CHECK(books_.at(0)->Planner() == Address(0));
 }
 
+// All hosts lost power: those that are back first hear nobody yet.
+TEST_CASE_METHOD(FleetFixture,
+                 "A host that hears nobody waits for longer before it plans "
+                 "for itself") {
+  now_ += HostBook::kSettles;
+  CHECK_FALSE(books_.at(3)->Planner().has_value());
+  now_ += HostBook::kAlone;
+  CHECK(books_.at(3)->IsPlanner());
+}
+
 TEST_CASE_METHOD(FleetFixture,
                  "Hosts that start together agree on the strongest") {
   TalkFor(HostBook::kSettles + Millis(300));
--- /dev/null
+++ b/src/core/reading_duty_test.cc
@@ -0,0 +1,72 @@
+#include "harecrank/core/reading_duty.h"
+
+#include <catch2/catch.hpp>
+
+namespace harecrank {
+namespace {
+
+class DutyFixture {
+ protected:
+  // Longer than a host ever waits for word before it reads.
+  static constexpr Millis kBlind =
+      ReadingDuty::kInformedFor + ReadingDuty::kSpread + Millis(1);
+
+  TimePoint now_{std::chrono::hours(1)};
+  ReadingDuty duty_{[this] { return now_; }, [] { return std::uint64_t{0}; }};
+};
+
+TEST_CASE_METHOD(DutyFixture,
+                 "A host that has just started gives others time to tell it") {
+  CHECK_FALSE(duty_.Reads());
+  CHECK_FALSE(duty_.IsWell());
+  now_ += kBlind;
+  CHECK(duty_.Reads());
+}
+
+TEST_CASE_METHOD(DutyFixture,
+                 "A host that is told does not read, and one that is told no "
+                 "more reads again soon") {
+  duty_.OnInformed();
+  now_ += ReadingDuty::kInformedFor;
+  CHECK_FALSE(duty_.Reads());
+  CHECK(duty_.IsWell());
+  now_ += ReadingDuty::kSpread + Millis(1);
+  CHECK(duty_.Reads());
+  CHECK_FALSE(duty_.IsWell());
+  duty_.OnOwnSource(true);
+  CHECK(duty_.IsWell());
+}
+
+TEST_CASE_METHOD(DutyFixture,
+                 "A host that others rely on reads whatever it is told") {
+  duty_.OnInformed();
+  duty_.SetAsked(true);
+  CHECK(duty_.Reads());
+  CHECK(duty_.ReadsForOthers());
+  CHECK(duty_.IsWell());
+  CHECK_FALSE(duty_.IsOwnWell());
+}
+
+// A planner that hands over would otherwise take the platform for lost.
+TEST_CASE_METHOD(DutyFixture,
+                 "A host that stops to read for others knows for a while what "
+                 "it has read") {
+  duty_.SetAsked(true);
+  duty_.OnOwnSource(true);
+  now_ += kBlind;
+  duty_.SetAsked(false);
+  CHECK(duty_.IsWell());
+  CHECK_FALSE(duty_.Reads());
+}
+
+TEST_CASE_METHOD(DutyFixture,
+                 "What the service answered before a pause in reading says "
+                 "nothing") {
+  duty_.SetAsked(true);
+  duty_.OnOwnSource(true);
+  duty_.SetAsked(false);
+  CHECK_FALSE(duty_.IsOwnWell());
+}
+
+}  // namespace
+}  // namespace harecrank
--- a/src/gateway/directory_feed.h
+++ b/src/gateway/directory_feed.h
@@ -31,6 +31,9 @@
   virtual void OnEndpointGone(const EndpointId& id, StoreRevision revision) = 0;
   // The platform has answered: what was told is complete up to `at`.
   virtual void OnSourceWell(StoreRevision at) = 0;
+  // Another host, which the platform answers, has told what was published up to
+  // `at`; what it told follows.
+  virtual void OnInformed(StoreRevision at) = 0;
   // The platform does not answer, or not as it should.
   virtual void OnSourceLost(const std::string& reason) = 0;
   // Something published cannot be used. It was passed over.
@@ -38,6 +41,16 @@
                           const std::string& reason) = 0;
 };
 
+// How a host reads the platform.
+enum class Reading {
+  // Not at all: it is told by others.
+  kNone,
+  // Since nobody tells it. Asks less often while it is not answered.
+  kAlone,
+  // For others too.
+  kForOthers
+};
+
 // Reads the platform until it is stopped.
 class DirectoryFeed {
  public:
@@ -46,16 +59,21 @@
   DirectoryFeed& operator=(const DirectoryFeed&) = delete;
   virtual ~DirectoryFeed() = default;
 
-  virtual void Start() = 0;
+  // Goes on, or begins, or ends. What is under way ends by itself.
+  virtual void SetReading(Reading reading) = 0;
   virtual void Stop() = 0;
 
-  // Returns what has been read, in the feed's own form, for hosts that the
-  // platform does not answer. Empty before the first listing.
-  virtual std::string Export() const = 0;
+  // Returns what is known, in the feed's own form, for other hosts: what has
+  // changed since `since` if that is known, otherwise all. Empty before
+  // anything is known.
+  virtual std::string Export(StoreRevision since) const = 0;
 
-  // Takes what another host's feed exported, and tells the sink of it. Returns
-  // up to which revision it is complete, or nothing if it cannot be used.
-  virtual std::optional<StoreRevision> Import(const std::string& exported) = 0;
+  // Takes what another host's feed exported, and tells the sink of it.
+  // `source_well` tells whether the platform answers that host. Returns up to
+  // which revision this one is complete now, or nothing if it cannot be used:
+  // unreadable, or changes that leave a gap.
+  virtual std::optional<StoreRevision> Import(const std::string& exported,
+                                              bool source_well) = 0;
 };
 
 }  // namespace harecrank
--- a/src/gateway/fleet_member.cc
+++ b/src/gateway/fleet_member.cc
@@ -1,5 +1,6 @@
 #include "src/gateway/fleet_member.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <utility>
 
@@ -16,10 +17,19 @@
 // then.
 constexpr Millis kSearchInterval{100};
 constexpr Millis kStrangerInterval{1000};
-// The pause between two questions to others for what the platform does not
-// answer, and how long an answer may take.
-constexpr Millis kAskInterval{250};
+// A planner that has not been heard for this long has missed a word.
+constexpr Millis kMissedWord{400};
+// The pause between two questions to others for what they know of the platform,
+// and how long an answer may take.
+constexpr Millis kAskInterval{100};
 constexpr Millis kAskTimeout{500};
+// How long another host may know more before it is asked: what it tells by
+// itself is on its way, or, for a host that reads, the service's own answer.
+constexpr Millis kToldWithin{30};
+constexpr Millis kReadWithin{450};
+// Changes go by datagram up to this size. Larger ones, such as a configuration
+// of many routes, are asked for over a connection.
+constexpr std::size_t kMostTold = 16384;
 
 }  // namespace
 
@@ -36,6 +46,9 @@
     member->places_.OnAnswer(answer);
   }
   void operator()(const WorkNote& note) const { member->OnNote(note); }
+  void operator()(const PublishedChanges& published) const {
+    member->OnChanges(published);
+  }
 };
 
 FleetMember::FleetMember(boost::asio::io_context* io, NodeId node,
@@ -115,7 +128,7 @@
     planner_heard_ = now;
   } else if (word.planner == word.address && followed_.has_value() &&
              *followed_ != self_.address &&
-             now - planner_heard_ > kWordInterval + kAskInterval / 2) {
+             now - planner_heard_ > kMissedWord) {
     // Another host took over, and the old planner has missed a word.
     book_->OnSilent(*followed_);
   }
@@ -126,6 +139,7 @@
     health_->OnPeerAvoids(endpoint.id, endpoint.left);
   }
   FollowPlanner();
+  HearOfSource(word);
   if (IsPlanner()) {
     planner_->OnWord(word);
     TryWaitingSoon();
@@ -133,6 +147,11 @@
   if (word.wants_reply) {
     HostWord reply = OwnWord();
     reply.hosts = book_->HostsFor(word.address);
+    if (IsPlanner()) {
+      const std::vector<HostAddress> readers = book_->SourceReaders();
+      reply.should_read = std::find(readers.begin(), readers.end(),
+                                    word.address) != readers.end();
+    }
     Send(word.address, reply);
   }
 }
@@ -243,8 +262,15 @@
     planner_->Clear();
   }
   if (planner == self_.address) {
+    HostWord own;
+    ports_.describe(&own);
+    told_up_to_ = own.known_up_to;
     Announce();
   }
+  // Without a planner nobody else tells what this host has read.
+  if (planner.has_value() && (planned || planner == self_.address)) {
+    ports_.on_should_read(planner == self_.address);
+  }
   TellSoon();
   // Not from within what told of the change.
   boost::asio::post(*io_, [this] { places_.OnPlannerChanged(); });
@@ -313,29 +339,101 @@
   });
 }
 
-void FleetMember::AskBetterInformed() {
-  const TimePoint now = clock_();
-  if (now - asked_at_ < kAskInterval) {
+void FleetMember::HearOfSource(const HostWord& word) {
+  const bool from_planner = word.address == followed_;
+  if (from_planner && word.should_read.has_value()) {
+    ports_.on_should_read(*word.should_read);
+  }
+  HostWord own;
+  ports_.describe(&own);
+  if (own.known_up_to < word.known_up_to) {
+    return;
+  }
+  // The planner tells what it has from others too; it itself believes only
+  // those that read, or two hosts would assure each other of what neither sees.
+  const bool informs =
+      from_planner ? word.source_well : IsPlanner() && word.own_source_well;
+  if (informs) {
+    ports_.on_informed();
+  }
+}
+
+void FleetMember::OnPublished() {
+  if (tells_published_) {
     return;
   }
+  tells_published_ = true;
+  // What was published together is told together.
+  boost::asio::post(*io_, [this] { TellPublished(); });
+}
+
+void FleetMember::OnSourceChanged() {
+  // Those that follow rely on it; the planner chooses who reads by it.
+  if (IsPlanner()) {
+    Announce();
+  } else {
+    TellSoon();
+  }
+}
+
+void FleetMember::TellPublished() {
+  tells_published_ = false;
   HostWord own;
   ports_.describe(&own);
-  if (own.source_well) {
+  if (!(told_up_to_ < own.known_up_to)) {
     return;
   }
+  const StoreRevision since = told_up_to_;
+  told_up_to_ = own.known_up_to;
+  if (!IsPlanner()) {
+    TellSoon();
+    return;
+  }
+  std::string changes = ports_.published(since);
+  if (changes.size() > kMostTold) {
+    Announce();
+    return;
+  }
+  const PublishedChanges published{self_.address, std::move(changes)};
+  for (const HostAddress& host : book_->AliveOthers()) {
+    Send(host, published);
+  }
+}
+
+void FleetMember::OnChanges(const PublishedChanges& published) {
+  book_->OnHeard(published.from);
+  if (published.from == followed_) {
+    planner_heard_ = clock_();
+  }
+  // Changes that leave a gap are asked for when the next word shows it.
+  ports_.on_published(published.changes, true);
+}
+
+void FleetMember::AskBetterInformed() {
+  const TimePoint now = clock_();
+  HostWord own;
+  ports_.describe(&own);
   const auto host = book_->BetterInformed(own.routing, own.known_up_to);
   if (!host.has_value()) {
+    behind_since_.reset();
+    return;
+  }
+  if (!behind_since_.has_value()) {
+    behind_since_ = now;
+  }
+  const Millis grace = own.own_source_well ? kReadWithin : kToldWithin;
+  if (now - *behind_since_ < grace || now - asked_at_ < kAskInterval) {
     return;
   }
   asked_at_ = now;
   asking_ = std::make_shared<HttpClient>(io_, host->value);
   asking_->Get(
-      kSnapshotPath, kAskTimeout,
+      kPublishedPath + std::to_string(own.known_up_to.value), kAskTimeout,
       [this, host = *host](const CallResult& result) {
         const auto* reply = std::get_if<HttpReply>(&result);
         const bool taken = reply != nullptr &&
                            reply->result_int() == http_status::kOk &&
-                           ports_.on_snapshot(reply->body());
+                           ports_.on_published(reply->body(), false);
         log_->Write("peer_asked", {{"address", host.value}, {"taken", taken}});
       });
 }
--- a/src/gateway/fleet_member.h
+++ b/src/gateway/fleet_member.h
@@ -24,10 +24,17 @@
 
 // What the member asks of its owner.
 struct FleetMemberPorts {
-  // Returns the owner's part of the host's word: what it knows of the platform.
+  // Fills the owner's part of the host's word: what it knows of the platform.
   std::function<void(HostWord* word)> describe;
-  // Takes what another host knows. Returns false if it cannot be used.
-  std::function<bool(const std::string& snapshot)> on_snapshot;
+  // Returns what the platform has published since `since`, or all of it.
+  std::function<std::string(StoreRevision since)> published;
+  // Takes what another host told of that. Returns false if it cannot be used.
+  std::function<bool(const std::string& changes, bool source_well)>
+      on_published;
+  // Another host, which the platform answers, knows no more than this one.
+  std::function<void()> on_informed;
+  // Whether others rely on this host's reading of the platform.
+  std::function<void(bool should_read)> on_should_read;
 };
 
 // Not thread-safe; runs on its io_context.
@@ -48,11 +55,18 @@
   // Tells the planner soon, and not only when the next word is due.
   void TellSoon();
 
+  // What this host knows of the platform has changed: others are told at once.
+  void OnPublished();
+
+  // The platform answers again, or no more, this host or those that tell it.
+  void OnSourceChanged();
+
   PlaceClient* Places() { return &places_; }
   bool IsPlanner() { return book_->IsPlanner(); }
 
-  // Path at which a host gives its snapshot.
-  static constexpr char kSnapshotPath[] = "/peer/snapshot";
+  // Path at which a host gives what the platform has published since the
+  // revision that follows it.
+  static constexpr char kPublishedPath[] = "/peer/published/";
   // The pause between two words to the planner. A planner that dies is noticed
   // by the asks that it does not answer; words find it where nothing is asked.
   static constexpr Millis kWordInterval{300};
@@ -87,7 +101,12 @@
   // Looks whether another host plans now, and tells of it if so.
   void FollowPlanner();
   void LookForSilence();
+  // Asks a host that knows more of the platform, unless this one is about to
+  // learn it by itself.
   void AskBetterInformed();
+  void OnChanges(const PublishedChanges& published);
+  void TellPublished();
+  void HearOfSource(const HostWord& word);
 
   boost::asio::io_context* io_;
   NodeId node_;
@@ -116,6 +135,11 @@
   bool tries_soon_ = false;
   std::shared_ptr<HttpClient> asking_;
   TimePoint asked_at_{};
+  // Since when another host has known more; unset while none does.
+  std::optional<TimePoint> behind_since_;
+  // Up to where the others have been told.
+  StoreRevision told_up_to_;
+  bool tells_published_ = false;
 };
 
 }  // namespace harecrank
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "harecrank/core/http_status.h"
+#include "src/gateway/endpoint_request.h"
 #include "src/gateway/exchange.h"
 
 namespace harecrank {
@@ -99,7 +100,8 @@
       operations_(&io_, settings_.operations_address,
                   [this](const HttpRequest& r) { return AnswerOperations(r); }),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
-      tick_timer_(io_) {
+      tick_timer_(io_),
+      duty_(clock_, random_) {
   RegisterGauges();
 }
 
@@ -112,7 +114,6 @@
               {"callers_address", settings_.callers_address}},
              LogWeight::kAlwaysKept);
   started_ = clock_();
-  feed_->Start();
   fleet_.Start();
   readiness_.Start();
   operations_.Start();
@@ -197,8 +198,13 @@
     return MakeReply(http_status::kOk, "text/plain; version=0.0.4",
                      metrics_.Text());
   }
-  if (request.target() == FleetMember::kSnapshotPath) {
-    return MakeReply(http_status::kOk, "application/cbor", feed_->Export());
+  const std::string_view target = View(request.target());
+  const std::string_view published = FleetMember::kPublishedPath;
+  if (target.substr(0, published.size()) == published) {
+    const auto since = ReadNumber(target.substr(published.size()));
+    const StoreRevision from{static_cast<std::uint64_t>(
+        std::max<std::int64_t>(0, since.value_or(0)))};
+    return MakeReply(http_status::kOk, "application/cbor", feed_->Export(from));
   }
   return MakeReply(http_status::kNotFound, "text/plain", "no such page\n");
 }
@@ -210,9 +216,19 @@
     word->routing = table == nullptr ? RoutingVersion{} : table->Version();
     word->known_up_to = known_up_to_;
     word->source_well = source_well_;
+    word->reads_source = duty_.Reads();
+    word->own_source_well = duty_.IsOwnWell();
   };
-  ports.on_snapshot = [this](const std::string& snapshot) {
-    const auto at = feed_->Import(snapshot);
+  ports.published = [this](StoreRevision since) {
+    return feed_->Export(since);
+  };
+  ports.on_informed = [this] { OnInformed(known_up_to_); };
+  ports.on_should_read = [this](bool should_read) {
+    duty_.SetAsked(should_read);
+    UpdateSource("told to stop reading");
+  };
+  ports.on_published = [this](const std::string& changes, bool source_well) {
+    const auto at = feed_->Import(changes, source_well);
     if (at.has_value()) {
       known_up_to_ = std::max(known_up_to_, *at);
     }
@@ -290,24 +306,48 @@
 }
 
 void GatewayNode::OnSourceWell(StoreRevision at) {
-  known_up_to_ = at;
-  if (source_well_) {
-    return;
-  }
-  source_well_ = true;
-  directory_.OnSourceBack(at);
-  log_.Write("source_regained", {{"at", at.value}}, LogWeight::kAlwaysKept);
+  known_up_to_ = std::max(known_up_to_, at);
+  duty_.OnOwnSource(true);
+  UpdateSource("");
+  fleet_.OnPublished();
+}
+
+void GatewayNode::OnInformed(StoreRevision at) {
+  known_up_to_ = std::max(known_up_to_, at);
+  duty_.OnInformed();
+  UpdateSource("");
+  fleet_.OnPublished();
 }
 
 void GatewayNode::OnSourceLost(const std::string& reason) {
-  if (!source_well_) {
+  duty_.OnOwnSource(false);
+  UpdateSource(reason);
+}
+
+void GatewayNode::UpdateSource(const std::string& reason) {
+  if (!duty_.Reads()) {
+    // Should it read again, the service has to answer anew.
+    duty_.OnOwnSource(false);
+  }
+  feed_->SetReading(!duty_.Reads()           ? Reading::kNone
+                    : duty_.ReadsForOthers() ? Reading::kForOthers
+                                             : Reading::kAlone);
+  const bool well = duty_.IsWell();
+  if (well == source_well_) {
     return;
   }
-  source_well_ = false;
-  directory_.OnSourceLost();
-  log_.Write("source_lost",
-             {{"reason", reason}, {"known_up_to", known_up_to_.value}},
-             LogWeight::kAlwaysKept);
+  source_well_ = well;
+  if (well) {
+    directory_.OnSourceBack(known_up_to_);
+    log_.Write("source_regained", {{"at", known_up_to_.value}},
+               LogWeight::kAlwaysKept);
+  } else {
+    directory_.OnSourceLost();
+    log_.Write("source_lost",
+               {{"reason", reason}, {"known_up_to", known_up_to_.value}},
+               LogWeight::kAlwaysKept);
+  }
+  fleet_.OnSourceChanged();
 }
 
 void GatewayNode::OnUnusable(const std::string& what,
@@ -389,6 +429,7 @@
   const TimePoint now = clock_();
   AcceptCallers();
   directory_.DropLapsed();
+  UpdateSource("nobody told for a while");
   if (now - swept_ >= kSweepInterval) {
     swept_ = now;
     connections_.Sweep();
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 
+#include "harecrank/core/reading_duty.h"
 #include "src/adapters/settings.h"
 #include "src/gateway/caller_listener.h"
 #include "src/gateway/directory_feed.h"
@@ -62,6 +63,7 @@
   void OnEndpoint(const EndpointRecord& record) override;
   void OnEndpointGone(const EndpointId& id, StoreRevision revision) override;
   void OnSourceWell(StoreRevision at) override;
+  void OnInformed(StoreRevision at) override;
   void OnSourceLost(const std::string& reason) override;
   void OnUnusable(const std::string& what, const std::string& reason) override;
 
@@ -77,6 +79,8 @@
   // Takes over what may change while the process runs.
   void Apply(const std::optional<GatewaySettings>& fresh, const char* cause);
   void BeginDrain();
+  // Notes whether the platform's publications are known, from whomever.
+  void UpdateSource(const std::string& reason);
   void AcceptCallers();
   void Tick();
   void ContinueDrain();
@@ -112,6 +116,7 @@
   SmallServer operations_;
   boost::asio::signal_set signals_;
   boost::asio::steady_timer tick_timer_;
+  ReadingDuty duty_;
   bool source_well_ = false;
   StoreRevision known_up_to_;
   TimePoint started_{};
