--- a/include/harecrank/core/host_book.h
+++ b/include/harecrank/core/host_book.h
@@ -48,8 +48,8 @@
   // Returns whether this host plans.
   bool IsPlanner() { return Planner() == self_.address; }
 
-  // Returns hosts beside the planner to tell this host's word now: seeds and
-  // known hosts while no planner is known, and a stranger now and then, so that
+  // Returns hosts beside the planner to tell this host's word now: the seeds
+  // while no other host is known, and then one host or seed at a time, so that
   // two parts of a fleet that follow different planners find each other.
   std::vector<HostAddress> Strangers() const;
 
@@ -99,12 +99,14 @@
   static constexpr Millis kPassedOver{5000};
   // How many other hosts are named beside them.
   static constexpr std::size_t kNamedBeside = 4;
-  // How many hosts are asked at a time while no planner is known.
-  static constexpr std::size_t kAskedAtStart = 6;
 
  private:
+  // Sorts before another if it is the better planner.
+  using Rank = std::pair<double, std::uint64_t>;
+
   struct Host {
     HostPower power;
+    Rank rank;
     RoutingVersion routing;
     StoreRevision known_up_to;
     bool source_well = false;
@@ -120,8 +122,6 @@
     TimePoint suspect_until{};
   };
 
-  // Sorts before another if it is the better planner.
-  using Rank = std::pair<double, std::uint64_t>;
   static Rank RankOf(const HostAddress& address, HostPower power);
 
   bool IsRecent(TimePoint time) const;
@@ -132,7 +132,10 @@
   bool IsEligible(const Host& host) const;
   std::optional<HostAddress> BestClaimant() const;
   std::optional<HostAddress> BestCandidate() const;
-  std::vector<KnownHost> AliveByRank() const;
+  // Returns at most `most` of the living hosts that may plan, the best first,
+  // and among them this one unless it leaves.
+  std::vector<KnownHost> AliveByRank(std::size_t most) const;
+  void SetPower(const HostAddress& address, HostPower power, Host* host);
   void DropForgotten();
 
   KnownHost self_;
@@ -140,6 +143,7 @@
   MonotonicClock clock_;
   RandomSource random_;
   TimePoint started_;
+  TimePoint dropped_forgotten_{};
   bool leaving_ = false;
   // This host plans, or would if no better one said that it does.
   bool claims_ = false;
--- a/src/core/host_book.cc
+++ b/src/core/host_book.cc
@@ -11,6 +11,9 @@
 // Hosts forgotten after this long without a word. Long, so that a host finds
 // its fleet again after minutes of being cut off.
 constexpr std::chrono::minutes kForgetAfter{10};
+// Of so many hosts of highest rank those that read the platform are chosen:
+// with all of them unanswered, the others read for themselves.
+constexpr std::size_t kReadersTried = 16;
 // The key by which hosts of equal power are ranked.
 constexpr char kPlannerKey[] = "planner";
 
@@ -35,7 +38,7 @@
   const TimePoint now = clock_();
   Host& host = hosts_[word.address];
   const bool is_new = !IsRecent(host.heard);
-  host.power = word.power;
+  SetPower(word.address, word.power, &host);
   host.routing = word.routing;
   host.known_up_to = word.known_up_to;
   host.source_well = word.source_well;
@@ -50,7 +53,7 @@
   for (const KnownHost& known : word.hosts) {
     if (known.address != self_.address) {
       Host& other = hosts_[known.address];
-      other.power = known.power;
+      SetPower(known.address, known.power, &other);
       other.vouched = now;
     }
   }
@@ -112,10 +115,9 @@
     if (host.planner != address || !IsRecent(host.heard) || !IsEligible(host)) {
       continue;
     }
-    const Rank rank = RankOf(address, host.power);
-    if (!best.has_value() || rank > best_rank) {
+    if (!best.has_value() || host.rank > best_rank) {
       best = address;
-      best_rank = rank;
+      best_rank = host.rank;
     }
   }
   return best;
@@ -132,10 +134,9 @@
     if (!IsAlive(host) || !IsEligible(host)) {
       continue;
     }
-    const Rank rank = RankOf(address, host.power);
-    if (!best.has_value() || rank > best_rank) {
+    if (!best.has_value() || host.rank > best_rank) {
       best = address;
-      best_rank = rank;
+      best_rank = host.rank;
     }
   }
   return best;
@@ -148,22 +149,12 @@
       known.push_back(seed);
     }
   }
-  const bool settled = claims_ || BestClaimant().has_value();
-  if (!settled) {
-    for (const HostAddress& address : AliveOthers()) {
-      if (known.size() < kAskedAtStart &&
-          std::find(known.begin(), known.end(), address) == known.end()) {
-        known.push_back(address);
-      }
-    }
+  if (hosts_.empty() || known.empty()) {
     return known;
   }
   for (const auto& [address, host] : hosts_) {
     known.push_back(address);
   }
-  if (known.empty()) {
-    return known;
-  }
   return {known[random_() % known.size()]};
 }
 
@@ -177,45 +168,60 @@
   return alive;
 }
 
-std::vector<KnownHost> HostBook::AliveByRank() const {
-  std::vector<KnownHost> alive;
+std::vector<KnownHost> HostBook::AliveByRank(std::size_t most) const {
+  using Ranked = std::pair<Rank, const HostAddress*>;
+  std::vector<Ranked> alive;
   if (!leaving_) {
-    alive.push_back(self_);
+    alive.emplace_back(RankOf(self_.address, self_.power), &self_.address);
   }
   for (const auto& [address, host] : hosts_) {
     if (IsRecent(host.heard) && IsEligible(host)) {
-      alive.push_back(KnownHost{address, host.power});
+      alive.emplace_back(host.rank, &address);
     }
   }
-  std::sort(alive.begin(), alive.end(),
-            [](const KnownHost& a, const KnownHost& b) {
-              return RankOf(a.address, a.power) > RankOf(b.address, b.power);
-            });
-  return alive;
+  const std::size_t kept = std::min(most, alive.size());
+  std::partial_sort(
+      alive.begin(), alive.begin() + static_cast<std::ptrdiff_t>(kept),
+      alive.end(),
+      [](const Ranked& a, const Ranked& b) { return a.first > b.first; });
+  std::vector<KnownHost> best;
+  for (std::size_t i = 0; i < kept; ++i) {
+    best.push_back(
+        KnownHost{*alive[i].second, HostPower{alive[i].first.first}});
+  }
+  return best;
 }
 
 std::vector<KnownHost> HostBook::HostsFor(const HostAddress& reader) const {
-  std::vector<KnownHost> alive = AliveByRank();
-  const std::size_t first = std::min(alive.size(), kSuccessors + 1);
-  const auto successors = alive.begin() + static_cast<std::ptrdiff_t>(first);
+  std::vector<KnownHost> told = AliveByRank(kSuccessors + 1);
   const bool may_plan_next = std::any_of(
-      alive.begin(), successors,
+      told.begin(), told.end(),
       [&reader](const KnownHost& host) { return host.address == reader; });
   if (may_plan_next) {
-    return alive;
+    return AliveByRank(hosts_.size() + 1);
   }
-  const std::size_t most = std::min(alive.size(), first + kNamedBeside);
-  for (std::size_t i = first; i < most; ++i) {
-    std::swap(alive[i], alive[i + random_() % (alive.size() - i)]);
+  for (std::size_t i = 0; i < kNamedBeside && !hosts_.empty(); ++i) {
+    const auto drawn = std::next(
+        hosts_.begin(), static_cast<std::ptrdiff_t>(random_() % hosts_.size()));
+    if (IsRecent(drawn->second.heard)) {
+      told.push_back(KnownHost{drawn->first, drawn->second.power});
+    }
+  }
+  return told;
+}
+
+void HostBook::SetPower(const HostAddress& address, HostPower power,
+                        Host* host) {
+  if (host->power != power || host->rank == Rank{}) {
+    host->power = power;
+    host->rank = RankOf(address, power);
   }
-  alive.resize(most);
-  return alive;
 }
 
 std::vector<HostAddress> HostBook::SourceReaders() const {
   const TimePoint now = clock_();
   std::vector<HostAddress> readers;
-  for (const KnownHost& host : AliveByRank()) {
+  for (const KnownHost& host : AliveByRank(kReadersTried)) {
     if (host.address == self_.address || readers.size() == kReadersBeside) {
       continue;
     }
@@ -230,16 +236,18 @@
 std::optional<HostAddress> HostBook::BetterInformed(
     RoutingVersion routing, StoreRevision known_up_to) const {
   std::vector<HostAddress> best;
-  StoreRevision most;
+  // All of it can be a tenth of a megabyte, which weak hosts send slowly.
+  std::pair<std::uint64_t, double> most;
   for (const auto& [address, host] : hosts_) {
     const bool better = routing < host.routing ||
                         (host.source_well && known_up_to < host.known_up_to);
-    if (!IsRecent(host.heard) || !better || host.known_up_to < most) {
+    const auto key = std::make_pair(host.known_up_to.value, host.power.value);
+    if (!IsRecent(host.heard) || !better || key < most) {
       continue;
     }
-    if (most < host.known_up_to) {
+    if (most < key) {
       best.clear();
-      most = host.known_up_to;
+      most = key;
     }
     best.push_back(address);
   }
@@ -290,6 +298,10 @@
 
 void HostBook::DropForgotten() {
   const TimePoint now = clock_();
+  if (now - dropped_forgotten_ < kAliveFor) {
+    return;
+  }
+  dropped_forgotten_ = now;
   for (auto it = hosts_.begin(); it != hosts_.end();) {
     const Host& host = it->second;
     const TimePoint last = std::max(host.heard, host.vouched);
--- a/src/core/host_book_test.cc
+++ b/src/core/host_book_test.cc
@@ -210,8 +210,11 @@
     books_.at(0)->OnWord(WordOf(host));
   }
   CHECK(books_.at(0)->HostsFor(Address(1)).size() == 40);
-  CHECK(books_.at(0)->HostsFor(Address(30)).size() ==
-        HostBook::kSuccessors + 1 + HostBook::kNamedBeside);
+  const std::vector<KnownHost> told = books_.at(0)->HostsFor(Address(30));
+  CHECK(told.size() == HostBook::kSuccessors + 1 + HostBook::kNamedBeside);
+  for (int host = 0; host <= static_cast<int>(HostBook::kSuccessors); ++host) {
+    CHECK(told.at(static_cast<std::size_t>(host)).address == Address(host));
+  }
 }
 
 TEST_CASE_METHOD(FleetFixture,
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -49,6 +49,8 @@
 // RFC 9110: the endpoint is not the one that was expected, and ran nothing.
 constexpr unsigned kMisdirected = 421;
 constexpr int kLeastUrgent = 9;
+// How often a request that waits looks whether this host is about to stop.
+constexpr Millis kStopLook{250};
 // How often one request is given a place that this host cannot use before it
 // places by itself.
 constexpr int kMostUnusablePlaces = 5;
@@ -766,6 +768,9 @@
   if (const auto limit = WaitEnd()) {
     next = std::min(next, *limit);
   }
+  if (IsWaiting()) {
+    next = std::min(next, services_->clock() + kStopLook);
+  }
   timer_.expires_at(next);
   timer_.async_wait(
       [self = weak_from_this()](const boost::system::error_code& error) {
@@ -785,6 +790,15 @@
     GiveUp("out_of_time");
     return;
   }
+  if (IsWaiting() && services_->stops_at().has_value()) {
+    LeaveQueue();
+    if (may_have_run_) {
+      GiveUp("stopping");
+    } else {
+      Refuse(http_status::kUnavailable, "stopping", kRetryElsewhere);
+    }
+    return;
+  }
   const auto wait_end = WaitEnd();
   if (wait_end.has_value() && now >= *wait_end) {
     LeaveQueue();
--- a/src/gateway/fleet_member.cc
+++ b/src/gateway/fleet_member.cc
@@ -16,13 +16,16 @@
 // The pause between two words to strangers: while no planner is known, and
 // then.
 constexpr Millis kSearchInterval{100};
+constexpr Millis kLongestSearch{800};
 constexpr Millis kStrangerInterval{1000};
 // A planner that has not been heard for this long has missed a word.
 constexpr Millis kMissedWord{400};
 // The pause between two questions to others for what they know of the platform,
 // and how long an answer may take.
 constexpr Millis kAskInterval{100};
-constexpr Millis kAskTimeout{500};
+constexpr Millis kAskTimeout{1500};
+// What a host takes to send all that is known of some hundred endpoints.
+constexpr Millis kSendTime{1};
 // How long another host may know more before it is asked: what it tells by
 // itself is on its way, or, for a host that reads, the service's own answer.
 constexpr Millis kToldWithin{30};
@@ -55,7 +58,8 @@
                          KnownHost self, Incarnation life, HostBook* book,
                          Planner* planner, EndpointHealth* health,
                          FleetSocket* socket, FleetMemberPorts ports,
-                         EventLog* log, Metrics* metrics, MonotonicClock clock)
+                         EventLog* log, Metrics* metrics, MonotonicClock clock,
+                         RandomSource random)
     : io_(io),
       node_(std::move(node)),
       self_(std::move(self)),
@@ -68,6 +72,7 @@
       log_(log),
       metrics_(metrics),
       clock_(std::move(clock)),
+      random_(std::move(random)),
       places_(io, self_.address, life, MakePlacePorts(), clock_),
       tick_timer_(*io),
       tell_timer_(*io),
@@ -239,6 +244,10 @@
 
 void FleetMember::TellStrangers() {
   strangers_told_ = clock_();
+  // Hundreds of hosts that start together turn to the same few seeds.
+  search_interval_ = followed_.has_value()
+                         ? kSearchInterval
+                         : std::min(2 * search_interval_, kLongestSearch);
   HostWord word = OwnWord();
   word.wants_reply = true;
   for (const HostAddress& stranger : book_->Strangers()) {
@@ -304,7 +313,7 @@
     TellPlanner();
   }
   const Millis strangers =
-      followed_.has_value() ? kStrangerInterval : kSearchInterval;
+      followed_.has_value() ? kStrangerInterval : search_interval_;
   if (now - strangers_told_ >= strangers) {
     TellStrangers();
   }
@@ -435,19 +444,25 @@
   }
   if (!behind_since_.has_value()) {
     behind_since_ = now;
+    // All hosts that have just started ask the same ones for everything.
+    const auto spread =
+        static_cast<std::uint64_t>(kSendTime.count() * book_->AliveHosts());
+    start_spread_ = Millis(static_cast<std::int64_t>(random_() % spread));
   }
   const bool knows_nothing = own.routing == RoutingVersion{};
-  const Millis grace = knows_nothing         ? Millis(0)
+  const Millis grace = knows_nothing         ? start_spread_
                        : own.own_source_well ? kReadWithin
                                              : kToldWithin;
-  if (now - *behind_since_ < grace || now - asked_at_ < kAskInterval) {
+  if (now - *behind_since_ < grace || now - asked_at_ < kAskInterval || asks_) {
     return;
   }
   asked_at_ = now;
+  asks_ = true;
   asking_ = std::make_shared<HttpClient>(io_, host->value);
   asking_->Get(
       kPublishedPath + std::to_string(own.known_up_to.value), kAskTimeout,
       [this, host = *host](const CallResult& result) {
+        asks_ = false;
         const auto* reply = std::get_if<HttpReply>(&result);
         const bool taken = reply != nullptr &&
                            reply->result_int() == http_status::kOk &&
--- a/src/gateway/fleet_member.h
+++ b/src/gateway/fleet_member.h
@@ -45,7 +45,7 @@
               Incarnation life, HostBook* book, Planner* planner,
               EndpointHealth* health, FleetSocket* socket,
               FleetMemberPorts ports, EventLog* log, Metrics* metrics,
-              MonotonicClock clock);
+              MonotonicClock clock, RandomSource random);
 
   void Start();
 
@@ -120,6 +120,7 @@
   EventLog* log_;
   Metrics* metrics_;
   MonotonicClock clock_;
+  RandomSource random_;
   PlaceClient places_;
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer tell_timer_;
@@ -135,8 +136,12 @@
   bool tries_soon_ = false;
   std::shared_ptr<HttpClient> asking_;
   TimePoint asked_at_{};
+  bool asks_ = false;
   // Since when another host has known more; unset while none does.
   std::optional<TimePoint> behind_since_;
+  // How long it waits before it asks for everything.
+  Millis start_spread_{0};
+  Millis search_interval_{50};
   // Up to where the others have been told.
   StoreRevision told_up_to_;
   bool tells_published_ = false;
