Admission has a module of its own; asks and blind placements are counted

Admit() judges a request by the table in force, step by step, and returns what it found or a refusal. No decision changes; all unit tests pass as they were. New: harecrank_gateway_asks_planned_total, harecrank_gateway_placed_alone_total, and a line placed_alone, so that an operator sees a fleet without a planner.

--- a/include/harecrank/core/planner.h
+++ b/include/harecrank/core/planner.h
@@ -123,7 +123,6 @@
   void DropEntry(Entry* entry);
   void DropAsks(Host* host);
 
-  const EndpointDirectory* directory_;
   EndpointHealth* health_;
   RoutingSource routing_;
   PlacementPolicy policy_;
--- a/src/core/host_book.cc
+++ b/src/core/host_book.cc
@@ -91,7 +91,7 @@
 }
 
 std::optional<HostAddress> HostBook::Planner() {
-  const std::optional<HostAddress> claimant = BestClaimant();
+  std::optional<HostAddress> claimant = BestClaimant();
   if (claimant.has_value()) {
     claims_ = *claimant == self_.address;
     return claimant;
@@ -99,7 +99,7 @@
   if (!HasSettled()) {
     return std::nullopt;
   }
-  const std::optional<HostAddress> candidate = BestCandidate();
+  std::optional<HostAddress> candidate = BestCandidate();
   claims_ = candidate == self_.address;
   return candidate;
 }
--- /dev/null
+++ b/src/gateway/admission.cc
@@ -0,0 +1,151 @@
+#include "src/gateway/admission.h"
+
+#include <algorithm>
+
+#include "harecrank/core/http_status.h"
+#include "src/gateway/endpoint_request.h"
+
+namespace harecrank {
+namespace {
+
+namespace http = boost::beast::http;
+
+// Each step returns a refusal, or nothing if the request goes on.
+using Step = std::optional<Refusal>;
+
+// Judges one request, step by step.
+class Judge {
+ public:
+  Judge(const GatewayServices& services, const CallerRequest& request,
+        TimePoint arrived, AdmittedRequest* admitted)
+      : services_(services),
+        request_(request),
+        arrived_(arrived),
+        admitted_(admitted) {}
+
+  Step FindRoute() {
+    admitted_->table = services_.routing->InForce();
+    if (admitted_->table == nullptr) {
+      return Refusal{http_status::kUnavailable, "no_configuration",
+                     kRetryAfterRefusal};
+    }
+    const std::string_view target = View(request_.target());
+    const RouteRule* route = admitted_->table->FindRoute(
+        View(request_[http::field::host]), PathOf(target));
+    if (route == nullptr) {
+      return Refusal{http_status::kNotFound, "no_route", std::nullopt};
+    }
+    admitted_->route = route;
+    Millis held = route->timeout;
+    const auto asked = ReadNumber(View(request_[services_.names->time_left]));
+    if (asked.has_value()) {
+      held = std::min(held, Millis(*asked));
+    }
+    admitted_->deadline = arrived_ + held;
+    return std::nullopt;
+  }
+
+  Step Authenticate() {
+    if (!admitted_->table->NeedsKeys()) {
+      return std::nullopt;
+    }
+    const std::string key =
+        BearerKey(View(request_[http::field::authorization]));
+    admitted_->account = admitted_->table->FindAccountByKey(key);
+    const bool open = admitted_->route->open;
+    admitted_->strip_key = !open || admitted_->account != nullptr;
+    if (admitted_->account == nullptr && !open) {
+      return Refusal{http_status::kUnauthorised, "unknown_key", std::nullopt};
+    }
+    return std::nullopt;
+  }
+
+  Step FitBeforeStop() {
+    const std::optional<TimePoint> stop = services_.stops_at();
+    if (!stop.has_value()) {
+      return std::nullopt;
+    }
+    if (admitted_->route->kind == RequestKind::kStreaming) {
+      // Nobody knows how long a stream takes, and the stop would cut it.
+      return Refusal{http_status::kUnavailable, "stopping", kRetryElsewhere};
+    }
+    admitted_->deadline = std::min(admitted_->deadline, *stop);
+    return std::nullopt;
+  }
+
+  Step ChooseService() {
+    ReadSizes();
+    admitted_->service = DrawService();
+    if (admitted_->service == nullptr) {
+      return Refusal{http_status::kUnavailable, "no_service",
+                     kRetryAfterRefusal};
+    }
+    admitted_->placement.service = admitted_->service;
+    admitted_->placement.tightest_gap =
+        admitted_->table->TightestGap(admitted_->service->name);
+    return std::nullopt;
+  }
+
+ private:
+  void ReadSizes() {
+    PlacementRequest& placement = admitted_->placement;
+    placement.target_latency = admitted_->route->target_latency;
+    placement.target_gap = admitted_->route->target_gap;
+    const std::string_view counts =
+        View(request_[services_.names->token_counts]);
+    placement.prompt = Tokens{ReadNumber(counts).value_or(0)};
+    const std::size_t comma = counts.find(',');
+    std::int64_t answer = 0;
+    if (comma != std::string_view::npos) {
+      answer = ReadNumber(counts.substr(comma + 1)).value_or(0);
+    }
+    const auto guess =
+        ReadNumber(View(request_[services_.names->answer_guess]));
+    if (guess.has_value()) {
+      answer = answer > 0 ? std::min(answer, *guess) : *guess;
+    }
+    placement.answer = Tokens{answer};
+  }
+
+  const ServiceProfile* DrawService() const {
+    std::uint64_t total = 0;
+    for (const WeightedService& target : admitted_->route->services) {
+      total += target.weight;
+    }
+    if (total == 0) {
+      return nullptr;
+    }
+    std::uint64_t drawn = services_.random() % total;
+    for (const WeightedService& target : admitted_->route->services) {
+      if (drawn < target.weight) {
+        return admitted_->table->FindService(target.service);
+      }
+      drawn -= target.weight;
+    }
+    return nullptr;
+  }
+
+  const GatewayServices& services_;
+  const CallerRequest& request_;
+  TimePoint arrived_;
+  AdmittedRequest* admitted_;
+};
+
+}  // namespace
+
+AdmittedRequest Admit(const GatewayServices& services,
+                      const CallerRequest& request, TimePoint arrived) {
+  AdmittedRequest admitted;
+  Judge judge(services, request, arrived, &admitted);
+  using Judgement = Step (Judge::*)();
+  for (const Judgement step : {&Judge::FindRoute, &Judge::Authenticate,
+                               &Judge::FitBeforeStop, &Judge::ChooseService}) {
+    admitted.refusal = (judge.*step)();
+    if (admitted.refusal.has_value()) {
+      break;
+    }
+  }
+  return admitted;
+}
+
+}  // namespace harecrank
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "harecrank/core/http_status.h"
+#include "src/gateway/admission.h"
 #include "src/gateway/endpoint_request.h"
 
 namespace harecrank {
@@ -18,11 +19,6 @@
 constexpr int kMostConnectFailures = 5;
 // An answer that is not a stream is kept whole before it goes on.
 constexpr std::size_t kMostAnswerBytes = 16U << 20U;
-// A caller that was refused comes back after about as long as short requests
-// take; it waits at most a third of what it has left.
-constexpr Millis kRetryAfterRefusal{500};
-// A caller of a host that stops goes to another one, at once.
-constexpr Millis kRetryElsewhere{50};
 // How long a first event may take beyond several times its prediction before
 // the request goes elsewhere.
 constexpr Millis kPatienceBase{500};
@@ -72,114 +68,29 @@
 void Exchange::Start() {
   id_ = std::string(request_[services_->names->request_id]);
   body_ = std::make_shared<const std::string>(std::move(request_.body()));
-  table_ = services_->routing->InForce();
-  if (table_ == nullptr) {
-    Refuse(http_status::kUnavailable, "no_configuration", kRetryAfterRefusal);
-    return;
-  }
-  if (!FindRoute() || !Authenticate() || !FitsBeforeStop()) {
-    return;
-  }
-  ReadSizes();
-  ChooseService();
-  if (service_ == nullptr) {
-    Refuse(http_status::kUnavailable, "no_service", kRetryAfterRefusal);
+  AdmittedRequest admitted = Admit(*services_, request_, arrived_);
+  table_ = std::move(admitted.table);
+  route_ = admitted.route;
+  account_ = admitted.account;
+  service_ = admitted.service;
+  strip_key_ = admitted.strip_key;
+  deadline_ = admitted.deadline;
+  placement_request_ = std::move(admitted.placement);
+  if (const std::optional<Refusal>& refusal = admitted.refusal) {
+    Refuse(refusal->status, refusal->code, refusal->retry_after);
     return;
   }
   services_->budgets->OnFirst(service_->name);
   TryNext();
 }
 
-bool Exchange::FindRoute() {
-  const std::string_view target = View(request_.target());
-  route_ = table_->FindRoute(View(request_[http::field::host]), PathOf(target));
-  if (route_ == nullptr) {
-    Refuse(http_status::kNotFound, "no_route", std::nullopt);
-    return false;
-  }
-  Millis held = route_->timeout;
-  const auto asked = ReadNumber(View(request_[services_->names->time_left]));
-  if (asked.has_value()) {
-    held = std::min(held, Millis(*asked));
-  }
-  deadline_ = arrived_ + held;
-  return true;
-}
-
-bool Exchange::FitsBeforeStop() {
-  const std::optional<TimePoint> stop = services_->stops_at();
-  if (!stop.has_value()) {
-    return true;
-  }
-  if (route_->kind == RequestKind::kStreaming) {
-    // Nobody knows how long a stream takes, and the stop would cut it.
-    Refuse(http_status::kUnavailable, "stopping", kRetryElsewhere);
-    return false;
-  }
-  deadline_ = std::min(deadline_, *stop);
-  return true;
-}
-
-bool Exchange::Authenticate() {
-  if (!table_->NeedsKeys()) {
-    return true;
-  }
-  const std::string key = BearerKey(View(request_[http::field::authorization]));
-  account_ = table_->FindAccountByKey(key);
-  strip_key_ = !route_->open || account_ != nullptr;
-  if (account_ == nullptr && !route_->open) {
-    Refuse(http_status::kUnauthorised, "unknown_key", std::nullopt);
-    return false;
-  }
-  return true;
-}
-
-void Exchange::ReadSizes() {
-  const std::string_view counts =
-      View(request_[services_->names->token_counts]);
-  placement_request_.target_latency = route_->target_latency;
-  placement_request_.target_gap = route_->target_gap;
-  placement_request_.prompt = Tokens{ReadNumber(counts).value_or(0)};
-  const std::size_t comma = counts.find(',');
-  std::int64_t answer = 0;
-  if (comma != std::string_view::npos) {
-    answer = ReadNumber(counts.substr(comma + 1)).value_or(0);
-  }
-  const auto guess = ReadNumber(View(request_[services_->names->answer_guess]));
-  if (guess.has_value()) {
-    answer = answer > 0 ? std::min(answer, *guess) : *guess;
-  }
-  placement_request_.answer = Tokens{answer};
-}
-
-void Exchange::ChooseService() {
-  std::uint64_t total = 0;
-  for (const WeightedService& target : route_->services) {
-    total += target.weight;
-  }
-  if (total == 0) {
-    return;
-  }
-  std::uint64_t drawn = services_->random() % total;
-  for (const WeightedService& target : route_->services) {
-    if (drawn < target.weight) {
-      service_ = table_->FindService(target.service);
-      break;
-    }
-    drawn -= target.weight;
-  }
-  placement_request_.service = service_;
-  if (service_ != nullptr) {
-    placement_request_.tightest_gap = table_->TightestGap(service_->name);
-  }
-}
-
 void Exchange::TryNext() {
   // Plain services have few endpoints and short work: this host's own knowledge
   // serves them as well, without the way to the planner.
   if (service_->engine.has_value()) {
     AskForPlace();
   } else {
+    NotePlacedAlone();
     PlaceAlone();
   }
 }
@@ -217,10 +128,16 @@
   } else if (std::holds_alternative<NoEndpoint>(result)) {
     GiveUp("no_endpoint");
   } else {
+    NotePlacedAlone();
     PlaceAlone();
   }
 }
 
+void Exchange::NotePlacedAlone() {
+  services_->metrics->GetCounter("harecrank_gateway_placed_alone_total")->Add();
+  services_->log->Write("placed_alone", LogFields());
+}
+
 void Exchange::UsePlanned(const PlannedPlacement& planned) {
   std::optional<Placement> placement = PlacementOf(planned);
   if (placement.has_value()) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -41,13 +41,6 @@
   // What is done with the bytes of the answer under way.
   enum class AnswerUse { kNone, kRelay, kStream, kPassOver };
 
-  // Admission: each returns false after it has answered.
-  bool FindRoute();
-  bool Authenticate();
-  bool FitsBeforeStop();
-  void ReadSizes();
-  void ChooseService();
-
   // Places.
   void TryNext();
   // Asks the planner; the answer comes to OnPlaceResult.
@@ -57,6 +50,8 @@
   // endpoints: then it asks again.
   void UsePlanned(const PlannedPlacement& planned);
   std::optional<Placement> PlacementOf(const PlannedPlacement& planned) const;
+  // Tells that no planner gave a place.
+  void NotePlacedAlone();
   // Places by what this host knows itself, or waits here.
   void PlaceAlone();
   // Returns false if all engines that could take it are busy.
--- a/src/gateway/fleet_member.cc
+++ b/src/gateway/fleet_member.cc
@@ -185,6 +185,7 @@
 void FleetMember::OnAsk(const PlaceAsk& ask) {
   PlaceAnswer answer{self_.address, ask.life, ask.id, NotPlanner{}};
   if (IsPlanner()) {
+    metrics_->GetCounter("harecrank_gateway_asks_planned_total")->Add();
     answer.decision = planner_->OnAsk(ask);
   } else if (const auto planner = book_->Planner()) {
     answer.decision = NotPlanner{*planner};
