A host that has begun to read is not taken for one that is turned away

No other host read: the planner had taken each reader that it appointed for unanswered by its first word, sent before the service could have answered, passed it over for 5 s, appointed the next, and so on until none was left. Then each host along the chain (reader, planner, follower) counted a second anew since it had been told, so that the others read by themselves 2.3 s after the last answer. Change: a host's word tells how its own reading goes (none, begun, answered, failed) in place of two flags, and only a failure passes it over; and it tells how long ago the platform answered, so that what is old counts as old for all.

--- a/include/harecrank/core/fleet_messages.h
+++ b/include/harecrank/core/fleet_messages.h
@@ -46,6 +46,16 @@
   std::vector<WorkPart> parts;
 };
 
+// How a host's own reading of the platform's service goes.
+enum class OwnReading {
+  kNone,
+  // It reads, and the first answer may still come.
+  kBegun,
+  kAnswered,
+  // The service refused, broke off or was silent.
+  kFailed
+};
+
 // A host's account of itself.
 struct HostWord {
   NodeId node;
@@ -56,9 +66,9 @@
   StoreRevision known_up_to;
   // The platform answers it, or it hears from a host that the platform answers.
   bool source_well = false;
-  // It reads the platform's service itself, and is answered.
-  bool reads_source = false;
-  bool own_source_well = false;
+  // How long ago the platform answered the host that this is known from.
+  Millis source_age{0};
+  OwnReading own_reading = OwnReading::kNone;
   // In a planner's reply: whether the host that it goes to should read the
   // platform's service.
   std::optional<bool> should_read;
--- a/include/harecrank/core/host_book.h
+++ b/include/harecrank/core/host_book.h
@@ -113,7 +113,7 @@
     bool leaving = false;
     HostAddress planner;
     int alive_hosts = 0;
-    // When it last said that it reads and is not answered.
+    // When it last said that its own reading failed.
     TimePoint unanswered{};
     // When it was heard, when another host vouched for it, and until when it
     // is suspect.
--- a/include/harecrank/core/reading_duty.h
+++ b/include/harecrank/core/reading_duty.h
@@ -8,7 +8,10 @@
 #ifndef HARECRANK_CORE_READING_DUTY_H_
 #define HARECRANK_CORE_READING_DUTY_H_
 
+#include <optional>
+
 #include "harecrank/core/clock.h"
+#include "harecrank/core/fleet_messages.h"
 #include "harecrank/core/strong_types.h"
 
 namespace harecrank {
@@ -23,11 +26,15 @@
   // read counts on, as if another host had told it.
   void SetAsked(bool asked);
 
-  // The service answers this host, or not as it should.
-  void OnOwnSource(bool well) { own_well_ = well; }
+  // The service answered this host, or not as it should.
+  void OnAnswered();
+  void OnFailed() { own_ = OwnReading::kFailed; }
 
-  // A host that the service answers has told this one all that it knows.
-  void OnInformed();
+  // A host has told this one all that it knows, which the service answered
+  // `age` ago. What was read long ago counts as little at the end of a chain of
+  // hosts as at its beginning: with an age of zero at each host, two seconds
+  // passed before anyone read after the readers were turned away.
+  void OnInformed(Millis age);
 
   // Returns whether others rely on this host's reading.
   bool ReadsForOthers() const { return asked_; }
@@ -35,16 +42,26 @@
   // Returns whether this host has to read, for others or for itself.
   bool Reads() const;
 
-  // Returns whether the service answers this host's own reading.
-  bool IsOwnWell() const { return own_well_ && Reads(); }
+  // Returns how this host's own reading goes. What the service answered before
+  // a pause in reading says nothing.
+  OwnReading Own() const;
 
   // Returns whether this host knows what is published, from the service or from
   // another host.
   bool IsWell() const;
 
-  // How long a word that the service answers counts: three of the pauses
-  // between two words, so that lost ones change nothing.
+  // Returns how long ago the service answered what this host knows; kUnknownAge
+  // if it knows nothing.
+  Millis Age() const;
+
+  // This host does not read any more.
+  void OnStopped() { own_ = OwnReading::kNone; }
+
+  // How long an answer of the service counts: the longest pause between two
+  // answers of a sound service, and a lost word between hosts.
   static constexpr Millis kInformedFor{1000};
+  // Longer than any answer counts.
+  static constexpr Millis kUnknownAge{3600000};
   // Hosts that hear nothing begin to read within so long of each other, and not
   // all at once: the first that is answered can tell the others.
   static constexpr Millis kSpread{400};
@@ -57,9 +74,10 @@
   MonotonicClock clock_;
   Millis spread_;
   bool asked_ = false;
-  bool own_well_ = false;
-  bool was_informed_ = false;
-  TimePoint informed_at_{};
+  OwnReading own_ = OwnReading::kNone;
+  // When the service last answered what this host knows: itself, or the host
+  // that told it.
+  std::optional<TimePoint> answered_at_;
   // From then on this host reads unless it is told.
   TimePoint reads_from_;
 };
--- a/src/core/fleet_messages.cc
+++ b/src/core/fleet_messages.cc
@@ -190,7 +190,8 @@
          word.life.value, word.power.value, word.routing.value,
          word.known_up_to.value, word.source_well, word.planner.value,
          word.leaving, word.wants_reply, word.alive_hosts, std::move(hosts),
-         std::move(avoided), word.reads_source, word.own_source_well,
+         std::move(avoided), word.source_age.count(),
+         static_cast<int>(word.own_reading),
          word.should_read.has_value() ? json(*word.should_read) : json()});
     if (word.work.has_value()) {
       array.push_back(EncodeWork(*word.work));
@@ -236,6 +237,18 @@
   }
 };
 
+OwnReading TakeOwnReading(ArrayReader* reader) {
+  const auto reading = static_cast<OwnReading>(reader->Take<int>());
+  switch (reading) {
+    case OwnReading::kNone:
+    case OwnReading::kBegun:
+    case OwnReading::kAnswered:
+    case OwnReading::kFailed:
+      return reading;
+  }
+  throw UnknownNumber{};
+}
+
 HostWord TakeWord(ArrayReader* reader, std::size_t size) {
   constexpr std::size_t kSizeWithoutWork = 17;
   HostWord word;
@@ -262,8 +275,8 @@
     endpoint.left = entry->TakeMillis();
     word.avoided.push_back(std::move(endpoint));
   });
-  word.reads_source = reader->Take<bool>();
-  word.own_source_well = reader->Take<bool>();
+  word.source_age = reader->TakeMillis();
+  word.own_reading = TakeOwnReading(reader);
   if (const json& should_read = reader->Next(); !should_read.is_null()) {
     word.should_read = should_read.get<bool>();
   }
--- a/src/core/host_book.cc
+++ b/src/core/host_book.cc
@@ -45,7 +45,7 @@
   host.leaving = word.leaving;
   host.planner = word.planner;
   host.alive_hosts = word.alive_hosts;
-  if (word.reads_source && !word.own_source_well) {
+  if (word.own_reading == OwnReading::kFailed) {
     host.unanswered = now;
   }
   host.heard = now;
--- a/src/core/host_book_test.cc
+++ b/src/core/host_book_test.cc
@@ -249,5 +249,52 @@
   CHECK_FALSE(book.BetterInformed(RoutingVersion{2}, StoreRevision{0}));
 }
 
+// A host that was passed over before the first answer could come was replaced
+// by one that met the same: for five seconds nobody read beside the planner.
+TEST_CASE_METHOD(FleetFixture,
+                 "A host that has begun to read is not passed over before it "
+                 "can have been answered") {
+  HostBook& book = *books_.at(0);
+  for (int host = 1; host <= 4; ++host) {
+    book.OnWord(WordOf(host));
+  }
+  const std::vector<HostAddress> chosen = book.SourceReaders();
+  REQUIRE(chosen.size() == HostBook::kReadersBeside);
+  for (int host = 1; host <= 4; ++host) {
+    HostWord word = WordOf(host);
+    word.own_reading = OwnReading::kBegun;
+    book.OnWord(word);
+  }
+  CHECK(book.SourceReaders() == chosen);
+}
+
+TEST_CASE_METHOD(FleetFixture,
+                 "A host whose reading failed is passed over for a while") {
+  HostBook& book = *books_.at(0);
+  for (int host = 1; host <= 4; ++host) {
+    book.OnWord(WordOf(host));
+  }
+  const HostAddress first = book.SourceReaders().front();
+  HostWord failed;
+  for (int host = 1; host <= 4; ++host) {
+    failed = WordOf(host);
+    if (failed.address == first) {
+      break;
+    }
+  }
+  failed.own_reading = OwnReading::kFailed;
+  book.OnWord(failed);
+  for (const HostAddress& reader : book.SourceReaders()) {
+    CHECK(reader != first);
+  }
+  now_ += HostBook::kPassedOver + Millis(1);
+  failed.own_reading = OwnReading::kNone;
+  for (int host = 1; host <= 4; ++host) {
+    book.OnWord(WordOf(host));
+  }
+  book.OnWord(failed);
+  CHECK(book.SourceReaders().front() == first);
+}
+
 }  // namespace
 }  // namespace harecrank
--- a/src/gateway/fleet_member.cc
+++ b/src/gateway/fleet_member.cc
@@ -371,9 +371,10 @@
   // The planner tells what it has from others too; it itself believes only
   // those that read, or two hosts would assure each other of what neither sees.
   const bool informs =
-      from_planner ? word.source_well : IsPlanner() && word.own_source_well;
+      from_planner ? word.source_well
+                   : IsPlanner() && word.own_reading == OwnReading::kAnswered;
   if (informs) {
-    ports_.on_informed();
+    ports_.on_informed(word.source_age);
   }
 }
 
@@ -405,7 +406,7 @@
   const StoreRevision since = told_up_to_;
   told_up_to_ = own.known_up_to;
   const bool is_first = since == StoreRevision{};
-  if (is_first && own.reads_source) {
+  if (is_first && own.own_reading != OwnReading::kNone) {
     // Others that have just started too wait for what this host has read.
     Announce();
     return;
@@ -451,9 +452,9 @@
     start_spread_ = Millis(static_cast<std::int64_t>(random_() % spread));
   }
   const bool knows_nothing = own.routing == RoutingVersion{};
-  const Millis grace = knows_nothing         ? start_spread_
-                       : own.own_source_well ? kReadWithin
-                                             : kToldWithin;
+  const Millis grace = knows_nothing ? start_spread_
+                       : own.own_reading == OwnReading::kAnswered ? kReadWithin
+                                                                  : kToldWithin;
   if (now - *behind_since_ < grace || now - asked_at_ < kAskInterval || asks_) {
     return;
   }
--- a/src/gateway/fleet_member.h
+++ b/src/gateway/fleet_member.h
@@ -31,8 +31,9 @@
   // Takes what another host told of that. Returns false if it cannot be used.
   std::function<bool(const std::string& changes, bool source_well)>
       on_published;
-  // Another host, which the platform answers, knows no more than this one.
-  std::function<void()> on_informed;
+  // Another host, whom the platform answered `age` ago, knows no more than this
+  // one.
+  std::function<void(Millis age)> on_informed;
   // Whether others rely on this host's reading of the platform.
   std::function<void(bool should_read)> on_should_read;
 };
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -222,13 +222,17 @@
     word->routing = table == nullptr ? RoutingVersion{} : table->Version();
     word->known_up_to = known_up_to_;
     word->source_well = source_well_;
-    word->reads_source = duty_.Reads();
-    word->own_source_well = duty_.IsOwnWell();
+    word->source_age = duty_.Age();
+    word->own_reading = duty_.Own();
   };
   ports.published = [this](StoreRevision since) {
     return feed_->Export(since);
   };
-  ports.on_informed = [this] { OnInformed(known_up_to_); };
+  ports.on_informed = [this](Millis age) {
+    duty_.OnInformed(age);
+    UpdateSource("");
+    fleet_.OnPublished();
+  };
   ports.on_should_read = [this](bool should_read) {
     duty_.SetAsked(should_read);
     UpdateSource("told to stop reading");
@@ -313,27 +317,26 @@
 
 void GatewayNode::OnSourceWell(StoreRevision at) {
   known_up_to_ = std::max(known_up_to_, at);
-  duty_.OnOwnSource(true);
+  duty_.OnAnswered();
   UpdateSource("");
   fleet_.OnPublished();
 }
 
 void GatewayNode::OnInformed(StoreRevision at) {
   known_up_to_ = std::max(known_up_to_, at);
-  duty_.OnInformed();
+  duty_.OnInformed(Millis(0));
   UpdateSource("");
   fleet_.OnPublished();
 }
 
 void GatewayNode::OnSourceLost(const std::string& reason) {
-  duty_.OnOwnSource(false);
+  duty_.OnFailed();
   UpdateSource(reason);
 }
 
 void GatewayNode::UpdateSource(const std::string& reason) {
   if (!duty_.Reads()) {
-    // Should it read again, the service has to answer anew.
-    duty_.OnOwnSource(false);
+    duty_.OnStopped();
   }
   feed_->SetReading(!duty_.Reads()           ? Reading::kNone
                     : duty_.ReadsForOthers() ? Reading::kForOthers
