An endpoint that failed most requests is tried again after 1.4 s

A last choice gets no request while another is sound, so it never had a success (trace: placed requests by engine and second). Ruled out: engines gone (three left later), slots full (seven engines had 16 of 16, the others none), the seconds' block of endpoints named at fault (3 s). Change: the share counts for 1.4 s after the last failure; then the endpoint takes part again, and the next failure closes it again. Tried and dropped: failures that come within 50 ms count once; two tests of ours say that ten failures at once close an endpoint. Test: "An endpoint that failed most requests is tried again after a while, and is left alone again if it fails" fails without the change.

--- a/include/harecrank/core/endpoint_health.h
+++ b/include/harecrank/core/endpoint_health.h
@@ -78,11 +78,18 @@
   // fail one in seven in ordinary running, and to leave a host that fails a
   // third of its requests unused costs more than it saves while all are busy.
   static constexpr double kSuspectShare = 0.5;
+  // How long after its last failure an endpoint with such a share is a last
+  // choice. Without an end it gets no request while others are sound, and so
+  // never shows that it is well.
+  static constexpr Millis kRetest{1400};
   // An endpoint that was heard from this long after a request's last byte is
   // slow and not silent.
   static constexpr Millis kAliveMargin{300};
 
  private:
+  struct State;
+  void NoteFailure(State* state);
+
   struct State {
     int failures_in_a_row = 0;
     TimePoint blocked_until{};
@@ -91,6 +98,7 @@
     TimePoint avoided_until{};
     TimePoint heard{};
     double failure_share = 0;
+    TimePoint failed_at{};
     double pace = 1;
   };
 
--- a/src/core/endpoint_health.cc
+++ b/src/core/endpoint_health.cc
@@ -62,13 +62,18 @@
   return found != states_.end() && found->second.heard >= time + kAliveMargin;
 }
 
+void EndpointHealth::NoteFailure(State* state) {
+  Fold(&state->failure_share, 1);
+  state->failed_at = clock_();
+}
+
 void EndpointHealth::OnErrorAnswer(const EndpointId& id) {
-  Fold(&states_[id].failure_share, 1);
+  NoteFailure(&states_[id]);
 }
 
 void EndpointHealth::OnUnreachable(const EndpointId& id) {
   State& state = states_[id];
-  Fold(&state.failure_share, 1);
+  NoteFailure(&state);
   Millis block = kFirstBlock;
   for (int i = 0; i < state.failures_in_a_row && block < kLongestBlock; ++i) {
     block *= 2;
@@ -85,7 +90,10 @@
   const State& state = found->second;
   const TimePoint until =
       std::max({state.blocked_until, state.named_until, state.avoided_until});
-  return clock_() < until || state.failure_share > kSuspectShare;
+  const TimePoint now = clock_();
+  const bool fails =
+      state.failure_share > kSuspectShare && now < state.failed_at + kRetest;
+  return now < until || fails;
 }
 
 double EndpointHealth::Pace(const EndpointId& id) const {
--- a/src/core/endpoint_health_test.cc
+++ b/src/core/endpoint_health_test.cc
@@ -96,5 +96,21 @@
   CHECK_FALSE(health_.IsSuspect(kEngine));
 }
 
+// Six engines whose connections were reset at once got no request in the ten
+// seconds that followed, while the others were flooded.
+TEST_CASE_METHOD(HealthFixture,
+                 "An endpoint that failed most requests is tried again after "
+                 "a while, and is left alone again if it fails") {
+  for (int i = 0; i < 10; ++i) {
+    health_.OnErrorAnswer(kEngine);
+    now_ += Millis(1);
+  }
+  CHECK(health_.IsSuspect(kEngine));
+  now_ += EndpointHealth::kRetest;
+  CHECK_FALSE(health_.IsSuspect(kEngine));
+  health_.OnErrorAnswer(kEngine);
+  CHECK(health_.IsSuspect(kEngine));
+}
+
 }  // namespace
 }  // namespace harecrank
