--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <thread>
 #include <utility>
 
@@ -150,6 +151,9 @@
     if (!WaitUntil([&] {
           return Request(address, "GET", "/readyz").status == http_status::kOk;
         })) {
+      TellUnready(
+          node, "not ready, readiness answered " +
+                    std::to_string(Request(address, "GET", "/readyz").status));
       return false;
     }
   }
@@ -165,12 +169,21 @@
       return usable == all;
     });
     if (!linked) {
+      const std::string entry = "entry-" + std::to_string(i);
+      TellUnready(entry, Dump(entry)["entry"]["links"].dump());
       return false;
     }
   }
   return true;
 }
 
+void Fleet::TellUnready(const std::string& node, const std::string& state) {
+  std::cerr << node << ": " << state << "\n";
+  // The log is gone with the fleet, and tells why a process has ended.
+  std::ifstream log(directory_ + "/" + node + ".log");
+  std::cerr << log.rdbuf() << "\n";
+}
+
 Process& Fleet::Get(const std::string& name) { return *processes_.at(name); }
 
 void Fleet::Restart(const std::string& name) {
