--- a/include/harecrank/core/waiting_room.h
+++ b/include/harecrank/core/waiting_room.h
@@ -39,8 +39,8 @@
 //
 // The one with the least time to spare: right while all can be served in time.
 struct LeastSpareFirst {};
-// The one with the most, which is the newest of its like: in a flood whoever has
-// the least to spare is late at the smallest error of a prediction.
+// The one with the most, which is the newest of its like: in a flood whoever
+// has the least to spare is late at the smallest error of a prediction.
 struct MostSpareFirst {};
 // The one that takes the least engine time. The pairs of a long prompt make its
 // engine time grow with the square of its size, so that in a flood more of the
