--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -238,6 +238,7 @@
   const std::vector<WaitingOrder> orders = {LeastSpareFirst{}, MostSpareFirst{},
                                             LeastWorkFirst{}};
   std::vector<std::string> names;
+  names.reserve(orders.size());
   for (const WaitingOrder& one : orders) {
     names.push_back(std::visit(OrderName{}, one));
   }
