The log tells what is made of a vanished entry, and how long it is kept

Sight for the incident, no change of logic: endpoint_gone says whether the endpoint stays in use, endpoint_dropped when and after how long that ends, a placed request's line how long its endpoint's entry has been missing, a listing how many entries it left out and what was made of them; a gauge counts endpoints in use whose entries are missing.

--- a/include/harecrank/core/endpoint_directory.h
+++ b/include/harecrank/core/endpoint_directory.h
@@ -37,6 +37,29 @@
   StoreRevision revision;
 };
 
+// What is made of an entry that has vanished.
+enum class Absence {
+  // Nothing of it is held, or what is held is newer.
+  kNotHeld,
+  // The endpoint is taken for gone.
+  kDeparted,
+  // It may have lapsed while the source was away: it is kept for a while.
+  kMayHaveLapsed
+};
+
+// What a listing left out of what was held.
+struct ListingChange {
+  std::size_t departed = 0;
+  std::size_t may_have_lapsed = 0;
+};
+
+// An entry that was kept while it was missing, and is not any more.
+struct DroppedEndpoint {
+  EndpointId id;
+  // Since it was first heard to be missing.
+  Millis kept{0};
+};
+
 // Holds the records and their state. Not thread-safe.
 class EndpointDirectory {
  public:
@@ -47,10 +70,11 @@
   bool Upsert(const EndpointRecord& record);
 
   // Notes that the record has vanished at `revision`.
-  void Remove(const EndpointId& id, StoreRevision revision);
+  Absence Remove(const EndpointId& id, StoreRevision revision);
 
   // Takes a complete listing: what is held and not listed has vanished.
-  void ReplaceAll(const std::vector<EndpointRecord>& records, StoreRevision at);
+  ListingChange ReplaceAll(const std::vector<EndpointRecord>& records,
+                           StoreRevision at);
 
   // Notes that the source of the records cannot be reached.
   void OnSourceLost();
@@ -60,8 +84,8 @@
   // lapsed while the source was away.
   void OnSourceBack(StoreRevision at);
 
-  // Drops entries whose grace period has ended.
-  void DropLapsed();
+  // Drops entries whose grace period has ended, and returns them.
+  std::vector<DroppedEndpoint> DropLapsed();
 
   // Returns the usable endpoints of `service`, ordered by id. Valid until the
   // next change.
@@ -71,6 +95,13 @@
   // Returns the record of `id`, or null if it is gone.
   const EndpointRecord* Find(const EndpointId& id) const;
 
+  // Returns for how long the entry of `id` has been missing; nothing if it is
+  // listed or not held.
+  std::optional<Millis> MissingFor(const EndpointId& id) const;
+
+  // Returns how many endpoints are kept whose entries are missing.
+  std::size_t MissingCount() const;
+
   // Returns every record that is held.
   std::vector<EndpointRecord> All() const;
 
@@ -91,7 +122,7 @@
   };
 
   bool SourceIsCalm(TimePoint now) const;
-  void Drop(const EndpointId& id, bool at_once);
+  Absence Drop(const EndpointId& id, bool at_once);
   void Rebuild() const;
 
   MonotonicClock clock_;
--- a/src/core/endpoint_directory.cc
+++ b/src/core/endpoint_directory.cc
@@ -1,5 +1,6 @@
 #include "harecrank/core/endpoint_directory.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -30,18 +31,19 @@
   return changed;
 }
 
-void EndpointDirectory::Remove(const EndpointId& id, StoreRevision revision) {
+Absence EndpointDirectory::Remove(const EndpointId& id,
+                                  StoreRevision revision) {
   const auto found = entries_.find(id);
   if (found == entries_.end() || revision < found->second.record.revision) {
-    return;
+    return Absence::kNotHeld;
   }
   const bool left_after_return =
       !source_lost_ && source_back_revision_ < revision;
-  Drop(id, left_after_return || SourceIsCalm(clock_()));
+  return Drop(id, left_after_return || SourceIsCalm(clock_()));
 }
 
-void EndpointDirectory::ReplaceAll(const std::vector<EndpointRecord>& records,
-                                   StoreRevision at) {
+ListingChange EndpointDirectory::ReplaceAll(
+    const std::vector<EndpointRecord>& records, StoreRevision at) {
   std::set<EndpointId> listed;
   for (const EndpointRecord& record : records) {
     listed.insert(record.id);
@@ -55,9 +57,12 @@
   }
   const bool departures =
       SourceIsCalm(clock_()) && missing.size() * kLapseShare <= entries_.size();
+  ListingChange change;
   for (const EndpointId& id : missing) {
-    Drop(id, departures);
+    const bool departed = Drop(id, departures) == Absence::kDeparted;
+    ++(departed ? change.departed : change.may_have_lapsed);
   }
+  return change;
 }
 
 void EndpointDirectory::OnSourceLost() { source_lost_ = true; }
@@ -70,21 +75,25 @@
   }
 }
 
-void EndpointDirectory::DropLapsed() {
+std::vector<DroppedEndpoint> EndpointDirectory::DropLapsed() {
+  std::vector<DroppedEndpoint> dropped;
   if (source_lost_) {
-    return;
+    return dropped;
   }
   const TimePoint now = clock_();
   for (auto it = entries_.begin(); it != entries_.end();) {
     const auto& dropped_at = it->second.dropped_at;
     if (dropped_at.has_value() &&
         now >= std::max(*dropped_at, source_back_at_) + kLapseGrace) {
+      dropped.push_back(DroppedEndpoint{
+          it->first, std::chrono::duration_cast<Millis>(now - *dropped_at)});
       it = entries_.erase(it);
       stale_index_ = true;
     } else {
       ++it;
     }
   }
+  return dropped;
 }
 
 const std::vector<const EndpointRecord*>& EndpointDirectory::UsableOf(
@@ -102,6 +111,24 @@
   return found == entries_.end() ? nullptr : &found->second.record;
 }
 
+std::optional<Millis> EndpointDirectory::MissingFor(
+    const EndpointId& id) const {
+  const auto found = entries_.find(id);
+  if (found == entries_.end() || !found->second.dropped_at.has_value()) {
+    return std::nullopt;
+  }
+  return std::chrono::duration_cast<Millis>(clock_() -
+                                            *found->second.dropped_at);
+}
+
+std::size_t EndpointDirectory::MissingCount() const {
+  const auto is_missing = [](const auto& item) {
+    return item.second.dropped_at.has_value();
+  };
+  return static_cast<std::size_t>(
+      std::count_if(entries_.begin(), entries_.end(), is_missing));
+}
+
 std::vector<EndpointRecord> EndpointDirectory::All() const {
   std::vector<EndpointRecord> all;
   all.reserve(entries_.size());
@@ -115,19 +142,20 @@
   return !source_lost_ && now >= source_back_at_ + kCalmAfter;
 }
 
-void EndpointDirectory::Drop(const EndpointId& id, bool at_once) {
+Absence EndpointDirectory::Drop(const EndpointId& id, bool at_once) {
   const auto found = entries_.find(id);
   if (found == entries_.end()) {
-    return;
+    return Absence::kNotHeld;
   }
   if (at_once) {
     entries_.erase(found);
     stale_index_ = true;
-    return;
+    return Absence::kDeparted;
   }
   if (!found->second.dropped_at.has_value()) {
     found->second.dropped_at = clock_();
   }
+  return Absence::kMayHaveLapsed;
 }
 
 void EndpointDirectory::Rebuild() const {
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -334,6 +334,9 @@
   nlohmann::json fields = LogFields();
   fields["endpoint"] = endpoint_.value;
   fields["entry_revision"] = placement.endpoint.revision.value;
+  if (const auto missing = services_->directory->MissingFor(endpoint_)) {
+    fields["entry_missing_ms"] = missing->count();
+  }
   fields["candidates"] = placement.candidates;
   fields["helpers"] = placement.helpers.size();
   if (!helpers_.empty()) {
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -254,6 +254,9 @@
   });
   metrics_.AddGauge("harecrank_gateway_endpoints",
                     [this] { return static_cast<double>(directory_.Count()); });
+  metrics_.AddGauge("harecrank_gateway_endpoints_missing", [this] {
+    return static_cast<double>(directory_.MissingCount());
+  });
   metrics_.AddGauge("harecrank_gateway_source_well",
                     [this] { return source_well_ ? 1.0 : 0.0; });
   metrics_.AddGauge("harecrank_gateway_waiting",
@@ -292,9 +295,12 @@
 
 void GatewayNode::OnListing(std::vector<EndpointRecord> records,
                             StoreRevision at) {
-  directory_.ReplaceAll(records, at);
+  const ListingChange change = directory_.ReplaceAll(records, at);
   AcceptCallers();
-  log_.Write("listing", {{"endpoints", records.size()}, {"at", at.value}});
+  log_.Write("listing", {{"endpoints", records.size()},
+                         {"departed", change.departed},
+                         {"may_have_lapsed", change.may_have_lapsed},
+                         {"at", at.value}});
 }
 
 void GatewayNode::OnEndpoint(const EndpointRecord& record) {
@@ -308,11 +314,12 @@
 }
 
 void GatewayNode::OnEndpointGone(const EndpointId& id, StoreRevision revision) {
-  directory_.Remove(id, revision);
+  const Absence absence = directory_.Remove(id, revision);
   // Ids are never used again; should it still be there, it is learned anew.
   health_.Forget(id);
-  log_.Write("endpoint_gone",
-             {{"endpoint", id.value}, {"revision", revision.value}});
+  log_.Write("endpoint_gone", {{"endpoint", id.value},
+                               {"kept", absence == Absence::kMayHaveLapsed},
+                               {"revision", revision.value}});
 }
 
 void GatewayNode::OnSourceWell(StoreRevision at) {
@@ -437,7 +444,7 @@
 void GatewayNode::Tick() {
   const TimePoint now = clock_();
   AcceptCallers();
-  directory_.DropLapsed();
+  DropLapsed();
   UpdateSource("nobody told for a while");
   if (now - swept_ >= kSweepInterval) {
     swept_ = now;
@@ -457,6 +464,13 @@
   });
 }
 
+void GatewayNode::DropLapsed() {
+  for (const DroppedEndpoint& dropped : directory_.DropLapsed()) {
+    log_.Write("endpoint_dropped", {{"endpoint", dropped.id.value},
+                                    {"kept_ms", dropped.kept.count()}});
+  }
+}
+
 void GatewayNode::ContinueDrain() {
   const auto passed = clock_() - drain_began_;
   if (passed < kBalancerNotices) {
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -83,6 +83,8 @@
   void UpdateSource(const std::string& reason);
   void AcceptCallers();
   void Tick();
+  // Drops endpoints whose entries have been missing for too long.
+  void DropLapsed();
   void ContinueDrain();
   void RegisterGauges();
   int KnownHosts() const;
