--- a/src/core/endpoint_directory_test.cc
+++ b/src/core/endpoint_directory_test.cc
@@ -101,5 +101,63 @@
   CHECK(Usable() == 3);
 }
 
+// A host sent requests to an endpoint for three seconds after it had left. The
+// hosts that read the platform's service for it had been turned away; the
+// service answered the host itself at its first call, and said that the entry
+// was gone. The host took that for an entry that had lapsed while the service
+// was away, since it had not been told for 308 ms:
+//   31.384 source_lost reason "nobody told for a while" known_up_to 41
+//   31.692 source_regained at 45
+//   31.692 endpoint_gone kept true revision 42
+//   33.607 placed entry_missing_ms 1915
+// The entry had gone at 30.553. Two neighbours of the same cause stand with it:
+// while a host's source was lost it dropped nothing, and each return of the
+// source let the time run anew.
+TEST_CASE_METHOD(DirectoryFixture,
+                 "An endpoint that has left is out of use before it may not be "
+                 "sent to, whatever the host missed") {
+  // Entries must be out of use two seconds after they went; a request may be
+  // on its way for half a second.
+  constexpr Millis kOutOfUse{1500};
+  constexpr Millis kStep{50};
+  Settle();
+
+  SECTION("The host was not told for a moment") {
+    directory_.OnSourceLost();
+    Pass(Millis(308));
+    directory_.OnSourceBack(StoreRevision{45});
+    directory_.Remove(EndpointId{"a"}, StoreRevision{42});
+    CHECK(Usable() == 2);
+  }
+  SECTION("A listing after such a moment lacks the entry") {
+    directory_.OnSourceLost();
+    Pass(Millis(308));
+    directory_.OnSourceBack(StoreRevision{45});
+    directory_.ReplaceAll({Record("b", 1), Record("c", 1)}, StoreRevision{45});
+    CHECK(Usable() == 2);
+  }
+  SECTION("Another host told it while the source was away") {
+    directory_.OnSourceLost();
+    Pass(Millis(5000));
+    directory_.Remove(EndpointId{"a"}, StoreRevision{42});
+    Pass(kOutOfUse);
+    directory_.DropLapsed();
+    CHECK(Usable() == 2);
+  }
+  SECTION("The source comes and goes after the host heard it") {
+    directory_.OnSourceLost();
+    Pass(Millis(5000));
+    directory_.OnSourceBack(StoreRevision{45});
+    directory_.Remove(EndpointId{"a"}, StoreRevision{42});
+    for (Millis passed{0}; passed < kOutOfUse; passed += kStep) {
+      directory_.OnSourceLost();
+      Pass(kStep);
+      directory_.OnSourceBack(StoreRevision{45});
+      directory_.DropLapsed();
+    }
+    CHECK(Usable() == 2);
+  }
+}
+
 }  // namespace
 }  // namespace harecrank
