A departure is no lapse to a host that was only not told for a moment

Cause: a host that nobody tells took its source for lost, and on its return took every entry that had vanished before for one that lapsed while the platform's service was away, though the service had been well and only the hosts that read for it had been turned away. Such entries were kept for 2.2 s, which is longer than a request may follow a departure (2.0 s), counted anew from each return, and for ever while the source was lost. Class: a host's own blindness taken for the state of what it looks at, and a time limit that waits on the condition that it has to outlast. Change: a vanished entry may have lapsed only where the host's own reading of the service failed and it had heard nothing for 2.4 s, the shortest absence in which a lease can run out. It is kept for 1.5 s from when it was first heard missing, whatever happens meanwhile; the limit comes from the platform's settings (leave_limit_ms), less half a second for a request on its way.

--- a/include/harecrank/core/endpoint_directory.h
+++ b/include/harecrank/core/endpoint_directory.h
@@ -1,9 +1,11 @@
 // The endpoints that the platform publishes, and which of them may be used.
 //
-// Entries of living endpoints vanish while the platform's service is down, and
-// are written again soon after it is back. So an entry that goes missing
-// around an outage is kept for a grace period; one that goes missing in calm
-// times is gone at once.
+// An entry that vanishes means that its endpoint has left, and a request that
+// reaches it late is lost. Entries of living endpoints vanish too, while the
+// platform's service is down for longer than their leases, and are written
+// again soon after it is back. Only a host whose own reading failed for that
+// long takes a vanished entry for a lapse, and keeps it for a time that counts
+// from when it heard of it and that nothing makes longer.
 
 #ifndef HARECRANK_CORE_ENDPOINT_DIRECTORY_H_
 #define HARECRANK_CORE_ENDPOINT_DIRECTORY_H_
@@ -63,7 +65,9 @@
 // Holds the records and their state. Not thread-safe.
 class EndpointDirectory {
  public:
-  explicit EndpointDirectory(MonotonicClock clock);
+  // A request may reach an endpoint for `leave_limit` after it has left.
+  explicit EndpointDirectory(MonotonicClock clock,
+                             Millis leave_limit = kLeaveLimit);
 
   // Takes over one record. Older revisions than the one held change nothing.
   // Returns whether anything that matters for routing changed.
@@ -76,15 +80,19 @@
   ListingChange ReplaceAll(const std::vector<EndpointRecord>& records,
                            StoreRevision at);
 
-  // Notes that the source of the records cannot be reached.
-  void OnSourceLost();
+  // Notes that the source does not answer this host, which last heard from it,
+  // itself or through others, `unheard` ago. That nobody tells this host is no
+  // such case: the source may be well.
+  void OnSourceLost(Millis unheard = Millis(0));
 
-  // Notes that the source answers again, and was at `at` when it did. What
-  // vanishes at a later revision has left; what vanished before may have
-  // lapsed while the source was away.
-  void OnSourceBack(StoreRevision at);
+  // Notes that what was told is complete as the source knew it `age` ago, when
+  // it was at `at`. To be called before the changes up to `at` are told. What
+  // vanishes at a later revision has left; what vanished before may have lapsed
+  // if the source was away for longer than kLapseAfter.
+  void OnSourceBack(StoreRevision at, Millis age = Millis(0));
 
-  // Drops entries whose grace period has ended, and returns them.
+  // Drops entries that have been missing for as long as they may be used, and
+  // returns them.
   std::vector<DroppedEndpoint> DropLapsed();
 
   // Returns the usable endpoints of `service`, ordered by id. Valid until the
@@ -107,29 +115,54 @@
 
   std::size_t Count() const { return entries_.size(); }
 
-  // How long a missing entry is kept after the source is back. The platform
-  // says that living endpoints are listed again about two seconds after it.
-  static constexpr Millis kLapseGrace{2200};
-  // How long the source must have been well for a missing entry to mean that
-  // its endpoint is gone: three of the endpoints' heartbeats.
+  // What a request may take from the choice of its endpoint until it is there:
+  // a connection's set-up, at most 250 ms, the look for entries to drop, each
+  // 100 ms, and a busy host's event loop.
+  static constexpr Millis kSendingTime{500};
+  // How long after an endpoint has left a request may still reach it, unless
+  // the platform's settings say otherwise: the platform's usual bound.
+  static constexpr Millis kLeaveLimit{2000};
+  // How long an entry that may have lapsed is kept, with that limit. Entries of
+  // living endpoints were back within 0.7 s of being heard gone in four outages
+  // of 3 and 4 s, since each is written anew every 1.2 s.
+  static constexpr Millis kLapseGrace = kLeaveLimit - kSendingTime;
+  // The shortest absence of the source in which an entry can lapse: it takes
+  // three heartbeats of silence, 1.2 s each, and the last one may have been
+  // due. In an absence of 2 s none lapsed, in one of 3 s 8 of 20.
+  static constexpr Millis kLapseAfter{2400};
+  // How long after the return of the source a vanished entry may have lapsed
+  // while it was away: three heartbeats.
   static constexpr Millis kCalmAfter{3600};
 
  private:
+  struct Missing {
+    TimePoint since;
+    TimePoint use_until;
+  };
   struct Entry {
     EndpointRecord record;
     // Set while the entry is missing at the source.
-    std::optional<TimePoint> dropped_at;
+    std::optional<Missing> missing;
   };
 
-  bool SourceIsCalm(TimePoint now) const;
-  Absence Drop(const EndpointId& id, bool at_once);
+  // Returns whether an entry that is missing now may have lapsed.
+  bool MayHaveLapsed(TimePoint now) const;
+  // Keeps what may have lapsed until `use_until`, and drops the rest.
+  Absence Drop(const EndpointId& id, std::optional<TimePoint> use_until);
   void Rebuild() const;
 
   MonotonicClock clock_;
   std::map<EndpointId, Entry> entries_;
-  bool source_lost_ = true;
-  TimePoint source_back_at_{};
-  StoreRevision source_back_revision_;
+  Millis lapse_grace_;
+  // Since when the source has not answered; unset while it does.
+  std::optional<TimePoint> lost_since_;
+  // The last return of the source after an absence in which entries may have
+  // lapsed.
+  std::optional<TimePoint> back_at_;
+  StoreRevision back_revision_;
+  // When what is held was complete: now, and before the source was last heard.
+  TimePoint complete_at_{};
+  TimePoint complete_before_{};
   mutable bool stale_index_ = true;
   mutable std::unordered_map<ServiceName, std::vector<const EndpointRecord*>>
       usable_;
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -376,6 +376,7 @@
                   &settings.repeat_bound.allowance);
   reader.Seconds("repeat_window_s", &settings.repeat_bound.window);
   reader.Seconds("stop_limit_s", &settings.stop_limit);
+  reader.Duration("leave_limit_ms", &settings.leave_limit);
   reader.Count("descriptors", 1, kMostDescriptors, &settings.descriptors);
   reader.Fraction("power", 0, kMostPower, &settings.power);
   reader.Section("placement", [&settings](SettingsReader* section) {
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "harecrank/core/document_validator.h"
+#include "harecrank/core/endpoint_directory.h"
 #include "harecrank/core/placement_policy.h"
 #include "harecrank/core/repeat_budget.h"
 #include "harecrank/core/strong_types.h"
@@ -81,6 +82,8 @@
   RepeatBound repeat_bound;
   // How long the platform waits after a stop signal before it kills.
   Millis stop_limit{8000};
+  // How long after an endpoint has left a request may still reach it.
+  Millis leave_limit = EndpointDirectory::kLeaveLimit;
   // Descriptors that this process may have open.
   std::size_t descriptors = 1024;
   // The share of a core that this host has: the strongest plans for the fleet.
--- a/src/adapters/settings_test.cc
+++ b/src/adapters/settings_test.cc
@@ -51,6 +51,9 @@
     "directory_service": "127.0.0.1:5")";
   CHECK(GatewayErrorOf(good + R"(, "repeat_ratio": 0.2, "stop_limit_s": 8})")
             .empty());
+  CHECK(GatewayErrorOf(good + R"(, "leave_limit_ms": 2000})").empty());
+  CHECK(GatewayErrorOf(good + R"(, "leave_limit_ms": "soon"})")
+            .find("leave_limit_ms: found") != std::string::npos);
   CHECK(GatewayErrorOf(good + R"(, "repeat_ratio": 2})")
             .find("repeat_ratio: found 2; allowed: a number from 0 to 1") !=
         std::string::npos);
--- a/src/core/endpoint_directory.cc
+++ b/src/core/endpoint_directory.cc
@@ -13,8 +13,9 @@
 
 }  // namespace
 
-EndpointDirectory::EndpointDirectory(MonotonicClock clock)
-    : clock_(std::move(clock)) {}
+EndpointDirectory::EndpointDirectory(MonotonicClock clock, Millis leave_limit)
+    : clock_(std::move(clock)),
+      lapse_grace_(std::max(Millis(0), leave_limit - kSendingTime)) {}
 
 bool EndpointDirectory::Upsert(const EndpointRecord& record) {
   Entry& entry = entries_[record.id];
@@ -22,11 +23,11 @@
   if (!is_new && record.revision < entry.record.revision) {
     return false;
   }
-  const bool changed = is_new || entry.dropped_at.has_value() ||
+  const bool changed = is_new || entry.missing.has_value() ||
                        entry.record.draining != record.draining ||
                        entry.record.address != record.address;
   entry.record = record;
-  entry.dropped_at.reset();
+  entry.missing.reset();
   stale_index_ = stale_index_ || changed;
   return changed;
 }
@@ -37,9 +38,13 @@
   if (found == entries_.end() || revision < found->second.record.revision) {
     return Absence::kNotHeld;
   }
+  const TimePoint now = clock_();
   const bool left_after_return =
-      !source_lost_ && source_back_revision_ < revision;
-  return Drop(id, left_after_return || SourceIsCalm(clock_()));
+      !lost_since_.has_value() && back_revision_ < revision;
+  if (left_after_return || !MayHaveLapsed(now)) {
+    return Drop(id, std::nullopt);
+  }
+  return Drop(id, now + lapse_grace_);
 }
 
 ListingChange EndpointDirectory::ReplaceAll(
@@ -55,38 +60,52 @@
       missing.push_back(id);
     }
   }
-  const bool departures =
-      SourceIsCalm(clock_()) && missing.size() * kLapseShare <= entries_.size();
+  const TimePoint now = clock_();
+  std::optional<TimePoint> use_until;
+  if (MayHaveLapsed(now)) {
+    use_until = now + lapse_grace_;
+  } else if (missing.size() * kLapseShare > entries_.size()) {
+    // They may have gone at any time since the last that this host heard.
+    use_until = complete_before_ + lapse_grace_;
+  }
   ListingChange change;
   for (const EndpointId& id : missing) {
-    const bool departed = Drop(id, departures) == Absence::kDeparted;
+    const bool departed = Drop(id, use_until) == Absence::kDeparted;
     ++(departed ? change.departed : change.may_have_lapsed);
   }
   return change;
 }
 
-void EndpointDirectory::OnSourceLost() { source_lost_ = true; }
+void EndpointDirectory::OnSourceLost(Millis unheard) {
+  if (!lost_since_.has_value()) {
+    lost_since_ = clock_() - unheard;
+  }
+}
 
-void EndpointDirectory::OnSourceBack(StoreRevision at) {
-  if (source_lost_) {
-    source_lost_ = false;
-    source_back_revision_ = at;
-    source_back_at_ = clock_();
+void EndpointDirectory::OnSourceBack(StoreRevision at, Millis age) {
+  const TimePoint now = clock_();
+  complete_before_ = complete_at_;
+  complete_at_ = std::max(complete_at_, now - age);
+  if (!lost_since_.has_value()) {
+    return;
+  }
+  if (now - *lost_since_ >= kLapseAfter) {
+    back_at_ = now;
+    back_revision_ = at;
   }
+  lost_since_.reset();
 }
 
 std::vector<DroppedEndpoint> EndpointDirectory::DropLapsed() {
   std::vector<DroppedEndpoint> dropped;
-  if (source_lost_) {
-    return dropped;
-  }
   const TimePoint now = clock_();
   for (auto it = entries_.begin(); it != entries_.end();) {
-    const auto& dropped_at = it->second.dropped_at;
-    if (dropped_at.has_value() &&
-        now >= std::max(*dropped_at, source_back_at_) + kLapseGrace) {
+    const auto& missing = it->second.missing;
+    // Whatever the source does meanwhile: while it was lost, or came and went,
+    // endpoints that had left were used for as long as that lasted.
+    if (missing.has_value() && now >= missing->use_until) {
       dropped.push_back(DroppedEndpoint{
-          it->first, std::chrono::duration_cast<Millis>(now - *dropped_at)});
+          it->first, std::chrono::duration_cast<Millis>(now - missing->since)});
       it = entries_.erase(it);
       stale_index_ = true;
     } else {
@@ -114,16 +133,16 @@
 std::optional<Millis> EndpointDirectory::MissingFor(
     const EndpointId& id) const {
   const auto found = entries_.find(id);
-  if (found == entries_.end() || !found->second.dropped_at.has_value()) {
+  if (found == entries_.end() || !found->second.missing.has_value()) {
     return std::nullopt;
   }
   return std::chrono::duration_cast<Millis>(clock_() -
-                                            *found->second.dropped_at);
+                                            found->second.missing->since);
 }
 
 std::size_t EndpointDirectory::MissingCount() const {
   const auto is_missing = [](const auto& item) {
-    return item.second.dropped_at.has_value();
+    return item.second.missing.has_value();
   };
   return static_cast<std::size_t>(
       std::count_if(entries_.begin(), entries_.end(), is_missing));
@@ -138,22 +157,30 @@
   return all;
 }
 
-bool EndpointDirectory::SourceIsCalm(TimePoint now) const {
-  return !source_lost_ && now >= source_back_at_ + kCalmAfter;
+bool EndpointDirectory::MayHaveLapsed(TimePoint now) const {
+  // A host that nobody told for a moment, and that the source answers at its
+  // first call, has missed no lapse. Taken for one, a departure kept its
+  // endpoint in use for 3.0 s.
+  if (lost_since_.has_value() && now - *lost_since_ >= kLapseAfter) {
+    return true;
+  }
+  return back_at_.has_value() && now < *back_at_ + kCalmAfter;
 }
 
-Absence EndpointDirectory::Drop(const EndpointId& id, bool at_once) {
+Absence EndpointDirectory::Drop(const EndpointId& id,
+                                std::optional<TimePoint> use_until) {
   const auto found = entries_.find(id);
   if (found == entries_.end()) {
     return Absence::kNotHeld;
   }
-  if (at_once) {
+  if (!use_until.has_value()) {
     entries_.erase(found);
     stale_index_ = true;
     return Absence::kDeparted;
   }
-  if (!found->second.dropped_at.has_value()) {
-    found->second.dropped_at = clock_();
+  std::optional<Missing>& missing = found->second.missing;
+  if (!missing.has_value()) {
+    missing = Missing{clock_(), *use_until};
   }
   return Absence::kMayHaveLapsed;
 }
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -76,7 +76,7 @@
       random_(std::move(random)),
       io_(1),
       log_(settings_.node_id.value, clock_),
-      directory_(clock_),
+      directory_(clock_, settings_.leave_limit),
       loads_(clock_),
       health_(clock_),
       connections_(&io_, clock_),
@@ -230,6 +230,7 @@
   };
   ports.on_informed = [this](Millis age) {
     duty_.OnInformed(age);
+    directory_.OnSourceBack(known_up_to_, age);
     UpdateSource("");
     fleet_.OnPublished();
   };
@@ -325,6 +326,7 @@
 void GatewayNode::OnSourceWell(StoreRevision at) {
   known_up_to_ = std::max(known_up_to_, at);
   duty_.OnAnswered();
+  directory_.OnSourceBack(known_up_to_);
   UpdateSource("");
   fleet_.OnPublished();
 }
@@ -332,12 +334,14 @@
 void GatewayNode::OnInformed(StoreRevision at) {
   known_up_to_ = std::max(known_up_to_, at);
   duty_.OnInformed(Millis(0));
+  directory_.OnSourceBack(known_up_to_);
   UpdateSource("");
   fleet_.OnPublished();
 }
 
 void GatewayNode::OnSourceLost(const std::string& reason) {
   duty_.OnFailed();
+  directory_.OnSourceLost(duty_.Age());
   UpdateSource(reason);
 }
 
@@ -354,11 +358,9 @@
   }
   source_well_ = well;
   if (well) {
-    directory_.OnSourceBack(known_up_to_);
     log_.Write("source_regained", {{"at", known_up_to_.value}},
                LogWeight::kAlwaysKept);
   } else {
-    directory_.OnSourceLost();
     log_.Write("source_lost",
                {{"reason", reason}, {"known_up_to", known_up_to_.value}},
                LogWeight::kAlwaysKept);
