What left while memory was waited for is not sent to

With up to 250 ms for the connection that is 0.55 s after the choice, beyond the half second that the time for missing entries leaves. Ruled out as further places: the planner's answer is checked against this host's directory when it comes; queue and retries place anew. Change: the place is checked again when the memory is there, and the request is placed anew if anything of it has left.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -157,14 +157,7 @@
 
 std::optional<Placement> Exchange::PlacementOf(
     const PlannedPlacement& planned) const {
-  const auto usable = [this](const EndpointId& id) {
-    const EndpointRecord* record = services_->directory->Find(id);
-    return record != nullptr && !record->draining &&
-                   record->service == service_->name
-               ? record
-               : nullptr;
-  };
-  const EndpointRecord* endpoint = usable(planned.endpoint);
+  const EndpointRecord* endpoint = Usable(planned.endpoint);
   if (endpoint == nullptr) {
     return std::nullopt;
   }
@@ -175,7 +168,7 @@
   placement.first_event = planned.first_event;
   placement.candidates = planned.candidates;
   for (const PlannedHelper& helper : planned.helpers) {
-    const EndpointRecord* record = usable(helper.endpoint);
+    const EndpointRecord* record = Usable(helper.endpoint);
     if (record == nullptr) {
       return std::nullopt;
     }
@@ -184,6 +177,22 @@
   return placement;
 }
 
+const EndpointRecord* Exchange::Usable(const EndpointId& id) const {
+  const EndpointRecord* record = services_->directory->Find(id);
+  const bool usable = record != nullptr && !record->draining &&
+                      record->service == service_->name;
+  return usable ? record : nullptr;
+}
+
+bool Exchange::IsStillUsable(const Placement& placement) const {
+  const auto usable = [this](const Helper& helper) {
+    return Usable(helper.record.id) != nullptr;
+  };
+  return Usable(placement.endpoint.id) != nullptr &&
+         std::all_of(placement.helpers.begin(), placement.helpers.end(),
+                     usable);
+}
+
 void Exchange::PlaceAlone() {
   if (TryPlace()) {
     return;
@@ -298,10 +307,14 @@
 
 void Exchange::OnMemory(const Placement& placement, bool held) {
   nlohmann::json fields = LogFields();
+  // Memory is waited for up to 300 ms. With the wait for a connection an
+  // endpoint that was heard to leave meanwhile would be sent to 0.6 s later.
+  const bool usable = IsStillUsable(placement);
   fields["held"] = held;
+  fields["usable"] = usable;
   fields["prompt"] = placement_request_.prompt.value;
   services_->log->Write("memory", std::move(fields));
-  if (held) {
+  if (held && usable) {
     Send(placement);
     return;
   }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -50,6 +50,10 @@
   // endpoints: then it asks again.
   void UsePlanned(const PlannedPlacement& planned);
   std::optional<Placement> PlacementOf(const PlannedPlacement& planned) const;
+  // Returns the record of `id` if new work may go there now, otherwise null.
+  const EndpointRecord* Usable(const EndpointId& id) const;
+  // Returns whether new work may still go to all that `placement` names.
+  bool IsStillUsable(const Placement& placement) const;
   // Tells that no planner gave a place.
   void NotePlacedAlone();
   // Places by what this host knows itself, or waits here.
