Lives under one id are told apart, and entries of other writers name no endpoint

Change: an entry tells its life (born), by difference and store order alone, since clocks step; a new life starts without a past. A life that has said that it leaves does not stay, whatever a late word of it says.

--- a/include/harecrank/core/endpoint_directory.h
+++ b/include/harecrank/core/endpoint_directory.h
@@ -25,9 +25,15 @@
 // Orders all changes of the platform's service.
 using StoreRevision = StrongNumber<struct StoreRevisionTag, std::uint64_t>;
 
+// When an endpoint's process started, in Unix ms by its own clock. Tells lives
+// of one id apart; clocks step, so it does not tell which came first.
+using EndpointLife = StrongNumber<struct EndpointLifeTag, std::int64_t>;
+
 // One life of an endpoint, as published.
 struct EndpointRecord {
   EndpointId id;
+  // Unset where the platform does not tell it: then each id has one life.
+  std::optional<EndpointLife> life;
   ServiceName service;
   // IP number and port.
   std::string address;
@@ -69,10 +75,16 @@
   explicit EndpointDirectory(MonotonicClock clock,
                              Millis leave_limit = kLeaveLimit);
 
-  // Takes over one record. Older revisions than the one held change nothing.
-  // Returns whether anything that matters for routing changed.
+  // Takes over one record. Older revisions than the one held change nothing. A
+  // life that has said that it leaves does not stay, whatever a word of it that
+  // comes late may say. Returns whether anything that matters for routing
+  // changed.
   bool Upsert(const EndpointRecord& record);
 
+  // Notes that what stands at the record's place since `revision` names no
+  // endpoint. Returns whether one was held.
+  bool Withdraw(const EndpointId& id, StoreRevision revision);
+
   // Notes that the record has vanished at `revision`.
   Absence Remove(const EndpointId& id, StoreRevision revision);
 
@@ -133,6 +145,9 @@
   // How long after the return of the source a vanished entry may have lapsed
   // while it was away: three heartbeats.
   static constexpr Millis kCalmAfter{3600};
+  // How long a life that has said that it leaves is remembered: longer than one
+  // serves on after that, and than a late word of it may be on its way.
+  static constexpr Millis kLeavingRemembered{60000};
 
  private:
   struct Missing {
@@ -145,6 +160,14 @@
     std::optional<Missing> missing;
   };
 
+  struct Leaving {
+    std::optional<EndpointLife> life;
+    TimePoint said;
+  };
+
+  // Notes whether `record` says that it leaves, and returns whether its life
+  // has said so.
+  bool IsLeaving(const EndpointRecord& record);
   // Returns whether an entry that is missing now may have lapsed.
   bool MayHaveLapsed(TimePoint now) const;
   // Keeps what may have lapsed until `use_until`, and drops the rest.
@@ -154,6 +177,7 @@
   MonotonicClock clock_;
   std::map<EndpointId, Entry> entries_;
   Millis lapse_grace_;
+  std::map<EndpointId, Leaving> leaving_;
   // Since when the source has not answered; unset while it does.
   std::optional<TimePoint> lost_since_;
   // The last return of the source after an absence in which entries may have
--- a/src/core/endpoint_directory.cc
+++ b/src/core/endpoint_directory.cc
@@ -1,6 +1,7 @@
 #include "harecrank/core/endpoint_directory.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -23,15 +24,37 @@
   if (!is_new && record.revision < entry.record.revision) {
     return false;
   }
+  const bool draining = IsLeaving(record);
   const bool changed = is_new || entry.missing.has_value() ||
-                       entry.record.draining != record.draining ||
+                       entry.record.life != record.life ||
+                       entry.record.draining != draining ||
+                       entry.record.service != record.service ||
                        entry.record.address != record.address;
   entry.record = record;
+  entry.record.draining = draining;
   entry.missing.reset();
   stale_index_ = stale_index_ || changed;
   return changed;
 }
 
+bool EndpointDirectory::IsLeaving(const EndpointRecord& record) {
+  const auto found = leaving_.find(record.id);
+  const bool has_said =
+      found != leaving_.end() && found->second.life == record.life;
+  if (record.draining && !has_said) {
+    leaving_[record.id] = Leaving{record.life, clock_()};
+  }
+  return record.draining || has_said;
+}
+
+bool EndpointDirectory::Withdraw(const EndpointId& id, StoreRevision revision) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end() || revision < found->second.record.revision) {
+    return false;
+  }
+  return Drop(id, std::nullopt) == Absence::kDeparted;
+}
+
 Absence EndpointDirectory::Remove(const EndpointId& id,
                                   StoreRevision revision) {
   const auto found = entries_.find(id);
@@ -112,6 +135,10 @@
       ++it;
     }
   }
+  for (auto it = leaving_.begin(); it != leaving_.end();) {
+    const bool is_old = now - it->second.said >= kLeavingRemembered;
+    it = is_old ? leaving_.erase(it) : std::next(it);
+  }
   return dropped;
 }
 
--- a/src/core/endpoint_directory_test.cc
+++ b/src/core/endpoint_directory_test.cc
@@ -101,6 +101,57 @@
   CHECK(Usable() == 3);
 }
 
+TEST_CASE_METHOD(DirectoryFixture,
+                 "An endpoint that starts again under its id is a new one") {
+  Settle();
+  EndpointRecord first = Record("a", 2);
+  first.life = EndpointLife{1000};
+  first.draining = true;
+  directory_.Upsert(first);
+  CHECK(Usable() == 2);
+  EndpointRecord second = Record("a", 3);
+  second.life = EndpointLife{900};
+  CHECK(directory_.Upsert(second));
+  CHECK(Usable() == 3);
+  // The same life once more changes nothing.
+  second.revision = StoreRevision{4};
+  CHECK_FALSE(directory_.Upsert(second));
+  // Another life in its place is a change even if all else is alike.
+  second.life = EndpointLife{1001};
+  second.revision = StoreRevision{5};
+  CHECK(directory_.Upsert(second));
+}
+
+TEST_CASE_METHOD(
+    DirectoryFixture,
+    "A life that has said that it leaves does not stay after all") {
+  Settle();
+  EndpointRecord record = Record("a", 2);
+  record.life = EndpointLife{1000};
+  record.draining = true;
+  directory_.Upsert(record);
+  record.draining = false;
+  record.revision = StoreRevision{3};
+  directory_.Upsert(record);
+  CHECK(Usable() == 2);
+  directory_.Remove(EndpointId{"a"}, StoreRevision{4});
+  record.revision = StoreRevision{5};
+  directory_.Upsert(record);
+  CHECK(Usable() == 2);
+  CHECK(directory_.Find(EndpointId{"a"})->draining);
+}
+
+TEST_CASE_METHOD(DirectoryFixture,
+                 "What names no endpoint any more is out of use at once") {
+  Settle();
+  directory_.OnSourceLost();
+  Pass(Millis(5000));
+  CHECK(directory_.Withdraw(EndpointId{"a"}, StoreRevision{4}));
+  CHECK(Usable() == 2);
+  CHECK_FALSE(directory_.Withdraw(EndpointId{"b"}, StoreRevision{0}));
+  CHECK(Usable() == 2);
+}
+
 // A host sent requests to an endpoint for three seconds after it had left. The
 // hosts that read the platform's service for it had been turned away; the
 // service answered the host itself at its first call, and said that the entry
--- a/src/gateway/directory_feed.h
+++ b/src/gateway/directory_feed.h
@@ -29,6 +29,9 @@
   // One endpoint's entry was written, or has vanished.
   virtual void OnEndpoint(const EndpointRecord& record) = 0;
   virtual void OnEndpointGone(const EndpointId& id, StoreRevision revision) = 0;
+  // What stands at an endpoint's place names none that can be used.
+  virtual void OnEndpointUnusable(const EndpointId& id, StoreRevision revision,
+                                  const std::string& reason) = 0;
   // The platform has answered: what was told is complete up to `at`.
   virtual void OnSourceWell(StoreRevision at) = 0;
   // Another host, which the platform answers, has told what was published up to
--- a/src/gateway/endpoint_connections.h
+++ b/src/gateway/endpoint_connections.h
@@ -51,6 +51,10 @@
 
   std::size_t IdleCount() const;
 
+  // Closes the idle connections to an endpoint that has left, or to an earlier
+  // life of it.
+  void Forget(const EndpointId& endpoint) { idle_.erase(endpoint); }
+
   // Idle connections kept for one endpoint: as many as answers that end within
   // one another's round trips, with room for a burst.
   static constexpr std::size_t kMostIdle = 8;
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -296,6 +296,9 @@
 
 void GatewayNode::OnListing(std::vector<EndpointRecord> records,
                             StoreRevision at) {
+  for (const EndpointRecord& record : records) {
+    NoteLife(record);
+  }
   const ListingChange change = directory_.ReplaceAll(records, at);
   AcceptCallers();
   log_.Write("listing", {{"endpoints", records.size()},
@@ -305,24 +308,61 @@
 }
 
 void GatewayNode::OnEndpoint(const EndpointRecord& record) {
+  NoteLife(record);
   if (directory_.Upsert(record)) {
-    log_.Write("endpoint", {{"endpoint", record.id.value},
-                            {"service", record.service.value},
-                            {"address", record.address},
-                            {"draining", record.draining},
-                            {"revision", record.revision.value}});
+    log_.Write("endpoint",
+               {{"endpoint", record.id.value},
+                {"service", record.service.value},
+                {"address", record.address},
+                {"draining", record.draining},
+                {"life", record.life.value_or(EndpointLife{}).value},
+                {"revision", record.revision.value}});
   }
 }
 
 void GatewayNode::OnEndpointGone(const EndpointId& id, StoreRevision revision) {
   const Absence absence = directory_.Remove(id, revision);
-  // Ids are never used again; should it still be there, it is learned anew.
+  // Should it still be there, or come back under its id, it is learned anew.
   health_.Forget(id);
+  if (absence == Absence::kDeparted) {
+    connections_.Forget(id);
+  }
   log_.Write("endpoint_gone", {{"endpoint", id.value},
                                {"kept", absence == Absence::kMayHaveLapsed},
                                {"revision", revision.value}});
 }
 
+void GatewayNode::OnEndpointUnusable(const EndpointId& id,
+                                     StoreRevision revision,
+                                     const std::string& reason) {
+  if (directory_.Withdraw(id, revision)) {
+    Forget(id);
+  }
+  metrics_.GetCounter("harecrank_gateway_unusable_entries_total")->Add();
+  log_.Write("endpoint_unusable", {{"endpoint", id.value},
+                                   {"revision", revision.value},
+                                   {"reason", reason}});
+}
+
+void GatewayNode::NoteLife(const EndpointRecord& record) {
+  const EndpointRecord* held = directory_.Find(record.id);
+  const bool is_new_life = held != nullptr && held->life != record.life &&
+                           !(record.revision < held->revision);
+  if (!is_new_life) {
+    return;
+  }
+  Forget(record.id);
+  log_.Write("endpoint_restarted", {{"endpoint", record.id.value},
+                                    {"revision", record.revision.value}});
+}
+
+void GatewayNode::Forget(const EndpointId& id) {
+  // An earlier life's failures kept a sound endpoint unused for up to 5.6 s,
+  // and a connection to it cannot answer.
+  health_.Forget(id);
+  connections_.Forget(id);
+}
+
 void GatewayNode::OnSourceWell(StoreRevision at) {
   known_up_to_ = std::max(known_up_to_, at);
   duty_.OnAnswered();
@@ -468,6 +508,7 @@
 
 void GatewayNode::DropLapsed() {
   for (const DroppedEndpoint& dropped : directory_.DropLapsed()) {
+    connections_.Forget(dropped.id);
     log_.Write("endpoint_dropped", {{"endpoint", dropped.id.value},
                                     {"kept_ms", dropped.kept.count()}});
   }
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -62,6 +62,8 @@
                  StoreRevision at) override;
   void OnEndpoint(const EndpointRecord& record) override;
   void OnEndpointGone(const EndpointId& id, StoreRevision revision) override;
+  void OnEndpointUnusable(const EndpointId& id, StoreRevision revision,
+                          const std::string& reason) override;
   void OnSourceWell(StoreRevision at) override;
   void OnInformed(StoreRevision at) override;
   void OnSourceLost(const std::string& reason) override;
@@ -83,6 +85,11 @@
   void UpdateSource(const std::string& reason);
   void AcceptCallers();
   void Tick();
+  // Forgets what was seen of an earlier life of the endpoint, if it has begun
+  // a new one.
+  void NoteLife(const EndpointRecord& record);
+  // Forgets what was seen of an endpoint.
+  void Forget(const EndpointId& id);
   // Drops endpoints whose entries have been missing for too long.
   void DropLapsed();
   void ContinueDrain();
