--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -148,12 +148,13 @@
 bool Fleet::WaitReady() {
   for (const std::string& node : nodes_) {
     const std::string address = Operations(node);
-    if (!WaitUntil([&] {
-          return Request(address, "GET", "/readyz").status == http_status::kOk;
-        })) {
-      TellUnready(
-          node, "not ready, readiness answered " +
-                    std::to_string(Request(address, "GET", "/readyz").status));
+    bool ready = false;
+    WaitUntil([&] {
+      ready = Request(address, "GET", "/readyz").status == http_status::kOk;
+      return ready || !ProcessOf(node).IsRunning();
+    });
+    if (!ready) {
+      TellUnready(node, StateOf(node));
       return false;
     }
   }
@@ -177,6 +178,16 @@
   return true;
 }
 
+std::string Fleet::StateOf(const std::string& node) {
+  Process& process = ProcessOf(node);
+  if (!process.IsRunning()) {
+    return "its process has ended with exit code " +
+           std::to_string(process.Wait());
+  }
+  const int status = Request(Operations(node), "GET", "/readyz").status;
+  return "not ready, readiness answered " + std::to_string(status);
+}
+
 void Fleet::TellUnready(const std::string& node, const std::string& state) {
   std::cerr << node << ": " << state << "\n";
   // The log is gone with the fleet, and tells why a process has ended.
--- a/testing/fleet.h
+++ b/testing/fleet.h
@@ -141,6 +141,8 @@
                   int data_centre, const std::string& link,
                   const std::string& endpoint);
   void AddEntries();
+  // Returns whether the node's process runs, and what its readiness answers.
+  std::string StateOf(const std::string& node);
   // Prints what is known of a node that did not become ready in time.
   void TellUnready(const std::string& node, const std::string& state);
   void WriteSettings(const std::string& name, const nlohmann::json& settings);
--- a/testing/process.cc
+++ b/testing/process.cc
@@ -5,7 +5,9 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <csignal>
+#include <cstring>
 
 namespace harecrank::testing {
 namespace {
@@ -13,6 +15,21 @@
 constexpr int kExecFailed = 127;
 constexpr mode_t kLogMode = 0644;
 
+void Tell(const char* text) {
+  const ssize_t ignored = write(STDERR_FILENO, text, std::strlen(text));
+  static_cast<void>(ignored);
+}
+
+// Says why a program could not be started: a fleet that misses a process cannot
+// tell that from one that is slow.
+void TellFailure(const char* program, int error) {
+  Tell("cannot start ");
+  Tell(program);
+  Tell(": ");
+  Tell(strerrordesc_np(error));
+  Tell("\n");
+}
+
 [[noreturn]] void Become(const std::vector<std::string>& command,
                          const std::string& log) {
   prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -32,6 +49,7 @@
   }
   arguments.push_back(nullptr);
   execv(arguments.front(), arguments.data());
+  TellFailure(arguments.front(), errno);
   _exit(kExecFailed);
 }
 
