--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -191,7 +191,7 @@
 void Fleet::TellUnready(const std::string& node, const std::string& state) {
   std::cerr << node << ": " << state << "\n";
   // The log is gone with the fleet, and tells why a process has ended.
-  std::ifstream log(directory_ + "/" + node + ".log");
+  std::ifstream log(directory_ + "/" + ProcessNameOf(node) + ".log");
   std::cerr << log.rdbuf() << "\n";
 }
 
@@ -268,18 +268,22 @@
   return Request(Operations(node), "GET", "/metrics").body;
 }
 
-Process& Fleet::ProcessOf(const std::string& node) {
+std::string Fleet::ProcessNameOf(const std::string& node) const {
   const auto found = commands_.find(node);
   if (found != commands_.end()) {
-    return Get(node);
+    return node;
   }
   const auto dash = node.rfind('-');
   const std::string number = node.substr(dash);
   const std::string kind = node.substr(0, dash);
-  return Get((kind == "endpoint" ? "sidecar"
-              : kind == "plain"  ? "service-sidecar"
-                                 : "bare-sidecar") +
-             number);
+  return (kind == "endpoint" ? "sidecar"
+          : kind == "plain"  ? "service-sidecar"
+                             : "bare-sidecar") +
+         number;
+}
+
+Process& Fleet::ProcessOf(const std::string& node) {
+  return Get(ProcessNameOf(node));
 }
 
 std::int64_t Fleet::EngineUsed(int index) {
--- a/testing/fleet.h
+++ b/testing/fleet.h
@@ -141,6 +141,8 @@
                   int data_centre, const std::string& link,
                   const std::string& endpoint);
   void AddEntries();
+  // Returns the name under which the node's process runs.
+  std::string ProcessNameOf(const std::string& node) const;
   // Returns whether the node's process runs, and what its readiness answers.
   std::string StateOf(const std::string& node);
   // Prints what is known of a node that did not become ready in time.
