--- /dev/null
+++ b/src/gateway/endpoint_news.cc
@@ -0,0 +1,89 @@
+#include "src/gateway/endpoint_news.h"
+
+namespace harecrank {
+
+EndpointNews::EndpointNews(EndpointDirectory* directory, EndpointHealth* health,
+                           EndpointConnections* connections, EventLog* log,
+                           Metrics* metrics)
+    : directory_(directory),
+      health_(health),
+      connections_(connections),
+      log_(log),
+      metrics_(metrics) {}
+
+void EndpointNews::OnListing(const std::vector<EndpointRecord>& records,
+                             StoreRevision at) {
+  for (const EndpointRecord& record : records) {
+    NoteLife(record);
+  }
+  const ListingChange change = directory_->ReplaceAll(records, at);
+  log_->Write("listing", {{"endpoints", records.size()},
+                          {"departed", change.departed},
+                          {"may_have_lapsed", change.may_have_lapsed},
+                          {"at", at.value}});
+}
+
+void EndpointNews::OnEndpoint(const EndpointRecord& record) {
+  NoteLife(record);
+  if (!directory_->Upsert(record)) {
+    return;
+  }
+  log_->Write("endpoint", {{"endpoint", record.id.value},
+                           {"service", record.service.value},
+                           {"address", record.address},
+                           {"draining", record.draining},
+                           {"life", record.life.value_or(EndpointLife{}).value},
+                           {"revision", record.revision.value}});
+}
+
+void EndpointNews::OnGone(const EndpointId& id, StoreRevision revision) {
+  const Absence absence = directory_->Remove(id, revision);
+  // Should it still be there, or come back under its id, it is learned anew.
+  health_->Forget(id);
+  if (absence == Absence::kDeparted) {
+    connections_->Forget(id);
+  }
+  log_->Write("endpoint_gone", {{"endpoint", id.value},
+                                {"kept", absence == Absence::kMayHaveLapsed},
+                                {"revision", revision.value}});
+}
+
+void EndpointNews::OnUnusable(const EndpointId& id, StoreRevision revision,
+                              const std::string& reason) {
+  if (directory_->Withdraw(id, revision)) {
+    Forget(id);
+  }
+  metrics_->GetCounter("harecrank_gateway_unusable_entries_total")->Add();
+  log_->Write("endpoint_unusable", {{"endpoint", id.value},
+                                    {"revision", revision.value},
+                                    {"reason", reason}});
+}
+
+void EndpointNews::DropLapsed() {
+  for (const DroppedEndpoint& dropped : directory_->DropLapsed()) {
+    connections_->Forget(dropped.id);
+    log_->Write("endpoint_dropped", {{"endpoint", dropped.id.value},
+                                     {"kept_ms", dropped.kept.count()}});
+  }
+}
+
+void EndpointNews::NoteLife(const EndpointRecord& record) {
+  const EndpointRecord* held = directory_->Find(record.id);
+  const bool is_new_life = held != nullptr && held->life != record.life &&
+                           !(record.revision < held->revision);
+  if (!is_new_life) {
+    return;
+  }
+  Forget(record.id);
+  log_->Write("endpoint_restarted", {{"endpoint", record.id.value},
+                                     {"revision", record.revision.value}});
+}
+
+void EndpointNews::Forget(const EndpointId& id) {
+  // An earlier life's failures kept a sound endpoint unused for up to 5.6 s,
+  // and a connection to it cannot answer.
+  health_->Forget(id);
+  connections_->Forget(id);
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/endpoint_news.h
@@ -0,0 +1,58 @@
+// Takes what the platform tells of endpoints into what this host knows of them.
+
+#ifndef HARECRANK_SRC_GATEWAY_ENDPOINT_NEWS_H_
+#define HARECRANK_SRC_GATEWAY_ENDPOINT_NEWS_H_
+
+#include <string>
+#include <vector>
+
+#include "harecrank/core/endpoint_directory.h"
+#include "harecrank/core/endpoint_health.h"
+#include "src/adapters/event_log.h"
+#include "src/adapters/metrics.h"
+#include "src/gateway/endpoint_connections.h"
+
+namespace harecrank {
+
+// Keeps the directory, and forgets what was seen of endpoints that have left or
+// have begun a new life. Each piece of news leaves a line in the log. Not
+// thread-safe.
+class EndpointNews {
+ public:
+  // All pointers must outlive this.
+  EndpointNews(EndpointDirectory* directory, EndpointHealth* health,
+               EndpointConnections* connections, EventLog* log,
+               Metrics* metrics);
+
+  // All endpoints as published at `at`.
+  void OnListing(const std::vector<EndpointRecord>& records, StoreRevision at);
+
+  // One endpoint's entry was written.
+  void OnEndpoint(const EndpointRecord& record);
+
+  // It has vanished.
+  void OnGone(const EndpointId& id, StoreRevision revision);
+
+  // It names no endpoint that can be used, for `reason`.
+  void OnUnusable(const EndpointId& id, StoreRevision revision,
+                  const std::string& reason);
+
+  // Drops endpoints whose entries have been missing for too long.
+  void DropLapsed();
+
+ private:
+  // Forgets what was seen of an earlier life of the endpoint, if `record` tells
+  // of a new one.
+  void NoteLife(const EndpointRecord& record);
+  void Forget(const EndpointId& id);
+
+  EndpointDirectory* directory_;
+  EndpointHealth* health_;
+  EndpointConnections* connections_;
+  EventLog* log_;
+  Metrics* metrics_;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_GATEWAY_ENDPOINT_NEWS_H_
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -80,6 +80,7 @@
       loads_(clock_),
       health_(clock_),
       connections_(&io_, clock_),
+      endpoint_news_(&directory_, &health_, &connections_, &log_, &metrics_),
       placer_(
           &directory_, &loads_, &health_, settings_.data_centre,
           LoadsOf::kThisHost, [this] { return KnownHosts(); },
@@ -296,71 +297,22 @@
 
 void GatewayNode::OnListing(std::vector<EndpointRecord> records,
                             StoreRevision at) {
-  for (const EndpointRecord& record : records) {
-    NoteLife(record);
-  }
-  const ListingChange change = directory_.ReplaceAll(records, at);
+  endpoint_news_.OnListing(records, at);
   AcceptCallers();
-  log_.Write("listing", {{"endpoints", records.size()},
-                         {"departed", change.departed},
-                         {"may_have_lapsed", change.may_have_lapsed},
-                         {"at", at.value}});
 }
 
 void GatewayNode::OnEndpoint(const EndpointRecord& record) {
-  NoteLife(record);
-  if (directory_.Upsert(record)) {
-    log_.Write("endpoint",
-               {{"endpoint", record.id.value},
-                {"service", record.service.value},
-                {"address", record.address},
-                {"draining", record.draining},
-                {"life", record.life.value_or(EndpointLife{}).value},
-                {"revision", record.revision.value}});
-  }
+  endpoint_news_.OnEndpoint(record);
 }
 
 void GatewayNode::OnEndpointGone(const EndpointId& id, StoreRevision revision) {
-  const Absence absence = directory_.Remove(id, revision);
-  // Should it still be there, or come back under its id, it is learned anew.
-  health_.Forget(id);
-  if (absence == Absence::kDeparted) {
-    connections_.Forget(id);
-  }
-  log_.Write("endpoint_gone", {{"endpoint", id.value},
-                               {"kept", absence == Absence::kMayHaveLapsed},
-                               {"revision", revision.value}});
+  endpoint_news_.OnGone(id, revision);
 }
 
 void GatewayNode::OnEndpointUnusable(const EndpointId& id,
                                      StoreRevision revision,
                                      const std::string& reason) {
-  if (directory_.Withdraw(id, revision)) {
-    Forget(id);
-  }
-  metrics_.GetCounter("harecrank_gateway_unusable_entries_total")->Add();
-  log_.Write("endpoint_unusable", {{"endpoint", id.value},
-                                   {"revision", revision.value},
-                                   {"reason", reason}});
-}
-
-void GatewayNode::NoteLife(const EndpointRecord& record) {
-  const EndpointRecord* held = directory_.Find(record.id);
-  const bool is_new_life = held != nullptr && held->life != record.life &&
-                           !(record.revision < held->revision);
-  if (!is_new_life) {
-    return;
-  }
-  Forget(record.id);
-  log_.Write("endpoint_restarted", {{"endpoint", record.id.value},
-                                    {"revision", record.revision.value}});
-}
-
-void GatewayNode::Forget(const EndpointId& id) {
-  // An earlier life's failures kept a sound endpoint unused for up to 5.6 s,
-  // and a connection to it cannot answer.
-  health_.Forget(id);
-  connections_.Forget(id);
+  endpoint_news_.OnUnusable(id, revision, reason);
 }
 
 void GatewayNode::OnSourceWell(StoreRevision at) {
@@ -486,7 +438,7 @@
 void GatewayNode::Tick() {
   const TimePoint now = clock_();
   AcceptCallers();
-  DropLapsed();
+  endpoint_news_.DropLapsed();
   UpdateSource("nobody told for a while");
   if (now - swept_ >= kSweepInterval) {
     swept_ = now;
@@ -506,14 +458,6 @@
   });
 }
 
-void GatewayNode::DropLapsed() {
-  for (const DroppedEndpoint& dropped : directory_.DropLapsed()) {
-    connections_.Forget(dropped.id);
-    log_.Write("endpoint_dropped", {{"endpoint", dropped.id.value},
-                                    {"kept_ms", dropped.kept.count()}});
-  }
-}
-
 void GatewayNode::ContinueDrain() {
   const auto passed = clock_() - drain_began_;
   if (passed < kBalancerNotices) {
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -15,6 +15,7 @@
 #include "src/adapters/settings.h"
 #include "src/gateway/caller_listener.h"
 #include "src/gateway/directory_feed.h"
+#include "src/gateway/endpoint_news.h"
 #include "src/gateway/fleet_member.h"
 #include "src/gateway/gateway_services.h"
 #include "src/gateway/small_server.h"
@@ -85,13 +86,6 @@
   void UpdateSource(const std::string& reason);
   void AcceptCallers();
   void Tick();
-  // Forgets what was seen of an earlier life of the endpoint, if it has begun
-  // a new one.
-  void NoteLife(const EndpointRecord& record);
-  // Forgets what was seen of an endpoint.
-  void Forget(const EndpointId& id);
-  // Drops endpoints whose entries have been missing for too long.
-  void DropLapsed();
   void ContinueDrain();
   void RegisterGauges();
   int KnownHosts() const;
@@ -110,6 +104,7 @@
   EndpointLoads loads_;
   EndpointHealth health_;
   EndpointConnections connections_;
+  EndpointNews endpoint_news_;
   Placer placer_;
   RepeatBudgets budgets_;
   DispatchQueue queue_;
