--- a/src/adapters/line_writer_test.cc
+++ b/src/adapters/line_writer_test.cc
@@ -43,8 +43,8 @@
 };
 
 // On a busy machine a log before a stuck reader once dropped nothing of 5,000
-// lines, 465 kB, though its bound is 256 kB: its thread had come late, had taken
-// a whole buffer at once, and a second buffer had room for the rest.
+// lines, 465 kB, though its bound is 256 kB: its thread had come late, had
+// taken a whole buffer at once, and a second buffer had room for the rest.
 TEST_CASE("What the writer has in hand counts towards its bound",
           "[adapters][log]") {
   const FullPipe pipe;
