A connection that was in use when its endpoint began a new life is not kept

Its log has every request for five seconds placed on s0 by the new entry (entry_revision 13), and all reached the address of the entry before: a request had been under way at the old life when its idle connections were closed, its connection came back to the pool under the same id, and each further request took it from there and put it back. Change: a connection that was opened before its endpoint was forgotten is closed when it comes back.

--- a/src/gateway/endpoint_connections.cc
+++ b/src/gateway/endpoint_connections.cc
@@ -35,11 +35,19 @@
     const EndpointId& endpoint) {
   auto connection = std::make_unique<EndpointConnection>(io_);
   connection->endpoint = endpoint;
+  connection->opened = clock_();
   return connection;
 }
 
 void EndpointConnections::PutIdle(
     std::unique_ptr<EndpointConnection> connection) {
+  // Kept, a connection that was in use while its endpoint began a new life
+  // elsewhere took every further request to the life before.
+  const auto forgotten = forgotten_.find(connection->endpoint);
+  if (forgotten != forgotten_.end() &&
+      connection->opened <= forgotten->second) {
+    return;
+  }
   auto& connections = idle_[connection->endpoint];
   if (connections.size() >= kMostIdle) {
     return;
@@ -52,7 +60,16 @@
   connections.push_back(std::move(connection));
 }
 
+void EndpointConnections::Forget(const EndpointId& endpoint) {
+  idle_.erase(endpoint);
+  forgotten_[endpoint] = clock_();
+}
+
 void EndpointConnections::Sweep() {
+  for (auto it = forgotten_.begin(); it != forgotten_.end();) {
+    const bool is_old = clock_() - it->second >= kForgottenKept;
+    it = is_old ? forgotten_.erase(it) : std::next(it);
+  }
   for (auto it = idle_.begin(); it != idle_.end();) {
     auto& connections = it->second;
     connections.erase(
--- a/src/gateway/endpoint_connections.h
+++ b/src/gateway/endpoint_connections.h
@@ -19,6 +19,7 @@
 struct EndpointConnection {
   explicit EndpointConnection(boost::asio::io_context* io) : socket(*io) {}
 
+  TimePoint opened{};
   EndpointId endpoint;
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
@@ -52,8 +53,8 @@
   std::size_t IdleCount() const;
 
   // Closes the idle connections to an endpoint that has left, or to an earlier
-  // life of it.
-  void Forget(const EndpointId& endpoint) { idle_.erase(endpoint); }
+  // life of it. Those in use are not kept when they come back.
+  void Forget(const EndpointId& endpoint);
 
   // Idle connections kept for one endpoint: as many as answers that end within
   // one another's round trips, with room for a burst.
@@ -64,6 +65,9 @@
   // the two do not cross on the way.
   static constexpr Millis kIdleMargin{800};
 
+  // Longer than any request may take.
+  static constexpr Millis kForgottenKept{600000};
+
  private:
   bool IsSpent(EndpointConnection* connection) const;
 
@@ -72,6 +76,9 @@
   std::unordered_map<EndpointId,
                      std::vector<std::unique_ptr<EndpointConnection>>>
       idle_;
+  // When endpoints were forgotten; for as long as a connection of before may
+  // be in use.
+  std::unordered_map<EndpointId, TimePoint> forgotten_;
 };
 
 }  // namespace harecrank
--- /dev/null
+++ b/src/gateway/endpoint_connections_test.cc
@@ -0,0 +1,56 @@
+#include "src/gateway/endpoint_connections.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+
+namespace harecrank {
+namespace {
+
+namespace asio = boost::asio;
+
+const EndpointId kId{"a"};
+
+class ConnectionsFixture {
+ protected:
+  std::unique_ptr<EndpointConnection> Opened() {
+    auto connection = connections_.MakeNew(kId);
+    connection->socket.connect(acceptor_.local_endpoint());
+    return connection;
+  }
+
+  asio::io_context io_;
+  asio::ip::tcp::acceptor acceptor_{
+      io_, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
+  TimePoint now_{std::chrono::hours(1)};
+  EndpointConnections connections_{&io_, [this] { return now_; }};
+};
+
+TEST_CASE_METHOD(ConnectionsFixture,
+                 "A connection that comes back is used again") {
+  connections_.PutIdle(Opened());
+  CHECK(connections_.TakeIdle(kId) != nullptr);
+  CHECK(connections_.TakeIdle(kId) == nullptr);
+}
+
+// A server began its next life elsewhere while a request was under way at the
+// one before. Its connection came back after the idle ones had been closed, and
+// every further request was placed by the new entry and sent over it: placed on
+// s0, entry_revision 13, for five seconds, all at the address of revision 11.
+TEST_CASE_METHOD(ConnectionsFixture,
+                 "A connection that was in use when its endpoint was forgotten "
+                 "is not kept") {
+  connections_.PutIdle(Opened());
+  auto in_use = Opened();
+  now_ += Millis(5);
+  connections_.Forget(kId);
+  CHECK(connections_.IdleCount() == 0);
+  connections_.PutIdle(std::move(in_use));
+  CHECK(connections_.TakeIdle(kId) == nullptr);
+  now_ += Millis(5);
+  connections_.PutIdle(Opened());
+  CHECK(connections_.TakeIdle(kId) != nullptr);
+}
+
+}  // namespace
+}  // namespace harecrank
