The log names a request across its tries, and tells an end from a cut link

Cause: a broken answer left one line, with the id of one try and a reason that is the same for a crash, a cut link and a reset; nothing but the size of its prompt connected two tries of one request. Ruled out: the entry of the endpoint as a sign of its end: it goes 3.4 to 3.6 s later. Conclusion: the three hypotheses can be told apart now.

--- a/src/gateway/attempt.cc
+++ b/src/gateway/attempt.cc
@@ -140,7 +140,8 @@
   }
   foreign_ = !IsForThisRequest();
   if (foreign_ && ++foreign_messages_ > kMostForeignMessages) {
-    Fail(AttemptBroken{"answers of other requests", false, connection_->kept});
+    Fail(AttemptBroken{"answers of other requests", false, connection_->kept,
+                       false});
     return;
   }
   if (!foreign_) {
@@ -248,8 +249,13 @@
 }
 
 void Attempt::Break(const std::string& step, const Error& error) {
+  const bool by_endpoint = error == asio::error::eof ||
+                           error == asio::error::connection_reset ||
+                           error == asio::error::broken_pipe ||
+                           error == http::error::end_of_stream ||
+                           error == http::error::partial_message;
   Fail(AttemptBroken{step + ": " + error.message(), answer_began_,
-                     connection_->kept});
+                     connection_->kept, by_endpoint});
 }
 
 }  // namespace harecrank
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -33,6 +33,9 @@
   std::string reason;
   bool answer_began = false;
   bool kept = false;
+  // The endpoint closed or reset the connection. Otherwise what came was no
+  // answer, or nothing came and the connection timed out.
+  bool by_endpoint = false;
 };
 using AttemptFailure = std::variant<AttemptNotSent, AttemptBroken>;
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -281,7 +281,7 @@
 
 void Exchange::Prepare(const Placement& placement) {
   ++placements_;
-  endpoint_ = placement.endpoint.id;
+  endpoint_ = placement.endpoint;
   BeginWork(placement);
   std::vector<MemoryNeed> needs;
   for (const Helper& helper : placement.helpers) {
@@ -338,16 +338,17 @@
 }
 
 void Exchange::Send(const Placement& placement) {
-  placement_request_.tried.insert(endpoint_);
+  placement_request_.tried.insert(endpoint_.id);
   predicted_ = placement.first_event;
   attempt_sent_ = false;
   first_event_seen_ = false;
+  began_at_ = TimePoint{};
   use_ = AnswerUse::kNone;
   answer_body_.clear();
   nlohmann::json fields = LogFields();
-  fields["endpoint"] = endpoint_.value;
+  fields["endpoint"] = endpoint_.id.value;
   fields["entry_revision"] = placement.endpoint.revision.value;
-  if (const auto missing = services_->directory->MissingFor(endpoint_)) {
+  if (const auto missing = services_->directory->MissingFor(endpoint_.id)) {
     fields["entry_missing_ms"] = missing->count();
   }
   fields["candidates"] = placement.candidates;
@@ -378,10 +379,10 @@
   // On a kept connection a request can cross the endpoint's close, and nobody
   // could tell whether it ran.
   if (route_->MayRepeat()) {
-    connection = services_->connections->TakeIdle(endpoint_);
+    connection = services_->connections->TakeIdle(endpoint_.id);
   }
   if (connection == nullptr) {
-    connection = services_->connections->MakeNew(endpoint_);
+    connection = services_->connections->MakeNew(endpoint_.id);
     services_->metrics->GetCounter("harecrank_gateway_connections_total")
         ->Add();
   }
@@ -464,7 +465,7 @@
 
 void Exchange::OnErrorAnswer() {
   attempt_failed_ = true;
-  services_->health->OnErrorAnswer(endpoint_);
+  services_->health->OnErrorAnswer(endpoint_.id);
 }
 
 void Exchange::OnFirstEvent() {
@@ -472,6 +473,7 @@
     return;
   }
   first_event_seen_ = true;
+  began_at_ = services_->clock();
   if (first_event_at_ == TimePoint{}) {
     first_event_at_ = services_->clock();
   }
@@ -481,7 +483,7 @@
   // longer ones compare.
   constexpr FractionalMillis kNegligible{200};
   const double pace = (taken + kNegligible) / (predicted_ + kNegligible);
-  services_->health->OnSuccess(endpoint_, pace);
+  services_->health->OnSuccess(endpoint_.id, pace);
   if (ask_.has_value()) {
     services_->places->OnRead(*ask_, pace);
   }
@@ -516,7 +518,7 @@
       head.count(names.not_run) != 0 || status == kMisdirected;
   if (says_not_run && status != http_status::kBadRequest) {
     if (status == kMisdirected) {
-      services_->health->OnUnreachable(endpoint_);
+      services_->health->OnUnreachable(endpoint_.id);
       services_->on_fault();
     }
     NoteFault(head);
@@ -566,7 +568,7 @@
     return;
   }
   nlohmann::json fields = LogFields();
-  fields["endpoint"] = endpoint_.value;
+  fields["endpoint"] = endpoint_.id.value;
   fields["at_fault"] = named;
   services_->log->Write("endpoint_blamed", std::move(fields),
                         LogWeight::kAlwaysKept);
@@ -582,7 +584,7 @@
 
 void Exchange::OnAnswerBytes(std::string_view bytes) {
   last_bytes_at_ = services_->clock();
-  services_->health->OnHeard(endpoint_);
+  services_->health->OnHeard(endpoint_.id);
   if (use_ == AnswerUse::kRelay) {
     answer_body_.append(bytes);
     if (answer_body_.size() > kMostAnswerBytes) {
@@ -631,7 +633,7 @@
   attempt_.reset();
   if (const auto* not_sent = std::get_if<AttemptNotSent>(&failure)) {
     EndWork();
-    services_->health->OnUnreachable(endpoint_);
+    services_->health->OnUnreachable(endpoint_.id);
     services_->on_fault();
     ++connect_failures_;
     if (connect_failures_ < kMostConnectFailures) {
@@ -643,15 +645,48 @@
   }
   // One broken answer is not a dead endpoint; the next connection tells.
   OnErrorAnswer();
+  NoteBroken(std::get<AttemptBroken>(failure));
   EndWork();
   scanner_.DropPartial();
   OnMayHaveRun(std::get<AttemptBroken>(failure).reason);
 }
 
+void Exchange::NoteBroken(const AttemptBroken& broken) {
+  nlohmann::json fields = LogFields();
+  fields["fingerprint"] = LogName(Fingerprint());
+  fields["endpoint"] = endpoint_.id.value;
+  fields["by_endpoint"] = broken.by_endpoint;
+  fields["answer_began"] = broken.answer_began;
+  if (began_at_ != TimePoint{}) {
+    fields["since_first_event_ms"] =
+        std::chrono::duration_cast<Millis>(services_->clock() - began_at_)
+            .count();
+  }
+  services_->prober->Probe(
+      endpoint_.address, [services = services_, fields = std::move(fields)](
+                             ProbeResult result) mutable {
+        fields["connection"] = Name(result);
+        services->log->Write("broken_off", std::move(fields),
+                             LogWeight::kAlwaysKept);
+      });
+}
+
+const RequestFingerprint& Exchange::Fingerprint() {
+  if (!fingerprint_.has_value()) {
+    FingerprintParts parts;
+    parts.account = account_ == nullptr ? AccountId{} : account_->id;
+    parts.method = View(request_.method_string());
+    parts.target = View(request_.target());
+    parts.body = *body_;
+    fingerprint_ = FingerprintOf(parts);
+  }
+  return *fingerprint_;
+}
+
 void Exchange::OnNotRun(const std::string& reason) {
   if (MaySendAgain()) {
     nlohmann::json fields = LogFields();
-    fields["endpoint"] = endpoint_.value;
+    fields["endpoint"] = endpoint_.id.value;
     fields["reason"] = reason;
     NoteSentAgain(std::move(fields));
     TryNext();
@@ -664,7 +699,7 @@
   may_have_run_ = true;
   if (route_->MayRepeat() && MaySendAgain()) {
     nlohmann::json fields = LogFields();
-    fields["endpoint"] = endpoint_.value;
+    fields["endpoint"] = endpoint_.id.value;
     fields["reason"] = reason;
     fields["resumes_after"] = scanner_.LastId();
     NoteSentAgain(std::move(fields));
@@ -748,11 +783,11 @@
     if (sendings_ < route_->max_attempts && MaySendAgain()) {
       may_have_run_ = may_have_run_ || attempt_sent_;
       AbandonAttempt();
-      services_->health->OnOverdue(endpoint_, last_bytes_at_);
+      services_->health->OnOverdue(endpoint_.id, last_bytes_at_);
       services_->on_fault();
       scanner_.DropPartial();
       nlohmann::json fields = LogFields();
-      fields["endpoint"] = endpoint_.value;
+      fields["endpoint"] = endpoint_.id.value;
       fields["reason"] = "overdue";
       fields["predicted_ms"] = predicted_.count();
       fields["resumes_after"] = scanner_.LastId();
@@ -790,7 +825,7 @@
         std::chrono::duration_cast<Millis>(kPatienceFactor * predicted_);
     limit = expected + (helpers_.empty() ? kPatienceBase : kHelperStall);
   }
-  if (services_->health->WasHeardAfter(endpoint_, last_bytes_at_)) {
+  if (services_->health->WasHeardAfter(endpoint_.id, last_bytes_at_)) {
     // The endpoint is alive and slow. To begin anew elsewhere costs more than
     // to wait, until the caller is about to give the stream up.
     limit = std::max(limit, CallerPatience());
@@ -886,7 +921,7 @@
   }
   fields["sendings"] = sendings_;
   fields["prompt"] = placement_request_.prompt.value;
-  fields["endpoint"] = endpoint_.value;
+  fields["endpoint"] = endpoint_.id.value;
   const bool failed = std::string_view(outcome) != "completed";
   services_->log->Write("ended", std::move(fields),
                         failed ? LogWeight::kAlwaysKept : LogWeight::kOrdinary);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "harecrank/core/event_scanner.h"
+#include "harecrank/core/request_fingerprint.h"
 #include "src/gateway/attempt.h"
 #include "src/gateway/caller_session.h"
 #include "src/gateway/gateway_services.h"
@@ -83,6 +84,12 @@
   void OnFirstEvent();
   void NotePause();
 
+  // Asks the endpoint's address whether it has ended, and logs what it says.
+  void NoteBroken(const AttemptBroken& broken);
+  // What this request is known by wherever it comes again. Taken when it is
+  // first wanted: few requests ever are.
+  const RequestFingerprint& Fingerprint();
+
   // What follows an attempt.
   void OnNotRun(const std::string& reason);
   void OnMayHaveRun(const std::string& reason);
@@ -120,6 +127,7 @@
   boost::asio::steady_timer memory_timer_;
 
   std::string id_;
+  std::optional<RequestFingerprint> fingerprint_;
   std::shared_ptr<const std::string> body_;
   std::shared_ptr<const RoutingTable> table_;
   const RouteRule* route_ = nullptr;
@@ -130,7 +138,8 @@
   PlacementRequest placement_request_;
 
   std::shared_ptr<Attempt> attempt_;
-  EndpointId endpoint_;
+  // Where it was sent last.
+  EndpointRecord endpoint_;
   std::vector<EndpointId> helpers_;
   // Of the endpoint first, then of the helpers.
   std::vector<WorkId> work_;
@@ -140,6 +149,8 @@
   TimePoint sent_at_{};
   TimePoint last_bytes_at_{};
   TimePoint first_event_at_{};
+  // The first event of the last attempt.
+  TimePoint began_at_{};
   TimePoint last_event_at_{};
   // Between two events of the stream, also across a resumption.
   std::chrono::steady_clock::duration longest_pause_{0};
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -80,6 +80,7 @@
       loads_(clock_),
       health_(clock_),
       connections_(&io_, clock_),
+      prober_(&io_),
       endpoint_news_(&directory_, &health_, &connections_, &log_, &metrics_),
       placer_(
           &directory_, &loads_, &health_, settings_.data_centre,
@@ -140,6 +141,7 @@
   services.loads = &loads_;
   services.health = &health_;
   services.connections = &connections_;
+  services.prober = &prober_;
   services.placer = &placer_;
   services.policy = &settings_.placement;
   services.budgets = &budgets_;
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -16,6 +16,7 @@
 #include "src/gateway/caller_listener.h"
 #include "src/gateway/directory_feed.h"
 #include "src/gateway/endpoint_news.h"
+#include "src/gateway/endpoint_prober.h"
 #include "src/gateway/fleet_member.h"
 #include "src/gateway/gateway_services.h"
 #include "src/gateway/small_server.h"
@@ -104,6 +105,7 @@
   EndpointLoads loads_;
   EndpointHealth health_;
   EndpointConnections connections_;
+  EndpointProber prober_;
   EndpointNews endpoint_news_;
   Placer placer_;
   RepeatBudgets budgets_;
