Requests that end the endpoints that begin them are held, by all hosts together

Cause: what bounds harm was counted for one try of a caller (attempts) or one service (repeats); a request that comes again under a new id was a new one to every host. Its class: a bound kept by a name that changes with each try. Ruled out: the size of a prompt as a sign (two callers share one); a broken answer alone as a sign (an endpoint that is full, a cut link and a host that was held up look the same, so the address is asked first); counting by hosts (three in all). Change: core/request_quarantine counts ends of endpoints against the fingerprint of each request that they were beginning; three hold it. Hosts merge what they know as sets of (endpoint, life), by datagram at once, and by a digest in their words for whoever missed one. Final answer: 503 without Retry-After, outcome not_run; requests under way that are not begun yet end at once.

--- a/include/harecrank/core/fleet_messages.h
+++ b/include/harecrank/core/fleet_messages.h
@@ -17,6 +17,7 @@
 #include "harecrank/core/endpoint_directory.h"
 #include "harecrank/core/endpoint_health.h"
 #include "harecrank/core/endpoint_loads.h"
+#include "harecrank/core/request_quarantine.h"
 #include "harecrank/core/routing_table.h"
 #include "harecrank/core/strong_types.h"
 
@@ -85,6 +86,8 @@
   std::vector<AvoidedEndpoint> avoided;
   // All that it has under way; nothing where the word does not tell that.
   std::optional<std::vector<AskedWork>> work;
+  // Of what it knows of requests that end endpoints; zero if it knows of none.
+  std::uint64_t crash_digest = 0;
 };
 
 // Asks the planner for a place.
@@ -170,8 +173,14 @@
   std::string changes;
 };
 
-using FleetMessage =
-    std::variant<HostWord, PlaceAsk, PlaceAnswer, WorkNote, PublishedChanges>;
+// What a host knows of requests that end endpoints.
+struct CrashReports {
+  HostAddress from;
+  std::vector<CrashReport> reports;
+};
+
+using FleetMessage = std::variant<HostWord, PlaceAsk, PlaceAnswer, WorkNote,
+                                  PublishedChanges, CrashReports>;
 
 // Returns `message` as CBOR.
 std::string EncodeFleetMessage(const FleetMessage& message);
--- a/src/core/fleet_messages.cc
+++ b/src/core/fleet_messages.cc
@@ -10,7 +10,14 @@
 
 // The first element of each message. Kept small: an ask is sent for each
 // request.
-enum class Kind { kWord = 1, kAsk = 2, kAnswer = 3, kNote = 4, kChanges = 5 };
+enum class Kind {
+  kWord = 1,
+  kAsk = 2,
+  kAnswer = 3,
+  kNote = 4,
+  kChanges = 5,
+  kCrashes = 6
+};
 
 // The first element of a decision.
 enum class DecisionKind {
@@ -100,16 +107,17 @@
   return list;
 }
 
-std::vector<AskedWork> TakeWork(ArrayReader* reader) {
+std::vector<AskedWork> TakeWork(const json& list) {
   std::vector<AskedWork> work;
-  reader->EachOf([&work](ArrayReader* entry) {
+  for (const json& element : list) {
+    ArrayReader entry(element);
     AskedWork one;
-    one.id = entry->TakeNumber<AskId>();
-    one.is_read = entry->Take<bool>();
-    entry->EachOf(
+    one.id = entry.TakeNumber<AskId>();
+    one.is_read = entry.Take<bool>();
+    entry.EachOf(
         [&one](ArrayReader* part) { one.parts.push_back(TakePart(part)); });
     work.push_back(std::move(one));
-  });
+  }
   return work;
 }
 
@@ -175,6 +183,25 @@
   throw UnknownNumber{};
 }
 
+json EncodeCrashes(const std::set<EndpointCrash>& crashes) {
+  json list = json::array();
+  for (const EndpointCrash& crash : crashes) {
+    list.push_back({crash.endpoint.value, crash.life.value});
+  }
+  return list;
+}
+
+std::set<EndpointCrash> TakeCrashes(ArrayReader* reader) {
+  std::set<EndpointCrash> crashes;
+  reader->EachOf([&crashes](ArrayReader* entry) {
+    EndpointCrash crash;
+    crash.endpoint = entry->TakeString<EndpointId>();
+    crash.life = entry->TakeNumber<EndpointLife>();
+    crashes.insert(std::move(crash));
+  });
+  return crashes;
+}
+
 struct MessageEncoder {
   json operator()(const HostWord& word) const {
     json hosts = json::array();
@@ -193,8 +220,13 @@
          std::move(avoided), word.source_age.count(),
          static_cast<int>(word.own_reading),
          word.should_read.has_value() ? json(*word.should_read) : json()});
-    if (word.work.has_value()) {
-      array.push_back(EncodeWork(*word.work));
+    // Both are left out where there is nothing to tell: hosts of an earlier
+    // version pass over a word that is longer than they know.
+    if (word.work.has_value() || word.crash_digest != 0) {
+      array.push_back(word.work.has_value() ? EncodeWork(*word.work) : json());
+    }
+    if (word.crash_digest != 0) {
+      array.push_back(word.crash_digest);
     }
     return array;
   }
@@ -223,6 +255,18 @@
          json::binary({published.changes.begin(), published.changes.end()})});
   }
 
+  json operator()(const CrashReports& told) const {
+    json reports = json::array();
+    for (const CrashReport& report : told.reports) {
+      reports.push_back({report.request.account.value, report.request.high,
+                         report.request.low, EncodeCrashes(report.crashes),
+                         EncodeCrashes(report.cleared), report.trials,
+                         report.age.count(), report.held_for.count()});
+    }
+    return json::array({static_cast<int>(Kind::kCrashes), told.from.value,
+                        std::move(reports)});
+  }
+
   json operator()(const WorkNote& note) const {
     json read = json::array();
     for (const ReadNote& one : note.read) {
@@ -281,7 +325,13 @@
     word.should_read = should_read.get<bool>();
   }
   if (size > kSizeWithoutWork) {
-    word.work = TakeWork(reader);
+    const json& work = reader->Next();
+    if (!work.is_null()) {
+      word.work = TakeWork(work);
+    }
+  }
+  if (size > kSizeWithoutWork + 1) {
+    word.crash_digest = reader->Take<std::uint64_t>();
   }
   return word;
 }
@@ -321,6 +371,24 @@
   return published;
 }
 
+CrashReports TakeCrashReports(ArrayReader* reader) {
+  CrashReports told;
+  told.from = reader->TakeString<HostAddress>();
+  reader->EachOf([&told](ArrayReader* entry) {
+    CrashReport report;
+    report.request.account = entry->TakeString<AccountId>();
+    report.request.high = entry->Take<std::uint64_t>();
+    report.request.low = entry->Take<std::uint64_t>();
+    report.crashes = TakeCrashes(entry);
+    report.cleared = TakeCrashes(entry);
+    report.trials = entry->Take<int>();
+    report.age = entry->TakeMillis();
+    report.held_for = entry->TakeMillis();
+    told.reports.push_back(std::move(report));
+  });
+  return told;
+}
+
 WorkNote TakeNote(ArrayReader* reader) {
   WorkNote note;
   note.host = reader->TakeString<HostAddress>();
@@ -363,6 +431,8 @@
         return TakeNote(&reader);
       case Kind::kChanges:
         return TakeChanges(&reader);
+      case Kind::kCrashes:
+        return TakeCrashReports(&reader);
     }
     return std::nullopt;
   } catch (const json::exception&) {
--- a/src/core/fleet_messages_test.cc
+++ b/src/core/fleet_messages_test.cc
@@ -36,6 +36,56 @@
   return word;
 }
 
+CrashReports Reports() {
+  CrashReport report;
+  report.request = RequestFingerprint{AccountId{"acme"}, ~std::uint64_t{0}, 7};
+  report.crashes = {
+      EndpointCrash{EndpointId{"e1"}, EndpointLife{1781218352519}},
+      EndpointCrash{EndpointId{"e2"}, EndpointLife{0}}};
+  report.cleared = {EndpointCrash{EndpointId{"e3"}, EndpointLife{5}}};
+  report.trials = 2;
+  report.age = Millis(1500);
+  report.held_for = Millis(-20);
+  return CrashReports{kHost, {report}};
+}
+
+TEST_CASE("What is told of requests that end endpoints comes back as told") {
+  const CrashReports read = SentAndRead(Reports());
+  CHECK(read.from == kHost);
+  REQUIRE(read.reports.size() == 1);
+  const CrashReport& report = read.reports.front();
+  const CrashReports told = Reports();
+  CHECK(report.request == told.reports.front().request);
+  CHECK(report.crashes == told.reports.front().crashes);
+  CHECK(report.cleared == told.reports.front().cleared);
+  CHECK(report.trials == 2);
+  CHECK(report.age == Millis(1500));
+  CHECK(report.held_for == Millis(-20));
+}
+
+TEST_CASE("The largest set of reports fits into one datagram") {
+  CrashReports all{kHost, {}};
+  for (std::size_t i = 0; i < RequestQuarantine::kMostShared; ++i) {
+    CrashReport report = Reports().reports.front();
+    report.request.low = i;
+    all.reports.push_back(report);
+  }
+  constexpr std::size_t kMostDatagram = 65507;
+  CHECK(EncodeFleetMessage(all).size() < kMostDatagram / 4);
+}
+
+TEST_CASE("A word tells the digest of suspects with or without its work") {
+  HostWord word = Word();
+  word.crash_digest = ~std::uint64_t{0};
+  CHECK(SentAndRead(word).crash_digest == ~std::uint64_t{0});
+  CHECK(SentAndRead(word).work.has_value());
+  word.work.reset();
+  CHECK(SentAndRead(word).crash_digest == ~std::uint64_t{0});
+  CHECK_FALSE(SentAndRead(word).work.has_value());
+  word.crash_digest = 0;
+  CHECK_FALSE(SentAndRead(word).work.has_value());
+}
+
 TEST_CASE("A host's word comes back as it was told") {
   const HostWord read = SentAndRead(Word());
   CHECK(read.node == NodeId{"n"});
--- /dev/null
+++ b/src/core/request_quarantine.cc
@@ -0,0 +1,279 @@
+#include "harecrank/core/request_quarantine.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <utility>
+
+namespace harecrank {
+namespace {
+
+Millis ToMillis(TimePoint::duration time) {
+  return std::chrono::duration_cast<Millis>(time);
+}
+
+bool Contains(const std::set<EndpointCrash>& all,
+              const std::set<EndpointCrash>& some) {
+  return std::includes(all.begin(), all.end(), some.begin(), some.end());
+}
+
+void AddTo(std::string* text, const std::set<EndpointCrash>& crashes) {
+  for (const EndpointCrash& crash : crashes) {
+    *text += crash.endpoint.value;
+    *text += '/';
+    *text += std::to_string(crash.life.value);
+    *text += ' ';
+  }
+  *text += '\n';
+}
+
+}  // namespace
+
+RequestQuarantine::RequestQuarantine(MonotonicClock clock)
+    : clock_(std::move(clock)) {}
+
+bool RequestQuarantine::OnCrash(const RequestFingerprint& request,
+                                const EndpointCrash& crash) {
+  Record* record = Make(request);
+  const bool is_news = record != nullptr && record->cleared.count(crash) == 0 &&
+                       record->crashes.insert(crash).second;
+  if (is_news) {
+    OnChanged();
+    record->last_crash = clock_();
+    record->held_until = record->last_crash + kTrialPause;
+  }
+  return is_news;
+}
+
+bool RequestQuarantine::OnCompleted(const RequestFingerprint& request) {
+  const auto found = records_.find(request);
+  if (found == records_.end() || found->second.crashes.empty()) {
+    return false;
+  }
+  OnChanged();
+  Record& record = found->second;
+  if (record.cleared.size() > kMostCleared) {
+    record.cleared.clear();
+  }
+  record.cleared.merge(record.crashes);
+  record.crashes.clear();
+  record.trials = 0;
+  return true;
+}
+
+bool RequestQuarantine::IsHeld(const RequestFingerprint& request) const {
+  const auto found = records_.find(request);
+  if (found == records_.end()) {
+    return false;
+  }
+  const Record& record = found->second;
+  const TimePoint now = clock_();
+  if (record.crashes.size() < kCrashesBorne || IsForgotten(record, now)) {
+    return false;
+  }
+  // One crash more than is borne is that of a trial: it is no bad luck.
+  return record.crashes.size() > kCrashesBorne ||
+         record.trials >= kMostTrials || now < record.held_until;
+}
+
+bool RequestQuarantine::TakeTurn(const RequestFingerprint& request,
+                                 bool* is_trial) {
+  if (IsHeld(request)) {
+    return false;
+  }
+  const auto found = records_.find(request);
+  const bool tries = found != records_.end() &&
+                     found->second.crashes.size() >= kCrashesBorne &&
+                     !IsForgotten(found->second, clock_());
+  if (tries) {
+    OnChanged();
+    ++found->second.trials;
+    found->second.held_until = clock_() + kTrialPause;
+  }
+  if (is_trial != nullptr) {
+    *is_trial = tries;
+  }
+  return true;
+}
+
+void RequestQuarantine::ReturnTrial(const RequestFingerprint& request) {
+  const auto found = records_.find(request);
+  if (found != records_.end() && found->second.trials > 0) {
+    OnChanged();
+    --found->second.trials;
+    found->second.held_until = clock_();
+  }
+}
+
+bool RequestQuarantine::Merge(const CrashReport& report) {
+  if (report.crashes.empty() && report.cleared.empty()) {
+    return false;
+  }
+  Record* record = Make(report.request);
+  if (record == nullptr) {
+    return false;
+  }
+  OnChanged();
+  const std::size_t known = record->crashes.size();
+  const std::size_t cleared = record->cleared.size();
+  const int trials = record->trials;
+  record->cleared.insert(report.cleared.begin(), report.cleared.end());
+  record->crashes.insert(report.crashes.begin(), report.crashes.end());
+  for (const EndpointCrash& crash : record->cleared) {
+    record->crashes.erase(crash);
+  }
+  record->trials =
+      record->crashes.empty() ? 0 : std::max(record->trials, report.trials);
+  const TimePoint now = clock_();
+  record->last_crash = std::max(record->last_crash, now - report.age);
+  record->held_until = std::max(record->held_until, now + report.held_for);
+  return record->crashes.size() != known || record->cleared.size() != cleared ||
+         record->trials != trials;
+}
+
+bool RequestQuarantine::KnowsMoreThan(const CrashReport& report) const {
+  const auto found = records_.find(report.request);
+  if (found == records_.end()) {
+    return false;
+  }
+  const Record& record = found->second;
+  return !Contains(report.cleared, record.cleared) ||
+         !Contains(report.crashes, record.crashes) ||
+         report.trials < record.trials;
+}
+
+CrashReport RequestQuarantine::ReportOf(
+    const RequestFingerprint& request) const {
+  const auto found = records_.find(request);
+  if (found == records_.end()) {
+    return CrashReport{request, {}, {}, 0, Millis(0), Millis(0)};
+  }
+  return Tell(*found);
+}
+
+CrashReport RequestQuarantine::Tell(const Records::value_type& entry) const {
+  const TimePoint now = clock_();
+  const Record& record = entry.second;
+  return CrashReport{entry.first,
+                     record.crashes,
+                     record.cleared,
+                     record.trials,
+                     ToMillis(now - record.last_crash),
+                     ToMillis(record.held_until - now)};
+}
+
+std::size_t RequestQuarantine::CrashesOf(
+    const RequestFingerprint& request) const {
+  const auto found = records_.find(request);
+  return found == records_.end() ? 0 : found->second.crashes.size();
+}
+
+std::vector<const RequestQuarantine::Records::value_type*>
+RequestQuarantine::Shared() const {
+  std::vector<const Records::value_type*> shared;
+  for (const Records::value_type& entry : records_) {
+    if (entry.second.crashes.size() >= kShared) {
+      shared.push_back(&entry);
+    }
+  }
+  // Those that stand equal stay in the order of their fingerprints, so that
+  // hosts which know the same choose the same.
+  std::stable_sort(shared.begin(), shared.end(),
+                   [](const auto* a, const auto* b) {
+                     return a->second.crashes.size() > b->second.crashes.size();
+                   });
+  if (shared.size() > kMostShared) {
+    shared.resize(kMostShared);
+  }
+  return shared;
+}
+
+std::vector<CrashReport> RequestQuarantine::SharedReports() const {
+  std::vector<CrashReport> reports;
+  for (const Records::value_type* entry : Shared()) {
+    reports.push_back(Tell(*entry));
+  }
+  return reports;
+}
+
+std::uint64_t RequestQuarantine::SharedDigest() const {
+  if (digest_.has_value()) {
+    return *digest_;
+  }
+  std::uint64_t digest = 0;
+  for (const Records::value_type* entry : Shared()) {
+    const auto& [request, record] = *entry;
+    std::string text = request.account.value + "\n" +
+                       std::to_string(request.high) + "\n" +
+                       std::to_string(request.low) + "\n" +
+                       std::to_string(record.trials) + "\n";
+    AddTo(&text, record.crashes);
+    // Their order does not matter.
+    digest ^= XXH3_64bits(text.data(), text.size());
+  }
+  digest_ = digest;
+  return digest;
+}
+
+std::size_t RequestQuarantine::HeldCount() const {
+  return static_cast<std::size_t>(
+      std::count_if(records_.begin(), records_.end(),
+                    [this](const Records::value_type& entry) {
+                      return IsHeld(entry.first);
+                    }));
+}
+
+bool RequestQuarantine::IsForgotten(const Record& record, TimePoint now) {
+  const Millis remembered =
+      record.crashes.size() > kCrashesBorne ? kProvenRemembered : kRemembered;
+  return now - record.last_crash > remembered;
+}
+
+void RequestQuarantine::Sweep() {
+  OnChanged();
+  const TimePoint now = clock_();
+  for (auto it = records_.begin(); it != records_.end();) {
+    it = IsForgotten(it->second, now) ? records_.erase(it) : std::next(it);
+  }
+}
+
+RequestQuarantine::Record* RequestQuarantine::Make(
+    const RequestFingerprint& request) {
+  const auto found = records_.find(request);
+  if (found != records_.end()) {
+    if (IsForgotten(found->second, clock_())) {
+      OnChanged();
+      found->second = Record{};
+    }
+    return &found->second;
+  }
+  if (records_.size() >= kMostRecords) {
+    MakeRoom();
+  }
+  return records_.size() < kMostRecords ? &records_[request] : nullptr;
+}
+
+void RequestQuarantine::MakeRoom() {
+  Sweep();
+  std::vector<TimePoint> times;
+  for (const auto& [request, record] : records_) {
+    if (record.crashes.size() < kShared) {
+      times.push_back(record.last_crash);
+    }
+  }
+  if (times.empty()) {
+    return;
+  }
+  const auto middle =
+      times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+  std::nth_element(times.begin(), middle, times.end());
+  for (auto it = records_.begin(); it != records_.end();) {
+    const bool goes = it->second.crashes.size() < kShared &&
+                      !(*middle < it->second.last_crash);
+    it = goes ? records_.erase(it) : std::next(it);
+  }
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/core/request_quarantine_test.cc
@@ -0,0 +1,202 @@
+#include "harecrank/core/request_quarantine.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace harecrank {
+namespace {
+
+RequestFingerprint Request(std::uint64_t number) {
+  return RequestFingerprint{AccountId{"acme"}, number, number};
+}
+
+EndpointCrash Crash(int endpoint, std::int64_t life = 1) {
+  return EndpointCrash{EndpointId{"e" + std::to_string(endpoint)},
+                       EndpointLife{life}};
+}
+
+struct Host {
+  TimePoint now{};
+  RequestQuarantine quarantine{[this] { return now; }};
+
+  void CrashTimes(int times) {
+    for (int i = 0; i < times; ++i) {
+      quarantine.OnCrash(Request(1), Crash(i));
+    }
+  }
+};
+
+TEST_CASE("A request is held once three endpoints have ended under it") {
+  Host host;
+  host.CrashTimes(2);
+  CHECK_FALSE(host.quarantine.IsHeld(Request(1)));
+  CHECK(host.quarantine.OnCrash(Request(1), Crash(2)));
+  CHECK(host.quarantine.IsHeld(Request(1)));
+  CHECK_FALSE(host.quarantine.TakeTurn(Request(1)));
+  CHECK_FALSE(host.quarantine.IsHeld(Request(2)));
+}
+
+TEST_CASE("One end of an endpoint counts once, and two lives are two ends") {
+  Host host;
+  CHECK(host.quarantine.OnCrash(Request(1), Crash(0)));
+  CHECK_FALSE(host.quarantine.OnCrash(Request(1), Crash(0)));
+  CHECK(host.quarantine.CrashesOf(Request(1)) == 1);
+  CHECK(host.quarantine.OnCrash(Request(1), Crash(0, 2)));
+  CHECK(host.quarantine.CrashesOf(Request(1)) == 2);
+}
+
+TEST_CASE("Requests of other accounts are other requests") {
+  Host host;
+  host.CrashTimes(3);
+  RequestFingerprint other = Request(1);
+  other.account = AccountId{"else"};
+  CHECK_FALSE(host.quarantine.IsHeld(other));
+}
+
+TEST_CASE("A request that was answered whole is free, whatever ended before") {
+  Host host;
+  host.CrashTimes(3);
+  CHECK(host.quarantine.OnCompleted(Request(1)));
+  CHECK_FALSE(host.quarantine.IsHeld(Request(1)));
+  // Told late of an end that had been counted already.
+  CHECK_FALSE(host.quarantine.OnCrash(Request(1), Crash(1)));
+  CHECK(host.quarantine.CrashesOf(Request(1)) == 0);
+  CHECK_FALSE(host.quarantine.OnCompleted(Request(1)));
+}
+
+TEST_CASE("A held request is let through alone, three times at the most") {
+  Host host;
+  host.CrashTimes(3);
+  for (int trial = 0; trial < RequestQuarantine::kMostTrials; ++trial) {
+    host.now += RequestQuarantine::kTrialPause;
+    bool is_trial = false;
+    CHECK(host.quarantine.TakeTurn(Request(1), &is_trial));
+    CHECK(is_trial);
+    CHECK_FALSE(host.quarantine.TakeTurn(Request(1)));
+  }
+  host.now += 10 * RequestQuarantine::kTrialPause;
+  CHECK(host.quarantine.IsHeld(Request(1)));
+}
+
+TEST_CASE("A trial that reached no endpoint is not spent") {
+  Host host;
+  host.CrashTimes(3);
+  for (int i = 0; i < 2 * RequestQuarantine::kMostTrials; ++i) {
+    host.now += RequestQuarantine::kTrialPause;
+    REQUIRE(host.quarantine.TakeTurn(Request(1)));
+    host.quarantine.ReturnTrial(Request(1));
+  }
+  CHECK_FALSE(host.quarantine.IsHeld(Request(1)));
+}
+
+TEST_CASE("A request that fails its trial is held for an hour") {
+  Host host;
+  host.CrashTimes(3);
+  host.now += RequestQuarantine::kTrialPause;
+  REQUIRE(host.quarantine.TakeTurn(Request(1)));
+  host.CrashTimes(4);
+  host.now += RequestQuarantine::kRemembered + Millis(1);
+  CHECK(host.quarantine.IsHeld(Request(1)));
+  host.now += RequestQuarantine::kProvenRemembered;
+  CHECK_FALSE(host.quarantine.IsHeld(Request(1)));
+}
+
+TEST_CASE("Ends that lie far apart are forgotten") {
+  Host host;
+  host.CrashTimes(2);
+  host.now += RequestQuarantine::kRemembered + Millis(1);
+  host.quarantine.OnCrash(Request(1), Crash(7));
+  CHECK(host.quarantine.CrashesOf(Request(1)) == 1);
+  host.now += RequestQuarantine::kRemembered + Millis(1);
+  host.quarantine.Sweep();
+  CHECK(host.quarantine.IsEmpty());
+}
+
+TEST_CASE("Hosts that each saw one end hold the request together") {
+  Host hosts[3];
+  for (int i = 0; i < 3; ++i) {
+    hosts[i].quarantine.OnCrash(Request(1), Crash(i));
+  }
+  for (Host& from : hosts) {
+    const CrashReport report = from.quarantine.ReportOf(Request(1));
+    for (Host& to : hosts) {
+      to.quarantine.Merge(report);
+      // A datagram may come twice.
+      to.quarantine.Merge(report);
+    }
+  }
+  for (Host& host : hosts) {
+    CHECK(host.quarantine.CrashesOf(Request(1)) == 3);
+    CHECK(host.quarantine.IsHeld(Request(1)));
+  }
+}
+
+TEST_CASE("An end that several hosts saw counts once") {
+  Host hosts[4];
+  for (Host& host : hosts) {
+    host.quarantine.OnCrash(Request(1), Crash(0));
+  }
+  for (Host& from : hosts) {
+    hosts[0].quarantine.Merge(from.quarantine.ReportOf(Request(1)));
+  }
+  CHECK(hosts[0].quarantine.CrashesOf(Request(1)) == 1);
+}
+
+TEST_CASE("A host that missed that a request was cleared learns it") {
+  Host cleared;
+  Host missed;
+  cleared.CrashTimes(3);
+  missed.quarantine.Merge(cleared.quarantine.ReportOf(Request(1)));
+  cleared.quarantine.OnCompleted(Request(1));
+  // What the other one tells brings nothing back.
+  const CrashReport old = missed.quarantine.ReportOf(Request(1));
+  CHECK_FALSE(cleared.quarantine.Merge(old));
+  CHECK(cleared.quarantine.KnowsMoreThan(old));
+  CHECK(missed.quarantine.Merge(cleared.quarantine.ReportOf(Request(1))));
+  CHECK_FALSE(missed.quarantine.IsHeld(Request(1)));
+}
+
+TEST_CASE("A host that did not make the trial holds the request meanwhile") {
+  Host trying;
+  Host other;
+  trying.CrashTimes(3);
+  other.CrashTimes(3);
+  trying.now += RequestQuarantine::kTrialPause;
+  other.now += RequestQuarantine::kTrialPause;
+  REQUIRE(trying.quarantine.TakeTurn(Request(1)));
+  REQUIRE_FALSE(other.quarantine.IsHeld(Request(1)));
+  CHECK(other.quarantine.Merge(trying.quarantine.ReportOf(Request(1))));
+  CHECK(other.quarantine.IsHeld(Request(1)));
+}
+
+TEST_CASE("Digests agree exactly where hosts know the same suspects") {
+  Host a;
+  Host b;
+  CHECK(a.quarantine.SharedDigest() == 0);
+  a.CrashTimes(1);
+  // One end is told once and not again.
+  CHECK(a.quarantine.SharedDigest() == 0);
+  a.CrashTimes(3);
+  CHECK(a.quarantine.SharedDigest() != b.quarantine.SharedDigest());
+  for (const CrashReport& report : a.quarantine.SharedReports()) {
+    b.quarantine.Merge(report);
+  }
+  CHECK(a.quarantine.SharedDigest() == b.quarantine.SharedDigest());
+}
+
+TEST_CASE("A flood of suspects does not push out a request that is held") {
+  Host host;
+  host.CrashTimes(3);
+  const auto most = static_cast<std::uint64_t>(RequestQuarantine::kMostRecords);
+  for (std::uint64_t i = 2; i < 3 * most; ++i) {
+    host.now += Millis(1);
+    host.quarantine.OnCrash(Request(i), Crash(9));
+  }
+  CHECK(host.quarantine.Count() <= RequestQuarantine::kMostRecords);
+  CHECK(host.quarantine.CrashesOf(Request(1)) == 3);
+  // The newest has its place.
+  CHECK(host.quarantine.CrashesOf(Request(3 * most - 1)) == 1);
+}
+
+}  // namespace
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/crash_guard.cc
@@ -0,0 +1,113 @@
+#include "src/gateway/crash_guard.h"
+
+#include <utility>
+
+namespace harecrank {
+
+CrashGuard::CrashGuard(RequestQuarantine* quarantine, EndpointProber* prober,
+                       Tell tell, EventLog* log, Metrics* metrics)
+    : quarantine_(quarantine),
+      prober_(prober),
+      tell_(std::move(tell)),
+      log_(log),
+      metrics_(metrics) {}
+
+bool CrashGuard::IsHeld(GuardedRequest* request) const {
+  return !quarantine_->IsEmpty() && quarantine_->IsHeld(request->Fingerprint());
+}
+
+bool CrashGuard::TakeTurn(GuardedRequest* request, bool* is_trial) {
+  *is_trial = false;
+  return quarantine_->IsEmpty() ||
+         quarantine_->TakeTurn(request->Fingerprint(), is_trial);
+}
+
+void CrashGuard::OnTrialSent(const RequestFingerprint& request) {
+  log_->Write("request_tried",
+              {{"fingerprint", LogName(request)},
+               {"crashes", quarantine_->CrashesOf(request)}},
+              LogWeight::kAlwaysKept);
+  tell_(request);
+}
+
+void CrashGuard::OnTrialNotSent(const RequestFingerprint& request) {
+  quarantine_->ReturnTrial(request);
+}
+
+void CrashGuard::OnBrokenOff(
+    const RequestFingerprint& request, const EndpointRecord& endpoint,
+    bool was_beginning, std::function<void(ProbeResult result)> on_judged) {
+  prober_->Probe(endpoint.address,
+                 [this, request, endpoint, was_beginning,
+                  on_judged = std::move(on_judged)](ProbeResult result) {
+                   if (was_beginning && result == ProbeResult::kRefused) {
+                     OnCrash(request, endpoint);
+                   }
+                   on_judged(result);
+                 });
+}
+
+void CrashGuard::OnCrash(const RequestFingerprint& request,
+                         const EndpointRecord& endpoint) {
+  const EndpointCrash crash{endpoint.id,
+                            endpoint.life.value_or(EndpointLife{})};
+  if (!quarantine_->OnCrash(request, crash)) {
+    return;
+  }
+  log_->Write("request_suspected",
+              {{"fingerprint", LogName(request)},
+               {"account", request.account.value},
+               {"endpoint", endpoint.id.value},
+               {"crashes", quarantine_->CrashesOf(request)}},
+              LogWeight::kAlwaysKept);
+  tell_(request);
+  EndHeld(request);
+}
+
+void CrashGuard::OnCompleted(GuardedRequest* request) {
+  if (quarantine_->IsEmpty() ||
+      !quarantine_->OnCompleted(request->Fingerprint())) {
+    return;
+  }
+  log_->Write("request_cleared",
+              {{"fingerprint", LogName(request->Fingerprint())}},
+              LogWeight::kAlwaysKept);
+  tell_(request->Fingerprint());
+}
+
+std::vector<CrashReport> CrashGuard::OnReports(
+    const std::vector<CrashReport>& reports,
+    std::vector<CrashReport>* missing) {
+  std::vector<CrashReport> news;
+  for (const CrashReport& report : reports) {
+    if (quarantine_->Merge(report)) {
+      news.push_back(quarantine_->ReportOf(report.request));
+      EndHeld(report.request);
+    }
+    if (quarantine_->KnowsMoreThan(report)) {
+      missing->push_back(quarantine_->ReportOf(report.request));
+    }
+  }
+  return news;
+}
+
+void CrashGuard::EndHeld(const RequestFingerprint& request) {
+  if (!quarantine_->IsHeld(request)) {
+    return;
+  }
+  log_->Write("request_held",
+              {{"fingerprint", LogName(request)},
+               {"account", request.account.value},
+               {"crashes", quarantine_->CrashesOf(request)}},
+              LogWeight::kAlwaysKept);
+  metrics_->GetCounter("harecrank_gateway_requests_held_total")->Add();
+  // A copy: a request that ends is watched no more.
+  const std::set<GuardedRequest*> watched = watched_;
+  for (GuardedRequest* one : watched) {
+    if (watched_.count(one) != 0 && one->Fingerprint() == request) {
+      one->OnHeld();
+    }
+  }
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/crash_guard.h
@@ -0,0 +1,92 @@
+// Keeps requests that end endpoints away from them, with the other hosts.
+//
+// An answer that breaks off says little: a link may have been cut, an endpoint
+// that is full resets connections. So the endpoint's address is asked first
+// whether anybody listens; only where nobody does is the end counted against
+// the requests that the endpoint was beginning.
+
+#ifndef HARECRANK_SRC_GATEWAY_CRASH_GUARD_H_
+#define HARECRANK_SRC_GATEWAY_CRASH_GUARD_H_
+
+#include <functional>
+#include <set>
+#include <vector>
+
+#include "harecrank/core/endpoint_directory.h"
+#include "harecrank/core/request_quarantine.h"
+#include "src/adapters/event_log.h"
+#include "src/adapters/metrics.h"
+#include "src/gateway/endpoint_prober.h"
+
+namespace harecrank {
+
+// A request that is under way at this host.
+class GuardedRequest {
+ public:
+  GuardedRequest() = default;
+  GuardedRequest(const GuardedRequest&) = delete;
+  GuardedRequest& operator=(const GuardedRequest&) = delete;
+  virtual ~GuardedRequest() = default;
+
+  virtual const RequestFingerprint& Fingerprint() = 0;
+  // It is held from now on.
+  virtual void OnHeld() = 0;
+};
+
+// Not thread-safe; runs on its io_context.
+class CrashGuard {
+ public:
+  // Tells the other hosts what is known of `request`.
+  using Tell = std::function<void(const RequestFingerprint& request)>;
+
+  // All pointers must outlive this.
+  CrashGuard(RequestQuarantine* quarantine, EndpointProber* prober, Tell tell,
+             EventLog* log, Metrics* metrics);
+
+  // A request is watched from its start to its end.
+  void Watch(GuardedRequest* request) { watched_.insert(request); }
+  void Unwatch(GuardedRequest* request) { watched_.erase(request); }
+
+  // Returns whether `request` may be sent nowhere now. Takes its fingerprint
+  // only if any request is suspect.
+  bool IsHeld(GuardedRequest* request) const;
+
+  // Likewise, right before it is sent. A request that was held is let through
+  // alone: `is_trial` is set if this is such a trial.
+  bool TakeTurn(GuardedRequest* request, bool* is_trial);
+  // The trial has reached its endpoint, or has not.
+  void OnTrialSent(const RequestFingerprint& request);
+  void OnTrialNotSent(const RequestFingerprint& request);
+
+  // `endpoint` broke off its answer to `request`. Calls `on_judged`, never from
+  // within, when its address has told whether it has ended. Where it has and
+  // `was_beginning`, its end is counted against the request before that.
+  void OnBrokenOff(const RequestFingerprint& request,
+                   const EndpointRecord& endpoint, bool was_beginning,
+                   std::function<void(ProbeResult result)> on_judged);
+
+  // An endpoint has answered it whole.
+  void OnCompleted(GuardedRequest* request);
+
+  // Takes what another host told. Returns what was news, to be passed on, and
+  // fills `missing` with what that host does not know.
+  std::vector<CrashReport> OnReports(const std::vector<CrashReport>& reports,
+                                     std::vector<CrashReport>* missing);
+
+ private:
+  void OnCrash(const RequestFingerprint& request,
+               const EndpointRecord& endpoint);
+  // Ends the requests under way that are held now.
+  void EndHeld(const RequestFingerprint& request);
+
+  RequestQuarantine* quarantine_;
+  EndpointProber* prober_;
+  Tell tell_;
+  EventLog* log_;
+  Metrics* metrics_;
+  std::set<GuardedRequest*> watched_;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_GATEWAY_CRASH_GUARD_H_
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -50,6 +50,12 @@
 // How often one request is given a place that this host cannot use before it
 // places by itself.
 constexpr int kMostUnusablePlaces = 5;
+// For how long after its first event an endpoint counts as beginning a request:
+// engines ended 48 to 106 ms after the one that they crashed on began to run,
+// in four runs. Ten times that, for engines that are slow.
+constexpr Millis kBeginning{1000};
+// The reason of the final answer to a request that ends endpoints.
+constexpr char kHeldReason[] = "ends_endpoints";
 // How long a request waits before it asks for another place after memory that
 // was free has been taken by another.
 constexpr Millis kMemoryRetry{40};
@@ -65,6 +71,8 @@
       timer_(*services->io),
       memory_timer_(*services->io) {}
 
+Exchange::~Exchange() { services_->crashes->Unwatch(this); }
+
 void Exchange::Start() {
   id_ = std::string(request_[services_->names->request_id]);
   body_ = std::make_shared<const std::string>(std::move(request_.body()));
@@ -80,11 +88,16 @@
     Refuse(refusal->status, refusal->code, refusal->retry_after);
     return;
   }
+  services_->crashes->Watch(this);
   services_->budgets->OnFirst(service_->name);
   TryNext();
 }
 
 void Exchange::TryNext() {
+  if (services_->crashes->IsHeld(this)) {
+    RefuseHeld();
+    return;
+  }
   // Plain services have few endpoints and short work: this host's own knowledge
   // serves them as well, without the way to the planner.
   if (service_->engine.has_value()) {
@@ -338,6 +351,11 @@
 }
 
 void Exchange::Send(const Placement& placement) {
+  // Others may have ended endpoints while this one waited for its place.
+  if (!services_->crashes->TakeTurn(this, &is_trial_)) {
+    RefuseHeld();
+    return;
+  }
   placement_request_.tried.insert(endpoint_.id);
   predicted_ = placement.first_event;
   attempt_sent_ = false;
@@ -501,6 +519,9 @@
 }
 
 void Exchange::OnSent() {
+  if (is_trial_) {
+    services_->crashes->OnTrialSent(Fingerprint());
+  }
   attempt_sent_ = true;
   ++sendings_;
 }
@@ -512,6 +533,8 @@
 
 void Exchange::JudgeHead(const AnswerHead& head) {
   const auto self = shared_from_this();
+  has_framed_end_ = head.count(http::field::content_length) != 0 ||
+                    head.count(http::field::transfer_encoding) != 0;
   const ProtocolNames& names = *services_->names;
   const unsigned status = head.result_int();
   const bool says_not_run =
@@ -612,13 +635,15 @@
   if (use_ == AnswerUse::kStream) {
     if (torn) {
       scanner_.DropPartial();
-      OnMayHaveRun("ended_inside_an_event");
+      JudgeBroken(AttemptBroken{"ended_inside_an_event", true, false, true});
       return;
     }
+    NoteEnd();
     answer_->EndStream();
     Finish("completed", http_status::kOk, "");
     return;
   }
+  NoteEnd();
   const unsigned status = head_->result_int();
   if (status < http_status::kBadRequest) {
     OnFirstEvent();
@@ -633,6 +658,9 @@
   attempt_.reset();
   if (const auto* not_sent = std::get_if<AttemptNotSent>(&failure)) {
     EndWork();
+    if (is_trial_) {
+      services_->crashes->OnTrialNotSent(Fingerprint());
+    }
     services_->health->OnUnreachable(endpoint_.id);
     services_->on_fault();
     ++connect_failures_;
@@ -645,13 +673,17 @@
   }
   // One broken answer is not a dead endpoint; the next connection tells.
   OnErrorAnswer();
-  NoteBroken(std::get<AttemptBroken>(failure));
   EndWork();
   scanner_.DropPartial();
-  OnMayHaveRun(std::get<AttemptBroken>(failure).reason);
+  JudgeBroken(std::get<AttemptBroken>(failure));
 }
 
-void Exchange::NoteBroken(const AttemptBroken& broken) {
+bool Exchange::IsBeginning() const {
+  return began_at_ == TimePoint{} ||
+         services_->clock() - began_at_ < kBeginning;
+}
+
+void Exchange::JudgeBroken(const AttemptBroken& broken) {
   nlohmann::json fields = LogFields();
   fields["fingerprint"] = LogName(Fingerprint());
   fields["endpoint"] = endpoint_.id.value;
@@ -662,13 +694,25 @@
         std::chrono::duration_cast<Millis>(services_->clock() - began_at_)
             .count();
   }
-  services_->prober->Probe(
-      endpoint_.address, [services = services_, fields = std::move(fields)](
-                             ProbeResult result) mutable {
-        fields["connection"] = Name(result);
-        services->log->Write("broken_off", std::move(fields),
+  // What is sent on is judged first: it may have ended its third endpoint.
+  may_have_run_ = true;
+  const bool goes_on = route_->MayRepeat();
+  services_->crashes->OnBrokenOff(
+      Fingerprint(), endpoint_, broken.by_endpoint && IsBeginning(),
+      [weak = weak_from_this(), services = services_, goes_on,
+       reason = broken.reason, fields = std::move(fields)](ProbeResult result) {
+        nlohmann::json line = fields;
+        line["connection"] = Name(result);
+        services->log->Write("broken_off", std::move(line),
                              LogWeight::kAlwaysKept);
+        const auto self = weak.lock();
+        if (goes_on && self != nullptr && !self->finished_) {
+          self->OnMayHaveRun(reason);
+        }
       });
+  if (!goes_on) {
+    GiveUp(broken.reason);
+  }
 }
 
 const RequestFingerprint& Exchange::Fingerprint() {
@@ -683,6 +727,36 @@
   return *fingerprint_;
 }
 
+void Exchange::OnHeld() {
+  const auto self = shared_from_this();
+  // One that an endpoint runs already shows by itself what it does, and one
+  // that may run once is not broken off.
+  const bool runs = attempt_ != nullptr && attempt_sent_ &&
+                    (first_event_seen_ || !route_->MayRepeat());
+  if (finished_ || runs) {
+    return;
+  }
+  may_have_run_ = may_have_run_ || (attempt_ != nullptr && attempt_sent_);
+  RefuseHeld();
+}
+
+void Exchange::RefuseHeld() {
+  AbandonAttempt();
+  if (stream_begun_ || may_have_run_) {
+    GiveUp(kHeldReason);
+    return;
+  }
+  // Without a time to come back: it will be refused then too. An own 4xx would
+  // say more plainly whose fault it is, but platforms bound those.
+  SendOwnAnswer(http_status::kUnavailable, kHeldReason, std::nullopt, true);
+}
+
+void Exchange::NoteEnd() {
+  if (has_framed_end_) {
+    services_->crashes->OnCompleted(this);
+  }
+}
+
 void Exchange::OnNotRun(const std::string& reason) {
   if (MaySendAgain()) {
     nlohmann::json fields = LogFields();
@@ -697,6 +771,10 @@
 
 void Exchange::OnMayHaveRun(const std::string& reason) {
   may_have_run_ = true;
+  if (services_->crashes->IsHeld(this)) {
+    RefuseHeld();
+    return;
+  }
   if (route_->MayRepeat() && MaySendAgain()) {
     nlohmann::json fields = LogFields();
     fields["endpoint"] = endpoint_.id.value;
@@ -863,6 +941,11 @@
 
 void Exchange::Refuse(unsigned status, const std::string& code,
                       std::optional<Millis> retry_after) {
+  SendOwnAnswer(status, code, retry_after, retry_after.has_value());
+}
+
+void Exchange::SendOwnAnswer(unsigned status, const std::string& code,
+                             std::optional<Millis> retry_after, bool not_run) {
   AnswerHead head;
   head.result(status);
   head.set(services_->names->request_id, id_);
@@ -873,11 +956,10 @@
         static_cast<double>(retry_after->count()) / kMillisPerSecond;
     head.set(http::field::retry_after, std::to_string(seconds));
   }
-  const bool refused = retry_after.has_value();
   nlohmann::json body = {{"error", code},
-                         {"outcome", refused ? "not_run" : "failed"}};
+                         {"outcome", not_run ? "not_run" : "failed"}};
   answer_->SendWhole(std::move(head), body.dump() + "\n");
-  Finish(refused ? "refused" : "failed", status, code);
+  Finish(not_run ? "refused" : "failed", status, code);
 }
 
 void Exchange::OnCallerLeft() {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -22,11 +22,13 @@
 // Not thread-safe; runs on its io_context.
 class Exchange : public RequestHandle,
                  public AttemptObserver,
+                 public GuardedRequest,
                  public std::enable_shared_from_this<Exchange> {
  public:
   // `services` must outlive this.
   Exchange(const GatewayServices* services, CallerRequest request,
            TimePoint arrived, std::shared_ptr<AnswerPort> answer);
+  ~Exchange() override;
 
   // Admits the request and sends it, or answers it at once.
   void Start();
@@ -37,6 +39,9 @@
   void OnAnswerBytes(std::string_view bytes) override;
   void OnAnswerEnd() override;
   void OnFailure(const AttemptFailure& failure) override;
+  // Taken when it is first wanted: few requests ever are suspect.
+  const RequestFingerprint& Fingerprint() override;
+  void OnHeld() override;
 
  private:
   // What is done with the bytes of the answer under way.
@@ -84,11 +89,15 @@
   void OnFirstEvent();
   void NotePause();
 
-  // Asks the endpoint's address whether it has ended, and logs what it says.
-  void NoteBroken(const AttemptBroken& broken);
-  // What this request is known by wherever it comes again. Taken when it is
-  // first wanted: few requests ever are.
-  const RequestFingerprint& Fingerprint();
+  // Whether the endpoint has begun to run it only now, if it has at all.
+  bool IsBeginning() const;
+  // Finds out whether the endpoint has ended, and goes on from there.
+  void JudgeBroken(const AttemptBroken& broken);
+  // It ends endpoints, and is sent to no other.
+  void RefuseHeld();
+  // The answer has ended. It ended whole only if its head said where it ends:
+  // an endpoint that crashes ends its connection, too.
+  void NoteEnd();
 
   // What follows an attempt.
   void OnNotRun(const std::string& reason);
@@ -111,8 +120,11 @@
   void JudgeHead(const AnswerHead& head);
   // Marks the helper that a refusal names, if it names one.
   void NoteFault(const AnswerHead& head);
+  // With `retry_after` the request has not run; otherwise nothing is promised.
   void Refuse(unsigned status, const std::string& code,
               std::optional<Millis> retry_after);
+  void SendOwnAnswer(unsigned status, const std::string& code,
+                     std::optional<Millis> retry_after, bool not_run);
   void GiveUp(const std::string& reason);
   void Finish(const char* outcome, unsigned status, const std::string& reason);
 
@@ -166,9 +178,12 @@
   int unusable_places_ = 0;
   bool may_have_run_ = false;
   bool attempt_sent_ = false;
+  // It was held, and is let through this once.
+  bool is_trial_ = false;
   bool budget_refused_ = false;
 
   AnswerUse use_ = AnswerUse::kNone;
+  bool has_framed_end_ = false;
   std::optional<AnswerHead> head_;
   std::string answer_body_;
   EventScanner scanner_;
--- a/src/gateway/fleet_member.cc
+++ b/src/gateway/fleet_member.cc
@@ -52,6 +52,9 @@
   void operator()(const PublishedChanges& published) const {
     member->OnChanges(published);
   }
+  void operator()(const CrashReports& told) const {
+    member->OnCrashReports(told);
+  }
 };
 
 FleetMember::FleetMember(boost::asio::io_context* io, NodeId node,
@@ -152,6 +155,7 @@
     Send(word.address, account);
   }
   HearOfSource(word);
+  RepairCrashes(word);
   AskBetterInformed();
   if (IsPlanner()) {
     planner_->OnWord(word);
@@ -200,6 +204,46 @@
   }
 }
 
+void FleetMember::TellCrash(CrashReport report) {
+  untold_crashes_.push_back(std::move(report));
+  if (untold_crashes_.size() == 1) {
+    boost::asio::post(*io_, [this] { TellCrashes(); });
+  }
+}
+
+void FleetMember::TellCrashes() {
+  const CrashReports told{self_.address, std::move(untold_crashes_)};
+  untold_crashes_.clear();
+  for (const HostAddress& host : book_->AliveOthers()) {
+    Send(host, told);
+  }
+}
+
+void FleetMember::OnCrashReports(const CrashReports& told) {
+  book_->OnHeard(told.from);
+  CrashReports missing{self_.address, {}};
+  std::vector<CrashReport> news =
+      ports_.on_crashes(told.reports, &missing.reports);
+  if (!missing.reports.empty()) {
+    Send(told.from, missing);
+  }
+  // Other hosts do not know all that are alive; the planner does.
+  if (IsPlanner()) {
+    for (CrashReport& report : news) {
+      TellCrash(std::move(report));
+    }
+  }
+}
+
+void FleetMember::RepairCrashes(const HostWord& word) {
+  HostWord own;
+  ports_.describe(&own);
+  if (own.crash_digest == word.crash_digest || own.crash_digest == 0) {
+    return;
+  }
+  Send(word.address, CrashReports{self_.address, ports_.shared_crashes()});
+}
+
 HostWord FleetMember::OwnWord() const {
   HostWord word;
   word.node = node_;
--- a/src/gateway/fleet_member.h
+++ b/src/gateway/fleet_member.h
@@ -36,6 +36,14 @@
   std::function<void(Millis age)> on_informed;
   // Whether others rely on this host's reading of the platform.
   std::function<void(bool should_read)> on_should_read;
+  // Takes what another host told of requests that end endpoints. Returns what
+  // was news, and fills `missing` with what that host does not know.
+  std::function<std::vector<CrashReport>(
+      const std::vector<CrashReport>& reports,
+      std::vector<CrashReport>* missing)>
+      on_crashes;
+  // What hosts that have missed such words need.
+  std::function<std::vector<CrashReport>()> shared_crashes;
 };
 
 // Not thread-safe; runs on its io_context.
@@ -62,6 +70,9 @@
   // The platform answers again, or no more, this host or those that tell it.
   void OnSourceChanged();
 
+  // Tells the others what this host knows of a request that ends endpoints.
+  void TellCrash(CrashReport report);
+
   PlaceClient* Places() { return &places_; }
   bool IsPlanner() { return book_->IsPlanner(); }
 
@@ -89,6 +100,10 @@
   void OnWord(const HostWord& word);
   void OnAsk(const PlaceAsk& ask);
   void OnNote(const WorkNote& note);
+  void OnCrashReports(const CrashReports& told);
+  void TellCrashes();
+  // Sends what it has missed to a host whose digest is another than this one's.
+  void RepairCrashes(const HostWord& word);
   HostWord OwnWord() const;
   // Asks a host that another one takes for the planner for its own word: two
   // hosts plan, or this one follows the wrong one.
@@ -143,6 +158,8 @@
   // How long it waits before it asks for everything.
   Millis start_spread_{0};
   Millis search_interval_{50};
+  // What ended together is told together.
+  std::vector<CrashReport> untold_crashes_;
   // Up to where the others have been told.
   StoreRevision told_up_to_;
   bool tells_published_ = false;
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -81,6 +81,7 @@
       health_(clock_),
       connections_(&io_, clock_),
       prober_(&io_),
+      quarantine_(clock_),
       endpoint_news_(&directory_, &health_, &connections_, &log_, &metrics_),
       placer_(
           &directory_, &loads_, &health_, settings_.data_centre,
@@ -99,6 +100,12 @@
       fleet_(&io_, settings_.node_id, Self(settings_), Incarnation{random_()},
              &hosts_, &planner_, &health_, &fleet_socket_, MakeFleetPorts(),
              &log_, &metrics_, clock_, random_),
+      crashes_(
+          &quarantine_, &prober_,
+          [this](const RequestFingerprint& request) {
+            fleet_.TellCrash(quarantine_.ReportOf(request));
+          },
+          &log_, &metrics_),
       services_(MakeServices()),
       feed_(platform.make_feed(&io_, settings_, this)),
       callers_(&io_, settings_.callers_address,
@@ -141,7 +148,7 @@
   services.loads = &loads_;
   services.health = &health_;
   services.connections = &connections_;
-  services.prober = &prober_;
+  services.crashes = &crashes_;
   services.placer = &placer_;
   services.policy = &settings_.placement;
   services.budgets = &budgets_;
@@ -227,7 +234,13 @@
     word->source_well = source_well_;
     word->source_age = duty_.Age();
     word->own_reading = duty_.Own();
+    word->crash_digest = quarantine_.SharedDigest();
   };
+  ports.on_crashes = [this](const std::vector<CrashReport>& reports,
+                            std::vector<CrashReport>* missing) {
+    return crashes_.OnReports(reports, missing);
+  };
+  ports.shared_crashes = [this] { return quarantine_.SharedReports(); };
   ports.published = [this](StoreRevision since) {
     return feed_->Export(since);
   };
@@ -281,6 +294,12 @@
   });
   metrics_.AddGauge("harecrank_gateway_callers",
                     [this] { return static_cast<double>(callers_.Count()); });
+  metrics_.AddGauge("harecrank_gateway_requests_suspect", [this] {
+    return static_cast<double>(quarantine_.Count());
+  });
+  metrics_.AddGauge("harecrank_gateway_requests_held", [this] {
+    return static_cast<double>(quarantine_.HeldCount());
+  });
   metrics_.AddGauge("harecrank_gateway_log_lines_dropped",
                     [this] { return static_cast<double>(log_.Dropped()); });
 }
@@ -445,6 +464,7 @@
   if (now - swept_ >= kSweepInterval) {
     swept_ = now;
     connections_.Sweep();
+    quarantine_.Sweep();
   }
   if (now - reread_ >= kRereadInterval) {
     RereadSettings();
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -14,6 +14,7 @@
 #include "harecrank/core/reading_duty.h"
 #include "src/adapters/settings.h"
 #include "src/gateway/caller_listener.h"
+#include "src/gateway/crash_guard.h"
 #include "src/gateway/directory_feed.h"
 #include "src/gateway/endpoint_news.h"
 #include "src/gateway/endpoint_prober.h"
@@ -106,6 +107,7 @@
   EndpointHealth health_;
   EndpointConnections connections_;
   EndpointProber prober_;
+  RequestQuarantine quarantine_;
   EndpointNews endpoint_news_;
   Placer placer_;
   RepeatBudgets budgets_;
@@ -115,6 +117,7 @@
   Planner planner_;
   FleetSocket fleet_socket_;
   FleetMember fleet_;
+  CrashGuard crashes_;
   GatewayServices services_;
   std::unique_ptr<DirectoryFeed> feed_;
   CallerListener callers_;
--- a/src/gateway/gateway_services.h
+++ b/src/gateway/gateway_services.h
@@ -17,9 +17,9 @@
 #include "harecrank/core/routing_table.h"
 #include "src/adapters/event_log.h"
 #include "src/adapters/metrics.h"
+#include "src/gateway/crash_guard.h"
 #include "src/gateway/dispatch_queue.h"
 #include "src/gateway/endpoint_connections.h"
-#include "src/gateway/endpoint_prober.h"
 #include "src/gateway/memory_orders.h"
 #include "src/gateway/place_client.h"
 #include "src/gateway/protocol_names.h"
@@ -66,7 +66,7 @@
   EndpointLoads* loads = nullptr;
   EndpointHealth* health = nullptr;
   EndpointConnections* connections = nullptr;
-  EndpointProber* prober = nullptr;
+  CrashGuard* crashes = nullptr;
   const Placer* placer = nullptr;
   const PlacementPolicy* policy = nullptr;
   RepeatBudgets* budgets = nullptr;
