Reproduction: a host that was suspended goes by a clock that stood still

Cause: all times are read from the standard library's steady clock, which does not count a suspension of the machine. Ruled out: a stopped process alone (the soak pauses gateways; the clock goes on then). Conclusion: the clock has to be one that counts on.

--- a/src/adapters/system_sources.cc
+++ b/src/adapters/system_sources.cc
@@ -2,12 +2,21 @@
 
 #include <Poco/SHA2Engine.h>
 
+#include <ctime>
 #include <random>
 
 namespace harecrank {
 
+BootClock::time_point BootClock::now() noexcept {
+  timespec now{};
+  // Cannot fail: every Linux since 2.6.39 has the clock.
+  clock_gettime(CLOCK_MONOTONIC, &now);
+  return time_point(std::chrono::seconds(now.tv_sec) +
+                    std::chrono::nanoseconds(now.tv_nsec));
+}
+
 MonotonicClock SystemClock() {
-  return [] { return std::chrono::steady_clock::now(); };
+  return [] { return BootClock::now(); };
 }
 
 RandomSource SystemRandom() {
--- a/src/adapters/system_sources.h
+++ b/src/adapters/system_sources.h
@@ -8,7 +8,7 @@
 
 namespace harecrank {
 
-// Returns the system's monotonic clock. It runs on while a process is stopped.
+// Returns the system's monotonic clock.
 MonotonicClock SystemClock();
 
 // Returns a thread-safe source seeded by the system.
--- a/src/core/endpoint_loads.cc
+++ b/src/core/endpoint_loads.cc
@@ -18,8 +18,8 @@
   return nullptr;
 }
 
-std::chrono::steady_clock::duration ToSteady(FractionalMillis time) {
-  return std::chrono::duration_cast<std::chrono::steady_clock::duration>(time);
+TimePoint::duration ToSteady(FractionalMillis time) {
+  return std::chrono::duration_cast<TimePoint::duration>(time);
 }
 
 }  // namespace
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -5,7 +5,6 @@
 
 #include <array>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <functional>
@@ -18,6 +17,7 @@
 #include "src/gateway/answer_port.h"
 #include "src/gateway/endpoint_connections.h"
 #include "src/gateway/protocol_names.h"
+#include "src/gateway/timer.h"
 
 namespace harecrank {
 
@@ -108,7 +108,7 @@
   const ProtocolNames* names_;
   AttemptObserver* observer_;
   std::unique_ptr<EndpointConnection> connection_;
-  boost::asio::steady_timer connect_timer_;
+  Timer connect_timer_;
   OutgoingRequest request_;
   std::unique_ptr<Parser> parser_;
   std::array<char, kReadBytes> bytes_{};
--- a/src/gateway/caller_listener.h
+++ b/src/gateway/caller_listener.h
@@ -5,12 +5,12 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "src/gateway/caller_session.h"
+#include "src/gateway/timer.h"
 
 namespace harecrank {
 
@@ -42,7 +42,7 @@
 
   boost::asio::io_context* io_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::steady_timer retry_timer_;
+  Timer retry_timer_;
   std::size_t most_sessions_;
   SessionContext context_;
   std::vector<std::weak_ptr<CallerSession>> sessions_;
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -4,7 +4,6 @@
 #define HARECRANK_SRC_GATEWAY_CALLER_SESSION_H_
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -17,6 +16,7 @@
 #include "harecrank/core/clock.h"
 #include "harecrank/core/routing_table.h"
 #include "src/gateway/answer_port.h"
+#include "src/gateway/timer.h"
 
 namespace harecrank {
 
@@ -103,7 +103,7 @@
 
   boost::asio::ip::tcp::socket socket_;
   const SessionContext* context_;
-  boost::asio::steady_timer timer_;
+  Timer timer_;
   // Set while a wait on the timer counts; an earlier wait that fires late does
   // not match.
   std::uint64_t timer_round_ = 0;
--- a/src/gateway/dispatch_queue.h
+++ b/src/gateway/dispatch_queue.h
@@ -8,12 +8,12 @@
 #define HARECRANK_SRC_GATEWAY_DISPATCH_QUEUE_H_
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <optional>
 
 #include "harecrank/core/waiting_room.h"
+#include "src/gateway/timer.h"
 
 namespace harecrank {
 
@@ -53,7 +53,7 @@
   WaitingRoom room_;
   std::size_t tried_;
   std::map<WaiterId, Start> starts_;
-  boost::asio::steady_timer timer_;
+  Timer timer_;
   // When the next try is due; the clock's end while none is.
   TimePoint due_ = TimePoint::max();
   MonotonicClock clock_;
--- a/src/gateway/endpoint_prober.cc
+++ b/src/gateway/endpoint_prober.cc
@@ -3,11 +3,11 @@
 #include <boost/asio/error.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <utility>
 
 #include "src/gateway/http_client.h"
+#include "src/gateway/timer.h"
 
 namespace harecrank {
 namespace {
@@ -19,7 +19,7 @@
   explicit Attempted(asio::io_context* io) : socket(*io), timer(*io) {}
 
   asio::ip::tcp::socket socket;
-  asio::steady_timer timer;
+  Timer timer;
   bool timed_out = false;
 };
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -3,7 +3,6 @@
 #ifndef HARECRANK_SRC_GATEWAY_EXCHANGE_H_
 #define HARECRANK_SRC_GATEWAY_EXCHANGE_H_
 
-#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <optional>
 #include <set>
@@ -16,6 +15,7 @@
 #include "src/gateway/caller_session.h"
 #include "src/gateway/gateway_services.h"
 #include "src/gateway/memory_hold.h"
+#include "src/gateway/timer.h"
 
 namespace harecrank {
 
@@ -135,8 +135,8 @@
   CallerRequest request_;
   TimePoint arrived_;
   std::shared_ptr<AnswerPort> answer_;
-  boost::asio::steady_timer timer_;
-  boost::asio::steady_timer memory_timer_;
+  Timer timer_;
+  Timer memory_timer_;
 
   std::string id_;
   std::optional<RequestFingerprint> fingerprint_;
@@ -165,7 +165,7 @@
   TimePoint began_at_{};
   TimePoint last_event_at_{};
   // Between two events of the stream, also across a resumption.
-  std::chrono::steady_clock::duration longest_pause_{0};
+  TimePoint::duration longest_pause_{0};
   // The place that was asked for, while it is waited for or used.
   std::optional<AskId> ask_;
   bool waits_at_planner_ = false;
--- a/src/gateway/fleet_member.h
+++ b/src/gateway/fleet_member.h
@@ -5,7 +5,6 @@
 #define HARECRANK_SRC_GATEWAY_FLEET_MEMBER_H_
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -19,6 +18,7 @@
 #include "src/gateway/fleet_socket.h"
 #include "src/gateway/http_client.h"
 #include "src/gateway/place_client.h"
+#include "src/gateway/timer.h"
 
 namespace harecrank {
 
@@ -138,9 +138,9 @@
   MonotonicClock clock_;
   RandomSource random_;
   PlaceClient places_;
-  boost::asio::steady_timer tick_timer_;
-  boost::asio::steady_timer tell_timer_;
-  boost::asio::steady_timer try_timer_;
+  Timer tick_timer_;
+  Timer tell_timer_;
+  Timer try_timer_;
   std::optional<HostAddress> followed_;
   // When the followed planner was last heard.
   TimePoint planner_heard_{};
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -5,7 +5,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -21,6 +20,7 @@
 #include "src/gateway/fleet_member.h"
 #include "src/gateway/gateway_services.h"
 #include "src/gateway/small_server.h"
+#include "src/gateway/timer.h"
 
 namespace harecrank {
 
@@ -124,7 +124,7 @@
   SmallServer readiness_;
   SmallServer operations_;
   boost::asio::signal_set signals_;
-  boost::asio::steady_timer tick_timer_;
+  Timer tick_timer_;
   ReadingDuty duty_;
   bool source_well_ = false;
   StoreRevision known_up_to_;
--- a/src/gateway/memory_hold.h
+++ b/src/gateway/memory_hold.h
@@ -4,13 +4,13 @@
 #define HARECRANK_SRC_GATEWAY_MEMORY_HOLD_H_
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "src/gateway/memory_orders.h"
+#include "src/gateway/timer.h"
 
 namespace harecrank {
 
@@ -50,7 +50,7 @@
 
   MemoryOrders* orders_;
   std::vector<MemoryNeed> needs_;
-  boost::asio::steady_timer timer_;
+  Timer timer_;
   std::function<void(bool)> done_;
   std::size_t unanswered_ = 0;
   bool failed_ = false;
--- a/src/gateway/place_client.h
+++ b/src/gateway/place_client.h
@@ -4,7 +4,6 @@
 #define HARECRANK_SRC_GATEWAY_PLACE_CLIENT_H_
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <optional>
@@ -15,6 +14,7 @@
 #include "harecrank/core/clock.h"
 #include "harecrank/core/fleet_messages.h"
 #include "harecrank/core/placement.h"
+#include "src/gateway/timer.h"
 
 namespace harecrank {
 
@@ -112,8 +112,8 @@
   Incarnation life_;
   PlaceClientPorts ports_;
   MonotonicClock clock_;
-  boost::asio::steady_timer timer_;
-  boost::asio::steady_timer flush_timer_;
+  Timer timer_;
+  Timer flush_timer_;
   std::uint64_t next_id_ = 1;
   std::map<AskId, Pending> pending_;
   std::unordered_map<AskId, AskedWork> under_way_;
--- a/testing/process.cc
+++ b/testing/process.cc
@@ -7,6 +7,7 @@
 
 #include <cerrno>
 #include <csignal>
+#include <cstdlib>
 #include <cstring>
 
 namespace harecrank::testing {
@@ -31,7 +32,8 @@
 }
 
 [[noreturn]] void Become(const std::vector<std::string>& command,
-                         const std::string& log) {
+                         const std::string& log,
+                         const std::vector<std::string>& environment) {
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   sigset_t none;
   sigemptyset(&none);
@@ -48,6 +50,9 @@
     arguments.push_back(const_cast<char*>(word.c_str()));
   }
   arguments.push_back(nullptr);
+  for (const std::string& variable : environment) {
+    putenv(const_cast<char*>(variable.c_str()));
+  }
   execv(arguments.front(), arguments.data());
   TellFailure(arguments.front(), errno);
   _exit(kExecFailed);
@@ -56,10 +61,11 @@
 }  // namespace
 
 Process::Process(const std::vector<std::string>& command,
-                 const std::string& log)
+                 const std::string& log,
+                 const std::vector<std::string>& environment)
     : pid_(fork()) {
   if (pid_ == 0) {
-    Become(command, log);
+    Become(command, log, environment);
   }
 }
 
--- a/testing/process.h
+++ b/testing/process.h
@@ -13,9 +13,10 @@
 // One child. It dies with its parent, however the parent ends.
 class Process {
  public:
-  // Starts `command`, whose first word is the program's path. Its standard
-  // error goes to the file `log`.
-  Process(const std::vector<std::string>& command, const std::string& log);
+  // Starts `command`, whose first word is the program's path. Its output goes
+  // to the file `log`. `environment` is added to this process's own: NAME=TEXT.
+  Process(const std::vector<std::string>& command, const std::string& log,
+          const std::vector<std::string>& environment = {});
   // Kills the child if it still runs.
   ~Process();
   Process(const Process&) = delete;
