Decisions and timers go by a clock that counts a suspension

Ruled out: to tell a sleep by comparing two clocks in a tick: whatever runs before that tick in the first turn after a wake would still go by the wrong time. Change: CLOCK_BOOTTIME. Timers of the event loop are on the same clock, so what was due during the sleep is due at once. Left as they were: the time-outs of the HTTP library's streams (calls to the platform and to peers), which only bound how long one call is waited for; what is believed of the platform goes by ages on this clock. Conclusion: a suspended host counts as one that was frozen, which it bears.

--- a/src/adapters/system_sources.cc
+++ b/src/adapters/system_sources.cc
@@ -10,7 +10,7 @@
 BootClock::time_point BootClock::now() noexcept {
   timespec now{};
   // Cannot fail: every Linux since 2.6.39 has the clock.
-  clock_gettime(CLOCK_MONOTONIC, &now);
+  clock_gettime(CLOCK_BOOTTIME, &now);
   return time_point(std::chrono::seconds(now.tv_sec) +
                     std::chrono::nanoseconds(now.tv_nsec));
 }
