The library that stops a process's clock stands with the tests

Cause: the users' build passes over tests only in tests/ and _test.cc, and rejects sources elsewhere that load a library into a process. Ruled out, change: a move, no other change; nothing of it is in the product.

--- a/platform/testing/suspension.cc
+++ b/tests/suspension.cc
@@ -1,10 +1,10 @@
-#include "platform/testing/suspension.h"
+#include "tests/suspension.h"
 
 #include <csignal>
 #include <fstream>
 #include <utility>
 
-namespace harecrank::platform {
+namespace harecrank::testing {
 namespace {
 
 // In place: the process has the file mapped.
@@ -24,15 +24,15 @@
              sizeof(stood_still_));
 }
 
-void StoppableClock::Suspend(const testing::Process& process) {
+void StoppableClock::Suspend(const Process& process) {
   suspended_ = BootClock::now();
   process.Signal(SIGSTOP);
 }
 
-void StoppableClock::Wake(const testing::Process& process) {
+void StoppableClock::Wake(const Process& process) {
   stood_still_ += (BootClock::now() - suspended_).count();
   WriteNumber(file_, stood_still_);
   process.Signal(SIGCONT);
 }
 
-}  // namespace harecrank::platform
+}  // namespace harecrank::testing
--- a/platform/testing/suspension.h
+++ b/tests/suspension.h
@@ -1,7 +1,7 @@
 // Suspends single processes, as a machine that sleeps does to all of its own.
 
-#ifndef HARECRANK_PLATFORM_TESTING_SUSPENSION_H_
-#define HARECRANK_PLATFORM_TESTING_SUSPENSION_H_
+#ifndef HARECRANK_TESTS_SUSPENSION_H_
+#define HARECRANK_TESTS_SUSPENSION_H_
 
 #include <cstdint>
 #include <string>
@@ -10,7 +10,7 @@
 #include "harecrank/core/clock.h"
 #include "testing/process.h"
 
-namespace harecrank::platform {
+namespace harecrank::testing {
 
 // The steady clock of one process, which can be stopped together with it.
 class StoppableClock {
@@ -23,8 +23,8 @@
   const std::vector<std::string>& Environment() const { return environment_; }
 
   // Stops `process` until Wake.
-  void Suspend(const testing::Process& process);
-  void Wake(const testing::Process& process);
+  void Suspend(const Process& process);
+  void Wake(const Process& process);
 
  private:
   std::string file_;
@@ -33,6 +33,6 @@
   std::int64_t stood_still_ = 0;
 };
 
-}  // namespace harecrank::platform
+}  // namespace harecrank::testing
 
-#endif  // HARECRANK_PLATFORM_TESTING_SUSPENSION_H_
+#endif  // HARECRANK_TESTS_SUSPENSION_H_
