A held request is tried again until two trials have ended endpoints

Cause: four ends counted as proof; in the soak one request of many callers met five ends within 85 ms, four of them counted, and only answers that were under way cleared it. Without such it would have been shut out for an hour. Ruled out: to count fewer ends of one moment: two deadly requests at once look alike. Change: trials that ended an endpoint are counted by themselves, 5 s and 60 s apart; two of them prove. Unit tests of requests green.

--- a/include/harecrank/core/request_quarantine.h
+++ b/include/harecrank/core/request_quarantine.h
@@ -59,8 +59,10 @@
   std::set<EndpointCrash> crashes;
   // Ends that do not count, since it was answered whole after all.
   std::set<EndpointCrash> cleared;
-  // How often it was let through while it was held.
+  // How often it was let through while it was held, and how many of these
+  // trials ended an endpoint.
   int trials = 0;
+  int failed_trials = 0;
   // Since the last of its crashes.
   Millis age{0};
   // Until it may be let through; zero or less if it may be now.
@@ -126,6 +128,12 @@
   // once, and the pause until the next such trial: endpoints that crashed are
   // back after three to four seconds.
   static constexpr Millis kTrialPause{5000};
+  // The pause once a trial has ended an endpoint. One such end may still be bad
+  // luck: while an endpoint ends each second for other reasons, one trial of
+  // 0.3 s in 60 meets an end among 18 of them.
+  static constexpr Millis kPauseAfterFailure{60000};
+  // How often a trial must fail until the request is not tried any more.
+  static constexpr int kProof = 2;
   // Trials of one request: the platform's bound on what reaches endpoints of a
   // request that is known to end them.
   static constexpr int kMostTrials = 3;
@@ -133,8 +141,8 @@
   // three seconds for an endpoint to be back, one such request costs a fleet
   // one engine for 1.5 in 100 of the time.
   static constexpr Millis kRemembered{600000};
-  // How long a request is held that failed its trial too. Operators who have
-  // mended their endpoints wait no longer.
+  // How long a request is held that is proven to end endpoints. Operators who
+  // have mended theirs wait no longer.
   static constexpr Millis kProvenRemembered{3600000};
   // Requests remembered at once, about 300 bytes each. One end of an endpoint
   // brings as many as it had in hand, some dozens.
@@ -154,12 +162,15 @@
     std::set<EndpointCrash> crashes;
     std::set<EndpointCrash> cleared;
     int trials = 0;
+    int failed_trials = 0;
     TimePoint last_crash{};
     TimePoint held_until{};
   };
   using Records = std::map<RequestFingerprint, Record>;
 
   static bool IsForgotten(const Record& record, TimePoint now);
+  // Drops all that counts against it.
+  static void Clear(Record* record);
   // Returns the record of `request`, new or not, or null if there is no room.
   Record* Make(const RequestFingerprint& request);
   // Drops the older half of the requests with one crash at the most.
--- a/src/core/fleet_messages.cc
+++ b/src/core/fleet_messages.cc
@@ -261,7 +261,8 @@
       reports.push_back({report.request.account.value, report.request.high,
                          report.request.low, EncodeCrashes(report.crashes),
                          EncodeCrashes(report.cleared), report.trials,
-                         report.age.count(), report.held_for.count()});
+                         report.failed_trials, report.age.count(),
+                         report.held_for.count()});
     }
     return json::array({static_cast<int>(Kind::kCrashes), told.from.value,
                         std::move(reports)});
@@ -382,6 +383,7 @@
     report.crashes = TakeCrashes(entry);
     report.cleared = TakeCrashes(entry);
     report.trials = entry->Take<int>();
+    report.failed_trials = entry->Take<int>();
     report.age = entry->TakeMillis();
     report.held_for = entry->TakeMillis();
     told.reports.push_back(std::move(report));
--- a/src/core/fleet_messages_test.cc
+++ b/src/core/fleet_messages_test.cc
@@ -44,6 +44,7 @@
       EndpointCrash{EndpointId{"e2"}, EndpointLife{0}}};
   report.cleared = {EndpointCrash{EndpointId{"e3"}, EndpointLife{5}}};
   report.trials = 2;
+  report.failed_trials = 1;
   report.age = Millis(1500);
   report.held_for = Millis(-20);
   return CrashReports{kHost, {report}};
@@ -59,6 +60,7 @@
   CHECK(report.crashes == told.reports.front().crashes);
   CHECK(report.cleared == told.reports.front().cleared);
   CHECK(report.trials == 2);
+  CHECK(report.failed_trials == 1);
   CHECK(report.age == Millis(1500));
   CHECK(report.held_for == Millis(-20));
 }
--- a/src/core/request_quarantine.cc
+++ b/src/core/request_quarantine.cc
@@ -41,8 +41,13 @@
                        record->crashes.insert(crash).second;
   if (is_news) {
     OnChanged();
+    if (record->failed_trials < record->trials) {
+      ++record->failed_trials;
+    }
     record->last_crash = clock_();
-    record->held_until = record->last_crash + kTrialPause;
+    record->held_until =
+        record->last_crash +
+        (record->failed_trials == 0 ? kTrialPause : kPauseAfterFailure);
   }
   return is_news;
 }
@@ -58,11 +63,16 @@
     record.cleared.clear();
   }
   record.cleared.merge(record.crashes);
-  record.crashes.clear();
-  record.trials = 0;
+  Clear(&record);
   return true;
 }
 
+void RequestQuarantine::Clear(Record* record) {
+  record->crashes.clear();
+  record->trials = 0;
+  record->failed_trials = 0;
+}
+
 bool RequestQuarantine::IsHeld(const RequestFingerprint& request) const {
   const auto found = records_.find(request);
   if (found == records_.end()) {
@@ -73,9 +83,8 @@
   if (record.crashes.size() < kCrashesBorne || IsForgotten(record, now)) {
     return false;
   }
-  // One crash more than is borne is that of a trial: it is no bad luck.
-  return record.crashes.size() > kCrashesBorne ||
-         record.trials >= kMostTrials || now < record.held_until;
+  return record.failed_trials >= kProof || record.trials >= kMostTrials ||
+         now < record.held_until;
 }
 
 bool RequestQuarantine::TakeTurn(const RequestFingerprint& request,
@@ -119,13 +128,17 @@
   const std::size_t known = record->crashes.size();
   const std::size_t cleared = record->cleared.size();
   const int trials = record->trials;
+  const int failed_trials = record->failed_trials;
   record->cleared.insert(report.cleared.begin(), report.cleared.end());
   record->crashes.insert(report.crashes.begin(), report.crashes.end());
   for (const EndpointCrash& crash : record->cleared) {
     record->crashes.erase(crash);
   }
-  record->trials =
-      record->crashes.empty() ? 0 : std::max(record->trials, report.trials);
+  record->trials = std::max(trials, report.trials);
+  record->failed_trials = std::max(failed_trials, report.failed_trials);
+  if (record->crashes.empty()) {
+    Clear(record);
+  }
   const TimePoint now = clock_();
   record->last_crash = std::max(record->last_crash, now - report.age);
   record->held_until = std::max(record->held_until, now + report.held_for);
@@ -141,14 +154,15 @@
   const Record& record = found->second;
   return !Contains(report.cleared, record.cleared) ||
          !Contains(report.crashes, record.crashes) ||
-         report.trials < record.trials;
+         report.trials < record.trials ||
+         report.failed_trials < record.failed_trials;
 }
 
 CrashReport RequestQuarantine::ReportOf(
     const RequestFingerprint& request) const {
   const auto found = records_.find(request);
   if (found == records_.end()) {
-    return CrashReport{request, {}, {}, 0, Millis(0), Millis(0)};
+    return CrashReport{request, {}, {}, 0, 0, Millis(0), Millis(0)};
   }
   return Tell(*found);
 }
@@ -160,6 +174,7 @@
                      record.crashes,
                      record.cleared,
                      record.trials,
+                     record.failed_trials,
                      ToMillis(now - record.last_crash),
                      ToMillis(record.held_until - now)};
 }
@@ -205,10 +220,10 @@
   std::uint64_t digest = 0;
   for (const Records::value_type* entry : Shared()) {
     const auto& [request, record] = *entry;
-    std::string text = request.account.value + "\n" +
-                       std::to_string(request.high) + "\n" +
-                       std::to_string(request.low) + "\n" +
-                       std::to_string(record.trials) + "\n";
+    std::string text =
+        request.account.value + "\n" + std::to_string(request.high) + "\n" +
+        std::to_string(request.low) + "\n" + std::to_string(record.trials) +
+        "\n" + std::to_string(record.failed_trials) + "\n";
     AddTo(&text, record.crashes);
     // Their order does not matter.
     digest ^= XXH3_64bits(text.data(), text.size());
