A request that a stop cuts may outlive the guard that watches it

Cause, by reading: sessions that are cut when a host stops end with the event loop, after the guard; their requests then took themselves off a list that was gone. Ruled out: another order of the host's members: the event loop has to come first. Change: what stands for a watched request holds the list weakly. Tests of the guard.

--- a/src/gateway/crash_guard.cc
+++ b/src/gateway/crash_guard.cc
@@ -4,6 +4,18 @@
 
 namespace harecrank {
 
+CrashGuard::Watching::Watching(const std::shared_ptr<Watched>& watched,
+                               GuardedRequest* request)
+    : watched_(watched), request_(request) {
+  watched->insert(request);
+}
+
+CrashGuard::Watching::~Watching() {
+  if (const auto watched = watched_.lock()) {
+    watched->erase(request_);
+  }
+}
+
 CrashGuard::CrashGuard(RequestQuarantine* quarantine, EndpointProber* prober,
                        Tell tell, EventLog* log, Metrics* metrics)
     : quarantine_(quarantine),
@@ -102,9 +114,9 @@
               LogWeight::kAlwaysKept);
   metrics_->GetCounter("harecrank_gateway_requests_held_total")->Add();
   // A copy: a request that ends is watched no more.
-  const std::set<GuardedRequest*> watched = watched_;
+  const Watched watched = *watched_;
   for (GuardedRequest* one : watched) {
-    if (watched_.count(one) != 0 && one->Fingerprint() == request) {
+    if (watched_->count(one) != 0 && one->Fingerprint() == request) {
       one->OnHeld();
     }
   }
--- a/src/gateway/crash_guard.h
+++ b/src/gateway/crash_guard.h
@@ -9,6 +9,7 @@
 #define HARECRANK_SRC_GATEWAY_CRASH_GUARD_H_
 
 #include <functional>
+#include <memory>
 #include <set>
 #include <vector>
 
@@ -43,9 +44,26 @@
   CrashGuard(RequestQuarantine* quarantine, EndpointProber* prober, Tell tell,
              EventLog* log, Metrics* metrics);
 
-  // A request is watched from its start to its end.
-  void Watch(GuardedRequest* request) { watched_.insert(request); }
-  void Unwatch(GuardedRequest* request) { watched_.erase(request); }
+  // The requests under way. Those that a host cuts when it stops outlive it.
+  using Watched = std::set<GuardedRequest*>;
+
+  // Watches `request` for as long as this lives.
+  class Watching {
+   public:
+    Watching(const std::shared_ptr<Watched>& watched, GuardedRequest* request);
+    ~Watching();
+    Watching(const Watching&) = delete;
+    Watching& operator=(const Watching&) = delete;
+
+   private:
+    std::weak_ptr<Watched> watched_;
+    GuardedRequest* request_;
+  };
+
+  // Returns what stands for `request` until it ends.
+  std::unique_ptr<Watching> Watch(GuardedRequest* request) const {
+    return std::make_unique<Watching>(watched_, request);
+  }
 
   // Returns whether `request` may be sent nowhere now. Takes its fingerprint
   // only if any request is suspect.
@@ -84,7 +102,7 @@
   Tell tell_;
   EventLog* log_;
   Metrics* metrics_;
-  std::set<GuardedRequest*> watched_;
+  std::shared_ptr<Watched> watched_ = std::make_shared<Watched>();
 };
 
 }  // namespace harecrank
--- /dev/null
+++ b/src/gateway/crash_guard_test.cc
@@ -0,0 +1,84 @@
+#include "src/gateway/crash_guard.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <memory>
+
+#include "src/adapters/system_sources.h"
+
+namespace harecrank {
+namespace {
+
+class OneRequest : public GuardedRequest {
+ public:
+  explicit OneRequest(std::uint64_t number)
+      : fingerprint_{AccountId{"acme"}, number, number} {}
+
+  const RequestFingerprint& Fingerprint() override { return fingerprint_; }
+  void OnHeld() override { ++held; }
+
+  int held = 0;
+
+ private:
+  RequestFingerprint fingerprint_;
+};
+
+// What another host tells of a request under which `crashes` endpoints ended.
+CrashReport Report(std::uint64_t number, int crashes) {
+  CrashReport report;
+  report.request = RequestFingerprint{AccountId{"acme"}, number, number};
+  for (int i = 0; i < crashes; ++i) {
+    report.crashes.insert(EndpointCrash{EndpointId{std::to_string(i)}, {}});
+  }
+  report.held_for = Millis(1000);
+  return report;
+}
+
+struct Host {
+  boost::asio::io_context io;
+  EventLog log{"n", SystemClock()};
+  Metrics metrics;
+  RequestQuarantine quarantine{SystemClock()};
+  EndpointProber prober{&io};
+  CrashGuard guard{&quarantine, &prober, [](const RequestFingerprint&) {}, &log,
+                   &metrics};
+};
+
+TEST_CASE("Requests under way hear that they are held, and no others") {
+  Host host;
+  OneRequest deadly(1);
+  OneRequest harmless(2);
+  OneRequest ended(1);
+  const auto watches_deadly = host.guard.Watch(&deadly);
+  const auto watches_harmless = host.guard.Watch(&harmless);
+  host.guard.Watch(&ended).reset();
+  std::vector<CrashReport> missing;
+  CHECK(host.guard.OnReports({Report(1, 3)}, &missing).size() == 1);
+  CHECK(missing.empty());
+  CHECK(deadly.held == 1);
+  CHECK(harmless.held == 0);
+  CHECK(ended.held == 0);
+  CHECK(host.guard.IsHeld(&deadly));
+}
+
+TEST_CASE("A host that knows more than it is told says so") {
+  Host host;
+  std::vector<CrashReport> missing;
+  host.guard.OnReports({Report(1, 2)}, &missing);
+  CHECK(host.guard.OnReports({Report(1, 1)}, &missing).empty());
+  REQUIRE(missing.size() == 1);
+  CHECK(missing.front().crashes.size() == 2);
+}
+
+// Sessions that a stop cuts end with the event loop, after all else.
+TEST_CASE("A request may outlive the guard that watches it") {
+  auto host = std::make_unique<Host>();
+  OneRequest request(1);
+  auto watching = host->guard.Watch(&request);
+  host.reset();
+  watching.reset();
+  CHECK(request.held == 0);
+}
+
+}  // namespace
+}  // namespace harecrank
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -71,8 +71,6 @@
       timer_(*services->io),
       memory_timer_(*services->io) {}
 
-Exchange::~Exchange() { services_->crashes->Unwatch(this); }
-
 void Exchange::Start() {
   id_ = std::string(request_[services_->names->request_id]);
   body_ = std::make_shared<const std::string>(std::move(request_.body()));
@@ -88,7 +86,7 @@
     Refuse(refusal->status, refusal->code, refusal->retry_after);
     return;
   }
-  services_->crashes->Watch(this);
+  watching_ = services_->crashes->Watch(this);
   services_->budgets->OnFirst(service_->name);
   TryNext();
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -28,7 +28,6 @@
   // `services` must outlive this.
   Exchange(const GatewayServices* services, CallerRequest request,
            TimePoint arrived, std::shared_ptr<AnswerPort> answer);
-  ~Exchange() override;
 
   // Admits the request and sends it, or answers it at once.
   void Start();
@@ -141,6 +140,7 @@
 
   std::string id_;
   std::optional<RequestFingerprint> fingerprint_;
+  std::unique_ptr<CrashGuard::Watching> watching_;
   std::shared_ptr<const std::string> body_;
   std::shared_ptr<const RoutingTable> table_;
   const RouteRule* route_ = nullptr;
