Split the exchange by job

Cause: exchange.cc had 1,024 lines in which places, sending, time, relaying and logs met; each part of the work under hard load would have grown it.

What follows an attempt stands in exchange_attempts.cc.

Behaviour is as before but for one figure: the endpoint in an 'ended' line is the last one that was sent to, not one whose memory was never had.

--- /dev/null
+++ b/src/gateway/exchange_attempts.cc
@@ -0,0 +1,306 @@
+// What an exchange makes of its attempts: answers, failures and requests that
+// end endpoints. The rest of the class is in exchange.cc.
+
+#include <utility>
+
+#include "harecrank/core/http_status.h"
+#include "src/gateway/endpoint_request.h"
+#include "src/gateway/exchange.h"
+
+namespace harecrank {
+namespace {
+
+namespace http = boost::beast::http;
+
+// How often one request is put to endpoints that cannot be reached.
+constexpr int kMostConnectFailures = 5;
+// With less left than this a further attempt cannot bring anything.
+constexpr Millis kLeastTimeForAttempt{60};
+// RFC 9110: the endpoint is not the one that was expected, and ran nothing.
+constexpr unsigned kMisdirected = 421;
+// The reason of the final answer to a request that ends endpoints.
+constexpr char kHeldReason[] = "ends_endpoints";
+
+bool IsEventStream(const AnswerHead& head) {
+  const std::string_view wanted = "text/event-stream";
+  return View(head[http::field::content_type]).substr(0, wanted.size()) ==
+         wanted;
+}
+
+}  // namespace
+
+void Exchange::OnErrorAnswer() {
+  place_->OnFailure();
+  sender_->OnErrorAnswer();
+}
+
+void Exchange::OnFirstEvent() {
+  if (const auto pace = sender_->OnFirstEvent()) {
+    services_->queue->PumpSoon();
+    place_->OnRead(*pace);
+  }
+}
+
+void Exchange::OnSent() {
+  if (is_trial_) {
+    services_->crashes->OnTrialSent(Fingerprint());
+  }
+  sender_->OnSent();
+}
+
+void Exchange::OnAnswerHead(const AnswerHead& head) {
+  const auto self = shared_from_this();
+  sender_->OnHead();
+  has_framed_end_ = head.count(http::field::content_length) != 0 ||
+                    head.count(http::field::transfer_encoding) != 0;
+  JudgeHead(head);
+}
+
+void Exchange::JudgeHead(const AnswerHead& head) {
+  const ProtocolNames& names = *services_->names;
+  const unsigned status = head.result_int();
+  const bool says_not_run =
+      head.count(names.not_run) != 0 || status == kMisdirected;
+  if (says_not_run && status != http_status::kBadRequest) {
+    OnNotRunAnswer(head);
+    return;
+  }
+  const bool success = status / 100 == 2;
+  if (success && head.count(names.answer_signature) == 0) {
+    OnErrorAnswer();
+    AbandonAttempt();
+    OnMayHaveRun("unsigned_answer");
+    return;
+  }
+  const bool endpoint_failed = status / 100 == 5;
+  if (!success && (relay_.StreamBegun() || endpoint_failed) &&
+      route_->MayRepeat() && TakeUpElsewhere(status)) {
+    return;
+  }
+  if (success && route_->kind == RequestKind::kStreaming &&
+      IsEventStream(head)) {
+    relay_.RelayEvents(head);
+    return;
+  }
+  relay_.KeepWhole(head);
+}
+
+void Exchange::OnNotRunAnswer(const AnswerHead& head) {
+  const unsigned status = head.result_int();
+  if (status == kMisdirected) {
+    sender_->OnUnreachable();
+  }
+  sender_->OnRefusal(head, log_.Fields());
+  AbandonAttempt();
+  OnNotRun("endpoint_answered_" + std::to_string(status));
+}
+
+bool Exchange::TakeUpElsewhere(unsigned status) {
+  OnErrorAnswer();
+  if (relay_.StreamBegun()) {
+    may_have_run_ = true;
+    AbandonAttempt();
+    OnMayHaveRun("resumption_answered_" + std::to_string(status));
+    return true;
+  }
+  if (!MaySendAgain()) {
+    return false;
+  }
+  may_have_run_ = true;
+  AbandonAttempt();
+  TryNext();
+  return true;
+}
+
+void Exchange::OnAnswerBytes(std::string_view bytes) {
+  sender_->OnBytes();
+  switch (relay_.Accept(bytes)) {
+    case AnswerRelay::Accepted::kEvents:
+      OnFirstEvent();
+      break;
+    case AnswerRelay::Accepted::kTooLarge:
+      AbandonAttempt();
+      OnMayHaveRun("answer_too_large");
+      break;
+    case AnswerRelay::Accepted::kKept:
+      break;
+  }
+}
+
+void Exchange::OnAnswerEnd() {
+  const auto self = shared_from_this();
+  sender_->OnEnded();
+  const bool torn = relay_.IsStream() && relay_.HasPartial();
+  if (torn) {
+    OnErrorAnswer();
+  }
+  place_->End();
+  if (torn) {
+    relay_.DropPartial();
+    JudgeBroken(AttemptBroken{"ended_inside_an_event", true, false, true});
+    return;
+  }
+  NoteEnd();
+  if (relay_.IsStream()) {
+    relay_.EndStream();
+    Finish("completed", http_status::kOk, "");
+    return;
+  }
+  const bool completed = relay_.KeptStatus() < http_status::kBadRequest;
+  if (completed) {
+    OnFirstEvent();
+  }
+  const unsigned status = relay_.SendKept();
+  Finish(completed ? "completed" : "failed", status,
+         completed ? "" : "endpoint_answer");
+}
+
+void Exchange::OnFailure(const AttemptFailure& failure) {
+  const auto self = shared_from_this();
+  sender_->OnEnded();
+  if (const auto* not_sent = std::get_if<AttemptNotSent>(&failure)) {
+    OnNotSent(*not_sent);
+    return;
+  }
+  // One broken answer is not a dead endpoint; the next connection tells.
+  OnErrorAnswer();
+  place_->End();
+  relay_.DropPartial();
+  JudgeBroken(std::get<AttemptBroken>(failure));
+}
+
+void Exchange::OnNotSent(const AttemptNotSent& failure) {
+  place_->End();
+  if (is_trial_) {
+    services_->crashes->OnTrialNotSent(Fingerprint());
+  }
+  sender_->OnUnreachable();
+  ++connect_failures_;
+  if (connect_failures_ < kMostConnectFailures) {
+    TryNext();
+  } else {
+    OnNotRun("not_reached: " + failure.reason);
+  }
+}
+
+nlohmann::json Exchange::BrokenFields(const AttemptBroken& broken) {
+  nlohmann::json fields = log_.Fields();
+  fields["fingerprint"] = LogName(Fingerprint());
+  fields["endpoint"] = sender_->Endpoint().id.value;
+  fields["by_endpoint"] = broken.by_endpoint;
+  fields["answer_began"] = broken.answer_began;
+  if (const auto since = sender_->SinceFirstEvent()) {
+    fields["since_first_event_ms"] = since->count();
+  }
+  return fields;
+}
+
+void Exchange::JudgeBroken(const AttemptBroken& broken) {
+  // What is sent on is judged first: it may have ended its third endpoint.
+  may_have_run_ = true;
+  const bool goes_on = route_->MayRepeat();
+  services_->crashes->OnBrokenOff(
+      Fingerprint(), sender_->Endpoint(),
+      broken.by_endpoint && sender_->IsBeginning(),
+      [weak = weak_from_this(), services = services_, goes_on,
+       reason = broken.reason,
+       fields = BrokenFields(broken)](ProbeResult result) {
+        nlohmann::json line = fields;
+        line["connection"] = Name(result);
+        services->log->Write("broken_off", std::move(line),
+                             LogWeight::kAlwaysKept);
+        const auto self = weak.lock();
+        if (goes_on && self != nullptr && !self->finished_) {
+          self->OnMayHaveRun(reason);
+        }
+      });
+  if (!goes_on) {
+    GiveUp(broken.reason);
+  }
+}
+
+const RequestFingerprint& Exchange::Fingerprint() {
+  if (!fingerprint_.has_value()) {
+    FingerprintParts parts;
+    parts.account = account_ == nullptr ? AccountId{} : account_->id;
+    parts.method = View(request_.method_string());
+    parts.target = View(request_.target());
+    parts.body = *body_;
+    fingerprint_ = FingerprintOf(parts);
+  }
+  return *fingerprint_;
+}
+
+void Exchange::OnHeld() {
+  const auto self = shared_from_this();
+  // One that an endpoint runs already shows by itself what it does, and one
+  // that may run once is not broken off.
+  const bool sent = sender_->IsUnderWay() && sender_->WasSent();
+  const bool runs = sent && (sender_->HasBegun() || !route_->MayRepeat());
+  if (finished_ || runs) {
+    return;
+  }
+  may_have_run_ = may_have_run_ || sent;
+  RefuseHeld();
+}
+
+void Exchange::RefuseHeld() {
+  AbandonAttempt();
+  if (relay_.StreamBegun() || may_have_run_) {
+    GiveUp(kHeldReason);
+    return;
+  }
+  // Without a time to come back: it will be refused then too. An own 4xx would
+  // say more plainly whose fault it is, but platforms bound those.
+  Answer(OwnAnswer{http_status::kUnavailable, kHeldReason, std::nullopt, true});
+}
+
+void Exchange::NoteEnd() {
+  if (has_framed_end_) {
+    services_->crashes->OnCompleted(this);
+  }
+}
+
+void Exchange::OnNotRun(const std::string& reason) {
+  if (MaySendAgain()) {
+    log_.SentAgain(sender_->Endpoint().id, reason, nlohmann::json::object());
+    TryNext();
+    return;
+  }
+  GiveUp(reason);
+}
+
+void Exchange::OnMayHaveRun(const std::string& reason) {
+  may_have_run_ = true;
+  if (services_->crashes->IsHeld(this)) {
+    RefuseHeld();
+    return;
+  }
+  if (route_->MayRepeat() && MaySendAgain()) {
+    log_.SentAgain(sender_->Endpoint().id, reason,
+                   {{"resumes_after", relay_.LastEventId()}});
+    TryNext();
+    return;
+  }
+  GiveUp(reason);
+}
+
+bool Exchange::MaySendAgain() {
+  if (sender_->Sendings() >= route_->max_attempts ||
+      TimeLeft() < kLeastTimeForAttempt) {
+    return false;
+  }
+  budget_refused_ = !services_->budgets->TryRepeat(service_->name);
+  return !budget_refused_;
+}
+
+void Exchange::AbandonAttempt() {
+  if (place_ == nullptr) {
+    return;
+  }
+  place_->LeaveQueue();
+  sender_->Cancel();
+  place_->End();
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/exchange_log.cc
@@ -0,0 +1,107 @@
+#include "src/gateway/exchange_log.h"
+
+#include <string_view>
+#include <utility>
+
+namespace harecrank {
+namespace {
+
+std::int64_t WholeMillis(TimePoint::duration time) {
+  return std::chrono::duration_cast<Millis>(time).count();
+}
+
+std::string Joined(const std::vector<Helper>& helpers) {
+  std::string ids;
+  for (const Helper& helper : helpers) {
+    ids += (ids.empty() ? "" : " ") + helper.record.id.value;
+  }
+  return ids;
+}
+
+}  // namespace
+
+ExchangeLog::ExchangeLog(const GatewayServices* services,
+                         std::string request_id, TimePoint arrived)
+    : services_(services),
+      request_id_(std::move(request_id)),
+      arrived_(arrived) {}
+
+void ExchangeLog::SetRoute(std::string route, RoutingVersion configuration) {
+  route_ = std::move(route);
+  configuration_ = configuration;
+}
+
+nlohmann::json ExchangeLog::Fields() const {
+  nlohmann::json fields;
+  fields["request"] = request_id_;
+  fields["route"] = route_;
+  fields["configuration"] = configuration_.value;
+  fields["age_ms"] = WholeMillis(services_->clock() - arrived_);
+  return fields;
+}
+
+void ExchangeLog::Placed(const Placement& placement, Tokens prompt,
+                         std::optional<Millis> waited) const {
+  nlohmann::json fields = Fields();
+  const EndpointId& endpoint = placement.endpoint.id;
+  fields["endpoint"] = endpoint.value;
+  fields["entry_revision"] = placement.endpoint.revision.value;
+  if (const auto missing = services_->directory->MissingFor(endpoint)) {
+    fields["entry_missing_ms"] = missing->count();
+  }
+  fields["candidates"] = placement.candidates;
+  fields["helpers"] = placement.helpers.size();
+  if (!placement.helpers.empty()) {
+    fields["helper_ids"] = Joined(placement.helpers);
+  }
+  fields["predicted_ms"] = placement.first_event.count();
+  fields["read_ms"] = placement.read.count();
+  fields["prompt"] = prompt.value;
+  if (waited.has_value()) {
+    fields["waited_ms"] = waited->count();
+  }
+  services_->log->Write("placed", std::move(fields));
+}
+
+void ExchangeLog::SentAgain(const EndpointId& endpoint,
+                            const std::string& reason,
+                            nlohmann::json more) const {
+  nlohmann::json fields = Fields();
+  fields["endpoint"] = endpoint.value;
+  fields["reason"] = reason;
+  fields.update(more);
+  services_->metrics->GetCounter("harecrank_gateway_sent_again_total")->Add();
+  services_->log->Write("sent_again", std::move(fields),
+                        LogWeight::kAlwaysKept);
+}
+
+void ExchangeLog::Ended(const ExchangeEnd& end,
+                        const AnswerRelay& relay) const {
+  Metrics& metrics = *services_->metrics;
+  const std::string label = std::string("outcome=\"") + end.outcome + "\"";
+  metrics.GetCounter("harecrank_gateway_requests_total", label)->Add();
+  metrics.GetHistogram("harecrank_gateway_request_seconds", label)
+      ->Record(services_->clock() - arrived_);
+  nlohmann::json fields = Fields();
+  if (end.first_event.has_value()) {
+    const auto taken = *end.first_event - arrived_;
+    metrics.GetHistogram("harecrank_gateway_first_event_seconds")
+        ->Record(taken);
+    fields["first_event_ms"] = WholeMillis(taken);
+  }
+  if (relay.LongestPause().count() > 0) {
+    fields["longest_pause_ms"] = WholeMillis(relay.LongestPause());
+  }
+  fields["outcome"] = end.outcome;
+  fields["status"] = end.status;
+  fields["reason"] = end.reason;
+  fields["events"] = relay.EventCount();
+  fields["sendings"] = end.sendings;
+  fields["prompt"] = end.prompt.value;
+  fields["endpoint"] = end.endpoint.value;
+  const bool failed = std::string_view(end.outcome) != "completed";
+  services_->log->Write("ended", std::move(fields),
+                        failed ? LogWeight::kAlwaysKept : LogWeight::kOrdinary);
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/own_answer.cc
@@ -0,0 +1,30 @@
+#include "src/gateway/own_answer.h"
+
+#include <nlohmann/json.hpp>
+
+namespace harecrank {
+
+AnswerHead HeadOf(const OwnAnswer& answer, const ProtocolNames& names,
+                  const std::string& request_id) {
+  namespace http = boost::beast::http;
+  AnswerHead head;
+  head.result(answer.status);
+  head.set(names.request_id, request_id);
+  head.set(http::field::content_type, "application/json");
+  if (answer.retry_after.has_value()) {
+    constexpr double kMillisPerSecond = 1000;
+    const double seconds =
+        static_cast<double>(answer.retry_after->count()) / kMillisPerSecond;
+    head.set(http::field::retry_after, std::to_string(seconds));
+  }
+  return head;
+}
+
+std::string BodyOf(const OwnAnswer& answer) {
+  const nlohmann::json body = {
+      {"error", answer.code},
+      {"outcome", answer.not_run ? "not_run" : "failed"}};
+  return body.dump() + "\n";
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/place_seeker.cc
@@ -0,0 +1,355 @@
+#include "src/gateway/place_seeker.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace harecrank {
+namespace {
+
+// How often one request is given a place that this host cannot use before it
+// places by itself.
+constexpr int kMostUnusablePlaces = 5;
+// How long a request waits before it asks for another place after memory that
+// was free has been taken by another.
+constexpr Millis kMemoryRetry{40};
+
+}  // namespace
+
+PlaceSeeker::PlaceSeeker(const GatewayServices* services, SoughtPlace sought,
+                         PlaceObserver* observer,
+                         std::function<nlohmann::json()> log_fields)
+    : services_(services),
+      sought_(std::move(sought)),
+      observer_(observer),
+      log_fields_(std::move(log_fields)),
+      memory_timer_(*services->io) {}
+
+void PlaceSeeker::Seek(bool started) {
+  started_ = started;
+  // Plain services have few endpoints and short work: this host's own knowledge
+  // serves them as well, without the way to the planner.
+  if (sought_.request.service->engine.has_value()) {
+    Ask();
+  } else {
+    NotePlacedAlone();
+    PlaceAlone();
+  }
+}
+
+void PlaceSeeker::SetTimes() {
+  const TimePoint now = services_->clock();
+  sought_.request.until_late = sought_.late_at - now;
+  sought_.request.until_deadline = sought_.deadline - now;
+}
+
+void PlaceSeeker::Ask() {
+  SetTimes();
+  ask_ = services_->places->Ask(
+      sought_.request, started_,
+      [weak = weak_from_this()](const AskResult& result) {
+        const auto self = weak.lock();
+        if (self != nullptr && self->observer_ != nullptr) {
+          self->OnResult(result);
+        }
+      });
+  observer_->OnWaits();
+}
+
+void PlaceSeeker::OnResult(const AskResult& result) {
+  if (std::holds_alternative<AskWaits>(result)) {
+    waits_at_planner_ = true;
+    NoteWaiting();
+    observer_->OnWaits();
+    return;
+  }
+  waits_at_planner_ = false;
+  if (const auto* planned = std::get_if<PlannedPlacement>(&result)) {
+    UsePlanned(*planned);
+    return;
+  }
+  ask_.reset();
+  if (std::holds_alternative<AskRefused>(result)) {
+    observer_->OnTurnedAway(
+        std::get<AskRefused>(result).return_after.value_or(PauseForReturn()));
+  } else if (std::holds_alternative<NoEndpoint>(result)) {
+    observer_->OnNoEndpoint();
+  } else {
+    NotePlacedAlone();
+    PlaceAlone();
+  }
+}
+
+void PlaceSeeker::NotePlacedAlone() {
+  services_->metrics->GetCounter("harecrank_gateway_placed_alone_total")->Add();
+  services_->log->Write("placed_alone", log_fields_());
+}
+
+void PlaceSeeker::UsePlanned(const PlannedPlacement& planned) {
+  std::optional<Placement> placement = PlacementOf(planned);
+  if (placement.has_value()) {
+    Prepare(*placement);
+    return;
+  }
+  // The listing of the planner and this host's differ.
+  EndAsk();
+  MarkTried(planned.endpoint);
+  ++unusable_places_;
+  if (unusable_places_ < kMostUnusablePlaces) {
+    Ask();
+  } else {
+    PlaceAlone();
+  }
+}
+
+std::optional<Placement> PlaceSeeker::PlacementOf(
+    const PlannedPlacement& planned) const {
+  const EndpointRecord* endpoint = Usable(planned.endpoint);
+  if (endpoint == nullptr) {
+    return std::nullopt;
+  }
+  Placement placement;
+  placement.endpoint = *endpoint;
+  placement.work_class = planned.work_class;
+  placement.read = planned.read;
+  placement.first_event = planned.first_event;
+  placement.candidates = planned.candidates;
+  for (const PlannedHelper& helper : planned.helpers) {
+    const EndpointRecord* record = Usable(helper.endpoint);
+    if (record == nullptr) {
+      return std::nullopt;
+    }
+    placement.helpers.push_back(Helper{*record, helper.held});
+  }
+  return placement;
+}
+
+const EndpointRecord* PlaceSeeker::Usable(const EndpointId& id) const {
+  const EndpointRecord* record = services_->directory->Find(id);
+  const bool usable = record != nullptr && !record->draining &&
+                      record->service == sought_.request.service->name;
+  return usable ? record : nullptr;
+}
+
+bool PlaceSeeker::IsStillUsable(const Placement& placement) const {
+  const auto usable = [this](const Helper& helper) {
+    return Usable(helper.record.id) != nullptr;
+  };
+  return Usable(placement.endpoint.id) != nullptr &&
+         std::all_of(placement.helpers.begin(), placement.helpers.end(),
+                     usable);
+}
+
+void PlaceSeeker::PlaceAlone() {
+  if (TryPlace()) {
+    return;
+  }
+  if (services_->policy->refuses_by_precedent && WaitsInVain()) {
+    observer_->OnTurnedAway(PauseForReturn());
+    return;
+  }
+  Wait();
+}
+
+bool PlaceSeeker::WaitsInVain() const {
+  if (started_) {
+    return false;
+  }
+  const FractionalMillis work =
+      ReadTime(*sought_.request.service->engine, sought_.request.prompt);
+  const auto least = services_->queue->LeastLateWork();
+  return least.has_value() && *least <= work;
+}
+
+Millis PlaceSeeker::PauseForReturn() const {
+  const PlacementPolicy& policy = *services_->policy;
+  const double share = IsShortPrompt(sought_.request, policy)
+                           ? policy.short_retry_after_share
+                           : policy.retry_after_share;
+  const FractionalMillis pause =
+      share * FractionalMillis(sought_.request.target_latency);
+  return std::chrono::duration_cast<Millis>(pause);
+}
+
+bool PlaceSeeker::TryPlace() {
+  SetTimes();
+  const PlacementResult result = services_->placer->Choose(sought_.request);
+  if (std::holds_alternative<EnginesBusy>(result)) {
+    return false;
+  }
+  if (const auto* placement = std::get_if<Placement>(&result)) {
+    Prepare(*placement);
+  } else {
+    observer_->OnNoEndpoint();
+  }
+  return true;
+}
+
+void PlaceSeeker::Wait() {
+  NoteWaiting();
+  waiter_ = services_->queue->Add(AsWaiter(), [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self == nullptr || self->observer_ == nullptr) {
+      return true;
+    }
+    if (!self->TryPlace()) {
+      return false;
+    }
+    self->waiter_.reset();
+    return true;
+  });
+  observer_->OnWaits();
+}
+
+void PlaceSeeker::NoteWaiting() {
+  if (waits_since_ == TimePoint{}) {
+    waits_since_ = services_->clock();
+  }
+}
+
+std::optional<Millis> PlaceSeeker::Waited() const {
+  if (waits_since_ == TimePoint{}) {
+    return std::nullopt;
+  }
+  return std::chrono::duration_cast<Millis>(services_->clock() - waits_since_);
+}
+
+Waiter PlaceSeeker::AsWaiter() const {
+  const FractionalMillis work =
+      ReadTime(*sought_.request.service->engine, sought_.request.prompt);
+  return Waiter{sought_.late_at, work / static_cast<double>(kMostHelpers + 1),
+                work};
+}
+
+std::optional<TimePoint> PlaceSeeker::WaitEnd(bool may_have_run) const {
+  const PlacementRequest& request = sought_.request;
+  const Tokens needed = request.prompt + request.answer;
+  if (!IsWaiting() || may_have_run || !IsOversize(*request.service, needed)) {
+    return std::nullopt;
+  }
+  // A caller that is told early can still come back in time.
+  const FractionalMillis target(request.target_latency);
+  const FractionalMillis rest =
+      (1 - services_->policy->oversize_wait_share) * target;
+  return sought_.late_at - std::chrono::duration_cast<Millis>(rest);
+}
+
+void PlaceSeeker::LeaveQueue() {
+  if (waits_at_planner_) {
+    EndAsk();
+  }
+  if (waiter_.has_value()) {
+    services_->queue->Remove(*waiter_);
+    waiter_.reset();
+  }
+}
+
+void PlaceSeeker::Prepare(const Placement& placement) {
+  ++placements_;
+  BeginWork(placement);
+  std::vector<MemoryNeed> needs;
+  for (const Helper& helper : placement.helpers) {
+    if (Tokens{0} < helper.held) {
+      needs.push_back(MemoryNeed{helper.record.address,
+                                 TicketFor(helper.record.id), helper.held});
+    }
+  }
+  if (needs.empty()) {
+    observer_->OnPlace(placement);
+    return;
+  }
+  hold_ = std::make_shared<MemoryHold>(services_->io, services_->orders,
+                                       std::move(needs));
+  hold_->Acquire([weak = weak_from_this(), placement](bool held) {
+    const auto self = weak.lock();
+    if (self != nullptr && self->observer_ != nullptr) {
+      self->OnMemory(placement, held);
+    }
+  });
+  observer_->OnWaits();
+}
+
+void PlaceSeeker::OnMemory(const Placement& placement, bool held) {
+  nlohmann::json fields = log_fields_();
+  // Memory is waited for up to 300 ms. With the wait for a connection an
+  // endpoint that was heard to leave meanwhile would be sent to 0.6 s later.
+  const bool usable = IsStillUsable(placement);
+  fields["held"] = held;
+  fields["usable"] = usable;
+  fields["prompt"] = sought_.request.prompt.value;
+  services_->log->Write("memory", std::move(fields));
+  if (held && usable) {
+    observer_->OnPlace(placement);
+    return;
+  }
+  End();
+  NoteWaiting();
+  // The memory that was there a moment ago is another's now.
+  memory_timer_.expires_after(kMemoryRetry);
+  memory_timer_.async_wait(
+      [weak = weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self != nullptr && self->observer_ != nullptr) {
+          self->Seek(self->started_);
+        }
+      });
+}
+
+MemoryTicket PlaceSeeker::TicketFor(const EndpointId& holder) const {
+  // One for each placement: memory of an earlier one may still be ending.
+  return MemoryTicket{sought_.request_id + "-" + std::to_string(placements_) +
+                      "-" + holder.value};
+}
+
+void PlaceSeeker::BeginWork(const Placement& placement) {
+  failed_ = false;
+  std::vector<WorkPart> parts = PartsOf(placement, sought_.request);
+  for (const WorkPart& part : parts) {
+    work_.push_back(services_->loads->Begin(part));
+  }
+  if (!sought_.request.service->engine.has_value()) {
+    return;
+  }
+  if (!ask_.has_value()) {
+    ask_ = services_->places->NewId();
+  }
+  services_->places->OnStarted(*ask_, std::move(parts));
+}
+
+void PlaceSeeker::OnRead(double pace) {
+  if (ask_.has_value()) {
+    services_->places->OnRead(*ask_, pace);
+  }
+  for (const WorkId id : work_) {
+    services_->loads->OnRead(id);
+  }
+}
+
+void PlaceSeeker::End() {
+  services_->queue->PumpSoon();
+  for (const WorkId id : work_) {
+    services_->loads->End(id);
+  }
+  work_.clear();
+  EndAsk();
+  if (hold_ != nullptr) {
+    hold_->Release();
+    hold_.reset();
+  }
+}
+
+void PlaceSeeker::EndAsk() {
+  if (ask_.has_value()) {
+    services_->places->OnEnd(*ask_, failed_);
+    ask_.reset();
+  }
+  waits_at_planner_ = false;
+}
+
+void PlaceSeeker::Close() {
+  LeaveQueue();
+  End();
+  memory_timer_.cancel();
+  observer_ = nullptr;
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/place_seeker.h
@@ -0,0 +1,141 @@
+// Finds a place for one request, and counts what it has under way there.
+
+#ifndef HARECRANK_SRC_GATEWAY_PLACE_SEEKER_H_
+#define HARECRANK_SRC_GATEWAY_PLACE_SEEKER_H_
+
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "src/gateway/gateway_services.h"
+#include "src/gateway/memory_hold.h"
+#include "src/gateway/timer.h"
+
+namespace harecrank {
+
+// Told what a seeker found. Each call but the last one ends the search.
+class PlaceObserver {
+ public:
+  PlaceObserver() = default;
+  PlaceObserver(const PlaceObserver&) = delete;
+  PlaceObserver& operator=(const PlaceObserver&) = delete;
+  virtual ~PlaceObserver() = default;
+
+  // The request may go there now; the memory that it needs on helpers is held.
+  virtual void OnPlace(const Placement& placement) = 0;
+  // It would wait in vain: its caller may come again after `pause`.
+  virtual void OnTurnedAway(Millis pause) = 0;
+  // No endpoint of the service may be used.
+  virtual void OnNoEndpoint() = 0;
+  // It waits, or waits for something else now.
+  virtual void OnWaits() = 0;
+};
+
+// What a seeker seeks a place for.
+struct SoughtPlace {
+  // Its times are set anew at each try.
+  PlacementRequest request;
+  TimePoint late_at{};
+  TimePoint deadline{};
+  std::string request_id;
+};
+
+// Asks the planner, and places by itself where none answers. Not thread-safe;
+// runs on its io_context.
+class PlaceSeeker : public std::enable_shared_from_this<PlaceSeeker> {
+ public:
+  // `services` must outlive this. `observer` must stay until Close has been
+  // called; it may be called from within Seek. `log_fields` returns what names
+  // the request in log lines.
+  PlaceSeeker(const GatewayServices* services, SoughtPlace sought,
+              PlaceObserver* observer,
+              std::function<nlohmann::json()> log_fields);
+
+  // Looks for a place. `started` tells that an endpoint may have begun with the
+  // request: it is not turned away.
+  void Seek(bool started);
+
+  // Whether it stands in a queue, of the planner or of this host.
+  bool IsWaiting() const { return waiter_.has_value() || waits_at_planner_; }
+  void LeaveQueue();
+
+  // The endpoint of the place has been sent to, and is not chosen again.
+  void MarkTried(const EndpointId& id) { sought_.request.tried.insert(id); }
+  // The first event came, `pace` times as late as predicted.
+  void OnRead(double pace);
+  // The endpoint of the place failed.
+  void OnFailure() { failed_ = true; }
+  // The request leaves its place, or wants this one no more.
+  void End();
+  // The request has ended: the observer hears nothing more.
+  void Close();
+
+  // Returns the ticket for the memory that the placement holds at `holder`.
+  MemoryTicket TicketFor(const EndpointId& holder) const;
+  // Returns until when a request of its kind waits for engines, if that is
+  // limited.
+  std::optional<TimePoint> WaitEnd(bool may_have_run) const;
+  // Returns for how long it has waited, if it ever has.
+  std::optional<Millis> Waited() const;
+  Tokens Prompt() const { return sought_.request.prompt; }
+
+ private:
+  // Asks the planner; the answer comes to OnResult.
+  void Ask();
+  void OnResult(const AskResult& result);
+  // Takes the place that the planner gave, unless this host knows better of its
+  // endpoints: then it asks again.
+  void UsePlanned(const PlannedPlacement& planned);
+  std::optional<Placement> PlacementOf(const PlannedPlacement& planned) const;
+  // Returns the record of `id` if new work may go there now, otherwise null.
+  const EndpointRecord* Usable(const EndpointId& id) const;
+  // Returns whether new work may still go to all that `placement` names.
+  bool IsStillUsable(const Placement& placement) const;
+  // Tells that no planner gave a place.
+  void NotePlacedAlone();
+  // Places by what this host knows itself, or waits here.
+  void PlaceAlone();
+  // Returns false if all engines that could take it are busy.
+  bool TryPlace();
+  void SetTimes();
+  void Wait();
+  void NoteWaiting();
+  // Whether another prompt that takes no longer to read waits and can no longer
+  // be in time.
+  bool WaitsInVain() const;
+  // Returns after which time a caller who is turned away may come again.
+  Millis PauseForReturn() const;
+  Waiter AsWaiter() const;
+  // Sets memory aside first if the placement needs that.
+  void Prepare(const Placement& placement);
+  void OnMemory(const Placement& placement, bool held);
+  void BeginWork(const Placement& placement);
+  // Ends the place that was asked for, given or not.
+  void EndAsk();
+
+  const GatewayServices* services_;
+  SoughtPlace sought_;
+  // Null once this is closed.
+  PlaceObserver* observer_;
+  std::function<nlohmann::json()> log_fields_;
+  Timer memory_timer_;
+  bool started_ = false;
+  // The place that was asked for, while it is waited for or used.
+  std::optional<AskId> ask_;
+  bool waits_at_planner_ = false;
+  std::optional<WaiterId> waiter_;
+  TimePoint waits_since_{};
+  int placements_ = 0;
+  int unusable_places_ = 0;
+  // Of the endpoint first, then of the helpers.
+  std::vector<WorkId> work_;
+  std::shared_ptr<MemoryHold> hold_;
+  bool failed_ = false;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_GATEWAY_PLACE_SEEKER_H_
