--- a/include/harecrank/core/endpoint_directory.h
+++ b/include/harecrank/core/endpoint_directory.h
@@ -43,6 +43,9 @@
   // It leaves: no new work may go there.
   bool draining = false;
   StoreRevision revision;
+  // How much longer it was cold when it wrote this; unset where that is not
+  // told.
+  std::optional<Millis> cold_for;
 };
 
 // What is made of an entry that has vanished.
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -18,6 +18,8 @@
 constexpr std::int64_t kMostBytes = 64LL << 20;
 constexpr double kMostRepeats = 1e6;
 constexpr double kMostPower = 1024;
+constexpr double kMostColdOverage = 1000;
+constexpr double kMostColdSlack = 1e6;
 constexpr std::int64_t kMostDescriptors = 1LL << 24;
 
 struct Describer {
@@ -171,6 +173,11 @@
     }
   }
 
+  // Notes that the value of `key`, which is there, does not go with others.
+  void Refuse(const char* key, const std::string& allowed) {
+    Add(key, object_.at(key).dump(), allowed);
+  }
+
   // Notes every key that nothing asked for, and returns all faults.
   std::vector<ConfigProblem> Finish() {
     for (const auto& item : object_.items()) {
@@ -379,6 +386,12 @@
   reader.Duration("leave_limit_ms", &settings.leave_limit);
   reader.Count("descriptors", 1, kMostDescriptors, &settings.descriptors);
   reader.Fraction("power", 0, kMostPower, &settings.power);
+  reader.Fraction("cold_overage", 0, kMostColdOverage,
+                  &settings.cold_bound.overage);
+  reader.Fraction("cold_slack", 0, kMostColdSlack, &settings.cold_bound.slack);
+  if (settings.cold_bound.slack > 0 && settings.cold_bound.overage == 0) {
+    reader.Refuse("cold_slack", "0, or cold_overage above 0");
+  }
   reader.Section("placement", [&settings](SettingsReader* section) {
     ReadPlacement(section, &settings.placement);
   });
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "harecrank/core/cold_bound.h"
 #include "harecrank/core/document_validator.h"
 #include "harecrank/core/endpoint_directory.h"
 #include "harecrank/core/placement_policy.h"
@@ -88,6 +89,8 @@
   std::size_t descriptors = 1024;
   // The share of a core that this host has: the strongest plans for the fleet.
   double power = 1;
+  // What all hosts together may send to a cold endpoint.
+  ColdBound cold_bound;
   PlacementPolicy placement;
 };
 
--- a/src/adapters/settings_test.cc
+++ b/src/adapters/settings_test.cc
@@ -54,6 +54,16 @@
   CHECK(GatewayErrorOf(good + R"(, "leave_limit_ms": 2000})").empty());
   CHECK(GatewayErrorOf(good + R"(, "leave_limit_ms": "soon"})")
             .find("leave_limit_ms: found") != std::string::npos);
+  CHECK(GatewayErrorOf(good + R"(, "cold_overage": 1.5, "cold_slack": 5})")
+            .empty());
+  CHECK(GatewayErrorOf(good + R"(, "cold_overage": -1})")
+            .find("cold_overage: found -1; allowed: a number from 0 to 1000") !=
+        std::string::npos);
+  CHECK(GatewayErrorOf(good + R"(, "cold_slack": "5"})")
+            .find("cold_slack: found \"5\"") != std::string::npos);
+  CHECK(GatewayErrorOf(good + R"(, "cold_slack": 5})")
+            .find("cold_slack: found 5; allowed: 0, or cold_overage above 0") !=
+        std::string::npos);
   CHECK(GatewayErrorOf(good + R"(, "repeat_ratio": 2})")
             .find("repeat_ratio: found 2; allowed: a number from 0 to 1") !=
         std::string::npos);
