Know how many hosts a fleet may have, also while links are cut

The hosts that are heard now are too few to divide a bound by as soon as a link is cut: each part would take it whole. The most that were counted within ten minutes are remembered and told in each word; what a host was told it does not tell on, so that an old number fades. A host that has just started, or has heard of no other though it has seeds, does not know.

An ask may name endpoints where its host can begin nothing now. Both fields stand at the end and are left out where there is nothing to tell.

--- a/include/harecrank/core/fleet_messages.h
+++ b/include/harecrank/core/fleet_messages.h
@@ -89,6 +89,9 @@
   std::optional<std::vector<AskedWork>> work;
   // Of what it knows of requests that end endpoints; zero if it knows of none.
   std::uint64_t crash_digest = 0;
+  // The most hosts that it has counted for a long time, itself among them; zero
+  // from hosts that do not tell it.
+  int most_hosts = 0;
 };
 
 // Asks the planner for a place.
@@ -109,6 +112,9 @@
   // What is left until its caller, or its route, gives it up.
   FractionalMillis until_deadline{0};
   RequestOrigin origin;
+  // Where the host may begin nothing now, since its part of what a cold
+  // endpoint takes is used up.
+  std::set<EndpointId> withheld;
 };
 
 // A helper and how much of the prompt's memory lies there.
--- a/include/harecrank/core/host_book.h
+++ b/include/harecrank/core/host_book.h
@@ -14,6 +14,7 @@
 
 #include "harecrank/core/clock.h"
 #include "harecrank/core/fleet_messages.h"
+#include "harecrank/core/fleet_size.h"
 
 namespace harecrank {
 
@@ -77,6 +78,12 @@
   // Returns the most that this host has counted or was lately told.
   int AliveHosts() const;
 
+  // Counts the living hosts for Size. To be called a few times a second.
+  void NoteSize();
+
+  // How many hosts the fleet may have.
+  const FleetSize& Size() const { return size_; }
+
   // How long a host counts as alive after its last word: many times the pause
   // between two words.
   static constexpr Millis kAliveFor{3000};
@@ -144,6 +151,7 @@
   RandomSource random_;
   TimePoint started_;
   TimePoint dropped_forgotten_{};
+  FleetSize size_;
   bool leaving_ = false;
   // This host plans, or would if no better one said that it does.
   bool claims_ = false;
--- a/src/core/fleet_messages.cc
+++ b/src/core/fleet_messages.cc
@@ -216,6 +216,14 @@
   return crashes;
 }
 
+json EncodeIds(const std::set<EndpointId>& ids) {
+  json list = json::array();
+  for (const EndpointId& id : ids) {
+    list.push_back(id.value);
+  }
+  return list;
+}
+
 struct MessageEncoder {
   json operator()(const HostWord& word) const {
     json hosts = json::array();
@@ -234,29 +242,34 @@
          std::move(avoided), word.source_age.count(),
          static_cast<int>(word.own_reading),
          word.should_read.has_value() ? json(*word.should_read) : json()});
-    // Both are left out where there is nothing to tell: hosts of an earlier
-    // version pass over a word that is longer than they know.
-    if (word.work.has_value() || word.crash_digest != 0) {
+    // What follows is left out where there is nothing to tell: hosts of an
+    // earlier version pass over a word that is longer than they know.
+    const bool tells_size = word.most_hosts != 0;
+    const bool tells_digest = tells_size || word.crash_digest != 0;
+    if (word.work.has_value() || tells_digest) {
       array.push_back(word.work.has_value() ? EncodeWork(*word.work) : json());
     }
-    if (word.crash_digest != 0) {
+    if (tells_digest) {
       array.push_back(word.crash_digest);
     }
+    if (tells_size) {
+      array.push_back(word.most_hosts);
+    }
     return array;
   }
 
   json operator()(const PlaceAsk& ask) const {
-    json tried = json::array();
-    for (const EndpointId& id : ask.tried) {
-      tried.push_back(id.value);
-    }
-    return json::array(
+    json array = json::array(
         {static_cast<int>(Kind::kAsk), ask.host.value, ask.life.value,
          ask.id.value, ask.service.value, ask.target_latency.count(),
          ask.target_gap.count(), ask.prompt.value, ask.answer.value,
-         ask.until_late.count(), ask.may_have_run, std::move(tried),
+         ask.until_late.count(), ask.may_have_run, EncodeIds(ask.tried),
          ask.until_deadline.count(), ask.origin.request.account.value,
          ask.origin.request.high, ask.origin.request.low, ask.origin.priority});
+    if (!ask.withheld.empty()) {
+      array.push_back(EncodeIds(ask.withheld));
+    }
+    return array;
   }
 
   json operator()(const PlaceAnswer& answer) const {
@@ -350,10 +363,22 @@
   if (size > kSizeWithoutWork + 1) {
     word.crash_digest = reader->Take<std::uint64_t>();
   }
+  if (size > kSizeWithoutWork + 2) {
+    word.most_hosts = reader->Take<int>();
+  }
   return word;
 }
 
-PlaceAsk TakeAsk(ArrayReader* reader) {
+std::set<EndpointId> TakeIds(ArrayReader* reader) {
+  std::set<EndpointId> ids;
+  for (const json& id : reader->Next()) {
+    ids.insert(EndpointId{id.get<std::string>()});
+  }
+  return ids;
+}
+
+PlaceAsk TakeAsk(ArrayReader* reader, std::size_t size) {
+  constexpr std::size_t kSizeWithoutWithheld = 17;
   PlaceAsk ask;
   ask.host = reader->TakeString<HostAddress>();
   ask.life = reader->TakeNumber<Incarnation>();
@@ -365,14 +390,15 @@
   ask.answer = reader->TakeNumber<Tokens>();
   ask.until_late = reader->TakeTime();
   ask.may_have_run = reader->Take<bool>();
-  for (const json& id : reader->Next()) {
-    ask.tried.insert(EndpointId{id.get<std::string>()});
-  }
+  ask.tried = TakeIds(reader);
   ask.until_deadline = reader->TakeTime();
   ask.origin.request.account = reader->TakeString<AccountId>();
   ask.origin.request.high = reader->Take<std::uint64_t>();
   ask.origin.request.low = reader->Take<std::uint64_t>();
   ask.origin.priority = reader->Take<int>();
+  if (size > kSizeWithoutWithheld) {
+    ask.withheld = TakeIds(reader);
+  }
   return ask;
 }
 
@@ -447,7 +473,7 @@
       case Kind::kWord:
         return TakeWord(&reader, array.size());
       case Kind::kAsk:
-        return TakeAsk(&reader);
+        return TakeAsk(&reader, array.size());
       case Kind::kAnswer:
         return TakeAnswer(&reader);
       case Kind::kNote:
--- a/src/core/fleet_messages_test.cc
+++ b/src/core/fleet_messages_test.cc
@@ -88,6 +88,19 @@
   CHECK_FALSE(SentAndRead(word).work.has_value());
 }
 
+TEST_CASE("A word tells the size of the fleet with or without the rest") {
+  HostWord word = Word();
+  word.most_hosts = 24;
+  CHECK(SentAndRead(word).most_hosts == 24);
+  CHECK(SentAndRead(word).work.has_value());
+  word.work.reset();
+  CHECK(SentAndRead(word).most_hosts == 24);
+  CHECK_FALSE(SentAndRead(word).work.has_value());
+  word.crash_digest = 7;
+  CHECK(SentAndRead(word).most_hosts == 24);
+  CHECK(SentAndRead(word).crash_digest == 7);
+}
+
 TEST_CASE("A host's word comes back as it was told") {
   const HostWord read = SentAndRead(Word());
   CHECK(read.node == NodeId{"n"});
@@ -159,6 +172,9 @@
   CHECK(read.until_deadline == ask.until_deadline);
   CHECK(read.origin.request == ask.origin.request);
   CHECK(read.origin.priority == ask.origin.priority);
+  CHECK(read.withheld.empty());
+  ask.withheld = {EndpointId{"g"}};
+  CHECK(SentAndRead(ask).withheld == ask.withheld);
 }
 
 TEST_CASE("Every kind of decision comes back as it was taken") {
--- /dev/null
+++ b/src/core/fleet_size.cc
@@ -0,0 +1,52 @@
+#include "harecrank/core/fleet_size.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace harecrank {
+
+LastingPeak::LastingPeak(MonotonicClock clock)
+    : clock_(std::move(clock)), began_(clock_()) {}
+
+void LastingPeak::Note(int number) {
+  const TimePoint now = clock_();
+  if (now - began_ >= kRemembered) {
+    former_ = now - began_ < 2 * kRemembered ? current_ : 0;
+    current_ = 0;
+    began_ = now;
+  }
+  current_ = std::max(current_, number);
+}
+
+int LastingPeak::Value() const {
+  const auto age = clock_() - began_;
+  if (age >= 2 * kRemembered) {
+    return 0;
+  }
+  return age >= kRemembered ? current_ : std::max(current_, former_);
+}
+
+FleetSize::FleetSize(MonotonicClock clock)
+    : clock_(std::move(clock)),
+      started_(clock_()),
+      counted_(clock_),
+      told_(clock_) {}
+
+void FleetSize::OnCounted(int hosts) { counted_.Note(hosts); }
+
+void FleetSize::OnTold(int hosts) { told_.Note(hosts); }
+
+int FleetSize::Counted() const { return std::max(1, counted_.Value()); }
+
+std::optional<int> FleetSize::Most() const {
+  if (clock_() - started_ < kSettles) {
+    return std::nullopt;
+  }
+  const int most = std::max(Counted(), told_.Value());
+  if (has_other_seeds_ && most <= 1) {
+    return std::nullopt;
+  }
+  return most;
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/core/fleet_size_test.cc
@@ -0,0 +1,60 @@
+#include "harecrank/core/fleet_size.h"
+
+#include <catch2/catch.hpp>
+
+namespace harecrank {
+namespace {
+
+class FleetSizeFixture {
+ protected:
+  TimePoint now_{std::chrono::hours(1)};
+  FleetSize size_{[this] { return now_; }};
+};
+
+TEST_CASE_METHOD(FleetSizeFixture,
+                 "A host that has just started does not know the size") {
+  size_.OnTold(24);
+  CHECK_FALSE(size_.Most().has_value());
+  now_ += FleetSize::kSettles;
+  CHECK(size_.Most() == 24);
+}
+
+TEST_CASE_METHOD(FleetSizeFixture,
+                 "A host that has heard of no other does not know the size") {
+  size_.OnCounted(1);
+  now_ += FleetSize::kSettles;
+  CHECK_FALSE(size_.Most().has_value());
+}
+
+TEST_CASE_METHOD(FleetSizeFixture, "A host without seeds is alone") {
+  size_.SetHasOtherSeeds(false);
+  now_ += FleetSize::kSettles;
+  CHECK(size_.Most() == 1);
+}
+
+TEST_CASE_METHOD(FleetSizeFixture, "A host that is cut off keeps the size") {
+  size_.OnCounted(24);
+  for (int minute = 0; minute < 9; ++minute) {
+    now_ += std::chrono::minutes(1);
+    size_.OnCounted(3);
+  }
+  CHECK(size_.Most() == 24);
+}
+
+TEST_CASE_METHOD(FleetSizeFixture, "A fleet that has shrunk is smaller later") {
+  size_.OnCounted(24);
+  for (int minute = 0; minute < 21; ++minute) {
+    now_ += std::chrono::minutes(1);
+    size_.OnCounted(3);
+  }
+  CHECK(size_.Most() == 3);
+}
+
+TEST_CASE_METHOD(FleetSizeFixture, "What a host was told it does not tell on") {
+  size_.OnCounted(3);
+  size_.OnTold(24);
+  CHECK(size_.Counted() == 3);
+}
+
+}  // namespace
+}  // namespace harecrank
--- a/src/core/host_book.cc
+++ b/src/core/host_book.cc
@@ -22,13 +22,18 @@
 HostBook::HostBook(KnownHost self, std::vector<HostAddress> seeds,
                    MonotonicClock clock, RandomSource random)
     : self_(std::move(self)),
-      seeds_(std::move(seeds)),
       clock_(std::move(clock)),
       random_(std::move(random)),
-      started_(clock_()) {}
+      started_(clock_()),
+      size_(clock_) {
+  SetSeeds(std::move(seeds));
+}
 
 void HostBook::SetSeeds(std::vector<HostAddress> seeds) {
   seeds_ = std::move(seeds);
+  size_.SetHasOtherSeeds(std::any_of(
+      seeds_.begin(), seeds_.end(),
+      [this](const HostAddress& seed) { return seed != self_.address; }));
 }
 
 bool HostBook::OnWord(const HostWord& word) {
@@ -45,6 +50,7 @@
   host.leaving = word.leaving;
   host.planner = word.planner;
   host.alive_hosts = word.alive_hosts;
+  size_.OnTold(std::max(word.alive_hosts, word.most_hosts));
   if (word.own_reading == OwnReading::kFailed) {
     host.unanswered = now;
   }
@@ -261,6 +267,8 @@
   return 1 + static_cast<int>(AliveOthers().size());
 }
 
+void HostBook::NoteSize() { size_.OnCounted(CountedHosts()); }
+
 int HostBook::AliveHosts() const {
   int most = CountedHosts();
   for (const auto& [address, host] : hosts_) {
