Bound what all hosts together begin at a cold endpoint

Nobody sees what all hosts send. A planner that counts for all is no answer: while links are cut there may be as many planners as parts, and a new one does not know what the last one gave. So each host keeps to a part of the bound that is its own, whoever chose the endpoint, and begins its requests evenly at a time of its own; in a fleet with more hosts than the bound has requests, a hash of host and endpoint names those that may begin one. The planner counts what it gives to each host by the same rule. After the cold time the bound doubles each second.

Counted in a window of one second and what a request may take on its way, so that two bursts never meet in one second.

Tests: 24 hosts in three parts, each with its planner, three alone, a planner replaced halfway, against one cold endpoint, 20 seeds: never more than 53 in any second, and over 106 with the mechanism off.

--- a/include/harecrank/core/placement.h
+++ b/include/harecrank/core/placement.h
@@ -54,6 +54,8 @@
   RequestOrigin origin;
   // Endpoints that this request has been sent to, which are not asked again.
   std::set<EndpointId> tried;
+  // Cold endpoints that may not be sent anything just now.
+  std::set<EndpointId> withheld;
   // An endpoint may have run it: it is placed even where others become late.
   bool may_have_run = false;
   // Short requests that are expected at all engines while a target's time
@@ -82,7 +84,8 @@
   std::size_t candidates = 0;
 };
 
-// All engines that could read the prompt have enough to read for now.
+// All engines that could read the prompt have enough to read for now, or all
+// endpoints are withheld.
 struct EnginesBusy {};
 using PlacementResult = std::variant<Placement, NoEndpoint, EnginesBusy>;
 
@@ -124,6 +127,8 @@
  private:
   std::vector<EngineCandidate> CandidatesFor(
       const PlacementRequest& request) const;
+  // Whether an endpoint that has not been tried is withheld.
+  bool IsAnyWithheld(const PlacementRequest& request) const;
   void SortInOrder(std::vector<EngineCandidate>* candidates) const;
   Placement ChoosePlain(const std::vector<EngineCandidate>& candidates) const;
   // Whether the first event of `request` can be in time on an idle engine.
--- a/include/harecrank/core/planner.h
+++ b/include/harecrank/core/planner.h
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "harecrank/core/clock.h"
+#include "harecrank/core/cold_starts.h"
 #include "harecrank/core/endpoint_directory.h"
 #include "harecrank/core/endpoint_health.h"
 #include "harecrank/core/endpoint_loads.h"
@@ -48,9 +49,9 @@
  public:
   // All of them must outlive this.
   Planner(const EndpointDirectory* directory, EndpointHealth* health,
-          DataCentreId self, RoutingSource routing,
-          const PlacementPolicy& policy, MonotonicClock clock,
-          RandomSource random);
+          const ColdShares* cold_shares, DataCentreId self,
+          RoutingSource routing, const PlacementPolicy& policy,
+          MonotonicClock clock, RandomSource random);
 
   // This host plans from now on. Until `hosts` have told what they have under
   // way, or for kLearns, every ask waits: engines that look idle are not. On a
@@ -92,6 +93,9 @@
   // A place that is as new as this may not have reached its host when the host
   // gave its account.
   static constexpr Millis kUntold{400};
+  // For so long an ask's own account of what its host may not begin counts:
+  // what the host had begun then makes place one after the other.
+  static constexpr Millis kWithheldHolds{400};
   // An ask that waits and is not repeated for this long was given up: several
   // times the pause between two repetitions.
   static constexpr Millis kAskHolds{1000};
@@ -102,6 +106,7 @@
     TimePoint late_at{};
     // When its caller or route gives it up.
     TimePoint ends_at{};
+    TimePoint began_at{};
     TimePoint asked_at{};
     TimePoint placed_at{};
     std::optional<WaiterId> waiter;
@@ -125,6 +130,9 @@
   // Returns nothing if all engines that could take it are busy.
   std::optional<PlaceDecision> TryPlace(Entry* entry);
   std::optional<PlacementRequest> RequestOf(const Entry& entry) const;
+  // Returns where the host that asks may begin nothing now.
+  std::set<EndpointId> WithheldFrom(const Entry& entry,
+                                    const ServiceProfile& service) const;
   bool IsShort(const PlacementRequest& request) const;
   bool WaitsInVain(const PlaceAsk& ask, const PlacementRequest& request) const;
   void Wait(Entry* entry, const PlacementRequest& request);
@@ -140,10 +148,13 @@
   void DropAsks(Host* host);
 
   EndpointHealth* health_;
+  const ColdShares* cold_shares_;
   RoutingSource routing_;
   PlacementPolicy policy_;
   MonotonicClock clock_;
   EndpointLoads loads_;
+  // What this planner has given to each host.
+  StartCounts given_;
   Placer placer_;
   // Of long prompts and of short ones.
   WaitingRoom room_;
--- /dev/null
+++ b/src/core/cold_starts_test.cc
@@ -0,0 +1,422 @@
+#include "harecrank/core/cold_starts.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "harecrank/core/planner.h"
+
+namespace harecrank {
+namespace {
+
+const ServiceName kService{"svc"};
+const EndpointId kEndpoint{"e0"};
+// 32 requests a second, times 1.5, and 5.
+constexpr ColdBound kBound{1.5, 5};
+constexpr double kColdStartsPerS = 32;
+constexpr std::size_t kMostInASecond = 53;
+
+HostAddress Host(int number) {
+  return HostAddress{"h" + std::to_string(number)};
+}
+
+EndpointRecord RecordOf(std::uint64_t revision, std::optional<Millis> cold_for,
+                        std::int64_t life = 1) {
+  EndpointRecord record;
+  record.id = kEndpoint;
+  record.life = EndpointLife{life};
+  record.service = kService;
+  record.revision = StoreRevision{revision};
+  record.cold_for = cold_for;
+  return record;
+}
+
+ServiceProfile Service() {
+  ServiceProfile service;
+  service.name = kService;
+  service.cold_starts_per_s = kColdStartsPerS;
+  return service;
+}
+
+class ColdFixture {
+ protected:
+  void Pass(Millis time) { now_ += time; }
+
+  TimePoint now_{std::chrono::hours(1)};
+  MonotonicClock clock_ = [this] { return now_; };
+  ColdEndpoints endpoints_{clock_};
+};
+
+TEST_CASE_METHOD(ColdFixture, "An endpoint is cold for as long as it tells") {
+  CHECK(endpoints_.OnRecord(RecordOf(1, Millis(3000)), Millis(0)) ==
+        ColdChange::kTurnedCold);
+  Pass(Millis(2999));
+  CHECK(endpoints_.IsCold(kEndpoint));
+  CHECK(endpoints_.TakeWarmed().empty());
+  Pass(Millis(1));
+  CHECK_FALSE(endpoints_.IsCold(kEndpoint));
+  CHECK(endpoints_.TakeWarmed().size() == 1);
+  CHECK(endpoints_.TakeWarmed().empty());
+}
+
+TEST_CASE_METHOD(ColdFixture,
+                 "An entry that is listed anew keeps nobody cold") {
+  endpoints_.OnRecord(RecordOf(1, Millis(3000)), Millis(0));
+  for (int i = 0; i < 10; ++i) {
+    Pass(Millis(1000));
+    endpoints_.OnRecord(RecordOf(1, Millis(3000)), Millis(0));
+  }
+  CHECK_FALSE(endpoints_.IsCold(kEndpoint));
+}
+
+TEST_CASE_METHOD(ColdFixture, "An older word that comes late warms nobody") {
+  endpoints_.OnRecord(RecordOf(5, Millis(3000)), Millis(0));
+  CHECK(endpoints_.OnRecord(RecordOf(4, Millis(0)), Millis(0)) ==
+        ColdChange::kNone);
+  CHECK(endpoints_.IsCold(kEndpoint));
+}
+
+TEST_CASE_METHOD(ColdFixture, "A newer word may warm or cool at any moment") {
+  endpoints_.OnRecord(RecordOf(1, Millis(0)), Millis(0));
+  CHECK(endpoints_.OnRecord(RecordOf(2, Millis(3000)), Millis(0)) ==
+        ColdChange::kTurnedCold);
+  CHECK(endpoints_.OnRecord(RecordOf(3, Millis(1800)), Millis(0)) ==
+        ColdChange::kNone);
+  CHECK(endpoints_.OnRecord(RecordOf(4, Millis(0)), Millis(0)) ==
+        ColdChange::kTurnedWarm);
+  CHECK_FALSE(endpoints_.IsCold(kEndpoint));
+}
+
+TEST_CASE_METHOD(ColdFixture, "A new life that tells nothing is cold") {
+  endpoints_.OnRecord(RecordOf(1, std::nullopt), Millis(0));
+  CHECK_FALSE(endpoints_.IsCold(kEndpoint));
+  endpoints_.OnRecord(RecordOf(2, std::nullopt), Millis(3000));
+  CHECK_FALSE(endpoints_.IsCold(kEndpoint));
+  endpoints_.OnRecord(RecordOf(3, std::nullopt, 2), Millis(3000));
+  CHECK(endpoints_.IsCold(kEndpoint));
+}
+
+TEST_CASE_METHOD(ColdFixture, "An entry that lapses leaves its endpoint cold") {
+  endpoints_.OnRecord(RecordOf(1, Millis(3000)), Millis(0));
+  endpoints_.OnGone(kEndpoint);
+  CHECK(endpoints_.IsCold(kEndpoint));
+  Pass(Millis(10000));
+  endpoints_.TakeWarmed();
+  CHECK_FALSE(endpoints_.Factor(kEndpoint).has_value());
+}
+
+TEST_CASE_METHOD(ColdFixture, "Two bursts never share a second") {
+  StartCounts starts(clock_);
+  starts.Add(Host(0), kEndpoint);
+  starts.Add(Host(0), kEndpoint);
+  Pass(StartCounts::kWindow - Millis(1));
+  CHECK(starts.Of(Host(0), kEndpoint) == 2);
+  CHECK(starts.Of(Host(1), kEndpoint) == 0);
+  Pass(Millis(1));
+  CHECK(starts.Of(Host(0), kEndpoint) == 0);
+}
+
+TEST_CASE_METHOD(ColdFixture, "The parts of all hosts add up to the bound") {
+  endpoints_.OnRecord(RecordOf(1, Millis(3000)), Millis(0));
+  const ServiceProfile service = Service();
+  for (const int hosts : {1, 3, 24, 53, 54, 100, 300, 810}) {
+    const ColdShares shares(
+        kBound, &endpoints_, [hosts] { return hosts; }, clock_);
+    // The hash names others for other endpoints.
+    for (int endpoint = 0; endpoint < 200; ++endpoint) {
+      EndpointRecord record = RecordOf(1, Millis(3000));
+      record.id = EndpointId{"e" + std::to_string(endpoint)};
+      endpoints_.OnRecord(record, Millis(0));
+      double sum = 0;
+      for (int host = 0; host < hosts; ++host) {
+        sum += *shares.ShareOf(Host(host), record.id, service);
+      }
+      CHECK(sum <= kMostInASecond);
+      CHECK(sum >= 1);
+    }
+  }
+}
+
+TEST_CASE_METHOD(ColdFixture,
+                 "A host that does not know the fleet begins nothing there") {
+  endpoints_.OnRecord(RecordOf(1, Millis(3000)), Millis(0));
+  const ColdShares shares(
+      kBound, &endpoints_, [] { return std::nullopt; }, clock_);
+  CHECK(shares.ShareOf(Host(0), kEndpoint, Service()) == 0.0);
+}
+
+TEST_CASE_METHOD(ColdFixture, "Without a bound nothing is withheld") {
+  endpoints_.OnRecord(RecordOf(1, Millis(3000)), Millis(0));
+  const StartCounts starts(clock_);
+  ServiceProfile unbounded = Service();
+  unbounded.cold_starts_per_s = 0;
+  const ColdShares none(
+      ColdBound{}, &endpoints_, [] { return std::nullopt; }, clock_);
+  CHECK(none.Withheld(starts, Host(0), Service()).empty());
+  const ColdShares bound(
+      kBound, &endpoints_, [] { return std::nullopt; }, clock_);
+  CHECK(bound.Withheld(starts, Host(0), unbounded).empty());
+  CHECK(bound.Withheld(starts, Host(0), Service()).size() == 1);
+}
+
+// Returns the most of `times` that lie within one second.
+std::size_t MostInASecond(std::vector<TimePoint> times) {
+  std::sort(times.begin(), times.end());
+  std::size_t most = 0;
+  std::size_t first = 0;
+  for (std::size_t last = 0; last < times.size(); ++last) {
+    while (times[last] - times[first] >= std::chrono::seconds(1)) {
+      ++first;
+    }
+    most = std::max(most, last - first + 1);
+  }
+  return most;
+}
+
+// Twenty-four hosts in three parts that do not hear of each other, each with a
+// planner that takes itself for the only one, and three hosts that place alone.
+// All of them know one endpoint, which is cold, and have far more work than it
+// takes. Halfway the first planner dies, and a new one follows it that knows
+// nothing of what it gave.
+class CutFleet {
+ public:
+  CutFleet(ColdBound bound, std::uint64_t seed)
+      : random_(seed),
+        shares_(
+            bound, &endpoints_, [] { return kHosts; }, clock_) {
+    EndpointRecord record = RecordOf(1, kPlayed + Millis(1000));
+    record.address = "e0:1";
+    directory_.Upsert(record);
+    endpoints_.OnRecord(record, Millis(0));
+    RoutingDocument document;
+    document.version = RoutingVersion{1};
+    ServiceProfile service = Service();
+    service.engine.emplace();
+    service.engine->slots = 1000;
+    service.engine->memory = Tokens{100000000};
+    service.engine->step_ms = 1;
+    service.engine->read_tokens_per_ms = 1000;
+    document.services = {service};
+    RouteRule route;
+    route.host = "a";
+    route.path_prefix = "/";
+    route.kind = RequestKind::kStreaming;
+    route.target_gap = Millis(1000);
+    route.services = {WeightedService{kService, 1}};
+    document.routes = {route};
+    table_ = std::make_shared<const RoutingTable>(std::move(document));
+    for (int i = 0; i < kPlanners; ++i) {
+      planners_.push_back(MakePlanner());
+    }
+    for (int i = 0; i < kHosts; ++i) {
+      begun_.emplace_back(clock_);
+    }
+  }
+
+  // Returns when requests reached the endpoint.
+  const std::vector<TimePoint>& Play() {
+    const TimePoint end = now_ + kPlayed;
+    const TimePoint halfway = now_ + kPlayed / 2;
+    bool has_followed = false;
+    while (now_ < end) {
+      if (!has_followed && now_ >= halfway) {
+        has_followed = true;
+        planners_[0] = MakePlanner();
+      }
+      for (int i = 0; i < kRequestsInAStep; ++i) {
+        StartRequest(static_cast<int>(random_() % kHosts));
+      }
+      for (const auto& planner : planners_) {
+        for (const DuePlace& due : planner->TryWaiting()) {
+          OnDecision(HostNumber(due.host), due.decision);
+        }
+      }
+      now_ += kStep;
+    }
+    return arrived_;
+  }
+
+ private:
+  static constexpr int kHosts = 24;
+  static constexpr int kPlanners = 3;
+  static constexpr int kAlone = 3;
+  static constexpr int kRequestsInAStep = 3;
+  static constexpr Millis kStep{10};
+  static constexpr Millis kPlayed{6000};
+
+  std::unique_ptr<Planner> MakePlanner() {
+    return std::make_unique<Planner>(
+        &directory_, &health_, &shares_, DataCentreId{"a"},
+        [this] { return table_; }, PlacementPolicy{}, clock_,
+        [this] { return random_(); });
+  }
+
+  static int HostNumber(const HostAddress& host) {
+    return std::stoi(host.value.substr(1));
+  }
+
+  void StartRequest(int host) {
+    if (host < kAlone) {
+      if (MayBegin(host)) {
+        Begin(host);
+      }
+      return;
+    }
+    PlaceAsk ask;
+    ask.host = Host(host);
+    ask.life = Incarnation{1};
+    ask.id = AskId{++last_id_};
+    ask.service = kService;
+    ask.target_latency = Millis(500);
+    ask.target_gap = Millis(1000);
+    ask.prompt = Tokens{1000};
+    ask.answer = Tokens{10};
+    ask.until_late = Millis(500);
+    if (!MayBegin(host)) {
+      ask.withheld.insert(kEndpoint);
+    }
+    OnDecision(
+        host,
+        planners_[static_cast<std::size_t>(host % kPlanners)]->OnAsk(ask));
+  }
+
+  void OnDecision(int host, const PlaceDecision& decision) {
+    if (std::holds_alternative<PlannedPlacement>(decision) && MayBegin(host)) {
+      Begin(host);
+    }
+  }
+
+  bool MayBegin(int host) {
+    return shares_.MayStart(begun_[static_cast<std::size_t>(host)], Host(host),
+                            kEndpoint, table_->Document().services.front());
+  }
+
+  void Begin(int host) {
+    begun_[static_cast<std::size_t>(host)].Add(Host(host), kEndpoint);
+    // One in four needs a new connection, and the host is busy at times.
+    const bool is_slow = random_() % 4 == 0;
+    const auto longest =
+        is_slow ? EndpointDirectory::kSendingTime.count() : std::int64_t{5};
+    const auto delay = static_cast<std::int64_t>(
+        random_() % static_cast<std::uint64_t>(longest));
+    arrived_.push_back(now_ + Millis(delay));
+  }
+
+  TimePoint now_{std::chrono::hours(1)};
+  MonotonicClock clock_ = [this] { return now_; };
+  std::mt19937_64 random_;
+  std::uint64_t last_id_ = 0;
+  EndpointDirectory directory_{clock_};
+  EndpointHealth health_{clock_};
+  ColdEndpoints endpoints_{clock_};
+  ColdShares shares_;
+  std::shared_ptr<const RoutingTable> table_;
+  std::vector<std::unique_ptr<Planner>> planners_;
+  // What each host has begun.
+  std::vector<StartCounts> begun_;
+  std::vector<TimePoint> arrived_;
+};
+
+TEST_CASE("A fleet that is cut in three stays within a cold endpoint's bound") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CutFleet fleet(kBound, seed);
+    const std::size_t most = MostInASecond(fleet.Play());
+    CHECK(most <= kMostInASecond);
+    // Far less would leave the endpoint idle.
+    CHECK(most >= kMostInASecond / 2);
+  }
+}
+
+TEST_CASE("A fleet that is cut in three presses on a cold endpoint") {
+  CutFleet unbounded(ColdBound{}, 1);
+  CHECK(MostInASecond(unbounded.Play()) > 2 * kMostInASecond);
+}
+
+// Three warm plain endpoints and a cold one, to which nobody has sent for a
+// while: as it is idle, all hosts choose it as soon as they may.
+std::vector<int> PlayRise(ColdBound bound, int hosts) {
+  constexpr Millis kStep{1};
+  constexpr Millis kHalf{500};
+  constexpr Millis kCold{3000};
+  constexpr Millis kPlayed{10000};
+  TimePoint now{std::chrono::hours(1)};
+  const MonotonicClock clock = [&now] { return now; };
+  std::mt19937_64 random(7);
+  EndpointDirectory directory(clock);
+  EndpointHealth health(clock);
+  ColdEndpoints cold(clock);
+  const ServiceProfile service = Service();
+  EndpointRecord record = RecordOf(1, kCold);
+  for (const char* id : {"e0", "e1", "e2", "e3"}) {
+    record.id = EndpointId{id};
+    directory.Upsert(record);
+    cold.OnRecord(record, Millis(0));
+    record.cold_for = Millis(0);
+  }
+  const ColdShares shares(
+      bound, &cold, [hosts] { return hosts; }, clock);
+  EndpointLoads loads(clock);
+  const Placer placer(
+      &directory, &loads, &health, DataCentreId{}, LoadsOf::kThisHost,
+      [hosts] { return hosts; }, PlacementPolicy{}, [&] { return random(); });
+  StartCounts starts(clock);
+  struct Running {
+    TimePoint ends;
+    WorkId work;
+  };
+  std::deque<Running> running;
+  std::vector<int> halves(kPlayed / kHalf);
+  const TimePoint began = now;
+  while (now - began < kPlayed) {
+    while (!running.empty() && running.front().ends <= now) {
+      loads.End(running.front().work);
+      running.pop_front();
+    }
+    const HostAddress host =
+        Host(static_cast<int>(random() % static_cast<std::uint64_t>(hosts)));
+    PlacementRequest request;
+    request.service = &service;
+    request.withheld = shares.Withheld(starts, host, service);
+    const auto placement = std::get<Placement>(placer.Choose(request));
+    starts.Add(host, placement.endpoint.id);
+    for (const WorkPart& part : PartsOf(placement, request)) {
+      running.push_back(Running{now + Millis(50), loads.Begin(part)});
+    }
+    if (placement.endpoint.id == kEndpoint) {
+      ++halves[static_cast<std::size_t>((now - began) / kHalf)];
+    }
+    now += kStep;
+  }
+  return halves;
+}
+
+// Returns by how much a half second's load is above one and a half times the
+// one before, at the most, and that of the first half second.
+double Wave(const std::vector<int>& halves) {
+  double most = 0;
+  for (std::size_t i = 2; i < halves.size(); ++i) {
+    most = std::max(most, halves[i] - 1.5 * halves[i - 1]);
+  }
+  return most;
+}
+
+TEST_CASE("Work returns to an endpoint that was cold without a wave") {
+  constexpr double kSmall = 6;
+  for (const int hosts : {3, 24, 100}) {
+    const std::vector<int> halves = PlayRise(kBound, hosts);
+    CHECK(Wave(halves) <= kSmall);
+    CHECK(halves.front() <= static_cast<int>(kMostInASecond) / 2);
+    // A quarter of a thousand a second, in the end.
+    CHECK(halves.back() >= 110);
+  }
+}
+
+TEST_CASE("Without a bound a cold endpoint gets all its work at once") {
+  CHECK(PlayRise(ColdBound{}, 24).front() >
+        2 * static_cast<int>(kMostInASecond));
+}
+
+}  // namespace
+}  // namespace harecrank
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -93,6 +93,9 @@
 
 PlacementResult Placer::Choose(const PlacementRequest& request) const {
   std::vector<EngineCandidate> candidates = CandidatesFor(request);
+  if (candidates.empty() && IsAnyWithheld(request)) {
+    return EnginesBusy{};
+  }
   if (candidates.empty()) {
     return NoEndpoint{};
   }
@@ -127,7 +130,8 @@
   std::vector<EngineCandidate> suspect;
   for (const EndpointRecord* record :
        directory_->UsableOf(request.service->name)) {
-    if (request.tried.count(record->id) != 0) {
+    if (request.tried.count(record->id) != 0 ||
+        request.withheld.count(record->id) != 0) {
       continue;
     }
     EngineCandidate candidate;
@@ -139,6 +143,15 @@
   return sound.empty() ? suspect : sound;
 }
 
+bool Placer::IsAnyWithheld(const PlacementRequest& request) const {
+  const auto& usable = directory_->UsableOf(request.service->name);
+  return std::any_of(usable.begin(), usable.end(),
+                     [&request](const EndpointRecord* record) {
+                       return request.tried.count(record->id) == 0 &&
+                              request.withheld.count(record->id) != 0;
+                     });
+}
+
 void Placer::SortInOrder(std::vector<EngineCandidate>* candidates) const {
   for (EngineCandidate& candidate : *candidates) {
     candidate.rank = RendezvousWeight(order_key_, candidate.record->id.value);
--- a/src/core/planner.cc
+++ b/src/core/planner.cc
@@ -21,14 +21,16 @@
 }  // namespace
 
 Planner::Planner(const EndpointDirectory* directory, EndpointHealth* health,
-                 DataCentreId self, RoutingSource routing,
-                 const PlacementPolicy& policy, MonotonicClock clock,
-                 RandomSource random)
+                 const ColdShares* cold_shares, DataCentreId self,
+                 RoutingSource routing, const PlacementPolicy& policy,
+                 MonotonicClock clock, RandomSource random)
     : health_(health),
+      cold_shares_(cold_shares),
       routing_(std::move(routing)),
       policy_(policy),
       clock_(clock),
       loads_(clock),
+      given_(clock),
       placer_(
           directory, &loads_, health, std::move(self), LoadsOf::kAllHosts,
           [] { return 1; }, policy, std::move(random)),
@@ -56,6 +58,7 @@
     return AskWaits{};
   }
   entry.ask = ask;
+  entry.began_at = clock_();
   entry.late_at = clock_() + std::chrono::duration_cast<TimePoint::duration>(
                                  ask.until_late);
   entry.ends_at = clock_() + std::chrono::duration_cast<TimePoint::duration>(
@@ -102,6 +105,7 @@
   request.until_deadline = entry.ends_at - clock_();
   request.origin = entry.ask.origin;
   request.tried = entry.ask.tried;
+  request.withheld = WithheldFrom(entry, *service);
   request.may_have_run = entry.ask.may_have_run;
   if (entry.is_short) {
     request.demand = DemandWithin(request.target_latency);
@@ -109,6 +113,17 @@
   return request;
 }
 
+std::set<EndpointId> Planner::WithheldFrom(
+    const Entry& entry, const ServiceProfile& service) const {
+  std::set<EndpointId> withheld =
+      cold_shares_->Withheld(given_, entry.ask.host, service);
+  // What the host had begun when it asked, also by places of other planners.
+  if (clock_() - entry.began_at < kWithheldHolds) {
+    withheld.insert(entry.ask.withheld.begin(), entry.ask.withheld.end());
+  }
+  return withheld;
+}
+
 std::optional<PlaceDecision> Planner::TryPlace(Entry* entry) {
   const auto request = RequestOf(*entry);
   if (!request.has_value()) {
@@ -125,6 +140,9 @@
   for (const WorkPart& part : PartsOf(*placement, *request)) {
     entry->work.push_back(loads_.Begin(part, entry->late_at));
   }
+  if (cold_shares_->IsBounded(*request->service)) {
+    given_.Add(entry->ask.host, placement->endpoint.id);
+  }
   entry->endpoint = placement->endpoint.id;
   entry->placed = Planned(*placement);
   entry->placed_at = clock_();
--- a/src/core/planner_test.cc
+++ b/src/core/planner_test.cc
@@ -52,8 +52,9 @@
 
   std::unique_ptr<Planner> MakePlanner() {
     return std::make_unique<Planner>(
-        &directory_, &health_, DataCentreId{"a"}, [this] { return table_; },
-        policy_, [this] { return now_; }, [this] { return drawn_ += 77; });
+        &directory_, &health_, &cold_shares_, DataCentreId{"a"},
+        [this] { return table_; }, policy_, [this] { return now_; },
+        [this] { return drawn_ += 77; });
   }
 
   PlaceAsk Short(int host) { return Ask(host, 5000, Millis(400), Millis(300)); }
@@ -107,6 +108,9 @@
   PlacementPolicy policy_;
   EndpointDirectory directory_{[this] { return now_; }};
   EndpointHealth health_{[this] { return now_; }};
+  ColdEndpoints cold_{[this] { return now_; }};
+  ColdShares cold_shares_{ColdBound{}, &cold_, [] { return 1; },
+                          [this] { return now_; }};
   std::shared_ptr<const RoutingTable> table_;
   std::unique_ptr<Planner> planner_;
 };
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -92,8 +92,12 @@
       queue_(&io_, clock_, settings_.placement.tried),
       orders_(platform.make_orders(&io_)),
       hosts_(Self(settings_), Addresses(settings_.seed_peers), clock_, random_),
+      cold_gate_(
+          Self(settings_).address, settings_.cold_bound,
+          [this] { return hosts_.Size().Most(); },
+          [this] { return routing_.InForce(); }, &log_, &metrics_, clock_),
       planner_(
-          &directory_, &health_, settings_.data_centre,
+          &directory_, &health_, cold_gate_.Shares(), settings_.data_centre,
           [this] { return routing_.InForce(); }, settings_.placement, clock_,
           random_),
       fleet_socket_(&io_, settings_.peers_address, &metrics_),
@@ -152,6 +156,7 @@
   services.placer = &placer_;
   services.policy = &settings_.placement;
   services.budgets = &budgets_;
+  services.cold_gate = &cold_gate_;
   services.queue = &queue_;
   services.orders = orders_.get();
   services.log = &log_;
@@ -235,6 +240,7 @@
     word->source_age = duty_.Age();
     word->own_reading = duty_.Own();
     word->crash_digest = quarantine_.SharedDigest();
+    word->most_hosts = hosts_.Size().Counted();
   };
   ports.on_crashes = [this](const std::vector<CrashReport>& reports,
                             std::vector<CrashReport>* missing) {
@@ -274,6 +280,12 @@
   metrics_.AddGauge("harecrank_gateway_endpoints_missing", [this] {
     return static_cast<double>(directory_.MissingCount());
   });
+  metrics_.AddGauge("harecrank_gateway_endpoints_cold", [this] {
+    return static_cast<double>(cold_gate_.ColdCount());
+  });
+  metrics_.AddGauge("harecrank_gateway_fleet_size", [this] {
+    return static_cast<double>(hosts_.Size().Most().value_or(0));
+  });
   metrics_.AddGauge("harecrank_gateway_source_well",
                     [this] { return source_well_ ? 1.0 : 0.0; });
   metrics_.AddGauge("harecrank_gateway_waiting",
@@ -318,15 +330,18 @@
 
 void GatewayNode::OnListing(std::vector<EndpointRecord> records,
                             StoreRevision at) {
+  cold_gate_.OnListing(records);
   endpoint_news_.OnListing(records, at);
   AcceptCallers();
 }
 
 void GatewayNode::OnEndpoint(const EndpointRecord& record) {
+  cold_gate_.OnEndpoint(record);
   endpoint_news_.OnEndpoint(record);
 }
 
 void GatewayNode::OnEndpointGone(const EndpointId& id, StoreRevision revision) {
+  cold_gate_.OnGone(id);
   endpoint_news_.OnGone(id, revision);
 }
 
@@ -460,6 +475,8 @@
   const TimePoint now = clock_();
   AcceptCallers();
   endpoint_news_.DropLapsed();
+  hosts_.NoteSize();
+  cold_gate_.Tick();
   UpdateSource("nobody told for a while");
   if (now - swept_ >= kSweepInterval) {
     swept_ = now;
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -114,6 +114,7 @@
   DispatchQueue queue_;
   std::unique_ptr<MemoryOrders> orders_;
   HostBook hosts_;
+  ColdGate cold_gate_;
   Planner planner_;
   FleetSocket fleet_socket_;
   FleetMember fleet_;
--- a/src/gateway/gateway_services.h
+++ b/src/gateway/gateway_services.h
@@ -17,6 +17,7 @@
 #include "harecrank/core/routing_table.h"
 #include "src/adapters/event_log.h"
 #include "src/adapters/metrics.h"
+#include "src/gateway/cold_gate.h"
 #include "src/gateway/crash_guard.h"
 #include "src/gateway/dispatch_queue.h"
 #include "src/gateway/endpoint_connections.h"
@@ -70,6 +71,7 @@
   const Placer* placer = nullptr;
   const PlacementPolicy* policy = nullptr;
   RepeatBudgets* budgets = nullptr;
+  ColdGate* cold_gate = nullptr;
   DispatchQueue* queue = nullptr;
   MemoryOrders* orders = nullptr;
   EventLog* log = nullptr;
--- a/src/gateway/place_client.cc
+++ b/src/gateway/place_client.cc
@@ -46,6 +46,7 @@
   ask.may_have_run = may_have_run;
   ask.tried = request.tried;
   ask.origin = request.origin;
+  ask.withheld = request.withheld;
   pending.late_at = clock_() + std::chrono::duration_cast<TimePoint::duration>(
                                    request.until_late);
   pending.ends_at = clock_() + std::chrono::duration_cast<TimePoint::duration>(
