Ask before each sending whether a cold endpoint takes it

The host that sends keeps to its part of the bound, whoever chose the endpoint: a place that comes too soon is given back. A plain request for which all endpoints are withheld waits until it is late, and is refused then with a time after which there is room again.

--- a/src/gateway/cold_gate.cc
+++ b/src/gateway/cold_gate.cc
@@ -56,14 +56,22 @@
 std::set<EndpointId> ColdGate::Withheld(const ServiceProfile& service) {
   std::set<EndpointId> withheld = shares_.Withheld(starts_, self_, service);
   if (!withheld.empty()) {
-    metrics_->GetCounter("harecrank_gateway_starts_withheld_total")->Add();
+    CountWithheld();
   }
   return withheld;
 }
 
 bool ColdGate::MayStart(const EndpointId& endpoint,
-                        const ServiceProfile& service) const {
-  return shares_.MayStart(starts_, self_, endpoint, service);
+                        const ServiceProfile& service) {
+  const bool may = shares_.MayStart(starts_, self_, endpoint, service);
+  if (!may) {
+    CountWithheld();
+  }
+  return may;
+}
+
+void ColdGate::CountWithheld() {
+  metrics_->GetCounter("harecrank_gateway_starts_withheld_total")->Add();
 }
 
 void ColdGate::OnStart(const EndpointId& endpoint,
--- a/src/gateway/cold_gate.h
+++ b/src/gateway/cold_gate.h
@@ -38,9 +38,9 @@
   // made without those.
   std::set<EndpointId> Withheld(const ServiceProfile& service);
 
-  // Returns whether this host may begin a request at `endpoint` now.
-  bool MayStart(const EndpointId& endpoint,
-                const ServiceProfile& service) const;
+  // Returns whether this host may begin a request at `endpoint` now, and counts
+  // it if not.
+  bool MayStart(const EndpointId& endpoint, const ServiceProfile& service);
 
   // Notes that it begins one.
   void OnStart(const EndpointId& endpoint, const ServiceProfile& service);
@@ -51,6 +51,7 @@
   std::size_t ColdCount() const { return endpoints_.Count(); }
 
  private:
+  void CountWithheld();
   void Take(const EndpointRecord& record, Millis after_start);
 
   HostAddress self_;
--- a/src/gateway/place_seeker.cc
+++ b/src/gateway/place_seeker.cc
@@ -12,6 +12,9 @@
 // How long a request waits before it asks for another place after memory that
 // was free has been taken by another.
 constexpr Millis kMemoryRetry{40};
+// How long a plain request waits before it looks again whether a cold endpoint
+// takes it.
+constexpr Millis kColdRetry{40};
 
 }  // namespace
 
@@ -22,7 +25,7 @@
       sought_(std::move(sought)),
       observer_(observer),
       log_fields_(std::move(log_fields)),
-      memory_timer_(*services->io) {}
+      retry_timer_(*services->io) {}
 
 void PlaceSeeker::Seek(bool started) {
   started_ = started;
@@ -42,8 +45,14 @@
   sought_.request.until_deadline = sought_.deadline - now;
 }
 
+void PlaceSeeker::SetWithheld() {
+  sought_.request.withheld =
+      services_->cold_gate->Withheld(*sought_.request.service);
+}
+
 void PlaceSeeker::Ask() {
   SetTimes();
+  SetWithheld();
   ask_ = services_->places->Ask(
       sought_.request, started_,
       [weak = weak_from_this()](const AskResult& result) {
@@ -86,13 +95,17 @@
 
 void PlaceSeeker::UsePlanned(const PlannedPlacement& planned) {
   std::optional<Placement> placement = PlacementOf(planned);
-  if (placement.has_value()) {
+  const bool may_start = MayStartAt(planned.endpoint);
+  if (placement.has_value() && may_start) {
     Prepare(*placement);
     return;
   }
-  // The listing of the planner and this host's differ.
+  // The listing of the planner and this host's differ, or another planner has
+  // given what this host may begin there.
   EndAsk();
-  MarkTried(planned.endpoint);
+  if (may_start) {
+    MarkTried(planned.endpoint);
+  }
   ++unusable_places_;
   if (unusable_places_ < kMostUnusablePlaces) {
     Ask();
@@ -130,6 +143,10 @@
   return usable ? record : nullptr;
 }
 
+bool PlaceSeeker::MayStartAt(const EndpointId& id) const {
+  return services_->cold_gate->MayStart(id, *sought_.request.service);
+}
+
 bool PlaceSeeker::IsStillUsable(const Placement& placement) const {
   const auto usable = [this](const Helper& helper) {
     return Usable(helper.record.id) != nullptr;
@@ -143,6 +160,10 @@
   if (TryPlace()) {
     return;
   }
+  if (!sought_.request.service->engine.has_value()) {
+    WaitForColdEndpoint();
+    return;
+  }
   if (services_->policy->refuses_by_precedent && WaitsInVain()) {
     observer_->OnTurnedAway(PauseForReturn());
     return;
@@ -150,6 +171,23 @@
   Wait();
 }
 
+void PlaceSeeker::WaitForColdEndpoint() {
+  if (!started_ && services_->clock() >= sought_.late_at) {
+    observer_->OnTurnedAway(StartCounts::kWindow);
+    return;
+  }
+  NoteWaiting();
+  retry_timer_.expires_after(kColdRetry);
+  retry_timer_.async_wait(
+      [weak = weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self != nullptr && self->observer_ != nullptr) {
+          self->PlaceAlone();
+        }
+      });
+  observer_->OnWaits();
+}
+
 bool PlaceSeeker::WaitsInVain() const {
   if (started_) {
     return false;
@@ -172,6 +210,7 @@
 
 bool PlaceSeeker::TryPlace() {
   SetTimes();
+  SetWithheld();
   const PlacementResult result = services_->placer->Choose(sought_.request);
   if (std::holds_alternative<EnginesBusy>(result)) {
     return false;
@@ -254,7 +293,7 @@
     }
   }
   if (needs.empty()) {
-    observer_->OnPlace(placement);
+    GivePlace(placement);
     return;
   }
   hold_ = std::make_shared<MemoryHold>(services_->io, services_->orders,
@@ -268,24 +307,31 @@
   observer_->OnWaits();
 }
 
+void PlaceSeeker::GivePlace(const Placement& placement) {
+  services_->cold_gate->OnStart(placement.endpoint.id,
+                                *sought_.request.service);
+  observer_->OnPlace(placement);
+}
+
 void PlaceSeeker::OnMemory(const Placement& placement, bool held) {
   nlohmann::json fields = log_fields_();
   // Memory is waited for up to 300 ms. With the wait for a connection an
   // endpoint that was heard to leave meanwhile would be sent to 0.6 s later.
-  const bool usable = IsStillUsable(placement);
+  const bool usable =
+      IsStillUsable(placement) && MayStartAt(placement.endpoint.id);
   fields["held"] = held;
   fields["usable"] = usable;
   fields["prompt"] = sought_.request.prompt.value;
   services_->log->Write("memory", std::move(fields));
   if (held && usable) {
-    observer_->OnPlace(placement);
+    GivePlace(placement);
     return;
   }
   End();
   NoteWaiting();
   // The memory that was there a moment ago is another's now.
-  memory_timer_.expires_after(kMemoryRetry);
-  memory_timer_.async_wait(
+  retry_timer_.expires_after(kMemoryRetry);
+  retry_timer_.async_wait(
       [weak = weak_from_this()](const boost::system::error_code& error) {
         const auto self = weak.lock();
         if (!error && self != nullptr && self->observer_ != nullptr) {
@@ -348,7 +394,7 @@
 void PlaceSeeker::Close() {
   LeaveQueue();
   End();
-  memory_timer_.cancel();
+  retry_timer_.cancel();
   observer_ = nullptr;
 }
 
--- a/src/gateway/place_seeker.h
+++ b/src/gateway/place_seeker.h
@@ -92,6 +92,9 @@
   std::optional<Placement> PlacementOf(const PlannedPlacement& planned) const;
   // Returns the record of `id` if new work may go there now, otherwise null.
   const EndpointRecord* Usable(const EndpointId& id) const;
+  // Returns whether this host's part of what `id` takes while it is cold allows
+  // a further request.
+  bool MayStartAt(const EndpointId& id) const;
   // Returns whether new work may still go to all that `placement` names.
   bool IsStillUsable(const Placement& placement) const;
   // Tells that no planner gave a place.
@@ -101,7 +104,12 @@
   // Returns false if all engines that could take it are busy.
   bool TryPlace();
   void SetTimes();
+  // Notes where this host may begin nothing just now.
+  void SetWithheld();
   void Wait();
+  // Waits while all endpoints of a plain service are withheld, at most until
+  // the request is late.
+  void WaitForColdEndpoint();
   void NoteWaiting();
   // Whether another prompt that takes no longer to read waits and can no longer
   // be in time.
@@ -112,6 +120,8 @@
   // Sets memory aside first if the placement needs that.
   void Prepare(const Placement& placement);
   void OnMemory(const Placement& placement, bool held);
+  // The request is sent now.
+  void GivePlace(const Placement& placement);
   void BeginWork(const Placement& placement);
   // Ends the place that was asked for, given or not.
   void EndAsk();
@@ -121,7 +131,9 @@
   // Null once this is closed.
   PlaceObserver* observer_;
   std::function<nlohmann::json()> log_fields_;
-  Timer memory_timer_;
+  // Until it seeks again, after memory was not to be had or while endpoints are
+  // withheld.
+  Timer retry_timer_;
   bool started_ = false;
   // The place that was asked for, while it is waited for or used.
   std::optional<AskId> ask_;
