--- a/include/harecrank/core/routing_table.h
+++ b/include/harecrank/core/routing_table.h
@@ -113,7 +113,8 @@
 // All of it as published, before it is indexed.
 struct RoutingDocument {
   RoutingVersion version;
-  std::vector<RouteRule> routes;
+  // Shared with the versions before that have the same route.
+  std::vector<std::shared_ptr<const RouteRule>> routes;
   std::vector<ServiceProfile> services;
   // Absent: no request needs a key.
   std::optional<std::vector<AccountEntry>> accounts;
@@ -146,10 +147,15 @@
   const AccountEntry* FindAccountByKey(const std::string& key) const;
 
  private:
+  // The texts are the document's.
+  using RoutesByPrefix = std::unordered_map<std::string_view, const RouteRule*>;
+
+  void IndexRoutes();
+
   RoutingDocument document_;
-  // Positions in the document, by host and then by prefix.
-  std::unordered_map<std::string, std::unordered_map<std::string, std::size_t>>
-      routes_;
+  // By host.
+
+  std::unordered_map<std::string, RoutesByPrefix> routes_;
   std::unordered_map<ServiceName, std::size_t> services_;
   std::unordered_map<ServiceName, Millis> tightest_gaps_;
   std::unordered_map<std::string, std::size_t> account_by_key_;
--- a/src/core/planner_test.cc
+++ b/src/core/planner_test.cc
@@ -44,7 +44,7 @@
       route.kind = RequestKind::kStreaming;
       route.target_gap = gap;
       route.services = {WeightedService{kWriters, 1}};
-      document.routes.push_back(route);
+      document.routes.push_back(std::make_shared<const RouteRule>(route));
     }
     table_ = std::make_shared<const RoutingTable>(std::move(document));
     planner_ = MakePlanner();
--- a/src/core/routing_table.cc
+++ b/src/core/routing_table.cc
@@ -20,18 +20,7 @@
 
 RoutingTable::RoutingTable(RoutingDocument document)
     : document_(std::move(document)) {
-  for (std::size_t i = 0; i < document_.routes.size(); ++i) {
-    const RouteRule& route = document_.routes[i];
-    routes_[NormalHost(route.host)].emplace(route.path_prefix, i);
-    if (route.target_gap <= Millis(0)) {
-      continue;
-    }
-    for (const WeightedService& target : route.services) {
-      Millis& gap = tightest_gaps_.try_emplace(target.service, route.target_gap)
-                        .first->second;
-      gap = std::min(gap, route.target_gap);
-    }
-  }
+  IndexRoutes();
   for (std::size_t i = 0; i < document_.services.size(); ++i) {
     services_.emplace(document_.services[i].name, i);
   }
@@ -45,6 +34,31 @@
   }
 }
 
+void RoutingTable::IndexRoutes() {
+  // Routes of one host mostly stand together.
+  const RouteRule* last = nullptr;
+  RoutesByPrefix* on_host = nullptr;
+  for (const auto& route : document_.routes) {
+    if (last == nullptr || route->host != last->host) {
+      on_host = &routes_[NormalHost(route->host)];
+      if (routes_.size() == 1) {
+        on_host->reserve(document_.routes.size());
+      }
+    }
+    last = route.get();
+    on_host->emplace(route->path_prefix, last);
+    if (route->target_gap <= Millis(0)) {
+      continue;
+    }
+    for (const WeightedService& target : route->services) {
+      Millis& gap =
+          tightest_gaps_.try_emplace(target.service, route->target_gap)
+              .first->second;
+      gap = std::min(gap, route->target_gap);
+    }
+  }
+}
+
 const RouteRule* RoutingTable::FindRoute(std::string_view host,
                                          std::string_view path) const {
   const auto on_host = routes_.find(NormalHost(host));
@@ -54,10 +68,9 @@
   // Every prefix ends with a slash, so only those ends need a look.
   std::size_t slash = path.rfind('/');
   while (slash != std::string_view::npos) {
-    const auto found =
-        on_host->second.find(std::string(path.substr(0, slash + 1)));
+    const auto found = on_host->second.find(path.substr(0, slash + 1));
     if (found != on_host->second.end()) {
-      return &document_.routes[found->second];
+      return found->second;
     }
     if (slash == 0) {
       break;
--- a/src/core/routing_table_test.cc
+++ b/src/core/routing_table_test.cc
@@ -5,13 +5,16 @@
 namespace harecrank {
 namespace {
 
-RouteRule Rule(const std::string& prefix, const std::string& service) {
+std::shared_ptr<const RouteRule> Rule(const std::string& prefix,
+                                      const std::string& service,
+                                      Millis target_gap = Millis(0)) {
   RouteRule rule;
   rule.name = prefix;
   rule.host = "A.example";
   rule.path_prefix = prefix;
+  rule.target_gap = target_gap;
   rule.services.push_back(WeightedService{ServiceName{service}, 1});
-  return rule;
+  return std::make_shared<const RouteRule>(std::move(rule));
 }
 
 TEST_CASE("The longest prefix that begins a path is its route") {
@@ -48,9 +51,8 @@
 
 TEST_CASE("The tightest gap of a service is that of any route to it") {
   RoutingDocument document;
-  document.routes = {Rule("/a/", "s"), Rule("/b/", "s"), Rule("/c/", "t")};
-  document.routes[0].target_gap = Millis(600);
-  document.routes[1].target_gap = Millis(250);
+  document.routes = {Rule("/a/", "s", Millis(600)),
+                     Rule("/b/", "s", Millis(250)), Rule("/c/", "t")};
   const RoutingTable table(document);
   CHECK(table.TightestGap(ServiceName{"s"}) == Millis(250));
   CHECK(table.TightestGap(ServiceName{"t"}) == Millis(0));
--- a/src/gateway/directory_feed.h
+++ b/src/gateway/directory_feed.h
@@ -71,6 +71,13 @@
   // anything is known.
   virtual std::string Export(StoreRevision since) const = 0;
 
+  // As Export, for hosts that hold all that was published up to `since`: may
+  // tell how it changed alone.
+  virtual std::string ExportNews(StoreRevision since) const = 0;
+
+  // Whether a routing document is known that the sink is yet to be told of.
+  virtual bool ReadsRouting() const = 0;
+
   // Takes what another host's feed exported, and tells the sink of it.
   // `source_well` tells whether the platform answers that host. Returns up to
   // which revision this one is complete now, or nothing if it cannot be used:
--- a/src/gateway/fleet_member.cc
+++ b/src/gateway/fleet_member.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <limits>
 #include <utility>
 
 #include "harecrank/core/http_status.h"
@@ -483,7 +484,12 @@
   const TimePoint now = clock_();
   HostWord own;
   ports_.describe(&own);
-  const auto host = book_->BetterInformed(own.routing, own.known_up_to);
+  // What this host is reading already need not be asked for.
+  const RoutingVersion routing =
+      ports_.reads_routing()
+          ? RoutingVersion{std::numeric_limits<std::uint64_t>::max()}
+          : own.routing;
+  const auto host = book_->BetterInformed(routing, own.known_up_to);
   if (!host.has_value()) {
     behind_since_.reset();
     return;
--- a/src/gateway/fleet_member.h
+++ b/src/gateway/fleet_member.h
@@ -26,11 +26,14 @@
 struct FleetMemberPorts {
   // Fills the owner's part of the host's word: what it knows of the platform.
   std::function<void(HostWord* word)> describe;
-  // Returns what the platform has published since `since`, or all of it.
+  // Returns what the platform has published since `since`, for hosts that know
+  // all before it.
   std::function<std::string(StoreRevision since)> published;
   // Takes what another host told of that. Returns false if it cannot be used.
   std::function<bool(const std::string& changes, bool source_well)>
       on_published;
+  // Whether a newer routing table is known and about to be in force.
+  std::function<bool()> reads_routing;
   // Another host, whom the platform answered `age` ago, knows no more than this
   // one.
   std::function<void(Millis age)> on_informed;
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -76,6 +76,7 @@
       random_(std::move(random)),
       io_(1),
       log_(settings_.node_id.value, clock_),
+      holds_(&log_, &metrics_, clock_),
       directory_(clock_, settings_.leave_limit),
       loads_(clock_),
       health_(clock_),
@@ -107,7 +108,7 @@
           },
           &log_, &metrics_),
       services_(MakeServices()),
-      feed_(platform.make_feed(&io_, settings_, this)),
+      feed_(platform.make_feed(&io_, settings_, this, &holds_)),
       callers_(&io_, settings_.callers_address,
                MostSessions(settings_.descriptors), MakeSessionContext()),
       readiness_(&io_, settings_.readiness_address,
@@ -242,8 +243,9 @@
   };
   ports.shared_crashes = [this] { return quarantine_.SharedReports(); };
   ports.published = [this](StoreRevision since) {
-    return feed_->Export(since);
+    return feed_->ExportNews(since);
   };
+  ports.reads_routing = [this] { return feed_->ReadsRouting(); };
   ports.on_informed = [this](Millis age) {
     duty_.OnInformed(age);
     directory_.OnSourceBack(known_up_to_, age);
@@ -314,6 +316,7 @@
               {"routes", table->Document().routes.size()},
               {"services", table->Document().services.size()}},
              LogWeight::kAlwaysKept);
+  AcceptCallers();
 }
 
 void GatewayNode::OnListing(std::vector<EndpointRecord> records,
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -19,6 +19,7 @@
 #include "src/gateway/endpoint_prober.h"
 #include "src/gateway/fleet_member.h"
 #include "src/gateway/gateway_services.h"
+#include "src/gateway/loop_holds.h"
 #include "src/gateway/small_server.h"
 #include "src/gateway/timer.h"
 
@@ -27,7 +28,7 @@
 // Makes the feed that tells `sink` what the platform publishes.
 using FeedFactory = std::function<std::unique_ptr<DirectoryFeed>(
     boost::asio::io_context* io, const GatewaySettings& settings,
-    DirectorySink* sink)>;
+    DirectorySink* sink, LoopHolds* holds)>;
 
 // Makes what sends orders to engines.
 using OrdersFactory =
@@ -101,6 +102,7 @@
   boost::asio::io_context io_;
   EventLog log_;
   Metrics metrics_;
+  LoopHolds holds_;
   RoutingState routing_;
   EndpointDirectory directory_;
   EndpointLoads loads_;
--- /dev/null
+++ b/src/gateway/loop_holds.cc
@@ -0,0 +1,48 @@
+#include "src/gateway/loop_holds.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace harecrank {
+
+LoopHolds::LoopHolds(EventLog* log, Metrics* metrics, MonotonicClock clock)
+    : log_(log), metrics_(metrics), clock_(std::move(clock)) {}
+
+LoopHolds::Span::Span(LoopHolds* holds, const char* what)
+    : holds_(holds), what_(what), began_(holds->clock_()) {}
+
+LoopHolds::Span::~Span() { holds_->Note(what_, Elapsed()); }
+
+std::chrono::nanoseconds LoopHolds::Span::Elapsed() const {
+  return holds_->clock_() - began_;
+}
+
+void LoopHolds::Note(const char* what, std::chrono::nanoseconds held) {
+  Work& work = works_[what];
+  if (work.held == nullptr) {
+    work.held = metrics_->GetHistogram("harecrank_gateway_loop_held_seconds",
+                                       "what=\"" + std::string(what) + "\"");
+  }
+  work.held->Record(held);
+  if (held < kToldFrom) {
+    return;
+  }
+  ++work.long_holds;
+  work.longest = std::max(work.longest, held);
+  const TimePoint now = clock_();
+  if (work.was_told && now - work.told < kToldInterval) {
+    return;
+  }
+  log_->Write(
+      "loop_held",
+      {{"what", what},
+       {"longest_ms", std::chrono::duration_cast<Millis>(work.longest).count()},
+       {"holds", work.long_holds}},
+      LogWeight::kAlwaysKept);
+  work.told = now;
+  work.was_told = true;
+  work.long_holds = 0;
+  work.longest = std::chrono::nanoseconds(0);
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/loop_holds_test.cc
@@ -0,0 +1,30 @@
+#include "src/gateway/loop_holds.h"
+
+#include <catch2/catch.hpp>
+
+namespace harecrank {
+namespace {
+
+TEST_CASE("A hold is counted under what held the loop", "[loop_holds]") {
+  TimePoint now{};
+  const MonotonicClock clock = [&now] { return now; };
+  EventLog log("n", clock);
+  Metrics metrics;
+  LoopHolds holds(&log, &metrics, clock);
+  {
+    const LoopHolds::Span span(&holds, "listing");
+    now += Millis(40);
+    CHECK(span.Elapsed() == Millis(40));
+  }
+  holds.Note("export", Millis(1));
+  const std::string text = metrics.Text();
+  CHECK(text.find("harecrank_gateway_loop_held_seconds_count{what="
+                  "\"listing\"} 1") != std::string::npos);
+  CHECK(text.find("harecrank_gateway_loop_held_seconds_sum{what="
+                  "\"listing\"} 0.04") != std::string::npos);
+  CHECK(text.find("harecrank_gateway_loop_held_seconds_count{what="
+                  "\"export\"} 1") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace harecrank
