--- a/bench/main.cc
+++ b/bench/main.cc
@@ -31,6 +31,8 @@
   add("policies", "routing policies side by side", MeasurePolicies);
   add("groups", "first token against prompt length", MeasureGroups);
   add("spread", "time until a change is in force", MeasureSpread);
+  add("configuration", "one change among many routes, step by step",
+      MeasureConfiguration);
   add("slopes", "slopes for docs/CAPACITY.md", MeasureSlopes);
   CLI11_PARSE(app, argc, argv);
   ConfigureLogging("error");
--- a/bench/runs.h
+++ b/bench/runs.h
@@ -29,6 +29,9 @@
 // The time until a change is in force everywhere, against the number of nodes.
 nlohmann::json MeasureSpread(const RunOptions& options);
 
+// The processor time that one published change costs a host, step by step.
+nlohmann::json MeasureConfiguration(const RunOptions& options);
+
 // The slopes that docs/CAPACITY.md is worked out from.
 nlohmann::json MeasureSlopes(const RunOptions& options);
 
