--- a/tests/lint_cache_test.sh
+++ b/tests/lint_cache_test.sh
@@ -97,7 +97,17 @@
 sed -i 's/ *\/\/ NOLINT//' "$one/src/nowhere.cc"
 expect "$one" finding "nowhere.cc" "the finding without its comment"
 
+(cd "$XDG_CACHE_HOME/harecrank-lint" && seq -f 'old-%.0f' 10001 |
+  xargs touch -d 2001-01-01)
+echo 'int* Nothing() { return nullptr; }' >"$one/src/nowhere.cc"
+expect "$one" clean "nowhere.cc" "a clean result beyond the bound"
+if [ "$(find "$XDG_CACHE_HOME/harecrank-lint" -type f | wc -l)" -ne 10000 ]; then
+  echo "the cache does not keep 10000 results" >&2
+  exit 1
+fi
+expect "$one" clean "" "the newest results after others were deleted"
+
 echo 'int Broken( {' >"$one/src/four.cc"
-expect "$one" finding "four.cc nowhere.cc" "a unit that does not compile"
-expect "$one" finding "four.cc nowhere.cc" "the same unit on the second run"
+expect "$one" finding "four.cc" "a unit that does not compile"
+expect "$one" finding "four.cc" "the same unit on the second run"
 echo "A changed header, rule or command brings its units back; findings stay."
