--- a/src/core/host_book_test.cc
+++ b/src/core/host_book_test.cc
@@ -296,5 +296,22 @@
   CHECK(book.SourceReaders().front() == first);
 }
 
+TEST_CASE_METHOD(FleetFixture,
+                 "A host that starts in a part of a fleet that is cut is told "
+                 "how large the whole was") {
+  TalkFor(Millis(3000));
+  books_.at(0)->NoteSize();
+  now_ += std::chrono::minutes(5);
+  books_.at(0)->NoteSize();
+  CHECK(books_.at(0)->CountedHosts() == 1);
+  HostWord word = WordOf(0);
+  word.most_hosts = books_.at(0)->Size().Counted();
+  AddHost(9);
+  books_.at(9)->OnWord(word);
+  CHECK_FALSE(books_.at(9)->Size().Most().has_value());
+  now_ += FleetSize::kSettles;
+  CHECK(books_.at(9)->Size().Most() == 6);
+}
+
 }  // namespace
 }  // namespace harecrank
--- a/src/core/planner_test.cc
+++ b/src/core/planner_test.cc
@@ -384,5 +384,19 @@
   CHECK(std::holds_alternative<PlannedPlacement>(planner_->OnAsk(resumed)));
 }
 
+TEST_CASE_METHOD(PlannerFixture,
+                 "An endpoint is passed over for the host that may begin "
+                 "nothing there") {
+  const auto first = std::get<PlannedPlacement>(planner_->OnAsk(Short(1)));
+  planner_ = MakePlanner();
+  const auto same = std::get<PlannedPlacement>(planner_->OnAsk(Short(2)));
+  CHECK(same.endpoint == first.endpoint);
+  planner_ = MakePlanner();
+  PlaceAsk ask = Short(3);
+  ask.withheld = {first.endpoint};
+  const auto other = std::get<PlannedPlacement>(planner_->OnAsk(ask));
+  CHECK_FALSE(other.endpoint == first.endpoint);
+}
+
 }  // namespace
 }  // namespace harecrank
