--- a/src/core/text_edits_test.cc
+++ b/src/core/text_edits_test.cc
@@ -40,6 +40,7 @@
 TEST_CASE("What is kept is not told again", "[text_edits]") {
   std::vector<std::string> names;
   constexpr int kMany = 1300;
+  names.reserve(kMany + 1);
   for (int i = 0; i < kMany; ++i) {
     names.push_back("route-" + std::to_string(i));
   }
