A data centre that takes nothing: orders are obeyed by all that starts work

Cause: an operator's order that a data centre be emptied stands in the store beside the configuration, and nothing read it. Ruled out: a bound of time or a message of its own; the listing, the watches and what hosts tell each other cover all keys.

UsableOf leaves closed data centres out of every choice, and FindUsable is asked of each place that a host is given and again before it sends. A place refused so excludes all endpoints that only the planner takes for usable, not its first alone. Kept connections are closed, the crash guard sends no probe there, and what runs ends in peace. When an order is taken back endpoints are chosen again one after the other within 2 s.

--- /dev/null
+++ b/include/harecrank/core/closed_data_centres.h
@@ -0,0 +1,89 @@
+// Which data centres take nothing: an operator has ordered that their endpoints
+// be given no new work, and what runs there ends in peace.
+//
+// An order holds until it is taken back, however often it is told. Its
+// revisions put it in order, so that a word that comes late, or twice, from a
+// host that knows less, brings back nothing.
+
+#ifndef HARECRANK_CORE_CLOSED_DATA_CENTRES_H_
+#define HARECRANK_CORE_CLOSED_DATA_CENTRES_H_
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "harecrank/core/clock.h"
+#include "harecrank/core/strong_types.h"
+
+namespace harecrank {
+
+// An order that a data centre is to take nothing, as published.
+struct ClosedDataCentre {
+  DataCentreId id;
+  StoreRevision revision;
+
+  friend bool operator==(const ClosedDataCentre& a, const ClosedDataCentre& b) {
+    return a.id == b.id && a.revision == b.revision;
+  }
+};
+
+// What a listing changed of what was held.
+struct ClosingChange {
+  std::vector<ClosedDataCentre> closed;
+  // With the revision at which they were heard to be open.
+  std::vector<ClosedDataCentre> opened;
+};
+
+// Holds the orders. Not thread-safe.
+class ClosedDataCentres {
+ public:
+  explicit ClosedDataCentres(MonotonicClock clock);
+
+  // Takes an order. Returns whether the data centre was open until now.
+  bool Close(const ClosedDataCentre& order);
+
+  // The order for `id` was taken back at `revision`. Returns whether it was
+  // closed until now.
+  bool Open(const DataCentreId& id, StoreRevision revision);
+
+  // Takes all orders that stood at `at`: others as old as that are taken back.
+  ClosingChange ReplaceAll(const std::vector<ClosedDataCentre>& orders,
+                           StoreRevision at);
+
+  bool IsClosed(const DataCentreId& id) const;
+
+  // Returns whether `endpoint`, of data centre `id`, is still to wait since its
+  // data centre takes work again. After an emptying its endpoints know nothing
+  // and may be slow, and all that waited for room would come at once: they
+  // return one after the other, in an order that all hosts share.
+  bool IsReturning(const DataCentreId& id, const EndpointId& endpoint) const;
+
+  // Returns whether endpoints of any data centre return.
+  bool AnyReturns() const;
+
+  std::size_t Count() const;
+
+  // Within how long all endpoints of a data centre return: several times what
+  // hosts differ in when they hear that it is open.
+  static constexpr Millis kReturn{2000};
+
+ private:
+  struct State {
+    bool is_closed = false;
+    StoreRevision revision;
+    // Set where it was closed before.
+    std::optional<TimePoint> opened_at;
+  };
+
+  void SetOpen(State* state, StoreRevision revision);
+  bool ReturnsNow(const State& state) const;
+
+  MonotonicClock clock_;
+  // Of data centres that an order named. One that was taken back is kept, so
+  // that a late word of it closes nothing, until a listing replaces all.
+  std::map<DataCentreId, State> states_;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_CORE_CLOSED_DATA_CENTRES_H_
--- a/include/harecrank/core/endpoint_directory.h
+++ b/include/harecrank/core/endpoint_directory.h
@@ -18,13 +18,11 @@
 #include <vector>
 
 #include "harecrank/core/clock.h"
+#include "harecrank/core/closed_data_centres.h"
 #include "harecrank/core/strong_types.h"
 
 namespace harecrank {
 
-// Orders all changes of the platform's service.
-using StoreRevision = StrongNumber<struct StoreRevisionTag, std::uint64_t>;
-
 // When an endpoint's process started, in Unix ms by its own clock. Tells lives
 // of one id apart; clocks step, so it does not tell which came first.
 using EndpointLife = StrongNumber<struct EndpointLifeTag, std::int64_t>;
@@ -107,14 +105,36 @@
   // returns them.
   std::vector<DroppedEndpoint> DropLapsed();
 
-  // Returns the usable endpoints of `service`, ordered by id. Valid until the
-  // next change.
+  // Takes an order that a data centre is to take nothing. Returns whether that
+  // is news.
+  bool CloseDataCentre(const ClosedDataCentre& order);
+
+  // Takes it back. Returns whether that is news.
+  bool OpenDataCentre(const DataCentreId& id, StoreRevision revision);
+
+  // Takes all orders that stood at `at`, and returns what they changed.
+  ClosingChange ReplaceClosed(const std::vector<ClosedDataCentre>& orders,
+                              StoreRevision at);
+
+  const ClosedDataCentres& Closed() const { return closed_; }
+
+  // Returns the endpoints of one data centre, usable or not.
+  std::vector<EndpointId> In(const DataCentreId& data_centre) const;
+
+  // Returns the usable endpoints of `service`, ordered by id: those that take
+  // new work and are worth choosing. Valid until the next change or call.
   const std::vector<const EndpointRecord*>& UsableOf(
       const ServiceName& service) const;
 
   // Returns the record of `id`, or null if it is gone.
   const EndpointRecord* Find(const EndpointId& id) const;
 
+  // Returns the record of `id` if it may be given new work of `service`, or
+  // null. Those that another host has chosen are asked for here: it may have
+  // heard later that they take none, or sooner that they do.
+  const EndpointRecord* FindUsable(const EndpointId& id,
+                                   const ServiceName& service) const;
+
   // Returns for how long the entry of `id` has been missing; nothing if it is
   // listed or not held.
   std::optional<Millis> MissingFor(const EndpointId& id) const;
@@ -172,9 +192,11 @@
   bool MayHaveLapsed(TimePoint now) const;
   // Keeps what may have lapsed until `use_until`, and drops the rest.
   Absence Drop(const EndpointId& id, std::optional<TimePoint> use_until);
+  bool TakesWork(const EndpointRecord& record) const;
   void Rebuild() const;
 
   MonotonicClock clock_;
+  ClosedDataCentres closed_;
   std::map<EndpointId, Entry> entries_;
   Millis lapse_grace_;
   std::map<EndpointId, Leaving> leaving_;
@@ -188,6 +210,8 @@
   TimePoint complete_at_{};
   TimePoint complete_before_{};
   mutable bool stale_index_ = true;
+  // When further endpoints of a data centre that was closed may be chosen.
+  mutable TimePoint rebuild_at_ = TimePoint::max();
   mutable std::unordered_map<ServiceName, std::vector<const EndpointRecord*>>
       usable_;
 };
--- a/include/harecrank/core/strong_types.h
+++ b/include/harecrank/core/strong_types.h
@@ -66,6 +66,9 @@
 // Names one life of a process. A restart draws a new one at random.
 using Incarnation = StrongNumber<struct IncarnationTag, std::uint64_t>;
 
+// Orders all changes of the platform's service.
+using StoreRevision = StrongNumber<struct StoreRevisionTag, std::uint64_t>;
+
 // Names one request on one link, chosen by the entry host.
 using StreamId = StrongNumber<struct StreamTag, std::uint64_t>;
 
--- /dev/null
+++ b/src/core/closed_data_centres.cc
@@ -0,0 +1,99 @@
+#include "harecrank/core/closed_data_centres.h"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
+
+#include "harecrank/core/rendezvous.h"
+
+namespace harecrank {
+
+ClosedDataCentres::ClosedDataCentres(MonotonicClock clock)
+    : clock_(std::move(clock)) {}
+
+bool ClosedDataCentres::Close(const ClosedDataCentre& order) {
+  State& state = states_[order.id];
+  if (order.revision < state.revision) {
+    return false;
+  }
+  const bool was_open = !state.is_closed;
+  state = State{true, order.revision, std::nullopt};
+  return was_open;
+}
+
+bool ClosedDataCentres::Open(const DataCentreId& id, StoreRevision revision) {
+  State& state = states_[id];
+  if (revision < state.revision) {
+    return false;
+  }
+  const bool was_closed = state.is_closed;
+  SetOpen(&state, revision);
+  return was_closed;
+}
+
+ClosingChange ClosedDataCentres::ReplaceAll(
+    const std::vector<ClosedDataCentre>& orders, StoreRevision at) {
+  ClosingChange change;
+  std::set<DataCentreId> listed;
+  for (const ClosedDataCentre& order : orders) {
+    listed.insert(order.id);
+    if (Close(order)) {
+      change.closed.push_back(order);
+    }
+  }
+  for (auto it = states_.begin(); it != states_.end();) {
+    State& state = it->second;
+    const bool holds = listed.count(it->first) != 0 || at < state.revision;
+    if (!holds && state.is_closed) {
+      SetOpen(&state, at);
+      change.opened.push_back(ClosedDataCentre{it->first, at});
+    }
+    const bool is_spent = !holds && !ReturnsNow(state);
+    it = is_spent ? states_.erase(it) : std::next(it);
+  }
+  return change;
+}
+
+bool ClosedDataCentres::IsClosed(const DataCentreId& id) const {
+  const auto found = states_.find(id);
+  return found != states_.end() && found->second.is_closed;
+}
+
+bool ClosedDataCentres::IsReturning(const DataCentreId& id,
+                                    const EndpointId& endpoint) const {
+  const auto found = states_.find(id);
+  if (found == states_.end() || !ReturnsNow(found->second)) {
+    return false;
+  }
+  const std::uint64_t turn = RendezvousWeight(id.value, endpoint.value) %
+                             static_cast<std::uint64_t>(kReturn.count());
+  const Millis wait(static_cast<std::int64_t>(turn));
+  return clock_() - *found->second.opened_at < wait;
+}
+
+bool ClosedDataCentres::AnyReturns() const {
+  return std::any_of(states_.begin(), states_.end(), [this](const auto& item) {
+    return ReturnsNow(item.second);
+  });
+}
+
+std::size_t ClosedDataCentres::Count() const {
+  return static_cast<std::size_t>(
+      std::count_if(states_.begin(), states_.end(),
+                    [](const auto& item) { return item.second.is_closed; }));
+}
+
+void ClosedDataCentres::SetOpen(State* state, StoreRevision revision) {
+  if (state->is_closed) {
+    state->opened_at = clock_();
+  }
+  state->is_closed = false;
+  state->revision = revision;
+}
+
+bool ClosedDataCentres::ReturnsNow(const State& state) const {
+  return state.opened_at.has_value() && clock_() - *state.opened_at < kReturn;
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/core/closed_data_centres_test.cc
@@ -0,0 +1,188 @@
+#include "harecrank/core/closed_data_centres.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+#include <string>
+
+#include "harecrank/core/endpoint_directory.h"
+
+namespace harecrank {
+namespace {
+
+const DataCentreId kA{"a"};
+const DataCentreId kB{"b"};
+const ServiceName kService{"writers"};
+
+ClosedDataCentre Order(const DataCentreId& id, std::uint64_t revision) {
+  return ClosedDataCentre{id, StoreRevision{revision}};
+}
+
+class ClosedFixture {
+ protected:
+  TimePoint now_{};
+  ClosedDataCentres closed_{[this] { return now_; }};
+};
+
+TEST_CASE_METHOD(ClosedFixture,
+                 "An order holds until it is taken back, and is news once") {
+  CHECK_FALSE(closed_.IsClosed(kA));
+  CHECK(closed_.Close(Order(kA, 5)));
+  CHECK_FALSE(closed_.Close(Order(kA, 5)));
+  CHECK(closed_.IsClosed(kA));
+  CHECK_FALSE(closed_.IsClosed(kB));
+  CHECK(closed_.Open(kA, StoreRevision{6}));
+  CHECK_FALSE(closed_.IsClosed(kA));
+}
+
+TEST_CASE_METHOD(ClosedFixture, "Older words change nothing") {
+  closed_.Close(Order(kA, 5));
+  CHECK_FALSE(closed_.Open(kA, StoreRevision{4}));
+  CHECK(closed_.IsClosed(kA));
+  closed_.Open(kA, StoreRevision{6});
+  CHECK_FALSE(closed_.Close(Order(kA, 5)));
+  CHECK_FALSE(closed_.IsClosed(kA));
+  CHECK(closed_.Close(Order(kA, 7)));
+  CHECK(closed_.IsClosed(kA));
+}
+
+TEST_CASE_METHOD(ClosedFixture,
+                 "Two data centres ordered one after the other, and taken back "
+                 "in the same order, do not disturb each other") {
+  closed_.Close(Order(kA, 5));
+  closed_.Close(Order(kB, 6));
+  CHECK(closed_.Count() == 2);
+  closed_.Open(kA, StoreRevision{7});
+  CHECK_FALSE(closed_.IsClosed(kA));
+  CHECK(closed_.IsClosed(kB));
+}
+
+TEST_CASE_METHOD(ClosedFixture,
+                 "A listing replaces all but what was heard since") {
+  closed_.Close(Order(kA, 5));
+  closed_.Close(Order(kB, 12));
+  const DataCentreId c{"c"};
+  const ClosingChange change =
+      closed_.ReplaceAll({Order(c, 8)}, StoreRevision{10});
+  CHECK(change.closed == std::vector<ClosedDataCentre>{Order(c, 8)});
+  CHECK(change.opened == std::vector<ClosedDataCentre>{Order(kA, 10)});
+  CHECK(closed_.IsClosed(kB));
+  CHECK(closed_.IsClosed(c));
+  // A late word of what the listing has taken back.
+  CHECK_FALSE(closed_.Close(Order(kA, 5)));
+}
+
+class ClosedDirectoryFixture {
+ protected:
+  ClosedDirectoryFixture() {
+    for (int i = 0; i < kEach; ++i) {
+      Publish(DataCentreId{"a"}, i);
+      Publish(DataCentreId{"b"}, i);
+    }
+  }
+
+  void Publish(const DataCentreId& data_centre, int number) {
+    EndpointRecord record;
+    record.id = EndpointId{data_centre.value + std::to_string(number)};
+    record.service = kService;
+    record.data_centre = data_centre;
+    record.revision = StoreRevision{1};
+    directory_.Upsert(record);
+  }
+
+  std::size_t UsableIn(const DataCentreId& data_centre) const {
+    std::size_t count = 0;
+    for (const EndpointRecord* record : directory_.UsableOf(kService)) {
+      count += record->data_centre == data_centre ? 1 : 0;
+    }
+    return count;
+  }
+
+  static constexpr int kEach = 40;
+  TimePoint now_{};
+  EndpointDirectory directory_{[this] { return now_; }};
+};
+
+TEST_CASE_METHOD(ClosedDirectoryFixture,
+                 "Endpoints of a closed data centre are neither chosen nor "
+                 "accepted from another host's choice, and are still known") {
+  directory_.CloseDataCentre(Order(kA, 5));
+  CHECK(UsableIn(kA) == 0);
+  CHECK(UsableIn(kB) == kEach);
+  CHECK(directory_.FindUsable(EndpointId{"a1"}, kService) == nullptr);
+  CHECK(directory_.FindUsable(EndpointId{"b1"}, kService) != nullptr);
+  CHECK(directory_.Find(EndpointId{"a1"}) != nullptr);
+  CHECK(directory_.In(kA).size() == kEach);
+}
+
+TEST_CASE_METHOD(ClosedDirectoryFixture,
+                 "An endpoint that appears in a closed data centre, or moves "
+                 "there, takes nothing") {
+  directory_.CloseDataCentre(Order(kA, 5));
+  Publish(kA, kEach);
+  CHECK(UsableIn(kA) == 0);
+  EndpointRecord moved = *directory_.Find(EndpointId{"b1"});
+  moved.data_centre = kA;
+  moved.revision = StoreRevision{6};
+  directory_.Upsert(moved);
+  CHECK(UsableIn(kB) == kEach - 1);
+  CHECK(UsableIn(kA) == 0);
+}
+
+TEST_CASE_METHOD(ClosedDirectoryFixture,
+                 "An order for a data centre that nobody knows leaves the rest "
+                 "as it is") {
+  directory_.CloseDataCentre(Order(DataCentreId{"nowhere"}, 5));
+  CHECK(directory_.UsableOf(kService).size() == 2 * kEach);
+}
+
+TEST_CASE_METHOD(ClosedDirectoryFixture,
+                 "With all data centres closed nothing is usable") {
+  directory_.CloseDataCentre(Order(kA, 5));
+  directory_.CloseDataCentre(Order(kB, 6));
+  CHECK(directory_.UsableOf(kService).empty());
+}
+
+// All that waited for room would land on endpoints that may be cold.
+TEST_CASE_METHOD(ClosedDirectoryFixture,
+                 "Endpoints of a data centre that is open again are chosen one "
+                 "after the other") {
+  directory_.CloseDataCentre(Order(kA, 5));
+  directory_.OpenDataCentre(kA, StoreRevision{6});
+  const std::size_t at_first = UsableIn(kA);
+  CHECK(at_first <= kEach / 10);
+  CHECK(UsableIn(kB) == kEach);
+  // Another host may have heard of it before: its choice is taken.
+  CHECK(directory_.FindUsable(EndpointId{"a1"}, kService) != nullptr);
+  std::size_t last = at_first;
+  std::size_t largest_step = 0;
+  constexpr int kSteps = 20;
+  for (int i = 0; i < kSteps; ++i) {
+    now_ += ClosedDataCentres::kReturn / kSteps;
+    const std::size_t usable = UsableIn(kA);
+    REQUIRE(usable >= last);
+    largest_step = std::max(largest_step, usable - last);
+    last = usable;
+  }
+  CHECK(last == kEach);
+  CHECK(largest_step <= kEach / 4);
+}
+
+TEST_CASE_METHOD(ClosedDirectoryFixture,
+                 "Where no other endpoint is left, those that return are used "
+                 "at once") {
+  directory_.CloseDataCentre(Order(kA, 5));
+  directory_.CloseDataCentre(Order(kB, 6));
+  directory_.OpenDataCentre(kA, StoreRevision{7});
+  CHECK(UsableIn(kA) == kEach);
+}
+
+TEST_CASE_METHOD(ClosedDirectoryFixture,
+                 "A data centre that was never closed, or is listed as open "
+                 "for the first time, is used whole") {
+  directory_.OpenDataCentre(kA, StoreRevision{6});
+  directory_.ReplaceClosed({}, StoreRevision{7});
+  CHECK(UsableIn(kA) == kEach);
+}
+
+}  // namespace
+}  // namespace harecrank
--- a/src/core/endpoint_directory.cc
+++ b/src/core/endpoint_directory.cc
@@ -11,11 +11,15 @@
 // A listing in which more than one entry in this many is missing at once is
 // taken for a lapse and not for departures, which come one by one.
 constexpr std::size_t kLapseShare = 3;
+// How often it is looked which endpoints of a data centre that was closed may
+// be chosen again.
+constexpr Millis kReturnLook{50};
 
 }  // namespace
 
 EndpointDirectory::EndpointDirectory(MonotonicClock clock, Millis leave_limit)
     : clock_(std::move(clock)),
+      closed_(clock_),
       lapse_grace_(std::max(Millis(0), leave_limit - kSendingTime)) {}
 
 bool EndpointDirectory::Upsert(const EndpointRecord& record) {
@@ -29,7 +33,8 @@
                        entry.record.life != record.life ||
                        entry.record.draining != draining ||
                        entry.record.service != record.service ||
-                       entry.record.address != record.address;
+                       entry.record.address != record.address ||
+                       entry.record.data_centre != record.data_centre;
   entry.record = record;
   entry.record.draining = draining;
   entry.missing.reset();
@@ -142,9 +147,37 @@
   return dropped;
 }
 
+bool EndpointDirectory::CloseDataCentre(const ClosedDataCentre& order) {
+  stale_index_ = true;
+  return closed_.Close(order);
+}
+
+bool EndpointDirectory::OpenDataCentre(const DataCentreId& id,
+                                       StoreRevision revision) {
+  stale_index_ = true;
+  return closed_.Open(id, revision);
+}
+
+ClosingChange EndpointDirectory::ReplaceClosed(
+    const std::vector<ClosedDataCentre>& orders, StoreRevision at) {
+  stale_index_ = true;
+  return closed_.ReplaceAll(orders, at);
+}
+
+std::vector<EndpointId> EndpointDirectory::In(
+    const DataCentreId& data_centre) const {
+  std::vector<EndpointId> endpoints;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.record.data_centre == data_centre) {
+      endpoints.push_back(id);
+    }
+  }
+  return endpoints;
+}
+
 const std::vector<const EndpointRecord*>& EndpointDirectory::UsableOf(
     const ServiceName& service) const {
-  if (stale_index_) {
+  if (stale_index_ || clock_() >= rebuild_at_) {
     Rebuild();
   }
   static const std::vector<const EndpointRecord*> kNone;
@@ -157,6 +190,14 @@
   return found == entries_.end() ? nullptr : &found->second.record;
 }
 
+const EndpointRecord* EndpointDirectory::FindUsable(
+    const EndpointId& id, const ServiceName& service) const {
+  const EndpointRecord* record = Find(id);
+  const bool usable =
+      record != nullptr && TakesWork(*record) && record->service == service;
+  return usable ? record : nullptr;
+}
+
 std::optional<Millis> EndpointDirectory::MissingFor(
     const EndpointId& id) const {
   const auto found = entries_.find(id);
@@ -212,14 +253,29 @@
   return Absence::kMayHaveLapsed;
 }
 
+bool EndpointDirectory::TakesWork(const EndpointRecord& record) const {
+  return !record.draining && !closed_.IsClosed(record.data_centre);
+}
+
 void EndpointDirectory::Rebuild() const {
   usable_.clear();
+  std::unordered_map<ServiceName, std::vector<const EndpointRecord*>> returning;
   for (const auto& [id, entry] : entries_) {
-    if (!entry.record.draining) {
-      usable_[entry.record.service].push_back(&entry.record);
+    const EndpointRecord& record = entry.record;
+    if (TakesWork(record)) {
+      const bool returns = closed_.IsReturning(record.data_centre, id);
+      (returns ? returning : usable_)[record.service].push_back(&record);
+    }
+  }
+  // Where a service has no others they are needed at once.
+  for (auto& [service, endpoints] : returning) {
+    if (usable_.count(service) == 0) {
+      usable_[service] = std::move(endpoints);
     }
   }
   stale_index_ = false;
+  rebuild_at_ =
+      closed_.AnyReturns() ? clock_() + kReturnLook : TimePoint::max();
 }
 
 }  // namespace harecrank
--- a/src/gateway/crash_guard.cc
+++ b/src/gateway/crash_guard.cc
@@ -17,9 +17,11 @@
 }
 
 CrashGuard::CrashGuard(RequestQuarantine* quarantine, EndpointProber* prober,
-                       Tell tell, EventLog* log, Metrics* metrics)
+                       const EndpointDirectory* directory, Tell tell,
+                       EventLog* log, Metrics* metrics)
     : quarantine_(quarantine),
       prober_(prober),
+      directory_(directory),
       tell_(std::move(tell)),
       log_(log),
       metrics_(metrics) {}
@@ -49,6 +51,12 @@
 void CrashGuard::OnBrokenOff(
     const RequestFingerprint& request, const EndpointRecord& endpoint,
     bool was_beginning, std::function<void(ProbeResult result)> on_judged) {
+  if (directory_->Closed().IsClosed(endpoint.data_centre)) {
+    // Who empties a data centre may stop its endpoints: that is no request's
+    // doing, and nothing more is sent there, not even a probe.
+    prober_->PassOver(std::move(on_judged));
+    return;
+  }
   prober_->Probe(endpoint.address,
                  [this, request, endpoint, was_beginning,
                   on_judged = std::move(on_judged)](ProbeResult result) {
--- a/src/gateway/crash_guard.h
+++ b/src/gateway/crash_guard.h
@@ -41,8 +41,9 @@
   using Tell = std::function<void(const RequestFingerprint& request)>;
 
   // All pointers must outlive this.
-  CrashGuard(RequestQuarantine* quarantine, EndpointProber* prober, Tell tell,
-             EventLog* log, Metrics* metrics);
+  CrashGuard(RequestQuarantine* quarantine, EndpointProber* prober,
+             const EndpointDirectory* directory, Tell tell, EventLog* log,
+             Metrics* metrics);
 
   // The requests under way. Those that a host cuts when it stops outlive it.
   using Watched = std::set<GuardedRequest*>;
@@ -78,7 +79,9 @@
 
   // `endpoint` broke off its answer to `request`. Calls `on_judged`, never from
   // within, when its address has told whether it has ended. Where it has and
-  // `was_beginning`, its end is counted against the request before that.
+  // `was_beginning`, its end is counted against the request before that. An
+  // endpoint of a closed data centre is not asked, and its end counts for
+  // nothing.
   void OnBrokenOff(const RequestFingerprint& request,
                    const EndpointRecord& endpoint, bool was_beginning,
                    std::function<void(ProbeResult result)> on_judged);
@@ -99,6 +102,7 @@
 
   RequestQuarantine* quarantine_;
   EndpointProber* prober_;
+  const EndpointDirectory* directory_;
   Tell tell_;
   EventLog* log_;
   Metrics* metrics_;
--- a/src/gateway/crash_guard_test.cc
+++ b/src/gateway/crash_guard_test.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <memory>
+#include <optional>
 
 #include "src/adapters/system_sources.h"
 
@@ -40,8 +41,10 @@
   Metrics metrics;
   RequestQuarantine quarantine{SystemClock()};
   EndpointProber prober{&io};
-  CrashGuard guard{&quarantine, &prober, [](const RequestFingerprint&) {}, &log,
-                   &metrics};
+  EndpointDirectory directory{SystemClock()};
+  CrashGuard guard{&quarantine, &prober,
+                   &directory,  [](const RequestFingerprint&) {},
+                   &log,        &metrics};
 };
 
 TEST_CASE("Requests under way hear that they are held, and no others") {
@@ -70,6 +73,34 @@
   CHECK(missing.front().crashes.size() == 2);
 }
 
+// Who empties a data centre may stop its endpoints while requests run there.
+TEST_CASE(
+    "An endpoint of a closed data centre is not probed, and its end counts "
+    "against no request") {
+  Host host;
+  OneRequest request(1);
+  EndpointRecord endpoint;
+  endpoint.id = EndpointId{"e1"};
+  endpoint.data_centre = DataCentreId{"a"};
+  // Nobody listens there.
+  endpoint.address = "127.0.0.1:1";
+  const auto judged = [&] {
+    std::optional<ProbeResult> result;
+    host.guard.OnBrokenOff(request.Fingerprint(), endpoint, true,
+                           [&result](ProbeResult told) { result = told; });
+    CHECK_FALSE(result.has_value());
+    host.io.restart();
+    host.io.run();
+    return result;
+  };
+  host.directory.CloseDataCentre({endpoint.data_centre, StoreRevision{2}});
+  CHECK(judged() == ProbeResult::kNotAsked);
+  CHECK(host.quarantine.Count() == 0);
+  host.directory.OpenDataCentre(endpoint.data_centre, StoreRevision{3});
+  CHECK(judged() == ProbeResult::kRefused);
+  CHECK(host.quarantine.Count() == 1);
+}
+
 // Sessions that a stop cuts end with the event loop, after all else.
 TEST_CASE("A request may outlive the guard that watches it") {
   auto host = std::make_unique<Host>();
--- a/src/gateway/directory_feed.h
+++ b/src/gateway/directory_feed.h
@@ -23,8 +23,11 @@
 
   // A routing document as published at some time; not always the newest.
   virtual void OnRouting(RoutingDocument document) = 0;
-  // All endpoints as published at `at`.
+  // All endpoints as published at `at`, and all data centres that are to take
+  // nothing: in one call, so that a host that has just started never knows
+  // endpoints without the orders for them.
   virtual void OnListing(std::vector<EndpointRecord> records,
+                         std::vector<ClosedDataCentre> closed,
                          StoreRevision at) = 0;
   // One endpoint's entry was written, or has vanished.
   virtual void OnEndpoint(const EndpointRecord& record) = 0;
@@ -32,6 +35,10 @@
   // What stands at an endpoint's place names none that can be used.
   virtual void OnEndpointUnusable(const EndpointId& id, StoreRevision revision,
                                   const std::string& reason) = 0;
+  // A data centre is to take nothing from now on, or takes work again.
+  virtual void OnDataCentreClosed(const ClosedDataCentre& order) = 0;
+  virtual void OnDataCentreOpened(const DataCentreId& id,
+                                  StoreRevision revision) = 0;
   // The platform has answered: what was told is complete up to `at`.
   virtual void OnSourceWell(StoreRevision at) = 0;
   // Another host, which the platform answers, has told what was published up to
--- a/src/gateway/endpoint_news.cc
+++ b/src/gateway/endpoint_news.cc
@@ -59,6 +59,66 @@
                                     {"reason", reason}});
 }
 
+void EndpointNews::OnClosedListed(const std::vector<ClosedDataCentre>& closed,
+                                  StoreRevision at) {
+  const ClosingChange change = directory_->ReplaceClosed(closed, at);
+  for (const ClosedDataCentre& order : change.closed) {
+    NoteClosed(order);
+  }
+  for (const ClosedDataCentre& order : change.opened) {
+    NoteOpened(order);
+  }
+}
+
+void EndpointNews::OnClosed(const ClosedDataCentre& order) {
+  if (directory_->CloseDataCentre(order)) {
+    NoteClosed(order);
+  }
+}
+
+void EndpointNews::OnOpened(const DataCentreId& id, StoreRevision revision) {
+  if (directory_->OpenDataCentre(id, revision)) {
+    NoteOpened(ClosedDataCentre{id, revision});
+  }
+}
+
+void EndpointNews::NoteClosed(const ClosedDataCentre& order) {
+  const std::vector<EndpointId> endpoints = directory_->In(order.id);
+  for (const EndpointId& id : endpoints) {
+    // Nothing is to be sent there any more, and they may be stopped soon.
+    connections_->Forget(id);
+  }
+  log_->Write("data_centre_closed",
+              {{"data_centre", order.id.value},
+               {"known", !endpoints.empty()},
+               {"endpoints", endpoints.size()},
+               {"revision", order.revision.value}},
+              LogWeight::kAlwaysKept);
+}
+
+void EndpointNews::NoteOpened(const ClosedDataCentre& order) {
+  log_->Write("data_centre_opened",
+              {{"data_centre", order.id.value},
+               {"endpoints", directory_->In(order.id).size()},
+               {"revision", order.revision.value}},
+              LogWeight::kAlwaysKept);
+}
+
+int EndpointNews::BusyClosed(const EndpointLoads& loads) const {
+  int busy = 0;
+  if (directory_->Closed().Count() == 0) {
+    return busy;
+  }
+  for (const EndpointRecord& record : directory_->All()) {
+    const EndpointLoad load = loads.Of(record.id);
+    const bool is_busy = load.Members() > 0 || load.unread_parts > 0;
+    if (is_busy && directory_->Closed().IsClosed(record.data_centre)) {
+      ++busy;
+    }
+  }
+  return busy;
+}
+
 void EndpointNews::DropLapsed() {
   for (const DroppedEndpoint& dropped : directory_->DropLapsed()) {
     connections_->Forget(dropped.id);
--- a/src/gateway/endpoint_news.h
+++ b/src/gateway/endpoint_news.h
@@ -8,6 +8,7 @@
 
 #include "harecrank/core/endpoint_directory.h"
 #include "harecrank/core/endpoint_health.h"
+#include "harecrank/core/endpoint_loads.h"
 #include "src/adapters/event_log.h"
 #include "src/adapters/metrics.h"
 #include "src/gateway/endpoint_connections.h"
@@ -37,6 +38,18 @@
   void OnUnusable(const EndpointId& id, StoreRevision revision,
                   const std::string& reason);
 
+  // All data centres that are to take nothing, as published at `at`.
+  void OnClosedListed(const std::vector<ClosedDataCentre>& closed,
+                      StoreRevision at);
+
+  // A data centre is to take nothing, or takes work again.
+  void OnClosed(const ClosedDataCentre& order);
+  void OnOpened(const DataCentreId& id, StoreRevision revision);
+
+  // Returns how many endpoints of closed data centres still have work, as
+  // `loads` tells.
+  int BusyClosed(const EndpointLoads& loads) const;
+
   // Drops endpoints whose entries have been missing for too long.
   void DropLapsed();
 
@@ -45,6 +58,8 @@
   // of a new one.
   void NoteLife(const EndpointRecord& record);
   void Forget(const EndpointId& id);
+  void NoteClosed(const ClosedDataCentre& order);
+  void NoteOpened(const ClosedDataCentre& order);
 
   EndpointDirectory* directory_;
   EndpointHealth* health_;
--- a/src/gateway/endpoint_prober.cc
+++ b/src/gateway/endpoint_prober.cc
@@ -44,6 +44,8 @@
       return "refused";
     case ProbeResult::kAccepted:
       return "accepted";
+    case ProbeResult::kNotAsked:
+      return "not_asked";
     case ProbeResult::kSilent:
       break;
   }
@@ -80,6 +82,12 @@
       });
 }
 
+void EndpointProber::PassOver(OnResult on_result) {
+  asio::post(*io_, [on_result = std::move(on_result)] {
+    on_result(ProbeResult::kNotAsked);
+  });
+}
+
 void EndpointProber::OnDone(const std::string& address, ProbeResult result) {
   const std::vector<OnResult> waiting = std::move(under_way_.at(address));
   under_way_.erase(address);
--- a/src/gateway/endpoint_prober.h
+++ b/src/gateway/endpoint_prober.h
@@ -20,7 +20,9 @@
   // Its process runs.
   kAccepted,
   // No word in time: a link may be cut, or its whole machine be gone.
-  kSilent
+  kSilent,
+  // It was not asked.
+  kNotAsked
 };
 
 // Names it in logs.
@@ -39,6 +41,9 @@
   // dozens of requests at once, and each connection has a price.
   void Probe(const std::string& address, OnResult on_result);
 
+  // Calls `on_result` with kNotAsked, never from within.
+  void PassOver(OnResult on_result);
+
   // How long a connection may take to come up, as for requests.
   static constexpr Millis kTimeout{250};
 
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -101,7 +101,7 @@
              &hosts_, &planner_, &health_, &fleet_socket_, MakeFleetPorts(),
              &log_, &metrics_, clock_, random_),
       crashes_(
-          &quarantine_, &prober_,
+          &quarantine_, &prober_, &directory_,
           [this](const RequestFingerprint& request) {
             fleet_.TellCrash(quarantine_.ReportOf(request));
           },
@@ -274,6 +274,12 @@
   metrics_.AddGauge("harecrank_gateway_endpoints_missing", [this] {
     return static_cast<double>(directory_.MissingCount());
   });
+  metrics_.AddGauge("harecrank_gateway_data_centres_closed", [this] {
+    return static_cast<double>(directory_.Closed().Count());
+  });
+  metrics_.AddGauge("harecrank_gateway_closed_endpoints_busy", [this] {
+    return static_cast<double>(endpoint_news_.BusyClosed(loads_));
+  });
   metrics_.AddGauge("harecrank_gateway_source_well",
                     [this] { return source_well_ ? 1.0 : 0.0; });
   metrics_.AddGauge("harecrank_gateway_waiting",
@@ -317,8 +323,10 @@
 }
 
 void GatewayNode::OnListing(std::vector<EndpointRecord> records,
+                            std::vector<ClosedDataCentre> closed,
                             StoreRevision at) {
   endpoint_news_.OnListing(records, at);
+  endpoint_news_.OnClosedListed(closed, at);
   AcceptCallers();
 }
 
@@ -336,6 +344,15 @@
   endpoint_news_.OnUnusable(id, revision, reason);
 }
 
+void GatewayNode::OnDataCentreClosed(const ClosedDataCentre& order) {
+  endpoint_news_.OnClosed(order);
+}
+
+void GatewayNode::OnDataCentreOpened(const DataCentreId& id,
+                                     StoreRevision revision) {
+  endpoint_news_.OnOpened(id, revision);
+}
+
 void GatewayNode::OnSourceWell(StoreRevision at) {
   known_up_to_ = std::max(known_up_to_, at);
   duty_.OnAnswered();
--- a/src/gateway/place_seeker.cc
+++ b/src/gateway/place_seeker.cc
@@ -92,7 +92,7 @@
   }
   // The listing of the planner and this host's differ.
   EndAsk();
-  MarkTried(planned.endpoint);
+  ExcludeUnusable(planned);
   ++unusable_places_;
   if (unusable_places_ < kMostUnusablePlaces) {
     Ask();
@@ -101,6 +101,18 @@
   }
 }
 
+void PlaceSeeker::ExcludeUnusable(const PlannedPlacement& planned) {
+  std::vector<EndpointId> named = {planned.endpoint};
+  for (const PlannedHelper& helper : planned.helpers) {
+    named.push_back(helper.endpoint);
+  }
+  for (const EndpointId& id : named) {
+    if (Usable(id) == nullptr) {
+      MarkTried(id);
+    }
+  }
+}
+
 std::optional<Placement> PlaceSeeker::PlacementOf(
     const PlannedPlacement& planned) const {
   const EndpointRecord* endpoint = Usable(planned.endpoint);
@@ -124,10 +136,7 @@
 }
 
 const EndpointRecord* PlaceSeeker::Usable(const EndpointId& id) const {
-  const EndpointRecord* record = services_->directory->Find(id);
-  const bool usable = record != nullptr && !record->draining &&
-                      record->service == sought_.request.service->name;
-  return usable ? record : nullptr;
+  return services_->directory->FindUsable(id, sought_.request.service->name);
 }
 
 bool PlaceSeeker::IsStillUsable(const Placement& placement) const {
--- a/src/gateway/place_seeker.h
+++ b/src/gateway/place_seeker.h
@@ -89,6 +89,9 @@
   // Takes the place that the planner gave, unless this host knows better of its
   // endpoints: then it asks again.
   void UsePlanned(const PlannedPlacement& planned);
+  // Keeps the next ask away from endpoints that only the planner takes for
+  // usable: of a closed data centre it may name a dozen at once.
+  void ExcludeUnusable(const PlannedPlacement& planned);
   std::optional<Placement> PlacementOf(const PlannedPlacement& planned) const;
   // Returns the record of `id` if new work may go there now, otherwise null.
   const EndpointRecord* Usable(const EndpointId& id) const;
