Engine time is shared out by client account where prompts wait

The waiting room and the planner knew no client account: prompts were tried by the time that they have to spare, whoever sent them, so that an account which sends ten times as many is given ten times as much, and one that repeats at once gains by it.

Of the accounts that wait, each may have up to a level at which all that was given is used (max-min); one that wants less, or has had less, goes before those that have had their share, among those that can be in time and among those that cannot. Short and long prompts have shares of their own. A newcomer of an account that has had its share does not take an engine before those that wait and have had less, and late prompts of such an account are no precedent to refuse another account's.

--- a/include/harecrank/core/engine_estimate.h
+++ b/include/harecrank/core/engine_estimate.h
@@ -20,6 +20,11 @@
 FractionalMillis PassTime(const EngineProfile& engine, int members,
                           Tokens context);
 
+// Returns what the answer to one request adds to the passes that it is written
+// in: its members' cost, not that of the passes, which others share.
+FractionalMillis WriteTime(const EngineProfile& engine, Tokens prompt,
+                           Tokens answer);
+
 }  // namespace harecrank
 
 #endif  // HARECRANK_CORE_ENGINE_ESTIMATE_H_
--- a/include/harecrank/core/placement.h
+++ b/include/harecrank/core/placement.h
@@ -15,6 +15,7 @@
 #include <variant>
 #include <vector>
 
+#include "harecrank/core/account_shares.h"
 #include "harecrank/core/clock.h"
 #include "harecrank/core/endpoint_directory.h"
 #include "harecrank/core/endpoint_health.h"
@@ -95,6 +96,10 @@
 bool IsShortPrompt(const PlacementRequest& request,
                    const PlacementPolicy& policy);
 
+// Returns what `request` takes of its account's share; its service must have an
+// engine. With `by_account` off all requests are of one account.
+ShareClaim ClaimOf(const PlacementRequest& request, bool by_account);
+
 // Returns what `placement` puts under way, the endpoint's part first.
 std::vector<WorkPart> PartsOf(const Placement& placement,
                               const PlacementRequest& request);
--- a/include/harecrank/core/planner.h
+++ b/include/harecrank/core/planner.h
@@ -81,6 +81,10 @@
     return room_.Count() + short_room_.Count();
   }
   std::size_t HostCount() const { return hosts_.size(); }
+  // Accounts whose long prompts wait, and those of them that have had their
+  // share of engine time.
+  std::size_t WaitingAccounts() const { return room_.WaitingAccounts(); }
+  std::size_t SatedAccounts() const { return room_.SatedAccounts(); }
 
   // Over how long the demand of short prompts is taken.
   static constexpr Millis kDemandWindow{500};
@@ -126,6 +130,12 @@
   std::optional<PlaceDecision> TryPlace(Entry* entry);
   std::optional<PlacementRequest> RequestOf(const Entry& entry) const;
   bool IsShort(const PlacementRequest& request) const;
+  ShareClaim ShareClaimOf(const PlacementRequest& request) const;
+  ShareTurn TurnOf(const Entry& entry,
+                   const std::optional<PlacementRequest>& request);
+  WaitingRoom& RoomOf(const Entry& entry) {
+    return entry.is_short ? short_room_ : room_;
+  }
   bool WaitsInVain(const PlaceAsk& ask, const PlacementRequest& request) const;
   void Wait(Entry* entry, const PlacementRequest& request);
   void LeaveRoom(Entry* entry);
--- a/include/harecrank/core/routing_table.h
+++ b/include/harecrank/core/routing_table.h
@@ -129,6 +129,9 @@
   const RoutingDocument& Document() const { return document_; }
   const CallerLimits& Limits() const { return document_.limits; }
   bool NeedsKeys() const { return document_.accounts.has_value(); }
+  bool HasSeveralAccounts() const {
+    return NeedsKeys() && document_.accounts->size() > 1;
+  }
 
   // Returns the route whose host is `host` and whose prefix is the longest that
   // begins `path`, or null. `host` may carry a port and any case.
--- a/include/harecrank/core/waiting_room.h
+++ b/include/harecrank/core/waiting_room.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "harecrank/core/account_shares.h"
 #include "harecrank/core/clock.h"
 #include "harecrank/core/engine_estimate.h"
 #include "harecrank/core/strong_types.h"
@@ -30,6 +31,8 @@
   FractionalMillis service{0};
   // How long one engine alone reads it.
   FractionalMillis work{0};
+  // What it takes of its account's share.
+  ShareClaim claim{};
 };
 
 // Returns how urgent `waiter` is at `now`.
@@ -50,13 +53,29 @@
     std::variant<LeastSpareFirst, MostSpareFirst, LeastWorkFirst>;
 
 // Requests that can still be in time go first, in the order given; those that
-// cannot follow, the quickest first. Not thread-safe.
+// cannot follow, the quickest first. With shares by account, among either of
+// them those of accounts that have had their share go last. Not thread-safe.
 class WaitingRoom {
  public:
-  explicit WaitingRoom(MonotonicClock clock, WaitingOrder order = {});
+  explicit WaitingRoom(MonotonicClock clock, WaitingOrder order = {},
+                       bool shares_by_account = false);
 
   WaiterId Add(const Waiter& waiter);
-  void Remove(WaiterId id) { waiters_.erase(id); }
+  void Remove(WaiterId id);
+
+  // Engines have been given to a request, whether it waited or not.
+  void OnGiven(const ShareClaim& claim);
+
+  // Returns how one that does not wait yet stands towards those that do.
+  ShareTurn TurnOf(const ShareClaim& claim) const;
+
+  // How many accounts wait, and how many of them have had their share; zero
+  // without shares.
+  std::size_t WaitingAccounts() const;
+  std::size_t SatedAccounts() const;
+
+  // Another host has given places: what was given here tells nothing more.
+  void ForgetGiven();
 
   // Returns at most `most` of those that wait, first to last.
   std::vector<WaiterId> InOrder(std::size_t most) const;
@@ -74,6 +93,8 @@
  private:
   MonotonicClock clock_;
   WaitingOrder order_;
+  // Absent: accounts are not told apart.
+  std::optional<AccountShares> shares_;
   std::uint64_t next_id_ = 1;
   std::map<WaiterId, Waiter> waiters_;
 };
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -289,6 +289,7 @@
   reader->Switch("bound_late_parts", &policy->bound_late_parts);
   reader->Count("tried", 1, kMostOfAnEngine, &policy->tried);
   reader->Switch("refuses_by_precedent", &policy->refuses_by_precedent);
+  reader->Switch("shares_by_account", &policy->shares_by_account);
   reader->Fraction("retry_after_share", 0, kMostShare,
                    &policy->retry_after_share);
   reader->Fraction("oversize_wait_share", 0, kMostShare,
--- /dev/null
+++ b/src/core/account_shares_test.cc
@@ -0,0 +1,104 @@
+#include "harecrank/core/account_shares.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace harecrank {
+namespace {
+
+const AccountId kLarge{"large"};
+const AccountId kSmall{"small"};
+
+ShareClaim ClaimFor(const AccountId& account, double millis, int priority = 0) {
+  return ShareClaim{account, FractionalMillis(millis), priority};
+}
+
+class SharesFixture {
+ protected:
+  TimePoint now_{std::chrono::hours(1)};
+  AccountShares shares_{[this] { return now_; }};
+};
+
+TEST_CASE_METHOD(SharesFixture,
+                 "An account that wants less than its share goes first") {
+  shares_.OnGiven(ClaimFor(kLarge, 10000));
+  for (int i = 0; i < 10; ++i) {
+    shares_.OnWaits(ClaimFor(kLarge, 1000));
+  }
+  CHECK(shares_.TurnOf(ClaimFor(kSmall, 1000)) == ShareTurn::kBefore);
+  shares_.OnWaits(ClaimFor(kSmall, 1000));
+  CHECK(shares_.Sated() == std::set<AccountId>{kLarge});
+  CHECK(shares_.TurnOf(ClaimFor(kLarge, 1000)) == ShareTurn::kAfter);
+}
+
+TEST_CASE_METHOD(SharesFixture,
+                 "An account that waits alone goes after nobody") {
+  shares_.OnGiven(ClaimFor(kLarge, 90000));
+  shares_.OnWaits(ClaimFor(kLarge, 9000));
+  CHECK(shares_.Sated().empty());
+  CHECK(shares_.TurnOf(ClaimFor(kLarge, 9000)) == ShareTurn::kEven);
+}
+
+TEST_CASE_METHOD(SharesFixture, "Asking for more gains an account nothing") {
+  shares_.OnGiven(ClaimFor(kLarge, 10000));
+  shares_.OnGiven(ClaimFor(kSmall, 4000));
+  shares_.OnWaits(ClaimFor(kSmall, 90000));
+  for (int repeats = 0; repeats < 100; ++repeats) {
+    shares_.OnWaits(ClaimFor(kLarge, 5000));
+    CHECK(shares_.Sated() == std::set<AccountId>{kLarge});
+  }
+}
+
+TEST_CASE_METHOD(SharesFixture,
+                 "Accounts that have had about as much do not change places") {
+  shares_.OnGiven(ClaimFor(kLarge, 10000));
+  shares_.OnGiven(ClaimFor(kSmall, 9000));
+  shares_.OnWaits(ClaimFor(kLarge, 9000));
+  shares_.OnWaits(ClaimFor(kSmall, 9000));
+  CHECK(shares_.TurnOf(ClaimFor(kLarge, 9000)) == ShareTurn::kEven);
+}
+
+TEST_CASE_METHOD(SharesFixture,
+                 "A step of priority is worth twice the engine time") {
+  shares_.OnGiven(ClaimFor(kLarge, 10000, 0));
+  shares_.OnGiven(ClaimFor(kSmall, 5000, 1));
+  shares_.OnWaits(ClaimFor(kLarge, 90000, 0));
+  shares_.OnWaits(ClaimFor(kSmall, 90000, 1));
+  CHECK(shares_.TurnOf(ClaimFor(kSmall, 100, 1)) == ShareTurn::kEven);
+  shares_.OnGiven(ClaimFor(kSmall, 5000, 1));
+  CHECK(shares_.Sated() == std::set<AccountId>{kSmall});
+}
+
+TEST_CASE_METHOD(SharesFixture, "What was given long ago is forgotten") {
+  shares_.OnGiven(ClaimFor(kLarge, 10000));
+  now_ += 10 * AccountShares::kWindow;
+  shares_.OnGiven(ClaimFor(kSmall, 1000));
+  shares_.OnWaits(ClaimFor(kLarge, 9000));
+  shares_.OnWaits(ClaimFor(kSmall, 9000));
+  CHECK(shares_.Sated() == std::set<AccountId>{kSmall});
+}
+
+TEST_CASE_METHOD(SharesFixture,
+                 "However many accounts come, those that wait and those that "
+                 "had most are kept") {
+  shares_.OnWaits(ClaimFor(kSmall, 1000));
+  shares_.OnGiven(ClaimFor(kLarge, 50000));
+  for (int i = 0; i < 3000; ++i) {
+    shares_.OnGiven(ClaimFor(AccountId{std::to_string(i)}, 10));
+  }
+  CHECK(shares_.Count() == AccountShares::kMostAccounts);
+  CHECK(shares_.TurnOf(ClaimFor(kLarge, 9000)) == ShareTurn::kAfter);
+  CHECK(shares_.WaitingAccounts() == 1);
+}
+
+TEST_CASE_METHOD(SharesFixture, "Forgetting what was given makes all even") {
+  shares_.OnGiven(ClaimFor(kLarge, 50000));
+  shares_.OnWaits(ClaimFor(kLarge, 9000));
+  shares_.OnWaits(ClaimFor(kSmall, 9000));
+  CHECK(shares_.Sated().size() == 1);
+  shares_.ForgetGiven();
+  CHECK(shares_.TurnOf(ClaimFor(kSmall, 10)) == ShareTurn::kEven);
+}
+
+}  // namespace
+}  // namespace harecrank
--- a/src/core/engine_estimate.cc
+++ b/src/core/engine_estimate.cc
@@ -17,6 +17,14 @@
                           pairs / kMillion * engine.read_ms_per_million_pairs);
 }
 
+FractionalMillis WriteTime(const EngineProfile& engine, Tokens prompt,
+                           Tokens answer) {
+  const double step = engine.step_ms_per_member +
+                      static_cast<double>(prompt.value) / kThousand *
+                          engine.step_ms_per_thousand_context;
+  return FractionalMillis(static_cast<double>(answer.value) * step);
+}
+
 FractionalMillis PassTime(const EngineProfile& engine, int members,
                           Tokens context) {
   const double step = engine.step_ms + members * engine.step_ms_per_member +
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -61,6 +61,18 @@
          policy.short_share_of_gap * FractionalMillis(request.tightest_gap);
 }
 
+ShareClaim ClaimOf(const PlacementRequest& request, bool by_account) {
+  const EngineProfile& engine = *request.service->engine;
+  ShareClaim claim;
+  claim.engine_time = ReadTime(engine, request.prompt) +
+                      WriteTime(engine, request.prompt, request.answer);
+  if (by_account) {
+    claim.account = request.origin.request.account;
+    claim.priority = request.origin.priority;
+  }
+  return claim;
+}
+
 std::vector<WorkPart> PartsOf(const Placement& placement,
                               const PlacementRequest& request) {
   WorkPart own{placement.endpoint.id, placement.work_class, placement.read,
--- a/src/core/planner.cc
+++ b/src/core/planner.cc
@@ -32,8 +32,9 @@
       placer_(
           directory, &loads_, health, std::move(self), LoadsOf::kAllHosts,
           [] { return 1; }, policy, std::move(random)),
-      room_(clock, policy_.long_order),
-      short_room_(std::move(clock), policy_.short_order) {}
+      room_(clock, policy_.long_order, policy_.shares_by_account),
+      short_room_(std::move(clock), policy_.short_order,
+                  policy_.shares_by_account) {}
 
 void Planner::Begin(const std::vector<HostAddress>& hosts) {
   untold_ = std::set<HostAddress>(hosts.begin(), hosts.end());
@@ -69,14 +70,18 @@
     Wait(&entry, *request);
     return AskWaits{};
   }
-  if (auto decision = TryPlace(&entry)) {
+  const ShareTurn turn = TurnOf(entry, request);
+  // It does not take what others wait for that have had less.
+  const bool yields = turn == ShareTurn::kAfter && !ask.may_have_run;
+  if (auto decision = yields ? std::nullopt : TryPlace(&entry)) {
     if (!entry.placed.has_value()) {
       host->asks.erase(ask.id);
     }
     return *std::move(decision);
   }
+  // Late prompts of an account that goes after it are no precedent.
   if (policy_.refuses_by_precedent && !entry.is_short &&
-      WaitsInVain(ask, *request)) {
+      turn != ShareTurn::kBefore && WaitsInVain(ask, *request)) {
     host->asks.erase(ask.id);
     return AskRefused{};
   }
@@ -128,9 +133,25 @@
   entry->endpoint = placement->endpoint.id;
   entry->placed = Planned(*placement);
   entry->placed_at = clock_();
+  if (request->service->engine.has_value()) {
+    RoomOf(*entry).OnGiven(ShareClaimOf(*request));
+  }
   return *entry->placed;
 }
 
+ShareClaim Planner::ShareClaimOf(const PlacementRequest& request) const {
+  const auto table = routing_();
+  return ClaimOf(request, table != nullptr && table->HasSeveralAccounts());
+}
+
+ShareTurn Planner::TurnOf(const Entry& entry,
+                          const std::optional<PlacementRequest>& request) {
+  const bool shares =
+      request.has_value() && request->service->engine.has_value();
+  return shares ? RoomOf(entry).TurnOf(ShareClaimOf(*request))
+                : ShareTurn::kEven;
+}
+
 bool Planner::WaitsInVain(const PlaceAsk& ask,
                           const PlacementRequest& request) const {
   const auto least = room_.LeastLateWork();
@@ -170,13 +191,15 @@
   const FractionalMillis work =
       ReadTime(*request.service->engine, entry->ask.prompt);
   const AskKey key{entry->ask.host, entry->ask.id};
+  const ShareClaim claim = ShareClaimOf(request);
   if (entry->is_short) {
-    entry->waiter = short_room_.Add(Waiter{entry->late_at, work, work});
+    entry->waiter = short_room_.Add(Waiter{entry->late_at, work, work, claim});
     short_waiting_[*entry->waiter] = key;
     return;
   }
-  entry->waiter = room_.Add(Waiter{
-      entry->late_at, work / static_cast<double>(kMostHelpers + 1), work});
+  entry->waiter = room_.Add(Waiter{entry->late_at,
+                                   work / static_cast<double>(kMostHelpers + 1),
+                                   work, claim});
   waiting_[*entry->waiter] = key;
 }
 
@@ -333,6 +356,8 @@
     DropAsks(&host);
   }
   hosts_.clear();
+  room_.ForgetGiven();
+  short_room_.ForgetGiven();
   untold_.clear();
   learns_until_ = TimePoint{};
 }
--- a/src/core/waiting_room.cc
+++ b/src/core/waiting_room.cc
@@ -1,6 +1,8 @@
 #include "harecrank/core/waiting_room.h"
 
 #include <algorithm>
+#include <set>
+#include <tuple>
 #include <utility>
 
 namespace harecrank {
@@ -15,6 +17,10 @@
 // urgency of those that are equal in it.
 using SortKey = std::pair<FractionalMillis, Urgency>;
 
+// What goes before that: whether a waiter is late, and whether its account has
+// had its share. The same for all while no account has.
+using Rank = std::pair<bool, bool>;
+
 struct KeyOf {
   const Waiter& waiter;
   TimePoint now;
@@ -44,29 +50,79 @@
   return spare < Urgency(0) ? kLate + waiter.service : spare;
 }
 
-WaitingRoom::WaitingRoom(MonotonicClock clock, WaitingOrder order)
-    : clock_(std::move(clock)), order_(order) {}
+WaitingRoom::WaitingRoom(MonotonicClock clock, WaitingOrder order,
+                         bool shares_by_account)
+    : clock_(std::move(clock)), order_(order) {
+  if (shares_by_account) {
+    shares_.emplace(clock_);
+  }
+}
 
 WaiterId WaitingRoom::Add(const Waiter& waiter) {
   const WaiterId id{next_id_++};
   waiters_.emplace(id, waiter);
+  if (shares_.has_value()) {
+    shares_->OnWaits(waiter.claim);
+  }
   return id;
 }
 
+void WaitingRoom::Remove(WaiterId id) {
+  const auto found = waiters_.find(id);
+  if (found == waiters_.end()) {
+    return;
+  }
+  if (shares_.has_value()) {
+    shares_->OnLeft(found->second.claim);
+  }
+  waiters_.erase(found);
+}
+
+void WaitingRoom::OnGiven(const ShareClaim& claim) {
+  if (shares_.has_value()) {
+    shares_->OnGiven(claim);
+  }
+}
+
+ShareTurn WaitingRoom::TurnOf(const ShareClaim& claim) const {
+  return shares_.has_value() ? shares_->TurnOf(claim) : ShareTurn::kEven;
+}
+
+std::size_t WaitingRoom::WaitingAccounts() const {
+  return shares_.has_value() ? shares_->WaitingAccounts() : 0;
+}
+
+std::size_t WaitingRoom::SatedAccounts() const {
+  return shares_.has_value() ? shares_->Sated().size() : 0;
+}
+
+void WaitingRoom::ForgetGiven() {
+  if (shares_.has_value()) {
+    shares_->ForgetGiven();
+  }
+}
+
 std::vector<WaiterId> WaitingRoom::InOrder(std::size_t most) const {
-  using Key = std::pair<SortKey, WaiterId>;
+  using Key = std::tuple<Rank, SortKey, WaiterId>;
   const TimePoint now = clock_();
+  const std::set<AccountId> sated =
+      shares_.has_value() ? shares_->Sated() : std::set<AccountId>();
   std::vector<Key> keys;
   keys.reserve(waiters_.size());
   for (const auto& [id, waiter] : waiters_) {
-    keys.emplace_back(std::visit(KeyOf{waiter, now}, order_), id);
+    Rank rank;
+    if (!sated.empty()) {
+      rank = {SpareOf(waiter, now) < Urgency(0),
+              sated.count(waiter.claim.account) > 0};
+    }
+    keys.emplace_back(rank, std::visit(KeyOf{waiter, now}, order_), id);
   }
   std::sort(keys.begin(), keys.end());
   keys.resize(std::min(most, keys.size()));
   std::vector<WaiterId> order;
   order.reserve(keys.size());
   for (const Key& key : keys) {
-    order.push_back(key.second);
+    order.push_back(std::get<WaiterId>(key));
   }
   return order;
 }
--- a/src/core/waiting_room_test.cc
+++ b/src/core/waiting_room_test.cc
@@ -73,5 +73,48 @@
   CHECK(room.InOrder(1) == std::vector<WaiterId>{pressed});
 }
 
+TEST_CASE(
+    "With shares, an account that has had its own goes after the others that "
+    "can be in time, and before those that cannot") {
+  TimePoint now{std::chrono::hours(1)};
+  const FractionalMillis quick(50);
+  const auto order_of = [&now, quick](bool shares) {
+    WaitingRoom room([&now] { return now; }, LeastSpareFirst{}, shares);
+    const auto claim = [](const char* account) {
+      return ShareClaim{AccountId{account}, kWork, 0};
+    };
+    room.OnGiven(claim("large"));
+    room.OnGiven(claim("large"));
+    const TimePoint soon = now + Millis(100);
+    const WaiterId sated = room.Add({soon, quick, kWork, claim("large")});
+    const WaiterId next =
+        room.Add({soon + Millis(50), quick, kWork, claim("large")});
+    const WaiterId owed =
+        room.Add({now + Millis(900), quick, kWork, claim("small")});
+    const WaiterId late =
+        room.Add({now - Millis(1), quick, kWork, claim("small")});
+    const std::vector<WaiterId> order = room.InOrder(4);
+    if (order == std::vector<WaiterId>{owed, sated, next, late}) {
+      return 1;
+    }
+    return order == std::vector<WaiterId>{sated, next, owed, late} ? 0 : -1;
+  };
+  CHECK(order_of(true) == 1);
+  CHECK(order_of(false) == 0);
+}
+
+TEST_CASE("With shares, one that leaves the room no longer counts") {
+  WaitingRoom room([] { return TimePoint{}; }, LeastSpareFirst{}, true);
+  const ShareClaim large{AccountId{"large"}, kWork, 0};
+  const ShareClaim small{AccountId{"small"}, kWork, 0};
+  room.OnGiven(large);
+  const WaiterId id = room.Add({TimePoint{}, kWork, kWork, small});
+  CHECK(room.TurnOf(large) == ShareTurn::kAfter);
+  room.Remove(id);
+  room.Remove(id);
+  CHECK(room.WaitingAccounts() == 0);
+  CHECK(room.TurnOf(large) == ShareTurn::kEven);
+}
+
 }  // namespace
 }  // namespace harecrank
--- a/src/gateway/dispatch_queue.cc
+++ b/src/gateway/dispatch_queue.cc
@@ -5,8 +5,11 @@
 namespace harecrank {
 
 DispatchQueue::DispatchQueue(boost::asio::io_context* io, MonotonicClock clock,
-                             std::size_t tried)
-    : room_(clock), tried_(tried), timer_(*io), clock_(std::move(clock)) {}
+                             std::size_t tried, bool shares_by_account)
+    : room_(clock, {}, shares_by_account),
+      tried_(tried),
+      timer_(*io),
+      clock_(std::move(clock)) {}
 
 WaiterId DispatchQueue::Add(const Waiter& waiter, Start start) {
   const WaiterId id = room_.Add(waiter);
--- a/src/gateway/dispatch_queue.h
+++ b/src/gateway/dispatch_queue.h
@@ -26,7 +26,7 @@
   // Of those that wait, `tried` are tried at a time: the first may want more
   // engines than are open, and the next fewer.
   DispatchQueue(boost::asio::io_context* io, MonotonicClock clock,
-                std::size_t tried);
+                std::size_t tried, bool shares_by_account);
 
   // `start` may be called until the waiter has been removed, also from within
   // Pump. A waiter whose `start` returns true is removed.
@@ -41,6 +41,12 @@
     return room_.LeastLateWork();
   }
 
+  // Shares of what this host itself gives; it knows of no other's.
+  void OnGiven(const ShareClaim& claim) { room_.OnGiven(claim); }
+  ShareTurn TurnOf(const ShareClaim& claim) const {
+    return room_.TurnOf(claim);
+  }
+
   std::size_t Count() const { return room_.Count(); }
 
   // How often those that wait are tried while nothing is heard.
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -89,7 +89,8 @@
           settings_.placement, random_),
       budgets_(
           settings_.repeat_bound, [this] { return KnownHosts(); }, clock_),
-      queue_(&io_, clock_, settings_.placement.tried),
+      queue_(&io_, clock_, settings_.placement.tried,
+             settings_.placement.shares_by_account),
       orders_(platform.make_orders(&io_)),
       hosts_(Self(settings_), Addresses(settings_.seed_peers), clock_, random_),
       planner_(
@@ -286,6 +287,12 @@
   metrics_.AddGauge("harecrank_gateway_waiting_at_planner", [this] {
     return static_cast<double>(planner_.WaitingCount());
   });
+  metrics_.AddGauge("harecrank_gateway_accounts_waiting", [this] {
+    return static_cast<double>(planner_.WaitingAccounts());
+  });
+  metrics_.AddGauge("harecrank_gateway_accounts_sated", [this] {
+    return static_cast<double>(planner_.SatedAccounts());
+  });
   metrics_.AddGauge("harecrank_gateway_hosts_alive", [this] {
     return static_cast<double>(hosts_.AliveHosts());
   });
--- a/src/gateway/place_seeker.cc
+++ b/src/gateway/place_seeker.cc
@@ -139,11 +139,26 @@
                      usable);
 }
 
+std::optional<ShareClaim> PlaceSeeker::Claim() const {
+  if (!sought_.request.service->engine.has_value()) {
+    return std::nullopt;
+  }
+  const auto table = services_->routing->InForce();
+  return ClaimOf(sought_.request,
+                 table != nullptr && table->HasSeveralAccounts());
+}
+
 void PlaceSeeker::PlaceAlone() {
-  if (TryPlace()) {
+  const auto claim = Claim();
+  const ShareTurn turn =
+      claim.has_value() ? services_->queue->TurnOf(*claim) : ShareTurn::kEven;
+  // It does not take what others wait for that have had less.
+  const bool yields = turn == ShareTurn::kAfter && !started_;
+  if (!yields && TryPlace()) {
     return;
   }
-  if (services_->policy->refuses_by_precedent && WaitsInVain()) {
+  if (services_->policy->refuses_by_precedent && turn != ShareTurn::kBefore &&
+      WaitsInVain()) {
     observer_->OnTurnedAway(PauseForReturn());
     return;
   }
@@ -177,6 +192,9 @@
     return false;
   }
   if (const auto* placement = std::get_if<Placement>(&result)) {
+    if (const auto claim = Claim()) {
+      services_->queue->OnGiven(*claim);
+    }
     Prepare(*placement);
   } else {
     observer_->OnNoEndpoint();
@@ -217,7 +235,7 @@
   const FractionalMillis work =
       ReadTime(*sought_.request.service->engine, sought_.request.prompt);
   return Waiter{sought_.late_at, work / static_cast<double>(kMostHelpers + 1),
-                work};
+                work, Claim().value_or(ShareClaim{})};
 }
 
 std::optional<TimePoint> PlaceSeeker::WaitEnd(bool may_have_run) const {
--- a/src/gateway/place_seeker.h
+++ b/src/gateway/place_seeker.h
@@ -106,6 +106,8 @@
   // Whether another prompt that takes no longer to read waits and can no longer
   // be in time.
   bool WaitsInVain() const;
+  // What it takes of its account's share; nothing from plain services.
+  std::optional<ShareClaim> Claim() const;
   // Returns after which time a caller who is turned away may come again.
   Millis PauseForReturn() const;
   Waiter AsWaiter() const;
