--- a/include/harecrank/core/account_shares.h
+++ b/include/harecrank/core/account_shares.h
@@ -62,7 +62,7 @@
   // Forgets what was given; who waits still waits.
   void ForgetGiven();
 
-  int WaitingAccounts() const;
+  std::size_t WaitingAccounts() const;
   std::size_t Count() const { return accounts_.size(); }
 
   // What was given counts for less and less: after this time for a 2.7th. Long
--- a/src/core/account_shares.cc
+++ b/src/core/account_shares.cc
@@ -72,8 +72,8 @@
   }
 }
 
-int AccountShares::WaitingAccounts() const {
-  return static_cast<int>(
+std::size_t AccountShares::WaitingAccounts() const {
+  return static_cast<std::size_t>(
       std::count_if(accounts_.begin(), accounts_.end(),
                     [](const auto& one) { return one.second.waiters > 0; }));
 }
