--- a/include/harecrank/core/planner.h
+++ b/include/harecrank/core/planner.h
@@ -82,6 +82,10 @@
     return room_.Count() + short_room_.Count();
   }
   std::size_t HostCount() const { return hosts_.size(); }
+  // Accounts whose long prompts wait, and those of them that have had their
+  // share of engine time.
+  std::size_t WaitingAccounts() const { return room_.WaitingAccounts(); }
+  std::size_t SatedAccounts() const { return room_.SatedAccounts(); }
 
   // Over how long the demand of short prompts is taken.
   static constexpr Millis kDemandWindow{500};
@@ -134,6 +138,12 @@
   std::set<EndpointId> WithheldFrom(const Entry& entry,
                                     const ServiceProfile& service) const;
   bool IsShort(const PlacementRequest& request) const;
+  ShareClaim ShareClaimOf(const PlacementRequest& request) const;
+  ShareTurn TurnOf(const Entry& entry,
+                   const std::optional<PlacementRequest>& request);
+  WaitingRoom& RoomOf(const Entry& entry) {
+    return entry.is_short ? short_room_ : room_;
+  }
   bool WaitsInVain(const PlaceAsk& ask, const PlacementRequest& request) const;
   void Wait(Entry* entry, const PlacementRequest& request);
   void LeaveRoom(Entry* entry);
