Who finds no engine waits, or is told when to return, by what is foreseen

Cause: a long prompt was refused because a smaller one was late already, a short one after one target of lateness, the largest by their own host after a quarter of their target. All were told to return after a fixed share of the target, met the same queue as strangers and were refused again.

Change: behind `foresees_room` (off by default) the planner foresees from what waits and from how fast engine time has lately become free whether a prompt is in time, late but of use, or neither. The first wait in order, the second wait for what is left over, the third are told at once when room is foreseen. Who returns then is late since its first coming, goes before other late ones, goes before all shortly before it could not be served any more, and is refused again only when its deadline cannot be met. Who repeats at once is told the same time again. Promises are bounded and soft.

--- a/include/harecrank/core/placement_policy.h
+++ b/include/harecrank/core/placement_policy.h
@@ -82,6 +82,18 @@
   bool refuses_by_precedent = true;
   // Such a caller may come back after this share of its target.
   double retry_after_share = 1;
+  // Who finds no engine waits, is refused or is told when to return by when
+  // room is foreseen (room_forecast.h), in place of precedent and of fixed
+  // shares of a target.
+  bool foresees_room = false;
+  // Callers of streams that hear nothing for the longest of these leave: so
+  // many targets, so many gaps, and a time in milliseconds.
+  double patience_targets = 4;
+  double patience_gaps = 8;
+  double patience_ms = 2000;
+  // A caller that is told to return does so within this share of the time that
+  // it has left, however late it is told to.
+  double return_share = 0.33;
   // Of the prompts that wait in a host, so many are tried at a time.
   std::size_t tried = 8;
 };
--- a/include/harecrank/core/planner.h
+++ b/include/harecrank/core/planner.h
@@ -27,6 +27,7 @@
 #include "harecrank/core/endpoint_loads.h"
 #include "harecrank/core/fleet_messages.h"
 #include "harecrank/core/placement.h"
+#include "harecrank/core/room_decision.h"
 #include "harecrank/core/routing_table.h"
 #include "harecrank/core/waiting_room.h"
 
@@ -81,6 +82,9 @@
     return room_.Count() + short_room_.Count();
   }
   std::size_t HostCount() const { return hosts_.size(); }
+  // How many were told to return and have not come back yet.
+  std::size_t PromiseCount() const { return decision_.PromiseCount(); }
+  const PromiseCounts& Promises() const { return decision_.Counts(); }
 
   // Over how long the demand of short prompts is taken.
   static constexpr Millis kDemandWindow{500};
@@ -100,12 +104,17 @@
   struct Entry {
     PlaceAsk ask;
     TimePoint late_at{};
+    TimePoint came_at{};
     // When its caller or route gives it up.
     TimePoint ends_at{};
     TimePoint asked_at{};
     TimePoint placed_at{};
     std::optional<WaiterId> waiter;
     bool is_short = false;
+    // Whether room is foreseen for it.
+    bool is_foreseen = false;
+    // It was turned away before and came when it was told to.
+    bool was_promised = false;
     std::optional<PlannedPlacement> placed;
     std::vector<WorkId> work;
     EndpointId endpoint;
@@ -131,7 +140,20 @@
   void LeaveRoom(Entry* entry);
   void NoteDemand(const PlacementRequest& request);
   ShortDemand DemandWithin(Millis time) const;
-  // Whether a short prompt has waited for as long as is of use.
+  RoomSeeker SeekerOf(const Entry& entry,
+                      const PlacementRequest& request) const;
+  // Returns the refusal of one that just came and found no place, if it should
+  // not wait.
+  std::optional<AskRefused> RefusalOnArrival(const Entry& entry,
+                                             const PlacementRequest& request);
+  // Whether one that waits in `room` after `ahead` may take a place now.
+  bool MayStart(const Entry& entry, const WaitingRoom& room,
+                const WorkAhead& ahead) const;
+  // Returns the answer to one that waits after `ahead`, if it should no longer.
+  std::optional<PlaceDecision> EndOfWait(const Entry& entry,
+                                         const WorkAhead& ahead);
+  // Whether a short prompt has waited for as long as is of use, where no room
+  // is foreseen.
   bool HasWaitedEnough(const Entry& entry) const;
   void TryRoom(WaitingRoom* room, std::size_t tried,
                std::vector<DuePlace>* due);
@@ -139,12 +161,14 @@
   void DropEntry(Entry* entry);
   void DropAsks(Host* host);
 
+  const EndpointDirectory* directory_;
   EndpointHealth* health_;
   RoutingSource routing_;
   PlacementPolicy policy_;
   MonotonicClock clock_;
   EndpointLoads loads_;
   Placer placer_;
+  RoomDecision decision_;
   // Of long prompts and of short ones.
   WaitingRoom room_;
   WaitingRoom short_room_;
--- a/include/harecrank/core/waiting_room.h
+++ b/include/harecrank/core/waiting_room.h
@@ -30,8 +30,15 @@
   FractionalMillis service{0};
   // How long one engine alone reads it.
   FractionalMillis work{0};
+  // It was turned away before and told to come now: it goes before its like.
+  bool was_promised = false;
+  // From then on it goes before all: it cannot be served at all much later.
+  TimePoint first_from = TimePoint::max();
 };
 
+// Returns whether `waiter` can still be in time at `now`.
+bool CanStillBeInTime(const Waiter& waiter, TimePoint now);
+
 // Returns how urgent `waiter` is at `now`.
 Urgency UrgencyOf(const Waiter& waiter, TimePoint now);
 
@@ -49,8 +56,10 @@
 using WaitingOrder =
     std::variant<LeastSpareFirst, MostSpareFirst, LeastWorkFirst>;
 
-// Requests that can still be in time go first, in the order given; those that
-// cannot follow, the quickest first. Not thread-safe.
+// After those that can wait no longer, requests that can still be in time go
+// first, in the order given; those that
+// cannot follow, who was told to return before the others, and among their like
+// the quickest first. Not thread-safe.
 class WaitingRoom {
  public:
   explicit WaitingRoom(MonotonicClock clock, WaitingOrder order = {});
@@ -61,6 +70,13 @@
   // Returns at most `most` of those that wait, first to last.
   std::vector<WaiterId> InOrder(std::size_t most) const;
 
+  // `id` must wait.
+  const Waiter& Find(WaiterId id) const { return waiters_.at(id); }
+
+  // Returns the work of all that can still be in time, and of all others.
+  FractionalMillis WorkInTime() const;
+  FractionalMillis LateWork() const;
+
   // Returns the urgency of the first that waits, if any does.
   std::optional<Urgency> MostUrgent() const;
 
@@ -72,6 +88,8 @@
   std::size_t Count() const { return waiters_.size(); }
 
  private:
+  FractionalMillis WorkOf(bool in_time) const;
+
   MonotonicClock clock_;
   WaitingOrder order_;
   std::uint64_t next_id_ = 1;
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -255,6 +255,8 @@
   constexpr double kMostShare = 4;
   // Requests on one engine, or engines.
   constexpr int kMostOfAnEngine = 64;
+  // Milliseconds.
+  constexpr double kMostPatience = 600000;
   reader->Fraction("short_share_of_gap", 0, kMostShare,
                    &policy->short_share_of_gap);
   reader->Fraction("part_share_of_gap", 0, kMostShare,
@@ -291,6 +293,12 @@
   reader->Switch("refuses_by_precedent", &policy->refuses_by_precedent);
   reader->Fraction("retry_after_share", 0, kMostShare,
                    &policy->retry_after_share);
+  reader->Switch("foresees_room", &policy->foresees_room);
+  reader->Fraction("patience_targets", 1, kMostOfAnEngine,
+                   &policy->patience_targets);
+  reader->Fraction("patience_gaps", 0, kMostOfAnEngine, &policy->patience_gaps);
+  reader->Fraction("patience_ms", 0, kMostPatience, &policy->patience_ms);
+  reader->Fraction("return_share", 0, 1, &policy->return_share);
   reader->Fraction("oversize_wait_share", 0, kMostShare,
                    &policy->oversize_wait_share);
 }
--- a/src/core/planner.cc
+++ b/src/core/planner.cc
@@ -1,5 +1,6 @@
 #include "harecrank/core/planner.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace harecrank {
@@ -18,13 +19,20 @@
   return planned;
 }
 
+std::optional<PlaceDecision> AsDecision(
+    const std::optional<AskRefused>& refused) {
+  return refused.has_value() ? std::make_optional<PlaceDecision>(*refused)
+                             : std::nullopt;
+}
+
 }  // namespace
 
 Planner::Planner(const EndpointDirectory* directory, EndpointHealth* health,
                  DataCentreId self, RoutingSource routing,
                  const PlacementPolicy& policy, MonotonicClock clock,
                  RandomSource random)
-    : health_(health),
+    : directory_(directory),
+      health_(health),
       routing_(std::move(routing)),
       policy_(policy),
       clock_(clock),
@@ -32,6 +40,7 @@
       placer_(
           directory, &loads_, health, std::move(self), LoadsOf::kAllHosts,
           [] { return 1; }, policy, std::move(random)),
+      decision_(policy_, clock),
       room_(clock, policy_.long_order),
       short_room_(std::move(clock), policy_.short_order) {}
 
@@ -56,6 +65,7 @@
     return AskWaits{};
   }
   entry.ask = ask;
+  entry.came_at = clock_();
   entry.late_at = clock_() + std::chrono::duration_cast<TimePoint::duration>(
                                  ask.until_late);
   entry.ends_at = clock_() + std::chrono::duration_cast<TimePoint::duration>(
@@ -65,6 +75,15 @@
     entry.is_short = true;
     NoteDemand(*request);
   }
+  if (request.has_value() && request->service->engine.has_value()) {
+    const RoomSeeker seeker = SeekerOf(entry, *request);
+    entry.is_foreseen = decision_.Knows(seeker);
+    if (const auto late_at = decision_.OnAsked(seeker)) {
+      entry.was_promised = true;
+      entry.late_at = std::min(entry.late_at, *late_at);
+      request = RequestOf(entry);
+    }
+  }
   if (IsLearning() && request.has_value()) {
     Wait(&entry, *request);
     return AskWaits{};
@@ -75,10 +94,9 @@
     }
     return *std::move(decision);
   }
-  if (policy_.refuses_by_precedent && !entry.is_short &&
-      WaitsInVain(ask, *request)) {
+  if (const auto refused = RefusalOnArrival(entry, *request)) {
     host->asks.erase(ask.id);
-    return AskRefused{};
+    return *refused;
   }
   Wait(&entry, *request);
   return AskWaits{};
@@ -128,9 +146,59 @@
   entry->endpoint = placement->endpoint.id;
   entry->placed = Planned(*placement);
   entry->placed_at = clock_();
+  if (request->service->engine.has_value()) {
+    decision_.OnStarted(SeekerOf(*entry, *request));
+  }
   return *entry->placed;
 }
 
+RoomSeeker Planner::SeekerOf(const Entry& entry,
+                             const PlacementRequest& request) const {
+  RoomSeeker seeker;
+  seeker.request = &request;
+  seeker.work = ReadTime(*request.service->engine, request.prompt);
+  seeker.kind = entry.is_short ? PromptKind::kShort : PromptKind::kLong;
+  seeker.age = clock_() - entry.came_at;
+  seeker.waits = entry.waiter.has_value();
+  seeker.was_promised = entry.was_promised;
+  seeker.engines = directory_->UsableOf(request.service->name).size();
+  return seeker;
+}
+
+std::optional<AskRefused> Planner::RefusalOnArrival(
+    const Entry& entry, const PlacementRequest& request) {
+  if (entry.is_foreseen) {
+    const RoomSeeker seeker = SeekerOf(entry, request);
+    const WaitingRoom& room = entry.is_short ? short_room_ : room_;
+    return decision_.RefusalOf(
+        seeker,
+        WorkAhead{room.WorkInTime(), room.LateWork(), room.LeastLateWork()});
+  }
+  const bool in_vain = policy_.refuses_by_precedent && !entry.is_short &&
+                       WaitsInVain(entry.ask, request);
+  return in_vain ? std::make_optional(AskRefused{}) : std::nullopt;
+}
+
+std::optional<PlaceDecision> Planner::EndOfWait(const Entry& entry,
+                                                const WorkAhead& ahead) {
+  if (!entry.is_foreseen) {
+    return std::nullopt;
+  }
+  const auto request = RequestOf(entry);
+  if (!request.has_value()) {
+    return NoEndpoint{};
+  }
+  return AsDecision(decision_.RefusalOf(SeekerOf(entry, *request), ahead));
+}
+
+bool Planner::MayStart(const Entry& entry, const WaitingRoom& room,
+                       const WorkAhead& ahead) const {
+  const PromptKind kind =
+      entry.is_short ? PromptKind::kShort : PromptKind::kLong;
+  return !entry.is_foreseen || entry.ask.may_have_run ||
+         decision_.MayStart(room.Find(*entry.waiter), kind, clock_(), ahead);
+}
+
 bool Planner::WaitsInVain(const PlaceAsk& ask,
                           const PlacementRequest& request) const {
   const auto least = room_.LeastLateWork();
@@ -170,13 +238,18 @@
   const FractionalMillis work =
       ReadTime(*request.service->engine, entry->ask.prompt);
   const AskKey key{entry->ask.host, entry->ask.id};
+  const TimePoint first_from =
+      entry->was_promised ? decision_.FirstFrom(SeekerOf(*entry, request))
+                          : TimePoint::max();
   if (entry->is_short) {
-    entry->waiter = short_room_.Add(Waiter{entry->late_at, work, work});
+    entry->waiter = short_room_.Add(
+        Waiter{entry->late_at, work, work, entry->was_promised, first_from});
     short_waiting_[*entry->waiter] = key;
     return;
   }
-  entry->waiter = room_.Add(Waiter{
-      entry->late_at, work / static_cast<double>(kMostHelpers + 1), work});
+  entry->waiter = room_.Add(Waiter{entry->late_at,
+                                   work / static_cast<double>(kMostHelpers + 1),
+                                   work, entry->was_promised, first_from});
   waiting_[*entry->waiter] = key;
 }
 
@@ -191,7 +264,7 @@
 
 bool Planner::HasWaitedEnough(const Entry& entry) const {
   const FractionalMillis late = clock_() - entry.late_at;
-  return entry.is_short && !entry.ask.may_have_run &&
+  return entry.is_short && !entry.ask.may_have_run && !entry.is_foreseen &&
          late > policy_.late_wait_share *
                     FractionalMillis(entry.ask.target_latency);
 }
@@ -214,7 +287,10 @@
 void Planner::TryRoom(WaitingRoom* room, std::size_t tried,
                       std::vector<DuePlace>* due) {
   const bool is_short = room == &short_room_;
+  decision_.OnWaiting(is_short ? PromptKind::kShort : PromptKind::kLong,
+                      !room->IsEmpty());
   std::size_t failed = 0;
+  WorkAhead ahead;
   for (const WaiterId id : room->InOrder(room->Count())) {
     const AskKey key = (is_short ? short_waiting_ : waiting_).at(id);
     Host& host = hosts_.at(key.host);
@@ -222,10 +298,16 @@
     std::optional<PlaceDecision> decision;
     if (HasWaitedEnough(entry)) {
       decision = AskRefused{};
-    } else if (failed < tried) {
+    } else if (failed < tried && MayStart(entry, *room, ahead)) {
       decision = TryPlace(&entry);
     }
     if (!decision.has_value()) {
+      decision = EndOfWait(entry, ahead);
+    }
+    if (!decision.has_value()) {
+      const Waiter& waiter = room->Find(id);
+      (CanStillBeInTime(waiter, clock_()) ? ahead.in_time : ahead.late) +=
+          waiter.work;
       ++failed;
       continue;
     }
@@ -333,6 +415,7 @@
     DropAsks(&host);
   }
   hosts_.clear();
+  decision_.Clear();
   untold_.clear();
   learns_until_ = TimePoint{};
 }
--- a/src/core/planner_test.cc
+++ b/src/core/planner_test.cc
@@ -380,5 +380,94 @@
   CHECK(std::holds_alternative<PlannedPlacement>(planner_->OnAsk(resumed)));
 }
 
+// Asks that tell what room is foreseen by, on engines that all read for long.
+class TurnedAwayFixture : public PlannerFixture {
+ protected:
+  TurnedAwayFixture() {
+    policy_.foresees_room = true;
+    planner_ = MakePlanner();
+  }
+
+  PlaceAsk Told(PlaceAsk ask, std::uint64_t request) {
+    ask.until_deadline = FractionalMillis(15000);
+    ask.origin.request = RequestFingerprint{AccountId{"press"}, request, 1};
+    return ask;
+  }
+
+  // Lets so many long prompts come that the next is turned away.
+  void Flood() {
+    constexpr int kMany = 60;
+    for (int i = 0; i < kMany; ++i) {
+      planner_->OnAsk(Told(Long(i), ++strangers_));
+    }
+  }
+
+  // Returns when `ask` is told to return in a flood.
+  Millis TurnAway(const PlaceAsk& ask) {
+    Flood();
+    return std::get<AskRefused>(planner_->OnAsk(ask)).return_after.value();
+  }
+
+  PlaceAsk Return(PlaceAsk ask) {
+    ask.id = AskId{++last_id_};
+    ask.until_deadline = FractionalMillis(9000);
+    return ask;
+  }
+
+  std::uint64_t strangers_ = 100;
+};
+
+TEST_CASE_METHOD(TurnedAwayFixture,
+                 "Who is turned away and returns when it was told to is not "
+                 "turned away again, and a stranger is") {
+  const PlaceAsk ask = Told(Long(1), 1);
+  const Millis after = TurnAway(ask);
+  CHECK(after <= Millis(5000));
+  // Sooner it gains nothing: the same time is told again.
+  now_ += Millis(100);
+  const auto sooner = planner_->OnAsk(Return(ask));
+  CHECK(std::get<AskRefused>(sooner).return_after == after - Millis(100));
+  CHECK(planner_->PromiseCount() > 0);
+  now_ += after - Millis(100);
+  Flood();
+  CHECK(std::holds_alternative<AskWaits>(planner_->OnAsk(Return(ask))));
+  CHECK(std::holds_alternative<AskRefused>(
+      planner_->OnAsk(Return(Told(Long(2), 2)))));
+}
+
+TEST_CASE_METHOD(TurnedAwayFixture,
+                 "A planner that is replaced between refusal and return has "
+                 "forgotten the promise and serves who returns as any other") {
+  const PlaceAsk ask = Told(Long(1), 1);
+  now_ += TurnAway(ask);
+  planner_ = MakePlanner();
+  CHECK(planner_->PromiseCount() == 0);
+  CHECK(std::holds_alternative<PlannedPlacement>(planner_->OnAsk(Return(ask))));
+}
+
+TEST_CASE_METHOD(TurnedAwayFixture,
+                 "Who was promised room that is lost since waits while it can "
+                 "be served, and is told at once when it can not") {
+  const PlaceAsk ask = Told(Long(1), 1);
+  now_ += TurnAway(ask);
+  for (int i = 0; i + 1 < kEngines; ++i) {
+    EndpointRecord lost;
+    lost.id = EndpointId{"e" + std::to_string(i)};
+    lost.service = kWriters;
+    lost.address = lost.id.value + ":1";
+    lost.draining = true;
+    directory_.Upsert(lost);
+  }
+  const PlaceAsk returned = Return(ask);
+  REQUIRE(std::holds_alternative<AskWaits>(planner_->OnAsk(returned)));
+  now_ += Millis(8800);
+  bool is_told = false;
+  for (const DuePlace& due : planner_->TryWaiting()) {
+    is_told = is_told || (due.id == returned.id &&
+                          std::holds_alternative<AskRefused>(due.decision));
+  }
+  CHECK(is_told);
+}
+
 }  // namespace
 }  // namespace harecrank
--- /dev/null
+++ b/src/core/return_promises.cc
@@ -0,0 +1,77 @@
+#include "harecrank/core/return_promises.h"
+
+#include <algorithm>
+
+namespace harecrank {
+
+ReturnPromises::ReturnPromises(MonotonicClock clock)
+    : clock_(std::move(clock)) {}
+
+Millis ReturnPromises::Promise(const RequestFingerprint& request,
+                               FractionalMillis work, TimePoint late_at,
+                               Millis after) {
+  DropEnded();
+  const TimePoint now = clock_();
+  const auto found = promises_.find(request);
+  if (found != promises_.end()) {
+    const Millis left =
+        std::chrono::duration_cast<Millis>(found->second.due - now);
+    if (left > kEarly) {
+      return left;
+    }
+    late_at = found->second.late_at;
+    Erase(found);
+  }
+  if (promises_.size() >= kMost) {
+    Erase(promises_.find(by_due_.begin()->second));
+  }
+  promises_.emplace(request, Held{now + after, work, late_at});
+  by_due_.emplace(now + after, request);
+  work_ += work;
+  return after;
+}
+
+std::optional<TimePoint> ReturnPromises::Take(
+    const RequestFingerprint& request) {
+  DropEnded();
+  const auto found = promises_.find(request);
+  if (found == promises_.end() || clock_() + kEarly < found->second.due) {
+    return std::nullopt;
+  }
+  const TimePoint late_at = found->second.late_at;
+  Erase(found);
+  return late_at;
+}
+
+void ReturnPromises::Drop(const RequestFingerprint& request) {
+  const auto found = promises_.find(request);
+  if (found != promises_.end()) {
+    Erase(found);
+  }
+}
+
+FractionalMillis ReturnPromises::PromisedWork() {
+  DropEnded();
+  return promises_.empty() ? FractionalMillis(0) : work_;
+}
+
+void ReturnPromises::Clear() {
+  promises_.clear();
+  by_due_.clear();
+  work_ = FractionalMillis(0);
+}
+
+void ReturnPromises::DropEnded() {
+  const TimePoint now = clock_();
+  while (!by_due_.empty() && now - by_due_.begin()->first > kKept) {
+    Erase(promises_.find(by_due_.begin()->second));
+  }
+}
+
+void ReturnPromises::Erase(std::map<RequestFingerprint, Held>::iterator found) {
+  by_due_.erase({found->second.due, found->first});
+  work_ -= found->second.work;
+  promises_.erase(found);
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/core/room_decision.cc
@@ -0,0 +1,148 @@
+#include "harecrank/core/room_decision.h"
+
+#include <algorithm>
+
+namespace harecrank {
+namespace {
+
+// One that waits goes on waiting until twice as much room as is foreseen would
+// not do: what it has waited is lost if it is sent away.
+constexpr double kDoubt = 0.5;
+// One that comes is let in as in time only if its turn is foreseen within this
+// share of its time: a queue as long as a target makes everybody late at the
+// smallest error.
+constexpr double kSureShare = 0.6;
+
+bool HasFingerprint(const PlacementRequest& request) {
+  return request.origin.request.high != 0 || request.origin.request.low != 0;
+}
+
+}  // namespace
+
+FractionalMillis PatienceOf(const PlacementRequest& request,
+                            const PlacementPolicy& policy) {
+  return std::max(
+      {FractionalMillis(policy.patience_ms),
+       policy.patience_targets * FractionalMillis(request.target_latency),
+       policy.patience_gaps * FractionalMillis(request.target_gap)});
+}
+
+RoomDecision::RoomDecision(const PlacementPolicy& policy,
+                           const MonotonicClock& clock)
+    : policy_(policy),
+      clock_(clock),
+      short_(clock, kShortRoom),
+      long_(clock, kLongRoom),
+      promises_(clock) {}
+
+bool RoomDecision::Knows(const RoomSeeker& seeker) const {
+  const PlacementRequest& request = *seeker.request;
+  // Zero where its host tells no deadline.
+  return policy_.foresees_room &&
+         request.until_deadline > FractionalMillis(0) &&
+         HasFingerprint(request);
+}
+
+std::optional<TimePoint> RoomDecision::OnAsked(const RoomSeeker& seeker) {
+  std::optional<TimePoint> late_at;
+  if (Knows(seeker)) {
+    late_at = promises_.Take(seeker.request->origin.request);
+  }
+  if (!late_at.has_value()) {
+    ForecastOf(seeker.kind).OnAsked(seeker.work, seeker.engines);
+  }
+  return late_at;
+}
+
+void RoomDecision::OnStarted(const RoomSeeker& seeker) {
+  ForecastOf(seeker.kind).OnStarted(seeker.work, seeker.engines);
+  counts_.kept += seeker.was_promised ? 1 : 0;
+  promises_.Drop(seeker.request->origin.request);
+}
+
+bool RoomDecision::MayStart(const Waiter& waiter, PromptKind kind,
+                            TimePoint now, const WorkAhead& ahead) const {
+  if (!policy_.foresees_room || kind == PromptKind::kShort ||
+      waiter.was_promised || CanStillBeInTime(waiter, now)) {
+    return true;
+  }
+  return ahead.in_time == FractionalMillis(0) && long_.LeavesRoom();
+}
+
+TimePoint RoomDecision::FirstFrom(const RoomSeeker& seeker) const {
+  const PromptTime time = TimeOf(seeker);
+  const FractionalMillis left =
+      time.until_end - time.read - time.answer -
+      FractionalMillis(seeker.request->target_latency);
+  return clock_() + std::chrono::duration_cast<TimePoint::duration>(left);
+}
+
+std::optional<AskRefused> RoomDecision::RefusalOf(const RoomSeeker& seeker,
+                                                  const WorkAhead& ahead) {
+  if (seeker.request->may_have_run) {
+    return std::nullopt;
+  }
+  const PromptTime time = TimeOf(seeker);
+  const bool too_late = time.read + time.answer > time.until_end;
+  if (too_late) {
+    return Refuse(seeker, ahead);
+  }
+  if (seeker.was_promised) {
+    return std::nullopt;
+  }
+  const double doubt = seeker.waits ? kDoubt : 1 / kSureShare;
+  const RoomForecast& forecast = ForecastOf(seeker.kind);
+  const bool has_precedent =
+      !seeker.waits && seeker.kind == PromptKind::kLong &&
+      ahead.least_late.has_value() && *ahead.least_late <= seeker.work;
+  const FractionalMillis until_start =
+      has_precedent
+          ? FractionalMillis::max()
+          : doubt * forecast.UntilStart(ahead.in_time, seeker.engines);
+  const FractionalMillis until_left_over =
+      std::min(doubt, 1.0) * forecast.UntilLeftOver(ahead.in_time + ahead.late,
+                                                    seeker.work,
+                                                    seeker.engines);
+  if (ProspectOf(time, until_start, until_left_over) == Prospect::kNone) {
+    return Refuse(seeker, ahead);
+  }
+  return std::nullopt;
+}
+
+PromptTime RoomDecision::TimeOf(const RoomSeeker& seeker) const {
+  const PlacementRequest& request = *seeker.request;
+  PromptTime time;
+  time.until_late = request.until_late;
+  time.read = seeker.kind == PromptKind::kShort
+                  ? seeker.work
+                  : seeker.work / static_cast<double>(kMostHelpers + 1);
+  const FractionalMillis step(request.service->engine->step_ms);
+  time.answer = static_cast<double>(request.answer.value) * step;
+  // Until the caller hears something its patience counts, and until it has
+  // heard all its deadline.
+  time.until_end =
+      std::min(request.until_deadline,
+               PatienceOf(request, policy_) - seeker.age + time.answer);
+  return time;
+}
+
+AskRefused RoomDecision::Refuse(const RoomSeeker& seeker,
+                                const WorkAhead& ahead) {
+  const PlacementRequest& request = *seeker.request;
+  ++counts_.made;
+  counts_.broken += seeker.was_promised ? 1 : 0;
+  const FractionalMillis before =
+      ahead.in_time + ahead.late + promises_.PromisedWork();
+  const FractionalMillis foreseen =
+      ForecastOf(seeker.kind).UntilStart(before, seeker.engines);
+  const FractionalMillis latest = policy_.return_share * request.until_deadline;
+  const FractionalMillis after =
+      std::max(std::min(foreseen, latest), FractionalMillis(kLeastReturn));
+  return AskRefused{promises_.Promise(
+      request.origin.request, seeker.work,
+      clock_() +
+          std::chrono::duration_cast<TimePoint::duration>(request.until_late),
+      std::chrono::duration_cast<Millis>(after))};
+}
+
+}  // namespace harecrank
--- a/src/core/waiting_room.cc
+++ b/src/core/waiting_room.cc
@@ -15,6 +15,9 @@
 // urgency of those that are equal in it.
 using SortKey = std::pair<FractionalMillis, Urgency>;
 
+// Less than any other key.
+constexpr SortKey kBeforeAll{-1e9, -1e9};
+
 struct KeyOf {
   const Waiter& waiter;
   TimePoint now;
@@ -36,12 +39,20 @@
 
 }  // namespace
 
+bool CanStillBeInTime(const Waiter& waiter, TimePoint now) {
+  return SpareOf(waiter, now) >= Urgency(0);
+}
+
 Urgency UrgencyOf(const Waiter& waiter, TimePoint now) {
   // More than any request has to spare, so that those which cannot be in time
   // follow, the quickest first.
   constexpr Urgency kLate{1e7};
+  constexpr Urgency kLateStranger{2e7};
   const Urgency spare = SpareOf(waiter, now);
-  return spare < Urgency(0) ? kLate + waiter.service : spare;
+  if (spare >= Urgency(0)) {
+    return spare;
+  }
+  return (waiter.was_promised ? kLate : kLateStranger) + waiter.service;
 }
 
 WaitingRoom::WaitingRoom(MonotonicClock clock, WaitingOrder order)
@@ -59,7 +70,10 @@
   std::vector<Key> keys;
   keys.reserve(waiters_.size());
   for (const auto& [id, waiter] : waiters_) {
-    keys.emplace_back(std::visit(KeyOf{waiter, now}, order_), id);
+    const SortKey key = now >= waiter.first_from
+                            ? kBeforeAll
+                            : std::visit(KeyOf{waiter, now}, order_);
+    keys.emplace_back(key, id);
   }
   std::sort(keys.begin(), keys.end());
   keys.resize(std::min(most, keys.size()));
@@ -71,6 +85,21 @@
   return order;
 }
 
+FractionalMillis WaitingRoom::WorkOf(bool in_time) const {
+  const TimePoint now = clock_();
+  FractionalMillis sum(0);
+  for (const auto& [id, waiter] : waiters_) {
+    if (CanStillBeInTime(waiter, now) == in_time) {
+      sum += waiter.work;
+    }
+  }
+  return sum;
+}
+
+FractionalMillis WaitingRoom::WorkInTime() const { return WorkOf(true); }
+
+FractionalMillis WaitingRoom::LateWork() const { return WorkOf(false); }
+
 std::optional<FractionalMillis> WaitingRoom::LeastLateWork() const {
   const TimePoint now = clock_();
   std::optional<FractionalMillis> least;
--- a/src/gateway/fleet_member.cc
+++ b/src/gateway/fleet_member.cc
@@ -191,12 +191,26 @@
   if (IsPlanner()) {
     metrics_->GetCounter("harecrank_gateway_asks_planned_total")->Add();
     answer.decision = planner_->OnAsk(ask);
+    NoteTurnedAway(ask.host, ask.id, answer.decision);
   } else if (const auto planner = book_->Planner()) {
     answer.decision = NotPlanner{*planner};
   }
   Send(ask.host, answer);
 }
 
+void FleetMember::NoteTurnedAway(const HostAddress& host, AskId id,
+                                 const PlaceDecision& decision) {
+  const auto* refused = std::get_if<AskRefused>(&decision);
+  if (refused == nullptr || !refused->return_after.has_value()) {
+    return;
+  }
+  log_->Write("turned_away",
+              {{"host", host.value},
+               {"ask", id.value},
+               {"return_after_ms", refused->return_after->count()},
+               {"promises", planner_->PromiseCount()}});
+}
+
 void FleetMember::OnNote(const WorkNote& note) {
   if (IsPlanner()) {
     planner_->OnNote(note);
@@ -383,6 +397,7 @@
     return;
   }
   for (DuePlace& due : planner_->TryWaiting()) {
+    NoteTurnedAway(due.host, due.id, due.decision);
     Send(due.host,
          PlaceAnswer{self_.address, due.life, due.id, std::move(due.decision)});
   }
--- a/src/gateway/fleet_member.h
+++ b/src/gateway/fleet_member.h
@@ -113,6 +113,9 @@
   void Announce();
   void Tick();
   void TryWaiting();
+  // Logs who is told to return, and when.
+  void NoteTurnedAway(const HostAddress& host, AskId id,
+                      const PlaceDecision& decision);
   void TryWaitingSoon();
   // Looks whether another host plans now, and tells of it if so.
   void FollowPlanner();
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -286,6 +286,18 @@
   metrics_.AddGauge("harecrank_gateway_waiting_at_planner", [this] {
     return static_cast<double>(planner_.WaitingCount());
   });
+  metrics_.AddGauge("harecrank_gateway_promises_open", [this] {
+    return static_cast<double>(planner_.PromiseCount());
+  });
+  metrics_.AddGauge("harecrank_gateway_promises_made", [this] {
+    return static_cast<double>(planner_.Promises().made);
+  });
+  metrics_.AddGauge("harecrank_gateway_promises_kept", [this] {
+    return static_cast<double>(planner_.Promises().kept);
+  });
+  metrics_.AddGauge("harecrank_gateway_promises_broken", [this] {
+    return static_cast<double>(planner_.Promises().broken);
+  });
   metrics_.AddGauge("harecrank_gateway_hosts_alive", [this] {
     return static_cast<double>(hosts_.AliveHosts());
   });
--- a/src/gateway/place_seeker.cc
+++ b/src/gateway/place_seeker.cc
@@ -226,6 +226,11 @@
   if (!IsWaiting() || may_have_run || !IsOversize(*request.service, needed)) {
     return std::nullopt;
   }
+  if (waits_at_planner_ && services_->policy->foresees_room) {
+    // The planner knows when waiting is of no more use. A limit of this host's
+    // own sends the largest prompts away while they still have time.
+    return std::nullopt;
+  }
   // A caller that is told early can still come back in time.
   const FractionalMillis target(request.target_latency);
   const FractionalMillis rest =
