--- a/src/core/waiting_room.cc
+++ b/src/core/waiting_room.cc
@@ -20,6 +20,8 @@
 // What goes before that: whether a waiter is late, and whether its account has
 // had its share. The same for all while no account has.
 using Rank = std::pair<bool, bool>;
+// Less than any other key.
+constexpr SortKey kBeforeAll{-1e9, -1e9};
 
 struct KeyOf {
   const Waiter& waiter;
@@ -42,12 +44,20 @@
 
 }  // namespace
 
+bool CanStillBeInTime(const Waiter& waiter, TimePoint now) {
+  return SpareOf(waiter, now) >= Urgency(0);
+}
+
 Urgency UrgencyOf(const Waiter& waiter, TimePoint now) {
   // More than any request has to spare, so that those which cannot be in time
   // follow, the quickest first.
   constexpr Urgency kLate{1e7};
+  constexpr Urgency kLateStranger{2e7};
   const Urgency spare = SpareOf(waiter, now);
-  return spare < Urgency(0) ? kLate + waiter.service : spare;
+  if (spare >= Urgency(0)) {
+    return spare;
+  }
+  return (waiter.was_promised ? kLate : kLateStranger) + waiter.service;
 }
 
 WaitingRoom::WaitingRoom(MonotonicClock clock, WaitingOrder order,
@@ -115,7 +125,12 @@
       rank = {SpareOf(waiter, now) < Urgency(0),
               sated.count(waiter.claim.account) > 0};
     }
-    keys.emplace_back(rank, std::visit(KeyOf{waiter, now}, order_), id);
+    SortKey key = std::visit(KeyOf{waiter, now}, order_);
+    if (now >= waiter.first_from) {
+      rank = Rank{};
+      key = kBeforeAll;
+    }
+    keys.emplace_back(rank, key, id);
   }
   std::sort(keys.begin(), keys.end());
   keys.resize(std::min(most, keys.size()));
@@ -127,6 +142,21 @@
   return order;
 }
 
+FractionalMillis WaitingRoom::WorkOf(bool in_time) const {
+  const TimePoint now = clock_();
+  FractionalMillis sum(0);
+  for (const auto& [id, waiter] : waiters_) {
+    if (CanStillBeInTime(waiter, now) == in_time) {
+      sum += waiter.work;
+    }
+  }
+  return sum;
+}
+
+FractionalMillis WaitingRoom::WorkInTime() const { return WorkOf(true); }
+
+FractionalMillis WaitingRoom::LateWork() const { return WorkOf(false); }
+
 std::optional<FractionalMillis> WaitingRoom::LeastLateWork() const {
   const TimePoint now = clock_();
   std::optional<FractionalMillis> least;
--- a/src/gateway/place_seeker.cc
+++ b/src/gateway/place_seeker.cc
@@ -280,8 +280,12 @@
 Waiter PlaceSeeker::AsWaiter() const {
   const FractionalMillis work =
       ReadTime(*sought_.request.service->engine, sought_.request.prompt);
-  return Waiter{sought_.late_at, work / static_cast<double>(kMostHelpers + 1),
-                work, Claim().value_or(ShareClaim{})};
+  Waiter waiter;
+  waiter.in_time_until = sought_.late_at;
+  waiter.service = work / static_cast<double>(kMostHelpers + 1);
+  waiter.work = work;
+  waiter.claim = Claim().value_or(ShareClaim{});
+  return waiter;
 }
 
 std::optional<TimePoint> PlaceSeeker::WaitEnd(bool may_have_run) const {
@@ -290,6 +294,11 @@
   if (!IsWaiting() || may_have_run || !IsOversize(*request.service, needed)) {
     return std::nullopt;
   }
+  if (waits_at_planner_ && services_->policy->foresees_room) {
+    // The planner knows when waiting is of no more use. A limit of this host's
+    // own sends the largest prompts away while they still have time.
+    return std::nullopt;
+  }
   // A caller that is told early can still come back in time.
   const FractionalMillis target(request.target_latency);
   const FractionalMillis rest =
