--- a/src/core/cold_starts_test.cc
+++ b/src/core/cold_starts_test.cc
@@ -205,7 +205,7 @@
     route.kind = RequestKind::kStreaming;
     route.target_gap = Millis(1000);
     route.services = {WeightedService{kService, 1}};
-    document.routes = {route};
+    document.routes = {std::make_shared<const RouteRule>(route)};
     table_ = std::make_shared<const RoutingTable>(std::move(document));
     for (int i = 0; i < kPlanners; ++i) {
       planners_.push_back(MakePlanner());
--- a/src/core/planner_shares_test.cc
+++ b/src/core/planner_shares_test.cc
@@ -58,7 +58,7 @@
     route.kind = RequestKind::kStreaming;
     route.target_gap = Millis(300);
     route.services = {WeightedService{kReaders, 1}};
-    document.routes = {route};
+    document.routes = {std::make_shared<const RouteRule>(route)};
     document.accounts.emplace();
     for (int i = 0; i < accounts; ++i) {
       AccountEntry account;
@@ -72,8 +72,9 @@
   // Another planner, which knows nothing. Hosts ask it again for what waits.
   void Replace() {
     planner_ = std::make_unique<Planner>(
-        &directory_, &health_, DataCentreId{"a"}, [this] { return table_; },
-        policy_, [this] { return now_; }, [this] { return drawn_ += 77; });
+        &directory_, &health_, &cold_shares_, DataCentreId{"a"},
+        [this] { return table_; }, policy_, [this] { return now_; },
+        [this] { return drawn_ += 77; });
     std::map<AskId, Pending> pending;
     pending.swap(pending_);
     for (auto& [id, one] : pending) {
@@ -184,6 +185,9 @@
   PlacementPolicy policy_;
   EndpointDirectory directory_{[this] { return now_; }};
   EndpointHealth health_{[this] { return now_; }};
+  ColdEndpoints cold_{[this] { return now_; }};
+  ColdShares cold_shares_{ColdBound{}, &cold_, [] { return 1; },
+                          [this] { return now_; }};
   std::shared_ptr<const RoutingTable> table_;
   std::unique_ptr<Planner> planner_;
   std::map<AskId, Pending> pending_;
--- a/src/core/too_little_room_test.cc
+++ b/src/core/too_little_room_test.cc
@@ -67,11 +67,12 @@
     route.kind = RequestKind::kStreaming;
     route.target_gap = Millis(250);
     route.services = {WeightedService{kWriters, 1}};
-    document.routes = {route};
+    document.routes = {std::make_shared<const RouteRule>(route)};
     table_ = std::make_shared<const RoutingTable>(std::move(document));
     planner_ = std::make_unique<Planner>(
-        &directory_, &health_, DataCentreId{"a"}, [this] { return table_; },
-        policy_, [this] { return now_; }, [this] { return drawn_ += 77; });
+        &directory_, &health_, &cold_shares_, DataCentreId{"a"},
+        [this] { return table_; }, policy_, [this] { return now_; },
+        [this] { return drawn_ += 77; });
   }
 
   void SetEngine(int number, bool alive) {
@@ -221,6 +222,9 @@
   PlacementPolicy policy_;
   EndpointDirectory directory_{[this] { return now_; }};
   EndpointHealth health_{[this] { return now_; }};
+  ColdEndpoints cold_{[this] { return now_; }};
+  ColdShares cold_shares_{ColdBound{}, &cold_, [] { return 1; },
+                          [this] { return now_; }};
   std::shared_ptr<const RoutingTable> table_;
   std::unique_ptr<Planner> planner_;
   std::map<AskId, Caller> waiting_;
--- a/src/core/waiting_room_test.cc
+++ b/src/core/waiting_room_test.cc
@@ -86,13 +86,14 @@
     room.OnGiven(claim("large"));
     room.OnGiven(claim("large"));
     const TimePoint soon = now + Millis(100);
-    const WaiterId sated = room.Add({soon, quick, kWork, claim("large")});
-    const WaiterId next =
-        room.Add({soon + Millis(50), quick, kWork, claim("large")});
-    const WaiterId owed =
-        room.Add({now + Millis(900), quick, kWork, claim("small")});
-    const WaiterId late =
-        room.Add({now - Millis(1), quick, kWork, claim("small")});
+    const WaiterId sated =
+        room.Add({soon, quick, kWork, false, TimePoint::max(), claim("large")});
+    const WaiterId next = room.Add({soon + Millis(50), quick, kWork, false,
+                                    TimePoint::max(), claim("large")});
+    const WaiterId owed = room.Add({now + Millis(900), quick, kWork, false,
+                                    TimePoint::max(), claim("small")});
+    const WaiterId late = room.Add({now - Millis(1), quick, kWork, false,
+                                    TimePoint::max(), claim("small")});
     const std::vector<WaiterId> order = room.InOrder(4);
     if (order == std::vector<WaiterId>{owed, sated, next, late}) {
       return 1;
@@ -108,7 +109,8 @@
   const ShareClaim large{AccountId{"large"}, kWork, 0};
   const ShareClaim small{AccountId{"small"}, kWork, 0};
   room.OnGiven(large);
-  const WaiterId id = room.Add({TimePoint{}, kWork, kWork, small});
+  const WaiterId id =
+      room.Add({TimePoint{}, kWork, kWork, false, TimePoint::max(), small});
   CHECK(room.TurnOf(large) == ShareTurn::kAfter);
   room.Remove(id);
   room.Remove(id);
