Accounts are held back only for queues that last, and only where it is set

An account that wanted a little more than the level was sated too, so that in queues of a prompt or two newcomers waited for nothing. Now it must want 1.2 levels. That the mechanism is harmless where nobody floods isn't shown, so placement.shares_by_account is off by default.

--- a/include/harecrank/core/account_shares.h
+++ b/include/harecrank/core/account_shares.h
@@ -39,7 +39,8 @@
 
 // Of the accounts that wait, each may have as much as it wants up to a level
 // that is the same for all, and at which all that was lately given is used. One
-// that wants less than the level, or has had less, goes before the others. It
+// that wants no more than about the level, or has had less, goes before the
+// others. It
 // only orders: where one account waits alone, nobody goes after anybody.
 //
 // Keeps one number for each account. Not thread-safe.
@@ -74,6 +75,10 @@
   // An account has had its share from this part of the level on. Those that are
   // about even do not change places at each prompt that starts.
   static constexpr double kSatedFrom = 0.8;
+  // And only if it wants more than so many levels, of what it was given and
+  // what waits: a queue that is shorter soon passes, and holding a prompt back
+  // in it costs more than it helps others.
+  static constexpr double kWantsBeyond = 1.2;
 
  private:
   // Weighted engine time.
--- a/include/harecrank/core/placement_policy.h
+++ b/include/harecrank/core/placement_policy.h
@@ -84,7 +84,7 @@
   double retry_after_share = 1;
   // Where the configuration has several accounts, those that wait and have had
   // their share of engine time go after the others (account_shares.h).
-  bool shares_by_account = true;
+  bool shares_by_account = false;
   // Of the prompts that wait in a host, so many are tried at a time.
   std::size_t tried = 8;
 };
--- a/src/core/account_shares.cc
+++ b/src/core/account_shares.cc
@@ -117,7 +117,8 @@
   }
   const FractionalMillis level = LevelOf(standings);
   for (const Standing& standing : standings) {
-    if (standing.wanted > level && standing.given >= kSatedFrom * level) {
+    if (standing.wanted > kWantsBeyond * level &&
+        standing.given >= kSatedFrom * level) {
       sated.insert(standing.account);
     }
   }
--- a/src/core/account_shares_test.cc
+++ b/src/core/account_shares_test.cc
@@ -58,6 +58,15 @@
   CHECK(shares_.TurnOf(ClaimFor(kLarge, 9000)) == ShareTurn::kEven);
 }
 
+TEST_CASE_METHOD(SharesFixture,
+                 "An account that wants little more than its share is not "
+                 "held back") {
+  shares_.OnGiven(ClaimFor(kLarge, 10000));
+  shares_.OnWaits(ClaimFor(kSmall, 500));
+  CHECK(shares_.TurnOf(ClaimFor(kLarge, 500)) == ShareTurn::kEven);
+  CHECK(shares_.TurnOf(ClaimFor(kLarge, 5000)) == ShareTurn::kAfter);
+}
+
 TEST_CASE_METHOD(SharesFixture,
                  "A step of priority is worth twice the engine time") {
   shares_.OnGiven(ClaimFor(kLarge, 10000, 0));
