--- a/include/harecrank/core/placement_policy.h
+++ b/include/harecrank/core/placement_policy.h
@@ -84,7 +84,7 @@
   double retry_after_share = 1;
   // Where the configuration has several accounts, those that wait and have had
   // their share of engine time go after the others (account_shares.h).
-  bool shares_by_account = true;
+  bool shares_by_account = false;
   // Who finds no engine waits, is refused or is told when to return by when
   // room is foreseen (room_forecast.h), in place of precedent and of fixed
   // shares of a target.
