--- /dev/null
+++ b/src/core/planner_room.cc
@@ -0,0 +1,203 @@
+// Who waits at the planner, in which order, and for how long. The rest of the
+// class is in planner.cc.
+
+#include <algorithm>
+#include <utility>
+
+#include "harecrank/core/planner.h"
+
+namespace harecrank {
+namespace {
+
+std::optional<PlaceDecision> AsDecision(
+    const std::optional<AskRefused>& refused) {
+  return refused.has_value() ? std::make_optional<PlaceDecision>(*refused)
+                             : std::nullopt;
+}
+
+}  // namespace
+
+ShareClaim Planner::ShareClaimOf(const PlacementRequest& request) const {
+  const auto table = routing_();
+  return ClaimOf(request, table != nullptr && table->HasSeveralAccounts());
+}
+
+ShareTurn Planner::TurnOf(const Entry& entry,
+                          const std::optional<PlacementRequest>& request) {
+  const bool shares =
+      request.has_value() && request->service->engine.has_value();
+  return shares ? RoomOf(entry).TurnOf(ShareClaimOf(*request))
+                : ShareTurn::kEven;
+}
+
+RoomSeeker Planner::SeekerOf(const Entry& entry,
+                             const PlacementRequest& request) const {
+  RoomSeeker seeker;
+  seeker.request = &request;
+  seeker.work = ReadTime(*request.service->engine, request.prompt);
+  seeker.kind = entry.is_short ? PromptKind::kShort : PromptKind::kLong;
+  seeker.age = clock_() - entry.came_at;
+  seeker.waits = entry.waiter.has_value();
+  seeker.was_promised = entry.was_promised;
+  seeker.engines = directory_->UsableOf(request.service->name).size();
+  return seeker;
+}
+
+std::optional<AskRefused> Planner::RefusalOnArrival(
+    const Entry& entry, const PlacementRequest& request, ShareTurn turn) {
+  if (entry.is_foreseen) {
+    const RoomSeeker seeker = SeekerOf(entry, request);
+    const WaitingRoom& room = entry.is_short ? short_room_ : room_;
+    return decision_.RefusalOf(
+        seeker,
+        WorkAhead{room.WorkInTime(), room.LateWork(), room.LeastLateWork()});
+  }
+  // Late prompts of an account that goes after it are no precedent.
+  const bool in_vain = policy_.refuses_by_precedent && !entry.is_short &&
+                       turn != ShareTurn::kBefore &&
+                       WaitsInVain(entry.ask, request);
+  return in_vain ? std::make_optional(AskRefused{}) : std::nullopt;
+}
+
+std::optional<PlaceDecision> Planner::EndOfWait(const Entry& entry,
+                                                const WorkAhead& ahead) {
+  if (!entry.is_foreseen) {
+    return std::nullopt;
+  }
+  const auto request = RequestOf(entry);
+  if (!request.has_value()) {
+    return NoEndpoint{};
+  }
+  return AsDecision(decision_.RefusalOf(SeekerOf(entry, *request), ahead));
+}
+
+bool Planner::MayStart(const Entry& entry, const WaitingRoom& room,
+                       const WorkAhead& ahead) const {
+  const PromptKind kind =
+      entry.is_short ? PromptKind::kShort : PromptKind::kLong;
+  return !entry.is_foreseen || entry.ask.may_have_run ||
+         decision_.MayStart(room.Find(*entry.waiter), kind, clock_(), ahead);
+}
+
+bool Planner::WaitsInVain(const PlaceAsk& ask,
+                          const PlacementRequest& request) const {
+  const auto least = room_.LeastLateWork();
+  return !ask.may_have_run && least.has_value() &&
+         *least <= ReadTime(*request.service->engine, ask.prompt);
+}
+
+bool Planner::IsShort(const PlacementRequest& request) const {
+  return request.service->engine.has_value() && IsShortPrompt(request, policy_);
+}
+
+void Planner::NoteDemand(const PlacementRequest& request) {
+  const TimePoint now = clock_();
+  demand_.push_back(
+      Demand{now, ReadTime(*request.service->engine, request.prompt)});
+  while (now - demand_.front().at > kDemandWindow) {
+    demand_.pop_front();
+  }
+}
+
+ShortDemand Planner::DemandWithin(Millis time) const {
+  const TimePoint now = clock_();
+  ShortDemand demand;
+  for (const Demand& one : demand_) {
+    if (now - one.at <= kDemandWindow) {
+      demand.requests += 1;
+      demand.reading += one.read;
+    }
+  }
+  const double share = FractionalMillis(time) / kDemandWindow;
+  demand.requests *= share;
+  demand.reading *= share;
+  return demand;
+}
+
+void Planner::Wait(Entry* entry, const PlacementRequest& request) {
+  const FractionalMillis work =
+      ReadTime(*request.service->engine, entry->ask.prompt);
+  const AskKey key{entry->ask.host, entry->ask.id};
+  const TimePoint first_from =
+      entry->was_promised ? decision_.FirstFrom(SeekerOf(*entry, request))
+                          : TimePoint::max();
+  const ShareClaim claim = ShareClaimOf(request);
+  if (entry->is_short) {
+    entry->waiter = short_room_.Add(Waiter{
+        entry->late_at, work, work, entry->was_promised, first_from, claim});
+    short_waiting_[*entry->waiter] = key;
+    return;
+  }
+  entry->waiter = room_.Add(
+      Waiter{entry->late_at, work / static_cast<double>(kMostHelpers + 1), work,
+             entry->was_promised, first_from, claim});
+  waiting_[*entry->waiter] = key;
+}
+
+void Planner::LeaveRoom(Entry* entry) {
+  if (!entry->waiter.has_value()) {
+    return;
+  }
+  (entry->is_short ? short_room_ : room_).Remove(*entry->waiter);
+  (entry->is_short ? short_waiting_ : waiting_).erase(*entry->waiter);
+  entry->waiter.reset();
+}
+
+bool Planner::HasWaitedEnough(const Entry& entry) const {
+  const FractionalMillis late = clock_() - entry.late_at;
+  return entry.is_short && !entry.ask.may_have_run && !entry.is_foreseen &&
+         late > policy_.late_wait_share *
+                    FractionalMillis(entry.ask.target_latency);
+}
+
+std::vector<DuePlace> Planner::TryWaiting() {
+  std::vector<DuePlace> due;
+  if (IsLearning()) {
+    return due;
+  }
+  // After that all that came meanwhile is tried, not the first few alone.
+  const bool has_learnt = !untold_.empty() || learns_until_ != TimePoint{};
+  const std::size_t tried = has_learnt ? WaitingCount() : policy_.tried;
+  untold_.clear();
+  learns_until_ = TimePoint{};
+  TryRoom(&short_room_, tried, &due);
+  TryRoom(&room_, tried, &due);
+  return due;
+}
+
+void Planner::TryRoom(WaitingRoom* room, std::size_t tried,
+                      std::vector<DuePlace>* due) {
+  const bool is_short = room == &short_room_;
+  decision_.OnWaiting(is_short ? PromptKind::kShort : PromptKind::kLong,
+                      !room->IsEmpty());
+  std::size_t failed = 0;
+  WorkAhead ahead;
+  for (const WaiterId id : room->InOrder(room->Count())) {
+    const AskKey key = (is_short ? short_waiting_ : waiting_).at(id);
+    Host& host = hosts_.at(key.host);
+    Entry& entry = host.asks.at(key.id);
+    std::optional<PlaceDecision> decision;
+    if (HasWaitedEnough(entry)) {
+      decision = AskRefused{};
+    } else if (failed < tried && MayStart(entry, *room, ahead)) {
+      decision = TryPlace(&entry);
+    }
+    if (!decision.has_value()) {
+      decision = EndOfWait(entry, ahead);
+    }
+    if (!decision.has_value()) {
+      const Waiter& waiter = room->Find(id);
+      (CanStillBeInTime(waiter, clock_()) ? ahead.in_time : ahead.late) +=
+          waiter.work;
+      ++failed;
+      continue;
+    }
+    LeaveRoom(&entry);
+    due->push_back(DuePlace{key.host, host.life, key.id, *std::move(decision)});
+    if (!entry.placed.has_value()) {
+      host.asks.erase(key.id);
+    }
+  }
+}
+
+}  // namespace harecrank
