The largest prompts wait for engines while that can still serve them

Cause: a prompt that no engine holds was sent away by its own host after a quarter of its target, came again after the whole of it, met the same engines and was sent away for good: the largest of the dearest kind are lost so.

Change: it waits for up to three targets, and no longer than its prompt can still be read before its deadline: what can't be served is told at once, which the former limit left to the deadline where the planner had it. A decision in core with a test; oversize_wait_share is 3.

--- a/include/harecrank/core/placement_policy.h
+++ b/include/harecrank/core/placement_policy.h
@@ -73,9 +73,10 @@
   // A prompt that is late already is cut into parts like others. Read whole by
   // one engine, it holds the others up for seconds.
   bool bound_late_parts = true;
-  // A prompt that needs all engines idle waits for that for this part of its
-  // target.
-  double oversize_wait_share = 0.25;
+  // A prompt that no engine holds waits for several to be idle for this part of
+  // its target. Told to come again sooner, it meets the same engines, and those
+  // that are told twice are lost.
+  double oversize_wait_share = 3;
   // A prompt that has to wait is refused at once where another that takes no
   // longer to read can no longer be in time. Of 100 of the longest prompts on
   // loaded days, those held until their caller left fell from 15 to 8.
--- a/src/core/closed_data_centres_test.cc
+++ b/src/core/closed_data_centres_test.cc
@@ -132,7 +132,7 @@
                  "An order for a data centre that nobody knows leaves the rest "
                  "as it is") {
   directory_.CloseDataCentre(Order(DataCentreId{"nowhere"}, 5));
-  CHECK(directory_.UsableOf(kService).size() == 2 * kEach);
+  CHECK(directory_.UsableOf(kService).size() == std::size_t{2} * kEach);
 }
 
 TEST_CASE_METHOD(ClosedDirectoryFixture,
--- /dev/null
+++ b/src/core/oversize_wait_test.cc
@@ -0,0 +1,45 @@
+#include "harecrank/core/oversize_wait.h"
+
+#include <catch2/catch.hpp>
+
+namespace harecrank {
+namespace {
+
+constexpr TimePoint kArrived{std::chrono::hours(1)};
+constexpr Millis kTarget{4000};
+
+class OversizeFixture {
+ protected:
+  OversizeFixture() {
+    service_.engine.emplace();
+    service_.engine->read_tokens_per_ms = 10;
+    request_.service = &service_;
+    request_.target_latency = kTarget;
+    // 34 s for one engine, 2 s for one and its helpers.
+    request_.prompt = Tokens{340000};
+  }
+
+  TimePoint WaitEnd(Millis deadline) {
+    return OversizeWaitEnd(request_, policy_, kArrived + kTarget,
+                           kArrived + deadline);
+  }
+
+  PlacementPolicy policy_;
+  ServiceProfile service_;
+  PlacementRequest request_;
+};
+
+TEST_CASE_METHOD(OversizeFixture,
+                 "The largest prompts wait beyond their target for engines") {
+  CHECK(WaitEnd(Millis(60000)) == kArrived + 3 * kTarget);
+  policy_.oversize_wait_share = 0.25;
+  CHECK(WaitEnd(Millis(60000)) == kArrived + kTarget / 4);
+}
+
+TEST_CASE_METHOD(OversizeFixture,
+                 "What can no longer be read before its deadline is told so") {
+  CHECK(WaitEnd(Millis(9000)) == kArrived + Millis(7000));
+}
+
+}  // namespace
+}  // namespace harecrank
--- a/src/gateway/place_seeker.cc
+++ b/src/gateway/place_seeker.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "harecrank/core/oversize_wait.h"
+
 namespace harecrank {
 namespace {
 
@@ -299,11 +301,8 @@
     // own sends the largest prompts away while they still have time.
     return std::nullopt;
   }
-  // A caller that is told early can still come back in time.
-  const FractionalMillis target(request.target_latency);
-  const FractionalMillis rest =
-      (1 - services_->policy->oversize_wait_share) * target;
-  return sought_.late_at - std::chrono::duration_cast<Millis>(rest);
+  return OversizeWaitEnd(request, *services_->policy, sought_.late_at,
+                         sought_.deadline);
 }
 
 void PlaceSeeker::LeaveQueue() {
