--- a/src/gateway/exchange_log.cc
+++ b/src/gateway/exchange_log.cc
@@ -65,7 +65,7 @@
 
 void ExchangeLog::SentAgain(const EndpointId& endpoint,
                             const std::string& reason,
-                            nlohmann::json more) const {
+                            const nlohmann::json& more) const {
   nlohmann::json fields = Fields();
   fields["endpoint"] = endpoint.value;
   fields["reason"] = reason;
--- a/src/gateway/exchange_log.h
+++ b/src/gateway/exchange_log.h
@@ -46,7 +46,7 @@
               std::optional<Millis> waited) const;
   // It is sent once more, since `reason`. `more` has further fields.
   void SentAgain(const EndpointId& endpoint, const std::string& reason,
-                 nlohmann::json more) const;
+                 const nlohmann::json& more) const;
   void Ended(const ExchangeEnd& end, const AnswerRelay& relay) const;
 
  private:
