--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -274,6 +274,7 @@
 }
 
 void GatewayNode::RegisterGauges() {
+  RegisterPlannerGauges();
   metrics_.AddGauge("harecrank_gateway_configuration_version", [this] {
     const auto table = routing_.InForce();
     return table == nullptr ? 0.0 : static_cast<double>(table->Version().value);
@@ -299,6 +300,25 @@
                     [this] { return source_well_ ? 1.0 : 0.0; });
   metrics_.AddGauge("harecrank_gateway_waiting",
                     [this] { return static_cast<double>(queue_.Count()); });
+  metrics_.AddGauge("harecrank_gateway_hosts_alive", [this] {
+    return static_cast<double>(hosts_.AliveHosts());
+  });
+  metrics_.AddGauge("harecrank_gateway_idle_connections", [this] {
+    return static_cast<double>(connections_.IdleCount());
+  });
+  metrics_.AddGauge("harecrank_gateway_callers",
+                    [this] { return static_cast<double>(callers_.Count()); });
+  metrics_.AddGauge("harecrank_gateway_requests_suspect", [this] {
+    return static_cast<double>(quarantine_.Count());
+  });
+  metrics_.AddGauge("harecrank_gateway_requests_held", [this] {
+    return static_cast<double>(quarantine_.HeldCount());
+  });
+  metrics_.AddGauge("harecrank_gateway_log_lines_dropped",
+                    [this] { return static_cast<double>(log_.Dropped()); });
+}
+
+void GatewayNode::RegisterPlannerGauges() {
   metrics_.AddGauge("harecrank_gateway_is_planner",
                     [this] { return fleet_.IsPlanner() ? 1.0 : 0.0; });
   metrics_.AddGauge("harecrank_gateway_planned_hosts", [this] {
@@ -325,22 +345,6 @@
   metrics_.AddGauge("harecrank_gateway_promises_broken", [this] {
     return static_cast<double>(planner_.Promises().broken);
   });
-  metrics_.AddGauge("harecrank_gateway_hosts_alive", [this] {
-    return static_cast<double>(hosts_.AliveHosts());
-  });
-  metrics_.AddGauge("harecrank_gateway_idle_connections", [this] {
-    return static_cast<double>(connections_.IdleCount());
-  });
-  metrics_.AddGauge("harecrank_gateway_callers",
-                    [this] { return static_cast<double>(callers_.Count()); });
-  metrics_.AddGauge("harecrank_gateway_requests_suspect", [this] {
-    return static_cast<double>(quarantine_.Count());
-  });
-  metrics_.AddGauge("harecrank_gateway_requests_held", [this] {
-    return static_cast<double>(quarantine_.HeldCount());
-  });
-  metrics_.AddGauge("harecrank_gateway_log_lines_dropped",
-                    [this] { return static_cast<double>(log_.Dropped()); });
 }
 
 void GatewayNode::OnRouting(RoutingDocument document) {
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -95,6 +95,8 @@
   void Tick();
   void ContinueDrain();
   void RegisterGauges();
+  // What this host tells of the fleet while it plans.
+  void RegisterPlannerGauges();
   int KnownHosts() const;
   bool IsReady() const;
 
