--- a/include/harecrank/core/endpoint_directory.h
+++ b/include/harecrank/core/endpoint_directory.h
@@ -163,7 +163,7 @@
   static constexpr Millis kLapseGrace = kLeaveLimit - kSendingTime;
   // The shortest absence of the source in which an entry can lapse: it takes
   // three heartbeats of silence, 1.2 s each, and the last one may have been
-  // due. In an absence of 2 s none lapsed, in one of 3 s 8 of 20.
+  // due.
   static constexpr Millis kLapseAfter{2400};
   // How long after the return of the source a vanished entry may have lapsed
   // while it was away: three heartbeats.
--- a/include/harecrank/core/planner.h
+++ b/include/harecrank/core/planner.h
@@ -55,9 +55,9 @@
           MonotonicClock clock, RandomSource random);
 
   // This host plans from now on. Until `hosts` have told what they have under
-  // way, or for kLearns, every ask waits: engines that look idle are not. On a
-  // flood of short prompts a planner that was killed cost 189 of 212 of them
-  // their time, by one long prompt that the next laid on 14 engines in use.
+  // way, or for kLearns, every ask waits: engines that look idle are not. A
+  // long prompt that a new planner lays on engines in use makes the short ones
+  // there late.
   void Begin(const std::vector<HostAddress>& hosts);
 
   // Decides on an ask. The same ask once more gets the same answer.
