--- a/include/harecrank/core/engine_estimate.h
+++ b/include/harecrank/core/engine_estimate.h
@@ -8,9 +8,6 @@
 
 namespace harecrank {
 
-// A duration in milliseconds, with fractions: engine steps take under one.
-using FractionalMillis = std::chrono::duration<double, std::milli>;
-
 // Returns how long one engine alone reads a prompt of `prompt` tokens. The
 // pairs make it grow with the square of long prompts.
 FractionalMillis ReadTime(const EngineProfile& engine, Tokens prompt);
--- a/include/harecrank/core/planner.h
+++ b/include/harecrank/core/planner.h
@@ -22,7 +22,6 @@
 #include <vector>
 
 #include "harecrank/core/clock.h"
-#include "harecrank/core/cold_starts.h"
 #include "harecrank/core/endpoint_directory.h"
 #include "harecrank/core/endpoint_health.h"
 #include "harecrank/core/endpoint_loads.h"
@@ -30,6 +29,7 @@
 #include "harecrank/core/placement.h"
 #include "harecrank/core/room_decision.h"
 #include "harecrank/core/routing_table.h"
+#include "harecrank/core/start_shares.h"
 #include "harecrank/core/waiting_room.h"
 
 namespace harecrank {
@@ -50,7 +50,7 @@
  public:
   // All of them must outlive this.
   Planner(const EndpointDirectory* directory, EndpointHealth* health,
-          const ColdShares* cold_shares, DataCentreId self,
+          const StartShares* start_shares, DataCentreId self,
           RoutingSource routing, const PlacementPolicy& policy,
           MonotonicClock clock, RandomSource random);
 
@@ -181,7 +181,7 @@
 
   const EndpointDirectory* directory_;
   EndpointHealth* health_;
-  const ColdShares* cold_shares_;
+  const StartShares* start_shares_;
   RoutingSource routing_;
   PlacementPolicy policy_;
   MonotonicClock clock_;
--- /dev/null
+++ b/include/harecrank/core/start_shares.h
@@ -0,0 +1,173 @@
+// Bounds the requests that all hosts together begin at an endpoint.
+//
+// The load that it answers: endpoints that have just started, or have turned
+// cold while they served, take a few requests a second and fall over above
+// that; endpoints in need name how many they take. No host sees what all hosts
+// send: links are cut, two planners each take themselves for the only one, a
+// new one does not know what its predecessor gave. So each host keeps to a part
+// of the bound that is its own, whoever chose the endpoint, and the parts add
+// up to the bound at most:
+//
+//   bound 53 requests a second, 24 hosts: 2 from each, 48 in all
+//   bound 53, 300 hosts: 1 from each of about 27 hosts, whom a hash of host and
+//   endpoint names
+//
+// The planner counts what it gives to each host by the same rule, so that
+// places are seldom given in vain.
+
+#ifndef HARECRANK_CORE_START_SHARES_H_
+#define HARECRANK_CORE_START_SHARES_H_
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "harecrank/core/clock.h"
+#include "harecrank/core/cold_bound.h"
+#include "harecrank/core/cold_endpoints.h"
+#include "harecrank/core/endpoint_limits.h"
+#include "harecrank/core/fleet_messages.h"
+#include "harecrank/core/placement.h"
+#include "harecrank/core/routing_table.h"
+#include "harecrank/core/start_bound.h"
+#include "harecrank/core/strong_types.h"
+
+namespace harecrank {
+
+// Remembers what hosts have begun at endpoints lately. Not thread-safe.
+class StartCounts {
+ public:
+  explicit StartCounts(MonotonicClock clock);
+
+  void Add(const HostAddress& host, const EndpointId& endpoint);
+
+  // Returns how many `host` has begun at `endpoint` within `window`, at most
+  // kWindow.
+  std::size_t Of(const HostAddress& host, const EndpointId& endpoint,
+                 Millis window) const;
+
+  // Returns when `host` began the one there that `others` more have followed;
+  // nothing if so many are not remembered.
+  std::optional<TimePoint> Before(const HostAddress& host,
+                                  const EndpointId& endpoint,
+                                  std::size_t others) const;
+
+  // All of this time are remembered: the longest window of any bound.
+  static constexpr Millis kWindow = EndpointLimits::kWindow;
+  // The last one is remembered for this long.
+  static constexpr Millis kLastRemembered{60000};
+
+ private:
+  using Key = std::pair<HostAddress, EndpointId>;
+
+  // Drops what no longer counts.
+  void Sweep();
+
+  MonotonicClock clock_;
+  TimePoint swept_;
+  // The oldest first.
+  std::map<Key, std::deque<TimePoint>> starts_;
+};
+
+// What a host may begin of a service's requests.
+struct StartOutlook {
+  // When it may begin one, at the earliest of the endpoints that were looked
+  // at; now or earlier if it may at once.
+  TimePoint next{};
+  // Requests a second at all of them together.
+  double per_second = 0;
+};
+
+// The parts of the bounds. Not thread-safe.
+class StartShares {
+ public:
+  // `cold_endpoints` and `limits` must outlive this. `hosts` returns how many
+  // hosts the fleet may have, or nothing while that is not known.
+  StartShares(ColdBound cold_bound, const ColdEndpoints* cold_endpoints,
+              const EndpointLimits* limits,
+              std::function<std::optional<int>()> hosts, MonotonicClock clock);
+
+  // Returns how many requests `host` may begin at `endpoint` within the window
+  // of the bound that leaves it the fewest, a whole number until the bound's
+  // cause is over; nothing where there is no bound now.
+  std::optional<double> ShareOf(const HostAddress& host,
+                                const EndpointId& endpoint,
+                                const ServiceProfile& service) const;
+
+  // Returns when `host`, which has begun `starts`, may begin one more. They are
+  // begun evenly, and each host begins at a time of its own: a window's part
+  // taken at once, by all hosts together, is a wave and then a pause. Where it
+  // may not begin any, the time at which to look again.
+  TimePoint NextStart(const StartCounts& starts, const HostAddress& host,
+                      const EndpointId& endpoint, const ServiceProfile& service,
+                      StartKind kind = StartKind::kRequest) const;
+
+  // Returns whether `host` may begin one more now.
+  bool MayStart(const StartCounts& starts, const HostAddress& host,
+                const EndpointId& endpoint, const ServiceProfile& service,
+                StartKind kind = StartKind::kRequest) const;
+
+  // Likewise for all that `placement` begins, at its helpers too.
+  bool MayStart(const StartCounts& starts, const HostAddress& host,
+                const Placement& placement,
+                const ServiceProfile& service) const;
+
+  // Adds all that `placement` begins to `starts` that counts for a bound.
+  void Add(const Placement& placement, const ServiceProfile& service,
+           const HostAddress& host, StartCounts* starts) const;
+
+  // Returns the endpoints at which `host` may begin nothing now.
+  std::set<EndpointId> Withheld(const StartCounts& starts,
+                                const HostAddress& host,
+                                const ServiceProfile& service) const;
+
+  // Returns when `host` may begin a request at one of `endpoints`, which must
+  // not be empty, and how many a second; nothing if one of them has no bound.
+  std::optional<StartOutlook> OutlookOf(
+      const StartCounts& starts, const HostAddress& host,
+      const std::vector<const EndpointRecord*>& endpoints,
+      const ServiceProfile& service) const;
+
+ private:
+  // What one host may begin by one bound.
+  struct Part {
+    // Within the bound's window.
+    double most = 0;
+    // From one to the next, on average.
+    FractionalMillis pause{0};
+    // The first one.
+    TimePoint first{};
+  };
+
+  std::optional<StartBound> ColdBoundOf(const EndpointId& endpoint,
+                                        const ServiceProfile& service) const;
+  // Returns the bounds that hold for `kind`.
+  std::vector<StartBound> BoundsOf(const EndpointId& endpoint,
+                                   const ServiceProfile& service,
+                                   StartKind kind) const;
+  Part PartOf(const StartBound& bound, const HostAddress& host,
+              const EndpointId& endpoint) const;
+  TimePoint NextStartBy(const StartBound& bound, const StartCounts& starts,
+                        const HostAddress& host,
+                        const EndpointId& endpoint) const;
+  // Whether endpoints of `service` have a bound while they are cold.
+  bool IsColdBounded(const ServiceProfile& service) const;
+  // Whether what begins at `endpoint` counts for a bound, of now or of later.
+  bool Counts(const EndpointId& endpoint, const ServiceProfile& service,
+              StartKind kind) const;
+
+  ColdBound cold_bound_;
+  const ColdEndpoints* cold_endpoints_;
+  const EndpointLimits* limits_;
+  std::function<std::optional<int>()> hosts_;
+  MonotonicClock clock_;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_CORE_START_SHARES_H_
--- a/include/harecrank/core/strong_types.h
+++ b/include/harecrank/core/strong_types.h
@@ -76,6 +76,8 @@
 using Revision = StrongNumber<struct RevisionTag, std::uint32_t>;
 
 using Millis = std::chrono::milliseconds;
+// With fractions: engine steps take under one.
+using FractionalMillis = std::chrono::duration<double, std::milli>;
 
 }  // namespace harecrank
 
--- /dev/null
+++ b/src/core/cold_endpoints.cc
@@ -0,0 +1,123 @@
+#include "harecrank/core/cold_endpoints.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace harecrank {
+
+ColdEndpoints::ColdEndpoints(MonotonicClock clock) : clock_(std::move(clock)) {}
+
+bool ColdEndpoints::Entry::IsCold(TimePoint now) const {
+  return cold_until.has_value() && now < *cold_until;
+}
+
+ColdChange ColdEndpoints::OnRecord(const EndpointRecord& record,
+                                   Millis after_start) {
+  const auto [found, is_first] = entries_.try_emplace(record.id);
+  Entry& entry = found->second;
+  if (!is_first && !(entry.revision < record.revision)) {
+    return ColdChange::kNone;
+  }
+  const bool is_new_life = is_first || entry.life != record.life;
+  entry.revision = record.revision;
+  entry.life = record.life;
+  entry.gone = false;
+  if (!record.cold_for.has_value() && !is_new_life) {
+    return ColdChange::kNone;
+  }
+  const TimePoint now = clock_();
+  const Millis cold_for = record.cold_for.value_or(after_start);
+  const bool was_cold = entry.IsCold(now);
+  if (cold_for > Millis(0)) {
+    if (!Factor(record.id).has_value()) {
+      entry.bound_since = now;
+    }
+    entry.cold_until = now + cold_for;
+    bounded_.insert(record.id);
+    entry.end_told = false;
+    return was_cold ? ColdChange::kNone : ColdChange::kTurnedCold;
+  }
+  if (!was_cold) {
+    return ColdChange::kNone;
+  }
+  entry.cold_until = now;
+  entry.end_told = true;
+  return ColdChange::kTurnedWarm;
+}
+
+void ColdEndpoints::OnGone(const EndpointId& id) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) {
+    return;
+  }
+  found->second.gone = true;
+  if (bounded_.count(id) == 0) {
+    entries_.erase(found);
+  }
+}
+
+bool ColdEndpoints::IsCold(const EndpointId& id) const {
+  const auto found = entries_.find(id);
+  return found != entries_.end() && found->second.IsCold(clock_());
+}
+
+std::optional<double> ColdEndpoints::Factor(const EndpointId& id) const {
+  const auto found = entries_.find(id);
+  if (found == entries_.end() || !found->second.cold_until.has_value()) {
+    return std::nullopt;
+  }
+  const auto since_end = clock_() - *found->second.cold_until;
+  if (since_end < Millis(0)) {
+    return 1;
+  }
+  const double doublings = FractionalMillis(since_end) / kDoubles;
+  if (doublings >= kMostDoublings) {
+    return std::nullopt;
+  }
+  return std::exp2(doublings);
+}
+
+TimePoint ColdEndpoints::BoundSince(const EndpointId& id) const {
+  const auto found = entries_.find(id);
+  return found == entries_.end() ? TimePoint{} : found->second.bound_since;
+}
+
+std::vector<EndpointId> ColdEndpoints::TakeWarmed() {
+  const TimePoint now = clock_();
+  std::vector<EndpointId> warmed;
+  for (auto it = bounded_.begin(); it != bounded_.end();) {
+    Entry& entry = entries_.at(*it);
+    if (!entry.end_told && !entry.IsCold(now)) {
+      entry.end_told = true;
+      warmed.push_back(*it);
+    }
+    if (Factor(*it).has_value()) {
+      ++it;
+      continue;
+    }
+    if (entry.gone) {
+      entries_.erase(*it);
+    }
+    it = bounded_.erase(it);
+  }
+  return warmed;
+}
+
+std::vector<EndpointId> ColdEndpoints::Bounded() const {
+  std::vector<EndpointId> bounded;
+  for (const EndpointId& id : bounded_) {
+    if (Factor(id).has_value()) {
+      bounded.push_back(id);
+    }
+  }
+  return bounded;
+}
+
+std::size_t ColdEndpoints::Count() const {
+  return static_cast<std::size_t>(
+      std::count_if(bounded_.begin(), bounded_.end(),
+                    [this](const EndpointId& id) { return IsCold(id); }));
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/core/cold_endpoints_test.cc
@@ -0,0 +1,90 @@
+#include "harecrank/core/cold_endpoints.h"
+
+#include <catch2/catch.hpp>
+
+namespace harecrank {
+namespace {
+
+const ServiceName kService{"svc"};
+const EndpointId kEndpoint{"e0"};
+
+EndpointRecord RecordOf(std::uint64_t revision, std::optional<Millis> cold_for,
+                        std::int64_t life = 1) {
+  EndpointRecord record;
+  record.id = kEndpoint;
+  record.life = EndpointLife{life};
+  record.service = kService;
+  record.revision = StoreRevision{revision};
+  record.cold_for = cold_for;
+  return record;
+}
+
+class ColdFixture {
+ protected:
+  void Pass(Millis time) { now_ += time; }
+
+  TimePoint now_{std::chrono::hours(1)};
+  MonotonicClock clock_ = [this] { return now_; };
+  ColdEndpoints endpoints_{clock_};
+};
+
+TEST_CASE_METHOD(ColdFixture, "An endpoint is cold for as long as it tells") {
+  CHECK(endpoints_.OnRecord(RecordOf(1, Millis(3000)), Millis(0)) ==
+        ColdChange::kTurnedCold);
+  Pass(Millis(2999));
+  CHECK(endpoints_.IsCold(kEndpoint));
+  CHECK(endpoints_.TakeWarmed().empty());
+  Pass(Millis(1));
+  CHECK_FALSE(endpoints_.IsCold(kEndpoint));
+  CHECK(endpoints_.TakeWarmed().size() == 1);
+  CHECK(endpoints_.TakeWarmed().empty());
+}
+
+TEST_CASE_METHOD(ColdFixture,
+                 "An entry that is listed anew keeps nobody cold") {
+  endpoints_.OnRecord(RecordOf(1, Millis(3000)), Millis(0));
+  for (int i = 0; i < 10; ++i) {
+    Pass(Millis(1000));
+    endpoints_.OnRecord(RecordOf(1, Millis(3000)), Millis(0));
+  }
+  CHECK_FALSE(endpoints_.IsCold(kEndpoint));
+}
+
+TEST_CASE_METHOD(ColdFixture, "An older word that comes late warms nobody") {
+  endpoints_.OnRecord(RecordOf(5, Millis(3000)), Millis(0));
+  CHECK(endpoints_.OnRecord(RecordOf(4, Millis(0)), Millis(0)) ==
+        ColdChange::kNone);
+  CHECK(endpoints_.IsCold(kEndpoint));
+}
+
+TEST_CASE_METHOD(ColdFixture, "A newer word may warm or cool at any moment") {
+  endpoints_.OnRecord(RecordOf(1, Millis(0)), Millis(0));
+  CHECK(endpoints_.OnRecord(RecordOf(2, Millis(3000)), Millis(0)) ==
+        ColdChange::kTurnedCold);
+  CHECK(endpoints_.OnRecord(RecordOf(3, Millis(1800)), Millis(0)) ==
+        ColdChange::kNone);
+  CHECK(endpoints_.OnRecord(RecordOf(4, Millis(0)), Millis(0)) ==
+        ColdChange::kTurnedWarm);
+  CHECK_FALSE(endpoints_.IsCold(kEndpoint));
+}
+
+TEST_CASE_METHOD(ColdFixture, "A new life that tells nothing is cold") {
+  endpoints_.OnRecord(RecordOf(1, std::nullopt), Millis(0));
+  CHECK_FALSE(endpoints_.IsCold(kEndpoint));
+  endpoints_.OnRecord(RecordOf(2, std::nullopt), Millis(3000));
+  CHECK_FALSE(endpoints_.IsCold(kEndpoint));
+  endpoints_.OnRecord(RecordOf(3, std::nullopt, 2), Millis(3000));
+  CHECK(endpoints_.IsCold(kEndpoint));
+}
+
+TEST_CASE_METHOD(ColdFixture, "An entry that lapses leaves its endpoint cold") {
+  endpoints_.OnRecord(RecordOf(1, Millis(3000)), Millis(0));
+  endpoints_.OnGone(kEndpoint);
+  CHECK(endpoints_.IsCold(kEndpoint));
+  Pass(Millis(10000));
+  endpoints_.TakeWarmed();
+  CHECK_FALSE(endpoints_.Factor(kEndpoint).has_value());
+}
+
+}  // namespace
+}  // namespace harecrank
--- /dev/null
+++ b/src/core/endpoint_limits.cc
@@ -0,0 +1,231 @@
+#include "harecrank/core/endpoint_limits.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <utility>
+
+namespace harecrank {
+namespace {
+
+constexpr double kMillisPerSecond = 1000;
+
+std::string_view WithoutSpaces(std::string_view text) {
+  constexpr std::string_view kSpaces = " \t";
+  const std::size_t first = text.find_first_not_of(kSpaces);
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(kSpaces) - first + 1);
+}
+
+}  // namespace
+
+LimitWord ReadLimit(std::string_view text) {
+  const std::string_view number = WithoutSpaces(text);
+  double rate = 0;
+  const char* end = number.data() + number.size();
+  const auto read = std::from_chars(number.data(), end, rate);
+  const bool is_number = read.ec == std::errc() && read.ptr == end;
+  if (!is_number || !std::isfinite(rate) || rate < 0) {
+    return UnreadableLimit{};
+  }
+  return RequestRate{std::min(rate, kMostRequestRate)};
+}
+
+EndpointLimits::EndpointLimits(MonotonicClock clock)
+    : clock_(std::move(clock)) {}
+
+Millis EndpointLimits::FreshFor(RequestRate rate) {
+  if (rate.value <= 0) {
+    return kLongestFresh;
+  }
+  const double awaited = kRequestsAwaited / rate.value * kMillisPerSecond;
+  const auto longest = static_cast<double>(kLongestFresh.count());
+  const Millis fresh(static_cast<std::int64_t>(std::min(awaited, longest)));
+  return std::max(kShortestFresh, fresh);
+}
+
+bool EndpointLimits::IsFresh(const Entry& entry, TimePoint now) {
+  return !entry.ended_at.has_value() &&
+         now - entry.named_at < FreshFor(entry.rate);
+}
+
+std::optional<double> EndpointLimits::Raise(const Entry& entry, TimePoint now) {
+  if (IsFresh(entry, now)) {
+    return 1;
+  }
+  const TimePoint over =
+      entry.ended_at.value_or(entry.named_at + FreshFor(entry.rate) + kUnheard);
+  const double doublings =
+      std::max(0.0, FractionalMillis(now - over) / kDoubles);
+  if (doublings >= kMostDoublings) {
+    return std::nullopt;
+  }
+  return std::exp2(doublings);
+}
+
+LimitChange EndpointLimits::Name(const EndpointId& id, RequestRate rate,
+                                 TimePoint at) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) {
+    if (entries_.size() >= kMostEndpoints) {
+      return LimitChange::kNone;
+    }
+    entries_.emplace(id, Entry{rate, clock_(), at, std::nullopt});
+    return LimitChange::kNamed;
+  }
+  Entry& entry = found->second;
+  const bool was_named = !entry.ended_at.has_value();
+  const bool is_same = entry.rate == rate;
+  if (!Raise(entry, clock_()).has_value()) {
+    entry.since = clock_();
+  }
+  entry.rate = rate;
+  entry.named_at = at;
+  entry.ended_at.reset();
+  if (!was_named) {
+    return LimitChange::kNamed;
+  }
+  return is_same ? LimitChange::kNone : LimitChange::kChanged;
+}
+
+LimitChange EndpointLimits::OnAnswer(const EndpointId& id,
+                                     const LimitWord& word, TimePoint sent_at) {
+  const TimePoint now = clock_();
+  if (const auto* rate = std::get_if<RequestRate>(&word)) {
+    return Name(id, *rate, now);
+  }
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) {
+    return LimitChange::kNone;
+  }
+  Entry& entry = found->second;
+  if (std::holds_alternative<UnreadableLimit>(word)) {
+    return Name(id, entry.rate, now);
+  }
+  if (entry.ended_at.has_value() || sent_at <= entry.named_at) {
+    return LimitChange::kNone;
+  }
+  entry.ended_at = now;
+  return LimitChange::kEnded;
+}
+
+LimitChange EndpointLimits::OnTold(const LimitReport& report) {
+  const TimePoint now = clock_();
+  const TimePoint at = now - std::max(Millis(0), report.age) - kOnTheWay;
+  const Millis fresh =
+      report.rate.has_value() ? FreshFor(*report.rate) : kShortestFresh;
+  if (now - at >= fresh) {
+    return LimitChange::kNone;
+  }
+  const auto found = entries_.find(report.endpoint);
+  if (found == entries_.end()) {
+    return report.rate.has_value() ? Name(report.endpoint, *report.rate, at)
+                                   : LimitChange::kNone;
+  }
+  Entry& entry = found->second;
+  const TimePoint known = entry.ended_at.value_or(entry.named_at);
+  if (at <= known) {
+    return LimitChange::kNone;
+  }
+  if (report.rate.has_value()) {
+    return Name(report.endpoint, *report.rate, at);
+  }
+  if (entry.ended_at.has_value()) {
+    return LimitChange::kNone;
+  }
+  entry.ended_at = at;
+  return LimitChange::kEnded;
+}
+
+std::optional<StartBound> EndpointLimits::BoundOf(const EndpointId& id) const {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) {
+    return std::nullopt;
+  }
+  const Entry& entry = found->second;
+  const TimePoint now = clock_();
+  const auto raise = Raise(entry, now);
+  if (!raise.has_value()) {
+    return std::nullopt;
+  }
+  const double span = std::chrono::duration<double>(kSpan).count();
+  StartBound bound;
+  bound.most = kOverage * entry.rate.value * span + kSlack;
+  bound.window = kWindow;
+  bound.per_second = IsFresh(entry, now)
+                         ? entry.rate.value
+                         : std::max(entry.rate.value, kTriedPerSecond);
+  bound.raise = *raise;
+  bound.since = entry.since;
+  return bound;
+}
+
+std::optional<RequestRate> EndpointLimits::NamedBy(const EndpointId& id) const {
+  const auto found = entries_.find(id);
+  if (found == entries_.end() || !IsFresh(found->second, clock_())) {
+    return std::nullopt;
+  }
+  return found->second.rate;
+}
+
+std::vector<EndpointId> EndpointLimits::Bounded() const {
+  const TimePoint now = clock_();
+  std::vector<EndpointId> bounded;
+  for (const auto& [id, entry] : entries_) {
+    if (Raise(entry, now).has_value()) {
+      bounded.push_back(id);
+    }
+  }
+  return bounded;
+}
+
+std::vector<EndpointId> EndpointLimits::TakeLifted() {
+  const TimePoint now = clock_();
+  std::vector<EndpointId> lifted;
+  for (auto it = entries_.begin(); it != entries_.end();) {
+    if (Raise(it->second, now).has_value()) {
+      ++it;
+      continue;
+    }
+    lifted.push_back(it->first);
+    it = entries_.erase(it);
+  }
+  return lifted;
+}
+
+std::vector<LimitReport> EndpointLimits::Reports() const {
+  const TimePoint now = clock_();
+  std::vector<LimitReport> reports;
+  for (const auto& [id, entry] : entries_) {
+    const bool is_fresh = IsFresh(entry, now);
+    const auto age = now - entry.ended_at.value_or(entry.named_at);
+    if (!is_fresh && !(entry.ended_at.has_value() && age < kShortestFresh)) {
+      continue;
+    }
+    LimitReport report;
+    report.endpoint = id;
+    report.age = std::chrono::ceil<Millis>(age);
+    if (is_fresh) {
+      report.rate = entry.rate;
+    }
+    reports.push_back(std::move(report));
+  }
+  const std::size_t kept = std::min(kMostTold, reports.size());
+  std::partial_sort(
+      reports.begin(), reports.begin() + static_cast<std::ptrdiff_t>(kept),
+      reports.end(),
+      [](const LimitReport& a, const LimitReport& b) { return a.age < b.age; });
+  reports.resize(kept);
+  return reports;
+}
+
+std::size_t EndpointLimits::Count() const {
+  const TimePoint now = clock_();
+  return static_cast<std::size_t>(std::count_if(
+      entries_.begin(), entries_.end(),
+      [now](const auto& entry) { return IsFresh(entry.second, now); }));
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/core/endpoint_limits_test.cc
@@ -0,0 +1,211 @@
+#include "harecrank/core/endpoint_limits.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace harecrank {
+namespace {
+
+const EndpointId kEndpoint{"e0"};
+constexpr RequestRate kRate{1.6};
+
+bool IsUnreadable(const std::string& text) {
+  return std::holds_alternative<UnreadableLimit>(ReadLimit(text));
+}
+
+double Read(const std::string& text) {
+  return std::get<RequestRate>(ReadLimit(text)).value;
+}
+
+TEST_CASE("A limit is a decimal number that is not below zero") {
+  CHECK(Read("1.6") == 1.6);
+  CHECK(Read(" 2\t") == 2);
+  CHECK(Read("0") == 0);
+  CHECK(Read("0.001") == 0.001);
+  CHECK(Read("1e300") == kMostRequestRate);
+  for (const char* text :
+       {"", " ", "-1", "-0.1", "nan", "inf", "-inf", "1.6 a second", "one",
+        "1,6", "0x10", "1.6;2", "1e999", "--1"}) {
+    CAPTURE(text);
+    CHECK(IsUnreadable(text));
+  }
+}
+
+class LimitsFixture {
+ protected:
+  void Pass(Millis time) { now_ += time; }
+
+  LimitChange Names(RequestRate rate) {
+    return limits_.OnAnswer(kEndpoint, rate, now_);
+  }
+  LimitChange NamesNone() {
+    return limits_.OnAnswer(kEndpoint, NoLimit{}, now_);
+  }
+  LimitChange IsTold(std::optional<RequestRate> rate, Millis age) {
+    return limits_.OnTold(LimitReport{kEndpoint, rate, age});
+  }
+  bool IsBounded() const { return limits_.BoundOf(kEndpoint).has_value(); }
+  double PerSecond() const {
+    const StartBound bound = *limits_.BoundOf(kEndpoint);
+    return *bound.per_second * bound.raise;
+  }
+
+  TimePoint now_{std::chrono::hours(1)};
+  MonotonicClock clock_ = [this] { return now_; };
+  EndpointLimits limits_{clock_};
+};
+
+TEST_CASE_METHOD(LimitsFixture, "An endpoint that names a limit has a bound") {
+  CHECK_FALSE(IsBounded());
+  CHECK(NamesNone() == LimitChange::kNone);
+  CHECK(Names(kRate) == LimitChange::kNamed);
+  CHECK(Names(kRate) == LimitChange::kNone);
+  CHECK(PerSecond() == kRate.value);
+  CHECK(limits_.BoundOf(kEndpoint)->most == Approx(14.6));
+  CHECK(limits_.NamedBy(kEndpoint) == kRate);
+  CHECK(limits_.Count() == 1);
+}
+
+TEST_CASE_METHOD(LimitsFixture, "The last limit that was named holds") {
+  Names(kRate);
+  CHECK(Names(RequestRate{0.5}) == LimitChange::kChanged);
+  CHECK(PerSecond() == 0.5);
+  CHECK(Names(RequestRate{50}) == LimitChange::kChanged);
+  CHECK(PerSecond() == 50);
+}
+
+TEST_CASE_METHOD(LimitsFixture, "A limit of zero allows nothing") {
+  Names(RequestRate{0});
+  CHECK(PerSecond() == 0);
+}
+
+TEST_CASE_METHOD(LimitsFixture,
+                 "A limit that cannot be read stands for the one before") {
+  CHECK(limits_.OnAnswer(kEndpoint, UnreadableLimit{}, now_) ==
+        LimitChange::kNone);
+  CHECK_FALSE(IsBounded());
+  Names(kRate);
+  Pass(EndpointLimits::kShortestFresh - Millis(1));
+  limits_.OnAnswer(kEndpoint, UnreadableLimit{}, now_);
+  Pass(EndpointLimits::kShortestFresh - Millis(1));
+  CHECK(limits_.NamedBy(kEndpoint) == kRate);
+}
+
+TEST_CASE_METHOD(LimitsFixture,
+                 "A limit that ends is lifted step by step, and comes back") {
+  Names(kRate);
+  Pass(Millis(1));
+  CHECK(NamesNone() == LimitChange::kEnded);
+  CHECK(PerSecond() == kRate.value);
+  Pass(EndpointLimits::kDoubles);
+  CHECK(PerSecond() == Approx(2 * kRate.value));
+  Pass(EndpointLimits::kDoubles);
+  CHECK(PerSecond() == Approx(4 * kRate.value));
+  CHECK(Names(kRate) == LimitChange::kNamed);
+  CHECK(PerSecond() == kRate.value);
+  Pass(Millis(1));
+  NamesNone();
+  Pass(EndpointLimits::kMostDoublings * EndpointLimits::kDoubles);
+  CHECK_FALSE(IsBounded());
+  CHECK(limits_.TakeLifted().size() == 1);
+  CHECK(limits_.TakeLifted().empty());
+}
+
+TEST_CASE_METHOD(LimitsFixture,
+                 "An answer to a request of before does not end a limit") {
+  const TimePoint sent_at = now_;
+  Pass(Millis(5));
+  Names(kRate);
+  Pass(Millis(5));
+  CHECK(limits_.OnAnswer(kEndpoint, NoLimit{}, sent_at) == LimitChange::kNone);
+  CHECK(limits_.NamedBy(kEndpoint) == kRate);
+}
+
+TEST_CASE_METHOD(LimitsFixture,
+                 "A limit that nobody hears of any more lapses in the end, and "
+                 "is tried before") {
+  Names(RequestRate{0});
+  Pass(EndpointLimits::kLongestFresh);
+  CHECK_FALSE(limits_.NamedBy(kEndpoint).has_value());
+  CHECK(PerSecond() == EndpointLimits::kTriedPerSecond);
+  Pass(EndpointLimits::kUnheard);
+  CHECK(PerSecond() == EndpointLimits::kTriedPerSecond);
+  Pass(EndpointLimits::kDoubles);
+  CHECK(PerSecond() == Approx(2 * EndpointLimits::kTriedPerSecond));
+  Pass(EndpointLimits::kMostDoublings * EndpointLimits::kDoubles);
+  CHECK_FALSE(IsBounded());
+}
+
+TEST_CASE_METHOD(LimitsFixture, "What another host tells holds here too") {
+  CHECK(IsTold(kRate, Millis(200)) == LimitChange::kNamed);
+  CHECK(limits_.NamedBy(kEndpoint) == kRate);
+  CHECK(IsTold(std::nullopt, Millis(0)) == LimitChange::kEnded);
+  CHECK_FALSE(limits_.NamedBy(kEndpoint).has_value());
+  CHECK(IsBounded());
+}
+
+TEST_CASE_METHOD(LimitsFixture, "What is told too late says nothing") {
+  CHECK(IsTold(kRate, EndpointLimits::kShortestFresh) == LimitChange::kNone);
+  CHECK_FALSE(IsBounded());
+  CHECK(IsTold(std::nullopt, Millis(0)) == LimitChange::kNone);
+  CHECK_FALSE(IsBounded());
+}
+
+TEST_CASE_METHOD(LimitsFixture, "An older word changes nothing") {
+  Names(kRate);
+  Pass(Millis(500));
+  NamesNone();
+  Pass(Millis(100));
+  // Of an answer before the one that named none.
+  CHECK(IsTold(kRate, Millis(400)) == LimitChange::kNone);
+  CHECK_FALSE(limits_.NamedBy(kEndpoint).has_value());
+  Names(kRate);
+  CHECK(IsTold(std::nullopt, Millis(50)) == LimitChange::kNone);
+  CHECK(IsTold(RequestRate{9}, Millis(50)) == LimitChange::kNone);
+  CHECK(limits_.NamedBy(kEndpoint) == kRate);
+}
+
+TEST_CASE("A word that goes round between hosts keeps no limit alive") {
+  TimePoint now{std::chrono::hours(1)};
+  const MonotonicClock clock = [&now] { return now; };
+  EndpointLimits here(clock);
+  EndpointLimits there(clock);
+  here.OnAnswer(kEndpoint, kRate, now);
+  const auto tell = [&now](const EndpointLimits& from, EndpointLimits* to) {
+    const std::vector<LimitReport> reports = from.Reports();
+    now += EndpointLimits::kOnTheWay;
+    for (const LimitReport& report : reports) {
+      to->OnTold(report);
+    }
+  };
+  const TimePoint heard = now;
+  while (now - heard < 2 * EndpointLimits::kShortestFresh) {
+    tell(here, &there);
+    tell(there, &here);
+  }
+  CHECK_FALSE(here.NamedBy(kEndpoint).has_value());
+  CHECK_FALSE(there.NamedBy(kEndpoint).has_value());
+}
+
+TEST_CASE_METHOD(LimitsFixture, "The newest are told, as many as fit") {
+  const auto many = static_cast<int>(EndpointLimits::kMostTold) + 10;
+  for (int i = 0; i < many; ++i) {
+    limits_.OnAnswer(EndpointId{std::to_string(i)}, kRate, now_);
+    Pass(Millis(1));
+  }
+  const std::vector<LimitReport> reports = limits_.Reports();
+  REQUIRE(reports.size() == EndpointLimits::kMostTold);
+  CHECK(reports.front().endpoint.value == std::to_string(many - 1));
+  CHECK(reports.front().age == Millis(1));
+}
+
+TEST_CASE_METHOD(LimitsFixture, "No host can fill another's memory") {
+  for (std::size_t i = 0; i < EndpointLimits::kMostEndpoints + 100; ++i) {
+    limits_.OnTold(
+        LimitReport{EndpointId{std::to_string(i)}, kRate, Millis(0)});
+  }
+  CHECK(limits_.Bounded().size() == EndpointLimits::kMostEndpoints);
+}
+
+}  // namespace
+}  // namespace harecrank
--- a/src/core/planner.cc
+++ b/src/core/planner.cc
@@ -22,12 +22,12 @@
 }  // namespace
 
 Planner::Planner(const EndpointDirectory* directory, EndpointHealth* health,
-                 const ColdShares* cold_shares, DataCentreId self,
+                 const StartShares* start_shares, DataCentreId self,
                  RoutingSource routing, const PlacementPolicy& policy,
                  MonotonicClock clock, RandomSource random)
     : directory_(directory),
       health_(health),
-      cold_shares_(cold_shares),
+      start_shares_(start_shares),
       routing_(std::move(routing)),
       policy_(policy),
       clock_(clock),
@@ -131,7 +131,7 @@
 std::set<EndpointId> Planner::WithheldFrom(
     const Entry& entry, const ServiceProfile& service) const {
   std::set<EndpointId> withheld =
-      cold_shares_->Withheld(given_, entry.ask.host, service);
+      start_shares_->Withheld(given_, entry.ask.host, service);
   // What the host had begun when it asked, also by places of other planners.
   if (clock_() - entry.came_at < kWithheldHolds) {
     withheld.insert(entry.ask.withheld.begin(), entry.ask.withheld.end());
@@ -155,9 +155,7 @@
   for (const WorkPart& part : PartsOf(*placement, *request)) {
     entry->work.push_back(loads_.Begin(part, entry->late_at));
   }
-  if (cold_shares_->IsBounded(*request->service)) {
-    given_.Add(entry->ask.host, placement->endpoint.id);
-  }
+  start_shares_->Add(*placement, *request->service, entry->ask.host, &given_);
   entry->endpoint = placement->endpoint.id;
   entry->placed = Planned(*placement);
   entry->placed_at = clock_();
--- a/src/core/planner_shares_test.cc
+++ b/src/core/planner_shares_test.cc
@@ -72,7 +72,7 @@
   // Another planner, which knows nothing. Hosts ask it again for what waits.
   void Replace() {
     planner_ = std::make_unique<Planner>(
-        &directory_, &health_, &cold_shares_, DataCentreId{"a"},
+        &directory_, &health_, &start_shares_, DataCentreId{"a"},
         [this] { return table_; }, policy_, [this] { return now_; },
         [this] { return drawn_ += 77; });
     std::map<AskId, Pending> pending;
@@ -186,8 +186,9 @@
   EndpointDirectory directory_{[this] { return now_; }};
   EndpointHealth health_{[this] { return now_; }};
   ColdEndpoints cold_{[this] { return now_; }};
-  ColdShares cold_shares_{ColdBound{}, &cold_, [] { return 1; },
-                          [this] { return now_; }};
+  EndpointLimits limits_{[this] { return now_; }};
+  StartShares start_shares_{ColdBound{}, &cold_, &limits_, [] { return 1; },
+                            [this] { return now_; }};
   std::shared_ptr<const RoutingTable> table_;
   std::unique_ptr<Planner> planner_;
   std::map<AskId, Pending> pending_;
--- /dev/null
+++ b/src/core/start_shares.cc
@@ -0,0 +1,300 @@
+#include "harecrank/core/start_shares.h"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+
+#include "harecrank/core/rendezvous.h"
+
+namespace harecrank {
+namespace {
+
+// How far a sum of hosts that a hash names may lie above its mean, in standard
+// deviations, without passing the bound.
+constexpr double kSpread = 5;
+// Where starts follow each other faster than this, a few may come together:
+// requests do not arrive evenly, and each that is held back waits or goes
+// elsewhere.
+constexpr FractionalMillis kLump{100};
+// No pause is longer: the last start must still be remembered.
+constexpr FractionalMillis kLongestPause{StartCounts::kLastRemembered};
+constexpr double kMillisPerSecond = 1000;
+
+// Returns how many hosts may be named on average, so that `bound` holds for the
+// sum: the mean m of a Poisson distribution with m + kSpread * sqrt(m) = bound.
+double NamedOnAverage(double bound) {
+  const double root = (std::sqrt(kSpread * kSpread + 4 * bound) - kSpread) / 2;
+  return root * root;
+}
+
+double ToUnit(std::uint64_t hash) {
+  constexpr double kRange = 18446744073709551616.0;
+  return static_cast<double>(hash) / kRange;
+}
+
+// Return numbers from 0 to 1 that all hosts derive alike: by which hosts are
+// named, and when each of them begins.
+double Lot(const HostAddress& host, const EndpointId& endpoint) {
+  return ToUnit(RendezvousWeight(endpoint.value, host.value));
+}
+double Phase(const HostAddress& host, const EndpointId& endpoint) {
+  return ToUnit(RendezvousWeight(host.value, endpoint.value));
+}
+
+TimePoint After(TimePoint time, FractionalMillis pause) {
+  return time + std::chrono::duration_cast<TimePoint::duration>(pause);
+}
+
+}  // namespace
+
+StartCounts::StartCounts(MonotonicClock clock)
+    : clock_(std::move(clock)), swept_(clock_()) {}
+
+void StartCounts::Add(const HostAddress& host, const EndpointId& endpoint) {
+  if (clock_() - swept_ > kWindow) {
+    Sweep();
+  }
+  starts_[Key(host, endpoint)].push_back(clock_());
+}
+
+std::size_t StartCounts::Of(const HostAddress& host, const EndpointId& endpoint,
+                            Millis window) const {
+  const auto found = starts_.find(Key(host, endpoint));
+  if (found == starts_.end()) {
+    return 0;
+  }
+  const TimePoint from = clock_() - window;
+  return static_cast<std::size_t>(
+      std::count_if(found->second.begin(), found->second.end(),
+                    [from](TimePoint at) { return at > from; }));
+}
+
+std::optional<TimePoint> StartCounts::Before(const HostAddress& host,
+                                             const EndpointId& endpoint,
+                                             std::size_t others) const {
+  const auto found = starts_.find(Key(host, endpoint));
+  if (found == starts_.end() || found->second.size() <= others) {
+    return std::nullopt;
+  }
+  return found->second[found->second.size() - 1 - others];
+}
+
+void StartCounts::Sweep() {
+  swept_ = clock_();
+  for (auto it = starts_.begin(); it != starts_.end();) {
+    std::deque<TimePoint>& times = it->second;
+    while (times.size() > 1 && times.front() <= swept_ - kWindow) {
+      times.pop_front();
+    }
+    const bool is_forgotten = times.back() <= swept_ - kLastRemembered;
+    it = is_forgotten ? starts_.erase(it) : std::next(it);
+  }
+}
+
+StartShares::StartShares(ColdBound cold_bound,
+                         const ColdEndpoints* cold_endpoints,
+                         const EndpointLimits* limits,
+                         std::function<std::optional<int>()> hosts,
+                         MonotonicClock clock)
+    : cold_bound_(cold_bound),
+      cold_endpoints_(cold_endpoints),
+      limits_(limits),
+      hosts_(std::move(hosts)),
+      clock_(std::move(clock)) {}
+
+bool StartShares::IsColdBounded(const ServiceProfile& service) const {
+  return cold_bound_.overage > 0 && service.cold_starts_per_s > 0;
+}
+
+std::optional<StartBound> StartShares::ColdBoundOf(
+    const EndpointId& endpoint, const ServiceProfile& service) const {
+  const auto raise = cold_endpoints_->Factor(endpoint);
+  if (!raise.has_value() || !IsColdBounded(service)) {
+    return std::nullopt;
+  }
+  StartBound bound;
+  bound.most =
+      service.cold_starts_per_s * cold_bound_.overage + cold_bound_.slack;
+  bound.window = ColdEndpoints::kWindow;
+  bound.raise = *raise;
+  bound.since = cold_endpoints_->BoundSince(endpoint);
+  return bound;
+}
+
+std::vector<StartBound> StartShares::BoundsOf(const EndpointId& endpoint,
+                                              const ServiceProfile& service,
+                                              StartKind kind) const {
+  std::vector<StartBound> bounds;
+  // A cold endpoint's bound does not count the parts that it reads.
+  if (kind == StartKind::kRequest) {
+    if (const auto cold = ColdBoundOf(endpoint, service)) {
+      bounds.push_back(*cold);
+    }
+  }
+  if (const auto limit = limits_->BoundOf(endpoint)) {
+    bounds.push_back(*limit);
+  }
+  return bounds;
+}
+
+StartShares::Part StartShares::PartOf(const StartBound& bound,
+                                      const HostAddress& host,
+                                      const EndpointId& endpoint) const {
+  const auto hosts = hosts_();
+  Part part;
+  if (!hosts.has_value()) {
+    return part;
+  }
+  // How many hosts share the bound.
+  double sharers = *hosts;
+  const double even = bound.most / *hosts;
+  if (even >= 1) {
+    part.most = bound.raise * std::floor(even);
+  } else {
+    const double named = bound.raise * NamedOnAverage(bound.most);
+    const bool is_named = Lot(host, endpoint) * *hosts < named;
+    part.most = is_named ? std::max(1.0, named / *hosts) : 0;
+    sharers = std::min(sharers, named);
+  }
+  if (part.most < 1 || bound.per_second == 0.0) {
+    part.most = 0;
+    return part;
+  }
+  part.pause = FractionalMillis(bound.window) / part.most;
+  if (bound.per_second.has_value()) {
+    const double own = bound.raise * *bound.per_second / sharers;
+    part.pause = std::max(part.pause, FractionalMillis(kMillisPerSecond / own));
+  }
+  part.pause = std::min(part.pause, kLongestPause);
+  part.first = After(bound.since, Phase(host, endpoint) * part.pause);
+  return part;
+}
+
+std::optional<double> StartShares::ShareOf(
+    const HostAddress& host, const EndpointId& endpoint,
+    const ServiceProfile& service) const {
+  std::optional<double> least;
+  for (const StartBound& bound :
+       BoundsOf(endpoint, service, StartKind::kRequest)) {
+    const double most = PartOf(bound, host, endpoint).most;
+    least = std::min(least.value_or(most), most);
+  }
+  return least;
+}
+
+TimePoint StartShares::NextStartBy(const StartBound& bound,
+                                   const StartCounts& starts,
+                                   const HostAddress& host,
+                                   const EndpointId& endpoint) const {
+  const Part part = PartOf(bound, host, endpoint);
+  if (part.most < 1) {
+    return clock_() + bound.window;
+  }
+  TimePoint next = part.first;
+  const auto most = static_cast<std::size_t>(std::ceil(part.most));
+  if (const auto full = starts.Before(host, endpoint, most - 1)) {
+    next = std::max(next, *full + bound.window);
+  }
+  const auto together =
+      std::max(std::size_t{1}, static_cast<std::size_t>(kLump / part.pause));
+  if (const auto last = starts.Before(host, endpoint, together - 1)) {
+    next = std::max(next,
+                    After(*last, static_cast<double>(together) * part.pause));
+  }
+  return next;
+}
+
+TimePoint StartShares::NextStart(const StartCounts& starts,
+                                 const HostAddress& host,
+                                 const EndpointId& endpoint,
+                                 const ServiceProfile& service,
+                                 StartKind kind) const {
+  TimePoint next{};
+  for (const StartBound& bound : BoundsOf(endpoint, service, kind)) {
+    next = std::max(next, NextStartBy(bound, starts, host, endpoint));
+  }
+  return next;
+}
+
+bool StartShares::MayStart(const StartCounts& starts, const HostAddress& host,
+                           const EndpointId& endpoint,
+                           const ServiceProfile& service,
+                           StartKind kind) const {
+  return NextStart(starts, host, endpoint, service, kind) <= clock_();
+}
+
+bool StartShares::MayStart(const StartCounts& starts, const HostAddress& host,
+                           const Placement& placement,
+                           const ServiceProfile& service) const {
+  return MayStart(starts, host, placement.endpoint.id, service) &&
+         std::all_of(placement.helpers.begin(), placement.helpers.end(),
+                     [&](const Helper& helper) {
+                       return MayStart(starts, host, helper.record.id, service,
+                                       StartKind::kPart);
+                     });
+}
+
+bool StartShares::Counts(const EndpointId& endpoint,
+                         const ServiceProfile& service, StartKind kind) const {
+  // Endpoints turn cold unheard: what has begun there by then counts, too.
+  const bool may_turn_cold =
+      kind == StartKind::kRequest && IsColdBounded(service);
+  return may_turn_cold || limits_->BoundOf(endpoint).has_value();
+}
+
+void StartShares::Add(const Placement& placement, const ServiceProfile& service,
+                      const HostAddress& host, StartCounts* starts) const {
+  if (Counts(placement.endpoint.id, service, StartKind::kRequest)) {
+    starts->Add(host, placement.endpoint.id);
+  }
+  for (const Helper& helper : placement.helpers) {
+    if (Counts(helper.record.id, service, StartKind::kPart)) {
+      starts->Add(host, helper.record.id);
+    }
+  }
+}
+
+std::set<EndpointId> StartShares::Withheld(
+    const StartCounts& starts, const HostAddress& host,
+    const ServiceProfile& service) const {
+  std::set<EndpointId> withheld;
+  const auto withhold = [&](const std::vector<EndpointId>& bounded) {
+    for (const EndpointId& endpoint : bounded) {
+      if (!MayStart(starts, host, endpoint, service)) {
+        withheld.insert(endpoint);
+      }
+    }
+  };
+  if (IsColdBounded(service)) {
+    withhold(cold_endpoints_->Bounded());
+  }
+  withhold(limits_->Bounded());
+  return withheld;
+}
+
+std::optional<StartOutlook> StartShares::OutlookOf(
+    const StartCounts& starts, const HostAddress& host,
+    const std::vector<const EndpointRecord*>& endpoints,
+    const ServiceProfile& service) const {
+  StartOutlook outlook;
+  outlook.next = TimePoint::max();
+  for (const EndpointRecord* record : endpoints) {
+    const std::vector<StartBound> bounds =
+        BoundsOf(record->id, service, StartKind::kRequest);
+    if (bounds.empty()) {
+      return std::nullopt;
+    }
+    FractionalMillis pause{0};
+    for (const StartBound& bound : bounds) {
+      const Part part = PartOf(bound, host, record->id);
+      pause =
+          part.most < 1 ? FractionalMillis::max() : std::max(pause, part.pause);
+    }
+    outlook.per_second += kMillisPerSecond / pause.count();
+    outlook.next =
+        std::min(outlook.next, NextStart(starts, host, record->id, service));
+  }
+  return outlook;
+}
+
+}  // namespace harecrank
--- a/src/core/cold_starts_test.cc
+++ b/src/core/start_shares_test.cc
@@ -1,4 +1,4 @@
-#include "harecrank/core/cold_starts.h"
+#include "harecrank/core/start_shares.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -40,90 +40,33 @@
   return service;
 }
 
-class ColdFixture {
+class SharesFixture {
  protected:
   void Pass(Millis time) { now_ += time; }
 
   TimePoint now_{std::chrono::hours(1)};
   MonotonicClock clock_ = [this] { return now_; };
   ColdEndpoints endpoints_{clock_};
+  EndpointLimits limits_{clock_};
 };
 
-TEST_CASE_METHOD(ColdFixture, "An endpoint is cold for as long as it tells") {
-  CHECK(endpoints_.OnRecord(RecordOf(1, Millis(3000)), Millis(0)) ==
-        ColdChange::kTurnedCold);
-  Pass(Millis(2999));
-  CHECK(endpoints_.IsCold(kEndpoint));
-  CHECK(endpoints_.TakeWarmed().empty());
-  Pass(Millis(1));
-  CHECK_FALSE(endpoints_.IsCold(kEndpoint));
-  CHECK(endpoints_.TakeWarmed().size() == 1);
-  CHECK(endpoints_.TakeWarmed().empty());
-}
-
-TEST_CASE_METHOD(ColdFixture,
-                 "An entry that is listed anew keeps nobody cold") {
-  endpoints_.OnRecord(RecordOf(1, Millis(3000)), Millis(0));
-  for (int i = 0; i < 10; ++i) {
-    Pass(Millis(1000));
-    endpoints_.OnRecord(RecordOf(1, Millis(3000)), Millis(0));
-  }
-  CHECK_FALSE(endpoints_.IsCold(kEndpoint));
-}
-
-TEST_CASE_METHOD(ColdFixture, "An older word that comes late warms nobody") {
-  endpoints_.OnRecord(RecordOf(5, Millis(3000)), Millis(0));
-  CHECK(endpoints_.OnRecord(RecordOf(4, Millis(0)), Millis(0)) ==
-        ColdChange::kNone);
-  CHECK(endpoints_.IsCold(kEndpoint));
-}
-
-TEST_CASE_METHOD(ColdFixture, "A newer word may warm or cool at any moment") {
-  endpoints_.OnRecord(RecordOf(1, Millis(0)), Millis(0));
-  CHECK(endpoints_.OnRecord(RecordOf(2, Millis(3000)), Millis(0)) ==
-        ColdChange::kTurnedCold);
-  CHECK(endpoints_.OnRecord(RecordOf(3, Millis(1800)), Millis(0)) ==
-        ColdChange::kNone);
-  CHECK(endpoints_.OnRecord(RecordOf(4, Millis(0)), Millis(0)) ==
-        ColdChange::kTurnedWarm);
-  CHECK_FALSE(endpoints_.IsCold(kEndpoint));
-}
-
-TEST_CASE_METHOD(ColdFixture, "A new life that tells nothing is cold") {
-  endpoints_.OnRecord(RecordOf(1, std::nullopt), Millis(0));
-  CHECK_FALSE(endpoints_.IsCold(kEndpoint));
-  endpoints_.OnRecord(RecordOf(2, std::nullopt), Millis(3000));
-  CHECK_FALSE(endpoints_.IsCold(kEndpoint));
-  endpoints_.OnRecord(RecordOf(3, std::nullopt, 2), Millis(3000));
-  CHECK(endpoints_.IsCold(kEndpoint));
-}
-
-TEST_CASE_METHOD(ColdFixture, "An entry that lapses leaves its endpoint cold") {
-  endpoints_.OnRecord(RecordOf(1, Millis(3000)), Millis(0));
-  endpoints_.OnGone(kEndpoint);
-  CHECK(endpoints_.IsCold(kEndpoint));
-  Pass(Millis(10000));
-  endpoints_.TakeWarmed();
-  CHECK_FALSE(endpoints_.Factor(kEndpoint).has_value());
-}
-
-TEST_CASE_METHOD(ColdFixture, "Two bursts never share a second") {
+TEST_CASE_METHOD(SharesFixture, "Two bursts never share a second") {
   StartCounts starts(clock_);
   starts.Add(Host(0), kEndpoint);
   starts.Add(Host(0), kEndpoint);
-  Pass(StartCounts::kWindow - Millis(1));
-  CHECK(starts.Of(Host(0), kEndpoint) == 2);
-  CHECK(starts.Of(Host(1), kEndpoint) == 0);
+  Pass(ColdEndpoints::kWindow - Millis(1));
+  CHECK(starts.Of(Host(0), kEndpoint, ColdEndpoints::kWindow) == 2);
+  CHECK(starts.Of(Host(1), kEndpoint, ColdEndpoints::kWindow) == 0);
   Pass(Millis(1));
-  CHECK(starts.Of(Host(0), kEndpoint) == 0);
+  CHECK(starts.Of(Host(0), kEndpoint, ColdEndpoints::kWindow) == 0);
 }
 
-TEST_CASE_METHOD(ColdFixture, "The parts of all hosts add up to the bound") {
+TEST_CASE_METHOD(SharesFixture, "The parts of all hosts add up to the bound") {
   endpoints_.OnRecord(RecordOf(1, Millis(3000)), Millis(0));
   const ServiceProfile service = Service();
   for (const int hosts : {1, 3, 24, 53, 54, 100, 300, 810}) {
-    const ColdShares shares(
-        kBound, &endpoints_, [hosts] { return hosts; }, clock_);
+    const StartShares shares(
+        kBound, &endpoints_, &limits_, [hosts] { return hosts; }, clock_);
     // The hash names others for other endpoints.
     for (int endpoint = 0; endpoint < 200; ++endpoint) {
       EndpointRecord record = RecordOf(1, Millis(3000));
@@ -139,24 +82,24 @@
   }
 }
 
-TEST_CASE_METHOD(ColdFixture,
+TEST_CASE_METHOD(SharesFixture,
                  "A host that does not know the fleet begins nothing there") {
   endpoints_.OnRecord(RecordOf(1, Millis(3000)), Millis(0));
-  const ColdShares shares(
-      kBound, &endpoints_, [] { return std::nullopt; }, clock_);
+  const StartShares shares(
+      kBound, &endpoints_, &limits_, [] { return std::nullopt; }, clock_);
   CHECK(shares.ShareOf(Host(0), kEndpoint, Service()) == 0.0);
 }
 
-TEST_CASE_METHOD(ColdFixture, "Without a bound nothing is withheld") {
+TEST_CASE_METHOD(SharesFixture, "Without a bound nothing is withheld") {
   endpoints_.OnRecord(RecordOf(1, Millis(3000)), Millis(0));
   const StartCounts starts(clock_);
   ServiceProfile unbounded = Service();
   unbounded.cold_starts_per_s = 0;
-  const ColdShares none(
-      ColdBound{}, &endpoints_, [] { return std::nullopt; }, clock_);
+  const StartShares none(
+      ColdBound{}, &endpoints_, &limits_, [] { return std::nullopt; }, clock_);
   CHECK(none.Withheld(starts, Host(0), Service()).empty());
-  const ColdShares bound(
-      kBound, &endpoints_, [] { return std::nullopt; }, clock_);
+  const StartShares bound(
+      kBound, &endpoints_, &limits_, [] { return std::nullopt; }, clock_);
   CHECK(bound.Withheld(starts, Host(0), unbounded).empty());
   CHECK(bound.Withheld(starts, Host(0), Service()).size() == 1);
 }
@@ -185,7 +128,7 @@
   CutFleet(ColdBound bound, std::uint64_t seed)
       : random_(seed),
         shares_(
-            bound, &endpoints_, [] { return kHosts; }, clock_) {
+            bound, &endpoints_, &limits_, [] { return kHosts; }, clock_) {
     EndpointRecord record = RecordOf(1, kPlayed + Millis(1000));
     record.address = "e0:1";
     directory_.Upsert(record);
@@ -311,7 +254,8 @@
   EndpointDirectory directory_{clock_};
   EndpointHealth health_{clock_};
   ColdEndpoints endpoints_{clock_};
-  ColdShares shares_;
+  EndpointLimits limits_{clock_};
+  StartShares shares_;
   std::shared_ptr<const RoutingTable> table_;
   std::vector<std::unique_ptr<Planner>> planners_;
   // What each host has begun.
@@ -347,6 +291,7 @@
   EndpointDirectory directory(clock);
   EndpointHealth health(clock);
   ColdEndpoints cold(clock);
+  const EndpointLimits limits(clock);
   const ServiceProfile service = Service();
   EndpointRecord record = RecordOf(1, kCold);
   for (const char* id : {"e0", "e1", "e2", "e3"}) {
@@ -355,8 +300,8 @@
     cold.OnRecord(record, Millis(0));
     record.cold_for = Millis(0);
   }
-  const ColdShares shares(
-      bound, &cold, [hosts] { return hosts; }, clock);
+  const StartShares shares(
+      bound, &cold, &limits, [hosts] { return hosts; }, clock);
   EndpointLoads loads(clock);
   const Placer placer(
       &directory, &loads, &health, DataCentreId{}, LoadsOf::kThisHost,
--- a/src/core/too_little_room_test.cc
+++ b/src/core/too_little_room_test.cc
@@ -70,7 +70,7 @@
     document.routes = {std::make_shared<const RouteRule>(route)};
     table_ = std::make_shared<const RoutingTable>(std::move(document));
     planner_ = std::make_unique<Planner>(
-        &directory_, &health_, &cold_shares_, DataCentreId{"a"},
+        &directory_, &health_, &start_shares_, DataCentreId{"a"},
         [this] { return table_; }, policy_, [this] { return now_; },
         [this] { return drawn_ += 77; });
   }
@@ -223,8 +223,9 @@
   EndpointDirectory directory_{[this] { return now_; }};
   EndpointHealth health_{[this] { return now_; }};
   ColdEndpoints cold_{[this] { return now_; }};
-  ColdShares cold_shares_{ColdBound{}, &cold_, [] { return 1; },
-                          [this] { return now_; }};
+  EndpointLimits limits_{[this] { return now_; }};
+  StartShares start_shares_{ColdBound{}, &cold_, &limits_, [] { return 1; },
+                            [this] { return now_; }};
   std::shared_ptr<const RoutingTable> table_;
   std::unique_ptr<Planner> planner_;
   std::map<AskId, Caller> waiting_;
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -94,12 +94,12 @@
              settings_.placement.shares_by_account),
       orders_(platform.make_orders(&io_)),
       hosts_(Self(settings_), Addresses(settings_.seed_peers), clock_, random_),
-      cold_gate_(
+      start_gate_(
           Self(settings_).address, settings_.cold_bound,
           [this] { return hosts_.Size().Most(); },
           [this] { return routing_.InForce(); }, &log_, &metrics_, clock_),
       planner_(
-          &directory_, &health_, cold_gate_.Shares(), settings_.data_centre,
+          &directory_, &health_, start_gate_.Shares(), settings_.data_centre,
           [this] { return routing_.InForce(); }, settings_.placement, clock_,
           random_),
       fleet_socket_(&io_, settings_.peers_address, &metrics_),
@@ -158,7 +158,7 @@
   services.placer = &placer_;
   services.policy = &settings_.placement;
   services.budgets = &budgets_;
-  services.cold_gate = &cold_gate_;
+  services.start_gate = &start_gate_;
   services.queue = &queue_;
   services.orders = orders_.get();
   services.log = &log_;
@@ -285,7 +285,7 @@
     return static_cast<double>(directory_.MissingCount());
   });
   metrics_.AddGauge("harecrank_gateway_endpoints_cold", [this] {
-    return static_cast<double>(cold_gate_.ColdCount());
+    return static_cast<double>(start_gate_.ColdCount());
   });
   metrics_.AddGauge("harecrank_gateway_fleet_size", [this] {
     return static_cast<double>(hosts_.Size().Most().value_or(0));
@@ -363,19 +363,19 @@
 void GatewayNode::OnListing(std::vector<EndpointRecord> records,
                             std::vector<ClosedDataCentre> closed,
                             StoreRevision at) {
-  cold_gate_.OnListing(records);
+  start_gate_.OnListing(records);
   endpoint_news_.OnListing(records, at);
   endpoint_news_.OnClosedListed(closed, at);
   AcceptCallers();
 }
 
 void GatewayNode::OnEndpoint(const EndpointRecord& record) {
-  cold_gate_.OnEndpoint(record);
+  start_gate_.OnEndpoint(record);
   endpoint_news_.OnEndpoint(record);
 }
 
 void GatewayNode::OnEndpointGone(const EndpointId& id, StoreRevision revision) {
-  cold_gate_.OnGone(id);
+  start_gate_.OnGone(id);
   endpoint_news_.OnGone(id, revision);
 }
 
@@ -519,7 +519,7 @@
   AcceptCallers();
   endpoint_news_.DropLapsed();
   hosts_.NoteSize();
-  cold_gate_.Tick();
+  start_gate_.Tick();
   UpdateSource("nobody told for a while");
   if (now - swept_ >= kSweepInterval) {
     swept_ = now;
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -122,7 +122,7 @@
   DispatchQueue queue_;
   std::unique_ptr<MemoryOrders> orders_;
   HostBook hosts_;
-  ColdGate cold_gate_;
+  StartGate start_gate_;
   Planner planner_;
   FleetSocket fleet_socket_;
   FleetMember fleet_;
--- a/src/gateway/gateway_services.h
+++ b/src/gateway/gateway_services.h
@@ -17,13 +17,13 @@
 #include "harecrank/core/routing_table.h"
 #include "src/adapters/event_log.h"
 #include "src/adapters/metrics.h"
-#include "src/gateway/cold_gate.h"
 #include "src/gateway/crash_guard.h"
 #include "src/gateway/dispatch_queue.h"
 #include "src/gateway/endpoint_connections.h"
 #include "src/gateway/memory_orders.h"
 #include "src/gateway/place_client.h"
 #include "src/gateway/protocol_names.h"
+#include "src/gateway/start_gate.h"
 
 namespace harecrank {
 
@@ -71,7 +71,7 @@
   const Placer* placer = nullptr;
   const PlacementPolicy* policy = nullptr;
   RepeatBudgets* budgets = nullptr;
-  ColdGate* cold_gate = nullptr;
+  StartGate* start_gate = nullptr;
   DispatchQueue* queue = nullptr;
   MemoryOrders* orders = nullptr;
   EventLog* log = nullptr;
--- a/src/gateway/place_seeker.cc
+++ b/src/gateway/place_seeker.cc
@@ -49,7 +49,7 @@
 
 void PlaceSeeker::SetWithheld() {
   sought_.request.withheld =
-      services_->cold_gate->Withheld(*sought_.request.service);
+      services_->start_gate->Withheld(*sought_.request.service);
 }
 
 void PlaceSeeker::Ask() {
@@ -97,8 +97,7 @@
 
 void PlaceSeeker::UsePlanned(const PlannedPlacement& planned) {
   std::optional<Placement> placement = PlacementOf(planned);
-  const bool may_start = MayStartAt(planned.endpoint);
-  if (placement.has_value() && may_start) {
+  if (placement.has_value() && MayStart(*placement)) {
     Prepare(*placement);
     return;
   }
@@ -152,8 +151,8 @@
   return services_->directory->FindUsable(id, sought_.request.service->name);
 }
 
-bool PlaceSeeker::MayStartAt(const EndpointId& id) const {
-  return services_->cold_gate->MayStart(id, *sought_.request.service);
+bool PlaceSeeker::MayStart(const Placement& placement) const {
+  return services_->start_gate->MayStart(placement, *sought_.request.service);
 }
 
 bool PlaceSeeker::IsStillUsable(const Placement& placement) const {
@@ -197,7 +196,7 @@
 
 void PlaceSeeker::WaitForColdEndpoint() {
   if (!started_ && services_->clock() >= sought_.late_at) {
-    observer_->OnTurnedAway(StartCounts::kWindow);
+    observer_->OnTurnedAway(ColdEndpoints::kWindow);
     return;
   }
   NoteWaiting();
@@ -341,8 +340,7 @@
 }
 
 void PlaceSeeker::GivePlace(const Placement& placement) {
-  services_->cold_gate->OnStart(placement.endpoint.id,
-                                *sought_.request.service);
+  services_->start_gate->OnStart(placement, *sought_.request.service);
   observer_->OnPlace(placement);
 }
 
@@ -350,8 +348,7 @@
   nlohmann::json fields = log_fields_();
   // Memory is waited for up to 300 ms. With the wait for a connection an
   // endpoint that was heard to leave meanwhile would be sent to 0.6 s later.
-  const bool usable =
-      IsStillUsable(placement) && MayStartAt(placement.endpoint.id);
+  const bool usable = IsStillUsable(placement) && MayStart(placement);
   fields["held"] = held;
   fields["usable"] = usable;
   fields["prompt"] = sought_.request.prompt.value;
--- a/src/gateway/place_seeker.h
+++ b/src/gateway/place_seeker.h
@@ -95,9 +95,9 @@
   std::optional<Placement> PlacementOf(const PlannedPlacement& planned) const;
   // Returns the record of `id` if new work may go there now, otherwise null.
   const EndpointRecord* Usable(const EndpointId& id) const;
-  // Returns whether this host's part of what `id` takes while it is cold allows
-  // a further request.
-  bool MayStartAt(const EndpointId& id) const;
+  // Returns whether this host's part of what the endpoints of `placement` take
+  // from all hosts allows a further request.
+  bool MayStart(const Placement& placement) const;
   // Returns whether new work may still go to all that `placement` names.
   bool IsStillUsable(const Placement& placement) const;
   // Tells that no planner gave a place.
--- /dev/null
+++ b/src/gateway/start_gate.cc
@@ -0,0 +1,156 @@
+#include "src/gateway/start_gate.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace harecrank {
+
+StartGate::StartGate(HostAddress self, ColdBound cold_bound,
+                     std::function<std::optional<int>()> hosts,
+                     RoutingSource routing, EventLog* log, Metrics* metrics,
+                     MonotonicClock clock)
+    : self_(std::move(self)),
+      routing_(std::move(routing)),
+      log_(log),
+      metrics_(metrics),
+      clock_(clock),
+      cold_endpoints_(clock),
+      limits_(clock),
+      shares_(cold_bound, &cold_endpoints_, &limits_, std::move(hosts), clock),
+      starts_(std::move(clock)) {}
+
+void StartGate::OnListing(const std::vector<EndpointRecord>& records) {
+  for (const EndpointRecord& record : records) {
+    if (has_listing_) {
+      OnEndpoint(record);
+    } else {
+      TakeCold(record, Millis(0));
+    }
+  }
+  has_listing_ = true;
+}
+
+void StartGate::OnEndpoint(const EndpointRecord& record) {
+  const auto table = routing_();
+  const ServiceProfile* service =
+      table == nullptr ? nullptr : table->FindService(record.service);
+  TakeCold(record, service == nullptr ? Millis(0) : service->cold_after_start);
+}
+
+void StartGate::TakeCold(const EndpointRecord& record, Millis after_start) {
+  const ColdChange change = cold_endpoints_.OnRecord(record, after_start);
+  if (change == ColdChange::kTurnedCold) {
+    log_->Write("endpoint_cold",
+                {{"endpoint", record.id.value},
+                 {"cold_ms", record.cold_for.value_or(after_start).count()},
+                 {"revision", record.revision.value}});
+  } else if (change == ColdChange::kTurnedWarm) {
+    log_->Write("endpoint_warm",
+                {{"endpoint", record.id.value}, {"by", "entry"}});
+  }
+}
+
+bool StartGate::OnAnswer(const EndpointId& endpoint, const LimitWord& word,
+                         TimePoint sent_at) {
+  if (std::holds_alternative<UnreadableLimit>(word)) {
+    metrics_->GetCounter("harecrank_gateway_limits_unreadable_total")->Add();
+    log_->Write("limit_unreadable", {{"endpoint", endpoint.value}});
+  }
+  const LimitChange change = limits_.OnAnswer(endpoint, word, sent_at);
+  NoteLimit(endpoint, change, "answer");
+  return change == LimitChange::kNamed || change == LimitChange::kEnded;
+}
+
+void StartGate::OnTold(const std::vector<LimitReport>& reports) {
+  for (const LimitReport& report : reports) {
+    NoteLimit(report.endpoint, limits_.OnTold(report), "host");
+  }
+}
+
+void StartGate::NoteLimit(const EndpointId& endpoint, LimitChange change,
+                          const char* told_by) {
+  if (change == LimitChange::kNone) {
+    return;
+  }
+  nlohmann::json fields = {{"endpoint", endpoint.value}, {"by", told_by}};
+  if (change == LimitChange::kEnded) {
+    log_->Write("limit_ended", std::move(fields));
+    return;
+  }
+  const auto rate = limits_.NamedBy(endpoint);
+  fields["per_second"] = rate.value_or(RequestRate{}).value;
+  log_->Write("limit_named", std::move(fields));
+}
+
+void StartGate::Tick() {
+  for (const EndpointId& id : cold_endpoints_.TakeWarmed()) {
+    log_->Write("endpoint_warm", {{"endpoint", id.value}, {"by", "time"}});
+  }
+  for (const EndpointId& id : limits_.TakeLifted()) {
+    log_->Write("limit_lifted", {{"endpoint", id.value}});
+  }
+}
+
+std::set<EndpointId> StartGate::Withheld(const ServiceProfile& service) {
+  std::set<EndpointId> withheld = shares_.Withheld(starts_, self_, service);
+  if (!withheld.empty()) {
+    CountWithheld();
+  }
+  return withheld;
+}
+
+bool StartGate::MayStart(const Placement& placement,
+                         const ServiceProfile& service) {
+  const bool may = shares_.MayStart(starts_, self_, placement, service);
+  if (!may) {
+    CountWithheld();
+  }
+  return may;
+}
+
+void StartGate::CountWithheld() {
+  metrics_->GetCounter("harecrank_gateway_starts_withheld_total")->Add();
+}
+
+void StartGate::OnStart(const Placement& placement,
+                        const ServiceProfile& service) {
+  shares_.Add(placement, service, self_, &starts_);
+}
+
+std::optional<TimePoint> StartGate::NextStart(
+    const std::vector<const EndpointRecord*>& endpoints,
+    const ServiceProfile& service) const {
+  if (endpoints.empty()) {
+    return std::nullopt;
+  }
+  const auto outlook = shares_.OutlookOf(starts_, self_, endpoints, service);
+  if (!outlook.has_value() || outlook->next <= clock_()) {
+    return std::nullopt;
+  }
+  return outlook->next;
+}
+
+Millis StartGate::TurnAway(const std::vector<const EndpointRecord*>& endpoints,
+                           const ServiceProfile& service) {
+  metrics_->GetCounter("harecrank_gateway_turned_away_by_bounds_total")->Add();
+  const auto outlook = shares_.OutlookOf(starts_, self_, endpoints, service);
+  const TimePoint now = clock_();
+  if (!outlook.has_value()) {
+    return Millis(0);
+  }
+  TimePoint& last = returns_[service.name];
+  const TimePoint latest = now + kLongestReturn;
+  TimePoint next = std::max(outlook->next, now);
+  if (outlook->per_second > 0) {
+    const FractionalMillis pause(1000 / outlook->per_second);
+    const auto apart = std::chrono::duration_cast<TimePoint::duration>(
+        std::min(pause, FractionalMillis(kLongestReturn)));
+    next = std::max(next, last + apart);
+  }
+  last = std::min(next, latest);
+  return std::chrono::ceil<Millis>(last - now);
+}
+
+nlohmann::json StartGate::Describe() const { return {{"host", self_.value}}; }
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/start_gate.h
@@ -0,0 +1,110 @@
+// Keeps this host to its part of what endpoints take from all hosts together.
+
+#ifndef HARECRANK_SRC_GATEWAY_START_GATE_H_
+#define HARECRANK_SRC_GATEWAY_START_GATE_H_
+
+#include <functional>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "harecrank/core/planner.h"
+#include "harecrank/core/start_shares.h"
+#include "src/adapters/event_log.h"
+#include "src/adapters/metrics.h"
+
+namespace harecrank {
+
+// Follows which endpoints are cold, as the platform tells, and which have named
+// a limit, as their answers and other hosts tell; counts what this host begins
+// there. Each change of an endpoint's state leaves a line in the log. Not
+// thread-safe.
+class StartGate {
+ public:
+  // All pointers must outlive this. `hosts` returns how many hosts the fleet
+  // may have, or nothing while that is not known.
+  StartGate(HostAddress self, ColdBound cold_bound,
+            std::function<std::optional<int>()> hosts, RoutingSource routing,
+            EventLog* log, Metrics* metrics, MonotonicClock clock);
+
+  // Takes what was published.
+  void OnListing(const std::vector<EndpointRecord>& records);
+  void OnEndpoint(const EndpointRecord& record);
+  void OnGone(const EndpointId& id) { cold_endpoints_.OnGone(id); }
+
+  // Takes what the answer to a request that was sent at `sent_at` says of its
+  // endpoint's limit. Returns whether other hosts should hear of it soon.
+  bool OnAnswer(const EndpointId& endpoint, const LimitWord& word,
+                TimePoint sent_at);
+
+  // Takes what another host tells of limits.
+  void OnTold(const std::vector<LimitReport>& reports);
+
+  // Returns what other hosts should hear of limits.
+  std::vector<LimitReport> Reports() const { return limits_.Reports(); }
+
+  // Looks which bounds are over. To be called several times a second.
+  void Tick();
+
+  // Returns where this host may begin nothing now, and counts that a choice is
+  // made without those.
+  std::set<EndpointId> Withheld(const ServiceProfile& service);
+
+  // Returns whether this host may begin all that `placement` begins now, and
+  // counts it if not.
+  bool MayStart(const Placement& placement, const ServiceProfile& service);
+
+  // Notes that it begins that.
+  void OnStart(const Placement& placement, const ServiceProfile& service);
+
+  // Returns when this host may begin a request at one of `endpoints`; nothing
+  // if it may at once, or if there are none.
+  std::optional<TimePoint> NextStart(
+      const std::vector<const EndpointRecord*>& endpoints,
+      const ServiceProfile& service) const;
+
+  // Returns after which time a caller may come again whom the bounds of all
+  // `endpoints` leave out, at most kLongestReturn. Each is told a later time
+  // than the one before, as far apart as requests may be begun there.
+  Millis TurnAway(const std::vector<const EndpointRecord*>& endpoints,
+                  const ServiceProfile& service);
+
+  // The parts of all hosts, for the planner.
+  const StartShares* Shares() const { return &shares_; }
+
+  std::size_t ColdCount() const { return cold_endpoints_.Count(); }
+  std::size_t LimitedCount() const { return limits_.Count(); }
+
+  // Returns all bounds, and what this host has begun under them, for operators.
+  nlohmann::json Describe() const;
+
+  // Callers honour a pause up to a third of the time that they have left; after
+  // this long most bounds are others.
+  static constexpr Millis kLongestReturn{10000};
+
+ private:
+  void CountWithheld();
+  void TakeCold(const EndpointRecord& record, Millis after_start);
+  void NoteLimit(const EndpointId& endpoint, LimitChange change,
+                 const char* told_by);
+
+  HostAddress self_;
+  RoutingSource routing_;
+  EventLog* log_;
+  Metrics* metrics_;
+  MonotonicClock clock_;
+  ColdEndpoints cold_endpoints_;
+  EndpointLimits limits_;
+  StartShares shares_;
+  StartCounts starts_;
+  // When the last caller whom a service's bounds left out may come again.
+  std::map<ServiceName, TimePoint> returns_;
+  // Endpoints that were there when this host came are no new lives.
+  bool has_listing_ = false;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_GATEWAY_START_GATE_H_
