Hosts keep to the limits that endpoints name

What callers saw: engines in need got three times what they had named, from hosts that they had told; in the users' record 19 requests in 4 s where 14 are allowed.

Cause: nothing read what the answers named. The class: a rate that an endpoint sets for all hosts together, of which no host sees the sum.

The answers' header is read where each answer's head passes (first sendings, repeats, resumed streams, refusals), as a rate; other endpoints' answers (421) say nothing, and only a signed success without it ends a limit. Hosts tell each other in their words, with the age. The planner leaves out what a host may not begin. A request that this host may begin nowhere before it is late is refused at once, each caller with a later time than the one before. That holds for cold endpoints too, where plain requests waited until they were late.

--- a/include/harecrank/core/fleet_messages.h
+++ b/include/harecrank/core/fleet_messages.h
@@ -16,6 +16,7 @@
 
 #include "harecrank/core/endpoint_directory.h"
 #include "harecrank/core/endpoint_health.h"
+#include "harecrank/core/endpoint_limits.h"
 #include "harecrank/core/endpoint_loads.h"
 #include "harecrank/core/request_origin.h"
 #include "harecrank/core/request_quarantine.h"
@@ -92,6 +93,8 @@
   // The most hosts that it has counted for a long time, itself among them; zero
   // from hosts that do not tell it.
   int most_hosts = 0;
+  // What it has heard of limits that endpoints name.
+  std::vector<LimitReport> limits;
 };
 
 // Asks the planner for a place.
@@ -112,8 +115,8 @@
   // What is left until its caller, or its route, gives it up.
   FractionalMillis until_deadline{0};
   RequestOrigin origin;
-  // Where the host may begin nothing now, since its part of what a cold
-  // endpoint takes is used up.
+  // Where the host may begin nothing now, since its part of what the endpoint
+  // takes from all hosts is used up.
   std::set<EndpointId> withheld;
 };
 
--- a/include/harecrank/core/http_status.h
+++ b/include/harecrank/core/http_status.h
@@ -14,6 +14,8 @@
 constexpr int kMethodNotAllowed = 405;
 constexpr int kConflict = 409;
 constexpr int kTooLarge = 413;
+// The endpoint is not the one that was expected, and ran nothing.
+constexpr int kMisdirected = 421;
 constexpr int kFailedDependency = 424;
 // Precondition required.
 constexpr int kTicketRequired = 428;
--- a/src/core/endpoint_limits.cc
+++ b/src/core/endpoint_limits.cc
@@ -19,6 +19,10 @@
   return text.substr(first, text.find_last_not_of(kSpaces) - first + 1);
 }
 
+bool IsRate(double number) {
+  return std::isfinite(number) && number >= 0 && number <= kMostRequestRate;
+}
+
 }  // namespace
 
 LimitWord ReadLimit(std::string_view text) {
@@ -112,6 +116,9 @@
 }
 
 LimitChange EndpointLimits::OnTold(const LimitReport& report) {
+  if (report.rate.has_value() && !IsRate(report.rate->value)) {
+    return LimitChange::kNone;
+  }
   const TimePoint now = clock_();
   const TimePoint at = now - std::max(Millis(0), report.age) - kOnTheWay;
   const Millis fresh =
--- a/src/core/endpoint_limits_test.cc
+++ b/src/core/endpoint_limits_test.cc
@@ -1,6 +1,7 @@
 #include "harecrank/core/endpoint_limits.h"
 
 #include <catch2/catch.hpp>
+#include <cmath>
 #include <string>
 
 namespace harecrank {
@@ -151,6 +152,18 @@
   CHECK_FALSE(IsBounded());
 }
 
+TEST_CASE_METHOD(LimitsFixture,
+                 "What no endpoint can have named is not taken") {
+  for (const double rate : {-1.0, std::nan(""), 1e300}) {
+    CHECK(IsTold(RequestRate{rate}, Millis(0)) == LimitChange::kNone);
+    CHECK_FALSE(IsBounded());
+  }
+  // An age in the future is none.
+  IsTold(kRate, Millis(-100000));
+  Pass(EndpointLimits::kShortestFresh);
+  CHECK_FALSE(limits_.NamedBy(kEndpoint).has_value());
+}
+
 TEST_CASE_METHOD(LimitsFixture, "An older word changes nothing") {
   Names(kRate);
   Pass(Millis(500));
--- a/src/core/fleet_messages.cc
+++ b/src/core/fleet_messages.cc
@@ -216,6 +216,30 @@
   return crashes;
 }
 
+json EncodeLimits(const std::vector<LimitReport>& limits) {
+  json list = json::array();
+  for (const LimitReport& report : limits) {
+    list.push_back({report.endpoint.value,
+                    report.rate.has_value() ? json(report.rate->value) : json(),
+                    report.age.count()});
+  }
+  return list;
+}
+
+std::vector<LimitReport> TakeLimits(ArrayReader* reader) {
+  std::vector<LimitReport> limits;
+  reader->EachOf([&limits](ArrayReader* entry) {
+    LimitReport report;
+    report.endpoint = entry->TakeString<EndpointId>();
+    if (const json& rate = entry->Next(); !rate.is_null()) {
+      report.rate = RequestRate{rate.get<double>()};
+    }
+    report.age = entry->TakeMillis();
+    limits.push_back(std::move(report));
+  });
+  return limits;
+}
+
 json EncodeIds(const std::set<EndpointId>& ids) {
   json list = json::array();
   for (const EndpointId& id : ids) {
@@ -244,7 +268,8 @@
          word.should_read.has_value() ? json(*word.should_read) : json()});
     // What follows is left out where there is nothing to tell: hosts of an
     // earlier version pass over a word that is longer than they know.
-    const bool tells_size = word.most_hosts != 0;
+    const bool tells_limits = !word.limits.empty();
+    const bool tells_size = tells_limits || word.most_hosts != 0;
     const bool tells_digest = tells_size || word.crash_digest != 0;
     if (word.work.has_value() || tells_digest) {
       array.push_back(word.work.has_value() ? EncodeWork(*word.work) : json());
@@ -255,6 +280,9 @@
     if (tells_size) {
       array.push_back(word.most_hosts);
     }
+    if (tells_limits) {
+      array.push_back(EncodeLimits(word.limits));
+    }
     return array;
   }
 
@@ -366,6 +394,9 @@
   if (size > kSizeWithoutWork + 2) {
     word.most_hosts = reader->Take<int>();
   }
+  if (size > kSizeWithoutWork + 3) {
+    word.limits = TakeLimits(reader);
+  }
   return word;
 }
 
--- a/src/core/fleet_messages_test.cc
+++ b/src/core/fleet_messages_test.cc
@@ -33,6 +33,8 @@
   const WorkPart part{EndpointId{"e"}, WorkClass::kLong, FractionalMillis(12.5),
                       Tokens{7}, Millis(600)};
   word.work = {AskedWork{AskId{5}, true, {part}}};
+  word.limits = {LimitReport{EndpointId{"e"}, RequestRate{1.6}, Millis(120)},
+                 LimitReport{EndpointId{"g"}, std::nullopt, Millis(5)}};
   return word;
 }
 
@@ -120,6 +122,11 @@
   CHECK(read.hosts.front().power.value == 0.5);
   REQUIRE(read.avoided.size() == 1);
   CHECK(read.avoided.front().left == Millis(70));
+  REQUIRE(read.limits.size() == 2);
+  CHECK(read.limits.front().endpoint == EndpointId{"e"});
+  CHECK(read.limits.front().rate == RequestRate{1.6});
+  CHECK(read.limits.front().age == Millis(120));
+  CHECK_FALSE(read.limits.back().rate.has_value());
   REQUIRE(read.work.has_value());
   REQUIRE(read.work->size() == 1);
   const AskedWork& work = read.work->front();
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -64,9 +64,11 @@
   place_->Seek(may_have_run_ || sender_->Sendings() > 0);
 }
 
-void Exchange::OnTurnedAway(Millis pause) {
+void Exchange::OnTurnedAway(TurnAwayReason reason, Millis pause) {
   const auto self = shared_from_this();
-  Refuse(http_status::kUnavailable, "waits_in_vain", pause);
+  const char* code = reason == TurnAwayReason::kStartsUsedUp ? "starts_used_up"
+                                                             : "waits_in_vain";
+  Refuse(http_status::kUnavailable, code, pause);
 }
 
 void Exchange::OnNoEndpoint() {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -37,7 +37,7 @@
 
   void OnCallerLeft() override;
   void OnPlace(const Placement& placement) override;
-  void OnTurnedAway(Millis pause) override;
+  void OnTurnedAway(TurnAwayReason reason, Millis pause) override;
   void OnNoEndpoint() override;
   void OnWaits() override;
   void OnSent() override;
--- a/src/gateway/exchange_attempts.cc
+++ b/src/gateway/exchange_attempts.cc
@@ -16,8 +16,6 @@
 constexpr int kMostConnectFailures = 5;
 // With less left than this a further attempt cannot bring anything.
 constexpr Millis kLeastTimeForAttempt{60};
-// RFC 9110: the endpoint is not the one that was expected, and ran nothing.
-constexpr unsigned kMisdirected = 421;
 // The reason of the final answer to a request that ends endpoints.
 constexpr char kHeldReason[] = "ends_endpoints";
 
@@ -50,7 +48,7 @@
 
 void Exchange::OnAnswerHead(const AnswerHead& head) {
   const auto self = shared_from_this();
-  sender_->OnHead();
+  sender_->OnHead(head);
   has_framed_end_ = head.count(http::field::content_length) != 0 ||
                     head.count(http::field::transfer_encoding) != 0;
   JudgeHead(head);
@@ -60,7 +58,7 @@
   const ProtocolNames& names = *services_->names;
   const unsigned status = head.result_int();
   const bool says_not_run =
-      head.count(names.not_run) != 0 || status == kMisdirected;
+      head.count(names.not_run) != 0 || status == http_status::kMisdirected;
   if (says_not_run && status != http_status::kBadRequest) {
     OnNotRunAnswer(head);
     return;
@@ -87,7 +85,7 @@
 
 void Exchange::OnNotRunAnswer(const AnswerHead& head) {
   const unsigned status = head.result_int();
-  if (status == kMisdirected) {
+  if (status == http_status::kMisdirected) {
     sender_->OnUnreachable();
   }
   sender_->OnRefusal(head, log_.Fields());
--- a/src/gateway/fleet_member.cc
+++ b/src/gateway/fleet_member.cc
@@ -147,6 +147,7 @@
   for (const AvoidedEndpoint& endpoint : word.avoided) {
     health_->OnPeerAvoids(endpoint.id, endpoint.left);
   }
+  ports_.on_limits(word.limits);
   FollowPlanner();
   if (word.planner == word.address && word.address != followed_) {
     // It plans, for some hosts at least, and must not take this host's engines
@@ -269,6 +270,7 @@
   word.planner = followed_.value_or(HostAddress{});
   word.alive_hosts = book_->CountedHosts();
   word.avoided = health_->Avoided();
+  word.limits = ports_.limits();
   ports_.describe(&word);
   return word;
 }
--- a/src/gateway/fleet_member.h
+++ b/src/gateway/fleet_member.h
@@ -47,6 +47,9 @@
       on_crashes;
   // What hosts that have missed such words need.
   std::function<std::vector<CrashReport>()> shared_crashes;
+  // What this host and others have heard of limits that endpoints name.
+  std::function<std::vector<LimitReport>()> limits;
+  std::function<void(const std::vector<LimitReport>& reports)> on_limits;
 };
 
 // Not thread-safe; runs on its io_context.
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -170,7 +170,7 @@
     return drain_began_ + settings_.stop_limit - 2 * kStopMargin;
   };
   services.places = fleet_.Places();
-  services.on_fault = [this] { fleet_.TellSoon(); };
+  services.on_news = [this] { fleet_.TellSoon(); };
   services.clock = clock_;
   services.random = random_;
   return services;
@@ -221,6 +221,9 @@
     return MakeReply(http_status::kOk, "text/plain; version=0.0.4",
                      metrics_.Text());
   }
+  if (request.target() == "/dump") {
+    return MakeReply(http_status::kOk, "application/json", Dump().dump());
+  }
   const std::string_view target = View(request.target());
   const std::string_view published = FleetMember::kPublishedPath;
   if (target.substr(0, published.size()) == published) {
@@ -232,6 +235,32 @@
   return MakeReply(http_status::kNotFound, "text/plain", "no such page\n");
 }
 
+nlohmann::json GatewayNode::Dump() {
+  const auto table = routing_.InForce();
+  const auto planner = hosts_.Planner();
+  return {{"node", settings_.node_id.value},
+          {"data_centre", settings_.data_centre.value},
+          {"version", HARECRANK_VERSION},
+          {"ready", IsReady()},
+          {"draining", draining_},
+          {"configuration", table == nullptr ? 0 : table->Version().value},
+          {"source", {{"well", source_well_}, {"at", known_up_to_.value}}},
+          {"fleet",
+           {{"planner", planner.value_or(HostAddress{}).value},
+            {"plans", fleet_.IsPlanner()},
+            {"alive", hosts_.AliveHosts()},
+            {"size", hosts_.Size().Most().value_or(0)}}},
+          {"endpoints",
+           {{"known", directory_.Count()},
+            {"missing", directory_.MissingCount()},
+            {"avoided", health_.Avoided().size()}}},
+          {"requests",
+           {{"waiting", queue_.Count()},
+            {"waiting_at_planner", planner_.WaitingCount()},
+            {"held", quarantine_.HeldCount()}}},
+          {"bounds", start_gate_.Describe()}};
+}
+
 FleetMemberPorts GatewayNode::MakeFleetPorts() {
   FleetMemberPorts ports;
   ports.describe = [this](HostWord* word) {
@@ -249,6 +278,10 @@
     return crashes_.OnReports(reports, missing);
   };
   ports.shared_crashes = [this] { return quarantine_.SharedReports(); };
+  ports.limits = [this] { return start_gate_.Reports(); };
+  ports.on_limits = [this](const std::vector<LimitReport>& reports) {
+    start_gate_.OnTold(reports);
+  };
   ports.published = [this](StoreRevision since) {
     return feed_->ExportNews(since);
   };
@@ -287,6 +320,9 @@
   metrics_.AddGauge("harecrank_gateway_endpoints_cold", [this] {
     return static_cast<double>(start_gate_.ColdCount());
   });
+  metrics_.AddGauge("harecrank_gateway_endpoints_limited", [this] {
+    return static_cast<double>(start_gate_.LimitedCount());
+  });
   metrics_.AddGauge("harecrank_gateway_fleet_size", [this] {
     return static_cast<double>(hosts_.Size().Most().value_or(0));
   });
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -81,6 +81,8 @@
   GatewayServices MakeServices();
   SessionContext MakeSessionContext();
   HttpReply AnswerReadiness(const HttpRequest& request);
+  // Returns this process's state, for operators.
+  nlohmann::json Dump();
   HttpReply AnswerOperations(const HttpRequest& request);
   FleetMemberPorts MakeFleetPorts();
   void AwaitSignal();
--- a/src/gateway/gateway_services.h
+++ b/src/gateway/gateway_services.h
@@ -81,9 +81,9 @@
   std::function<std::optional<TimePoint>()> stops_at;
   // Asks the planner for places.
   PlaceClient* places = nullptr;
-  // Called when an endpoint was found at fault: the planner should hear of it
-  // soon.
-  std::function<void()> on_fault;
+  // Called when an endpoint was found at fault, or names a limit: the planner
+  // should hear of it soon.
+  std::function<void()> on_news;
   MonotonicClock clock;
   RandomSource random;
 };
--- a/src/gateway/place_seeker.cc
+++ b/src/gateway/place_seeker.cc
@@ -14,9 +14,8 @@
 // How long a request waits before it asks for another place after memory that
 // was free has been taken by another.
 constexpr Millis kMemoryRetry{40};
-// How long a plain request waits before it looks again whether a cold endpoint
-// takes it.
-constexpr Millis kColdRetry{40};
+// How long a plain request waits before it looks again whether it may begin.
+constexpr Millis kStartRetry{40};
 
 }  // namespace
 
@@ -31,6 +30,9 @@
 
 void PlaceSeeker::Seek(bool started) {
   started_ = started;
+  if (TurnAwayByBounds()) {
+    return;
+  }
   // Plain services have few endpoints and short work: this host's own knowledge
   // serves them as well, without the way to the planner.
   if (sought_.request.service->engine.has_value()) {
@@ -81,6 +83,7 @@
   ask_.reset();
   if (std::holds_alternative<AskRefused>(result)) {
     observer_->OnTurnedAway(
+        TurnAwayReason::kWaitsInVain,
         std::get<AskRefused>(result).return_after.value_or(PauseForReturn()));
   } else if (std::holds_alternative<NoEndpoint>(result)) {
     observer_->OnNoEndpoint();
@@ -183,24 +186,49 @@
     return;
   }
   if (!sought_.request.service->engine.has_value()) {
-    WaitForColdEndpoint();
+    WaitForStart();
     return;
   }
   if (services_->policy->refuses_by_precedent && turn != ShareTurn::kBefore &&
       WaitsInVain()) {
-    observer_->OnTurnedAway(PauseForReturn());
+    observer_->OnTurnedAway(TurnAwayReason::kWaitsInVain, PauseForReturn());
     return;
   }
   Wait();
 }
 
-void PlaceSeeker::WaitForColdEndpoint() {
-  if (!started_ && services_->clock() >= sought_.late_at) {
-    observer_->OnTurnedAway(ColdEndpoints::kWindow);
+std::vector<const EndpointRecord*> PlaceSeeker::Untried() const {
+  std::vector<const EndpointRecord*> untried;
+  for (const EndpointRecord* record :
+       services_->directory->UsableOf(sought_.request.service->name)) {
+    if (sought_.request.tried.count(record->id) == 0) {
+      untried.push_back(record);
+    }
+  }
+  return untried;
+}
+
+bool PlaceSeeker::TurnAwayByBounds() {
+  if (started_) {
+    return false;
+  }
+  const ServiceProfile& service = *sought_.request.service;
+  const std::vector<const EndpointRecord*> endpoints = Untried();
+  const auto next = services_->start_gate->NextStart(endpoints, service);
+  if (!next.has_value() || *next <= sought_.late_at) {
+    return false;
+  }
+  observer_->OnTurnedAway(TurnAwayReason::kStartsUsedUp,
+                          services_->start_gate->TurnAway(endpoints, service));
+  return true;
+}
+
+void PlaceSeeker::WaitForStart() {
+  if (TurnAwayByBounds()) {
     return;
   }
   NoteWaiting();
-  retry_timer_.expires_after(kColdRetry);
+  retry_timer_.expires_after(kStartRetry);
   retry_timer_.async_wait(
       [weak = weak_from_this()](const boost::system::error_code& error) {
         const auto self = weak.lock();
--- a/src/gateway/place_seeker.h
+++ b/src/gateway/place_seeker.h
@@ -16,6 +16,15 @@
 
 namespace harecrank {
 
+// Why a request is turned away that was sent to no endpoint.
+enum class TurnAwayReason {
+  // Engines are busy for longer than waiting is of use.
+  kWaitsInVain,
+  // This host's part of what the endpoints take from all hosts is used up for
+  // as long.
+  kStartsUsedUp
+};
+
 // Told what a seeker found. Each call but the last one ends the search.
 class PlaceObserver {
  public:
@@ -26,8 +35,8 @@
 
   // The request may go there now; the memory that it needs on helpers is held.
   virtual void OnPlace(const Placement& placement) = 0;
-  // It would wait in vain: its caller may come again after `pause`.
-  virtual void OnTurnedAway(Millis pause) = 0;
+  // Its caller may come again after `pause`.
+  virtual void OnTurnedAway(TurnAwayReason reason, Millis pause) = 0;
   // No endpoint of the service may be used.
   virtual void OnNoEndpoint() = 0;
   // It waits, or waits for something else now.
@@ -112,7 +121,12 @@
   void Wait();
   // Waits while all endpoints of a plain service are withheld, at most until
   // the request is late.
-  void WaitForColdEndpoint();
+  void WaitForStart();
+  // Turns the request away if this host may begin it at no endpoint before it
+  // is late. Returns whether it did.
+  bool TurnAwayByBounds();
+  // Returns the endpoints that it may be sent to.
+  std::vector<const EndpointRecord*> Untried() const;
   void NoteWaiting();
   // Whether another prompt that takes no longer to read waits and can no longer
   // be in time.
--- a/src/gateway/protocol_names.h
+++ b/src/gateway/protocol_names.h
@@ -35,6 +35,9 @@
   // In an endpoint's refusal: the endpoint, by id or address, that is at fault,
   // where it is a helper and not the endpoint that answers.
   std::string endpoint_at_fault;
+  // In an endpoint's answer: how many requests a second it takes from all hosts
+  // together, a decimal number, while it is in need.
+  std::string request_limit;
   // Path of the balancer's check.
   std::string readiness_path;
 };
--- a/src/gateway/request_sender.cc
+++ b/src/gateway/request_sender.cc
@@ -3,6 +3,8 @@
 #include <utility>
 
 #include "harecrank/core/attempt_patience.h"
+#include "harecrank/core/http_status.h"
+#include "src/gateway/endpoint_request.h"
 
 namespace harecrank {
 namespace {
@@ -63,6 +65,30 @@
   ++sendings_;
 }
 
+void RequestSender::OnHead(const AnswerHead& head) {
+  last_bytes_at_ = services_->clock();
+  NoteLimit(head);
+}
+
+void RequestSender::NoteLimit(const AnswerHead& head) {
+  const unsigned status = head.result_int();
+  if (status == http_status::kMisdirected) {
+    return;  // Another endpoint has answered.
+  }
+  const auto field = head.find(services_->names->request_limit);
+  const bool names_limit = field != head.end();
+  const bool is_success =
+      status / 100 == 2 && head.count(services_->names->answer_signature) != 0;
+  if (!names_limit && !is_success) {
+    return;  // Refusals and failures may be given without a look at the need.
+  }
+  const LimitWord word =
+      names_limit ? ReadLimit(View(field->value())) : LimitWord{NoLimit{}};
+  if (services_->start_gate->OnAnswer(endpoint_.id, word, sent_at_)) {
+    services_->on_news();
+  }
+}
+
 void RequestSender::OnBytes() {
   last_bytes_at_ = services_->clock();
   services_->health->OnHeard(endpoint_.id);
@@ -90,12 +116,12 @@
 
 void RequestSender::OnUnreachable() {
   services_->health->OnUnreachable(endpoint_.id);
-  services_->on_fault();
+  services_->on_news();
 }
 
 void RequestSender::OnOverdue() {
   services_->health->OnOverdue(endpoint_.id, last_bytes_at_);
-  services_->on_fault();
+  services_->on_news();
 }
 
 void RequestSender::OnRefusal(const AnswerHead& head, nlohmann::json fields) {
@@ -112,7 +138,7 @@
     const bool is_address = record != nullptr && record->address == named;
     if (helper.value == named || is_address) {
       services_->health->OnNamedAtFault(helper);
-      services_->on_fault();
+      services_->on_news();
     }
   }
 }
--- a/src/gateway/request_sender.h
+++ b/src/gateway/request_sender.h
@@ -30,7 +30,7 @@
 
   // What the observer hears.
   void OnSent();
-  void OnHead() { last_bytes_at_ = services_->clock(); }
+  void OnHead(const AnswerHead& head);
   void OnBytes();
   // Returns how many times as late as predicted the first event of this attempt
   // came, or nothing if it came before.
@@ -63,6 +63,8 @@
   }
 
  private:
+  // Takes what the answer says of a limit to what its endpoint takes.
+  void NoteLimit(const AnswerHead& head);
   // On a kept connection if the request may be repeated.
   std::unique_ptr<EndpointConnection> Connection();
 
--- a/src/gateway/start_gate.cc
+++ b/src/gateway/start_gate.cc
@@ -151,6 +151,36 @@
   return std::chrono::ceil<Millis>(last - now);
 }
 
-nlohmann::json StartGate::Describe() const { return {{"host", self_.value}}; }
+nlohmann::json StartGate::Describe() const {
+  nlohmann::json cold = nlohmann::json::array();
+  for (const EndpointId& id : cold_endpoints_.Bounded()) {
+    cold.push_back({{"endpoint", id.value},
+                    {"cold", cold_endpoints_.IsCold(id)},
+                    {"raise", cold_endpoints_.Factor(id).value_or(1)}});
+  }
+  nlohmann::json limited = nlohmann::json::array();
+  for (const EndpointId& id : limits_.Bounded()) {
+    limited.push_back(DescribeLimit(id));
+  }
+  return {{"cold", std::move(cold)}, {"limited", std::move(limited)}};
+}
+
+nlohmann::json StartGate::DescribeLimit(const EndpointId& id) const {
+  // A service that bounds nothing by itself: what is left is the limit.
+  const ServiceProfile unbounded;
+  const StartBound bound = limits_.BoundOf(id).value_or(StartBound{});
+  const auto named = limits_.NamedBy(id);
+  const TimePoint next = shares_.NextStart(starts_, self_, id, unbounded);
+  const auto wait = std::chrono::ceil<Millis>(next - clock_());
+  return {{"endpoint", id.value},
+          {"named_per_second",
+           named.has_value() ? nlohmann::json(named->value) : nlohmann::json()},
+          {"per_second", bound.per_second.value_or(0) * bound.raise},
+          {"raise", bound.raise},
+          {"own_share", shares_.ShareOf(self_, id, unbounded).value_or(0)},
+          {"window_ms", bound.window.count()},
+          {"begun", starts_.Of(self_, id, bound.window)},
+          {"next_start_ms", std::max(Millis(0), wait).count()}};
+}
 
 }  // namespace harecrank
--- a/src/gateway/start_gate.h
+++ b/src/gateway/start_gate.h
@@ -85,6 +85,7 @@
   static constexpr Millis kLongestReturn{10000};
 
  private:
+  nlohmann::json DescribeLimit(const EndpointId& id) const;
   void CountWithheld();
   void TakeCold(const EndpointRecord& record, Millis after_start);
   void NoteLimit(const EndpointId& endpoint, LimitChange change,
