--- a/include/harecrank/core/host_book.h
+++ b/include/harecrank/core/host_book.h
@@ -78,6 +78,10 @@
   // Returns the most that this host has counted or was lately told.
   int AliveHosts() const;
 
+  // Returns among how many hosts a bound for all of them is divided: not only
+  // those that are heard now. A fleet that is cut in two would take it twice.
+  int SharingHosts() const;
+
   // Counts the living hosts for Size. To be called a few times a second.
   void NoteSize();
 
--- a/src/core/host_book.cc
+++ b/src/core/host_book.cc
@@ -279,6 +279,10 @@
   return most;
 }
 
+int HostBook::SharingHosts() const {
+  return std::max(AliveHosts(), size_.Most().value_or(0));
+}
+
 HostBook::Rank HostBook::RankOf(const HostAddress& address, HostPower power) {
   return {power.value, RendezvousWeight(kPlannerKey, address.value)};
 }
--- a/src/core/host_book_test.cc
+++ b/src/core/host_book_test.cc
@@ -313,5 +313,29 @@
   CHECK(books_.at(9)->Size().Most() == 6);
 }
 
+TEST_CASE_METHOD(FleetFixture,
+                 "A fleet that is cut in two divides a bound as before") {
+  const auto talk = [this](int first, int last) {
+    // Longer than words that hosts pass on keep others alive.
+    constexpr int kRounds = 100;
+    for (int round = 0; round < kRounds; ++round) {
+      now_ += Millis(100);
+      for (int from = first; from <= last; ++from) {
+        for (int to = first; to <= last; ++to) {
+          if (from != to) {
+            Talk(from, to);
+          }
+        }
+        books_.at(from)->NoteSize();
+      }
+    }
+  };
+  talk(0, 5);
+  CHECK(books_.at(0)->SharingHosts() == 6);
+  talk(0, 2);
+  CHECK(books_.at(0)->AliveHosts() == 3);
+  CHECK(books_.at(0)->SharingHosts() == 6);
+}
+
 }  // namespace
 }  // namespace harecrank
