--- a/include/harecrank/core/start_shares.h
+++ b/include/harecrank/core/start_shares.h
@@ -126,12 +126,13 @@
                                 const HostAddress& host,
                                 const ServiceProfile& service) const;
 
-  // Returns when `host` may begin a request at one of `endpoints`, which must
-  // not be empty, and how many a second; nothing if one of them has no bound.
+  // Returns when `host` may begin a request at one of `endpoints` that is not
+  // among `tried`, and how many a second; nothing if one of them has no bound,
+  // or if none is left.
   std::optional<StartOutlook> OutlookOf(
       const StartCounts& starts, const HostAddress& host,
       const std::vector<const EndpointRecord*>& endpoints,
-      const ServiceProfile& service) const;
+      const std::set<EndpointId>& tried, const ServiceProfile& service) const;
 
  private:
   // What one host may begin by one bound.
@@ -152,6 +153,9 @@
                                    StartKind kind) const;
   Part PartOf(const StartBound& bound, const HostAddress& host,
               const EndpointId& endpoint) const;
+  // Returns how many `host` may begin a second at `endpoint` under `bounds`.
+  double PerSecond(const std::vector<StartBound>& bounds,
+                   const HostAddress& host, const EndpointId& endpoint) const;
   TimePoint NextStartBy(const StartBound& bound, const StartCounts& starts,
                         const HostAddress& host,
                         const EndpointId& endpoint) const;
--- a/src/core/start_shares.cc
+++ b/src/core/start_shares.cc
@@ -272,27 +272,40 @@
   return withheld;
 }
 
+double StartShares::PerSecond(const std::vector<StartBound>& bounds,
+                              const HostAddress& host,
+                              const EndpointId& endpoint) const {
+  FractionalMillis longest{0};
+  for (const StartBound& bound : bounds) {
+    const Part part = PartOf(bound, host, endpoint);
+    if (part.most < 1) {
+      return 0;
+    }
+    longest = std::max(longest, part.pause);
+  }
+  return kMillisPerSecond / longest.count();
+}
+
 std::optional<StartOutlook> StartShares::OutlookOf(
     const StartCounts& starts, const HostAddress& host,
     const std::vector<const EndpointRecord*>& endpoints,
-    const ServiceProfile& service) const {
-  StartOutlook outlook;
-  outlook.next = TimePoint::max();
+    const std::set<EndpointId>& tried, const ServiceProfile& service) const {
+  std::optional<StartOutlook> outlook;
   for (const EndpointRecord* record : endpoints) {
+    if (tried.count(record->id) != 0) {
+      continue;
+    }
     const std::vector<StartBound> bounds =
         BoundsOf(record->id, service, StartKind::kRequest);
     if (bounds.empty()) {
       return std::nullopt;
     }
-    FractionalMillis pause{0};
-    for (const StartBound& bound : bounds) {
-      const Part part = PartOf(bound, host, record->id);
-      pause =
-          part.most < 1 ? FractionalMillis::max() : std::max(pause, part.pause);
+    const TimePoint next = NextStart(starts, host, record->id, service);
+    if (!outlook.has_value()) {
+      outlook = StartOutlook{next, 0};
     }
-    outlook.per_second += kMillisPerSecond / pause.count();
-    outlook.next =
-        std::min(outlook.next, NextStart(starts, host, record->id, service));
+    outlook->next = std::min(outlook->next, next);
+    outlook->per_second += PerSecond(bounds, host, record->id);
   }
   return outlook;
 }
--- a/src/core/start_shares_test.cc
+++ b/src/core/start_shares_test.cc
@@ -50,6 +50,31 @@
   EndpointLimits limits_{clock_};
 };
 
+TEST_CASE_METHOD(SharesFixture,
+                 "Parts that an endpoint reads for another count for a limit "
+                 "that it names, and not while it is only cold") {
+  const StartShares shares(
+      kBound, &endpoints_, &limits_, [] { return 1; }, clock_);
+  StartCounts starts(clock_);
+  Placement placement;
+  placement.endpoint.id = EndpointId{"writer"};
+  Helper helper;
+  helper.record.id = kEndpoint;
+  placement.helpers = {helper};
+  endpoints_.OnRecord(RecordOf(1, Millis(60000)), Millis(0));
+  Pass(Millis(1000));
+  for (int i = 0; i < 200; ++i) {
+    CHECK(shares.MayStart(starts, Host(0), placement, Service()));
+    shares.Add(placement, Service(), Host(0), &starts);
+  }
+  limits_.OnAnswer(kEndpoint, RequestRate{2}, now_);
+  Pass(Millis(1000));
+  REQUIRE(shares.MayStart(starts, Host(0), placement, Service()));
+  shares.Add(placement, Service(), Host(0), &starts);
+  CHECK_FALSE(shares.MayStart(starts, Host(0), placement, Service()));
+  CHECK_FALSE(shares.MayStart(starts, Host(0), kEndpoint, Service()));
+}
+
 TEST_CASE_METHOD(SharesFixture, "Two bursts never share a second") {
   StartCounts starts(clock_);
   starts.Add(Host(0), kEndpoint);
--- a/src/gateway/place_seeker.cc
+++ b/src/gateway/place_seeker.cc
@@ -197,29 +197,20 @@
   Wait();
 }
 
-std::vector<const EndpointRecord*> PlaceSeeker::Untried() const {
-  std::vector<const EndpointRecord*> untried;
-  for (const EndpointRecord* record :
-       services_->directory->UsableOf(sought_.request.service->name)) {
-    if (sought_.request.tried.count(record->id) == 0) {
-      untried.push_back(record);
-    }
-  }
-  return untried;
-}
-
 bool PlaceSeeker::TurnAwayByBounds() {
   if (started_) {
     return false;
   }
   const ServiceProfile& service = *sought_.request.service;
-  const std::vector<const EndpointRecord*> endpoints = Untried();
-  const auto next = services_->start_gate->NextStart(endpoints, service);
-  if (!next.has_value() || *next <= sought_.late_at) {
+  const auto outlook = services_->start_gate->OutlookOf(
+      services_->directory->UsableOf(service.name), sought_.request.tried,
+      service);
+  if (!outlook.has_value() || outlook->next <= sought_.late_at) {
     return false;
   }
-  observer_->OnTurnedAway(TurnAwayReason::kStartsUsedUp,
-                          services_->start_gate->TurnAway(endpoints, service));
+  observer_->OnTurnedAway(
+      TurnAwayReason::kStartsUsedUp,
+      services_->start_gate->TurnAway(service.name, *outlook));
   return true;
 }
 
--- a/src/gateway/place_seeker.h
+++ b/src/gateway/place_seeker.h
@@ -125,8 +125,6 @@
   // Turns the request away if this host may begin it at no endpoint before it
   // is late. Returns whether it did.
   bool TurnAwayByBounds();
-  // Returns the endpoints that it may be sent to.
-  std::vector<const EndpointRecord*> Untried() const;
   void NoteWaiting();
   // Whether another prompt that takes no longer to read waits and can no longer
   // be in time.
--- a/src/gateway/start_gate.cc
+++ b/src/gateway/start_gate.cc
@@ -117,37 +117,19 @@
   shares_.Add(placement, service, self_, &starts_);
 }
 
-std::optional<TimePoint> StartGate::NextStart(
-    const std::vector<const EndpointRecord*>& endpoints,
-    const ServiceProfile& service) const {
-  if (endpoints.empty()) {
-    return std::nullopt;
-  }
-  const auto outlook = shares_.OutlookOf(starts_, self_, endpoints, service);
-  if (!outlook.has_value() || outlook->next <= clock_()) {
-    return std::nullopt;
-  }
-  return outlook->next;
-}
-
-Millis StartGate::TurnAway(const std::vector<const EndpointRecord*>& endpoints,
-                           const ServiceProfile& service) {
+Millis StartGate::TurnAway(const ServiceName& service,
+                           const StartOutlook& outlook) {
   metrics_->GetCounter("harecrank_gateway_turned_away_by_bounds_total")->Add();
-  const auto outlook = shares_.OutlookOf(starts_, self_, endpoints, service);
+  constexpr double kMillisPerSecond = 1000;
   const TimePoint now = clock_();
-  if (!outlook.has_value()) {
-    return Millis(0);
-  }
-  TimePoint& last = returns_[service.name];
-  const TimePoint latest = now + kLongestReturn;
-  TimePoint next = std::max(outlook->next, now);
-  if (outlook->per_second > 0) {
-    const FractionalMillis pause(1000 / outlook->per_second);
-    const auto apart = std::chrono::duration_cast<TimePoint::duration>(
-        std::min(pause, FractionalMillis(kLongestReturn)));
-    next = std::max(next, last + apart);
-  }
-  last = std::min(next, latest);
+  TimePoint& last = returns_[service];
+  TimePoint next = std::max(outlook.next, now);
+  if (outlook.per_second > 0) {
+    const FractionalMillis pause(kMillisPerSecond / outlook.per_second);
+    next = std::max(
+        next, last + std::chrono::duration_cast<TimePoint::duration>(pause));
+  }
+  last = std::min(next, now + kLongestReturn);
   return std::chrono::ceil<Millis>(last - now);
 }
 
--- a/src/gateway/start_gate.h
+++ b/src/gateway/start_gate.h
@@ -59,17 +59,19 @@
   // Notes that it begins that.
   void OnStart(const Placement& placement, const ServiceProfile& service);
 
-  // Returns when this host may begin a request at one of `endpoints`; nothing
-  // if it may at once, or if there are none.
-  std::optional<TimePoint> NextStart(
+  // Returns when this host may begin a request at one of `endpoints` that is
+  // not among `tried`; nothing if no bound stands against one of them, or if
+  // none is left.
+  std::optional<StartOutlook> OutlookOf(
       const std::vector<const EndpointRecord*>& endpoints,
-      const ServiceProfile& service) const;
+      const std::set<EndpointId>& tried, const ServiceProfile& service) const {
+    return shares_.OutlookOf(starts_, self_, endpoints, tried, service);
+  }
 
   // Returns after which time a caller may come again whom the bounds of all
-  // `endpoints` leave out, at most kLongestReturn. Each is told a later time
-  // than the one before, as far apart as requests may be begun there.
-  Millis TurnAway(const std::vector<const EndpointRecord*>& endpoints,
-                  const ServiceProfile& service);
+  // endpoints of `service` leave out, at most kLongestReturn. Each is told a
+  // later time than the one before, as far apart as requests may be begun.
+  Millis TurnAway(const ServiceName& service, const StartOutlook& outlook);
 
   // The parts of all hosts, for the planner.
   const StartShares* Shares() const { return &shares_; }
