--- a/src/core/limited_fleet_test.cc
+++ b/src/core/limited_fleet_test.cc
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <cmath>
+#include <functional>
+#include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <string>
@@ -20,8 +22,6 @@
 constexpr Millis kStep{10};
 // From the endpoint's bound: hosts that were told so long ago are bound.
 constexpr Millis kTold{500};
-// How long a limit is named before the bound holds.
-constexpr Millis kContact{3000};
 
 struct FleetOptions {
   int hosts = 3;
