--- a/src/adapters/link_server_test.cc
+++ b/src/adapters/link_server_test.cc
@@ -1,8 +1,6 @@
-// A sidecar of a fresh fleet was once ended by a signal with an empty log. Its
-// link server took links from within its own construction, so an entry host's
-// first message could come while the sidecar did not hold the server yet, and
-// be answered through a null pointer. A loop of 400 starts beside busy
-// processes, four times: 48 of 1,600 first messages came that early.
+// A link server that takes links from within its own construction may be asked
+// before its owner holds it: an entry host's first message is then answered
+// through a null pointer.
 
 #include "src/adapters/link_server.h"
 
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -18,8 +18,7 @@
 constexpr double kPlainNoise = 0.5;
 // The spread of the random part of a predicted time, for each peer: what peers
 // place between two of their words is not known here. Too narrow and they all
-// choose the engine that looks free first. Of 0.4 and 2.8 ms a peer, the second
-// gave 0.685 of mean worth on 21 hosts and the first 0.651 (docs/PLATFORM.md).
+// choose the engine that looks free first.
 constexpr FractionalMillis kTimeSpreadPerPeer{3};
 // How often peers tell.
 constexpr Millis kWordInterval{100};
--- a/src/core/start_shares_test.cc
+++ b/src/core/start_shares_test.cc
@@ -22,13 +22,11 @@
   return HostAddress{"h" + std::to_string(number)};
 }
 
-EndpointRecord RecordOf(std::uint64_t revision, std::optional<Millis> cold_for,
-                        std::int64_t life = 1) {
+EndpointRecord ColdRecord(Millis cold_for) {
   EndpointRecord record;
   record.id = kEndpoint;
-  record.life = EndpointLife{life};
   record.service = kService;
-  record.revision = StoreRevision{revision};
+  record.revision = StoreRevision{1};
   record.cold_for = cold_for;
   return record;
 }
@@ -61,7 +59,7 @@
   Helper helper;
   helper.record.id = kEndpoint;
   placement.helpers = {helper};
-  endpoints_.OnRecord(RecordOf(1, Millis(60000)), Millis(0));
+  endpoints_.OnRecord(ColdRecord(Millis(60000)), Millis(0));
   Pass(Millis(1000));
   for (int i = 0; i < 200; ++i) {
     CHECK(shares.MayStart(starts, Host(0), placement, Service()));
@@ -87,14 +85,14 @@
 }
 
 TEST_CASE_METHOD(SharesFixture, "The parts of all hosts add up to the bound") {
-  endpoints_.OnRecord(RecordOf(1, Millis(3000)), Millis(0));
+  endpoints_.OnRecord(ColdRecord(Millis(3000)), Millis(0));
   const ServiceProfile service = Service();
   for (const int hosts : {1, 3, 24, 53, 54, 100, 300, 810}) {
     const StartShares shares(
         kBound, &endpoints_, &limits_, [hosts] { return hosts; }, clock_);
     // The hash names others for other endpoints.
     for (int endpoint = 0; endpoint < 200; ++endpoint) {
-      EndpointRecord record = RecordOf(1, Millis(3000));
+      EndpointRecord record = ColdRecord(Millis(3000));
       record.id = EndpointId{"e" + std::to_string(endpoint)};
       endpoints_.OnRecord(record, Millis(0));
       double sum = 0;
@@ -109,14 +107,14 @@
 
 TEST_CASE_METHOD(SharesFixture,
                  "A host that does not know the fleet begins nothing there") {
-  endpoints_.OnRecord(RecordOf(1, Millis(3000)), Millis(0));
+  endpoints_.OnRecord(ColdRecord(Millis(3000)), Millis(0));
   const StartShares shares(
       kBound, &endpoints_, &limits_, [] { return std::nullopt; }, clock_);
   CHECK(shares.ShareOf(Host(0), kEndpoint, Service()) == 0.0);
 }
 
 TEST_CASE_METHOD(SharesFixture, "Without a bound nothing is withheld") {
-  endpoints_.OnRecord(RecordOf(1, Millis(3000)), Millis(0));
+  endpoints_.OnRecord(ColdRecord(Millis(3000)), Millis(0));
   const StartCounts starts(clock_);
   ServiceProfile unbounded = Service();
   unbounded.cold_starts_per_s = 0;
@@ -154,7 +152,7 @@
       : random_(seed),
         shares_(
             bound, &endpoints_, &limits_, [] { return kHosts; }, clock_) {
-    EndpointRecord record = RecordOf(1, kPlayed + Millis(1000));
+    EndpointRecord record = ColdRecord(kPlayed + Millis(1000));
     record.address = "e0:1";
     directory_.Upsert(record);
     endpoints_.OnRecord(record, Millis(0));
@@ -318,7 +316,7 @@
   ColdEndpoints cold(clock);
   const EndpointLimits limits(clock);
   const ServiceProfile service = Service();
-  EndpointRecord record = RecordOf(1, kCold);
+  EndpointRecord record = ColdRecord(kCold);
   for (const char* id : {"e0", "e1", "e2", "e3"}) {
     record.id = EndpointId{id};
     directory.Upsert(record);
