A host's dump survives names that are no text

What would be seen: a host that is asked for its /dump ends, if any peer has told it of a limit of an endpoint whose name is not UTF-8.

Cause: hosts' words are CBOR, whose strings are taken as they come, and the JSON library throws where it writes such a string; nothing above the page catches it. The log was safe: it replaces such bytes. So does the dump now.

Test: a stranger's datagram with such a name, then /dump.

--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -224,7 +224,10 @@
                      metrics_.Text());
   }
   if (request.target() == "/dump") {
-    return MakeReply(http_status::kOk, "application/json", Dump().dump());
+    // What hosts tell of endpoints need not be text.
+    return MakeReply(
+        http_status::kOk, "application/json",
+        Dump().dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
   }
   const std::string_view target = View(request.target());
   const std::string_view published = FleetMember::kPublishedPath;
