--- /dev/null
+++ b/include/harecrank/core/endpoint_answer.h
@@ -0,0 +1,44 @@
+// What the head of an endpoint's answer says: of the request, and of the
+// endpoint itself.
+
+#ifndef HARECRANK_CORE_ENDPOINT_ANSWER_H_
+#define HARECRANK_CORE_ENDPOINT_ANSWER_H_
+
+#include <string>
+#include <variant>
+
+#include "harecrank/core/endpoint_limits.h"
+#include "harecrank/core/http_status.h"
+#include "harecrank/core/strong_types.h"
+
+namespace harecrank {
+
+// What a refusal says of when this host may come again.
+struct NoRest {};
+// It names a time that cannot be read.
+struct UnreadableRest {};
+using RestWord = std::variant<NoRest, Millis, UnreadableRest>;
+
+struct EndpointAnswer {
+  unsigned status = 0;
+  // Marked as the endpoint's own, so that callers can check the body.
+  bool is_signed = false;
+  // It did not run the request and will not.
+  bool not_run = false;
+  // The endpoint, by id or address, that is at fault where it is not the one
+  // that answers; empty if none is named.
+  std::string at_fault;
+  // How many requests a second it takes from all hosts together.
+  LimitWord limit;
+  // How long it wants nothing from this host. Refusals alone say that.
+  RestWord rest;
+
+  bool IsSuccess() const { return status / 100 == 2; }
+  // Another endpoint has answered than the one that was meant: it says nothing
+  // of that one.
+  bool IsOfAnother() const { return status == http_status::kMisdirected; }
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_CORE_ENDPOINT_ANSWER_H_
--- a/include/harecrank/core/start_bound.h
+++ b/include/harecrank/core/start_bound.h
@@ -30,6 +30,8 @@
   double raise = 1;
   // Since when there has been a bound.
   TimePoint since{};
+  // Nothing begins before; unset where the bound lets some through at once.
+  TimePoint opens{};
 };
 
 }  // namespace harecrank
--- a/include/harecrank/core/start_shares.h
+++ b/include/harecrank/core/start_shares.h
@@ -14,6 +14,9 @@
 //
 // The planner counts what it gives to each host by the same rule, so that
 // places are seldom given in vain.
+//
+// An endpoint that has asked one host for rest binds that host alone, and then
+// bounds its return in the same way.
 
 #ifndef HARECRANK_CORE_START_SHARES_H_
 #define HARECRANK_CORE_START_SHARES_H_
@@ -31,6 +34,7 @@
 #include "harecrank/core/cold_bound.h"
 #include "harecrank/core/cold_endpoints.h"
 #include "harecrank/core/endpoint_limits.h"
+#include "harecrank/core/endpoint_rests.h"
 #include "harecrank/core/fleet_messages.h"
 #include "harecrank/core/placement.h"
 #include "harecrank/core/routing_table.h"
@@ -81,15 +85,24 @@
   TimePoint next{};
   // Requests a second at all of them together.
   double per_second = 0;
+  // Until when all of them rest; in the past if one does not.
+  TimePoint rests_until{};
+};
+
+// The rests that endpoints have asked of one host.
+struct RestsOfHost {
+  HostAddress host;
+  const EndpointRests* rests = nullptr;
 };
 
 // The parts of the bounds. Not thread-safe.
 class StartShares {
  public:
-  // `cold_endpoints` and `limits` must outlive this. `hosts` returns how many
-  // hosts the fleet may have, or nothing while that is not known.
+  // `cold_endpoints`, `limits` and the rests of `own_rests`, if there are any,
+  // must outlive this. `hosts` returns how many hosts the fleet may have, or
+  // nothing while that is not known.
   StartShares(ColdBound cold_bound, const ColdEndpoints* cold_endpoints,
-              const EndpointLimits* limits,
+              const EndpointLimits* limits, RestsOfHost own_rests,
               std::function<std::optional<int>()> hosts, MonotonicClock clock);
 
   // Returns how many requests `host` may begin at `endpoint` within the window
@@ -147,8 +160,11 @@
 
   std::optional<StartBound> ColdBoundOf(const EndpointId& endpoint,
                                         const ServiceProfile& service) const;
-  // Returns the bounds that hold for `kind`.
-  std::vector<StartBound> BoundsOf(const EndpointId& endpoint,
+  std::optional<StartBound> RestBoundOf(const HostAddress& host,
+                                        const EndpointId& endpoint) const;
+  // Returns the bounds that hold for what `host` begins.
+  std::vector<StartBound> BoundsOf(const HostAddress& host,
+                                   const EndpointId& endpoint,
                                    const ServiceProfile& service,
                                    StartKind kind) const;
   Part PartOf(const StartBound& bound, const HostAddress& host,
@@ -162,12 +178,13 @@
   // Whether endpoints of `service` have a bound while they are cold.
   bool IsColdBounded(const ServiceProfile& service) const;
   // Whether what begins at `endpoint` counts for a bound, of now or of later.
-  bool Counts(const EndpointId& endpoint, const ServiceProfile& service,
-              StartKind kind) const;
+  bool Counts(const HostAddress& host, const EndpointId& endpoint,
+              const ServiceProfile& service, StartKind kind) const;
 
   ColdBound cold_bound_;
   const ColdEndpoints* cold_endpoints_;
   const EndpointLimits* limits_;
+  RestsOfHost own_rests_;
   std::function<std::optional<int>()> hosts_;
   MonotonicClock clock_;
 };
--- a/src/core/endpoint_limits.cc
+++ b/src/core/endpoint_limits.cc
@@ -1,24 +1,16 @@
 #include "harecrank/core/endpoint_limits.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <utility>
 
+#include "harecrank/core/decimal_text.h"
+
 namespace harecrank {
 namespace {
 
 constexpr double kMillisPerSecond = 1000;
 
-std::string_view WithoutSpaces(std::string_view text) {
-  constexpr std::string_view kSpaces = " \t";
-  const std::size_t first = text.find_first_not_of(kSpaces);
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  return text.substr(first, text.find_last_not_of(kSpaces) - first + 1);
-}
-
 bool IsRate(double number) {
   return std::isfinite(number) && number >= 0 && number <= kMostRequestRate;
 }
@@ -26,15 +18,11 @@
 }  // namespace
 
 LimitWord ReadLimit(std::string_view text) {
-  const std::string_view number = WithoutSpaces(text);
-  double rate = 0;
-  const char* end = number.data() + number.size();
-  const auto read = std::from_chars(number.data(), end, rate);
-  const bool is_number = read.ec == std::errc() && read.ptr == end;
-  if (!is_number || !std::isfinite(rate) || rate < 0) {
+  const auto rate = ReadDecimal(text);
+  if (!rate.has_value()) {
     return UnreadableLimit{};
   }
-  return RequestRate{std::min(rate, kMostRequestRate)};
+  return RequestRate{std::min(*rate, kMostRequestRate)};
 }
 
 EndpointLimits::EndpointLimits(MonotonicClock clock)
--- /dev/null
+++ b/src/core/endpoint_rests.cc
@@ -0,0 +1,113 @@
+#include "harecrank/core/endpoint_rests.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace harecrank {
+namespace {
+
+// Returns for how long `word` asks for rest.
+struct AskedRest {
+  Millis operator()(NoRest /*word*/) const { return Millis(0); }
+  Millis operator()(Millis rest) const { return rest; }
+  Millis operator()(UnreadableRest /*word*/) const {
+    return EndpointRests::kUnreadable;
+  }
+};
+
+}  // namespace
+
+EndpointRests::EndpointRests(MonotonicClock clock) : clock_(std::move(clock)) {}
+
+bool EndpointRests::HasReturned(const Entry& entry, TimePoint now) {
+  return now >= entry.until + kMostDoublings * kDoubles;
+}
+
+bool EndpointRests::OnAnswer(const EndpointId& id,
+                             const std::optional<EndpointLife>& life,
+                             const RestWord& word) {
+  const Millis rest = std::visit(AskedRest{}, word);
+  if (rest <= Millis(0)) {
+    return false;
+  }
+  const TimePoint until = clock_() + rest;
+  const auto [found, is_new] = entries_.try_emplace(id, Entry{life, until});
+  if (is_new) {
+    return true;
+  }
+  Entry& entry = found->second;
+  const bool is_longer = entry.life != life || entry.until < until;
+  if (is_longer) {
+    entry = Entry{life, until};
+  }
+  return is_longer;
+}
+
+void EndpointRests::OnLife(const EndpointId& id,
+                           const std::optional<EndpointLife>& life) {
+  const auto found = entries_.find(id);
+  if (found != entries_.end() && found->second.life != life) {
+    entries_.erase(found);
+  }
+}
+
+std::optional<StartBound> EndpointRests::BoundOf(const EndpointId& id) const {
+  const auto found = entries_.find(id);
+  const TimePoint now = clock_();
+  if (found == entries_.end() || HasReturned(found->second, now)) {
+    return std::nullopt;
+  }
+  const TimePoint until = found->second.until;
+  StartBound bound;
+  bound.most = kMostAtReturn;
+  bound.window = kReturnWindow;
+  bound.raise =
+      std::exp2(std::max(0.0, FractionalMillis(now - until) / kDoubles));
+  bound.since = until;
+  bound.opens = until;
+  return bound;
+}
+
+std::optional<Millis> EndpointRests::RestOf(const EndpointId& id) const {
+  const auto found = entries_.find(id);
+  const TimePoint now = clock_();
+  if (found == entries_.end() || found->second.until <= now) {
+    return std::nullopt;
+  }
+  return std::chrono::ceil<Millis>(found->second.until - now);
+}
+
+std::vector<EndpointId> EndpointRests::Bounded() const {
+  const TimePoint now = clock_();
+  std::vector<EndpointId> bounded;
+  for (const auto& [id, entry] : entries_) {
+    if (!HasReturned(entry, now)) {
+      bounded.push_back(id);
+    }
+  }
+  return bounded;
+}
+
+std::vector<EndpointId> EndpointRests::TakeReturned() {
+  const TimePoint now = clock_();
+  std::vector<EndpointId> returned;
+  for (auto it = entries_.begin(); it != entries_.end();) {
+    if (!HasReturned(it->second, now)) {
+      ++it;
+      continue;
+    }
+    returned.push_back(it->first);
+    it = entries_.erase(it);
+  }
+  return returned;
+}
+
+std::size_t EndpointRests::Count() const {
+  const TimePoint now = clock_();
+  return static_cast<std::size_t>(std::count_if(
+      entries_.begin(), entries_.end(),
+      [now](const auto& entry) { return now < entry.second.until; }));
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/core/endpoint_rests_test.cc
@@ -0,0 +1,189 @@
+#include "harecrank/core/endpoint_rests.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+
+#include "harecrank/core/start_shares.h"
+
+namespace harecrank {
+namespace {
+
+const EndpointId kEndpoint{"e0"};
+const EndpointLife kLife{1000};
+
+class RestsFixture {
+ protected:
+  void Pass(Millis time) { now_ += time; }
+  bool Ask(const RestWord& word, EndpointLife life = kLife) {
+    return rests_.OnAnswer(kEndpoint, life, word);
+  }
+
+  TimePoint now_{std::chrono::hours(1)};
+  MonotonicClock clock_ = [this] { return now_; };
+  EndpointRests rests_{clock_};
+};
+
+TEST_CASE_METHOD(RestsFixture, "An answer without a word of rest asks none") {
+  CHECK_FALSE(Ask(NoRest{}));
+  CHECK_FALSE(Ask(Millis(0)));
+  CHECK_FALSE(rests_.BoundOf(kEndpoint).has_value());
+  CHECK(rests_.Count() == 0);
+}
+
+TEST_CASE_METHOD(RestsFixture, "A rest holds until its end, however long") {
+  const Millis rest = GENERATE(Millis(1), Millis(50), Millis(2500),
+                               Millis(std::chrono::hours(24)));
+  CHECK(Ask(rest));
+  CHECK(rests_.RestOf(kEndpoint) == rest);
+  CHECK(rests_.BoundOf(kEndpoint)->opens == now_ + rest);
+  Pass(rest - Millis(1));
+  CHECK(rests_.Count() == 1);
+  Pass(Millis(1));
+  CHECK(rests_.Count() == 0);
+  CHECK(rests_.TakeReturned().empty());
+  Pass(EndpointRests::kMostDoublings * EndpointRests::kDoubles);
+  CHECK_FALSE(rests_.BoundOf(kEndpoint).has_value());
+  CHECK(rests_.TakeReturned() == std::vector<EndpointId>{kEndpoint});
+}
+
+TEST_CASE_METHOD(RestsFixture, "Of two rests the later end counts") {
+  CHECK(Ask(Millis(3000)));
+  Pass(Millis(1000));
+  CHECK_FALSE(Ask(Millis(500)));
+  CHECK(rests_.RestOf(kEndpoint) == Millis(2000));
+  CHECK(Ask(Millis(3000)));
+  CHECK(rests_.RestOf(kEndpoint) == Millis(3000));
+}
+
+TEST_CASE_METHOD(RestsFixture, "A rest that cannot be read is a short one") {
+  CHECK(Ask(UnreadableRest{}));
+  CHECK(rests_.RestOf(kEndpoint) == EndpointRests::kUnreadable);
+}
+
+TEST_CASE_METHOD(RestsFixture, "A new life owes no rest, the same one does") {
+  Ask(Millis(3000));
+  rests_.OnLife(kEndpoint, kLife);
+  CHECK(rests_.Count() == 1);
+  rests_.OnLife(kEndpoint, EndpointLife{2000});
+  CHECK(rests_.Count() == 0);
+  Ask(Millis(3000), EndpointLife{2000});
+  CHECK(Ask(Millis(100), EndpointLife{3000}));
+  CHECK(rests_.RestOf(kEndpoint) == Millis(100));
+}
+
+// Hosts that are all told to rest at one time, and press to return.
+class ReturningHosts {
+ public:
+  ReturningHosts(int hosts, const MonotonicClock& clock) {
+    for (int i = 0; i < hosts; ++i) {
+      hosts_.push_back(std::make_unique<Host>(
+          HostAddress{"h" + std::to_string(i)}, hosts, clock));
+    }
+  }
+
+  void Ask(Millis rest) {
+    for (const auto& host : hosts_) {
+      host->rests.OnAnswer(kEndpoint, kLife, rest);
+    }
+  }
+
+  // Returns how many begin a request.
+  int Press() {
+    int begun = 0;
+    Placement placement;
+    placement.endpoint.id = kEndpoint;
+    for (const auto& host : hosts_) {
+      if (host->shares.MayStart(host->starts, host->address, placement,
+                                ServiceProfile{})) {
+        host->shares.Add(placement, ServiceProfile{}, host->address,
+                         &host->starts);
+        ++begun;
+      }
+    }
+    return begun;
+  }
+
+ private:
+  struct Host {
+    Host(HostAddress own, int hosts, const MonotonicClock& clock)
+        : address(std::move(own)),
+          rests(clock),
+          cold(clock),
+          limits(clock),
+          shares(
+              ColdBound{}, &cold, &limits, RestsOfHost{address, &rests},
+              [hosts] { return hosts; }, clock),
+          starts(clock) {}
+
+    HostAddress address;
+    EndpointRests rests;
+    ColdEndpoints cold;
+    EndpointLimits limits;
+    StartShares shares;
+    StartCounts starts;
+  };
+
+  std::vector<std::unique_ptr<Host>> hosts_;
+};
+
+TEST_CASE_METHOD(RestsFixture,
+                 "Hosts that press return one by one when a rest ends") {
+  const int hosts = GENERATE(1, 3, 24, 300);
+  ReturningHosts fleet(hosts, clock_);
+  fleet.Ask(Millis(3000));
+  int within_rest = 0;
+  int at_return = 0;
+  int later = 0;
+  constexpr Millis kStep{5};
+  for (Millis at{0}; at < Millis(8000); at += kStep) {
+    const int begun = fleet.Press();
+    within_rest += at < Millis(3000) ? begun : 0;
+    const bool is_return =
+        at >= Millis(3000) && at < Millis(3000) + EndpointRests::kDoubles;
+    at_return += is_return ? begun : 0;
+    later += at >= Millis(6000) ? begun : 0;
+    Pass(kStep);
+  }
+  CHECK(within_rest == 0);
+  // While the bound has not doubled yet, no more than it allows in a window.
+  CHECK(at_return <= 2 * EndpointRests::kMostAtReturn);
+  // Nothing holds them back in the end.
+  CHECK(later == hosts * 400);
+}
+
+TEST_CASE_METHOD(RestsFixture, "A rest binds the host that was asked alone") {
+  const HostAddress asked{"asked"};
+  const HostAddress other{"other"};
+  ColdEndpoints cold(clock_);
+  EndpointLimits limits(clock_);
+  const StartShares shares(
+      ColdBound{}, &cold, &limits, RestsOfHost{asked, &rests_},
+      [] { return 2; }, clock_);
+  const StartCounts starts(clock_);
+  Ask(Millis(3000));
+  CHECK(shares.Withheld(starts, asked, ServiceProfile{}).count(kEndpoint) == 1);
+  CHECK(shares.Withheld(starts, other, ServiceProfile{}).empty());
+  CHECK(shares.MayStart(starts, other, kEndpoint, ServiceProfile{}));
+}
+
+TEST_CASE_METHOD(RestsFixture, "An endpoint that rests helps to read nothing") {
+  const HostAddress host{"h"};
+  ColdEndpoints cold(clock_);
+  EndpointLimits limits(clock_);
+  const StartShares shares(
+      ColdBound{}, &cold, &limits, RestsOfHost{host, &rests_}, [] { return 1; },
+      clock_);
+  const StartCounts starts(clock_);
+  Placement placement;
+  placement.endpoint.id = EndpointId{"writer"};
+  Helper helper;
+  helper.record.id = kEndpoint;
+  placement.helpers = {helper};
+  CHECK(shares.MayStart(starts, host, placement, ServiceProfile{}));
+  Ask(Millis(3000));
+  CHECK_FALSE(shares.MayStart(starts, host, placement, ServiceProfile{}));
+}
+
+}  // namespace
+}  // namespace harecrank
--- a/src/core/limited_fleet_test.cc
+++ b/src/core/limited_fleet_test.cc
@@ -107,7 +107,8 @@
           limits(clock),
           cold(clock),
           shares(
-              ColdBound{}, &cold, &limits, [fleet] { return fleet; }, clock),
+              ColdBound{}, &cold, &limits, RestsOfHost{},
+              [fleet] { return fleet; }, clock),
           starts(clock) {}
 
     HostAddress address;
--- a/src/core/start_shares.cc
+++ b/src/core/start_shares.cc
@@ -93,12 +93,13 @@
 
 StartShares::StartShares(ColdBound cold_bound,
                          const ColdEndpoints* cold_endpoints,
-                         const EndpointLimits* limits,
+                         const EndpointLimits* limits, RestsOfHost own_rests,
                          std::function<std::optional<int>()> hosts,
                          MonotonicClock clock)
     : cold_bound_(cold_bound),
       cold_endpoints_(cold_endpoints),
       limits_(limits),
+      own_rests_(std::move(own_rests)),
       hosts_(std::move(hosts)),
       clock_(std::move(clock)) {}
 
@@ -121,7 +122,14 @@
   return bound;
 }
 
-std::vector<StartBound> StartShares::BoundsOf(const EndpointId& endpoint,
+std::optional<StartBound> StartShares::RestBoundOf(
+    const HostAddress& host, const EndpointId& endpoint) const {
+  const bool is_own = own_rests_.rests != nullptr && own_rests_.host == host;
+  return is_own ? own_rests_.rests->BoundOf(endpoint) : std::nullopt;
+}
+
+std::vector<StartBound> StartShares::BoundsOf(const HostAddress& host,
+                                              const EndpointId& endpoint,
                                               const ServiceProfile& service,
                                               StartKind kind) const {
   std::vector<StartBound> bounds;
@@ -134,6 +142,9 @@
   if (const auto limit = limits_->BoundOf(endpoint)) {
     bounds.push_back(*limit);
   }
+  if (const auto rest = RestBoundOf(host, endpoint)) {
+    bounds.push_back(*rest);
+  }
   return bounds;
 }
 
@@ -175,7 +186,7 @@
     const ServiceProfile& service) const {
   std::optional<double> least;
   for (const StartBound& bound :
-       BoundsOf(endpoint, service, StartKind::kRequest)) {
+       BoundsOf(host, endpoint, service, StartKind::kRequest)) {
     const double most = PartOf(bound, host, endpoint).most;
     least = std::min(least.value_or(most), most);
   }
@@ -188,7 +199,7 @@
                                    const EndpointId& endpoint) const {
   const Part part = PartOf(bound, host, endpoint);
   if (part.most < 1) {
-    return clock_() + bound.window;
+    return std::max(bound.opens, clock_() + bound.window);
   }
   TimePoint next = part.first;
   const auto most = static_cast<std::size_t>(std::ceil(part.most));
@@ -210,7 +221,7 @@
                                  const ServiceProfile& service,
                                  StartKind kind) const {
   TimePoint next{};
-  for (const StartBound& bound : BoundsOf(endpoint, service, kind)) {
+  for (const StartBound& bound : BoundsOf(host, endpoint, service, kind)) {
     next = std::max(next, NextStartBy(bound, starts, host, endpoint));
   }
   return next;
@@ -234,21 +245,22 @@
                      });
 }
 
-bool StartShares::Counts(const EndpointId& endpoint,
+bool StartShares::Counts(const HostAddress& host, const EndpointId& endpoint,
                          const ServiceProfile& service, StartKind kind) const {
   // Endpoints turn cold unheard: what has begun there by then counts, too.
   const bool may_turn_cold =
       kind == StartKind::kRequest && IsColdBounded(service);
-  return may_turn_cold || limits_->BoundOf(endpoint).has_value();
+  return may_turn_cold || limits_->BoundOf(endpoint).has_value() ||
+         RestBoundOf(host, endpoint).has_value();
 }
 
 void StartShares::Add(const Placement& placement, const ServiceProfile& service,
                       const HostAddress& host, StartCounts* starts) const {
-  if (Counts(placement.endpoint.id, service, StartKind::kRequest)) {
+  if (Counts(host, placement.endpoint.id, service, StartKind::kRequest)) {
     starts->Add(host, placement.endpoint.id);
   }
   for (const Helper& helper : placement.helpers) {
-    if (Counts(helper.record.id, service, StartKind::kPart)) {
+    if (Counts(host, helper.record.id, service, StartKind::kPart)) {
       starts->Add(host, helper.record.id);
     }
   }
@@ -269,6 +281,9 @@
     withhold(cold_endpoints_->Bounded());
   }
   withhold(limits_->Bounded());
+  if (own_rests_.rests != nullptr && own_rests_.host == host) {
+    withhold(own_rests_.rests->Bounded());
+  }
   return withheld;
 }
 
@@ -296,15 +311,20 @@
       continue;
     }
     const std::vector<StartBound> bounds =
-        BoundsOf(record->id, service, StartKind::kRequest);
+        BoundsOf(host, record->id, service, StartKind::kRequest);
     if (bounds.empty()) {
       return std::nullopt;
     }
     const TimePoint next = NextStart(starts, host, record->id, service);
+    TimePoint rests_until{};
+    for (const StartBound& bound : bounds) {
+      rests_until = std::max(rests_until, bound.opens);
+    }
     if (!outlook.has_value()) {
-      outlook = StartOutlook{next, 0};
+      outlook = StartOutlook{next, 0, rests_until};
     }
     outlook->next = std::min(outlook->next, next);
+    outlook->rests_until = std::min(outlook->rests_until, rests_until);
     outlook->per_second += PerSecond(bounds, host, record->id);
   }
   return outlook;
--- a/src/core/start_shares_test.cc
+++ b/src/core/start_shares_test.cc
@@ -52,7 +52,7 @@
                  "Parts that an endpoint reads for another count for a limit "
                  "that it names, and not while it is only cold") {
   const StartShares shares(
-      kBound, &endpoints_, &limits_, [] { return 1; }, clock_);
+      kBound, &endpoints_, &limits_, RestsOfHost{}, [] { return 1; }, clock_);
   StartCounts starts(clock_);
   Placement placement;
   placement.endpoint.id = EndpointId{"writer"};
@@ -89,7 +89,8 @@
   const ServiceProfile service = Service();
   for (const int hosts : {1, 3, 24, 53, 54, 100, 300, 810}) {
     const StartShares shares(
-        kBound, &endpoints_, &limits_, [hosts] { return hosts; }, clock_);
+        kBound, &endpoints_, &limits_, RestsOfHost{}, [hosts] { return hosts; },
+        clock_);
     // The hash names others for other endpoints.
     for (int endpoint = 0; endpoint < 200; ++endpoint) {
       EndpointRecord record = ColdRecord(Millis(3000));
@@ -109,7 +110,8 @@
                  "A host that does not know the fleet begins nothing there") {
   endpoints_.OnRecord(ColdRecord(Millis(3000)), Millis(0));
   const StartShares shares(
-      kBound, &endpoints_, &limits_, [] { return std::nullopt; }, clock_);
+      kBound, &endpoints_, &limits_, RestsOfHost{}, [] { return std::nullopt; },
+      clock_);
   CHECK(shares.ShareOf(Host(0), kEndpoint, Service()) == 0.0);
 }
 
@@ -119,10 +121,12 @@
   ServiceProfile unbounded = Service();
   unbounded.cold_starts_per_s = 0;
   const StartShares none(
-      ColdBound{}, &endpoints_, &limits_, [] { return std::nullopt; }, clock_);
+      ColdBound{}, &endpoints_, &limits_, RestsOfHost{},
+      [] { return std::nullopt; }, clock_);
   CHECK(none.Withheld(starts, Host(0), Service()).empty());
   const StartShares bound(
-      kBound, &endpoints_, &limits_, [] { return std::nullopt; }, clock_);
+      kBound, &endpoints_, &limits_, RestsOfHost{}, [] { return std::nullopt; },
+      clock_);
   CHECK(bound.Withheld(starts, Host(0), unbounded).empty());
   CHECK(bound.Withheld(starts, Host(0), Service()).size() == 1);
 }
@@ -151,7 +155,8 @@
   CutFleet(ColdBound bound, std::uint64_t seed)
       : random_(seed),
         shares_(
-            bound, &endpoints_, &limits_, [] { return kHosts; }, clock_) {
+            bound, &endpoints_, &limits_, RestsOfHost{}, [] { return kHosts; },
+            clock_) {
     EndpointRecord record = ColdRecord(kPlayed + Millis(1000));
     record.address = "e0:1";
     directory_.Upsert(record);
@@ -324,7 +329,7 @@
     record.cold_for = Millis(0);
   }
   const StartShares shares(
-      bound, &cold, &limits, [hosts] { return hosts; }, clock);
+      bound, &cold, &limits, RestsOfHost{}, [hosts] { return hosts; }, clock);
   EndpointLoads loads(clock);
   const Placer placer(
       &directory, &loads, &health, DataCentreId{}, LoadsOf::kThisHost,
--- /dev/null
+++ b/src/gateway/answer_decoder.cc
@@ -0,0 +1,78 @@
+#include "src/gateway/answer_decoder.h"
+
+#include <Poco/DateTime.h>
+#include <Poco/DateTimeFormat.h>
+#include <Poco/DateTimeFormatter.h>
+#include <Poco/DateTimeParser.h>
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+
+#include "harecrank/core/decimal_text.h"
+#include "src/gateway/endpoint_request.h"
+
+namespace harecrank {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr double kMillisPerSecond = 1000;
+
+std::optional<Poco::Timestamp> ReadDate(std::string_view text) {
+  const std::string& format = Poco::DateTimeFormat::HTTP_FORMAT;
+  const std::string given(text);
+  Poco::DateTime date;
+  int zone = 0;
+  const bool is_read =
+      Poco::DateTimeParser::tryParse(format, given, date, zone);
+  // The parser makes a date of nearly any text.
+  if (!is_read || Poco::DateTimeFormatter::format(date, format) != given) {
+    return std::nullopt;
+  }
+  return date.timestamp();
+}
+
+// Whether an endpoint says with `status` when a host may come again.
+bool MayAskForRest(unsigned status) {
+  return status == http_status::kUnavailable ||
+         status == http_status::kTooManyRequests;
+}
+
+}  // namespace
+
+RestWord ReadRest(std::string_view text, std::string_view answered) {
+  const auto longest = static_cast<double>(kLongestRest.count());
+  if (const auto seconds = ReadDecimal(text)) {
+    const double rest = std::min(longest, *seconds * kMillisPerSecond);
+    return Millis(static_cast<std::int64_t>(std::ceil(rest)));
+  }
+  const auto until = ReadDate(text);
+  const auto since = ReadDate(answered);
+  if (!until.has_value() || !since.has_value()) {
+    return UnreadableRest{};
+  }
+  const Millis rest = std::chrono::duration_cast<Millis>(
+      std::chrono::microseconds(*until - *since));
+  return std::clamp(rest, Millis(0), kLongestRest);
+}
+
+EndpointAnswer DecodeAnswer(const AnswerHead& head,
+                            const ProtocolNames& names) {
+  EndpointAnswer answer;
+  answer.status = head.result_int();
+  answer.is_signed = head.count(names.answer_signature) != 0;
+  answer.not_run = head.count(names.not_run) != 0;
+  answer.at_fault = std::string(head[names.endpoint_at_fault]);
+  const auto limit = head.find(names.request_limit);
+  if (limit != head.end()) {
+    answer.limit = ReadLimit(View(limit->value()));
+  }
+  const auto rest = head.find(http::field::retry_after);
+  if (rest != head.end() && MayAskForRest(answer.status)) {
+    answer.rest = ReadRest(View(rest->value()), View(head[http::field::date]));
+  }
+  return answer;
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/answer_decoder.h
@@ -0,0 +1,28 @@
+// Reads the heads of endpoints' answers.
+
+#ifndef HARECRANK_SRC_GATEWAY_ANSWER_DECODER_H_
+#define HARECRANK_SRC_GATEWAY_ANSWER_DECODER_H_
+
+#include <string_view>
+
+#include "harecrank/core/endpoint_answer.h"
+#include "src/gateway/answer_port.h"
+#include "src/gateway/protocol_names.h"
+
+namespace harecrank {
+
+// Returns what `head` says. All that endpoints may say of themselves there is
+// read here and nowhere else; docs/design/endpoint-answers.md lists it.
+EndpointAnswer DecodeAnswer(const AnswerHead& head, const ProtocolNames& names);
+
+// Reads the time for which an endpoint wants nothing, as HTTP has it: seconds,
+// with a fraction if it likes, or a date. A date counts from `answered`, the
+// date of the answer itself: hosts' own time of day may jump.
+RestWord ReadRest(std::string_view text, std::string_view answered);
+
+// A longer rest counts as this long.
+constexpr Millis kLongestRest = std::chrono::hours(24);
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_GATEWAY_ANSWER_DECODER_H_
--- /dev/null
+++ b/src/gateway/endpoint_answers.cc
@@ -0,0 +1,39 @@
+#include "src/gateway/endpoint_answers.h"
+
+#include <utility>
+
+namespace harecrank {
+
+EndpointAnswers::EndpointAnswers(const EndpointDirectory* directory,
+                                 StartGate* start_gate,
+                                 std::function<void()> on_news)
+    : directory_(directory),
+      start_gate_(start_gate),
+      on_news_(std::move(on_news)) {}
+
+void EndpointAnswers::OnAnswer(const EndpointRecord& endpoint,
+                               const EndpointAnswer& answer,
+                               TimePoint sent_at) {
+  const EndpointRecord* held = directory_->Find(endpoint.id);
+  const bool is_of_earlier_life =
+      held != nullptr && held->life != endpoint.life;
+  if (answer.IsOfAnother() || is_of_earlier_life) {
+    return;
+  }
+  TakeLimit(endpoint.id, answer, sent_at);
+  start_gate_->OnRest(endpoint, answer.rest);
+}
+
+void EndpointAnswers::TakeLimit(const EndpointId& endpoint,
+                                const EndpointAnswer& answer,
+                                TimePoint sent_at) {
+  const bool names_none = std::holds_alternative<NoLimit>(answer.limit);
+  if (names_none && !(answer.IsSuccess() && answer.is_signed)) {
+    return;  // Refusals and failures may be given without a look at the need.
+  }
+  if (start_gate_->OnAnswer(endpoint, answer.limit, sent_at)) {
+    on_news_();
+  }
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/endpoint_answers.h
@@ -0,0 +1,40 @@
+// Takes what endpoints say of themselves in their answers into what this host
+// knows of them.
+
+#ifndef HARECRANK_SRC_GATEWAY_ENDPOINT_ANSWERS_H_
+#define HARECRANK_SRC_GATEWAY_ENDPOINT_ANSWERS_H_
+
+#include <functional>
+
+#include "harecrank/core/endpoint_answer.h"
+#include "harecrank/core/endpoint_directory.h"
+#include "src/gateway/start_gate.h"
+
+namespace harecrank {
+
+// The one place where such words are acted on, whoever got the answer. Not
+// thread-safe.
+class EndpointAnswers {
+ public:
+  // All pointers must outlive this. `on_news` is called when other hosts should
+  // hear of it soon.
+  EndpointAnswers(const EndpointDirectory* directory, StartGate* start_gate,
+                  std::function<void()> on_news);
+
+  // Takes the answer to what was sent to `endpoint` at `sent_at`. One that
+  // comes from an earlier life of it says nothing of the present one.
+  void OnAnswer(const EndpointRecord& endpoint, const EndpointAnswer& answer,
+                TimePoint sent_at);
+
+ private:
+  void TakeLimit(const EndpointId& endpoint, const EndpointAnswer& answer,
+                 TimePoint sent_at);
+
+  const EndpointDirectory* directory_;
+  StartGate* start_gate_;
+  std::function<void()> on_news_;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_GATEWAY_ENDPOINT_ANSWERS_H_
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -13,8 +13,9 @@
 namespace http = boost::beast::http;
 
 constexpr int kLeastUrgent = 9;
-// How often a request that waits looks whether this host is about to stop.
-constexpr Millis kStopLook{250};
+// How often a request that waits looks whether this host is about to stop, or
+// all endpoints have come to rest.
+constexpr Millis kWaitLook{100};
 
 }  // namespace
 
@@ -61,7 +62,15 @@
     RefuseHeld();
     return;
   }
-  place_->Seek(may_have_run_ || sender_->Sendings() > 0);
+  place_->Seek(History());
+}
+
+SendingHistory Exchange::History() const {
+  if (may_have_run_) {
+    return SendingHistory::kMayHaveRun;
+  }
+  return sender_->Sendings() > 0 ? SendingHistory::kNotRun
+                                 : SendingHistory::kNew;
 }
 
 void Exchange::OnTurnedAway(TurnAwayReason reason, Millis pause) {
@@ -137,7 +146,7 @@
     next = std::min(next, *limit);
   }
   if (place_->IsWaiting()) {
-    next = std::min(next, services_->clock() + kStopLook);
+    next = std::min(next, services_->clock() + kWaitLook);
   }
   timer_.expires_at(next);
   timer_.async_wait(
@@ -180,6 +189,9 @@
     }
     return true;
   }
+  if (place_->IsWaiting() && place_->TurnAwayAtRest()) {
+    return true;
+  }
   const auto wait_end = place_->WaitEnd(may_have_run_);
   if (wait_end.has_value() && now >= *wait_end) {
     place_->LeaveQueue();
@@ -226,7 +238,10 @@
     return;
   }
   if (!may_have_run_) {
-    Refuse(http_status::kUnavailable, reason, kRetryAfterRefusal);
+    const auto pause =
+        place_ == nullptr ? std::nullopt : place_->PauseOfRests();
+    Refuse(http_status::kUnavailable, reason,
+           std::max(kRetryAfterRefusal, pause.value_or(Millis(0))));
     return;
   }
   Refuse(TimeLeft() == Millis(0) ? http_status::kGatewayTimeout
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "harecrank/core/endpoint_answer.h"
 #include "harecrank/core/request_fingerprint.h"
 #include "src/gateway/answer_relay.h"
 #include "src/gateway/caller_session.h"
@@ -52,14 +53,15 @@
  private:
   void TryNext();
   std::string HeadFor(const Placement& placement) const;
+  SendingHistory History() const;
   // Returns the account's priority, or else the route's. Zero goes first.
   int Priority() const;
   void OnErrorAnswer();
   void OnFirstEvent();
 
   // What is made of an answer's head: the first that applies is done.
-  void JudgeHead(const AnswerHead& head);
-  void OnNotRunAnswer(const AnswerHead& head);
+  void JudgeHead(const EndpointAnswer& answer, const AnswerHead& head);
+  void OnNotRunAnswer(const EndpointAnswer& answer);
   // Returns whether another endpoint is asked instead.
   bool TakeUpElsewhere(unsigned status);
   void OnNotSent(const AttemptNotSent& failure);
--- a/src/gateway/exchange_attempts.cc
+++ b/src/gateway/exchange_attempts.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "harecrank/core/http_status.h"
+#include "src/gateway/answer_decoder.h"
 #include "src/gateway/endpoint_request.h"
 #include "src/gateway/exchange.h"
 
@@ -48,23 +49,22 @@
 
 void Exchange::OnAnswerHead(const AnswerHead& head) {
   const auto self = shared_from_this();
-  sender_->OnHead(head);
+  const EndpointAnswer answer = DecodeAnswer(head, *services_->names);
+  sender_->OnAnswer(answer);
   has_framed_end_ = head.count(http::field::content_length) != 0 ||
                     head.count(http::field::transfer_encoding) != 0;
-  JudgeHead(head);
+  JudgeHead(answer, head);
 }
 
-void Exchange::JudgeHead(const AnswerHead& head) {
-  const ProtocolNames& names = *services_->names;
-  const unsigned status = head.result_int();
-  const bool says_not_run =
-      head.count(names.not_run) != 0 || status == http_status::kMisdirected;
+void Exchange::JudgeHead(const EndpointAnswer& answer, const AnswerHead& head) {
+  const unsigned status = answer.status;
+  const bool says_not_run = answer.not_run || answer.IsOfAnother();
   if (says_not_run && status != http_status::kBadRequest) {
-    OnNotRunAnswer(head);
+    OnNotRunAnswer(answer);
     return;
   }
-  const bool success = status / 100 == 2;
-  if (success && head.count(names.answer_signature) == 0) {
+  const bool success = answer.IsSuccess();
+  if (success && !answer.is_signed) {
     OnErrorAnswer();
     AbandonAttempt();
     OnMayHaveRun("unsigned_answer");
@@ -83,14 +83,13 @@
   relay_.KeepWhole(head);
 }
 
-void Exchange::OnNotRunAnswer(const AnswerHead& head) {
-  const unsigned status = head.result_int();
-  if (status == http_status::kMisdirected) {
+void Exchange::OnNotRunAnswer(const EndpointAnswer& answer) {
+  if (answer.IsOfAnother()) {
     sender_->OnUnreachable();
   }
-  sender_->OnRefusal(head, log_.Fields());
+  sender_->OnRefusal(answer, log_.Fields());
   AbandonAttempt();
-  OnNotRun("endpoint_answered_" + std::to_string(status));
+  OnNotRun("endpoint_answered_" + std::to_string(answer.status));
 }
 
 bool Exchange::TakeUpElsewhere(unsigned status) {
@@ -285,7 +284,7 @@
 
 bool Exchange::MaySendAgain() {
   if (sender_->Sendings() >= route_->max_attempts ||
-      TimeLeft() < kLeastTimeForAttempt) {
+      TimeLeft() < kLeastTimeForAttempt || place_->IsLeftOut(History())) {
     return false;
   }
   budget_refused_ = !services_->budgets->TryRepeat(service_->name);
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -114,6 +114,7 @@
             fleet_.TellCrash(quarantine_.ReportOf(request));
           },
           &log_, &metrics_),
+      answers_(&directory_, &start_gate_, [this] { fleet_.TellSoon(); }),
       services_(MakeServices()),
       feed_(platform.make_feed(&io_, settings_, this, &holds_)),
       callers_(&io_, settings_.callers_address,
@@ -161,6 +162,7 @@
   services.policy = &settings_.placement;
   services.budgets = &budgets_;
   services.start_gate = &start_gate_;
+  services.answers = &answers_;
   services.queue = &queue_;
   services.orders = orders_.get();
   services.log = &log_;
@@ -328,6 +330,9 @@
   metrics_.AddGauge("harecrank_gateway_endpoints_limited", [this] {
     return static_cast<double>(start_gate_.LimitedCount());
   });
+  metrics_.AddGauge("harecrank_gateway_endpoints_resting", [this] {
+    return static_cast<double>(start_gate_.RestingCount());
+  });
   metrics_.AddGauge("harecrank_gateway_fleet_size", [this] {
     return static_cast<double>(hosts_.Size().Most().value_or(0));
   });
@@ -406,6 +411,9 @@
                             StoreRevision at) {
   start_gate_.OnListing(records);
   endpoint_news_.OnListing(records, at);
+  for (const EndpointRecord& record : records) {
+    NoteLife(record.id);
+  }
   endpoint_news_.OnClosedListed(closed, at);
   AcceptCallers();
 }
@@ -413,6 +421,14 @@
 void GatewayNode::OnEndpoint(const EndpointRecord& record) {
   start_gate_.OnEndpoint(record);
   endpoint_news_.OnEndpoint(record);
+  NoteLife(record.id);
+}
+
+void GatewayNode::NoteLife(const EndpointId& id) {
+  const EndpointRecord* held = directory_.Find(id);
+  if (held != nullptr) {
+    start_gate_.OnLife(id, held->life);
+  }
 }
 
 void GatewayNode::OnEndpointGone(const EndpointId& id, StoreRevision revision) {
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -15,6 +15,7 @@
 #include "src/gateway/caller_listener.h"
 #include "src/gateway/crash_guard.h"
 #include "src/gateway/directory_feed.h"
+#include "src/gateway/endpoint_answers.h"
 #include "src/gateway/endpoint_news.h"
 #include "src/gateway/endpoint_prober.h"
 #include "src/gateway/fleet_member.h"
@@ -91,6 +92,8 @@
   // Takes over what may change while the process runs.
   void Apply(const std::optional<GatewaySettings>& fresh, const char* cause);
   void BeginDrain();
+  // Tells of the life in which an endpoint runs, as far as that is known.
+  void NoteLife(const EndpointId& id);
   // Notes whether the platform's publications are known, from whomever.
   void UpdateSource(const std::string& reason);
   void AcceptCallers();
@@ -129,6 +132,7 @@
   FleetSocket fleet_socket_;
   FleetMember fleet_;
   CrashGuard crashes_;
+  EndpointAnswers answers_;
   GatewayServices services_;
   std::unique_ptr<DirectoryFeed> feed_;
   CallerListener callers_;
--- a/src/gateway/gateway_services.h
+++ b/src/gateway/gateway_services.h
@@ -19,6 +19,7 @@
 #include "src/adapters/metrics.h"
 #include "src/gateway/crash_guard.h"
 #include "src/gateway/dispatch_queue.h"
+#include "src/gateway/endpoint_answers.h"
 #include "src/gateway/endpoint_connections.h"
 #include "src/gateway/memory_orders.h"
 #include "src/gateway/place_client.h"
@@ -72,6 +73,7 @@
   const PlacementPolicy* policy = nullptr;
   RepeatBudgets* budgets = nullptr;
   StartGate* start_gate = nullptr;
+  EndpointAnswers* answers = nullptr;
   DispatchQueue* queue = nullptr;
   MemoryOrders* orders = nullptr;
   EventLog* log = nullptr;
@@ -81,8 +83,8 @@
   std::function<std::optional<TimePoint>()> stops_at;
   // Asks the planner for places.
   PlaceClient* places = nullptr;
-  // Called when an endpoint was found at fault, or names a limit: the planner
-  // should hear of it soon.
+  // Called when an endpoint was found at fault: the planner should hear of it
+  // soon.
   std::function<void()> on_news;
   MonotonicClock clock;
   RandomSource random;
--- a/src/gateway/place_seeker.cc
+++ b/src/gateway/place_seeker.cc
@@ -28,9 +28,9 @@
       log_fields_(std::move(log_fields)),
       retry_timer_(*services->io) {}
 
-void PlaceSeeker::Seek(bool started) {
-  started_ = started;
-  if (TurnAwayByBounds()) {
+void PlaceSeeker::Seek(SendingHistory history) {
+  history_ = history;
+  if (EndByBounds()) {
     return;
   }
   // Plain services have few endpoints and short work: this host's own knowledge
@@ -58,7 +58,7 @@
   SetTimes();
   SetWithheld();
   ask_ = services_->places->Ask(
-      sought_.request, started_,
+      sought_.request, WasSent(),
       [weak = weak_from_this()](const AskResult& result) {
         const auto self = weak.lock();
         if (self != nullptr && self->observer_ != nullptr) {
@@ -181,7 +181,7 @@
   const ShareTurn turn =
       claim.has_value() ? services_->queue->TurnOf(*claim) : ShareTurn::kEven;
   // It does not take what others wait for that have had less.
-  const bool yields = turn == ShareTurn::kAfter && !started_;
+  const bool yields = turn == ShareTurn::kAfter && !WasSent();
   if (!yields && TryPlace()) {
     return;
   }
@@ -197,25 +197,62 @@
   Wait();
 }
 
-bool PlaceSeeker::TurnAwayByBounds() {
-  if (started_) {
-    return false;
-  }
+std::optional<StartOutlook> PlaceSeeker::Outlook(
+    const std::set<EndpointId>& tried) const {
   const ServiceProfile& service = *sought_.request.service;
-  const auto outlook = services_->start_gate->OutlookOf(
-      services_->directory->UsableOf(service.name), sought_.request.tried,
-      service);
-  if (!outlook.has_value() || outlook->next <= sought_.late_at) {
+  return services_->start_gate->OutlookOf(
+      services_->directory->UsableOf(service.name), tried, service);
+}
+
+bool PlaceSeeker::IsLeftOut(SendingHistory history) const {
+  const auto outlook = Outlook(sought_.request.tried);
+  const TimePoint of_use_until = history == SendingHistory::kMayHaveRun
+                                     ? sought_.deadline
+                                     : sought_.late_at;
+  return outlook.has_value() && outlook->next > of_use_until;
+}
+
+bool PlaceSeeker::EndByBounds() {
+  if (!IsLeftOut(history_)) {
     return false;
   }
+  if (history_ == SendingHistory::kMayHaveRun) {
+    observer_->OnNoEndpoint();
+  } else {
+    TurnAwayByBounds(*Outlook(sought_.request.tried));
+  }
+  return true;
+}
+
+void PlaceSeeker::TurnAwayByBounds(const StartOutlook& outlook) {
   observer_->OnTurnedAway(
       TurnAwayReason::kStartsUsedUp,
-      services_->start_gate->TurnAway(service.name, *outlook));
+      services_->start_gate->TurnAway(sought_.request.service->name, outlook));
+}
+
+bool PlaceSeeker::TurnAwayAtRest() {
+  const auto outlook = Outlook(sought_.request.tried);
+  const bool all_rest =
+      outlook.has_value() && outlook->rests_until > services_->clock();
+  const bool may_be_told = history_ != SendingHistory::kMayHaveRun;
+  if (!all_rest || !may_be_told || outlook->next <= sought_.late_at) {
+    return false;
+  }
+  TurnAwayByBounds(*outlook);
   return true;
 }
 
+std::optional<Millis> PlaceSeeker::PauseOfRests() const {
+  const auto outlook = Outlook({});
+  if (!outlook.has_value() || outlook->rests_until <= services_->clock()) {
+    return std::nullopt;
+  }
+  return services_->start_gate->TurnAway(sought_.request.service->name,
+                                         *outlook);
+}
+
 void PlaceSeeker::WaitForStart() {
-  if (TurnAwayByBounds()) {
+  if (EndByBounds()) {
     return;
   }
   NoteWaiting();
@@ -231,7 +268,7 @@
 }
 
 bool PlaceSeeker::WaitsInVain() const {
-  if (started_) {
+  if (WasSent()) {
     return false;
   }
   const FractionalMillis work =
@@ -275,7 +312,7 @@
     if (self == nullptr || self->observer_ == nullptr) {
       return true;
     }
-    if (!self->TryPlace()) {
+    if (!self->TurnAwayAtRest() && !self->TryPlace()) {
       return false;
     }
     self->waiter_.reset();
@@ -384,7 +421,7 @@
       [weak = weak_from_this()](const boost::system::error_code& error) {
         const auto self = weak.lock();
         if (!error && self != nullptr && self->observer_ != nullptr) {
-          self->Seek(self->started_);
+          self->Seek(self->history_);
         }
       });
 }
--- a/src/gateway/place_seeker.h
+++ b/src/gateway/place_seeker.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,16 @@
   kStartsUsedUp
 };
 
+// What has become of a request so far.
+enum class SendingHistory {
+  // It was sent nowhere.
+  kNew,
+  // It was sent, and no endpoint has run it.
+  kNotRun,
+  // An endpoint may have run it: it is not turned away.
+  kMayHaveRun
+};
+
 // Told what a seeker found. Each call but the last one ends the search.
 class PlaceObserver {
  public:
@@ -63,9 +74,19 @@
               PlaceObserver* observer,
               std::function<nlohmann::json()> log_fields);
 
-  // Looks for a place. `started` tells that an endpoint may have begun with the
-  // request: it is not turned away.
-  void Seek(bool started);
+  // Looks for a place.
+  void Seek(SendingHistory history);
+
+  // Whether this host may begin the request nowhere before waiting for that is
+  // of no more use.
+  bool IsLeftOut(SendingHistory history) const;
+
+  // Turns away a request that waits if all endpoints have come to rest for
+  // longer than waiting is of use. Returns whether it did.
+  bool TurnAwayAtRest();
+
+  // Returns after which time a caller may come again, if all endpoints rest.
+  std::optional<Millis> PauseOfRests() const;
 
   // Whether it stands in a queue, of the planner or of this host.
   bool IsWaiting() const { return waiter_.has_value() || waits_at_planner_; }
@@ -122,9 +143,14 @@
   // Waits while all endpoints of a plain service are withheld, at most until
   // the request is late.
   void WaitForStart();
-  // Turns the request away if this host may begin it at no endpoint before it
-  // is late. Returns whether it did.
-  bool TurnAwayByBounds();
+  // Ends the search if IsLeftOut. Returns whether it did.
+  bool EndByBounds();
+  // Returns when this host may begin a request at an endpoint that is not among
+  // `tried`; nothing if no bound stands against one of them.
+  std::optional<StartOutlook> Outlook(const std::set<EndpointId>& tried) const;
+  void TurnAwayByBounds(const StartOutlook& outlook);
+  // Whether it was sent before.
+  bool WasSent() const { return history_ != SendingHistory::kNew; }
   void NoteWaiting();
   // Whether another prompt that takes no longer to read waits and can no longer
   // be in time.
@@ -151,7 +177,7 @@
   // Until it seeks again, after memory was not to be had or while endpoints are
   // withheld.
   Timer retry_timer_;
-  bool started_ = false;
+  SendingHistory history_ = SendingHistory::kNew;
   // The place that was asked for, while it is waited for or used.
   std::optional<AskId> ask_;
   bool waits_at_planner_ = false;
--- a/src/gateway/request_sender.cc
+++ b/src/gateway/request_sender.cc
@@ -3,8 +3,6 @@
 #include <utility>
 
 #include "harecrank/core/attempt_patience.h"
-#include "harecrank/core/http_status.h"
-#include "src/gateway/endpoint_request.h"
 
 namespace harecrank {
 namespace {
@@ -65,28 +63,9 @@
   ++sendings_;
 }
 
-void RequestSender::OnHead(const AnswerHead& head) {
+void RequestSender::OnAnswer(const EndpointAnswer& answer) {
   last_bytes_at_ = services_->clock();
-  NoteLimit(head);
-}
-
-void RequestSender::NoteLimit(const AnswerHead& head) {
-  const unsigned status = head.result_int();
-  if (status == http_status::kMisdirected) {
-    return;  // Another endpoint has answered.
-  }
-  const auto field = head.find(services_->names->request_limit);
-  const bool names_limit = field != head.end();
-  const bool is_success =
-      status / 100 == 2 && head.count(services_->names->answer_signature) != 0;
-  if (!names_limit && !is_success) {
-    return;  // Refusals and failures may be given without a look at the need.
-  }
-  const LimitWord word =
-      names_limit ? ReadLimit(View(field->value())) : LimitWord{NoLimit{}};
-  if (services_->start_gate->OnAnswer(endpoint_.id, word, sent_at_)) {
-    services_->on_news();
-  }
+  services_->answers->OnAnswer(endpoint_, answer, sent_at_);
 }
 
 void RequestSender::OnBytes() {
@@ -124,8 +103,9 @@
   services_->on_news();
 }
 
-void RequestSender::OnRefusal(const AnswerHead& head, nlohmann::json fields) {
-  const std::string named(head[services_->names->endpoint_at_fault]);
+void RequestSender::OnRefusal(const EndpointAnswer& answer,
+                              nlohmann::json fields) {
+  const std::string& named = answer.at_fault;
   if (named.empty()) {
     return;
   }
--- a/src/gateway/request_sender.h
+++ b/src/gateway/request_sender.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "harecrank/core/endpoint_answer.h"
 #include "src/gateway/attempt.h"
 #include "src/gateway/gateway_services.h"
 
@@ -30,7 +31,7 @@
 
   // What the observer hears.
   void OnSent();
-  void OnHead(const AnswerHead& head);
+  void OnAnswer(const EndpointAnswer& answer);
   void OnBytes();
   // Returns how many times as late as predicted the first event of this attempt
   // came, or nothing if it came before.
@@ -40,7 +41,7 @@
   void OnOverdue();
   // Marks the helper that a refusal names, if it names one. `fields` name the
   // request in the log.
-  void OnRefusal(const AnswerHead& head, nlohmann::json fields);
+  void OnRefusal(const EndpointAnswer& answer, nlohmann::json fields);
 
   bool IsUnderWay() const { return attempt_ != nullptr; }
   // Whether the endpoint may have the request of the last attempt.
@@ -63,8 +64,6 @@
   }
 
  private:
-  // Takes what the answer says of a limit to what its endpoint takes.
-  void NoteLimit(const AnswerHead& head);
   // On a kept connection if the request may be repeated.
   std::unique_ptr<EndpointConnection> Connection();
 
--- a/src/gateway/start_gate.cc
+++ b/src/gateway/start_gate.cc
@@ -16,7 +16,9 @@
       clock_(clock),
       cold_endpoints_(clock),
       limits_(clock),
-      shares_(cold_bound, &cold_endpoints_, &limits_, std::move(hosts), clock),
+      rests_(clock),
+      shares_(cold_bound, &cold_endpoints_, &limits_,
+              RestsOfHost{self_, &rests_}, std::move(hosts), clock),
       starts_(std::move(clock)) {}
 
 void StartGate::OnListing(const std::vector<EndpointRecord>& records) {
@@ -61,6 +63,22 @@
   return change == LimitChange::kNamed || change == LimitChange::kEnded;
 }
 
+void StartGate::OnRest(const EndpointRecord& endpoint, const RestWord& word) {
+  const bool is_unreadable = std::holds_alternative<UnreadableRest>(word);
+  if (is_unreadable) {
+    metrics_->GetCounter("harecrank_gateway_rests_unreadable_total")->Add();
+  }
+  if (!rests_.OnAnswer(endpoint.id, endpoint.life, word)) {
+    return;
+  }
+  metrics_->GetCounter("harecrank_gateway_rests_asked_total")->Add();
+  log_->Write(
+      "rest_asked",
+      {{"endpoint", endpoint.id.value},
+       {"rest_ms", rests_.RestOf(endpoint.id).value_or(Millis(0)).count()},
+       {"readable", !is_unreadable}});
+}
+
 void StartGate::OnTold(const std::vector<LimitReport>& reports) {
   for (const LimitReport& report : reports) {
     NoteLimit(report.endpoint, limits_.OnTold(report), "host");
@@ -89,6 +107,9 @@
   for (const EndpointId& id : limits_.TakeLifted()) {
     log_->Write("limit_lifted", {{"endpoint", id.value}});
   }
+  for (const EndpointId& id : rests_.TakeReturned()) {
+    log_->Write("rest_over", {{"endpoint", id.value}});
+  }
 }
 
 std::set<EndpointId> StartGate::Withheld(const ServiceProfile& service) {
@@ -129,7 +150,7 @@
     next = std::max(
         next, last + std::chrono::duration_cast<TimePoint::duration>(pause));
   }
-  last = std::min(next, now + kLongestReturn);
+  last = std::min(next, std::max(now + kLongestReturn, outlook.rests_until));
   return std::chrono::ceil<Millis>(last - now);
 }
 
@@ -144,7 +165,20 @@
   for (const EndpointId& id : limits_.Bounded()) {
     limited.push_back(DescribeLimit(id));
   }
-  return {{"cold", std::move(cold)}, {"limited", std::move(limited)}};
+  nlohmann::json resting = nlohmann::json::array();
+  for (const EndpointId& id : rests_.Bounded()) {
+    resting.push_back(DescribeRest(id));
+  }
+  return {{"cold", std::move(cold)},
+          {"limited", std::move(limited)},
+          {"resting", std::move(resting)}};
+}
+
+nlohmann::json StartGate::DescribeRest(const EndpointId& id) const {
+  const StartBound bound = rests_.BoundOf(id).value_or(StartBound{});
+  return {{"endpoint", id.value},
+          {"rest_ms", rests_.RestOf(id).value_or(Millis(0)).count()},
+          {"raise", bound.raise}};
 }
 
 nlohmann::json StartGate::DescribeLimit(const EndpointId& id) const {
--- a/src/gateway/start_gate.h
+++ b/src/gateway/start_gate.h
@@ -1,4 +1,5 @@
-// Keeps this host to its part of what endpoints take from all hosts together.
+// Keeps this host to its part of what endpoints take from all hosts together,
+// and to the rests that they ask it for.
 
 #ifndef HARECRANK_SRC_GATEWAY_START_GATE_H_
 #define HARECRANK_SRC_GATEWAY_START_GATE_H_
@@ -17,10 +18,10 @@
 
 namespace harecrank {
 
-// Follows which endpoints are cold, as the platform tells, and which have named
-// a limit, as their answers and other hosts tell; counts what this host begins
-// there. Each change of an endpoint's state leaves a line in the log. Not
-// thread-safe.
+// Follows which endpoints are cold, as the platform tells, which have named a
+// limit, as their answers and other hosts tell, and which have asked this host
+// for rest; counts what this host begins there. Each change of an endpoint's
+// state leaves a line in the log. Not thread-safe.
 class StartGate {
  public:
   // All pointers must outlive this. `hosts` returns how many hosts the fleet
@@ -39,6 +40,14 @@
   bool OnAnswer(const EndpointId& endpoint, const LimitWord& word,
                 TimePoint sent_at);
 
+  // Takes what an answer says of when this host may come again.
+  void OnRest(const EndpointRecord& endpoint, const RestWord& word);
+
+  // The endpoint runs in `life`: it owes nothing of an earlier one.
+  void OnLife(const EndpointId& id, const std::optional<EndpointLife>& life) {
+    rests_.OnLife(id, life);
+  }
+
   // Takes what another host tells of limits.
   void OnTold(const std::vector<LimitReport>& reports);
 
@@ -69,8 +78,9 @@
   }
 
   // Returns after which time a caller may come again whom the bounds of all
-  // endpoints of `service` leave out, at most kLongestReturn. Each is told a
-  // later time than the one before, as far apart as requests may be begun.
+  // endpoints of `service` leave out, at most kLongestReturn unless all rest
+  // for longer. Each is told a later time than the one before, as far apart as
+  // requests may be begun.
   Millis TurnAway(const ServiceName& service, const StartOutlook& outlook);
 
   // The parts of all hosts, for the planner.
@@ -78,6 +88,7 @@
 
   std::size_t ColdCount() const { return cold_endpoints_.Count(); }
   std::size_t LimitedCount() const { return limits_.Count(); }
+  std::size_t RestingCount() const { return rests_.Count(); }
 
   // Returns all bounds, and what this host has begun under them, for operators.
   nlohmann::json Describe() const;
@@ -88,6 +99,7 @@
 
  private:
   nlohmann::json DescribeLimit(const EndpointId& id) const;
+  nlohmann::json DescribeRest(const EndpointId& id) const;
   void CountWithheld();
   void TakeCold(const EndpointRecord& record, Millis after_start);
   void NoteLimit(const EndpointId& endpoint, LimitChange change,
@@ -100,6 +112,7 @@
   MonotonicClock clock_;
   ColdEndpoints cold_endpoints_;
   EndpointLimits limits_;
+  EndpointRests rests_;
   StartShares shares_;
   StartCounts starts_;
   // When the last caller whom a service's bounds left out may come again.
--- a/src/gateway/start_gate_test.cc
+++ b/src/gateway/start_gate_test.cc
@@ -129,5 +129,51 @@
   CHECK(gate_.Describe()["limited"].front()["named_per_second"].is_null());
 }
 
+TEST_CASE_METHOD(GateFixture, "A rest lets nothing through until its end") {
+  gate_.OnRest(record_, Millis(3000));
+  CHECK_FALSE(MayBegin());
+  CHECK(gate_.RestingCount() == 1);
+  CHECK(Outlook()->rests_until == now_ + Millis(3000));
+  CHECK(Outlook()->next >= now_ + Millis(3000));
+  CHECK(gate_.Withheld(service_).count(kEndpoint) == 1);
+  Pass(Millis(3000) + EndpointRests::kMostDoublings * EndpointRests::kDoubles);
+  gate_.Tick();
+  CHECK(MayBegin());
+  CHECK_FALSE(Outlook().has_value());
+}
+
+TEST_CASE_METHOD(GateFixture, "A rest and a limit bind together") {
+  gate_.OnAnswer(kEndpoint, RequestRate{2}, now_);
+  gate_.OnRest(record_, Millis(1500));
+  Pass(Millis(1000));
+  CHECK_FALSE(MayBegin());
+  Pass(Millis(1500));
+  REQUIRE(MayBegin());
+  Begin();
+  CHECK_FALSE(MayBegin());
+}
+
+TEST_CASE_METHOD(GateFixture,
+                 "Callers are told to come after a rest that is longer than "
+                 "the longest pause, one by one") {
+  gate_.OnRest(record_, Millis(60000));
+  const Millis first = gate_.TurnAway(kService, *Outlook());
+  CHECK(first >= Millis(60000));
+  CHECK(gate_.TurnAway(kService, *Outlook()) >= first);
+}
+
+TEST_CASE_METHOD(GateFixture, "Rests are counted, and told in the dump") {
+  gate_.OnRest(record_, UnreadableRest{});
+  const nlohmann::json dump = gate_.Describe();
+  REQUIRE(dump["resting"].size() == 1);
+  CHECK(dump["resting"].front()["endpoint"] == kEndpoint.value);
+  CHECK(dump["resting"].front()["rest_ms"] == 1000);
+  const std::string figures = metrics_.Text();
+  CHECK(figures.find("harecrank_gateway_rests_asked_total 1") !=
+        std::string::npos);
+  CHECK(figures.find("harecrank_gateway_rests_unreadable_total 1") !=
+        std::string::npos);
+}
+
 }  // namespace
 }  // namespace harecrank
