An endpoint that answers that it leaves gets nothing more until it starts anew

What callers would see: requests at an endpoint that is about to end, which end with it, while the platform's entry says that it is ready or its service says nothing.

Cause: nothing read Server-Leaving; the same class as the rests that endpoints ask for.

The decoder reads it, and the directory, which remembers what lives have said of leaving by their entries, takes the answer's word as the entry's. That memory lapsed after 60 s even while an entry of the same life went on to say that it is ready; it holds now for as long as the entry is held. Words of earlier lives are passed over, kept connections go, no probe is sent to one that leaves or rests, and the planner hears of it.

--- a/include/harecrank/core/endpoint_answer.h
+++ b/include/harecrank/core/endpoint_answer.h
@@ -19,6 +19,15 @@
 struct UnreadableRest {};
 using RestWord = std::variant<NoRest, Millis, UnreadableRest>;
 
+// Whether the endpoint says that it is about to end.
+enum class LeavingWord {
+  kNone,
+  kLeaves,
+  // It says something else in that place: it is taken to leave, since more work
+  // would be lost there.
+  kUnreadable
+};
+
 struct EndpointAnswer {
   unsigned status = 0;
   // Marked as the endpoint's own, so that callers can check the body.
@@ -32,6 +41,8 @@
   LimitWord limit;
   // How long it wants nothing from this host. Refusals alone say that.
   RestWord rest;
+  // Holds until the endpoint starts anew.
+  LeavingWord leaving = LeavingWord::kNone;
 
   bool IsSuccess() const { return status / 100 == 2; }
   // Another endpoint has answered than the one that was meant: it says nothing
--- a/include/harecrank/core/endpoint_directory.h
+++ b/include/harecrank/core/endpoint_directory.h
@@ -82,6 +82,19 @@
   // changed.
   bool Upsert(const EndpointRecord& record);
 
+  // Notes that `life` of the endpoint has said itself that it leaves. Returns
+  // whether that is news. Its entry may go on to say that it is ready, or the
+  // source say nothing: only a new life takes work again.
+  bool NoteLeaving(const EndpointId& id,
+                   const std::optional<EndpointLife>& life);
+
+  // Whether `life` of the endpoint has said that it leaves.
+  bool HasSaidItLeaves(const EndpointId& id,
+                       const std::optional<EndpointLife>& life) const;
+
+  // Returns those that are held and leave.
+  std::vector<EndpointId> Leaving() const;
+
   // Notes that what stands at the record's place since `revision` names no
   // endpoint. Returns whether one was held.
   bool Withdraw(const EndpointId& id, StoreRevision revision);
@@ -168,8 +181,8 @@
   // How long after the return of the source a vanished entry may have lapsed
   // while it was away: three heartbeats.
   static constexpr Millis kCalmAfter{3600};
-  // How long a life that has said that it leaves is remembered: longer than one
-  // serves on after that, and than a late word of it may be on its way.
+  // How long a life that has said that it leaves is remembered once its entry
+  // is not held any more: longer than a late word of it may be on its way.
   static constexpr Millis kLeavingRemembered{60000};
 
  private:
@@ -183,14 +196,17 @@
     std::optional<Missing> missing;
   };
 
-  struct Leaving {
+  struct LeavingLife {
     std::optional<EndpointLife> life;
-    TimePoint said;
+    // When it said so, or its entry was last held.
+    TimePoint noted;
   };
 
-  // Notes whether `record` says that it leaves, and returns whether its life
-  // has said so.
-  bool IsLeaving(const EndpointRecord& record);
+  // Returns whether that is news.
+  bool RememberLeaving(const EndpointId& id,
+                       const std::optional<EndpointLife>& life);
+  // Forgets lives that have said that they leave and are long gone.
+  void SweepLeaving(TimePoint now);
   // Returns whether an entry that is missing now may have lapsed.
   bool MayHaveLapsed(TimePoint now) const;
   // Keeps what may have lapsed until `use_until`, and drops the rest.
@@ -202,7 +218,7 @@
   ClosedDataCentres closed_;
   std::map<EndpointId, Entry> entries_;
   Millis lapse_grace_;
-  std::map<EndpointId, Leaving> leaving_;
+  std::map<EndpointId, LeavingLife> leaving_;
   // Since when the source has not answered; unset while it does.
   std::optional<TimePoint> lost_since_;
   // The last return of the source after an absence in which entries may have
--- a/src/core/endpoint_directory.cc
+++ b/src/core/endpoint_directory.cc
@@ -28,7 +28,10 @@
   if (!is_new && record.revision < entry.record.revision) {
     return false;
   }
-  const bool draining = IsLeaving(record);
+  if (record.draining) {
+    RememberLeaving(record.id, record.life);
+  }
+  const bool draining = HasSaidItLeaves(record.id, record.life);
   const bool changed = is_new || entry.missing.has_value() ||
                        entry.record.life != record.life ||
                        entry.record.draining != draining ||
@@ -42,14 +45,42 @@
   return changed;
 }
 
-bool EndpointDirectory::IsLeaving(const EndpointRecord& record) {
-  const auto found = leaving_.find(record.id);
-  const bool has_said =
-      found != leaving_.end() && found->second.life == record.life;
-  if (record.draining && !has_said) {
-    leaving_[record.id] = Leaving{record.life, clock_()};
+bool EndpointDirectory::HasSaidItLeaves(
+    const EndpointId& id, const std::optional<EndpointLife>& life) const {
+  const auto found = leaving_.find(id);
+  return found != leaving_.end() && found->second.life == life;
+}
+
+bool EndpointDirectory::RememberLeaving(
+    const EndpointId& id, const std::optional<EndpointLife>& life) {
+  if (HasSaidItLeaves(id, life)) {
+    return false;
+  }
+  leaving_[id] = LeavingLife{life, clock_()};
+  return true;
+}
+
+bool EndpointDirectory::NoteLeaving(const EndpointId& id,
+                                    const std::optional<EndpointLife>& life) {
+  if (!RememberLeaving(id, life)) {
+    return false;
+  }
+  const auto found = entries_.find(id);
+  if (found != entries_.end() && found->second.record.life == life) {
+    found->second.record.draining = true;
+    stale_index_ = true;
   }
-  return record.draining || has_said;
+  return true;
+}
+
+std::vector<EndpointId> EndpointDirectory::Leaving() const {
+  std::vector<EndpointId> leaving;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.record.draining) {
+      leaving.push_back(id);
+    }
+  }
+  return leaving;
 }
 
 bool EndpointDirectory::Withdraw(const EndpointId& id, StoreRevision revision) {
@@ -140,11 +171,18 @@
       ++it;
     }
   }
+  SweepLeaving(now);
+  return dropped;
+}
+
+void EndpointDirectory::SweepLeaving(TimePoint now) {
   for (auto it = leaving_.begin(); it != leaving_.end();) {
-    const bool is_old = now - it->second.said >= kLeavingRemembered;
+    if (entries_.count(it->first) != 0) {
+      it->second.noted = now;
+    }
+    const bool is_old = now - it->second.noted >= kLeavingRemembered;
     it = is_old ? leaving_.erase(it) : std::next(it);
   }
-  return dropped;
 }
 
 bool EndpointDirectory::CloseDataCentre(const ClosedDataCentre& order) {
--- a/src/core/endpoint_directory_test.cc
+++ b/src/core/endpoint_directory_test.cc
@@ -210,5 +210,67 @@
   }
 }
 
+TEST_CASE_METHOD(DirectoryFixture,
+                 "An endpoint that says that it leaves takes nothing, whatever "
+                 "its entry says, until it starts anew") {
+  Settle();
+  EndpointRecord record = Record("a", 2);
+  record.life = EndpointLife{1000};
+  directory_.Upsert(record);
+  CHECK(directory_.NoteLeaving(record.id, record.life));
+  CHECK_FALSE(directory_.NoteLeaving(record.id, record.life));
+  CHECK(Usable() == 2);
+  CHECK(directory_.FindUsable(record.id, kService) == nullptr);
+  CHECK(directory_.Leaving() == std::vector<EndpointId>{record.id});
+  SECTION("its entry says that it is ready") {
+    record.revision = StoreRevision{3};
+    directory_.Upsert(record);
+  }
+  SECTION("a listing says so") {
+    record.revision = StoreRevision{3};
+    directory_.ReplaceAll({record, Record("b", 1), Record("c", 1)},
+                          StoreRevision{3});
+  }
+  SECTION("its entry goes and comes back") {
+    directory_.Remove(record.id, StoreRevision{3});
+    record.revision = StoreRevision{4};
+    directory_.Upsert(record);
+  }
+  SECTION("nothing is said for long") {
+    for (int i = 0; i < 100; ++i) {
+      Pass(EndpointDirectory::kLeavingRemembered);
+      directory_.DropLapsed();
+    }
+    record.revision = StoreRevision{3};
+    directory_.Upsert(record);
+  }
+  CHECK(Usable() == 2);
+  record.life = EndpointLife{2000};
+  record.revision = StoreRevision{5};
+  directory_.Upsert(record);
+  CHECK(Usable() == 3);
+}
+
+TEST_CASE_METHOD(DirectoryFixture,
+                 "An entry that says that it leaves is news once") {
+  Settle();
+  EndpointRecord record = Record("a", 2);
+  record.draining = true;
+  CHECK(directory_.Upsert(record));
+  record.revision = StoreRevision{3};
+  CHECK_FALSE(directory_.Upsert(record));
+  CHECK_FALSE(directory_.NoteLeaving(record.id, record.life));
+}
+
+TEST_CASE_METHOD(DirectoryFixture,
+                 "What an earlier life said of leaving binds no later one") {
+  Settle();
+  EndpointRecord record = Record("a", 2);
+  record.life = EndpointLife{2000};
+  directory_.Upsert(record);
+  directory_.NoteLeaving(record.id, EndpointLife{1000});
+  CHECK(Usable() == 3);
+}
+
 }  // namespace
 }  // namespace harecrank
--- a/src/gateway/answer_decoder.cc
+++ b/src/gateway/answer_decoder.cc
@@ -57,6 +57,14 @@
   return std::clamp(rest, Millis(0), kLongestRest);
 }
 
+LeavingWord ReadLeaving(std::string_view text) {
+  const auto number = ReadDecimal(text);
+  if (number == 0.0) {
+    return LeavingWord::kNone;
+  }
+  return number == 1.0 ? LeavingWord::kLeaves : LeavingWord::kUnreadable;
+}
+
 EndpointAnswer DecodeAnswer(const AnswerHead& head,
                             const ProtocolNames& names) {
   EndpointAnswer answer;
@@ -72,6 +80,10 @@
   if (rest != head.end() && MayAskForRest(answer.status)) {
     answer.rest = ReadRest(View(rest->value()), View(head[http::field::date]));
   }
+  const auto leaving = head.find(names.leaving);
+  if (leaving != head.end()) {
+    answer.leaving = ReadLeaving(View(leaving->value()));
+  }
   return answer;
 }
 
--- a/src/gateway/answer_decoder_test.cc
+++ b/src/gateway/answer_decoder_test.cc
@@ -13,6 +13,7 @@
   names.not_run = "Not-Run";
   names.endpoint_at_fault = "At-Fault";
   names.request_limit = "Limit";
+  names.leaving = "Leaving";
   return names;
 }
 
@@ -76,6 +77,7 @@
   CHECK(answer.at_fault.empty());
   CHECK(std::holds_alternative<NoLimit>(answer.limit));
   CHECK(std::holds_alternative<NoRest>(answer.rest));
+  CHECK(answer.leaving == LeavingWord::kNone);
 }
 
 TEST_CASE("All that an answer says of its endpoint is read") {
@@ -84,6 +86,7 @@
   head.set("Not-Run", "1");
   head.set("At-Fault", "e7");
   head.set("Limit", "0.5");
+  head.set("Leaving", "1");
   head.set(http::field::retry_after, "2");
   const EndpointAnswer answer = DecodeAnswer(head, Names());
   CHECK(answer.status == 503);
@@ -92,6 +95,16 @@
   CHECK(answer.at_fault == "e7");
   CHECK(std::get<RequestRate>(answer.limit) == RequestRate{0.5});
   CHECK(std::get<Millis>(answer.rest) == Millis(2000));
+  CHECK(answer.leaving == LeavingWord::kLeaves);
+}
+
+TEST_CASE("An endpoint leaves unless it says that it does not") {
+  CHECK(ReadLeaving("1") == LeavingWord::kLeaves);
+  CHECK(ReadLeaving(" 1 ") == LeavingWord::kLeaves);
+  CHECK(ReadLeaving("0") == LeavingWord::kNone);
+  CHECK(ReadLeaving("") == LeavingWord::kUnreadable);
+  CHECK(ReadLeaving("true") == LeavingWord::kUnreadable);
+  CHECK(ReadLeaving("2") == LeavingWord::kUnreadable);
 }
 
 TEST_CASE("Only an answer that turns a request away asks for rest") {
--- a/src/gateway/crash_guard.cc
+++ b/src/gateway/crash_guard.cc
@@ -17,11 +17,12 @@
 }
 
 CrashGuard::CrashGuard(RequestQuarantine* quarantine, EndpointProber* prober,
-                       const EndpointDirectory* directory, Tell tell,
-                       EventLog* log, Metrics* metrics)
+                       const EndpointDirectory* directory, IsResting is_resting,
+                       Tell tell, EventLog* log, Metrics* metrics)
     : quarantine_(quarantine),
       prober_(prober),
       directory_(directory),
+      is_resting_(std::move(is_resting)),
       tell_(std::move(tell)),
       log_(log),
       metrics_(metrics) {}
@@ -48,12 +49,19 @@
   quarantine_->ReturnTrial(request);
 }
 
+bool CrashGuard::MayProbe(const EndpointRecord& endpoint) const {
+  // Who empties a data centre may stop its endpoints, and one that leaves ends
+  // by itself: that is no request's doing, and nothing more is sent there, not
+  // even a probe. One that rests is not disturbed by it either.
+  return !directory_->Closed().IsClosed(endpoint.data_centre) &&
+         !directory_->HasSaidItLeaves(endpoint.id, endpoint.life) &&
+         !is_resting_(endpoint.id);
+}
+
 void CrashGuard::OnBrokenOff(
     const RequestFingerprint& request, const EndpointRecord& endpoint,
     bool was_beginning, std::function<void(ProbeResult result)> on_judged) {
-  if (directory_->Closed().IsClosed(endpoint.data_centre)) {
-    // Who empties a data centre may stop its endpoints: that is no request's
-    // doing, and nothing more is sent there, not even a probe.
+  if (!MayProbe(endpoint)) {
     prober_->PassOver(std::move(on_judged));
     return;
   }
--- a/src/gateway/crash_guard.h
+++ b/src/gateway/crash_guard.h
@@ -39,11 +39,13 @@
  public:
   // Tells the other hosts what is known of `request`.
   using Tell = std::function<void(const RequestFingerprint& request)>;
+  // Returns whether an endpoint has asked this host for rest.
+  using IsResting = std::function<bool(const EndpointId& endpoint)>;
 
   // All pointers must outlive this.
   CrashGuard(RequestQuarantine* quarantine, EndpointProber* prober,
-             const EndpointDirectory* directory, Tell tell, EventLog* log,
-             Metrics* metrics);
+             const EndpointDirectory* directory, IsResting is_resting,
+             Tell tell, EventLog* log, Metrics* metrics);
 
   // The requests under way. Those that a host cuts when it stops outlive it.
   using Watched = std::set<GuardedRequest*>;
@@ -102,7 +104,11 @@
 
   RequestQuarantine* quarantine_;
   EndpointProber* prober_;
+  // Whether a connection may be opened to find out if `endpoint` has ended.
+  bool MayProbe(const EndpointRecord& endpoint) const;
+
   const EndpointDirectory* directory_;
+  IsResting is_resting_;
   Tell tell_;
   EventLog* log_;
   Metrics* metrics_;
--- a/src/gateway/crash_guard_test.cc
+++ b/src/gateway/crash_guard_test.cc
@@ -42,9 +42,14 @@
   RequestQuarantine quarantine{SystemClock()};
   EndpointProber prober{&io};
   EndpointDirectory directory{SystemClock()};
-  CrashGuard guard{&quarantine, &prober,
-                   &directory,  [](const RequestFingerprint&) {},
-                   &log,        &metrics};
+  bool rests = false;
+  CrashGuard guard{&quarantine,
+                   &prober,
+                   &directory,
+                   [this](const EndpointId&) { return rests; },
+                   [](const RequestFingerprint&) {},
+                   &log,
+                   &metrics};
 };
 
 TEST_CASE("Requests under way hear that they are held, and no others") {
@@ -74,30 +79,54 @@
 }
 
 // Who empties a data centre may stop its endpoints while requests run there.
-TEST_CASE(
-    "An endpoint of a closed data centre is not probed, and its end counts "
-    "against no request") {
-  Host host;
-  OneRequest request(1);
+// One whose process has ended: nobody listens at its address.
+EndpointRecord EndedEndpoint() {
   EndpointRecord endpoint;
   endpoint.id = EndpointId{"e1"};
   endpoint.data_centre = DataCentreId{"a"};
-  // Nobody listens there.
   endpoint.address = "127.0.0.1:1";
-  const auto judged = [&] {
-    std::optional<ProbeResult> result;
-    host.guard.OnBrokenOff(request.Fingerprint(), endpoint, true,
-                           [&result](ProbeResult told) { result = told; });
-    CHECK_FALSE(result.has_value());
-    host.io.restart();
-    host.io.run();
-    return result;
-  };
+  return endpoint;
+}
+
+// Returns what is found out of `endpoint` after it broke a request off.
+std::optional<ProbeResult> Judged(Host* host, const EndpointRecord& endpoint) {
+  OneRequest request(1);
+  std::optional<ProbeResult> result;
+  host->guard.OnBrokenOff(request.Fingerprint(), endpoint, true,
+                          [&result](ProbeResult told) { result = told; });
+  CHECK_FALSE(result.has_value());
+  host->io.restart();
+  host->io.run();
+  return result;
+}
+
+TEST_CASE(
+    "An endpoint that leaves or rests is not probed, and its end counts "
+    "against no request") {
+  Host host;
+  EndpointRecord endpoint = EndedEndpoint();
+  endpoint.life = EndpointLife{1};
+  host.rests = true;
+  CHECK(Judged(&host, endpoint) == ProbeResult::kNotAsked);
+  host.rests = false;
+  host.directory.NoteLeaving(endpoint.id, endpoint.life);
+  CHECK(Judged(&host, endpoint) == ProbeResult::kNotAsked);
+  CHECK(host.quarantine.Count() == 0);
+  endpoint.life = EndpointLife{2};
+  CHECK(Judged(&host, endpoint) == ProbeResult::kRefused);
+  CHECK(host.quarantine.Count() == 1);
+}
+
+TEST_CASE(
+    "An endpoint of a closed data centre is not probed, and its end counts "
+    "against no request") {
+  Host host;
+  const EndpointRecord endpoint = EndedEndpoint();
   host.directory.CloseDataCentre({endpoint.data_centre, StoreRevision{2}});
-  CHECK(judged() == ProbeResult::kNotAsked);
+  CHECK(Judged(&host, endpoint) == ProbeResult::kNotAsked);
   CHECK(host.quarantine.Count() == 0);
   host.directory.OpenDataCentre(endpoint.data_centre, StoreRevision{3});
-  CHECK(judged() == ProbeResult::kRefused);
+  CHECK(Judged(&host, endpoint) == ProbeResult::kRefused);
   CHECK(host.quarantine.Count() == 1);
 }
 
--- a/src/gateway/endpoint_answers.cc
+++ b/src/gateway/endpoint_answers.cc
@@ -5,9 +5,13 @@
 namespace harecrank {
 
 EndpointAnswers::EndpointAnswers(const EndpointDirectory* directory,
+                                 EndpointHealth* health,
+                                 EndpointNews* endpoint_news,
                                  StartGate* start_gate,
                                  std::function<void()> on_news)
     : directory_(directory),
+      health_(health),
+      endpoint_news_(endpoint_news),
       start_gate_(start_gate),
       on_news_(std::move(on_news)) {}
 
@@ -22,6 +26,19 @@
   }
   TakeLimit(endpoint.id, answer, sent_at);
   start_gate_->OnRest(endpoint, answer.rest);
+  TakeLeaving(endpoint, answer.leaving);
+}
+
+void EndpointAnswers::TakeLeaving(const EndpointRecord& endpoint,
+                                  LeavingWord word) {
+  const bool is_readable = word == LeavingWord::kLeaves;
+  if (word == LeavingWord::kNone ||
+      !endpoint_news_->OnSaysItLeaves(endpoint, is_readable)) {
+    return;
+  }
+  // Hosts that have not been told themselves leave it alone for a while, too.
+  health_->OnNamedAtFault(endpoint.id);
+  on_news_();
 }
 
 void EndpointAnswers::TakeLimit(const EndpointId& endpoint,
--- a/src/gateway/endpoint_answers.h
+++ b/src/gateway/endpoint_answers.h
@@ -8,6 +8,8 @@
 
 #include "harecrank/core/endpoint_answer.h"
 #include "harecrank/core/endpoint_directory.h"
+#include "harecrank/core/endpoint_health.h"
+#include "src/gateway/endpoint_news.h"
 #include "src/gateway/start_gate.h"
 
 namespace harecrank {
@@ -18,7 +20,8 @@
  public:
   // All pointers must outlive this. `on_news` is called when other hosts should
   // hear of it soon.
-  EndpointAnswers(const EndpointDirectory* directory, StartGate* start_gate,
+  EndpointAnswers(const EndpointDirectory* directory, EndpointHealth* health,
+                  EndpointNews* endpoint_news, StartGate* start_gate,
                   std::function<void()> on_news);
 
   // Takes the answer to what was sent to `endpoint` at `sent_at`. One that
@@ -29,8 +32,11 @@
  private:
   void TakeLimit(const EndpointId& endpoint, const EndpointAnswer& answer,
                  TimePoint sent_at);
+  void TakeLeaving(const EndpointRecord& endpoint, LeavingWord word);
 
   const EndpointDirectory* directory_;
+  EndpointHealth* health_;
+  EndpointNews* endpoint_news_;
   StartGate* start_gate_;
   std::function<void()> on_news_;
 };
--- a/src/gateway/endpoint_news.cc
+++ b/src/gateway/endpoint_news.cc
@@ -48,6 +48,18 @@
                                 {"revision", revision.value}});
 }
 
+bool EndpointNews::OnSaysItLeaves(const EndpointRecord& endpoint,
+                                  bool readable) {
+  if (!directory_->NoteLeaving(endpoint.id, endpoint.life)) {
+    return false;
+  }
+  connections_->Forget(endpoint.id);
+  metrics_->GetCounter("harecrank_gateway_leavings_answered_total")->Add();
+  log_->Write("endpoint_leaving",
+              {{"endpoint", endpoint.id.value}, {"readable", readable}});
+  return true;
+}
+
 void EndpointNews::OnUnusable(const EndpointId& id, StoreRevision revision,
                               const std::string& reason) {
   if (directory_->Withdraw(id, revision)) {
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -54,6 +54,14 @@
                                     settings.operations_address) != seeds.end();
 }
 
+nlohmann::json Names(const std::vector<EndpointId>& endpoints) {
+  nlohmann::json names = nlohmann::json::array();
+  for (const EndpointId& id : endpoints) {
+    names.push_back(id.value);
+  }
+  return names;
+}
+
 std::vector<HostAddress> Addresses(const std::vector<std::string>& texts) {
   std::vector<HostAddress> addresses;
   addresses.reserve(texts.size());
@@ -110,11 +118,13 @@
              &log_, &metrics_, clock_, random_),
       crashes_(
           &quarantine_, &prober_, &directory_,
+          [this](const EndpointId& id) { return start_gate_.IsResting(id); },
           [this](const RequestFingerprint& request) {
             fleet_.TellCrash(quarantine_.ReportOf(request));
           },
           &log_, &metrics_),
-      answers_(&directory_, &start_gate_, [this] { fleet_.TellSoon(); }),
+      answers_(&directory_, &health_, &endpoint_news_, &start_gate_,
+               [this] { fleet_.TellSoon(); }),
       services_(MakeServices()),
       feed_(platform.make_feed(&io_, settings_, this, &holds_)),
       callers_(&io_, settings_.callers_address,
@@ -259,6 +269,7 @@
             {"size", hosts_.Size().Most().value_or(0)}}},
           {"endpoints",
            {{"known", directory_.Count()},
+            {"leaving", Names(directory_.Leaving())},
             {"missing", directory_.MissingCount()},
             {"avoided", health_.Avoided().size()}}},
           {"requests",
@@ -330,6 +341,9 @@
   metrics_.AddGauge("harecrank_gateway_endpoints_limited", [this] {
     return static_cast<double>(start_gate_.LimitedCount());
   });
+  metrics_.AddGauge("harecrank_gateway_endpoints_leaving", [this] {
+    return static_cast<double>(directory_.Leaving().size());
+  });
   metrics_.AddGauge("harecrank_gateway_endpoints_resting", [this] {
     return static_cast<double>(start_gate_.RestingCount());
   });
--- a/src/gateway/protocol_names.h
+++ b/src/gateway/protocol_names.h
@@ -38,6 +38,8 @@
   // In an endpoint's answer: how many requests a second it takes from all hosts
   // together, a decimal number, while it is in need.
   std::string request_limit;
+  // In an endpoint's answer: it is about to end and wants nothing more.
+  std::string leaving;
   // Path of the balancer's check.
   std::string readiness_path;
 };
--- a/src/gateway/start_gate.h
+++ b/src/gateway/start_gate.h
@@ -88,6 +88,9 @@
 
   std::size_t ColdCount() const { return cold_endpoints_.Count(); }
   std::size_t LimitedCount() const { return limits_.Count(); }
+  bool IsResting(const EndpointId& id) const {
+    return rests_.RestOf(id).has_value();
+  }
   std::size_t RestingCount() const { return rests_.Count(); }
 
   // Returns all bounds, and what this host has begun under them, for operators.
