What engines answer to memory orders is read like any other answer

Cause: an engine that leaves says so in all its answers, and one that refuses may ask for rest; of answers to orders only the status was read. With this only answers of earlier requests on a connection are not taken, whose bytes belong to no request.

The orders' port hands on the decoded answer, the hold tells of it with the engine's record, also of renewals and releases, and the one place acts on it. Test: each answer to an order is told, that to a release too.

--- a/src/gateway/memory_hold.cc
+++ b/src/gateway/memory_hold.cc
@@ -5,20 +5,40 @@
 namespace harecrank {
 
 MemoryHold::MemoryHold(boost::asio::io_context* io, MemoryOrders* orders,
-                       std::vector<MemoryNeed> needs)
-    : orders_(orders), needs_(std::move(needs)), timer_(*io) {}
+                       std::vector<MemoryNeed> needs,
+                       OnEndpointAnswer on_answer)
+    : orders_(orders),
+      needs_(std::move(needs)),
+      on_answer_(std::move(on_answer)),
+      timer_(*io) {}
+
+MemoryOrders::OnResult MemoryHold::Telling(
+    const EndpointRecord& endpoint, std::function<void(bool done)> then) const {
+  return [endpoint, on_answer = on_answer_,
+          then = std::move(then)](const OrderResult& result) {
+    if (result.answer.has_value()) {
+      on_answer(endpoint, *result.answer);
+    }
+    then(result.done);
+  };
+}
+
+void MemoryHold::Reserve(const MemoryNeed& need,
+                         std::function<void(bool done)> then) {
+  orders_->Reserve(need.endpoint.address, need.ticket, need.amount, kHold,
+                   Telling(need.endpoint, std::move(then)));
+}
 
 void MemoryHold::Acquire(std::function<void(bool held)> done) {
   done_ = std::move(done);
   unanswered_ = needs_.size();
   for (const MemoryNeed& need : needs_) {
-    orders_->Reserve(
-        need.address, need.ticket, need.amount, kHold,
-        [self = shared_from_this()](bool held) { self->OnAnswer(held); });
+    Reserve(need,
+            [self = shared_from_this()](bool held) { self->OnReserved(held); });
   }
 }
 
-void MemoryHold::OnAnswer(bool held) {
+void MemoryHold::OnReserved(bool held) {
   failed_ = failed_ || !held;
   --unanswered_;
   if (unanswered_ > 0 || released_) {
@@ -40,7 +60,8 @@
   released_ = true;
   timer_.cancel();
   for (const MemoryNeed& need : needs_) {
-    orders_->Release(need.address, need.ticket);
+    orders_->Release(need.endpoint.address, need.ticket,
+                     Telling(need.endpoint, [](bool /*done*/) {}));
   }
 }
 
@@ -58,8 +79,7 @@
   for (const MemoryNeed& need : needs_) {
     // A renewal that fails needs no answer here: the engine cuts the request,
     // and that is told on the request's own connection.
-    orders_->Reserve(need.address, need.ticket, need.amount, kHold,
-                     [](bool) {});
+    Reserve(need, [](bool /*done*/) {});
   }
   RenewLater();
 }
--- a/src/gateway/memory_hold.h
+++ b/src/gateway/memory_hold.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "harecrank/core/endpoint_directory.h"
 #include "src/gateway/memory_orders.h"
 #include "src/gateway/timer.h"
 
@@ -16,7 +17,7 @@
 
 // What is needed at one engine.
 struct MemoryNeed {
-  std::string address;
+  EndpointRecord endpoint;
   MemoryTicket ticket;
   Tokens amount;
 };
@@ -25,9 +26,13 @@
 // out: what is not free now is given up with the rest. Not thread-safe.
 class MemoryHold : public std::enable_shared_from_this<MemoryHold> {
  public:
+  // Told of each answer, also of those that come when this has ended.
+  using OnEndpointAnswer = std::function<void(const EndpointRecord& endpoint,
+                                              const EndpointAnswer& answer)>;
+
   // `orders` must outlive this.
   MemoryHold(boost::asio::io_context* io, MemoryOrders* orders,
-             std::vector<MemoryNeed> needs);
+             std::vector<MemoryNeed> needs, OnEndpointAnswer on_answer);
 
   // Calls `done` once with whether all of it is held. Holds are renewed until
   // Release.
@@ -44,12 +49,18 @@
   static constexpr Millis kRenewal{900};
 
  private:
-  void OnAnswer(bool held);
+  void OnReserved(bool held);
+  // Returns what tells of the answer of `endpoint`, and then calls `then` with
+  // whether the order was carried out.
+  MemoryOrders::OnResult Telling(const EndpointRecord& endpoint,
+                                 std::function<void(bool done)> then) const;
+  void Reserve(const MemoryNeed& need, std::function<void(bool done)> then);
   void RenewLater();
   void Renew();
 
   MemoryOrders* orders_;
   std::vector<MemoryNeed> needs_;
+  OnEndpointAnswer on_answer_;
   Timer timer_;
   std::function<void(bool)> done_;
   std::size_t unanswered_ = 0;
--- a/src/gateway/memory_hold_test.cc
+++ b/src/gateway/memory_hold_test.cc
@@ -11,30 +11,49 @@
 class ScriptedOrders : public MemoryOrders {
  public:
   void Reserve(const std::string& address, const MemoryTicket&, Tokens, Millis,
-               std::function<void(bool held)> done) override {
+               OnResult on_result) override {
     ++reserved_[address];
-    answers_.push_back(std::move(done));
+    answers_.push_back(std::move(on_result));
   }
-  void Release(const std::string& address, const MemoryTicket&) override {
+  void Release(const std::string& address, const MemoryTicket&,
+               OnResult on_result) override {
     ++released_[address];
+    releases_.push_back(std::move(on_result));
   }
 
-  void Answer(std::size_t which, bool held) { answers_.at(which)(held); }
+  void Answer(std::size_t which, bool held) {
+    answers_.at(which)(OrderResult{held, EndpointAnswer{}});
+  }
+  void AnswerRelease(std::size_t which) {
+    releases_.at(which)(OrderResult{true, EndpointAnswer{}});
+  }
 
   std::map<std::string, int> reserved_;
   std::map<std::string, int> released_;
 
  private:
-  std::vector<std::function<void(bool)>> answers_;
+  std::vector<OnResult> answers_;
+  std::vector<OnResult> releases_;
 };
 
+MemoryNeed Need(const std::string& address, const std::string& ticket) {
+  MemoryNeed need;
+  need.endpoint.id = EndpointId{"engine-" + address};
+  need.endpoint.address = address;
+  need.ticket = MemoryTicket{ticket};
+  need.amount = Tokens{5};
+  return need;
+}
+
 class HoldFixture {
  protected:
   std::shared_ptr<MemoryHold> Acquire() {
     auto hold = std::make_shared<MemoryHold>(
         &io_, &orders_,
-        std::vector<MemoryNeed>{{"a", MemoryTicket{"t1"}, Tokens{5}},
-                                {"b", MemoryTicket{"t2"}, Tokens{5}}});
+        std::vector<MemoryNeed>{Need("a", "t1"), Need("b", "t2")},
+        [this](const EndpointRecord& endpoint, const EndpointAnswer&) {
+          heard_.push_back(endpoint.id.value);
+        });
     hold->Acquire([this](bool held) { outcomes_.push_back(held); });
     return hold;
   }
@@ -42,8 +61,19 @@
   boost::asio::io_context io_;
   ScriptedOrders orders_;
   std::vector<bool> outcomes_;
+  // Whose answers were told.
+  std::vector<std::string> heard_;
 };
 
+TEST_CASE_METHOD(HoldFixture, "Every answer of an engine to an order is told") {
+  const auto hold = Acquire();
+  orders_.Answer(0, true);
+  orders_.Answer(1, true);
+  hold->Release();
+  orders_.AnswerRelease(1);
+  CHECK(heard_ == std::vector<std::string>{"engine-a", "engine-b", "engine-b"});
+}
+
 TEST_CASE_METHOD(HoldFixture, "Memory is held when every engine has given it") {
   const auto hold = Acquire();
   orders_.Answer(0, true);
--- a/src/gateway/place_seeker.cc
+++ b/src/gateway/place_seeker.cc
@@ -376,16 +376,20 @@
   std::vector<MemoryNeed> needs;
   for (const Helper& helper : placement.helpers) {
     if (Tokens{0} < helper.held) {
-      needs.push_back(MemoryNeed{helper.record.address,
-                                 TicketFor(helper.record.id), helper.held});
+      needs.push_back(
+          MemoryNeed{helper.record, TicketFor(helper.record.id), helper.held});
     }
   }
   if (needs.empty()) {
     GivePlace(placement);
     return;
   }
-  hold_ = std::make_shared<MemoryHold>(services_->io, services_->orders,
-                                       std::move(needs));
+  hold_ = std::make_shared<MemoryHold>(
+      services_->io, services_->orders, std::move(needs),
+      [answers = services_->answers, asked_at = services_->clock()](
+          const EndpointRecord& endpoint, const EndpointAnswer& answer) {
+        answers->OnAnswer(endpoint, answer, asked_at);
+      });
   hold_->Acquire([weak = weak_from_this(), placement](bool held) {
     const auto self = weak.lock();
     if (self != nullptr && self->observer_ != nullptr) {
