--- a/include/harecrank/core/request_quarantine.h
+++ b/include/harecrank/core/request_quarantine.h
@@ -10,7 +10,9 @@
 // answered whole by any endpoint ends none, and all that was counted against
 // it is dropped. One that is held is let through alone, once the endpoints of
 // an outage are back, so that many ends at one time do not shut out a request
-// that half of all callers make.
+// that half of all callers make. Held requests are let through one after the
+// other: on one endpoint with the one that ends it, a harmless one would be
+// taken for another such.
 //
 // What hosts know is merged by set union and by the latest time, so that words
 // which are lost, come twice or come late do not count an end twice. Nothing is
@@ -133,6 +135,9 @@
   // luck: while an endpoint ends each second for other reasons, one trial of
   // 0.3 s in 60 meets an end among 18 of them.
   static constexpr Millis kPauseAfterFailure{60000};
+  // From one trial to the next of another request: several times what an engine
+  // takes to end under a request, and what hosts take to tell each other.
+  static constexpr Millis kTrialSpacing{500};
   // How often a trial must fail until the request is not tried any more.
   static constexpr int kProof = 2;
   // Trials of one request: the platform's bound on what reaches endpoints of a
@@ -170,6 +175,8 @@
   using Records = std::map<RequestFingerprint, Record>;
 
   static bool IsForgotten(const Record& record, TimePoint now);
+  // Whether a trial is under way, of any request.
+  bool IsTrialUnderWay(TimePoint now) const;
   // Drops all that counts against it.
   static void Clear(Record* record);
   // Returns the record of `request`, new or not, or null if there is no room.
@@ -184,6 +191,8 @@
 
   MonotonicClock clock_;
   Records records_;
+  // When a held request was last let through, by this host or another.
+  std::optional<TimePoint> last_trial_;
   // Hosts tell it with every word.
   mutable std::optional<std::uint64_t> digest_;
 };
--- a/src/core/request_quarantine.cc
+++ b/src/core/request_quarantine.cc
@@ -84,7 +84,11 @@
     return false;
   }
   return record.failed_trials >= kProof || record.trials >= kMostTrials ||
-         now < record.held_until;
+         now < record.held_until || IsTrialUnderWay(now);
+}
+
+bool RequestQuarantine::IsTrialUnderWay(TimePoint now) const {
+  return last_trial_.has_value() && now - *last_trial_ < kTrialSpacing;
 }
 
 bool RequestQuarantine::TakeTurn(const RequestFingerprint& request,
@@ -99,7 +103,8 @@
   if (tries) {
     OnChanged();
     ++found->second.trials;
-    found->second.held_until = clock_() + kTrialPause;
+    last_trial_ = clock_();
+    found->second.held_until = *last_trial_ + kTrialPause;
   }
   if (is_trial != nullptr) {
     *is_trial = tries;
@@ -113,6 +118,7 @@
     OnChanged();
     --found->second.trials;
     found->second.held_until = clock_();
+    last_trial_.reset();
   }
 }
 
@@ -140,6 +146,9 @@
     Clear(record);
   }
   const TimePoint now = clock_();
+  if (record->trials > trials) {
+    last_trial_ = now;
+  }
   record->last_crash = std::max(record->last_crash, now - report.age);
   record->held_until = std::max(record->held_until, now + report.held_for);
   return record->crashes.size() != known || record->cleared.size() != cleared ||
--- a/src/core/request_quarantine_test.cc
+++ b/src/core/request_quarantine_test.cc
@@ -78,6 +78,43 @@
   CHECK(host.quarantine.IsHeld(Request(1)));
 }
 
+// Two requests that were in hand at the same three ends, of which only the
+// first is to blame.
+void HoldTwo(Host* host) {
+  for (int i = 0; i < 3; ++i) {
+    host->quarantine.OnCrash(Request(1), Crash(i));
+    host->quarantine.OnCrash(Request(2), Crash(i));
+  }
+  host->now += RequestQuarantine::kTrialPause;
+}
+
+TEST_CASE("Held requests are let through one after the other") {
+  Host host;
+  HoldTwo(&host);
+  CHECK(host.quarantine.TakeTurn(Request(1)));
+  CHECK(host.quarantine.IsHeld(Request(2)));
+  CHECK_FALSE(host.quarantine.TakeTurn(Request(2)));
+  // The trial of the first ends the endpoint on which the second would be.
+  host.quarantine.OnCrash(Request(1), Crash(3));
+  host.now += Millis(500);
+  CHECK(host.quarantine.TakeTurn(Request(2)));
+  CHECK(host.quarantine.OnCompleted(Request(2)));
+  CHECK_FALSE(host.quarantine.IsHeld(Request(2)));
+  CHECK(host.quarantine.IsHeld(Request(1)));
+}
+
+TEST_CASE("A host lets no request through beside the trial of another host") {
+  Host trying;
+  Host other;
+  HoldTwo(&trying);
+  HoldTwo(&other);
+  CHECK(trying.quarantine.TakeTurn(Request(1)));
+  other.quarantine.Merge(trying.quarantine.ReportOf(Request(1)));
+  CHECK_FALSE(other.quarantine.TakeTurn(Request(2)));
+  other.now += Millis(500);
+  CHECK(other.quarantine.TakeTurn(Request(2)));
+}
+
 TEST_CASE("A trial that reached no endpoint is not spent") {
   Host host;
   host.CrashTimes(3);
