A late request that was refused still waits for a bound to let it through

A request that an endpoint turned away, and that is late by then, was refused once more where every other endpoint had a bound that opened a moment later: it was compared with the time until which it would have been in time, which had passed.

--- a/src/gateway/place_seeker.cc
+++ b/src/gateway/place_seeker.cc
@@ -204,22 +204,29 @@
       services_->directory->UsableOf(service.name), tried, service);
 }
 
+TimePoint PlaceSeeker::WaitsOfUseUntil(SendingHistory history) const {
+  // One that has waited for an endpoint already and is late all the same is
+  // still served late.
+  const bool is_late = sought_.late_at <= services_->clock();
+  const bool serves_late = history == SendingHistory::kMayHaveRun ||
+                           (history == SendingHistory::kNotRun && is_late);
+  return serves_late ? sought_.deadline : sought_.late_at;
+}
+
 bool PlaceSeeker::IsLeftOut(SendingHistory history) const {
   const auto outlook = Outlook(sought_.request.tried);
-  const TimePoint of_use_until = history == SendingHistory::kMayHaveRun
-                                     ? sought_.deadline
-                                     : sought_.late_at;
-  return outlook.has_value() && outlook->next > of_use_until;
+  return outlook.has_value() && outlook->next > WaitsOfUseUntil(history);
 }
 
 bool PlaceSeeker::EndByBounds() {
-  if (!IsLeftOut(history_)) {
+  const auto outlook = Outlook(sought_.request.tried);
+  if (!outlook.has_value() || outlook->next <= WaitsOfUseUntil(history_)) {
     return false;
   }
   if (history_ == SendingHistory::kMayHaveRun) {
     observer_->OnNoEndpoint();
   } else {
-    TurnAwayByBounds(*Outlook(sought_.request.tried));
+    TurnAwayByBounds(*outlook);
   }
   return true;
 }
@@ -235,7 +242,7 @@
   const bool all_rest =
       outlook.has_value() && outlook->rests_until > services_->clock();
   const bool may_be_told = history_ != SendingHistory::kMayHaveRun;
-  if (!all_rest || !may_be_told || outlook->next <= sought_.late_at) {
+  if (!all_rest || !may_be_told || outlook->next <= WaitsOfUseUntil(history_)) {
     return false;
   }
   TurnAwayByBounds(*outlook);
