A word costs the planner the same whatever the number of hosts

Cause: each word looked through all hosts known: Planner() three or four times, SourceReaders and HostsFor sorted the whole book, CountedHosts copied all addresses, BetterInformed scanned. HostsFor told those that may plan next of all hosts in one word: beyond some 2,000 that is no datagram. Ruled out: caching each answer for a tick: one stale planner in a tick is a wrong planner, and the scan stays. Change: orders kept up to date when a host changes (HostRanking) and when its time is over (ExpiryQueue), by the same contract; a successor is told of 400 hosts a word, in turn. Readers that the service answers come before those of higher rank. Test: 15,000 random steps against a plain scan; a fleet of 3,000 told in parts. What still grows is the ask (each engine is looked at).

--- a/include/harecrank/core/host_book.h
+++ b/include/harecrank/core/host_book.h
@@ -13,8 +13,10 @@
 #include <vector>
 
 #include "harecrank/core/clock.h"
+#include "harecrank/core/expiry_queue.h"
 #include "harecrank/core/fleet_messages.h"
 #include "harecrank/core/fleet_size.h"
+#include "harecrank/core/host_ranking.h"
 
 namespace harecrank {
 
@@ -57,13 +59,15 @@
   // Returns all other hosts that are known to be alive.
   std::vector<HostAddress> AliveOthers() const;
 
-  // Returns what to tell `reader` of: all hosts if it may plan next, otherwise
-  // those of highest rank and a few more.
-  std::vector<KnownHost> HostsFor(const HostAddress& reader) const;
+  // Returns what to tell `reader` of: those of highest rank and a few more; if
+  // it may plan next, as many others as fit, and the next ones at the next
+  // call, so that it soon knows all.
+  std::vector<KnownHost> HostsFor(const HostAddress& reader);
 
   // Returns the hosts beside the planner that should read the platform's
-  // service, as the planner sees it: those of highest rank, without any that
-  // the service has not answered for a while.
+  // service, as the planner sees it: first those that the service answers,
+  // then those of highest rank, without any that it has not answered for a
+  // while.
   std::vector<HostAddress> SourceReaders() const;
 
   // Returns one of the hosts that were heard lately and know the most, if that
@@ -71,6 +75,13 @@
   std::optional<HostAddress> BetterInformed(RoutingVersion routing,
                                             StoreRevision known_up_to) const;
 
+  // Returns the power of `host`, or zero if it is not known.
+  HostPower PowerOf(const HostAddress& host) const;
+
+  // Returns among how many hosts the turns to read the platform's service are
+  // divided: one if no other host was heard within kLoneAfter.
+  int ReadingHosts() const;
+
   // Returns how many hosts are alive, this one among them, by what reached this
   // host itself: what a word may tell.
   int CountedHosts() const;
@@ -91,6 +102,8 @@
   // How long a host counts as alive after its last word: many times the pause
   // between two words.
   static constexpr Millis kAliveFor{3000};
+  // A host that has heard no other for this long has missed every word.
+  static constexpr Millis kLoneAfter{1000};
   // How long a silent host is not taken for the planner, unless it is heard.
   static constexpr Millis kSuspectFor{2000};
   // A host that has just started waits so long for word of a planner before it
@@ -110,20 +123,16 @@
   static constexpr Millis kPassedOver{5000};
   // How many other hosts are named beside them.
   static constexpr std::size_t kNamedBeside = 4;
+  // How many hosts a word names to one that may plan next: what fits into a
+  // datagram. Within kAliveFor it is told of ten times as many.
+  static constexpr std::size_t kMostNamed = 400;
 
  private:
-  // Sorts before another if it is the better planner.
-  using Rank = std::pair<double, std::uint64_t>;
-
   struct Host {
     HostPower power;
-    Rank rank;
-    RoutingVersion routing;
-    StoreRevision known_up_to;
-    bool source_well = false;
+    HostStanding standing;
     bool leaving = false;
     HostAddress planner;
-    int alive_hosts = 0;
     // When it last said that its own reading failed.
     TimePoint unanswered{};
     // When it was heard, when another host vouched for it, and until when it
@@ -131,23 +140,35 @@
     TimePoint heard{};
     TimePoint vouched{};
     TimePoint suspect_until{};
+    // Its place in `order_`.
+    std::size_t place = 0;
   };
+  using Hosts = std::map<HostAddress, Host>;
 
-  static Rank RankOf(const HostAddress& address, HostPower power);
+  static HostRank RankOf(const HostAddress& address, HostPower power);
 
-  bool IsRecent(TimePoint time) const;
+  // Returns the host of `address`, which is new if it was not known.
+  Hosts::value_type* Known(const HostAddress& address, HostPower power);
+  void NoteHeard(Hosts::value_type* host);
+  // Puts a host that was heard, and has changed, into all orders.
+  void Rank(Hosts::value_type* host);
+  // Takes the hosts whose time is over from all orders.
+  void Expire() const;
   // Whether there was time to hear of a planner.
   bool HasSettled() const;
-  bool IsAlive(const Host& host) const;
   // Whether it may be taken for the planner.
   bool IsEligible(const Host& host) const;
-  std::optional<HostAddress> BestClaimant() const;
-  std::optional<HostAddress> BestCandidate() const;
+  // Returns the first of `hosts`, or this one if it is better and
+  // `self_stands`, that may be taken for the planner.
+  std::optional<HostAddress> Best(const HostsByRank& hosts,
+                                  bool self_stands) const;
   // Returns at most `most` of the living hosts that may plan, the best first,
   // and among them this one unless it leaves.
   std::vector<KnownHost> AliveByRank(std::size_t most) const;
-  void SetPower(const HostAddress& address, HostPower power, Host* host);
+  // Adds at most `most` hosts that were heard lately to `told`, in turn.
+  void NameInTurn(std::size_t most, std::vector<KnownHost>* told);
   void DropForgotten();
+  void Forget(Hosts::iterator host);
 
   KnownHost self_;
   std::vector<HostAddress> seeds_;
@@ -161,7 +182,18 @@
   bool claims_ = false;
   // Others take this host for the planner: it planned in a former life.
   bool expected_ = false;
-  std::map<HostAddress, Host> hosts_;
+  // When any host was last heard.
+  TimePoint heard_any_{};
+  Hosts hosts_;
+  // The same, to draw from, and who is named next.
+  std::vector<HostAddress> order_;
+  std::size_t named_next_ = 0;
+  // Those heard within kAliveFor, and those that were heard or vouched for.
+  // Brought up to date by time whenever they are looked at.
+  mutable ExpiryQueue<HostAddress> heard_;
+  mutable ExpiryQueue<HostAddress> alive_;
+  mutable HostRanking ranking_;
+  mutable HostsByRank alive_by_rank_;
 };
 
 }  // namespace harecrank
--- a/src/core/host_book.cc
+++ b/src/core/host_book.cc
@@ -16,6 +16,8 @@
 constexpr std::size_t kReadersTried = 16;
 // The key by which hosts of equal power are ranked.
 constexpr char kPlannerKey[] = "planner";
+// The key by which hosts that know the same are drawn.
+constexpr char kDrawKey[] = "draw";
 
 }  // namespace
 
@@ -40,27 +42,28 @@
   if (word.address == self_.address) {
     return false;
   }
-  const TimePoint now = clock_();
-  Host& host = hosts_[word.address];
-  const bool is_new = !IsRecent(host.heard);
-  SetPower(word.address, word.power, &host);
-  host.routing = word.routing;
-  host.known_up_to = word.known_up_to;
-  host.source_well = word.source_well;
+  Expire();
+  const bool is_new = !heard_.Holds(word.address);
+  Hosts::value_type* known = Known(word.address, word.power);
+  Host& host = known->second;
+  host.standing.routing = word.routing;
+  host.standing.known_up_to = word.known_up_to;
+  host.standing.source_well = word.source_well;
+  host.standing.is_answered = word.own_reading == OwnReading::kAnswered;
+  host.standing.alive_hosts = word.alive_hosts;
   host.leaving = word.leaving;
   host.planner = word.planner;
-  host.alive_hosts = word.alive_hosts;
   size_.OnTold(std::max(word.alive_hosts, word.most_hosts));
   if (word.own_reading == OwnReading::kFailed) {
-    host.unanswered = now;
+    host.unanswered = clock_();
   }
-  host.heard = now;
-  host.suspect_until = TimePoint{};
-  for (const KnownHost& known : word.hosts) {
-    if (known.address != self_.address) {
-      Host& other = hosts_[known.address];
-      SetPower(known.address, known.power, &other);
-      other.vouched = now;
+  NoteHeard(known);
+  for (const KnownHost& other : word.hosts) {
+    if (other.address != self_.address) {
+      Hosts::value_type* vouched = Known(other.address, other.power);
+      vouched->second.vouched = clock_();
+      alive_.Hold(vouched->first, clock_() + kAliveFor);
+      alive_by_rank_.emplace(vouched->second.standing.rank, vouched->first);
     }
   }
   expected_ = expected_ || word.planner == self_.address;
@@ -68,11 +71,61 @@
   return is_new;
 }
 
+HostBook::Hosts::value_type* HostBook::Known(const HostAddress& address,
+                                             HostPower power) {
+  const auto [known, is_new] = hosts_.try_emplace(address);
+  Host& host = known->second;
+  if (is_new) {
+    host.place = order_.size();
+    host.standing.draw = RendezvousWeight(kDrawKey, address.value);
+    order_.push_back(address);
+  }
+  if (is_new || host.power != power) {
+    alive_by_rank_.erase({host.standing.rank, address});
+    host.power = power;
+    host.standing.rank = RankOf(address, power);
+    if (alive_.Holds(address)) {
+      alive_by_rank_.emplace(host.standing.rank, address);
+    }
+    if (heard_.Holds(address)) {
+      Rank(&*known);
+    }
+  }
+  return &*known;
+}
+
+void HostBook::NoteHeard(Hosts::value_type* host) {
+  const TimePoint now = clock_();
+  heard_any_ = now;
+  host->second.heard = now;
+  host->second.suspect_until = TimePoint{};
+  heard_.Hold(host->first, now + kAliveFor);
+  alive_.Hold(host->first, now + kAliveFor);
+  alive_by_rank_.emplace(host->second.standing.rank, host->first);
+  Rank(host);
+}
+
+void HostBook::Rank(Hosts::value_type* host) {
+  host->second.standing.claims = host->second.planner == host->first;
+  ranking_.Set(host->first, host->second.standing);
+}
+
+void HostBook::Expire() const {
+  const TimePoint now = clock_();
+  heard_.Expire(now,
+                [this](const HostAddress& host) { ranking_.Remove(host); });
+  alive_.Expire(now, [this](const HostAddress& host) {
+    const auto known = hosts_.find(host);
+    if (known != hosts_.end()) {
+      alive_by_rank_.erase({known->second.standing.rank, host});
+    }
+  });
+}
+
 void HostBook::OnHeard(const HostAddress& host) {
   const auto found = hosts_.find(host);
   if (found != hosts_.end()) {
-    found->second.heard = clock_();
-    found->second.suspect_until = TimePoint{};
+    NoteHeard(&*found);
   }
 }
 
@@ -84,10 +137,10 @@
 }
 
 void HostBook::OnRedirect(const HostAddress& host, const HostAddress& planner) {
-  OnHeard(host);
   const auto found = hosts_.find(host);
   if (found != hosts_.end()) {
     found->second.planner = planner;
+    NoteHeard(&*found);
   }
 }
 
@@ -97,7 +150,8 @@
 }
 
 std::optional<HostAddress> HostBook::Planner() {
-  std::optional<HostAddress> claimant = BestClaimant();
+  Expire();
+  std::optional<HostAddress> claimant = Best(ranking_.Claimants(), claims_);
   if (claimant.has_value()) {
     claims_ = *claimant == self_.address;
     return claimant;
@@ -105,135 +159,121 @@
   if (!HasSettled()) {
     return std::nullopt;
   }
-  std::optional<HostAddress> candidate = BestCandidate();
+  std::optional<HostAddress> candidate = Best(alive_by_rank_, !leaving_);
   claims_ = candidate == self_.address;
   return candidate;
 }
 
-std::optional<HostAddress> HostBook::BestClaimant() const {
-  std::optional<HostAddress> best;
-  Rank best_rank;
-  if (claims_) {
-    best = self_.address;
-    best_rank = RankOf(self_.address, self_.power);
-  }
-  for (const auto& [address, host] : hosts_) {
-    if (host.planner != address || !IsRecent(host.heard) || !IsEligible(host)) {
-      continue;
-    }
-    if (!best.has_value() || host.rank > best_rank) {
-      best = address;
-      best_rank = host.rank;
-    }
-  }
-  return best;
-}
-
-std::optional<HostAddress> HostBook::BestCandidate() const {
-  std::optional<HostAddress> best;
-  Rank best_rank;
-  if (!leaving_) {
-    best = self_.address;
-    best_rank = RankOf(self_.address, self_.power);
-  }
-  for (const auto& [address, host] : hosts_) {
-    if (!IsAlive(host) || !IsEligible(host)) {
-      continue;
+std::optional<HostAddress> HostBook::Best(const HostsByRank& hosts,
+                                          bool self_stands) const {
+  const HostRank own = RankOf(self_.address, self_.power);
+  for (const auto& [rank, address] : hosts) {
+    if (self_stands && own > rank) {
+      break;
     }
-    if (!best.has_value() || host.rank > best_rank) {
-      best = address;
-      best_rank = host.rank;
+    if (IsEligible(hosts_.at(address))) {
+      return address;
     }
   }
-  return best;
+  return self_stands ? std::make_optional(self_.address) : std::nullopt;
 }
 
 std::vector<HostAddress> HostBook::Strangers() const {
-  std::vector<HostAddress> known;
+  std::vector<HostAddress> seeds;
   for (const HostAddress& seed : seeds_) {
     if (seed != self_.address) {
-      known.push_back(seed);
+      seeds.push_back(seed);
     }
   }
-  if (hosts_.empty() || known.empty()) {
-    return known;
-  }
-  for (const auto& [address, host] : hosts_) {
-    known.push_back(address);
+  if (order_.empty() || seeds.empty()) {
+    return seeds;
   }
-  return {known[random_() % known.size()]};
+  const std::size_t drawn = random_() % (seeds.size() + order_.size());
+  return {drawn < seeds.size() ? seeds[drawn] : order_[drawn - seeds.size()]};
 }
 
 std::vector<HostAddress> HostBook::AliveOthers() const {
+  Expire();
   std::vector<HostAddress> alive;
-  for (const auto& [address, host] : hosts_) {
-    if (IsAlive(host)) {
-      alive.push_back(address);
-    }
+  alive.reserve(alive_by_rank_.size());
+  for (const auto& [rank, address] : alive_by_rank_) {
+    alive.push_back(address);
   }
   return alive;
 }
 
 std::vector<KnownHost> HostBook::AliveByRank(std::size_t most) const {
-  using Ranked = std::pair<Rank, const HostAddress*>;
-  std::vector<Ranked> alive;
-  if (!leaving_) {
-    alive.emplace_back(RankOf(self_.address, self_.power), &self_.address);
-  }
-  for (const auto& [address, host] : hosts_) {
-    if (IsRecent(host.heard) && IsEligible(host)) {
-      alive.emplace_back(host.rank, &address);
+  Expire();
+  const HostRank own = RankOf(self_.address, self_.power);
+  bool self_stands = !leaving_;
+  std::vector<KnownHost> best;
+  for (const auto& [rank, address] : ranking_.ByRank()) {
+    if (self_stands && own > rank && best.size() < most) {
+      best.push_back(self_);
+      self_stands = false;
+    }
+    if (best.size() >= most) {
+      return best;
+    }
+    if (IsEligible(hosts_.at(address))) {
+      best.push_back(KnownHost{address, HostPower{rank.first}});
     }
   }
-  const std::size_t kept = std::min(most, alive.size());
-  std::partial_sort(
-      alive.begin(), alive.begin() + static_cast<std::ptrdiff_t>(kept),
-      alive.end(),
-      [](const Ranked& a, const Ranked& b) { return a.first > b.first; });
-  std::vector<KnownHost> best;
-  for (std::size_t i = 0; i < kept; ++i) {
-    best.push_back(
-        KnownHost{*alive[i].second, HostPower{alive[i].first.first}});
+  if (self_stands && best.size() < most) {
+    best.push_back(self_);
   }
   return best;
 }
 
-std::vector<KnownHost> HostBook::HostsFor(const HostAddress& reader) const {
+std::vector<KnownHost> HostBook::HostsFor(const HostAddress& reader) {
   std::vector<KnownHost> told = AliveByRank(kSuccessors + 1);
   const bool may_plan_next = std::any_of(
       told.begin(), told.end(),
       [&reader](const KnownHost& host) { return host.address == reader; });
   if (may_plan_next) {
-    return AliveByRank(hosts_.size() + 1);
+    if (hosts_.size() < kMostNamed) {
+      return AliveByRank(hosts_.size() + 1);
+    }
+    NameInTurn(kMostNamed - told.size(), &told);
+    return told;
   }
-  for (std::size_t i = 0; i < kNamedBeside && !hosts_.empty(); ++i) {
-    const auto drawn = std::next(
-        hosts_.begin(), static_cast<std::ptrdiff_t>(random_() % hosts_.size()));
-    if (IsRecent(drawn->second.heard)) {
-      told.push_back(KnownHost{drawn->first, drawn->second.power});
+  for (std::size_t i = 0; i < kNamedBeside && !order_.empty(); ++i) {
+    const HostAddress& drawn = order_[random_() % order_.size()];
+    if (heard_.Holds(drawn)) {
+      told.push_back(KnownHost{drawn, hosts_.at(drawn).power});
     }
   }
   return told;
 }
 
-void HostBook::SetPower(const HostAddress& address, HostPower power,
-                        Host* host) {
-  if (host->power != power || host->rank == Rank{}) {
-    host->power = power;
-    host->rank = RankOf(address, power);
+void HostBook::NameInTurn(std::size_t most, std::vector<KnownHost>* told) {
+  for (std::size_t i = 0; i < most; ++i) {
+    named_next_ = (named_next_ + 1) % order_.size();
+    const HostAddress& host = order_[named_next_];
+    if (heard_.Holds(host)) {
+      told->push_back(KnownHost{host, hosts_.at(host).power});
+    }
   }
 }
 
 std::vector<HostAddress> HostBook::SourceReaders() const {
   const TimePoint now = clock_();
+  const std::vector<KnownHost> best = AliveByRank(kReadersTried);
   std::vector<HostAddress> readers;
-  for (const KnownHost& host : AliveByRank(kReadersTried)) {
-    if (host.address == self_.address || readers.size() == kReadersBeside) {
+  for (const auto& [rank, address] : ranking_.Answered()) {
+    if (readers.size() < kReadersBeside && IsEligible(hosts_.at(address))) {
+      readers.push_back(address);
+    }
+  }
+  for (const KnownHost& known : best) {
+    if (known.address == self_.address || readers.size() >= kReadersBeside) {
       continue;
     }
-    const TimePoint unanswered = hosts_.at(host.address).unanswered;
-    if (unanswered == TimePoint{} || now - unanswered > kPassedOver) {
-      readers.push_back(host.address);
+    const Host& host = hosts_.at(known.address);
+    const bool passed_over =
+        host.unanswered != TimePoint{} && now - host.unanswered <= kPassedOver;
+    if (!passed_over && !host.standing.is_answered) {
+      readers.push_back(known.address);
     }
   }
   return readers;
@@ -241,49 +281,37 @@
 
 std::optional<HostAddress> HostBook::BetterInformed(
     RoutingVersion routing, StoreRevision known_up_to) const {
-  std::vector<HostAddress> best;
-  // All of it can be a tenth of a megabyte, which weak hosts send slowly.
-  std::pair<std::uint64_t, double> most;
-  for (const auto& [address, host] : hosts_) {
-    const bool better = routing < host.routing ||
-                        (host.source_well && known_up_to < host.known_up_to);
-    const auto key = std::make_pair(host.known_up_to.value, host.power.value);
-    if (!IsRecent(host.heard) || !better || key < most) {
-      continue;
-    }
-    if (most < key) {
-      best.clear();
-      most = key;
-    }
-    best.push_back(address);
-  }
-  if (best.empty()) {
-    return std::nullopt;
-  }
-  return best[random_() % best.size()];
+  Expire();
+  return ranking_.BetterInformed(routing, known_up_to, random_());
+}
+
+HostPower HostBook::PowerOf(const HostAddress& host) const {
+  const auto found = hosts_.find(host);
+  return found == hosts_.end() ? HostPower{} : found->second.power;
+}
+
+int HostBook::ReadingHosts() const {
+  const bool is_lone =
+      heard_any_ == TimePoint{} || clock_() - heard_any_ > kLoneAfter;
+  return is_lone ? 1 : AliveHosts();
 }
 
 int HostBook::CountedHosts() const {
-  return 1 + static_cast<int>(AliveOthers().size());
+  Expire();
+  return 1 + static_cast<int>(alive_.Count());
 }
 
 void HostBook::NoteSize() { size_.OnCounted(CountedHosts()); }
 
 int HostBook::AliveHosts() const {
-  int most = CountedHosts();
-  for (const auto& [address, host] : hosts_) {
-    if (IsRecent(host.heard)) {
-      most = std::max(most, host.alive_hosts);
-    }
-  }
-  return most;
+  return std::max(CountedHosts(), ranking_.MostAliveHosts());
 }
 
 int HostBook::SharingHosts() const {
   return std::max(AliveHosts(), size_.Most().value_or(0));
 }
 
-HostBook::Rank HostBook::RankOf(const HostAddress& address, HostPower power) {
+HostRank HostBook::RankOf(const HostAddress& address, HostPower power) {
   return {power.value, RendezvousWeight(kPlannerKey, address.value)};
 }
 
@@ -296,14 +324,6 @@
   return expected_ || clock_() - started_ >= needed;
 }
 
-bool HostBook::IsRecent(TimePoint time) const {
-  return time != TimePoint{} && clock_() - time <= kAliveFor;
-}
-
-bool HostBook::IsAlive(const Host& host) const {
-  return IsRecent(host.heard) || IsRecent(host.vouched);
-}
-
 bool HostBook::IsEligible(const Host& host) const {
   return !host.leaving && clock_() >= host.suspect_until;
 }
@@ -317,8 +337,20 @@
   for (auto it = hosts_.begin(); it != hosts_.end();) {
     const Host& host = it->second;
     const TimePoint last = std::max(host.heard, host.vouched);
-    it = now - last > kForgetAfter ? hosts_.erase(it) : std::next(it);
+    const auto next = std::next(it);
+    if (now - last > kForgetAfter) {
+      Forget(it);
+    }
+    it = next;
   }
 }
 
+void HostBook::Forget(Hosts::iterator host) {
+  const std::size_t place = host->second.place;
+  order_[place] = order_.back();
+  hosts_.at(order_[place]).place = place;
+  order_.pop_back();
+  hosts_.erase(host);
+}
+
 }  // namespace harecrank
--- /dev/null
+++ b/src/core/host_book_property_test.cc
@@ -0,0 +1,310 @@
+// The orders that a HostBook keeps up to date against a plain scan of all that
+// it was told.
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+
+#include "harecrank/core/host_book.h"
+#include "harecrank/core/rendezvous.h"
+
+namespace harecrank {
+namespace {
+
+// All that was told, looked through for each question.
+class PlainScan {
+ public:
+  explicit PlainScan(KnownHost self) : self_(std::move(self)) {}
+
+  struct Host {
+    HostWord word;
+    std::optional<TimePoint> heard;
+    std::optional<TimePoint> vouched;
+    std::optional<TimePoint> unanswered;
+    TimePoint suspect_until{};
+  };
+
+  void OnWord(const HostWord& word, TimePoint now) {
+    Host& host = hosts[word.address];
+    host.word = word;
+    host.heard = now;
+    host.suspect_until = TimePoint{};
+    if (word.own_reading == OwnReading::kFailed) {
+      host.unanswered = now;
+    }
+    for (const KnownHost& known : word.hosts) {
+      if (known.address != self_.address) {
+        Host& other = hosts[known.address];
+        other.word.address = known.address;
+        other.word.power = known.power;
+        other.vouched = now;
+      }
+    }
+  }
+
+  void OnSilent(const HostAddress& host, TimePoint now) {
+    if (hosts.count(host) > 0) {
+      hosts[host].suspect_until = now + HostBook::kSuspectFor;
+    }
+  }
+
+  static bool IsRecent(const std::optional<TimePoint>& time, TimePoint now) {
+    return time.has_value() && now - *time <= HostBook::kAliveFor;
+  }
+  static bool IsAlive(const Host& host, TimePoint now) {
+    return IsRecent(host.heard, now) || IsRecent(host.vouched, now);
+  }
+  static bool IsEligible(const Host& host, TimePoint now) {
+    return !host.word.leaving && now >= host.suspect_until;
+  }
+
+  static HostRank RankOf(const HostAddress& address, HostPower power) {
+    return {power.value, RendezvousWeight("planner", address.value)};
+  }
+
+  // Returns the best of the hosts that `may` be chosen, and this one.
+  template <typename May>
+  HostAddress Best(const May& may) const {
+    HostAddress best = self_.address;
+    HostRank rank = RankOf(self_.address, self_.power);
+    for (const auto& [address, host] : hosts) {
+      if (may(host) && RankOf(address, host.word.power) > rank) {
+        best = address;
+        rank = RankOf(address, host.word.power);
+      }
+    }
+    return best;
+  }
+
+  std::set<HostAddress> Alive(TimePoint now) const {
+    std::set<HostAddress> alive;
+    for (const auto& [address, host] : hosts) {
+      if (IsAlive(host, now)) {
+        alive.insert(address);
+      }
+    }
+    return alive;
+  }
+
+  int AliveHosts(TimePoint now) const {
+    int most = 1 + static_cast<int>(Alive(now).size());
+    for (const auto& [address, host] : hosts) {
+      if (IsRecent(host.heard, now)) {
+        most = std::max(most, host.word.alive_hosts);
+      }
+    }
+    return most;
+  }
+
+  // Returns the hosts any of which may be asked for what it knows.
+  std::set<HostAddress> BetterInformed(RoutingVersion routing,
+                                       StoreRevision known,
+                                       TimePoint now) const {
+    std::set<HostAddress> best = Most(now, [&](const Host& host) {
+      return host.word.source_well && known < host.word.known_up_to
+                 ? std::make_tuple(true, std::uint64_t{0},
+                                   host.word.known_up_to.value,
+                                   host.word.power.value)
+                 : std::make_tuple(false, std::uint64_t{0}, std::uint64_t{0},
+                                   0.0);
+    });
+    if (!best.empty()) {
+      return best;
+    }
+    return Most(now, [&](const Host& host) {
+      return std::make_tuple(
+          routing < host.word.routing, host.word.routing.value,
+          host.word.known_up_to.value, host.word.power.value);
+    });
+  }
+
+  std::map<HostAddress, Host> hosts;
+
+ private:
+  // Returns those of the greatest key, if its first element is true.
+  template <typename Key>
+  std::set<HostAddress> Most(TimePoint now, const Key& key) const {
+    std::set<HostAddress> best;
+    decltype(key(Host{})) most{};
+    for (const auto& [address, host] : hosts) {
+      if (!IsRecent(host.heard, now) || !std::get<0>(key(host))) {
+        continue;
+      }
+      if (most < key(host)) {
+        best.clear();
+        most = key(host);
+      }
+      if (!(key(host) < most)) {
+        best.insert(address);
+      }
+    }
+    return best;
+  }
+
+  KnownHost self_;
+};
+
+class PropertyFixture {
+ protected:
+  static HostAddress Address(std::uint64_t host) {
+    return HostAddress{"10.0.0." + std::to_string(host) + ":1"};
+  }
+
+  HostWord RandomWord() {
+    HostWord word;
+    const std::uint64_t host = 1 + random_() % kHosts;
+    word.address = Address(host);
+    word.power = HostPower{host % 3 == 0 ? 1.0 : 0.09};
+    word.routing = RoutingVersion{random_() % 4};
+    word.known_up_to = StoreRevision{random_() % 5};
+    word.source_well = random_() % 3 != 0;
+    word.own_reading = static_cast<OwnReading>(random_() % 4);
+    word.planner = Address(random_() % 8 == 0 ? host : random_() % kHosts);
+    word.leaving = random_() % 20 == 0;
+    word.alive_hosts = static_cast<int>(random_() % 30);
+    for (std::uint64_t i = random_() % 4; i > 0; --i) {
+      const std::uint64_t other = random_() % kHosts;
+      word.hosts.push_back(
+          KnownHost{Address(other), HostPower{other % 3 == 0 ? 1.0 : 0.09}});
+    }
+    return word;
+  }
+
+  void Play() {
+    switch (random_() % 4) {
+      case 0:
+        now_ += Millis(static_cast<std::int64_t>(random_() % 900));
+        break;
+      case 1: {
+        const HostAddress host = Address(1 + random_() % kHosts);
+        book_.OnSilent(host);
+        plain_.OnSilent(host, now_);
+        break;
+      }
+      default: {
+        const HostWord word = RandomWord();
+        book_.OnWord(word);
+        plain_.OnWord(word, now_);
+      }
+    }
+  }
+
+  void Check() {
+    const std::set<HostAddress> alive = plain_.Alive(now_);
+    const std::vector<HostAddress> others = book_.AliveOthers();
+    CHECK(std::set<HostAddress>(others.begin(), others.end()) == alive);
+    CHECK(others.size() == alive.size());
+    CHECK(book_.CountedHosts() == 1 + static_cast<int>(alive.size()));
+    CHECK(book_.AliveHosts() == plain_.AliveHosts(now_));
+    CheckPlanner();
+    CheckBetterInformed();
+    CheckReaders();
+  }
+
+  void CheckPlanner() {
+    const auto claims = [this](const PlainScan::Host& host) {
+      return host.word.planner == host.word.address &&
+             PlainScan::IsRecent(host.heard, now_) &&
+             PlainScan::IsEligible(host, now_);
+    };
+    const bool any =
+        std::any_of(plain_.hosts.begin(), plain_.hosts.end(),
+                    [&](const auto& entry) { return claims(entry.second); });
+    if (!claims_ && any) {
+      // Without itself, which is the weakest here.
+      CHECK(book_.Planner() == plain_.Best(claims));
+      return;
+    }
+    const HostAddress candidate =
+        any ? plain_.Best(claims)
+            : plain_.Best([this](const PlainScan::Host& host) {
+                return PlainScan::IsAlive(host, now_) &&
+                       PlainScan::IsEligible(host, now_);
+              });
+    if (!claims_) {
+      CHECK(book_.Planner() == candidate);
+    }
+    claims_ = book_.Planner() == kSelf.address;
+  }
+
+  void CheckBetterInformed() {
+    const RoutingVersion routing{random_() % 4};
+    const StoreRevision known{random_() % 5};
+    const auto asked = book_.BetterInformed(routing, known);
+    const std::set<HostAddress> best =
+        plain_.BetterInformed(routing, known, now_);
+    CHECK(asked.has_value() == !best.empty());
+    if (asked.has_value()) {
+      CHECK(best.count(*asked) == 1);
+    }
+  }
+
+  void CheckReaders() {
+    for (const HostAddress& reader : book_.SourceReaders()) {
+      const PlainScan::Host& host = plain_.hosts.at(reader);
+      CHECK(PlainScan::IsRecent(host.heard, now_));
+      CHECK(PlainScan::IsEligible(host, now_));
+      const bool passed_over = host.unanswered.has_value() &&
+                               now_ - *host.unanswered <= HostBook::kPassedOver;
+      CHECK((host.word.own_reading == OwnReading::kAnswered || !passed_over));
+    }
+  }
+
+  static constexpr std::uint64_t kHosts = 40;
+  const KnownHost kSelf{Address(0), HostPower{0.01}};
+
+  std::mt19937_64 random_{GENERATE(1U, 2U, 3U, 4U, 5U)};
+  TimePoint now_{std::chrono::hours(1)};
+  HostBook book_{kSelf,
+                 {Address(1)},
+                 [this] { return now_; },
+                 [this] { return random_(); }};
+  PlainScan plain_{kSelf};
+  bool claims_ = false;
+};
+
+TEST_CASE_METHOD(PropertyFixture,
+                 "A host book answers as a scan of all hosts would") {
+  now_ += HostBook::kAlone;
+  constexpr int kSteps = 3000;
+  for (int step = 0; step < kSteps; ++step) {
+    Play();
+    Check();
+  }
+}
+
+// Words of a large fleet fit into datagrams, and all hosts are named in turn.
+TEST_CASE("A host that may plan next is told of a large fleet in parts") {
+  constexpr int kHosts = 3000;
+  TimePoint now{std::chrono::hours(1)};
+  std::mt19937_64 random(7);
+  HostBook book(
+      KnownHost{HostAddress{"10.0.0.1:1"}, HostPower{2}},
+      {HostAddress{"10.0.0.1:1"}}, [&now] { return now; },
+      [&random] { return random(); });
+  HostAddress next;
+  for (int host = 0; host < kHosts; ++host) {
+    HostWord word;
+    word.address = HostAddress{"10.1." + std::to_string(host) + ":1"};
+    word.power = HostPower{host == 0 ? 1.0 : 0.09};
+    book.OnWord(word);
+    next = host == 0 ? word.address : next;
+  }
+  std::set<HostAddress> named;
+  for (Millis passed{0}; passed < HostBook::kAliveFor; passed += Millis(300)) {
+    HostWord word;
+    word.hosts = book.HostsFor(next);
+    constexpr std::size_t kMostBytes = 16384;
+    CHECK(EncodeFleetMessage(word).size() <= kMostBytes);
+    for (const KnownHost& known : word.hosts) {
+      named.insert(known.address);
+    }
+  }
+  CHECK(named.size() == kHosts + 1);
+}
+
+}  // namespace
+}  // namespace harecrank
