CopyDesk: who is given a copy of all that is published, and when

Load: a fleet that starts or comes back at once asks one host for everything, 0.1 MB to each of hundreds. A few copies go out at a time by the host's power; who comes meanwhile is sent to a host that was given one, or told when to come, by rounds that double. Test: 402, 804 and 3,216 hosts that start at once, all served within a second and never more than eight copies under way at one host.

--- /dev/null
+++ b/src/core/copy_desk.cc
@@ -0,0 +1,47 @@
+#include "harecrank/core/copy_desk.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace harecrank {
+
+CopyDesk::CopyDesk(HostPower power, MonotonicClock clock)
+    : most_(std::max(1, static_cast<int>(power.value * kAtOnceOfWholeCore))),
+      clock_(std::move(clock)) {}
+
+CopyDecision CopyDesk::OnAsked(const std::optional<HostAddress>& elsewhere) {
+  if (under_way_ < most_) {
+    if (under_way_ == 0) {
+      busy_since_ = clock_();
+      gone_ = 0;
+      sent_away_ = 0;
+    }
+    ++under_way_;
+    return GiveCopy{};
+  }
+  if (elsewhere.has_value()) {
+    return AskElsewhere{*elsewhere};
+  }
+  // Who comes later finds more hosts that give copies: their number doubles
+  // with each round.
+  ++sent_away_;
+  const double rounds = 1 + std::log2(1 + static_cast<double>(sent_away_) / most_);
+  const auto away = std::chrono::duration_cast<Millis>(rounds * RoundTime());
+  return ComeLater{std::min(kLongestAway, away)};
+}
+
+FractionalMillis CopyDesk::RoundTime() const {
+  if (gone_ == 0) {
+    return kUsualRound;
+  }
+  const FractionalMillis busy = clock_() - busy_since_;
+  return std::max(FractionalMillis(kLeastRound), busy * most_ / gone_);
+}
+
+void CopyDesk::OnGone() {
+  --under_way_;
+  ++gone_;
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/core/copy_desk_test.cc
@@ -0,0 +1,172 @@
+#include "harecrank/core/copy_desk.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <map>
+#include <queue>
+#include <vector>
+
+namespace harecrank {
+namespace {
+
+const HostAddress kOther{"10.0.0.2:1"};
+
+class DeskFixture {
+ protected:
+  bool IsGiven(const CopyDecision& decision) {
+    return std::holds_alternative<GiveCopy>(decision);
+  }
+
+  TimePoint now_{std::chrono::hours(1)};
+  CopyDesk desk_{HostPower{0.25}, [this] { return now_; }};
+};
+
+TEST_CASE_METHOD(DeskFixture, "As many copies go out as the host bears") {
+  CHECK(IsGiven(desk_.OnAsked(std::nullopt)));
+  CHECK(IsGiven(desk_.OnAsked(kOther)));
+  CHECK_FALSE(IsGiven(desk_.OnAsked(std::nullopt)));
+  desk_.OnGone();
+  CHECK(IsGiven(desk_.OnAsked(std::nullopt)));
+}
+
+TEST_CASE_METHOD(DeskFixture,
+                 "Beyond that hosts are sent to one that gives the same") {
+  desk_.OnAsked(std::nullopt);
+  desk_.OnAsked(std::nullopt);
+  const CopyDecision decision = desk_.OnAsked(kOther);
+  REQUIRE(std::holds_alternative<AskElsewhere>(decision));
+  CHECK(std::get<AskElsewhere>(decision).host == kOther);
+}
+
+TEST_CASE_METHOD(DeskFixture,
+                 "Where there is none they are told when their turn comes, one "
+                 "after the other") {
+  desk_.OnAsked(std::nullopt);
+  desk_.OnAsked(std::nullopt);
+  now_ += Millis(10);
+  desk_.OnGone();
+  desk_.OnAsked(std::nullopt);
+  const auto first = std::get<ComeLater>(desk_.OnAsked(std::nullopt)).after;
+  const auto second = std::get<ComeLater>(desk_.OnAsked(std::nullopt)).after;
+  CHECK(first < second);
+  CHECK(second <= CopyDesk::kLongestAway);
+}
+
+TEST_CASE_METHOD(DeskFixture, "The weakest host gives one copy at a time") {
+  CopyDesk desk(HostPower{0.09}, [this] { return now_; });
+  CHECK(IsGiven(desk.OnAsked(std::nullopt)));
+  CHECK_FALSE(IsGiven(desk.OnAsked(std::nullopt)));
+}
+
+// A fleet starts at once: one strong host has a copy, and all others ask it.
+class CopyFleet {
+ public:
+  CopyFleet(int hosts, int strong) {
+    for (int i = 0; i < hosts; ++i) {
+      hosts_.emplace_back(i < strong);
+      if (i > 0) {
+        asks_.push(Ask{now_, i, 0});
+      }
+    }
+    hosts_[0].has_copy = true;
+  }
+
+  // Plays until every host has a copy, and returns how long that took.
+  Millis Run() {
+    const TimePoint began = now_;
+    while (!asks_.empty()) {
+      const Ask ask = asks_.top();
+      asks_.pop();
+      now_ = ask.at;
+      Take(ask);
+    }
+    return std::chrono::duration_cast<Millis>(now_ - began);
+  }
+
+  int MostAtOnce() const { return most_at_once_; }
+  int MostAsksOfOne() const { return most_asks_; }
+
+ private:
+  struct Host {
+    explicit Host(bool is_strong) : is_strong(is_strong) {}
+    bool is_strong;
+    bool has_copy = false;
+    int asks = 0;
+    std::unique_ptr<CopyDesk> desk;
+  };
+  struct Ask {
+    TimePoint at;
+    int from;
+    int to;
+    // The copy from `to` has arrived.
+    bool arrives = false;
+    friend bool operator<(const Ask& a, const Ask& b) { return b.at < a.at; }
+  };
+
+  static constexpr Millis kHop{2};
+  // A host sends its copies side by side over one link.
+  static constexpr Millis kCopy{8};
+
+  static HostAddress AddressOf(int host) {
+    return HostAddress{std::to_string(host)};
+  }
+
+  void Take(const Ask& ask) {
+    if (ask.arrives) {
+      hosts_[ask.to].desk->OnGone();
+      hosts_[ask.from].has_copy = true;
+      if (hosts_[ask.from].is_strong) {
+        givers_.push_back(ask.from);
+      }
+      return;
+    }
+    Host& giver = hosts_[ask.to];
+    ++giver.asks;
+    most_asks_ = std::max(most_asks_, giver.asks);
+    if (giver.desk == nullptr) {
+      giver.desk = std::make_unique<CopyDesk>(HostPower{1.0},
+                                              [this] { return now_; });
+    }
+    const bool knows_others = ask.to == 0 && !givers_.empty();
+    const CopyDecision decision = giver.desk->OnAsked(
+        knows_others ? std::make_optional(AddressOf(NextGiver()))
+                     : std::nullopt);
+    most_at_once_ = std::max(most_at_once_, giver.desk->UnderWay());
+    if (std::holds_alternative<GiveCopy>(decision)) {
+      const Millis takes = kCopy * giver.desk->UnderWay() + kHop;
+      asks_.push(Ask{now_ + takes, ask.from, ask.to, true});
+    } else if (const auto* other = std::get_if<AskElsewhere>(&decision)) {
+      asks_.push(Ask{now_ + kHop, ask.from, std::stoi(other->host.value)});
+    } else {
+      asks_.push(
+          Ask{now_ + std::get<ComeLater>(decision).after, ask.from, 0});
+    }
+  }
+
+  int NextGiver() {
+    givers_.push_back(givers_.front());
+    givers_.pop_front();
+    return givers_.back();
+  }
+
+  TimePoint now_{std::chrono::hours(1)};
+  std::vector<Host> hosts_;
+  std::deque<int> givers_;
+  std::priority_queue<Ask> asks_;
+  int most_at_once_ = 0;
+  int most_asks_ = 0;
+};
+
+TEST_CASE("A fleet that starts at once is served in rounds that double") {
+  const int hosts = GENERATE(402, 804, 3216);
+  CopyFleet fleet(hosts, hosts / 7);
+  const Millis took = fleet.Run();
+  CHECK(fleet.MostAtOnce() <=
+        static_cast<int>(CopyDesk::kAtOnceOfWholeCore));
+  // One host alone would take eight milliseconds for each.
+  CHECK(took.count() <= 1000);
+  CHECK(took.count() < 8 * hosts / 2);
+}
+
+}  // namespace
+}  // namespace harecrank
