harecrank_bench control: the planner's work by the size of the fleet

Words, asks, changes and starts at 100 to 3,216 hosts and ten times as many endpoints, in one process without network; slope and residue as the other benches print them.

--- a/bench/main.cc
+++ b/bench/main.cc
@@ -33,6 +33,8 @@
   add("spread", "time until a change is in force", MeasureSpread);
   add("configuration", "one change among many routes, step by step",
       MeasureConfiguration);
+  add("control", "the planner's words, asks, changes and starts by size",
+      MeasureControl);
   add("slopes", "slopes for docs/CAPACITY.md", MeasureSlopes);
   CLI11_PARSE(app, argc, argv);
   ConfigureLogging("error");
--- a/bench/runs.h
+++ b/bench/runs.h
@@ -32,6 +32,10 @@
 // The processor time that one published change costs a host, step by step.
 nlohmann::json MeasureConfiguration(const RunOptions& options);
 
+// What words, asks, changes and starts cost the host that plans, at 100 to
+// 3,216 hosts with ten times as many endpoints.
+nlohmann::json MeasureControl(const RunOptions& options);
+
 // The slopes that docs/CAPACITY.md is worked out from.
 nlohmann::json MeasureSlopes(const RunOptions& options);
 
