--- a/include/harecrank/core/fleet_messages.h
+++ b/include/harecrank/core/fleet_messages.h
@@ -72,9 +72,11 @@
   // How long ago the platform answered the host that this is known from.
   Millis source_age{0};
   OwnReading own_reading = OwnReading::kNone;
-  // In a planner's reply: whether the host that it goes to should read the
-  // platform's service.
+  // In a planner's word: whether the host that it goes to is one of those that
+  // read the platform's service for all.
   std::optional<bool> should_read;
+  // If it is: zero reads all the time, others stand by in this turn.
+  int reading_turn = 0;
   // Whom it takes for the planner; itself if it plans. Empty if it knows none.
   HostAddress planner;
   // It is about to stop, and plans no more.
--- a/include/harecrank/core/http_status.h
+++ b/include/harecrank/core/http_status.h
@@ -7,6 +7,7 @@
 
 constexpr int kOk = 200;
 constexpr int kNotModified = 304;
+constexpr int kTemporaryRedirect = 307;
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorised = 401;
 constexpr int kForbidden = 403;
--- a/include/harecrank/core/reading_duty.h
+++ b/include/harecrank/core/reading_duty.h
@@ -1,13 +1,27 @@
-// Whether this host reads the platform's service itself.
+// Whether this host reads the platform's service itself, and for how long.
 //
 // Each call to the service has a price, and its rates grow more slowly than the
-// fleet. So the planner and a few others read, and tell the rest. A host that
-// is told by nobody that the service answers reads by itself: no rule that
-// binds it may depend on another host for long.
+// fleet. One host, the planner or one that it names, reads all the time and
+// tells the rest; two stand by. What a host knows has an age, counted from the
+// moment at which the service last answered whoever read it. The host whose
+// turn comes first at that age reads once and tells the planner, which tells
+// the others before their turns come:
+//
+//   the reader         always
+//   those that         at kStandByAge, and kStandByStep later for each before
+//   stand by           them
+//   all others         from kInformedFor on, a few first and more by and by,
+//                      but never more than kMostAtOnce together
+//
+// So the number of calls a second is bounded whatever the size of the fleet,
+// also while the service answers nobody, and no rule that binds a host depends
+// on another host for long. A host that hears no other has no others to share
+// the turns with, and reads at kInformedFor.
 
 #ifndef HARECRANK_CORE_READING_DUTY_H_
 #define HARECRANK_CORE_READING_DUTY_H_
 
+#include <functional>
 #include <optional>
 
 #include "harecrank/core/clock.h"
@@ -16,70 +30,139 @@
 
 namespace harecrank {
 
+// How a host reads the platform.
+enum class Reading {
+  // Not at all: it is told by others.
+  kNone,
+  // One answer, since nobody has told it for a while.
+  kOnce,
+  // All the time, for others too.
+  kContinuously
+};
+
+// What the duty asks of its owner.
+struct ReadingDutyPorts {
+  // How many hosts share the turns, this one among them; one if it hears no
+  // other.
+  std::function<int()> sharers;
+  // Whether another host is known that can tell this one all it does not know.
+  std::function<bool()> copy_is_near;
+};
+
 // Not thread-safe.
 class ReadingDuty {
  public:
   // `is_seed`: other hosts turn to this one first.
-  ReadingDuty(bool is_seed, MonotonicClock clock, const RandomSource& random);
+  ReadingDuty(bool is_seed, ReadingDutyPorts ports, MonotonicClock clock,
+              RandomSource random);
 
-  // This host plans, or the planner wants it to read or not to. What it has
-  // read counts on, as if another host had told it.
-  void SetAsked(bool asked);
+  // The planner, which may be this host, has named this one's turn among those
+  // that read for all: zero reads all the time, others stand by. Nothing: it
+  // is none of them.
+  void SetTurn(std::optional<int> turn);
 
   // The service answered this host, or not as it should.
   void OnAnswered();
-  void OnFailed() { own_ = OwnReading::kFailed; }
+  void OnFailed();
 
   // A host has told this one all that it knows, which the service answered
   // `age` ago. What was read long ago counts as little at the end of a chain of
-  // hosts as at its beginning: with an age of zero at each host, two seconds
-  // passed before anyone read after the readers were turned away.
+  // hosts as at its beginning.
   void OnInformed(Millis age);
 
-  // Returns whether others rely on this host's reading.
-  bool ReadsForOthers() const { return asked_; }
+  // Looks whether this host's turn has come. To be called a few times a second
+  // and before Kind is looked at.
+  void Update();
 
-  // Returns whether this host has to read, for others or for itself.
-  bool Reads() const;
+  // Returns how this host has to read.
+  Reading Kind() const;
 
-  // Returns how this host's own reading goes. What the service answered before
-  // a pause in reading says nothing.
+  // Returns how this host's own reading goes.
   OwnReading Own() const;
 
   // Returns whether this host knows what is published, from the service or from
   // another host.
-  bool IsWell() const;
+  bool IsWell() const { return Age() <= kInformedFor; }
+
+  // Returns whether the turns of hosts that stand by have begun to come.
+  bool IsLate() const { return Age() > kStandByAge; }
 
   // Returns how long ago the service answered what this host knows; kUnknownAge
   // if it knows nothing.
   Millis Age() const;
 
-  // This host does not read any more.
-  void OnStopped() { own_ = OwnReading::kNone; }
-
-  // How long an answer of the service counts: the longest pause between two
-  // answers of a sound service, and a lost word between hosts.
+  // How long the reader's calls wait for a change.
+  static constexpr Millis kWatchWait{500};
+  // What a call takes, and what a word takes on its way and in the queues of
+  // weak hosts.
+  static constexpr Millis kCallTime{50};
+  static constexpr Millis kWordTime{50};
+  // The longest pause between two words of the planner to a host.
+  static constexpr Millis kWordPause{340};
+  // How long an answer of the service counts.
   static constexpr Millis kInformedFor{1000};
   // Longer than any answer counts.
   static constexpr Millis kUnknownAge{3600000};
-  // Hosts that hear nothing begin to read within so long of each other, and not
-  // all at once: the first that is answered can tell the others.
+  // The age at which the first host that stands by reads: the planner tells it
+  // each answer at once.
+  static constexpr Millis kStandByAge{650};
+  static constexpr Millis kStandByStep{150};
+  // The turns of all other hosts come within this.
   static constexpr Millis kSpread{400};
+  // With so many that begin at once, all are turned away together only where
+  // the service turns away nearly everyone; and so many begin first.
+  static constexpr int kMostAtOnce = 16;
+  static constexpr int kFirstAtOnce = 2;
+  // After this the turns are drawn anew; it doubles while the service does not
+  // answer this host.
+  static constexpr Millis kRound{500};
+  static constexpr Millis kLongestRound{2000};
   // A seed that has just started reads at once, since callers may be waiting
-  // for the whole fleet: 0.3 s without a configuration after a stop of all
-  // hosts cost 0.02 of a day's worth. Other hosts hear from it within this.
+  // for the whole fleet. The turns of other hosts come after this, and for so
+  // long at the most they wait for a copy of what another one knows.
   static constexpr Millis kPatienceAtStart{150};
+  static constexpr Millis kCopyWithin{2000};
+
+  // A host that every word reaches has no turn while the service is well, and
+  // one that has missed a word does not read for sure.
+  static_assert(kWatchWait + kCallTime + kWordPause + kWordTime <=
+                kInformedFor);
+  static_assert(kWatchWait + kCallTime + 2 * kWordPause + kWordTime <=
+                kInformedFor + kSpread);
+  // Those that stand by are told within their patience, and others are told
+  // what the first of them reads before their own turns come.
+  static_assert(kWatchWait + kCallTime + kWordTime <= kStandByAge);
+  static_assert(kStandByAge + kStandByStep + kCallTime + 2 * kWordTime <=
+                kInformedFor);
+  static_assert(kSpread < kRound);
 
  private:
+  bool KnowsNothing() const { return !answered_at_.has_value(); }
+  // Returns the age at which this host's turns begin.
+  Millis Patience() const;
+  // Begins the rounds of turns at `from`.
+  void BeginRounds(TimePoint from);
+  Millis RoundLength() const;
+  // Returns how long after the beginning of a round this host's turn comes;
+  // nothing if not in this round.
+  std::optional<Millis> TurnInRound() const;
+
+  ReadingDutyPorts ports_;
   MonotonicClock clock_;
-  Millis spread_;
-  bool asked_ = false;
-  OwnReading own_ = OwnReading::kNone;
-  // When the service last answered what this host knows: itself, or the host
-  // that told it.
+  RandomSource random_;
+  TimePoint started_;
+  std::optional<int> turn_;
+  // Its turn has come, and the service is still to answer.
+  bool reads_once_ = false;
+  int failures_ = 0;
+  // When the service last failed to answer this host, unless it has answered
+  // since; when it last answered it, and whoever it knows from.
+  std::optional<TimePoint> failed_at_;
+  std::optional<TimePoint> own_answered_at_;
   std::optional<TimePoint> answered_at_;
-  // From then on this host reads unless it is told.
-  TimePoint reads_from_;
+  TimePoint round_began_;
+  // Of this round, between zero and one.
+  double draw_ = 0;
 };
 
 }  // namespace harecrank
--- a/src/core/fleet_messages.cc
+++ b/src/core/fleet_messages.cc
@@ -268,7 +268,8 @@
          word.should_read.has_value() ? json(*word.should_read) : json()});
     // What follows is left out where there is nothing to tell: hosts of an
     // earlier version pass over a word that is longer than they know.
-    const bool tells_limits = !word.limits.empty();
+    const bool tells_turn = word.reading_turn != 0;
+    const bool tells_limits = tells_turn || !word.limits.empty();
     const bool tells_size = tells_limits || word.most_hosts != 0;
     const bool tells_digest = tells_size || word.crash_digest != 0;
     if (word.work.has_value() || tells_digest) {
@@ -283,6 +284,9 @@
     if (tells_limits) {
       array.push_back(EncodeLimits(word.limits));
     }
+    if (tells_turn) {
+      array.push_back(word.reading_turn);
+    }
     return array;
   }
 
@@ -397,6 +401,9 @@
   if (size > kSizeWithoutWork + 3) {
     word.limits = TakeLimits(reader);
   }
+  if (size > kSizeWithoutWork + 4) {
+    word.reading_turn = reader->Take<int>();
+  }
   return word;
 }
 
--- a/src/core/reading_duty.cc
+++ b/src/core/reading_duty.cc
@@ -1,48 +1,139 @@
 #include "harecrank/core/reading_duty.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <utility>
 
 namespace harecrank {
 
-ReadingDuty::ReadingDuty(bool is_seed, MonotonicClock clock,
-                         const RandomSource& random)
-    : clock_(std::move(clock)),
-      spread_(static_cast<std::int64_t>(
-          random() % static_cast<std::uint64_t>(kSpread.count()))),
-      reads_from_(clock_() +
-                  (is_seed ? Millis(-1) : kPatienceAtStart + spread_)) {}
+ReadingDuty::ReadingDuty(bool is_seed, ReadingDutyPorts ports,
+                         MonotonicClock clock, RandomSource random)
+    : ports_(std::move(ports)),
+      clock_(std::move(clock)),
+      random_(std::move(random)),
+      started_(clock_()),
+      reads_once_(is_seed) {
+  BeginRounds(started_ + kPatienceAtStart);
+}
+
+void ReadingDuty::SetTurn(std::optional<int> turn) {
+  if (turn == turn_) {
+    return;
+  }
+  turn_ = turn;
+  failures_ = 0;
+  reads_once_ = false;
+  if (answered_at_.has_value()) {
+    BeginRounds(*answered_at_ + Patience());
+  }
+}
 
 void ReadingDuty::OnAnswered() {
-  own_ = OwnReading::kAnswered;
-  answered_at_ = clock_();
+  own_answered_at_ = clock_();
+  failed_at_.reset();
+  failures_ = 0;
+  reads_once_ = false;
+  OnInformed(Millis(0));
+}
+
+void ReadingDuty::OnFailed() {
+  failed_at_ = clock_();
+  reads_once_ = false;
+  ++failures_;
+  // It had its turn in this round.
+  BeginRounds(clock_() + RoundLength());
 }
 
 void ReadingDuty::OnInformed(Millis age) {
   const TimePoint answered = clock_() - age;
-  answered_at_ = std::max(answered_at_.value_or(answered), answered);
-  reads_from_ = *answered_at_ + kInformedFor + spread_;
+  if (answered_at_.has_value() && answered <= *answered_at_) {
+    return;
+  }
+  answered_at_ = answered;
+  BeginRounds(answered + Patience());
 }
 
-void ReadingDuty::SetAsked(bool asked) {
-  const bool ends = asked_ && !asked;
-  if (ends && Own() == OwnReading::kAnswered) {
-    OnInformed(Millis(0));
+Millis ReadingDuty::Patience() const {
+  if (!turn_.has_value()) {
+    return kInformedFor;
   }
-  asked_ = asked;
+  // The turn of zero has come anyway.
+  return kStandByAge + std::max(0, *turn_ - 1) * kStandByStep;
 }
 
-bool ReadingDuty::Reads() const { return asked_ || clock_() > reads_from_; }
+void ReadingDuty::BeginRounds(TimePoint from) {
+  round_began_ = from;
+  draw_ = static_cast<double>(random_()) /
+          static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+}
 
-OwnReading ReadingDuty::Own() const {
-  if (!Reads()) {
-    return OwnReading::kNone;
+Millis ReadingDuty::RoundLength() const {
+  constexpr int kMostDoublings = 2;
+  return std::min(kRound * (1 << std::min(failures_, kMostDoublings)),
+                  kLongestRound);
+}
+
+std::optional<Millis> ReadingDuty::TurnInRound() const {
+  const int sharers = std::max(1, ports_.sharers());
+  if (turn_.has_value()) {
+    return Millis(0);
+  }
+  if (sharers == 1) {
+    // Others may be there all the same while this host has just started.
+    return KnowsNothing() ? Millis(static_cast<std::int64_t>(
+                                draw_ * static_cast<double>(kSpread.count())))
+                          : Millis(0);
   }
-  return own_ == OwnReading::kNone ? OwnReading::kBegun : own_;
+  const double place = draw_ * sharers;
+  const int most = std::min(sharers, kMostAtOnce);
+  if (place > most) {
+    return std::nullopt;
+  }
+  if (place <= kFirstAtOnce) {
+    return Millis(0);
+  }
+  // So that their number grows evenly in proportion.
+  const double part = std::log(place / kFirstAtOnce) /
+                      std::log(static_cast<double>(most) / kFirstAtOnce);
+  return Millis(
+      static_cast<std::int64_t>(part * static_cast<double>(kSpread.count())));
+}
+
+void ReadingDuty::Update() {
+  const TimePoint now = clock_();
+  if (reads_once_ || now < round_began_) {
+    return;
+  }
+  while (now - round_began_ >= RoundLength()) {
+    BeginRounds(round_began_ + RoundLength());
+  }
+  const bool waits_for_copy =
+      KnowsNothing() && now - started_ < kCopyWithin && ports_.copy_is_near();
+  const std::optional<Millis> turn = TurnInRound();
+  reads_once_ =
+      !waits_for_copy && turn.has_value() && now - round_began_ >= *turn;
 }
 
-bool ReadingDuty::IsWell() const {
-  return Own() == OwnReading::kAnswered || Age() <= kInformedFor;
+Reading ReadingDuty::Kind() const {
+  if (turn_ == 0) {
+    return Reading::kContinuously;
+  }
+  return reads_once_ ? Reading::kOnce : Reading::kNone;
+}
+
+OwnReading ReadingDuty::Own() const {
+  const TimePoint now = clock_();
+  const auto is_recent = [now](const std::optional<TimePoint>& time) {
+    return time.has_value() && now - *time <= kInformedFor;
+  };
+  if (is_recent(failed_at_)) {
+    return OwnReading::kFailed;
+  }
+  if (is_recent(own_answered_at_)) {
+    return OwnReading::kAnswered;
+  }
+  return Kind() == Reading::kNone ? OwnReading::kNone : OwnReading::kBegun;
 }
 
 Millis ReadingDuty::Age() const {
--- a/src/core/reading_duty_test.cc
+++ b/src/core/reading_duty_test.cc
@@ -7,73 +7,116 @@
 
 class DutyFixture {
  protected:
-  // Longer than a host ever waits for word before it reads.
+  explicit DutyFixture(int sharers = 1) : sharers_(sharers) {}
+
+  ReadingDuty MakeDuty(bool is_seed) {
+    return ReadingDuty(
+        is_seed,
+        ReadingDutyPorts{[this] { return sharers_; },
+                         [this] { return copy_is_near_; }},
+        [this] { return now_; }, [this] { return draw_; });
+  }
+
+  void Pass(Millis time) {
+    now_ += time;
+    duty_.Update();
+  }
+
+  // The last host's draw.
+  static constexpr std::uint64_t kLast = ~std::uint64_t{0};
+  // Longer than a host that hears no other ever waits for word before it reads.
   static constexpr Millis kBlind =
       ReadingDuty::kInformedFor + ReadingDuty::kSpread + Millis(1);
 
   TimePoint now_{std::chrono::hours(1)};
-  ReadingDuty duty_{false, [this] { return now_; },
-                    [] { return std::uint64_t{0}; }};
+  int sharers_;
+  bool copy_is_near_ = false;
+  std::uint64_t draw_ = 0;
+  ReadingDuty duty_ = MakeDuty(false);
 };
 
 TEST_CASE_METHOD(DutyFixture, "A seed that has just started reads at once") {
-  const ReadingDuty seed(
-      true, [this] { return now_; }, [] { return std::uint64_t{0}; });
-  CHECK(seed.Reads());
-  CHECK_FALSE(seed.ReadsForOthers());
+  const ReadingDuty seed = MakeDuty(true);
+  CHECK(seed.Kind() == Reading::kOnce);
 }
 
 TEST_CASE_METHOD(DutyFixture,
                  "A host that has just started gives others time to tell it") {
-  CHECK_FALSE(duty_.Reads());
+  Pass(Millis(0));
+  CHECK(duty_.Kind() == Reading::kNone);
   CHECK_FALSE(duty_.IsWell());
-  now_ += kBlind;
-  CHECK(duty_.Reads());
+  Pass(kBlind);
+  CHECK(duty_.Kind() == Reading::kOnce);
+}
+
+TEST_CASE_METHOD(DutyFixture,
+                 "A host that has just started waits for a copy that another "
+                 "one can give, but not for long") {
+  copy_is_near_ = true;
+  Pass(ReadingDuty::kCopyWithin - Millis(1));
+  CHECK(duty_.Kind() == Reading::kNone);
+  Pass(ReadingDuty::kLongestRound);
+  CHECK(duty_.Kind() == Reading::kOnce);
 }
 
 TEST_CASE_METHOD(DutyFixture,
                  "A host that is told does not read, and one that is told no "
-                 "more reads again soon") {
+                 "more reads again soon, and once") {
   duty_.OnInformed(Millis(0));
-  now_ += ReadingDuty::kInformedFor;
-  CHECK_FALSE(duty_.Reads());
+  Pass(ReadingDuty::kInformedFor - Millis(1));
+  CHECK(duty_.Kind() == Reading::kNone);
   CHECK(duty_.IsWell());
-  now_ += ReadingDuty::kSpread + Millis(1);
-  CHECK(duty_.Reads());
+  Pass(ReadingDuty::kSpread + Millis(2));
+  CHECK(duty_.Kind() == Reading::kOnce);
   CHECK_FALSE(duty_.IsWell());
   duty_.OnAnswered();
   CHECK(duty_.IsWell());
+  CHECK(duty_.Kind() == Reading::kNone);
+  CHECK(duty_.Own() == OwnReading::kAnswered);
 }
 
 TEST_CASE_METHOD(DutyFixture,
-                 "A host that others rely on reads whatever it is told") {
+                 "The host that reads for all reads whatever it is told") {
   duty_.OnInformed(Millis(0));
-  duty_.SetAsked(true);
-  CHECK(duty_.Reads());
-  CHECK(duty_.ReadsForOthers());
+  duty_.SetTurn(0);
+  CHECK(duty_.Kind() == Reading::kContinuously);
   CHECK(duty_.IsWell());
-  CHECK_FALSE(duty_.Own() == OwnReading::kAnswered);
+  CHECK(duty_.Own() == OwnReading::kBegun);
+}
+
+TEST_CASE_METHOD(DutyFixture,
+                 "Those that stand by read one after the other, before any "
+                 "other host") {
+  sharers_ = 402;
+  draw_ = kLast;
+  duty_.SetTurn(2);
+  duty_.OnInformed(Millis(0));
+  Pass(ReadingDuty::kStandByAge);
+  CHECK(duty_.Kind() == Reading::kNone);
+  Pass(ReadingDuty::kStandByStep);
+  CHECK(duty_.Kind() == Reading::kOnce);
 }
 
 // A planner that hands over would otherwise take the platform for lost.
 TEST_CASE_METHOD(DutyFixture,
                  "A host that stops to read for others knows for a while what "
                  "it has read") {
-  duty_.SetAsked(true);
+  duty_.SetTurn(0);
   duty_.OnAnswered();
-  now_ += kBlind;
-  duty_.SetAsked(false);
+  Pass(ReadingDuty::kWatchWait);
+  duty_.SetTurn(std::nullopt);
   CHECK(duty_.IsWell());
-  CHECK_FALSE(duty_.Reads());
+  CHECK(duty_.Kind() == Reading::kNone);
 }
 
 TEST_CASE_METHOD(DutyFixture,
-                 "What the service answered before a pause in reading says "
-                 "nothing") {
-  duty_.SetAsked(true);
+                 "What the service answered a while ago says nothing of how "
+                 "reading goes") {
+  duty_.SetTurn(0);
   duty_.OnAnswered();
-  duty_.SetAsked(false);
+  Pass(ReadingDuty::kInformedFor + Millis(1));
   CHECK_FALSE(duty_.Own() == OwnReading::kAnswered);
+  CHECK_FALSE(duty_.IsWell());
 }
 
 // The readers of a fleet were turned away at once; each host along the way
@@ -81,21 +124,28 @@
 TEST_CASE_METHOD(DutyFixture,
                  "A host at the end of a chain reads as soon as one at its "
                  "beginning") {
-  ReadingDuty planner(
-      false, [this] { return now_; }, [] { return std::uint64_t{0}; });
+  ReadingDuty planner = MakeDuty(false);
   planner.OnInformed(Millis(0));
   now_ += ReadingDuty::kInformedFor - Millis(100);
   REQUIRE(planner.IsWell());
   duty_.OnInformed(planner.Age());
-  now_ += Millis(100) + ReadingDuty::kSpread + Millis(1);
+  Pass(Millis(100) + ReadingDuty::kSpread + Millis(1));
   CHECK_FALSE(duty_.IsWell());
-  CHECK(duty_.Reads());
+  CHECK(duty_.Kind() == Reading::kOnce);
+}
+
+TEST_CASE_METHOD(DutyFixture,
+                 "Word that is older than what a host knows does not make it "
+                 "look blind") {
+  duty_.OnInformed(Millis(100));
+  duty_.OnInformed(Millis(900));
+  CHECK(duty_.Age() == Millis(100));
 }
 
 TEST_CASE_METHOD(DutyFixture,
                  "Reading has begun until the service answers or fails") {
   CHECK(duty_.Own() == OwnReading::kNone);
-  duty_.SetAsked(true);
+  duty_.SetTurn(0);
   CHECK(duty_.Own() == OwnReading::kBegun);
   duty_.OnFailed();
   CHECK(duty_.Own() == OwnReading::kFailed);
@@ -103,5 +153,32 @@
   CHECK(duty_.Own() == OwnReading::kAnswered);
 }
 
+TEST_CASE_METHOD(DutyFixture,
+                 "A host that the service does not answer has its next turn a "
+                 "round later, and later each time") {
+  duty_.OnInformed(Millis(0));
+  Pass(kBlind);
+  REQUIRE(duty_.Kind() == Reading::kOnce);
+  duty_.OnFailed();
+  CHECK(duty_.Kind() == Reading::kNone);
+  Pass(ReadingDuty::kRound);
+  CHECK(duty_.Kind() == Reading::kNone);
+  Pass(ReadingDuty::kRound);
+  CHECK(duty_.Kind() == Reading::kOnce);
+}
+
+TEST_CASE_METHOD(DutyFixture,
+                 "Of many hosts most have no turn in a round, and the first "
+                 "draws have it at once") {
+  sharers_ = 402;
+  draw_ = kLast;
+  duty_.OnInformed(Millis(0));
+  Pass(kBlind);
+  CHECK(duty_.Kind() == Reading::kNone);
+  draw_ = 0;
+  Pass(ReadingDuty::kRound);
+  CHECK(duty_.Kind() == Reading::kOnce);
+}
+
 }  // namespace
 }  // namespace harecrank
--- /dev/null
+++ b/src/gateway/copy_server.h
@@ -0,0 +1,62 @@
+// Gives other hosts copies of what is published.
+
+#ifndef HARECRANK_SRC_GATEWAY_COPY_SERVER_H_
+#define HARECRANK_SRC_GATEWAY_COPY_SERVER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "harecrank/core/copy_desk.h"
+#include "harecrank/core/host_book.h"
+#include "src/adapters/metrics.h"
+#include "src/gateway/small_server.h"
+
+namespace harecrank {
+
+// Not thread-safe.
+class CopyServer {
+ public:
+  // Returns what was published after `since`, or all of it; null before
+  // anything is known.
+  using Source =
+      std::function<std::shared_ptr<const std::string>(StoreRevision since)>;
+  // Returns up to where this host knows what is published.
+  using KnownUpTo = std::function<StoreRevision()>;
+
+  // `book` and `metrics` must outlive this and all replies.
+  CopyServer(HostPower power, HostBook* book, Source source,
+             KnownUpTo known_up_to, Metrics* metrics, MonotonicClock clock);
+
+  // Returns whether `target` is one of this server's pages.
+  static bool Serves(std::string_view target);
+
+  // Answers a request for `target`, which Serves.
+  SmallReply Answer(std::string_view target);
+
+  // Copies that are under way.
+  int UnderWay() const { return desk_->UnderWay(); }
+
+  // Path at which a host gives what the platform has published since the
+  // revision that follows it.
+  static constexpr char kPath[] = "/peer/published/";
+
+ private:
+  // Returns a host that gives the same, is no weaker by far, and was heard
+  // lately.
+  std::optional<HostAddress> Elsewhere() const;
+  SmallReply Give(StoreRevision since);
+
+  HostPower power_;
+  HostBook* book_;
+  Source source_;
+  KnownUpTo known_up_to_;
+  Metrics* metrics_;
+  // Shared with the copies that are under way.
+  std::shared_ptr<CopyDesk> desk_;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_GATEWAY_COPY_SERVER_H_
--- a/src/gateway/directory_feed.h
+++ b/src/gateway/directory_feed.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "harecrank/core/endpoint_directory.h"
+#include "harecrank/core/reading_duty.h"
 #include "harecrank/core/routing_table.h"
 
 namespace harecrank {
@@ -51,16 +52,6 @@
                           const std::string& reason) = 0;
 };
 
-// How a host reads the platform.
-enum class Reading {
-  // Not at all: it is told by others.
-  kNone,
-  // Since nobody tells it. Asks less often while it is not answered.
-  kAlone,
-  // For others too.
-  kForOthers
-};
-
 // Reads the platform until it is stopped.
 class DirectoryFeed {
  public:
@@ -75,12 +66,16 @@
 
   // Returns what is known, in the feed's own form, for other hosts: what has
   // changed since `since` if that is known, otherwise all. Empty before
-  // anything is known.
-  virtual std::string Export(StoreRevision since) const = 0;
+  // anything is known. Hosts that ask for the same are given the same bytes.
+  virtual std::shared_ptr<const std::string> Export(
+      StoreRevision since) const = 0;
 
   // As Export, for hosts that hold all that was published up to `since`: may
-  // tell how it changed alone.
-  virtual std::string ExportNews(StoreRevision since) const = 0;
+  // tell how it changed alone. In parts of at most `most_bytes`, each of which
+  // follows the one before it; the last one, or one that is alone, may be
+  // larger.
+  virtual std::vector<std::string> ExportNews(StoreRevision since,
+                                              std::size_t most_bytes) const = 0;
 
   // Whether a routing document is known that the sink is yet to be told of.
   virtual bool ReadsRouting() const = 0;
--- a/src/gateway/fleet_member.cc
+++ b/src/gateway/fleet_member.cc
@@ -2,11 +2,8 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
-#include <limits>
 #include <utility>
 
-#include "harecrank/core/http_status.h"
-
 namespace harecrank {
 namespace {
 
@@ -21,19 +18,6 @@
 constexpr Millis kStrangerInterval{1000};
 // A planner that has not been heard for this long has missed a word.
 constexpr Millis kMissedWord{400};
-// The pause between two questions to others for what they know of the platform,
-// and how long an answer may take.
-constexpr Millis kAskInterval{100};
-constexpr Millis kAskTimeout{1500};
-// What a host takes to send all that is known of some hundred endpoints.
-constexpr Millis kSendTime{1};
-// How long another host may know more before it is asked: what it tells by
-// itself is on its way, or, for a host that reads, the service's own answer.
-constexpr Millis kToldWithin{30};
-constexpr Millis kReadWithin{450};
-// Changes go by datagram up to this size. Larger ones, such as a configuration
-// of many routes, are asked for over a connection.
-constexpr std::size_t kMostTold = 16384;
 
 }  // namespace
 
@@ -41,7 +25,7 @@
   FleetMember* member;
 
   void operator()(const HostWord& word) const { member->OnWord(word); }
-  void operator()(const PlaceAsk& ask) const { member->OnAsk(ask); }
+  void operator()(const PlaceAsk& ask) const { member->desk_.OnAsk(ask); }
   void operator()(const PlaceAnswer& answer) const {
     member->book_->OnHeard(answer.from);
     if (answer.from == member->followed_) {
@@ -49,7 +33,7 @@
     }
     member->places_.OnAnswer(answer);
   }
-  void operator()(const WorkNote& note) const { member->OnNote(note); }
+  void operator()(const WorkNote& note) const { member->desk_.OnNote(note); }
   void operator()(const PublishedChanges& published) const {
     member->OnChanges(published);
   }
@@ -78,9 +62,11 @@
       clock_(std::move(clock)),
       random_(std::move(random)),
       places_(io, self_.address, life, MakePlacePorts(), clock_),
+      desk_(io, self_.address, planner, MakeDeskPorts(), log, metrics, clock_),
+      relay_(io, self_.address, book, socket, MakeRelayPorts(), log, clock_,
+             random_),
       tick_timer_(*io),
-      tell_timer_(*io),
-      try_timer_(*io) {}
+      tell_timer_(*io) {}
 
 PlaceClientPorts FleetMember::MakePlacePorts() {
   PlaceClientPorts ports;
@@ -103,6 +89,27 @@
   return ports;
 }
 
+PlanningDeskPorts FleetMember::MakeDeskPorts() {
+  PlanningDeskPorts ports;
+  ports.planner = [this] { return book_->Planner(); };
+  ports.send = [this](const HostAddress& to, const FleetMessage& message) {
+    Send(to, message);
+  };
+  return ports;
+}
+
+PublicationRelayPorts FleetMember::MakeRelayPorts() {
+  PublicationRelayPorts ports;
+  ports.describe = [this] { return Described(); };
+  ports.published = ports_.published;
+  ports.on_published = ports_.on_published;
+  ports.reads_routing = ports_.reads_routing;
+  ports.is_planner = [this] { return IsPlanner(); };
+  ports.announce = [this] { Announce(); };
+  ports.tell_planner = [this] { TellSoon(); };
+  return ports;
+}
+
 void FleetMember::Start() {
   socket_->Start([this](const FleetMessage& message) { OnMessage(message); });
   Tick();
@@ -156,22 +163,42 @@
     account.work = places_.Work();
     Send(word.address, account);
   }
-  HearOfSource(word);
-  RepairCrashes(word);
-  AskBetterInformed();
+  const HostWord own = Described();
+  HearOfSource(word, own);
+  RepairCrashes(word, own);
+  relay_.AskBetterInformed(own);
+  desk_.OnWord(word);
+  if (word.wants_reply) {
+    Reply(word);
+  }
+}
+
+void FleetMember::Reply(const HostWord& word) {
+  HostWord reply = OwnWord();
+  reply.hosts = book_->HostsFor(word.address);
   if (IsPlanner()) {
-    planner_->OnWord(word);
-    TryWaitingSoon();
+    TellTurn(word.address, &reply);
   }
-  if (word.wants_reply) {
-    HostWord reply = OwnWord();
-    reply.hosts = book_->HostsFor(word.address);
-    if (IsPlanner()) {
-      const std::vector<HostAddress> readers = book_->SourceReaders();
-      reply.should_read = std::find(readers.begin(), readers.end(),
-                                    word.address) != readers.end();
-    }
-    Send(word.address, reply);
+  Send(word.address, reply);
+}
+
+void FleetMember::TellTurn(const HostAddress& reader, HostWord* word) const {
+  const auto found = std::find(readers_.begin(), readers_.end(), reader);
+  word->should_read = found != readers_.end();
+  if (*word->should_read) {
+    // While the platform does not answer this host, the first reads for it.
+    word->reading_turn =
+        static_cast<int>(found - readers_.begin()) + (is_answered_ ? 1 : 0);
+  }
+}
+
+void FleetMember::TellReaders() {
+  readers_ = book_->SourceReaders();
+  is_answered_ = Described().own_reading == OwnReading::kAnswered;
+  HostWord word = OwnWord();
+  for (const HostAddress& reader : readers_) {
+    TellTurn(reader, &word);
+    Send(reader, word);
   }
 }
 
@@ -188,38 +215,6 @@
   Send(planner, word);
 }
 
-void FleetMember::OnAsk(const PlaceAsk& ask) {
-  PlaceAnswer answer{self_.address, ask.life, ask.id, NotPlanner{}};
-  if (IsPlanner()) {
-    metrics_->GetCounter("harecrank_gateway_asks_planned_total")->Add();
-    answer.decision = planner_->OnAsk(ask);
-    NoteTurnedAway(ask.host, ask.id, answer.decision);
-  } else if (const auto planner = book_->Planner()) {
-    answer.decision = NotPlanner{*planner};
-  }
-  Send(ask.host, answer);
-}
-
-void FleetMember::NoteTurnedAway(const HostAddress& host, AskId id,
-                                 const PlaceDecision& decision) {
-  const auto* refused = std::get_if<AskRefused>(&decision);
-  if (refused == nullptr || !refused->return_after.has_value()) {
-    return;
-  }
-  log_->Write("turned_away",
-              {{"host", host.value},
-               {"ask", id.value},
-               {"return_after_ms", refused->return_after->count()},
-               {"promises", planner_->PromiseCount()}});
-}
-
-void FleetMember::OnNote(const WorkNote& note) {
-  if (IsPlanner()) {
-    planner_->OnNote(note);
-    TryWaitingSoon();
-  }
-}
-
 void FleetMember::TellCrash(CrashReport report) {
   untold_crashes_.push_back(std::move(report));
   if (untold_crashes_.size() == 1) {
@@ -230,9 +225,7 @@
 void FleetMember::TellCrashes() {
   const CrashReports told{self_.address, std::move(untold_crashes_)};
   untold_crashes_.clear();
-  for (const HostAddress& host : book_->AliveOthers()) {
-    Send(host, told);
-  }
+  socket_->SendToAll(book_->AliveOthers(), told);
 }
 
 void FleetMember::OnCrashReports(const CrashReports& told) {
@@ -251,17 +244,21 @@
   }
 }
 
-void FleetMember::RepairCrashes(const HostWord& word) {
-  HostWord own;
-  ports_.describe(&own);
+void FleetMember::RepairCrashes(const HostWord& word, const HostWord& own) {
   if (own.crash_digest == word.crash_digest || own.crash_digest == 0) {
     return;
   }
   Send(word.address, CrashReports{self_.address, ports_.shared_crashes()});
 }
 
+HostWord FleetMember::Described() const {
+  HostWord own;
+  ports_.describe(&own);
+  return own;
+}
+
 HostWord FleetMember::OwnWord() const {
-  HostWord word;
+  HostWord word = Described();
   word.node = node_;
   word.address = self_.address;
   word.life = life_;
@@ -271,7 +268,6 @@
   word.alive_hosts = book_->CountedHosts();
   word.avoided = health_->Avoided();
   word.limits = ports_.limits();
-  ports_.describe(&word);
   return word;
 }
 
@@ -318,10 +314,7 @@
 }
 
 void FleetMember::Announce() {
-  const HostWord word = OwnWord();
-  for (const HostAddress& host : book_->AliveOthers()) {
-    Send(host, word);
-  }
+  socket_->SendToAll(book_->AliveOthers(), OwnWord());
 }
 
 void FleetMember::FollowPlanner() {
@@ -341,15 +334,15 @@
     planner_->Clear();
   }
   if (planner == self_.address) {
-    HostWord own;
-    ports_.describe(&own);
-    told_up_to_ = own.known_up_to;
+    relay_.BeginToPlan();
     planner_->Begin(book_->AliveOthers());
     Announce();
   }
   // Without a planner nobody else tells what this host has read.
-  if (planner.has_value() && (planned || planner == self_.address)) {
-    ports_.on_should_read(planner == self_.address);
+  if (planner == self_.address) {
+    ports_.on_reading_turn(0);
+  } else if (planner.has_value() && planned) {
+    ports_.on_reading_turn(std::nullopt);
   }
   TellSoon();
   // Not from within what told of the change.
@@ -380,12 +373,11 @@
     TellStrangers();
   }
   if (IsPlanner()) {
-    planner_->DropSilent();
-    if (now - tried_at_ >= kTryInterval) {
-      TryWaiting();
-    }
+    readers_ = book_->SourceReaders();
+    is_answered_ = Described().own_reading == OwnReading::kAnswered;
+    desk_.Tick();
   }
-  AskBetterInformed();
+  relay_.AskBetterInformed(Described());
   tick_timer_.expires_after(kTick);
   tick_timer_.async_wait([this](boost::system::error_code error) {
     if (!error) {
@@ -394,39 +386,13 @@
   });
 }
 
-void FleetMember::TryWaiting() {
-  tried_at_ = clock_();
-  if (planner_->WaitingCount() == 0) {
-    return;
-  }
-  for (DuePlace& due : planner_->TryWaiting()) {
-    NoteTurnedAway(due.host, due.id, due.decision);
-    Send(due.host,
-         PlaceAnswer{self_.address, due.life, due.id, std::move(due.decision)});
-  }
-}
-
-void FleetMember::TryWaitingSoon() {
-  if (tries_soon_ || planner_->WaitingCount() == 0) {
-    return;
-  }
-  tries_soon_ = true;
-  try_timer_.expires_after(kTryPause);
-  try_timer_.async_wait([this](boost::system::error_code error) {
-    tries_soon_ = false;
-    if (!error && IsPlanner()) {
-      TryWaiting();
-    }
-  });
-}
-
-void FleetMember::HearOfSource(const HostWord& word) {
+void FleetMember::HearOfSource(const HostWord& word, const HostWord& own) {
   const bool from_planner = word.address == followed_;
   if (from_planner && word.should_read.has_value()) {
-    ports_.on_should_read(*word.should_read);
+    ports_.on_reading_turn(*word.should_read
+                               ? std::make_optional(word.reading_turn)
+                               : std::nullopt);
   }
-  HostWord own;
-  ports_.describe(&own);
   if (own.known_up_to < word.known_up_to) {
     return;
   }
@@ -440,51 +406,18 @@
   }
 }
 
-void FleetMember::OnPublished() {
-  if (tells_published_) {
-    return;
-  }
-  tells_published_ = true;
-  // What was published together is told together.
-  boost::asio::post(*io_, [this] { TellPublished(); });
-}
-
-void FleetMember::OnSourceChanged() {
-  // Those that follow rely on it; the planner chooses who reads by it.
+void FleetMember::OnOwnReading() {
   if (IsPlanner()) {
-    Announce();
+    TellReaders();
   } else {
+    // The planner tells the others, and chooses who reads by it.
     TellSoon();
   }
 }
 
-void FleetMember::TellPublished() {
-  tells_published_ = false;
-  HostWord own;
-  ports_.describe(&own);
-  if (!(told_up_to_ < own.known_up_to)) {
-    return;
-  }
-  const StoreRevision since = told_up_to_;
-  told_up_to_ = own.known_up_to;
-  const bool is_first = since == StoreRevision{};
-  if (is_first && own.own_reading != OwnReading::kNone) {
-    // Others that have just started too wait for what this host has read.
-    Announce();
-    return;
-  }
-  if (!IsPlanner()) {
-    TellSoon();
-    return;
-  }
-  std::string changes = ports_.published(since);
-  if (changes.size() > kMostTold) {
+void FleetMember::OnInformedLate() {
+  if (IsPlanner()) {
     Announce();
-    return;
-  }
-  const PublishedChanges published{self_.address, std::move(changes)};
-  for (const HostAddress& host : book_->AliveOthers()) {
-    Send(host, published);
   }
 }
 
@@ -493,51 +426,7 @@
   if (published.from == followed_) {
     planner_heard_ = clock_();
   }
-  // Changes that leave a gap are asked for when the next word shows it.
-  ports_.on_published(published.changes, true);
-}
-
-void FleetMember::AskBetterInformed() {
-  const TimePoint now = clock_();
-  HostWord own;
-  ports_.describe(&own);
-  // What this host is reading already need not be asked for.
-  const RoutingVersion routing =
-      ports_.reads_routing()
-          ? RoutingVersion{std::numeric_limits<std::uint64_t>::max()}
-          : own.routing;
-  const auto host = book_->BetterInformed(routing, own.known_up_to);
-  if (!host.has_value()) {
-    behind_since_.reset();
-    return;
-  }
-  if (!behind_since_.has_value()) {
-    behind_since_ = now;
-    // All hosts that have just started ask the same ones for everything.
-    const auto spread =
-        static_cast<std::uint64_t>(kSendTime.count() * book_->AliveHosts());
-    start_spread_ = Millis(static_cast<std::int64_t>(random_() % spread));
-  }
-  const bool knows_nothing = own.routing == RoutingVersion{};
-  const Millis grace = knows_nothing ? start_spread_
-                       : own.own_reading == OwnReading::kAnswered ? kReadWithin
-                                                                  : kToldWithin;
-  if (now - *behind_since_ < grace || now - asked_at_ < kAskInterval || asks_) {
-    return;
-  }
-  asked_at_ = now;
-  asks_ = true;
-  asking_ = std::make_shared<HttpClient>(io_, host->value);
-  asking_->Get(
-      kPublishedPath + std::to_string(own.known_up_to.value), kAskTimeout,
-      [this, host = *host](const CallResult& result) {
-        asks_ = false;
-        const auto* reply = std::get_if<HttpReply>(&result);
-        const bool taken = reply != nullptr &&
-                           reply->result_int() == http_status::kOk &&
-                           ports_.on_published(reply->body(), false);
-        log_->Write("peer_asked", {{"address", host.value}, {"taken", taken}});
-      });
+  relay_.OnChanges(published);
 }
 
 }  // namespace harecrank
--- a/src/gateway/fleet_member.h
+++ b/src/gateway/fleet_member.h
@@ -16,8 +16,9 @@
 #include "src/adapters/event_log.h"
 #include "src/adapters/metrics.h"
 #include "src/gateway/fleet_socket.h"
-#include "src/gateway/http_client.h"
 #include "src/gateway/place_client.h"
+#include "src/gateway/planning_desk.h"
+#include "src/gateway/publication_relay.h"
 #include "src/gateway/timer.h"
 
 namespace harecrank {
@@ -26,19 +27,19 @@
 struct FleetMemberPorts {
   // Fills the owner's part of the host's word: what it knows of the platform.
   std::function<void(HostWord* word)> describe;
-  // Returns what the platform has published since `since`, for hosts that know
-  // all before it.
-  std::function<std::string(StoreRevision since)> published;
-  // Takes what another host told of that. Returns false if it cannot be used.
+  // As those of PublicationRelayPorts.
+  std::function<std::vector<std::string>(StoreRevision since,
+                                         std::size_t most_bytes)>
+      published;
   std::function<bool(const std::string& changes, bool source_well)>
       on_published;
-  // Whether a newer routing table is known and about to be in force.
   std::function<bool()> reads_routing;
   // Another host, whom the platform answered `age` ago, knows no more than this
   // one.
   std::function<void(Millis age)> on_informed;
-  // Whether others rely on this host's reading of the platform.
-  std::function<void(bool should_read)> on_should_read;
+  // This host's turn among those that read the platform for all; nothing if it
+  // is none of them.
+  std::function<void(std::optional<int> turn)> on_reading_turn;
   // Takes what another host told of requests that end endpoints. Returns what
   // was news, and fills `missing` with what that host does not know.
   std::function<std::vector<CrashReport>(
@@ -71,10 +72,14 @@
   void TellSoon();
 
   // What this host knows of the platform has changed: others are told at once.
-  void OnPublished();
+  void OnPublished() { relay_.OnPublished(); }
 
-  // The platform answers again, or no more, this host or those that tell it.
-  void OnSourceChanged();
+  // The platform has answered this host itself, or failed to.
+  void OnOwnReading();
+
+  // It is known again, from whomever, that the platform answers, after the
+  // turns of others to look had begun to come.
+  void OnInformedLate();
 
   // Tells the others what this host knows of a request that ends endpoints.
   void TellCrash(CrashReport report);
@@ -82,35 +87,35 @@
   PlaceClient* Places() { return &places_; }
   bool IsPlanner() { return book_->IsPlanner(); }
 
-  // Path at which a host gives what the platform has published since the
-  // revision that follows it.
-  static constexpr char kPublishedPath[] = "/peer/published/";
   // The pause between two words to the planner. A planner that dies is noticed
   // by the asks that it does not answer; words find it where nothing is asked.
   static constexpr Millis kWordInterval{300};
   // A planner that answered no word for this long is silent.
   static constexpr Millis kWordSilence{650};
-  // How often prompts that wait are tried while nothing is heard.
-  static constexpr Millis kTryInterval{40};
-  // What ends within so long is taken together before those that wait are
-  // tried. A try of one prompt looks at every engine.
-  static constexpr Millis kTryPause{4};
 
  private:
   // Handles each kind of message.
   struct Receiver;
 
   PlaceClientPorts MakePlacePorts();
+  PlanningDeskPorts MakeDeskPorts();
+  PublicationRelayPorts MakeRelayPorts();
   void Send(const HostAddress& to, const FleetMessage& message);
   void OnMessage(const FleetMessage& message);
   void OnWord(const HostWord& word);
-  void OnAsk(const PlaceAsk& ask);
-  void OnNote(const WorkNote& note);
   void OnCrashReports(const CrashReports& told);
   void TellCrashes();
   // Sends what it has missed to a host whose digest is another than this one's.
-  void RepairCrashes(const HostWord& word);
+  void RepairCrashes(const HostWord& word, const HostWord& own);
   HostWord OwnWord() const;
+  // Returns what the owner tells of itself, without the rest of a word.
+  HostWord Described() const;
+  void Reply(const HostWord& word);
+  // As the planner: adds to `word` whether `reader` is to read the platform.
+  void TellTurn(const HostAddress& reader, HostWord* word) const;
+  // As the planner: tells those that read the platform beside it how its own
+  // reading goes.
+  void TellReaders();
   // Asks a host that another one takes for the planner for its own word: two
   // hosts plan, or this one follows the wrong one.
   void Probe(const HostAddress& planner);
@@ -118,20 +123,11 @@
   void TellStrangers();
   void Announce();
   void Tick();
-  void TryWaiting();
-  // Logs who is told to return, and when.
-  void NoteTurnedAway(const HostAddress& host, AskId id,
-                      const PlaceDecision& decision);
-  void TryWaitingSoon();
   // Looks whether another host plans now, and tells of it if so.
   void FollowPlanner();
   void LookForSilence();
-  // Asks a host that knows more of the platform, unless this one is about to
-  // learn it by itself.
-  void AskBetterInformed();
   void OnChanges(const PublishedChanges& published);
-  void TellPublished();
-  void HearOfSource(const HostWord& word);
+  void HearOfSource(const HostWord& word, const HostWord& own);
 
   boost::asio::io_context* io_;
   NodeId node_;
@@ -147,31 +143,24 @@
   MonotonicClock clock_;
   RandomSource random_;
   PlaceClient places_;
+  PlanningDesk desk_;
+  PublicationRelay relay_;
   Timer tick_timer_;
   Timer tell_timer_;
-  Timer try_timer_;
   std::optional<HostAddress> followed_;
   // When the followed planner was last heard.
   TimePoint planner_heard_{};
   TimePoint told_at_{};
   TimePoint strangers_told_{};
   TimePoint probed_at_{};
-  TimePoint tried_at_{};
   bool tells_soon_ = false;
-  bool tries_soon_ = false;
-  std::shared_ptr<HttpClient> asking_;
-  TimePoint asked_at_{};
-  bool asks_ = false;
-  // Since when another host has known more; unset while none does.
-  std::optional<TimePoint> behind_since_;
-  // How long it waits before it asks for everything.
-  Millis start_spread_{0};
   Millis search_interval_{50};
   // What ended together is told together.
   std::vector<CrashReport> untold_crashes_;
-  // Up to where the others have been told.
-  StoreRevision told_up_to_;
-  bool tells_published_ = false;
+  // As the planner: the hosts that read the platform beside it, and whether its
+  // own reading is answered, as of the last look.
+  std::vector<HostAddress> readers_;
+  bool is_answered_ = false;
 };
 
 }  // namespace harecrank
--- a/src/gateway/fleet_socket.cc
+++ b/src/gateway/fleet_socket.cc
@@ -60,12 +60,23 @@
 }
 
 void FleetSocket::Send(const HostAddress& to, const FleetMessage& message) {
+  SendBytes(to, EncodeFleetMessage(message));
+}
+
+void FleetSocket::SendToAll(const std::vector<HostAddress>& hosts,
+                            const FleetMessage& message) {
+  const std::string bytes = EncodeFleetMessage(message);
+  for (const HostAddress& host : hosts) {
+    SendBytes(host, bytes);
+  }
+}
+
+void FleetSocket::SendBytes(const HostAddress& to, const std::string& bytes) {
   const auto target = ParseTcpEndpoint(to.value);
   if (!target.has_value()) {
     metrics_->GetCounter("harecrank_gateway_bad_host_addresses_total")->Add();
     return;
   }
-  const std::string bytes = EncodeFleetMessage(message);
   boost::system::error_code error;
   socket_.send_to(asio::buffer(bytes), {target->address(), port_}, 0, error);
   if (error) {
--- a/src/gateway/fleet_socket.h
+++ b/src/gateway/fleet_socket.h
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "harecrank/core/fleet_messages.h"
 #include "src/adapters/metrics.h"
@@ -29,7 +30,12 @@
 
   void Send(const HostAddress& to, const FleetMessage& message);
 
+  // Sends the same to each of `hosts`, encoded once.
+  void SendToAll(const std::vector<HostAddress>& hosts,
+                 const FleetMessage& message);
+
  private:
+  void SendBytes(const HostAddress& to, const std::string& bytes);
   void Receive();
   void OnDatagram(std::size_t size);
 
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -127,6 +127,10 @@
                [this] { fleet_.TellSoon(); }),
       services_(MakeServices()),
       feed_(platform.make_feed(&io_, settings_, this, &holds_)),
+      copies_(
+          Self(settings_).power, &hosts_,
+          [this](StoreRevision since) { return feed_->Export(since); },
+          [this] { return known_up_to_; }, &metrics_, clock_),
       callers_(&io_, settings_.callers_address,
                MostSessions(settings_.descriptors), MakeSessionContext()),
       readiness_(&io_, settings_.readiness_address,
@@ -135,7 +139,7 @@
                   [this](const HttpRequest& r) { return AnswerOperations(r); }),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       tick_timer_(io_),
-      duty_(IsSeed(settings_), clock_, random_) {
+      duty_(IsSeed(settings_), MakeReadingPorts(), clock_, random_) {
   RegisterGauges();
 }
 
@@ -230,7 +234,7 @@
                                "not ready\n");
 }
 
-HttpReply GatewayNode::AnswerOperations(const HttpRequest& request) {
+SmallReply GatewayNode::AnswerOperations(const HttpRequest& request) {
   if (request.target() == "/metrics") {
     return MakeReply(http_status::kOk, "text/plain; version=0.0.4",
                      metrics_.Text());
@@ -242,12 +246,8 @@
         Dump().dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
   }
   const std::string_view target = View(request.target());
-  const std::string_view published = FleetMember::kPublishedPath;
-  if (target.substr(0, published.size()) == published) {
-    const auto since = ReadNumber(target.substr(published.size()));
-    const StoreRevision from{static_cast<std::uint64_t>(
-        std::max<std::int64_t>(0, since.value_or(0)))};
-    return MakeReply(http_status::kOk, "application/cbor", feed_->Export(from));
+  if (CopyServer::Serves(target)) {
+    return copies_.Answer(target);
   }
   return MakeReply(http_status::kNotFound, "text/plain", "no such page\n");
 }
@@ -279,6 +279,15 @@
           {"bounds", start_gate_.Describe()}};
 }
 
+ReadingDutyPorts GatewayNode::MakeReadingPorts() {
+  ReadingDutyPorts ports;
+  ports.sharers = [this] { return hosts_.ReadingHosts(); };
+  ports.copy_is_near = [this] {
+    return hosts_.BetterInformed(RoutingVersion{}, known_up_to_).has_value();
+  };
+  return ports;
+}
+
 FleetMemberPorts GatewayNode::MakeFleetPorts() {
   FleetMemberPorts ports;
   ports.describe = [this](HostWord* word) {
@@ -300,18 +309,13 @@
   ports.on_limits = [this](const std::vector<LimitReport>& reports) {
     start_gate_.OnTold(reports);
   };
-  ports.published = [this](StoreRevision since) {
-    return feed_->ExportNews(since);
+  ports.published = [this](StoreRevision since, std::size_t most_bytes) {
+    return feed_->ExportNews(since, most_bytes);
   };
   ports.reads_routing = [this] { return feed_->ReadsRouting(); };
-  ports.on_informed = [this](Millis age) {
-    duty_.OnInformed(age);
-    directory_.OnSourceBack(known_up_to_, age);
-    UpdateSource("");
-    fleet_.OnPublished();
-  };
-  ports.on_should_read = [this](bool should_read) {
-    duty_.SetAsked(should_read);
+  ports.on_informed = [this](Millis age) { NoteInformed(age); };
+  ports.on_reading_turn = [this](std::optional<int> turn) {
+    duty_.SetTurn(turn);
     UpdateSource("told to stop reading");
   };
   ports.on_published = [this](const std::string& changes, bool source_well) {
@@ -467,33 +471,42 @@
 
 void GatewayNode::OnSourceWell(StoreRevision at) {
   known_up_to_ = std::max(known_up_to_, at);
+  const bool is_late = duty_.IsLate();
   duty_.OnAnswered();
-  directory_.OnSourceBack(known_up_to_);
-  UpdateSource("");
-  fleet_.OnPublished();
+  NoteKnown(Millis(0), is_late);
+  fleet_.OnOwnReading();
 }
 
 void GatewayNode::OnInformed(StoreRevision at) {
   known_up_to_ = std::max(known_up_to_, at);
-  duty_.OnInformed(Millis(0));
-  directory_.OnSourceBack(known_up_to_);
+  NoteInformed(Millis(0));
+}
+
+void GatewayNode::NoteInformed(Millis age) {
+  const bool is_late = duty_.IsLate();
+  duty_.OnInformed(age);
+  NoteKnown(age, is_late);
+}
+
+void GatewayNode::NoteKnown(Millis age, bool is_late) {
+  directory_.OnSourceBack(known_up_to_, age);
   UpdateSource("");
   fleet_.OnPublished();
+  if (is_late) {
+    fleet_.OnInformedLate();
+  }
 }
 
 void GatewayNode::OnSourceLost(const std::string& reason) {
   duty_.OnFailed();
   directory_.OnSourceLost(duty_.Age());
   UpdateSource(reason);
+  fleet_.OnOwnReading();
 }
 
 void GatewayNode::UpdateSource(const std::string& reason) {
-  if (!duty_.Reads()) {
-    duty_.OnStopped();
-  }
-  feed_->SetReading(!duty_.Reads()           ? Reading::kNone
-                    : duty_.ReadsForOthers() ? Reading::kForOthers
-                                             : Reading::kAlone);
+  duty_.Update();
+  feed_->SetReading(duty_.Kind());
   const bool well = duty_.IsWell();
   if (well == source_well_) {
     return;
@@ -507,7 +520,6 @@
                {{"reason", reason}, {"known_up_to", known_up_to_.value}},
                LogWeight::kAlwaysKept);
   }
-  fleet_.OnSourceChanged();
 }
 
 void GatewayNode::OnUnusable(const std::string& what,
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -13,6 +13,7 @@
 #include "harecrank/core/reading_duty.h"
 #include "src/adapters/settings.h"
 #include "src/gateway/caller_listener.h"
+#include "src/gateway/copy_server.h"
 #include "src/gateway/crash_guard.h"
 #include "src/gateway/directory_feed.h"
 #include "src/gateway/endpoint_answers.h"
@@ -84,8 +85,9 @@
   HttpReply AnswerReadiness(const HttpRequest& request);
   // Returns this process's state, for operators.
   nlohmann::json Dump();
-  HttpReply AnswerOperations(const HttpRequest& request);
+  SmallReply AnswerOperations(const HttpRequest& request);
   FleetMemberPorts MakeFleetPorts();
+  ReadingDutyPorts MakeReadingPorts();
   void AwaitSignal();
   void OnSignal(int signal);
   void RereadSettings();
@@ -94,6 +96,10 @@
   void BeginDrain();
   // Tells of the life in which an endpoint runs, as far as that is known.
   void NoteLife(const EndpointId& id);
+  // Another host has told what the platform answered it `age` ago.
+  void NoteInformed(Millis age);
+  // What is known is complete as of `age` ago; before, it was late.
+  void NoteKnown(Millis age, bool is_late);
   // Notes whether the platform's publications are known, from whomever.
   void UpdateSource(const std::string& reason);
   void AcceptCallers();
@@ -135,6 +141,7 @@
   EndpointAnswers answers_;
   GatewayServices services_;
   std::unique_ptr<DirectoryFeed> feed_;
+  CopyServer copies_;
   CallerListener callers_;
   SmallServer readiness_;
   SmallServer operations_;
--- /dev/null
+++ b/src/gateway/planning_desk.cc
@@ -0,0 +1,92 @@
+#include "src/gateway/planning_desk.h"
+
+#include <utility>
+
+namespace harecrank {
+
+PlanningDesk::PlanningDesk(boost::asio::io_context* io, HostAddress self,
+                           Planner* planner, PlanningDeskPorts ports,
+                           EventLog* log, Metrics* metrics,
+                           MonotonicClock clock)
+    : self_(std::move(self)),
+      planner_(planner),
+      ports_(std::move(ports)),
+      log_(log),
+      metrics_(metrics),
+      clock_(std::move(clock)),
+      timer_(*io) {}
+
+void PlanningDesk::OnAsk(const PlaceAsk& ask) {
+  PlaceAnswer answer{self_, ask.life, ask.id, NotPlanner{}};
+  const std::optional<HostAddress> planner = ports_.planner();
+  if (planner == self_) {
+    metrics_->GetCounter("harecrank_gateway_asks_planned_total")->Add();
+    answer.decision = planner_->OnAsk(ask);
+    NoteTurnedAway(ask.host, ask.id, answer.decision);
+  } else if (planner.has_value()) {
+    answer.decision = NotPlanner{*planner};
+  }
+  ports_.send(ask.host, answer);
+}
+
+void PlanningDesk::NoteTurnedAway(const HostAddress& host, AskId id,
+                                  const PlaceDecision& decision) {
+  const auto* refused = std::get_if<AskRefused>(&decision);
+  if (refused == nullptr || !refused->return_after.has_value()) {
+    return;
+  }
+  log_->Write("turned_away",
+              {{"host", host.value},
+               {"ask", id.value},
+               {"return_after_ms", refused->return_after->count()},
+               {"promises", planner_->PromiseCount()}});
+}
+
+void PlanningDesk::OnNote(const WorkNote& note) {
+  if (IsPlanner()) {
+    planner_->OnNote(note);
+    TryWaitingSoon();
+  }
+}
+
+void PlanningDesk::OnWord(const HostWord& word) {
+  if (IsPlanner()) {
+    planner_->OnWord(word);
+    TryWaitingSoon();
+  }
+}
+
+void PlanningDesk::Tick() {
+  planner_->DropSilent();
+  if (clock_() - tried_at_ >= kTryInterval) {
+    TryWaiting();
+  }
+}
+
+void PlanningDesk::TryWaiting() {
+  tried_at_ = clock_();
+  if (planner_->WaitingCount() == 0) {
+    return;
+  }
+  for (DuePlace& due : planner_->TryWaiting()) {
+    NoteTurnedAway(due.host, due.id, due.decision);
+    ports_.send(due.host,
+                PlaceAnswer{self_, due.life, due.id, std::move(due.decision)});
+  }
+}
+
+void PlanningDesk::TryWaitingSoon() {
+  if (tries_soon_ || planner_->WaitingCount() == 0) {
+    return;
+  }
+  tries_soon_ = true;
+  timer_.expires_after(kTryPause);
+  timer_.async_wait([this](boost::system::error_code error) {
+    tries_soon_ = false;
+    if (!error && IsPlanner()) {
+      TryWaiting();
+    }
+  });
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/planning_desk.h
@@ -0,0 +1,66 @@
+// Answers asks for places, on the host that plans.
+
+#ifndef HARECRANK_SRC_GATEWAY_PLANNING_DESK_H_
+#define HARECRANK_SRC_GATEWAY_PLANNING_DESK_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <optional>
+
+#include "harecrank/core/planner.h"
+#include "src/adapters/event_log.h"
+#include "src/adapters/metrics.h"
+#include "src/gateway/timer.h"
+
+namespace harecrank {
+
+// What the desk asks of its owner.
+struct PlanningDeskPorts {
+  // Returns the host that plans, or nothing if it is not known yet.
+  std::function<std::optional<HostAddress>()> planner;
+  std::function<void(const HostAddress& to, const FleetMessage& message)> send;
+};
+
+// Not thread-safe; runs on its io_context.
+class PlanningDesk {
+ public:
+  // All pointers must outlive this.
+  PlanningDesk(boost::asio::io_context* io, HostAddress self, Planner* planner,
+               PlanningDeskPorts ports, EventLog* log, Metrics* metrics,
+               MonotonicClock clock);
+
+  void OnAsk(const PlaceAsk& ask);
+  void OnNote(const WorkNote& note);
+  void OnWord(const HostWord& word);
+
+  // To be called every few tens of milliseconds on the host that plans.
+  void Tick();
+
+  // How often prompts that wait are tried while nothing is heard.
+  static constexpr Millis kTryInterval{40};
+  // What ends within so long is taken together before those that wait are
+  // tried. A try of one prompt looks at every engine.
+  static constexpr Millis kTryPause{4};
+
+ private:
+  bool IsPlanner() const { return ports_.planner() == self_; }
+  void TryWaiting();
+  void TryWaitingSoon();
+  // Logs who is told to return, and when.
+  void NoteTurnedAway(const HostAddress& host, AskId id,
+                      const PlaceDecision& decision);
+
+  HostAddress self_;
+  Planner* planner_;
+  PlanningDeskPorts ports_;
+  EventLog* log_;
+  Metrics* metrics_;
+  MonotonicClock clock_;
+  Timer timer_;
+  TimePoint tried_at_{};
+  bool tries_soon_ = false;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_GATEWAY_PLANNING_DESK_H_
--- /dev/null
+++ b/src/gateway/publication_relay.cc
@@ -0,0 +1,189 @@
+#include "src/gateway/publication_relay.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <limits>
+#include <utility>
+
+#include "harecrank/core/http_status.h"
+#include "src/gateway/answer_decoder.h"
+#include "src/gateway/copy_server.h"
+#include "src/gateway/endpoint_request.h"
+
+namespace harecrank {
+namespace {
+
+// The pause between two questions to others for what they know of the platform,
+// and how long an answer may take.
+constexpr Millis kAskInterval{100};
+constexpr Millis kAskTimeout{1500};
+// How long another host may know more before it is asked: what it tells by
+// itself is on its way, or, for a host that reads, the service's own answer.
+constexpr Millis kToldWithin{30};
+constexpr Millis kReadWithin{300};
+// Changes go by datagram up to this size. Larger ones, such as a configuration
+// of many routes, are asked for over a connection.
+constexpr std::size_t kMostTold = 16384;
+
+namespace http = boost::beast::http;
+
+// Returns the host that `reply` sends on to, or nothing if it names none.
+std::optional<HostAddress> HostOfRedirect(const HttpReply& reply) {
+  constexpr std::string_view kScheme = "http://";
+  const std::string location(reply[http::field::location]);
+  const std::size_t end = location.find('/', kScheme.size());
+  if (location.compare(0, kScheme.size(), kScheme) != 0 ||
+      end == std::string::npos) {
+    return std::nullopt;
+  }
+  return HostAddress{location.substr(kScheme.size(), end - kScheme.size())};
+}
+
+// Returns when `reply` says to come again, or nothing if it does not say.
+std::optional<Millis> ReturnAfter(const HttpReply& reply) {
+  const auto field = reply.find(http::field::retry_after);
+  if (field == reply.end()) {
+    return std::nullopt;
+  }
+  const RestWord rest = ReadRest(View(field->value()), "");
+  const auto* after = std::get_if<Millis>(&rest);
+  return after == nullptr ? std::nullopt : std::make_optional(*after);
+}
+
+}  // namespace
+
+PublicationRelay::PublicationRelay(boost::asio::io_context* io,
+                                   HostAddress self, HostBook* book,
+                                   FleetSocket* socket,
+                                   PublicationRelayPorts ports, EventLog* log,
+                                   MonotonicClock clock, RandomSource random)
+    : io_(io),
+      self_(std::move(self)),
+      book_(book),
+      socket_(socket),
+      ports_(std::move(ports)),
+      log_(log),
+      clock_(std::move(clock)),
+      random_(std::move(random)) {}
+
+void PublicationRelay::OnPublished() {
+  if (tells_published_) {
+    return;
+  }
+  tells_published_ = true;
+  // What was published together is told together.
+  boost::asio::post(*io_, [this] { TellPublished(); });
+}
+
+void PublicationRelay::BeginToPlan() {
+  told_up_to_ = ports_.describe().known_up_to;
+}
+
+void PublicationRelay::TellPublished() {
+  tells_published_ = false;
+  const HostWord own = ports_.describe();
+  if (!(told_up_to_ < own.known_up_to)) {
+    return;
+  }
+  const StoreRevision since = told_up_to_;
+  told_up_to_ = own.known_up_to;
+  const bool is_first = since == StoreRevision{};
+  if (is_first && own.own_reading != OwnReading::kNone) {
+    // Others that have just started too wait for what this host has read.
+    ports_.announce();
+    return;
+  }
+  if (!ports_.is_planner()) {
+    ports_.tell_planner();
+    return;
+  }
+  const std::vector<std::string> parts = ports_.published(since, kMostTold);
+  const bool fits = std::all_of(
+      parts.begin(), parts.end(),
+      [](const std::string& part) { return part.size() <= kMostTold; });
+  if (!fits) {
+    ports_.announce();
+    return;
+  }
+  const std::vector<HostAddress> others = book_->AliveOthers();
+  for (const std::string& part : parts) {
+    socket_->SendToAll(others, PublishedChanges{self_, part});
+  }
+}
+
+void PublicationRelay::OnChanges(const PublishedChanges& published) {
+  // Changes that leave a gap are asked for when the next word shows it.
+  ports_.on_published(published.changes, true);
+}
+
+void PublicationRelay::AskBetterInformed(const HostWord& own) {
+  // What this host is reading already need not be asked for.
+  const RoutingVersion routing =
+      ports_.reads_routing()
+          ? RoutingVersion{std::numeric_limits<std::uint64_t>::max()}
+          : own.routing;
+  const auto host = book_->BetterInformed(routing, own.known_up_to);
+  if (!host.has_value()) {
+    behind_since_.reset();
+    return;
+  }
+  const TimePoint now = clock_();
+  if (!behind_since_.has_value()) {
+    behind_since_ = now;
+  }
+  if (asks_ || now < ask_from_ || now - *behind_since_ < Grace(own)) {
+    return;
+  }
+  Ask(*host, own.known_up_to, false);
+}
+
+Millis PublicationRelay::Grace(const HostWord& own) const {
+  if (own.routing == RoutingVersion{}) {
+    return Millis(0);
+  }
+  return own.own_reading == OwnReading::kAnswered ? kReadWithin : kToldWithin;
+}
+
+void PublicationRelay::Ask(const HostAddress& host, StoreRevision since,
+                           bool sent_on) {
+  asks_ = true;
+  asking_ = std::make_shared<HttpClient>(io_, host.value);
+  asking_->Get(CopyServer::kPath + std::to_string(since.value), kAskTimeout,
+               [this, host, since, sent_on](const CallResult& result) {
+                 OnAnswer(host, since, sent_on, result);
+               });
+}
+
+void PublicationRelay::OnAnswer(const HostAddress& host, StoreRevision since,
+                                bool sent_on, const CallResult& result) {
+  asks_ = false;
+  const auto* reply = std::get_if<HttpReply>(&result);
+  const unsigned status = reply == nullptr ? 0 : reply->result_int();
+  const bool taken =
+      status == http_status::kOk && ports_.on_published(reply->body(), false);
+  log_->Write("peer_asked",
+              {{"address", host.value}, {"status", status}, {"taken", taken}});
+  const auto other = status == http_status::kTemporaryRedirect && !sent_on
+                         ? HostOfRedirect(*reply)
+                         : std::nullopt;
+  if (other.has_value()) {
+    // Not from within the client that it replaces.
+    boost::asio::post(*io_, [this, other = *other, since] {
+      if (!asks_) {
+        Ask(other, since, true);
+      }
+    });
+    return;
+  }
+  WaitAfter(reply);
+}
+
+void PublicationRelay::WaitAfter(const HttpReply* reply) {
+  const auto told = reply == nullptr ? std::nullopt : ReturnAfter(*reply);
+  // With a random part, so that those that came together do not come back so.
+  const Millis spread(static_cast<std::int64_t>(
+      random_() % static_cast<std::uint64_t>(kAskInterval.count())));
+  ask_from_ = clock_() + told.value_or(kAskInterval / 2) + spread / 2;
+}
+
+}  // namespace harecrank
--- a/src/gateway/small_server.cc
+++ b/src/gateway/small_server.cc
@@ -1,7 +1,9 @@
 #include "src/gateway/small_server.h"
 
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <optional>
 #include <utility>
 
 namespace harecrank {
@@ -37,23 +39,46 @@
 
  private:
   void Answer() {
-    reply_ = (*handler_)(request_);
-    reply_.keep_alive(request_.keep_alive());
+    SmallReply answer = (*handler_)(request_);
+    reply_ = std::move(answer.reply);
+    keeps_alive_ = request_.keep_alive();
+    reply_.keep_alive(keeps_alive_);
+    if (answer.shared_body != nullptr) {
+      WriteShared(std::move(answer.shared_body));
+      return;
+    }
     reply_.prepare_payload();
-    http::async_write(stream_, reply_,
-                      [self = shared_from_this()](
+    http::async_write(
+        stream_, reply_,
+        [self = shared_from_this()](boost::system::error_code error,
+                                    std::size_t) { self->OnWritten(error); });
+  }
+
+  void WriteShared(std::shared_ptr<const std::string> body) {
+    shared_reply_.emplace(std::move(reply_.base()));
+    shared_reply_->body() = {body->data(), body->size()};
+    shared_reply_->prepare_payload();
+    http::async_write(stream_, *shared_reply_,
+                      [self = shared_from_this(), body = std::move(body)](
                           boost::system::error_code error, std::size_t) {
-                        if (!error && self->reply_.keep_alive()) {
-                          self->Read();
-                        }
+                        self->shared_reply_.reset();
+                        self->OnWritten(error);
                       });
   }
 
+  void OnWritten(const boost::system::error_code& error) {
+    if (!error && keeps_alive_) {
+      Read();
+    }
+  }
+
   beast::tcp_stream stream_;
   std::shared_ptr<const SmallHandler> handler_;
   beast::flat_buffer buffer_;
   HttpRequest request_;
   HttpReply reply_;
+  bool keeps_alive_ = false;
+  std::optional<http::response<http::span_body<const char>>> shared_reply_;
 };
 
 }  // namespace
--- a/src/gateway/small_server.h
+++ b/src/gateway/small_server.h
@@ -8,13 +8,26 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "src/gateway/http_client.h"
 
 namespace harecrank {
 
+// An answer. Its body stands in `reply`, or is shared with other answers and
+// held until it has gone out.
+struct SmallReply {
+  // NOLINTNEXTLINE(google-explicit-constructor): most answers are their own.
+  SmallReply(HttpReply own) : reply(std::move(own)) {}
+  SmallReply(HttpReply head, std::shared_ptr<const std::string> body)
+      : reply(std::move(head)), shared_body(std::move(body)) {}
+
+  HttpReply reply;
+  std::shared_ptr<const std::string> shared_body;
+};
+
 // Answers one request at once.
-using SmallHandler = std::function<HttpReply(const HttpRequest& request)>;
+using SmallHandler = std::function<SmallReply(const HttpRequest& request)>;
 
 // Makes an answer of `status` with `body`.
 HttpReply MakeReply(unsigned status, const std::string& content_type,
