Lines of the log do not grow with hosts times endpoints

Cause: each host wrote a line for each endpoint that another host told it of, and one for each host that it heard anew; all but the planner hear a few at a time and always other ones. Change: what one telling changes is one line with counts and the first ids; hosts that come and go are one line a second, on the planner alone. Hosts that read the store write each endpoint as before.

--- a/src/cli/explain.cc
+++ b/src/cli/explain.cc
@@ -13,9 +13,9 @@
 // Kinds of lines that tell what a host came to believe.
 const std::set<std::string>& BeliefKinds() {
   static const std::set<std::string> kKinds = {
-      "start",           "stop",          "reload",
-      "drain",           "configuration", "source_lost",
-      "source_regained", "endpoint_gone", "peer_asked"};
+      "start",          "stop",        "reload",          "drain",
+      "configuration",  "source_lost", "source_regained", "endpoint_gone",
+      "endpoints_told", "peer_asked"};
   return kKinds;
 }
 
--- a/src/gateway/endpoint_news.cc
+++ b/src/gateway/endpoint_news.cc
@@ -1,6 +1,23 @@
 #include "src/gateway/endpoint_news.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace harecrank {
+namespace {
+
+// So many ids stand in a line about several endpoints.
+constexpr std::size_t kMostNamed = 12;
+
+nlohmann::json FirstOf(const std::vector<EndpointId>& endpoints) {
+  nlohmann::json ids = nlohmann::json::array();
+  for (std::size_t i = 0; i < std::min(kMostNamed, endpoints.size()); ++i) {
+    ids.push_back(endpoints[i].value);
+  }
+  return ids;
+}
+
+}  // namespace
 
 EndpointNews::EndpointNews(EndpointDirectory* directory, EndpointHealth* health,
                            EndpointConnections* connections, EventLog* log,
@@ -28,6 +45,10 @@
   if (!directory_->Upsert(record)) {
     return;
   }
+  if (told_.has_value()) {
+    told_->changed.push_back(record.id);
+    return;
+  }
   log_->Write("endpoint", {{"endpoint", record.id.value},
                            {"service", record.service.value},
                            {"address", record.address},
@@ -43,6 +64,10 @@
   if (absence == Absence::kDeparted) {
     connections_->Forget(id);
   }
+  if (told_.has_value()) {
+    told_->gone.push_back(id);
+    return;
+  }
   log_->Write("endpoint_gone", {{"endpoint", id.value},
                                 {"kept", absence == Absence::kMayHaveLapsed},
                                 {"revision", revision.value}});
@@ -131,6 +156,19 @@
   return busy;
 }
 
+void EndpointNews::BeginTold() { told_.emplace(); }
+
+void EndpointNews::EndTold() {
+  const Told told = *std::exchange(told_, std::nullopt);
+  if (told.changed.empty() && told.gone.empty()) {
+    return;
+  }
+  log_->Write("endpoints_told", {{"changed", told.changed.size()},
+                                 {"gone", told.gone.size()},
+                                 {"changed_ids", FirstOf(told.changed)},
+                                 {"gone_ids", FirstOf(told.gone)}});
+}
+
 void EndpointNews::DropLapsed() {
   for (const DroppedEndpoint& dropped : directory_->DropLapsed()) {
     connections_->Forget(dropped.id);
--- a/src/gateway/endpoint_news.h
+++ b/src/gateway/endpoint_news.h
@@ -3,6 +3,7 @@
 #ifndef HARECRANK_SRC_GATEWAY_ENDPOINT_NEWS_H_
 #define HARECRANK_SRC_GATEWAY_ENDPOINT_NEWS_H_
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -57,7 +58,19 @@
   // Drops endpoints whose entries have been missing for too long.
   void DropLapsed();
 
+  // What follows, up to EndTold, was told by another host: it leaves one line
+  // in the log and not one for each endpoint, or the lines of all hosts would
+  // grow with hosts times endpoints.
+  void BeginTold();
+  void EndTold();
+
  private:
+  // What one telling of another host has changed.
+  struct Told {
+    std::vector<EndpointId> changed;
+    std::vector<EndpointId> gone;
+  };
+
   // Forgets what was seen of an earlier life of the endpoint, if `record` tells
   // of a new one.
   void NoteLife(const EndpointRecord& record);
@@ -70,6 +83,7 @@
   EndpointConnections* connections_;
   EventLog* log_;
   Metrics* metrics_;
+  std::optional<Told> told_;
 };
 
 }  // namespace harecrank
--- a/src/gateway/fleet_member.cc
+++ b/src/gateway/fleet_member.cc
@@ -16,6 +16,8 @@
 constexpr Millis kSearchInterval{100};
 constexpr Millis kLongestSearch{800};
 constexpr Millis kStrangerInterval{1000};
+// Hosts that were heard or lost within this share a line in the log.
+constexpr Millis kPeersInterval{1000};
 // A planner that has not been heard for this long has missed a word.
 constexpr Millis kMissedWord{400};
 
@@ -137,8 +139,7 @@
 void FleetMember::OnWord(const HostWord& word) {
   const TimePoint now = clock_();
   if (book_->OnWord(word)) {
-    log_->Write("peer_heard",
-                {{"peer", word.node.value}, {"address", word.address.value}});
+    ++peers_heard_;
   }
   if (word.address == followed_) {
     planner_heard_ = now;
@@ -361,9 +362,26 @@
   FollowPlanner();
 }
 
+void FleetMember::LogPeers() {
+  const int alive = book_->CountedHosts();
+  const int lost = peers_alive_ + peers_heard_ - alive;
+  // Others hear few hosts at a time, and always other ones.
+  if (IsPlanner() && (peers_heard_ > 0 || lost > 0)) {
+    log_->Write("peers", {{"heard", peers_heard_},
+                          {"lost", std::max(0, lost)},
+                          {"alive", alive}});
+  }
+  peers_alive_ = alive;
+  peers_heard_ = 0;
+  peers_logged_ = clock_();
+}
+
 void FleetMember::Tick() {
   const TimePoint now = clock_();
   LookForSilence();
+  if (now - peers_logged_ >= kPeersInterval) {
+    LogPeers();
+  }
   if (now - told_at_ >= kWordInterval) {
     TellPlanner();
   }
--- a/src/gateway/fleet_member.h
+++ b/src/gateway/fleet_member.h
@@ -123,6 +123,8 @@
   void TellStrangers();
   void Announce();
   void Tick();
+  // Tells how many hosts came and went since the last line.
+  void LogPeers();
   // Looks whether another host plans now, and tells of it if so.
   void FollowPlanner();
   void LookForSilence();
@@ -155,6 +157,9 @@
   TimePoint probed_at_{};
   bool tells_soon_ = false;
   Millis search_interval_{50};
+  int peers_heard_ = 0;
+  int peers_alive_ = 1;
+  TimePoint peers_logged_{};
   // What ended together is told together.
   std::vector<CrashReport> untold_crashes_;
   // As the planner: the hosts that read the platform beside it, and whether its
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -319,7 +319,9 @@
     UpdateSource("told to stop reading");
   };
   ports.on_published = [this](const std::string& changes, bool source_well) {
+    endpoint_news_.BeginTold();
     const auto at = feed_->Import(changes, source_well);
+    endpoint_news_.EndTold();
     if (at.has_value()) {
       known_up_to_ = std::max(known_up_to_, *at);
     }
