--- a/src/gateway/exchange_attempts.cc
+++ b/src/gateway/exchange_attempts.cc
@@ -105,6 +105,9 @@
   }
   may_have_run_ = true;
   AbandonAttempt();
+  log_.SentAgain(sender_->Endpoint().id,
+                 "endpoint_answered_" + std::to_string(status),
+                 nlohmann::json::object());
   TryNext();
   return true;
 }
