The gateway's node falls apart by job

Change: what operators see (gateway_gauges), what is known of the platform's publications and whether this host reads them (source_state), what is published (published_news), what follows from the settings (settings_views). The dump tells the source's age and the copies under way; a gauge for the latter.

--- a/include/harecrank/core/reading_duty.h
+++ b/include/harecrank/core/reading_duty.h
@@ -15,8 +15,8 @@
 //
 // So the number of calls a second is bounded whatever the size of the fleet,
 // also while the service answers nobody, and no rule that binds a host depends
-// on another host for long. A host that hears no other has no others to share
-// the turns with, and reads at kInformedFor.
+// on another host for long. A host that hears no other shares the turns with
+// nobody, and reads at kStandByAge.
 
 #ifndef HARECRANK_CORE_READING_DUTY_H_
 #define HARECRANK_CORE_READING_DUTY_H_
--- a/src/core/reading_duty.cc
+++ b/src/core/reading_duty.cc
@@ -55,11 +55,11 @@
 }
 
 Millis ReadingDuty::Patience() const {
-  if (!turn_.has_value()) {
-    return kInformedFor;
+  if (turn_.has_value()) {
+    // The turn of zero has come anyway.
+    return kStandByAge + std::max(0, *turn_ - 1) * kStandByStep;
   }
-  // The turn of zero has come anyway.
-  return kStandByAge + std::max(0, *turn_ - 1) * kStandByStep;
+  return ports_.sharers() > 1 ? kInformedFor : kStandByAge;
 }
 
 void ReadingDuty::BeginRounds(TimePoint from) {
--- /dev/null
+++ b/src/gateway/gateway_gauges.cc
@@ -0,0 +1,138 @@
+#include "src/gateway/gateway_gauges.h"
+
+#include <vector>
+
+namespace harecrank {
+namespace {
+
+nlohmann::json Names(const std::vector<EndpointId>& endpoints) {
+  nlohmann::json names = nlohmann::json::array();
+  for (const EndpointId& id : endpoints) {
+    names.push_back(id.value);
+  }
+  return names;
+}
+
+// What this host tells of the fleet while it plans.
+void RegisterPlannerGauges(const GatewayParts& parts, Metrics* metrics) {
+  metrics->AddGauge("harecrank_gateway_is_planner",
+                    [parts] { return parts.fleet->IsPlanner() ? 1.0 : 0.0; });
+  metrics->AddGauge("harecrank_gateway_planned_hosts", [parts] {
+    return static_cast<double>(parts.planner->HostCount());
+  });
+  metrics->AddGauge("harecrank_gateway_waiting_at_planner", [parts] {
+    return static_cast<double>(parts.planner->WaitingCount());
+  });
+  metrics->AddGauge("harecrank_gateway_accounts_waiting", [parts] {
+    return static_cast<double>(parts.planner->WaitingAccounts());
+  });
+  metrics->AddGauge("harecrank_gateway_accounts_sated", [parts] {
+    return static_cast<double>(parts.planner->SatedAccounts());
+  });
+  metrics->AddGauge("harecrank_gateway_promises_open", [parts] {
+    return static_cast<double>(parts.planner->PromiseCount());
+  });
+  metrics->AddGauge("harecrank_gateway_promises_made", [parts] {
+    return static_cast<double>(parts.planner->Promises().made);
+  });
+  metrics->AddGauge("harecrank_gateway_promises_kept", [parts] {
+    return static_cast<double>(parts.planner->Promises().kept);
+  });
+  metrics->AddGauge("harecrank_gateway_promises_broken", [parts] {
+    return static_cast<double>(parts.planner->Promises().broken);
+  });
+}
+
+}  // namespace
+
+void RegisterGauges(const GatewayParts& parts, Metrics* metrics) {
+  RegisterPlannerGauges(parts, metrics);
+  metrics->AddGauge("harecrank_gateway_configuration_version", [parts] {
+    const auto table = parts.routing->InForce();
+    return table == nullptr ? 0.0 : static_cast<double>(table->Version().value);
+  });
+  metrics->AddGauge("harecrank_gateway_endpoints", [parts] {
+    return static_cast<double>(parts.directory->Count());
+  });
+  metrics->AddGauge("harecrank_gateway_endpoints_missing", [parts] {
+    return static_cast<double>(parts.directory->MissingCount());
+  });
+  metrics->AddGauge("harecrank_gateway_endpoints_cold", [parts] {
+    return static_cast<double>(parts.start_gate->ColdCount());
+  });
+  metrics->AddGauge("harecrank_gateway_endpoints_limited", [parts] {
+    return static_cast<double>(parts.start_gate->LimitedCount());
+  });
+  metrics->AddGauge("harecrank_gateway_endpoints_leaving", [parts] {
+    return static_cast<double>(parts.directory->Leaving().size());
+  });
+  metrics->AddGauge("harecrank_gateway_endpoints_resting", [parts] {
+    return static_cast<double>(parts.start_gate->RestingCount());
+  });
+  metrics->AddGauge("harecrank_gateway_fleet_size", [parts] {
+    return static_cast<double>(parts.hosts->Size().Most().value_or(0));
+  });
+  metrics->AddGauge("harecrank_gateway_data_centres_closed", [parts] {
+    return static_cast<double>(parts.directory->Closed().Count());
+  });
+  metrics->AddGauge("harecrank_gateway_closed_endpoints_busy", [parts] {
+    return static_cast<double>(parts.endpoint_news->BusyClosed(*parts.loads));
+  });
+  metrics->AddGauge("harecrank_gateway_source_well",
+                    [parts] { return parts.source->IsWell() ? 1.0 : 0.0; });
+  metrics->AddGauge("harecrank_gateway_copies_under_way", [parts] {
+    return static_cast<double>(parts.copies->UnderWay());
+  });
+  metrics->AddGauge("harecrank_gateway_waiting", [parts] {
+    return static_cast<double>(parts.queue->Count());
+  });
+  metrics->AddGauge("harecrank_gateway_hosts_alive", [parts] {
+    return static_cast<double>(parts.hosts->AliveHosts());
+  });
+  metrics->AddGauge("harecrank_gateway_idle_connections", [parts] {
+    return static_cast<double>(parts.connections->IdleCount());
+  });
+  metrics->AddGauge("harecrank_gateway_callers", [parts] {
+    return static_cast<double>(parts.callers->Count());
+  });
+  metrics->AddGauge("harecrank_gateway_requests_suspect", [parts] {
+    return static_cast<double>(parts.quarantine->Count());
+  });
+  metrics->AddGauge("harecrank_gateway_requests_held", [parts] {
+    return static_cast<double>(parts.quarantine->HeldCount());
+  });
+  metrics->AddGauge("harecrank_gateway_log_lines_dropped", [parts] {
+    return static_cast<double>(parts.log->Dropped());
+  });
+}
+
+nlohmann::json DumpOf(const GatewayParts& parts) {
+  const auto planner = parts.hosts->Planner();
+  const auto table = parts.routing->InForce();
+  HostWord source;
+  parts.source->Describe(&source);
+  return {{"configuration", table == nullptr ? 0 : table->Version().value},
+          {"source",
+           {{"well", source.source_well},
+            {"at", source.known_up_to.value},
+            {"age_ms", source.source_age.count()},
+            {"reads", source.own_reading != OwnReading::kNone}}},
+          {"fleet",
+           {{"planner", planner.value_or(HostAddress{}).value},
+            {"plans", parts.fleet->IsPlanner()},
+            {"alive", parts.hosts->AliveHosts()},
+            {"size", parts.hosts->Size().Most().value_or(0)}}},
+          {"endpoints",
+           {{"known", parts.directory->Count()},
+            {"leaving", Names(parts.directory->Leaving())},
+            {"missing", parts.directory->MissingCount()},
+            {"avoided", parts.health->Avoided().size()}}},
+          {"requests",
+           {{"waiting", parts.queue->Count()},
+            {"waiting_at_planner", parts.planner->WaitingCount()},
+            {"held", parts.quarantine->HeldCount()}}},
+          {"copies_under_way", parts.copies->UnderWay()},
+          {"bounds", parts.start_gate->Describe()}};
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/gateway_gauges.h
@@ -0,0 +1,51 @@
+// What a gateway shows operators of its state: gauges and the dump.
+
+#ifndef HARECRANK_SRC_GATEWAY_GATEWAY_GAUGES_H_
+#define HARECRANK_SRC_GATEWAY_GATEWAY_GAUGES_H_
+
+#include <nlohmann/json.hpp>
+
+#include "harecrank/core/host_book.h"
+#include "harecrank/core/planner.h"
+#include "harecrank/core/request_quarantine.h"
+#include "src/gateway/caller_listener.h"
+#include "src/gateway/copy_server.h"
+#include "src/gateway/dispatch_queue.h"
+#include "src/gateway/endpoint_connections.h"
+#include "src/gateway/endpoint_news.h"
+#include "src/gateway/fleet_member.h"
+#include "src/gateway/gateway_services.h"
+#include "src/gateway/source_state.h"
+#include "src/gateway/start_gate.h"
+
+namespace harecrank {
+
+// The parts whose state is shown. All must outlive what shows them.
+struct GatewayParts {
+  RoutingState* routing;
+  EndpointDirectory* directory;
+  EndpointLoads* loads;
+  EndpointHealth* health;
+  EndpointConnections* connections;
+  EndpointNews* endpoint_news;
+  RequestQuarantine* quarantine;
+  DispatchQueue* queue;
+  HostBook* hosts;
+  StartGate* start_gate;
+  Planner* planner;
+  FleetMember* fleet;
+  SourceState* source;
+  CopyServer* copies;
+  CallerListener* callers;
+  EventLog* log;
+};
+
+// Adds the gauges of `parts` to `metrics`.
+void RegisterGauges(const GatewayParts& parts, Metrics* metrics);
+
+// Returns the state of `parts`, for operators.
+nlohmann::json DumpOf(const GatewayParts& parts);
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_GATEWAY_GATEWAY_GAUGES_H_
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -8,6 +8,7 @@
 #include "harecrank/core/http_status.h"
 #include "src/gateway/endpoint_request.h"
 #include "src/gateway/exchange.h"
+#include "src/gateway/settings_views.h"
 
 namespace harecrank {
 namespace {
@@ -27,50 +28,12 @@
 constexpr Millis kTakesStreams{2700};
 // What is left of the platform's patience when the process gives up waiting.
 constexpr Millis kStopMargin{400};
-// Descriptors that are not callers': files, listening sockets, endpoints.
-constexpr std::size_t kReservedDescriptors = 1200;
-constexpr std::size_t kLeastSessions = 256;
-
 // How long callers wait for a process that has just started to know anything.
 // They allow a connection a second.
 constexpr Millis kFirstConfiguration{700};
 // How many hosts share a bound where fewer are known.
 constexpr int kLeastHosts = 3;
 
-std::size_t MostSessions(std::size_t descriptors) {
-  return descriptors > kReservedDescriptors + kLeastSessions
-             ? descriptors - kReservedDescriptors
-             : kLeastSessions;
-}
-
-KnownHost Self(const GatewaySettings& settings) {
-  return KnownHost{HostAddress{settings.operations_address},
-                   HostPower{settings.power}};
-}
-
-bool IsSeed(const GatewaySettings& settings) {
-  const std::vector<std::string>& seeds = settings.seed_peers;
-  return seeds.empty() || std::find(seeds.begin(), seeds.end(),
-                                    settings.operations_address) != seeds.end();
-}
-
-nlohmann::json Names(const std::vector<EndpointId>& endpoints) {
-  nlohmann::json names = nlohmann::json::array();
-  for (const EndpointId& id : endpoints) {
-    names.push_back(id.value);
-  }
-  return names;
-}
-
-std::vector<HostAddress> Addresses(const std::vector<std::string>& texts) {
-  std::vector<HostAddress> addresses;
-  addresses.reserve(texts.size());
-  for (const std::string& text : texts) {
-    addresses.push_back(HostAddress{text});
-  }
-  return addresses;
-}
-
 }  // namespace
 
 GatewayNode::GatewayNode(GatewaySettings settings,
@@ -126,11 +89,16 @@
       answers_(&directory_, &health_, &endpoint_news_, &start_gate_,
                [this] { fleet_.TellSoon(); }),
       services_(MakeServices()),
-      feed_(platform.make_feed(&io_, settings_, this, &holds_)),
+      source_(IsSeed(settings_), MakeReadingPorts(), MakeSourcePorts(),
+              &directory_, &log_, clock_, random_),
+      news_(
+          &routing_, &directory_, &endpoint_news_, &start_gate_, &source_,
+          [this] { AcceptCallers(); }, &log_, &metrics_),
+      feed_(platform.make_feed(&io_, settings_, &news_, &holds_)),
       copies_(
           Self(settings_).power, &hosts_,
           [this](StoreRevision since) { return feed_->Export(since); },
-          [this] { return known_up_to_; }, &metrics_, clock_),
+          [this] { return source_.KnownUpTo(); }, &metrics_, clock_),
       callers_(&io_, settings_.callers_address,
                MostSessions(settings_.descriptors), MakeSessionContext()),
       readiness_(&io_, settings_.readiness_address,
@@ -138,9 +106,8 @@
       operations_(&io_, settings_.operations_address,
                   [this](const HttpRequest& r) { return AnswerOperations(r); }),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
-      tick_timer_(io_),
-      duty_(IsSeed(settings_), MakeReadingPorts(), clock_, random_) {
-  RegisterGauges();
+      tick_timer_(io_) {
+  RegisterGauges(MakeParts(), &metrics_);
 }
 
 GatewayNode::~GatewayNode() = default;
@@ -240,10 +207,16 @@
                      metrics_.Text());
   }
   if (request.target() == "/dump") {
+    nlohmann::json dump = DumpOf(MakeParts());
+    dump["node"] = settings_.node_id.value;
+    dump["data_centre"] = settings_.data_centre.value;
+    dump["version"] = HARECRANK_VERSION;
+    dump["ready"] = IsReady();
+    dump["draining"] = draining_;
     // What hosts tell of endpoints need not be text.
     return MakeReply(
         http_status::kOk, "application/json",
-        Dump().dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+        dump.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
   }
   const std::string_view target = View(request.target());
   if (CopyServer::Serves(target)) {
@@ -252,51 +225,38 @@
   return MakeReply(http_status::kNotFound, "text/plain", "no such page\n");
 }
 
-nlohmann::json GatewayNode::Dump() {
-  const auto table = routing_.InForce();
-  const auto planner = hosts_.Planner();
-  return {{"node", settings_.node_id.value},
-          {"data_centre", settings_.data_centre.value},
-          {"version", HARECRANK_VERSION},
-          {"ready", IsReady()},
-          {"draining", draining_},
-          {"configuration", table == nullptr ? 0 : table->Version().value},
-          {"source", {{"well", source_well_}, {"at", known_up_to_.value}}},
-          {"fleet",
-           {{"planner", planner.value_or(HostAddress{}).value},
-            {"plans", fleet_.IsPlanner()},
-            {"alive", hosts_.AliveHosts()},
-            {"size", hosts_.Size().Most().value_or(0)}}},
-          {"endpoints",
-           {{"known", directory_.Count()},
-            {"leaving", Names(directory_.Leaving())},
-            {"missing", directory_.MissingCount()},
-            {"avoided", health_.Avoided().size()}}},
-          {"requests",
-           {{"waiting", queue_.Count()},
-            {"waiting_at_planner", planner_.WaitingCount()},
-            {"held", quarantine_.HeldCount()}}},
-          {"bounds", start_gate_.Describe()}};
+GatewayParts GatewayNode::MakeParts() {
+  return GatewayParts{&routing_,     &directory_,     &loads_,      &health_,
+                      &connections_, &endpoint_news_, &quarantine_, &queue_,
+                      &hosts_,       &start_gate_,    &planner_,    &fleet_,
+                      &source_,      &copies_,        &callers_,    &log_};
 }
 
 ReadingDutyPorts GatewayNode::MakeReadingPorts() {
   ReadingDutyPorts ports;
   ports.sharers = [this] { return hosts_.ReadingHosts(); };
   ports.copy_is_near = [this] {
-    return hosts_.BetterInformed(RoutingVersion{}, known_up_to_).has_value();
+    return hosts_.BetterInformed(RoutingVersion{}, source_.KnownUpTo())
+        .has_value();
   };
   return ports;
 }
 
+SourceStatePorts GatewayNode::MakeSourcePorts() {
+  SourceStatePorts ports;
+  ports.set_reading = [this](Reading reading) { feed_->SetReading(reading); };
+  ports.on_published = [this] { fleet_.OnPublished(); };
+  ports.on_own_reading = [this] { fleet_.OnOwnReading(); };
+  ports.on_informed_late = [this] { fleet_.OnInformedLate(); };
+  return ports;
+}
+
 FleetMemberPorts GatewayNode::MakeFleetPorts() {
   FleetMemberPorts ports;
   ports.describe = [this](HostWord* word) {
     const auto table = routing_.InForce();
     word->routing = table == nullptr ? RoutingVersion{} : table->Version();
-    word->known_up_to = known_up_to_;
-    word->source_well = source_well_;
-    word->source_age = duty_.Age();
-    word->own_reading = duty_.Own();
+    source_.Describe(word);
     word->crash_digest = quarantine_.SharedDigest();
     word->most_hosts = hosts_.Size().Counted();
   };
@@ -313,224 +273,22 @@
     return feed_->ExportNews(since, most_bytes);
   };
   ports.reads_routing = [this] { return feed_->ReadsRouting(); };
-  ports.on_informed = [this](Millis age) { NoteInformed(age); };
+  ports.on_informed = [this](Millis age) { source_.OnNothingNew(age); };
   ports.on_reading_turn = [this](std::optional<int> turn) {
-    duty_.SetTurn(turn);
-    UpdateSource("told to stop reading");
+    source_.SetTurn(turn);
   };
   ports.on_published = [this](const std::string& changes, bool source_well) {
     endpoint_news_.BeginTold();
     const auto at = feed_->Import(changes, source_well);
     endpoint_news_.EndTold();
     if (at.has_value()) {
-      known_up_to_ = std::max(known_up_to_, *at);
+      source_.OnTaken(*at);
     }
     return at.has_value();
   };
   return ports;
 }
 
-void GatewayNode::RegisterGauges() {
-  RegisterPlannerGauges();
-  metrics_.AddGauge("harecrank_gateway_configuration_version", [this] {
-    const auto table = routing_.InForce();
-    return table == nullptr ? 0.0 : static_cast<double>(table->Version().value);
-  });
-  metrics_.AddGauge("harecrank_gateway_endpoints",
-                    [this] { return static_cast<double>(directory_.Count()); });
-  metrics_.AddGauge("harecrank_gateway_endpoints_missing", [this] {
-    return static_cast<double>(directory_.MissingCount());
-  });
-  metrics_.AddGauge("harecrank_gateway_endpoints_cold", [this] {
-    return static_cast<double>(start_gate_.ColdCount());
-  });
-  metrics_.AddGauge("harecrank_gateway_endpoints_limited", [this] {
-    return static_cast<double>(start_gate_.LimitedCount());
-  });
-  metrics_.AddGauge("harecrank_gateway_endpoints_leaving", [this] {
-    return static_cast<double>(directory_.Leaving().size());
-  });
-  metrics_.AddGauge("harecrank_gateway_endpoints_resting", [this] {
-    return static_cast<double>(start_gate_.RestingCount());
-  });
-  metrics_.AddGauge("harecrank_gateway_fleet_size", [this] {
-    return static_cast<double>(hosts_.Size().Most().value_or(0));
-  });
-  metrics_.AddGauge("harecrank_gateway_data_centres_closed", [this] {
-    return static_cast<double>(directory_.Closed().Count());
-  });
-  metrics_.AddGauge("harecrank_gateway_closed_endpoints_busy", [this] {
-    return static_cast<double>(endpoint_news_.BusyClosed(loads_));
-  });
-  metrics_.AddGauge("harecrank_gateway_source_well",
-                    [this] { return source_well_ ? 1.0 : 0.0; });
-  metrics_.AddGauge("harecrank_gateway_waiting",
-                    [this] { return static_cast<double>(queue_.Count()); });
-  metrics_.AddGauge("harecrank_gateway_hosts_alive", [this] {
-    return static_cast<double>(hosts_.AliveHosts());
-  });
-  metrics_.AddGauge("harecrank_gateway_idle_connections", [this] {
-    return static_cast<double>(connections_.IdleCount());
-  });
-  metrics_.AddGauge("harecrank_gateway_callers",
-                    [this] { return static_cast<double>(callers_.Count()); });
-  metrics_.AddGauge("harecrank_gateway_requests_suspect", [this] {
-    return static_cast<double>(quarantine_.Count());
-  });
-  metrics_.AddGauge("harecrank_gateway_requests_held", [this] {
-    return static_cast<double>(quarantine_.HeldCount());
-  });
-  metrics_.AddGauge("harecrank_gateway_log_lines_dropped",
-                    [this] { return static_cast<double>(log_.Dropped()); });
-}
-
-void GatewayNode::RegisterPlannerGauges() {
-  metrics_.AddGauge("harecrank_gateway_is_planner",
-                    [this] { return fleet_.IsPlanner() ? 1.0 : 0.0; });
-  metrics_.AddGauge("harecrank_gateway_planned_hosts", [this] {
-    return static_cast<double>(planner_.HostCount());
-  });
-  metrics_.AddGauge("harecrank_gateway_waiting_at_planner", [this] {
-    return static_cast<double>(planner_.WaitingCount());
-  });
-  metrics_.AddGauge("harecrank_gateway_accounts_waiting", [this] {
-    return static_cast<double>(planner_.WaitingAccounts());
-  });
-  metrics_.AddGauge("harecrank_gateway_accounts_sated", [this] {
-    return static_cast<double>(planner_.SatedAccounts());
-  });
-  metrics_.AddGauge("harecrank_gateway_promises_open", [this] {
-    return static_cast<double>(planner_.PromiseCount());
-  });
-  metrics_.AddGauge("harecrank_gateway_promises_made", [this] {
-    return static_cast<double>(planner_.Promises().made);
-  });
-  metrics_.AddGauge("harecrank_gateway_promises_kept", [this] {
-    return static_cast<double>(planner_.Promises().kept);
-  });
-  metrics_.AddGauge("harecrank_gateway_promises_broken", [this] {
-    return static_cast<double>(planner_.Promises().broken);
-  });
-}
-
-void GatewayNode::OnRouting(RoutingDocument document) {
-  const auto table = std::make_shared<const RoutingTable>(std::move(document));
-  if (!routing_.Offer(table)) {
-    return;
-  }
-  log_.Write("configuration",
-             {{"version", table->Version().value},
-              {"routes", table->Document().routes.size()},
-              {"services", table->Document().services.size()}},
-             LogWeight::kAlwaysKept);
-  AcceptCallers();
-}
-
-void GatewayNode::OnListing(std::vector<EndpointRecord> records,
-                            std::vector<ClosedDataCentre> closed,
-                            StoreRevision at) {
-  start_gate_.OnListing(records);
-  endpoint_news_.OnListing(records, at);
-  for (const EndpointRecord& record : records) {
-    NoteLife(record.id);
-  }
-  endpoint_news_.OnClosedListed(closed, at);
-  AcceptCallers();
-}
-
-void GatewayNode::OnEndpoint(const EndpointRecord& record) {
-  start_gate_.OnEndpoint(record);
-  endpoint_news_.OnEndpoint(record);
-  NoteLife(record.id);
-}
-
-void GatewayNode::NoteLife(const EndpointId& id) {
-  const EndpointRecord* held = directory_.Find(id);
-  if (held != nullptr) {
-    start_gate_.OnLife(id, held->life);
-  }
-}
-
-void GatewayNode::OnEndpointGone(const EndpointId& id, StoreRevision revision) {
-  start_gate_.OnGone(id);
-  endpoint_news_.OnGone(id, revision);
-}
-
-void GatewayNode::OnEndpointUnusable(const EndpointId& id,
-                                     StoreRevision revision,
-                                     const std::string& reason) {
-  endpoint_news_.OnUnusable(id, revision, reason);
-}
-
-void GatewayNode::OnDataCentreClosed(const ClosedDataCentre& order) {
-  endpoint_news_.OnClosed(order);
-}
-
-void GatewayNode::OnDataCentreOpened(const DataCentreId& id,
-                                     StoreRevision revision) {
-  endpoint_news_.OnOpened(id, revision);
-}
-
-void GatewayNode::OnSourceWell(StoreRevision at) {
-  known_up_to_ = std::max(known_up_to_, at);
-  const bool is_late = duty_.IsLate();
-  duty_.OnAnswered();
-  NoteKnown(Millis(0), is_late);
-  fleet_.OnOwnReading();
-}
-
-void GatewayNode::OnInformed(StoreRevision at) {
-  known_up_to_ = std::max(known_up_to_, at);
-  NoteInformed(Millis(0));
-}
-
-void GatewayNode::NoteInformed(Millis age) {
-  const bool is_late = duty_.IsLate();
-  duty_.OnInformed(age);
-  NoteKnown(age, is_late);
-}
-
-void GatewayNode::NoteKnown(Millis age, bool is_late) {
-  directory_.OnSourceBack(known_up_to_, age);
-  UpdateSource("");
-  fleet_.OnPublished();
-  if (is_late) {
-    fleet_.OnInformedLate();
-  }
-}
-
-void GatewayNode::OnSourceLost(const std::string& reason) {
-  duty_.OnFailed();
-  directory_.OnSourceLost(duty_.Age());
-  UpdateSource(reason);
-  fleet_.OnOwnReading();
-}
-
-void GatewayNode::UpdateSource(const std::string& reason) {
-  duty_.Update();
-  feed_->SetReading(duty_.Kind());
-  const bool well = duty_.IsWell();
-  if (well == source_well_) {
-    return;
-  }
-  source_well_ = well;
-  if (well) {
-    log_.Write("source_regained", {{"at", known_up_to_.value}},
-               LogWeight::kAlwaysKept);
-  } else {
-    log_.Write("source_lost",
-               {{"reason", reason}, {"known_up_to", known_up_to_.value}},
-               LogWeight::kAlwaysKept);
-  }
-}
-
-void GatewayNode::OnUnusable(const std::string& what,
-                             const std::string& reason) {
-  metrics_.GetCounter("harecrank_gateway_unusable_entries_total")->Add();
-  log_.Write("unusable", {{"what", what}, {"reason", reason}},
-             LogWeight::kAlwaysKept);
-}
-
 void GatewayNode::AwaitSignal() {
   signals_.async_wait([this](boost::system::error_code error, int signal) {
     if (!error) {
@@ -605,7 +363,7 @@
   endpoint_news_.DropLapsed();
   hosts_.NoteSize();
   start_gate_.Tick();
-  UpdateSource("nobody told for a while");
+  source_.Tick();
   if (now - swept_ >= kSweepInterval) {
     swept_ = now;
     connections_.Sweep();
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -10,7 +10,6 @@
 #include <optional>
 #include <string>
 
-#include "harecrank/core/reading_duty.h"
 #include "src/adapters/settings.h"
 #include "src/gateway/caller_listener.h"
 #include "src/gateway/copy_server.h"
@@ -20,9 +19,12 @@
 #include "src/gateway/endpoint_news.h"
 #include "src/gateway/endpoint_prober.h"
 #include "src/gateway/fleet_member.h"
+#include "src/gateway/gateway_gauges.h"
 #include "src/gateway/gateway_services.h"
 #include "src/gateway/loop_holds.h"
+#include "src/gateway/published_news.h"
 #include "src/gateway/small_server.h"
+#include "src/gateway/source_state.h"
 #include "src/gateway/timer.h"
 
 namespace harecrank {
@@ -48,14 +50,16 @@
 
 // One thread runs all of it: a host's share of a core is less than one, and
 // docs/PLATFORM.md has the figures.
-class GatewayNode : public DirectorySink {
+class GatewayNode {
  public:
   // Throws boost::system::system_error if an address cannot be had.
   // `reread_settings` is called when the settings may have changed.
   GatewayNode(GatewaySettings settings, SettingsSource reread_settings,
               const PlatformAdapters& platform, MonotonicClock clock,
               RandomSource random);
-  ~GatewayNode() override;
+  ~GatewayNode();
+  GatewayNode(const GatewayNode&) = delete;
+  GatewayNode& operator=(const GatewayNode&) = delete;
 
   // Runs until a stop signal has been obeyed.
   void Run();
@@ -63,51 +67,24 @@
   // Does what a stop signal does. Thread-safe.
   void RequestStop();
 
-  void OnRouting(RoutingDocument document) override;
-  void OnListing(std::vector<EndpointRecord> records,
-                 std::vector<ClosedDataCentre> closed,
-                 StoreRevision at) override;
-  void OnEndpoint(const EndpointRecord& record) override;
-  void OnEndpointGone(const EndpointId& id, StoreRevision revision) override;
-  void OnEndpointUnusable(const EndpointId& id, StoreRevision revision,
-                          const std::string& reason) override;
-  void OnDataCentreClosed(const ClosedDataCentre& order) override;
-  void OnDataCentreOpened(const DataCentreId& id,
-                          StoreRevision revision) override;
-  void OnSourceWell(StoreRevision at) override;
-  void OnInformed(StoreRevision at) override;
-  void OnSourceLost(const std::string& reason) override;
-  void OnUnusable(const std::string& what, const std::string& reason) override;
-
  private:
   GatewayServices MakeServices();
   SessionContext MakeSessionContext();
   HttpReply AnswerReadiness(const HttpRequest& request);
-  // Returns this process's state, for operators.
-  nlohmann::json Dump();
   SmallReply AnswerOperations(const HttpRequest& request);
   FleetMemberPorts MakeFleetPorts();
   ReadingDutyPorts MakeReadingPorts();
+  SourceStatePorts MakeSourcePorts();
+  GatewayParts MakeParts();
   void AwaitSignal();
   void OnSignal(int signal);
   void RereadSettings();
   // Takes over what may change while the process runs.
   void Apply(const std::optional<GatewaySettings>& fresh, const char* cause);
   void BeginDrain();
-  // Tells of the life in which an endpoint runs, as far as that is known.
-  void NoteLife(const EndpointId& id);
-  // Another host has told what the platform answered it `age` ago.
-  void NoteInformed(Millis age);
-  // What is known is complete as of `age` ago; before, it was late.
-  void NoteKnown(Millis age, bool is_late);
-  // Notes whether the platform's publications are known, from whomever.
-  void UpdateSource(const std::string& reason);
   void AcceptCallers();
   void Tick();
   void ContinueDrain();
-  void RegisterGauges();
-  // What this host tells of the fleet while it plans.
-  void RegisterPlannerGauges();
   int KnownHosts() const;
   bool IsReady() const;
 
@@ -140,6 +117,8 @@
   CrashGuard crashes_;
   EndpointAnswers answers_;
   GatewayServices services_;
+  SourceState source_;
+  PublishedNews news_;
   std::unique_ptr<DirectoryFeed> feed_;
   CopyServer copies_;
   CallerListener callers_;
@@ -147,9 +126,6 @@
   SmallServer operations_;
   boost::asio::signal_set signals_;
   Timer tick_timer_;
-  ReadingDuty duty_;
-  bool source_well_ = false;
-  StoreRevision known_up_to_;
   TimePoint started_{};
   bool accepting_ = false;
   bool draining_ = false;
--- /dev/null
+++ b/src/gateway/published_news.cc
@@ -0,0 +1,97 @@
+#include "src/gateway/published_news.h"
+
+#include <memory>
+#include <utility>
+
+namespace harecrank {
+
+PublishedNews::PublishedNews(RoutingState* routing,
+                             EndpointDirectory* directory,
+                             EndpointNews* endpoint_news, StartGate* start_gate,
+                             SourceState* source,
+                             std::function<void()> on_usable, EventLog* log,
+                             Metrics* metrics)
+    : routing_(routing),
+      directory_(directory),
+      endpoint_news_(endpoint_news),
+      start_gate_(start_gate),
+      source_(source),
+      on_usable_(std::move(on_usable)),
+      log_(log),
+      metrics_(metrics) {}
+
+void PublishedNews::OnRouting(RoutingDocument document) {
+  const auto table = std::make_shared<const RoutingTable>(std::move(document));
+  if (!routing_->Offer(table)) {
+    return;
+  }
+  log_->Write("configuration",
+              {{"version", table->Version().value},
+               {"routes", table->Document().routes.size()},
+               {"services", table->Document().services.size()}},
+              LogWeight::kAlwaysKept);
+  on_usable_();
+}
+
+void PublishedNews::OnListing(std::vector<EndpointRecord> records,
+                              std::vector<ClosedDataCentre> closed,
+                              StoreRevision at) {
+  start_gate_->OnListing(records);
+  endpoint_news_->OnListing(records, at);
+  for (const EndpointRecord& record : records) {
+    NoteLife(record.id);
+  }
+  endpoint_news_->OnClosedListed(closed, at);
+  on_usable_();
+}
+
+void PublishedNews::OnEndpoint(const EndpointRecord& record) {
+  start_gate_->OnEndpoint(record);
+  endpoint_news_->OnEndpoint(record);
+  NoteLife(record.id);
+}
+
+void PublishedNews::NoteLife(const EndpointId& id) {
+  const EndpointRecord* held = directory_->Find(id);
+  if (held != nullptr) {
+    start_gate_->OnLife(id, held->life);
+  }
+}
+
+void PublishedNews::OnEndpointGone(const EndpointId& id,
+                                   StoreRevision revision) {
+  start_gate_->OnGone(id);
+  endpoint_news_->OnGone(id, revision);
+}
+
+void PublishedNews::OnEndpointUnusable(const EndpointId& id,
+                                       StoreRevision revision,
+                                       const std::string& reason) {
+  endpoint_news_->OnUnusable(id, revision, reason);
+}
+
+void PublishedNews::OnDataCentreClosed(const ClosedDataCentre& order) {
+  endpoint_news_->OnClosed(order);
+}
+
+void PublishedNews::OnDataCentreOpened(const DataCentreId& id,
+                                       StoreRevision revision) {
+  endpoint_news_->OnOpened(id, revision);
+}
+
+void PublishedNews::OnSourceWell(StoreRevision at) { source_->OnAnswered(at); }
+
+void PublishedNews::OnInformed(StoreRevision at) { source_->OnTold(at); }
+
+void PublishedNews::OnSourceLost(const std::string& reason) {
+  source_->OnFailed(reason);
+}
+
+void PublishedNews::OnUnusable(const std::string& what,
+                               const std::string& reason) {
+  metrics_->GetCounter("harecrank_gateway_unusable_entries_total")->Add();
+  log_->Write("unusable", {{"what", what}, {"reason", reason}},
+              LogWeight::kAlwaysKept);
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/published_news.h
@@ -0,0 +1,62 @@
+// Takes what the platform publishes into what this host knows.
+
+#ifndef HARECRANK_SRC_GATEWAY_PUBLISHED_NEWS_H_
+#define HARECRANK_SRC_GATEWAY_PUBLISHED_NEWS_H_
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "src/adapters/event_log.h"
+#include "src/adapters/metrics.h"
+#include "src/gateway/directory_feed.h"
+#include "src/gateway/endpoint_news.h"
+#include "src/gateway/gateway_services.h"
+#include "src/gateway/source_state.h"
+#include "src/gateway/start_gate.h"
+
+namespace harecrank {
+
+// Not thread-safe.
+class PublishedNews : public DirectorySink {
+ public:
+  // All pointers must outlive this. `on_usable` is called when there may be
+  // enough to serve by.
+  PublishedNews(RoutingState* routing, EndpointDirectory* directory,
+                EndpointNews* endpoint_news, StartGate* start_gate,
+                SourceState* source, std::function<void()> on_usable,
+                EventLog* log, Metrics* metrics);
+
+  void OnRouting(RoutingDocument document) override;
+  void OnListing(std::vector<EndpointRecord> records,
+                 std::vector<ClosedDataCentre> closed,
+                 StoreRevision at) override;
+  void OnEndpoint(const EndpointRecord& record) override;
+  void OnEndpointGone(const EndpointId& id, StoreRevision revision) override;
+  void OnEndpointUnusable(const EndpointId& id, StoreRevision revision,
+                          const std::string& reason) override;
+  void OnDataCentreClosed(const ClosedDataCentre& order) override;
+  void OnDataCentreOpened(const DataCentreId& id,
+                          StoreRevision revision) override;
+  void OnSourceWell(StoreRevision at) override;
+  void OnInformed(StoreRevision at) override;
+  void OnSourceLost(const std::string& reason) override;
+  void OnUnusable(const std::string& what, const std::string& reason) override;
+
+ private:
+  // Tells of the life in which an endpoint runs, as far as that is known.
+  void NoteLife(const EndpointId& id);
+
+  RoutingState* routing_;
+  EndpointDirectory* directory_;
+  EndpointNews* endpoint_news_;
+  StartGate* start_gate_;
+  SourceState* source_;
+  std::function<void()> on_usable_;
+  EventLog* log_;
+  Metrics* metrics_;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_GATEWAY_PUBLISHED_NEWS_H_
--- /dev/null
+++ b/src/gateway/settings_views.cc
@@ -0,0 +1,40 @@
+#include "src/gateway/settings_views.h"
+
+#include <algorithm>
+
+namespace harecrank {
+namespace {
+
+// Descriptors that are not callers': files, listening sockets, endpoints.
+constexpr std::size_t kReservedDescriptors = 1200;
+constexpr std::size_t kLeastSessions = 256;
+
+}  // namespace
+
+std::size_t MostSessions(std::size_t descriptors) {
+  return descriptors > kReservedDescriptors + kLeastSessions
+             ? descriptors - kReservedDescriptors
+             : kLeastSessions;
+}
+
+KnownHost Self(const GatewaySettings& settings) {
+  return KnownHost{HostAddress{settings.operations_address},
+                   HostPower{settings.power}};
+}
+
+bool IsSeed(const GatewaySettings& settings) {
+  const std::vector<std::string>& seeds = settings.seed_peers;
+  return seeds.empty() || std::find(seeds.begin(), seeds.end(),
+                                    settings.operations_address) != seeds.end();
+}
+
+std::vector<HostAddress> Addresses(const std::vector<std::string>& texts) {
+  std::vector<HostAddress> addresses;
+  addresses.reserve(texts.size());
+  for (const std::string& text : texts) {
+    addresses.push_back(HostAddress{text});
+  }
+  return addresses;
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/source_state.cc
@@ -0,0 +1,86 @@
+#include "src/gateway/source_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace harecrank {
+
+SourceState::SourceState(bool is_seed, ReadingDutyPorts duty,
+                         SourceStatePorts ports, EndpointDirectory* directory,
+                         EventLog* log, const MonotonicClock& clock,
+                         const RandomSource& random)
+    : duty_(is_seed, std::move(duty), clock, random),
+      ports_(std::move(ports)),
+      directory_(directory),
+      log_(log) {}
+
+void SourceState::OnAnswered(StoreRevision at) {
+  AdvanceTo(at);
+  const bool is_late = duty_.IsLate();
+  duty_.OnAnswered();
+  NoteKnown(Millis(0), is_late);
+  ports_.on_own_reading();
+}
+
+void SourceState::OnFailed(const std::string& reason) {
+  duty_.OnFailed();
+  directory_->OnSourceLost(duty_.Age());
+  Update(reason);
+  ports_.on_own_reading();
+}
+
+void SourceState::OnTold(StoreRevision at) {
+  AdvanceTo(at);
+  OnNothingNew(Millis(0));
+}
+
+void SourceState::OnNothingNew(Millis age) {
+  const bool is_late = duty_.IsLate();
+  duty_.OnInformed(age);
+  NoteKnown(age, is_late);
+}
+
+void SourceState::SetTurn(std::optional<int> turn) {
+  duty_.SetTurn(turn);
+  Update("told to stop reading");
+}
+
+void SourceState::Describe(HostWord* word) const {
+  word->known_up_to = known_up_to_;
+  word->source_well = is_well_;
+  word->source_age = duty_.Age();
+  word->own_reading = duty_.Own();
+}
+
+void SourceState::AdvanceTo(StoreRevision at) {
+  known_up_to_ = std::max(known_up_to_, at);
+}
+
+void SourceState::NoteKnown(Millis age, bool is_late) {
+  directory_->OnSourceBack(known_up_to_, age);
+  Update("");
+  ports_.on_published();
+  if (is_late) {
+    ports_.on_informed_late();
+  }
+}
+
+void SourceState::Update(const std::string& reason) {
+  duty_.Update();
+  ports_.set_reading(duty_.Kind());
+  const bool is_well = duty_.IsWell();
+  if (is_well == is_well_) {
+    return;
+  }
+  is_well_ = is_well;
+  if (is_well) {
+    log_->Write("source_regained", {{"at", known_up_to_.value}},
+                LogWeight::kAlwaysKept);
+  } else {
+    log_->Write("source_lost",
+                {{"reason", reason}, {"known_up_to", known_up_to_.value}},
+                LogWeight::kAlwaysKept);
+  }
+}
+
+}  // namespace harecrank
--- /dev/null
+++ b/src/gateway/source_state.h
@@ -0,0 +1,81 @@
+// What this host knows of the platform's publications, from whomever, and
+// whether it reads them itself.
+
+#ifndef HARECRANK_SRC_GATEWAY_SOURCE_STATE_H_
+#define HARECRANK_SRC_GATEWAY_SOURCE_STATE_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "harecrank/core/endpoint_directory.h"
+#include "harecrank/core/reading_duty.h"
+#include "src/adapters/event_log.h"
+
+namespace harecrank {
+
+// What the state asks of its owner.
+struct SourceStatePorts {
+  std::function<void(Reading reading)> set_reading;
+  // What is known has changed.
+  std::function<void()> on_published;
+  // The platform has answered this host itself, or failed to.
+  std::function<void()> on_own_reading;
+  // It is known again that the platform answers, after the turns of others to
+  // look had begun to come.
+  std::function<void()> on_informed_late;
+};
+
+// Not thread-safe.
+class SourceState {
+ public:
+  // All pointers must outlive this. `is_seed`: other hosts turn to this one
+  // first.
+  SourceState(bool is_seed, ReadingDutyPorts duty, SourceStatePorts ports,
+              EndpointDirectory* directory, EventLog* log,
+              const MonotonicClock& clock, const RandomSource& random);
+
+  // The platform has answered this host: what is known is complete up to `at`.
+  void OnAnswered(StoreRevision at);
+  // It has not, for `reason`.
+  void OnFailed(const std::string& reason);
+
+  // Another host, which the platform answers, tells what was published up to
+  // `at`.
+  void OnTold(StoreRevision at);
+  // Another host knows no more than this one, and the platform answered it
+  // `age` ago.
+  void OnNothingNew(Millis age);
+
+  // What another host told is taken: all up to `at` is known.
+  void OnTaken(StoreRevision at) { AdvanceTo(at); }
+
+  // This host's turn among those that read for all.
+  void SetTurn(std::optional<int> turn);
+
+  // To be called a few times a second.
+  void Tick() { Update("nobody told for a while"); }
+
+  bool IsWell() const { return is_well_; }
+  StoreRevision KnownUpTo() const { return known_up_to_; }
+  // Adds what others are told of this.
+  void Describe(HostWord* word) const;
+
+ private:
+  void AdvanceTo(StoreRevision at);
+  // What is known is complete as of `age` ago; before, it was late.
+  void NoteKnown(Millis age, bool is_late);
+  // Reads or not, and tells of it if the platform is lost or back.
+  void Update(const std::string& reason);
+
+  ReadingDuty duty_;
+  SourceStatePorts ports_;
+  EndpointDirectory* directory_;
+  EventLog* log_;
+  bool is_well_ = false;
+  StoreRevision known_up_to_;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_SRC_GATEWAY_SOURCE_STATE_H_
