--- /dev/null
+++ b/include/harecrank/core/fleet_message_kinds.h
@@ -0,0 +1,30 @@
+// The numbers by which fleet messages and their parts are told from each other.
+
+#ifndef HARECRANK_CORE_FLEET_MESSAGE_KINDS_H_
+#define HARECRANK_CORE_FLEET_MESSAGE_KINDS_H_
+
+namespace harecrank {
+
+// The first element of each message. Kept small: an ask is sent for each
+// request.
+enum class MessageKind {
+  kWord = 1,
+  kAsk = 2,
+  kAnswer = 3,
+  kNote = 4,
+  kChanges = 5,
+  kCrashes = 6
+};
+
+// The first element of a decision.
+enum class DecisionKind {
+  kPlaced = 1,
+  kWaits = 2,
+  kRefused = 3,
+  kNoEndpoint = 4,
+  kNotPlanner = 5
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_CORE_FLEET_MESSAGE_KINDS_H_
--- /dev/null
+++ b/src/core/fleet_message_decoding.cc
@@ -0,0 +1,337 @@
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "harecrank/core/fleet_message_kinds.h"
+#include "harecrank/core/fleet_messages.h"
+
+namespace harecrank {
+namespace {
+
+using nlohmann::json;
+
+// A number that stands for none of the kinds that this version knows.
+struct UnknownNumber {};
+
+// Takes the elements of an array one after the other. Throws json::exception
+// where one is missing or of another type.
+class ArrayReader {
+ public:
+  explicit ArrayReader(const json& array) : array_(array) {}
+
+  const json& Next() { return array_.at(next_++); }
+
+  template <typename T>
+  T Take() {
+    return Next().get<T>();
+  }
+
+  template <typename T>
+  T TakeString() {
+    return T{Take<std::string>()};
+  }
+
+  template <typename T>
+  T TakeNumber() {
+    return T{Take<decltype(T::value)>()};
+  }
+
+  Millis TakeMillis() { return Millis(Take<std::int64_t>()); }
+  FractionalMillis TakeTime() { return FractionalMillis(Take<double>()); }
+
+  // Calls `read` with a reader of each element of an array of arrays.
+  template <typename Read>
+  void EachOf(const Read& read) {
+    for (const json& entry : Next()) {
+      ArrayReader reader(entry);
+      read(&reader);
+    }
+  }
+
+ private:
+  const json& array_;
+  std::size_t next_ = 0;
+};
+
+WorkClass TakeWorkClass(ArrayReader* reader) {
+  const int number = reader->Take<int>();
+  if (number < static_cast<int>(WorkClass::kShort) ||
+      number > static_cast<int>(WorkClass::kHelper)) {
+    throw UnknownNumber{};
+  }
+  return static_cast<WorkClass>(number);
+}
+
+WorkPart TakePart(ArrayReader* reader) {
+  WorkPart part;
+  part.endpoint = reader->TakeString<EndpointId>();
+  part.work_class = TakeWorkClass(reader);
+  part.read = reader->TakeTime();
+  part.memory = reader->TakeNumber<Tokens>();
+  part.gap = reader->TakeMillis();
+  return part;
+}
+
+std::vector<AskedWork> TakeWork(const json& list) {
+  std::vector<AskedWork> work;
+  for (const json& element : list) {
+    ArrayReader entry(element);
+    AskedWork one;
+    one.id = entry.TakeNumber<AskId>();
+    one.is_read = entry.Take<bool>();
+    entry.EachOf(
+        [&one](ArrayReader* part) { one.parts.push_back(TakePart(part)); });
+    work.push_back(std::move(one));
+  }
+  return work;
+}
+
+PlannedPlacement TakePlacement(ArrayReader* reader) {
+  PlannedPlacement placed;
+  placed.endpoint = reader->TakeString<EndpointId>();
+  reader->EachOf([&placed](ArrayReader* entry) {
+    PlannedHelper helper;
+    helper.endpoint = entry->TakeString<EndpointId>();
+    helper.held = entry->TakeNumber<Tokens>();
+    placed.helpers.push_back(std::move(helper));
+  });
+  placed.work_class = TakeWorkClass(reader);
+  placed.read = reader->TakeTime();
+  placed.first_event = reader->TakeTime();
+  placed.candidates = reader->Take<std::size_t>();
+  return placed;
+}
+
+AskRefused TakeRefusal(ArrayReader* reader, std::size_t size) {
+  constexpr std::size_t kSizeWithoutReturn = 1;
+  AskRefused refused;
+  if (size > kSizeWithoutReturn) {
+    refused.return_after = reader->TakeMillis();
+  }
+  return refused;
+}
+
+PlaceDecision TakeDecision(ArrayReader* message) {
+  const json& decision = message->Next();
+  ArrayReader reader(decision);
+  switch (static_cast<DecisionKind>(reader.Take<int>())) {
+    case DecisionKind::kPlaced:
+      return TakePlacement(&reader);
+    case DecisionKind::kWaits:
+      return AskWaits{};
+    case DecisionKind::kRefused:
+      return TakeRefusal(&reader, decision.size());
+    case DecisionKind::kNoEndpoint:
+      return NoEndpoint{};
+    case DecisionKind::kNotPlanner:
+      return NotPlanner{reader.TakeString<HostAddress>()};
+  }
+  throw UnknownNumber{};
+}
+
+std::set<EndpointCrash> TakeCrashes(ArrayReader* reader) {
+  std::set<EndpointCrash> crashes;
+  reader->EachOf([&crashes](ArrayReader* entry) {
+    EndpointCrash crash;
+    crash.endpoint = entry->TakeString<EndpointId>();
+    crash.life = entry->TakeNumber<EndpointLife>();
+    crashes.insert(std::move(crash));
+  });
+  return crashes;
+}
+
+std::vector<LimitReport> TakeLimits(ArrayReader* reader) {
+  std::vector<LimitReport> limits;
+  reader->EachOf([&limits](ArrayReader* entry) {
+    LimitReport report;
+    report.endpoint = entry->TakeString<EndpointId>();
+    if (const json& rate = entry->Next(); !rate.is_null()) {
+      report.rate = RequestRate{rate.get<double>()};
+    }
+    report.age = entry->TakeMillis();
+    limits.push_back(std::move(report));
+  });
+  return limits;
+}
+
+OwnReading TakeOwnReading(ArrayReader* reader) {
+  const auto reading = static_cast<OwnReading>(reader->Take<int>());
+  switch (reading) {
+    case OwnReading::kNone:
+    case OwnReading::kBegun:
+    case OwnReading::kAnswered:
+    case OwnReading::kFailed:
+      return reading;
+  }
+  throw UnknownNumber{};
+}
+
+HostWord TakeWord(ArrayReader* reader, std::size_t size) {
+  constexpr std::size_t kSizeWithoutWork = 17;
+  HostWord word;
+  word.node = reader->TakeString<NodeId>();
+  word.address = reader->TakeString<HostAddress>();
+  word.life = reader->TakeNumber<Incarnation>();
+  word.power = reader->TakeNumber<HostPower>();
+  word.routing = reader->TakeNumber<RoutingVersion>();
+  word.known_up_to = reader->TakeNumber<StoreRevision>();
+  word.source_well = reader->Take<bool>();
+  word.planner = reader->TakeString<HostAddress>();
+  word.leaving = reader->Take<bool>();
+  word.wants_reply = reader->Take<bool>();
+  word.alive_hosts = reader->Take<int>();
+  reader->EachOf([&word](ArrayReader* entry) {
+    KnownHost host;
+    host.address = entry->TakeString<HostAddress>();
+    host.power = entry->TakeNumber<HostPower>();
+    word.hosts.push_back(std::move(host));
+  });
+  reader->EachOf([&word](ArrayReader* entry) {
+    AvoidedEndpoint endpoint;
+    endpoint.id = entry->TakeString<EndpointId>();
+    endpoint.left = entry->TakeMillis();
+    word.avoided.push_back(std::move(endpoint));
+  });
+  word.source_age = reader->TakeMillis();
+  word.own_reading = TakeOwnReading(reader);
+  if (const json& should_read = reader->Next(); !should_read.is_null()) {
+    word.should_read = should_read.get<bool>();
+  }
+  if (size > kSizeWithoutWork) {
+    const json& work = reader->Next();
+    if (!work.is_null()) {
+      word.work = TakeWork(work);
+    }
+  }
+  if (size > kSizeWithoutWork + 1) {
+    word.crash_digest = reader->Take<std::uint64_t>();
+  }
+  if (size > kSizeWithoutWork + 2) {
+    word.most_hosts = reader->Take<int>();
+  }
+  if (size > kSizeWithoutWork + 3) {
+    word.limits = TakeLimits(reader);
+  }
+  if (size > kSizeWithoutWork + 4) {
+    word.reading_turn = reader->Take<int>();
+  }
+  return word;
+}
+
+std::set<EndpointId> TakeIds(ArrayReader* reader) {
+  std::set<EndpointId> ids;
+  for (const json& id : reader->Next()) {
+    ids.insert(EndpointId{id.get<std::string>()});
+  }
+  return ids;
+}
+
+PlaceAsk TakeAsk(ArrayReader* reader, std::size_t size) {
+  constexpr std::size_t kSizeWithoutWithheld = 17;
+  PlaceAsk ask;
+  ask.host = reader->TakeString<HostAddress>();
+  ask.life = reader->TakeNumber<Incarnation>();
+  ask.id = reader->TakeNumber<AskId>();
+  ask.service = reader->TakeString<ServiceName>();
+  ask.target_latency = reader->TakeMillis();
+  ask.target_gap = reader->TakeMillis();
+  ask.prompt = reader->TakeNumber<Tokens>();
+  ask.answer = reader->TakeNumber<Tokens>();
+  ask.until_late = reader->TakeTime();
+  ask.may_have_run = reader->Take<bool>();
+  ask.tried = TakeIds(reader);
+  ask.until_deadline = reader->TakeTime();
+  ask.origin.request.account = reader->TakeString<AccountId>();
+  ask.origin.request.high = reader->Take<std::uint64_t>();
+  ask.origin.request.low = reader->Take<std::uint64_t>();
+  ask.origin.priority = reader->Take<int>();
+  if (size > kSizeWithoutWithheld) {
+    ask.withheld = TakeIds(reader);
+  }
+  return ask;
+}
+
+PlaceAnswer TakeAnswer(ArrayReader* reader) {
+  PlaceAnswer answer;
+  answer.from = reader->TakeString<HostAddress>();
+  answer.life = reader->TakeNumber<Incarnation>();
+  answer.id = reader->TakeNumber<AskId>();
+  answer.decision = TakeDecision(reader);
+  return answer;
+}
+
+PublishedChanges TakeChanges(ArrayReader* reader) {
+  PublishedChanges published;
+  published.from = reader->TakeString<HostAddress>();
+  const json::binary_t& bytes = reader->Next().get_binary();
+  published.changes.assign(bytes.begin(), bytes.end());
+  return published;
+}
+
+CrashReports TakeCrashReports(ArrayReader* reader) {
+  CrashReports told;
+  told.from = reader->TakeString<HostAddress>();
+  reader->EachOf([&told](ArrayReader* entry) {
+    CrashReport report;
+    report.request.account = entry->TakeString<AccountId>();
+    report.request.high = entry->Take<std::uint64_t>();
+    report.request.low = entry->Take<std::uint64_t>();
+    report.crashes = TakeCrashes(entry);
+    report.cleared = TakeCrashes(entry);
+    report.trials = entry->Take<int>();
+    report.failed_trials = entry->Take<int>();
+    report.age = entry->TakeMillis();
+    report.held_for = entry->TakeMillis();
+    told.reports.push_back(std::move(report));
+  });
+  return told;
+}
+
+WorkNote TakeNote(ArrayReader* reader) {
+  WorkNote note;
+  note.host = reader->TakeString<HostAddress>();
+  note.life = reader->TakeNumber<Incarnation>();
+  reader->EachOf([&note](ArrayReader* entry) {
+    ReadNote one;
+    one.id = entry->TakeNumber<AskId>();
+    one.pace = entry->Take<double>();
+    note.read.push_back(one);
+  });
+  reader->EachOf([&note](ArrayReader* entry) {
+    EndNote one;
+    one.id = entry->TakeNumber<AskId>();
+    one.failed = entry->Take<bool>();
+    note.ended.push_back(one);
+  });
+  return note;
+}
+
+}  // namespace
+
+std::optional<FleetMessage> DecodeFleetMessage(const std::string& bytes) {
+  try {
+    const json array = json::from_cbor(bytes);
+    ArrayReader reader(array);
+    switch (static_cast<MessageKind>(reader.Take<int>())) {
+      case MessageKind::kWord:
+        return TakeWord(&reader, array.size());
+      case MessageKind::kAsk:
+        return TakeAsk(&reader, array.size());
+      case MessageKind::kAnswer:
+        return TakeAnswer(&reader);
+      case MessageKind::kNote:
+        return TakeNote(&reader);
+      case MessageKind::kChanges:
+        return TakeChanges(&reader);
+      case MessageKind::kCrashes:
+        return TakeCrashReports(&reader);
+    }
+    return std::nullopt;
+  } catch (const json::exception&) {
+    // Whatever reaches the port: the caller counts it.
+    return std::nullopt;
+  } catch (const UnknownNumber&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace harecrank
--- a/src/gateway/fleet_member.cc
+++ b/src/gateway/fleet_member.cc
@@ -16,8 +16,6 @@
 constexpr Millis kSearchInterval{100};
 constexpr Millis kLongestSearch{800};
 constexpr Millis kStrangerInterval{1000};
-// Hosts that were heard or lost within this share a line in the log.
-constexpr Millis kPeersInterval{1000};
 // A planner that has not been heard for this long has missed a word.
 constexpr Millis kMissedWord{400};
 
@@ -40,7 +38,8 @@
     member->OnChanges(published);
   }
   void operator()(const CrashReports& told) const {
-    member->OnCrashReports(told);
+    member->book_->OnHeard(told.from);
+    member->crashes_.OnReports(told);
   }
 };
 
@@ -67,6 +66,10 @@
       desk_(io, self_.address, planner, MakeDeskPorts(), log, metrics, clock_),
       relay_(io, self_.address, book, socket, MakeRelayPorts(), log, clock_,
              random_),
+      crashes_(io, self_.address, book, socket,
+               {ports_.on_crashes, ports_.shared_crashes,
+                [this] { return IsPlanner(); }}),
+      peers_log_(log, clock_),
       tick_timer_(*io),
       tell_timer_(*io) {}
 
@@ -139,7 +142,7 @@
 void FleetMember::OnWord(const HostWord& word) {
   const TimePoint now = clock_();
   if (book_->OnWord(word)) {
-    ++peers_heard_;
+    peers_log_.OnHeard();
   }
   if (word.address == followed_) {
     planner_heard_ = now;
@@ -166,7 +169,7 @@
   }
   const HostWord own = Described();
   HearOfSource(word, own);
-  RepairCrashes(word, own);
+  crashes_.Repair(word, own.crash_digest);
   relay_.AskBetterInformed(own);
   desk_.OnWord(word);
   if (word.wants_reply) {
@@ -216,42 +219,6 @@
   Send(planner, word);
 }
 
-void FleetMember::TellCrash(CrashReport report) {
-  untold_crashes_.push_back(std::move(report));
-  if (untold_crashes_.size() == 1) {
-    boost::asio::post(*io_, [this] { TellCrashes(); });
-  }
-}
-
-void FleetMember::TellCrashes() {
-  const CrashReports told{self_.address, std::move(untold_crashes_)};
-  untold_crashes_.clear();
-  socket_->SendToAll(book_->AliveOthers(), told);
-}
-
-void FleetMember::OnCrashReports(const CrashReports& told) {
-  book_->OnHeard(told.from);
-  CrashReports missing{self_.address, {}};
-  std::vector<CrashReport> news =
-      ports_.on_crashes(told.reports, &missing.reports);
-  if (!missing.reports.empty()) {
-    Send(told.from, missing);
-  }
-  // Other hosts do not know all that are alive; the planner does.
-  if (IsPlanner()) {
-    for (CrashReport& report : news) {
-      TellCrash(std::move(report));
-    }
-  }
-}
-
-void FleetMember::RepairCrashes(const HostWord& word, const HostWord& own) {
-  if (own.crash_digest == word.crash_digest || own.crash_digest == 0) {
-    return;
-  }
-  Send(word.address, CrashReports{self_.address, ports_.shared_crashes()});
-}
-
 HostWord FleetMember::Described() const {
   HostWord own;
   ports_.describe(&own);
@@ -362,26 +329,10 @@
   FollowPlanner();
 }
 
-void FleetMember::LogPeers() {
-  const int alive = book_->CountedHosts();
-  const int lost = peers_alive_ + peers_heard_ - alive;
-  // Others hear few hosts at a time, and always other ones.
-  if (IsPlanner() && (peers_heard_ > 0 || lost > 0)) {
-    log_->Write("peers", {{"heard", peers_heard_},
-                          {"lost", std::max(0, lost)},
-                          {"alive", alive}});
-  }
-  peers_alive_ = alive;
-  peers_heard_ = 0;
-  peers_logged_ = clock_();
-}
-
 void FleetMember::Tick() {
   const TimePoint now = clock_();
   LookForSilence();
-  if (now - peers_logged_ >= kPeersInterval) {
-    LogPeers();
-  }
+  peers_log_.Tick(book_->CountedHosts(), IsPlanner());
   if (now - told_at_ >= kWordInterval) {
     TellPlanner();
   }
--- a/src/gateway/fleet_member.h
+++ b/src/gateway/fleet_member.h
@@ -9,13 +9,17 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "harecrank/core/endpoint_health.h"
 #include "harecrank/core/host_book.h"
 #include "harecrank/core/planner.h"
 #include "src/adapters/event_log.h"
 #include "src/adapters/metrics.h"
+#include "src/gateway/crash_relay.h"
 #include "src/gateway/fleet_socket.h"
+#include "src/gateway/peers_log.h"
 #include "src/gateway/place_client.h"
 #include "src/gateway/planning_desk.h"
 #include "src/gateway/publication_relay.h"
@@ -40,13 +44,11 @@
   // This host's turn among those that read the platform for all; nothing if it
   // is none of them.
   std::function<void(std::optional<int> turn)> on_reading_turn;
-  // Takes what another host told of requests that end endpoints. Returns what
-  // was news, and fills `missing` with what that host does not know.
+  // As those of CrashRelayPorts.
   std::function<std::vector<CrashReport>(
       const std::vector<CrashReport>& reports,
       std::vector<CrashReport>* missing)>
       on_crashes;
-  // What hosts that have missed such words need.
   std::function<std::vector<CrashReport>()> shared_crashes;
   // What this host and others have heard of limits that endpoints name.
   std::function<std::vector<LimitReport>()> limits;
@@ -82,7 +84,7 @@
   void OnInformedLate();
 
   // Tells the others what this host knows of a request that ends endpoints.
-  void TellCrash(CrashReport report);
+  void TellCrash(CrashReport report) { crashes_.Tell(std::move(report)); }
 
   PlaceClient* Places() { return &places_; }
   bool IsPlanner() { return book_->IsPlanner(); }
@@ -103,10 +105,6 @@
   void Send(const HostAddress& to, const FleetMessage& message);
   void OnMessage(const FleetMessage& message);
   void OnWord(const HostWord& word);
-  void OnCrashReports(const CrashReports& told);
-  void TellCrashes();
-  // Sends what it has missed to a host whose digest is another than this one's.
-  void RepairCrashes(const HostWord& word, const HostWord& own);
   HostWord OwnWord() const;
   // Returns what the owner tells of itself, without the rest of a word.
   HostWord Described() const;
@@ -123,8 +121,6 @@
   void TellStrangers();
   void Announce();
   void Tick();
-  // Tells how many hosts came and went since the last line.
-  void LogPeers();
   // Looks whether another host plans now, and tells of it if so.
   void FollowPlanner();
   void LookForSilence();
@@ -147,6 +143,8 @@
   PlaceClient places_;
   PlanningDesk desk_;
   PublicationRelay relay_;
+  CrashRelay crashes_;
+  PeersLog peers_log_;
   Timer tick_timer_;
   Timer tell_timer_;
   std::optional<HostAddress> followed_;
@@ -157,11 +155,6 @@
   TimePoint probed_at_{};
   bool tells_soon_ = false;
   Millis search_interval_{50};
-  int peers_heard_ = 0;
-  int peers_alive_ = 1;
-  TimePoint peers_logged_{};
-  // What ended together is told together.
-  std::vector<CrashReport> untold_crashes_;
   // As the planner: the hosts that read the platform beside it, and whether its
   // own reading is answered, as of the last look.
   std::vector<HostAddress> readers_;
