--- a/src/gateway/publication_relay.cc
+++ b/src/gateway/publication_relay.cc
@@ -166,16 +166,20 @@
   const auto other = status == http_status::kTemporaryRedirect && !sent_on
                          ? HostOfRedirect(*reply)
                          : std::nullopt;
-  if (other.has_value()) {
-    // Not from within the client that it replaces.
-    boost::asio::post(*io_, [this, other = *other, since] {
-      if (!asks_) {
-        Ask(other, since, true);
-      }
-    });
-    return;
+  if (!other.has_value()) {
+    WaitAfter(reply);
   }
-  WaitAfter(reply);
+  // The connection is closed, or the host that all ask would keep one for each;
+  // but not from within the client.
+  boost::asio::post(*io_, [this, other, since] {
+    if (asks_) {
+      return;
+    }
+    asking_.reset();
+    if (other.has_value()) {
+      Ask(*other, since, true);
+    }
+  });
 }
 
 void PublicationRelay::WaitAfter(const HttpReply* reply) {
