Requests that wait look at once when an endpoint comes to rest

Cause: a request that waits for a place looked every 100 ms whether all endpoints had come to rest for longer than waiting is of use. Traced with three gateways before 12 endpoints that all answer 503 with Retry-After: 3 (logs of each request): two groups waited. Those near 100 ms are this. Those of 400 ms and more waited for an endpoint whose rest ended in time, were sent there and refused anew: at the moment in which they came nobody could know that. Change: RestWatch tells each that waits, once for what is told together. Conclusion: what is left of the finding is the wait for a rest that ends in time.

--- a/src/gateway/endpoint_answers.cc
+++ b/src/gateway/endpoint_answers.cc
@@ -7,12 +7,13 @@
 EndpointAnswers::EndpointAnswers(const EndpointDirectory* directory,
                                  EndpointHealth* health,
                                  EndpointNews* endpoint_news,
-                                 StartGate* start_gate,
+                                 StartGate* start_gate, RestWatch* rest_watch,
                                  std::function<void()> on_news)
     : directory_(directory),
       health_(health),
       endpoint_news_(endpoint_news),
       start_gate_(start_gate),
+      rest_watch_(rest_watch),
       on_news_(std::move(on_news)) {}
 
 void EndpointAnswers::OnAnswer(const EndpointRecord& endpoint,
@@ -26,6 +27,9 @@
   }
   TakeLimit(endpoint.id, answer, sent_at);
   start_gate_->OnRest(endpoint, answer.rest);
+  if (!std::holds_alternative<NoRest>(answer.rest)) {
+    rest_watch_->NoteRest();
+  }
   TakeLeaving(endpoint, answer.leaving);
 }
 
--- a/src/gateway/endpoint_answers.h
+++ b/src/gateway/endpoint_answers.h
@@ -10,6 +10,7 @@
 #include "harecrank/core/endpoint_directory.h"
 #include "harecrank/core/endpoint_health.h"
 #include "src/gateway/endpoint_news.h"
+#include "src/gateway/rest_watch.h"
 #include "src/gateway/start_gate.h"
 
 namespace harecrank {
@@ -22,7 +23,7 @@
   // hear of it soon.
   EndpointAnswers(const EndpointDirectory* directory, EndpointHealth* health,
                   EndpointNews* endpoint_news, StartGate* start_gate,
-                  std::function<void()> on_news);
+                  RestWatch* rest_watch, std::function<void()> on_news);
 
   // Takes the answer to what was sent to `endpoint` at `sent_at`. One that
   // comes from an earlier life of it says nothing of the present one.
@@ -38,6 +39,7 @@
   EndpointHealth* health_;
   EndpointNews* endpoint_news_;
   StartGate* start_gate_;
+  RestWatch* rest_watch_;
   std::function<void()> on_news_;
 };
 
--- a/src/gateway/endpoint_answers_test.cc
+++ b/src/gateway/endpoint_answers_test.cc
@@ -59,10 +59,21 @@
                   &metrics_,
                   clock_};
   int told_ = 0;
-  EndpointAnswers answers_{&directory_, &health_, &news_, &gate_,
-                           [this] { ++told_; }};
+  int rests_looked_at_ = 0;
+  RestWatch rest_watch_{[this](const auto& /*look*/) { ++rests_looked_at_; }};
+  EndpointAnswers answers_{&directory_, &health_,     &news_,
+                           &gate_,      &rest_watch_, [this] { ++told_; }};
 };
 
+TEST_CASE_METHOD(AnswersFixture,
+                 "Requests that wait look when an endpoint asks for rest") {
+  rest_watch_.Add([] {});
+  Answer(Record(1000, 2), EndpointAnswer{});
+  CHECK(rests_looked_at_ == 0);
+  Answer(Record(1000, 2), FullAnswer());
+  CHECK(rests_looked_at_ == 1);
+}
+
 TEST_CASE_METHOD(AnswersFixture, "Each word of an answer reaches its keeper") {
   news_.OnEndpoint(Record(1000, 2));
   Answer(Record(1000, 2), FullAnswer());
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -85,7 +85,18 @@
   GiveUp("no_endpoint");
 }
 
-void Exchange::OnWaits() { ArmTimer(); }
+void Exchange::OnWaits() {
+  ArmTimer();
+  if (rest_look_.has_value()) {
+    return;
+  }
+  rest_look_ = services_->rest_watch->Add([weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self != nullptr && !self->finished_ && self->place_->IsWaiting()) {
+      self->EndWaitAt(self->services_->clock());
+    }
+  });
+}
 
 void Exchange::OnPlace(const Placement& placement) {
   const auto self = shared_from_this();
@@ -274,6 +285,9 @@
   }
   finished_ = true;
   timer_.cancel();
+  if (rest_look_.has_value()) {
+    services_->rest_watch->Remove(*rest_look_);
+  }
   AbandonAttempt();
   ExchangeEnd end{outcome, status, reason, 0, prompt_, {}, {}};
   if (place_ != nullptr) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -125,6 +125,8 @@
   bool budget_refused_ = false;
   bool has_framed_end_ = false;
   bool finished_ = false;
+  // While it has waited for a place.
+  std::optional<RestWatch::Id> rest_look_;
 };
 
 }  // namespace harecrank
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -115,6 +115,7 @@
   FleetSocket fleet_socket_;
   FleetMember fleet_;
   CrashGuard crashes_;
+  RestWatch rest_watch_;
   EndpointAnswers answers_;
   GatewayServices services_;
   SourceState source_;
--- a/src/gateway/gateway_services.h
+++ b/src/gateway/gateway_services.h
@@ -23,6 +23,7 @@
 #include "src/gateway/endpoint_connections.h"
 #include "src/gateway/memory_orders.h"
 #include "src/gateway/place_client.h"
+#include "src/gateway/rest_watch.h"
 #include "src/gateway/protocol_names.h"
 #include "src/gateway/start_gate.h"
 
@@ -74,6 +75,7 @@
   RepeatBudgets* budgets = nullptr;
   StartGate* start_gate = nullptr;
   EndpointAnswers* answers = nullptr;
+  RestWatch* rest_watch = nullptr;
   DispatchQueue* queue = nullptr;
   MemoryOrders* orders = nullptr;
   EventLog* log = nullptr;
--- /dev/null
+++ b/src/gateway/rest_watch.cc
@@ -0,0 +1,39 @@
+#include "src/gateway/rest_watch.h"
+
+#include <utility>
+
+namespace harecrank {
+
+RestWatch::RestWatch(std::function<void(std::function<void()>)> run_soon)
+    : run_soon_(std::move(run_soon)) {}
+
+RestWatch::Id RestWatch::Add(Look look) {
+  looks_.emplace(++last_, std::move(look));
+  return last_;
+}
+
+void RestWatch::NoteRest() {
+  if (looks_soon_ || looks_.empty()) {
+    return;
+  }
+  looks_soon_ = true;
+  run_soon_([this] {
+    looks_soon_ = false;
+    LookAll();
+  });
+}
+
+void RestWatch::LookAll() {
+  // Those that are added meanwhile have seen this rest.
+  const Id last = last_;
+  for (auto next = looks_.begin();
+       next != looks_.end() && next->first <= last;) {
+    const Id id = next->first;
+    // A copy, since the look may remove itself.
+    const Look look = next->second;
+    look();
+    next = looks_.upper_bound(id);
+  }
+}
+
+}  // namespace harecrank
