--- a/src/core/copy_desk_test.cc
+++ b/src/core/copy_desk_test.cc
@@ -68,7 +68,7 @@
         asks_.push(Ask{now_, i, 0});
       }
     }
-    hosts_[0].has_copy = true;
+    At(0).has_copy = true;
   }
 
   // Plays until every host has a copy, and returns how long that took.
@@ -107,25 +107,27 @@
   // A host sends its copies side by side over one link.
   static constexpr Millis kCopy{8};
 
+  Host& At(int host) { return hosts_[static_cast<std::size_t>(host)]; }
+
   static HostAddress AddressOf(int host) {
     return HostAddress{std::to_string(host)};
   }
 
   void Take(const Ask& ask) {
     if (ask.arrives) {
-      hosts_[ask.to].desk->OnGone();
-      hosts_[ask.from].has_copy = true;
-      if (hosts_[ask.from].is_strong) {
+      At(ask.to).desk->OnGone();
+      At(ask.from).has_copy = true;
+      if (At(ask.from).is_strong) {
         givers_.push_back(ask.from);
       }
       return;
     }
-    Host& giver = hosts_[ask.to];
+    Host& giver = At(ask.to);
     ++giver.asks;
     most_asks_ = std::max(most_asks_, giver.asks);
     if (giver.desk == nullptr) {
-      giver.desk = std::make_unique<CopyDesk>(HostPower{1.0},
-                                              [this] { return now_; });
+      giver.desk =
+          std::make_unique<CopyDesk>(HostPower{1.0}, [this] { return now_; });
     }
     const bool knows_others = ask.to == 0 && !givers_.empty();
     const CopyDecision decision = giver.desk->OnAsked(
@@ -138,8 +140,7 @@
     } else if (const auto* other = std::get_if<AskElsewhere>(&decision)) {
       asks_.push(Ask{now_ + kHop, ask.from, std::stoi(other->host.value)});
     } else {
-      asks_.push(
-          Ask{now_ + std::get<ComeLater>(decision).after, ask.from, 0});
+      asks_.push(Ask{now_ + std::get<ComeLater>(decision).after, ask.from, 0});
     }
   }
 
@@ -161,8 +162,7 @@
   const int hosts = GENERATE(402, 804, 3216);
   CopyFleet fleet(hosts, hosts / 7);
   const Millis took = fleet.Run();
-  CHECK(fleet.MostAtOnce() <=
-        static_cast<int>(CopyDesk::kAtOnceOfWholeCore));
+  CHECK(fleet.MostAtOnce() <= static_cast<int>(CopyDesk::kAtOnceOfWholeCore));
   // One host alone would take eight milliseconds for each.
   CHECK(took.count() <= 1000);
   CHECK(took.count() < 8 * hosts / 2);
--- a/src/core/host_book_test.cc
+++ b/src/core/host_book_test.cc
@@ -249,8 +249,8 @@
   CHECK_FALSE(book.BetterInformed(RoutingVersion{2}, StoreRevision{0}));
 }
 
-// A host that was passed over before the first answer could come was replaced
-// by one that met the same: for five seconds nobody read beside the planner.
+// Otherwise it is replaced by one that meets the same, and for a while nobody
+// reads beside the planner.
 TEST_CASE_METHOD(FleetFixture,
                  "A host that has begun to read is not passed over before it "
                  "can have been answered") {
--- a/src/core/reading_duty_test.cc
+++ b/src/core/reading_duty_test.cc
@@ -75,7 +75,7 @@
   CHECK(duty_.Own() == OwnReading::kAnswered);
 }
 
-// It lost the source once a second, and regained it at once.
+// Otherwise it would lose the source and regain it again and again.
 TEST_CASE_METHOD(DutyFixture,
                  "A host that hears no other reads before what it knows is too "
                  "old") {
@@ -130,8 +130,8 @@
   CHECK_FALSE(duty_.IsWell());
 }
 
-// The readers of a fleet were turned away at once; each host along the way
-// counted its second anew, and a configuration was in force 2.3 s late.
+// Were the age counted anew at each host, the end of a chain would be blind for
+// longer.
 TEST_CASE_METHOD(DutyFixture,
                  "A host at the end of a chain reads as soon as one at its "
                  "beginning") {
--- a/src/core/reading_fleet_test.cc
+++ b/src/core/reading_fleet_test.cc
@@ -29,11 +29,11 @@
  public:
   ReadingFleet(int hosts, std::uint64_t seed) : random_(seed) {
     for (int i = 0; i < hosts; ++i) {
-      hosts_.push_back(std::make_unique<Host>(this, i));
+      hosts_.push_back(std::make_unique<Host>(this));
     }
     planner_ = 0;
     for (int i = 0; i <= std::min(kStandBy, hosts - 1); ++i) {
-      hosts_[i]->duty.SetTurn(i);
+      At(i).duty.SetTurn(i);
     }
     for (auto& host : hosts_) {
       host->duty.OnInformed(Millis(0));
@@ -49,7 +49,7 @@
   // The service treats the hosts from `first` on, or a share of all, so.
   void Treat(int first, int count, Treatment treatment) {
     for (int i = first; i < first + count; ++i) {
-      hosts_[i]->treatment = treatment;
+      At(i).treatment = treatment;
     }
   }
   void TreatShare(double share, Treatment treatment) {
@@ -63,7 +63,7 @@
   // No host hears the planner until another one plans, `time` later.
   void KillPlanner(Millis time) {
     replaced_at_ = now_ + time;
-    hosts_[planner_]->is_dead = true;
+    At(planner_).is_dead = true;
   }
 
   void Run(Millis time) {
@@ -90,16 +90,15 @@
 
  private:
   struct Host {
-    Host(ReadingFleet* fleet, int number)
+    explicit Host(ReadingFleet* fleet)
         : duty(
               false,
               ReadingDutyPorts{[fleet] { return fleet->Count(); },
                                [] { return false; }},
               [fleet] { return fleet->now_; },
               [fleet] { return fleet->random_(); }),
-          phase(fleet->random_() % kLook.count()) {
-      (void)number;
-    }
+          phase(static_cast<std::int64_t>(
+              fleet->random_() % static_cast<std::uint64_t>(kLook.count()))) {}
 
     ReadingDuty duty;
     std::int64_t phase;
@@ -118,6 +117,10 @@
   };
 
   int Count() const { return static_cast<int>(hosts_.size()); }
+  Host& At(int host) { return *hosts_[static_cast<std::size_t>(host)]; }
+  const Host& At(int host) const {
+    return *hosts_[static_cast<std::size_t>(host)];
+  }
 
   bool Chance(double share) {
     return std::uniform_real_distribution<double>(0, 1)(random_) < share;
@@ -137,15 +140,13 @@
     }
   }
 
-  TimePoint AnsweredAt(int host) const {
-    return now_ - hosts_[host]->duty.Age();
-  }
+  TimePoint AnsweredAt(int host) const { return now_ - At(host).duty.Age(); }
 
   void PlayStep() {
     Deliver();
     ReplacePlanner();
     for (int i = 0; i < Count(); ++i) {
-      if (!hosts_[i]->is_dead) {
+      if (!At(i).is_dead) {
         PlayHost(i);
       }
     }
@@ -163,7 +164,7 @@
   }
 
   void Inform(int to, TimePoint answered) {
-    ReadingDuty& duty = hosts_[to]->duty;
+    ReadingDuty& duty = At(to).duty;
     const bool is_late = duty.IsLate();
     duty.OnInformed(std::chrono::duration_cast<Millis>(now_ - answered));
     if (to == planner_ && is_late && !duty.IsLate()) {
@@ -178,13 +179,13 @@
       replaced_at_.reset();
       ++planner_;
       for (int i = 0; i <= kStandBy; ++i) {
-        hosts_[planner_ + i]->duty.SetTurn(i);
+        At(planner_ + i).duty.SetTurn(i);
       }
     }
   }
 
   void PlayHost(int i) {
-    Host& host = *hosts_[i];
+    Host& host = At(i);
     EndCall(i);
     const bool looks =
         std::chrono::duration_cast<Millis>(now_.time_since_epoch()).count() %
@@ -198,7 +199,7 @@
     }
     if (now_ - host.told_at >= ReadingDuty::kWordPause) {
       host.told_at = now_;
-      if (!hosts_[planner_]->is_dead) {
+      if (!At(planner_).is_dead) {
         Tell(i, AnsweredAt(planner_));
       }
     }
@@ -224,7 +225,7 @@
   }
 
   void EndCall(int i) {
-    Host& host = *hosts_[i];
+    Host& host = At(i);
     if (!host.call_ends.has_value() || now_ < *host.call_ends) {
       return;
     }
@@ -237,7 +238,7 @@
     host.duty.OnAnswered();
     if (i == planner_) {
       TellReaders();
-    } else if (!hosts_[planner_]->is_dead) {
+    } else if (!At(planner_).is_dead) {
       Tell(planner_, now_);
     }
   }
@@ -260,22 +261,24 @@
 // A round of turns, in the worst second, and those that read for all.
 constexpr int kMostCallsInASecond = 3 * ReadingDuty::kMostAtOnce + 20;
 
+constexpr Millis kLongRun{20000};
+
 int FleetSizeOfTest() { return GENERATE(30, 402, 1000, 3000); }
 
 TEST_CASE("A quiet service is read by one host, whatever the size of the fleet",
           "[fleet]") {
   ReadingFleet fleet(FleetSizeOfTest(), 1);
-  fleet.Run(Millis(20000));
+  fleet.Run(kLongRun);
   // One call each time that the wait is over.
-  CHECK(fleet.Calls() <= 20000 / ReadingDuty::kWatchWait.count() + 1);
+  CHECK(fleet.Calls() <= kLongRun / ReadingDuty::kWatchWait + 1);
   CHECK(fleet.LongestAge() <= ReadingDuty::kInformedFor);
 }
 
 TEST_CASE("Lost and late words do not multiply the calls", "[fleet]") {
   ReadingFleet fleet(FleetSizeOfTest(), 2);
   fleet.SetLosses(0.02, 0.05);
-  fleet.Run(Millis(20000));
-  CHECK(fleet.Calls() <= 2 * 20000 / ReadingDuty::kWatchWait.count());
+  fleet.Run(kLongRun);
+  CHECK(fleet.Calls() <= 2 * (kLongRun / ReadingDuty::kWatchWait));
   CHECK(fleet.LongestAge() <= kBound);
 }
 
--- a/src/gateway/endpoint_news.cc
+++ b/src/gateway/endpoint_news.cc
@@ -190,8 +190,8 @@
 }
 
 void EndpointNews::Forget(const EndpointId& id) {
-  // An earlier life's failures kept a sound endpoint unused for up to 5.6 s,
-  // and a connection to it cannot answer.
+  // Failures of an earlier life would keep a sound endpoint unused, and a
+  // connection to it cannot answer.
   health_->Forget(id);
   connections_->Forget(id);
 }
--- a/src/gateway/fleet_member.h
+++ b/src/gateway/fleet_member.h
@@ -137,7 +137,6 @@
   FleetSocket* socket_;
   FleetMemberPorts ports_;
   EventLog* log_;
-  Metrics* metrics_;
   MonotonicClock clock_;
   RandomSource random_;
   PlaceClient places_;
