--- a/src/core/copy_desk.cc
+++ b/src/core/copy_desk.cc
@@ -26,7 +26,8 @@
   // Who comes later finds more hosts that give copies: their number doubles
   // with each round.
   ++sent_away_;
-  const double rounds = 1 + std::log2(1 + static_cast<double>(sent_away_) / most_);
+  const double rounds =
+      1 + std::log2(1 + static_cast<double>(sent_away_) / most_);
   const auto away = std::chrono::duration_cast<Millis>(rounds * RoundTime());
   return ComeLater{std::min(kLongestAway, away)};
 }
--- a/src/gateway/gateway_services.h
+++ b/src/gateway/gateway_services.h
@@ -23,8 +23,8 @@
 #include "src/gateway/endpoint_connections.h"
 #include "src/gateway/memory_orders.h"
 #include "src/gateway/place_client.h"
-#include "src/gateway/rest_watch.h"
 #include "src/gateway/protocol_names.h"
+#include "src/gateway/rest_watch.h"
 #include "src/gateway/start_gate.h"
 
 namespace harecrank {
