--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -165,10 +165,6 @@
   return services;
 }
 
-void GatewayNode::RequestStop() {
-  boost::asio::post(io_, [this] { BeginDrain(); });
-}
-
 SessionContext GatewayNode::MakeSessionContext() {
   SessionContext context;
   context.start_request = [this](CallerRequest request, TimePoint arrived,
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -4,6 +4,7 @@
 #define HARECRANK_SRC_GATEWAY_GATEWAY_NODE_H_
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <functional>
 #include <memory>
@@ -65,7 +66,9 @@
   void Run();
 
   // Does what a stop signal does. Thread-safe.
-  void RequestStop();
+  void RequestStop() {
+    boost::asio::post(io_, [this] { BeginDrain(); });
+  }
 
  private:
   GatewayServices MakeServices();
