--- a/src/core/planner_shares_test.cc
+++ b/src/core/planner_shares_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "harecrank/core/planner.h"
+#include "testing/engine_service.h"
 
 namespace harecrank {
 namespace {
@@ -39,18 +40,7 @@
     }
     RoutingDocument document;
     document.version = RoutingVersion{1};
-    ServiceProfile service;
-    service.name = kReaders;
-    service.engine.emplace();
-    service.engine->slots = 10;
-    service.engine->memory = Tokens{315000};
-    service.engine->step_ms = 0.85;
-    service.engine->step_ms_per_member = 0.004;
-    service.engine->step_ms_per_thousand_context = 0.003;
-    service.engine->read_tokens_per_ms = 177;
-    service.engine->read_ms_per_million_pairs = 0.184;
-    service.engine->steps_per_pass = 80;
-    document.services = {service};
+    document.services = {testing::EngineService(kReaders)};
     RouteRule route;
     route.name = "read";
     route.host = "a";
--- a/src/core/too_little_room_test.cc
+++ b/src/core/too_little_room_test.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "harecrank/core/planner.h"
+#include "testing/engine_service.h"
 
 namespace harecrank {
 namespace {
@@ -48,16 +49,9 @@
     }
     RoutingDocument document;
     document.version = RoutingVersion{1};
-    ServiceProfile service;
-    service.name = kWriters;
-    service.engine.emplace();
+    ServiceProfile service = testing::EngineService(kWriters);
     service.engine->slots = 12;
     service.engine->memory = Tokens{267750};
-    service.engine->step_ms = 0.85;
-    service.engine->step_ms_per_member = 0.004;
-    service.engine->step_ms_per_thousand_context = 0.003;
-    service.engine->read_tokens_per_ms = 177;
-    service.engine->read_ms_per_million_pairs = 0.184;
     service.engine->steps_per_pass = 57;
     document.services = {service};
     RouteRule route;
