--- a/src/core/planner_test.cc
+++ b/src/core/planner_test.cc
@@ -6,8 +6,6 @@
 
 #include "testing/engine_service.h"
 
-#include "testing/engine_service.h"
-
 namespace harecrank {
 namespace {
 
