--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -165,6 +165,10 @@
   return services;
 }
 
+void GatewayNode::RequestStop() {
+  boost::asio::post(io_, [this] { BeginDrain(); });
+}
+
 SessionContext GatewayNode::MakeSessionContext() {
   SessionContext context;
   context.start_request = [this](CallerRequest request, TimePoint arrived,
@@ -188,10 +192,6 @@
                    hosts_.AliveHosts()});
 }
 
-bool GatewayNode::IsReady() const {
-  return !draining_ && routing_.InForce() != nullptr && directory_.Count() > 0;
-}
-
 HttpReply GatewayNode::AnswerReadiness(const HttpRequest& request) {
   if (request.target() != names_.readiness_path) {
     return MakeReply(http_status::kNotFound, "text/plain", "no such page\n");
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -4,7 +4,6 @@
 #define HARECRANK_SRC_GATEWAY_GATEWAY_NODE_H_
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <functional>
 #include <memory>
@@ -66,9 +65,7 @@
   void Run();
 
   // Does what a stop signal does. Thread-safe.
-  void RequestStop() {
-    boost::asio::post(io_, [this] { BeginDrain(); });
-  }
+  void RequestStop();
 
  private:
   GatewayServices MakeServices();
@@ -89,7 +86,10 @@
   void Tick();
   void ContinueDrain();
   int KnownHosts() const;
-  bool IsReady() const;
+  bool IsReady() const {
+    return !draining_ && routing_.InForce() != nullptr &&
+           directory_.Count() > 0;
+  }
 
   GatewaySettings settings_;
   SettingsSource reread_settings_;
