The pause between words and the turns to read are checked against each other

The turns count on 340 ms between two words, which stood apart from the interval and the tick that make it: a static check beside them now. No behaviour changes.

--- a/src/gateway/fleet_member.cc
+++ b/src/gateway/fleet_member.cc
@@ -7,8 +7,6 @@
 namespace harecrank {
 namespace {
 
-// How often this looks after itself: words, silence, prompts that wait.
-constexpr Millis kTick{40};
 // How soon after a change the planner is told.
 constexpr Millis kSoon{1};
 // The pause between two words to strangers: while no planner is known, and
--- a/src/gateway/fleet_member.h
+++ b/src/gateway/fleet_member.h
@@ -15,6 +15,7 @@
 #include "harecrank/core/endpoint_health.h"
 #include "harecrank/core/host_book.h"
 #include "harecrank/core/planner.h"
+#include "harecrank/core/reading_duty.h"
 #include "src/adapters/event_log.h"
 #include "src/adapters/metrics.h"
 #include "src/gateway/crash_relay.h"
@@ -92,6 +93,10 @@
   // The pause between two words to the planner. A planner that dies is noticed
   // by the asks that it does not answer; words find it where nothing is asked.
   static constexpr Millis kWordInterval{300};
+  // How often it looks after itself: words, silence, prompts that wait.
+  static constexpr Millis kTick{40};
+  // Turns to read the platform count on the pause between two words.
+  static_assert(kWordInterval + kTick <= ReadingDuty::kWordPause);
   // A planner that answered no word for this long is silent.
   static constexpr Millis kWordSilence{650};
 
