--- a/include/harecrank/core/placement_policy.h
+++ b/include/harecrank/core/placement_policy.h
@@ -8,11 +8,21 @@
 #define HARECRANK_CORE_PLACEMENT_POLICY_H_
 
 #include <cstddef>
+#include <variant>
 
 #include "harecrank/core/wait_queue.h"
 
 namespace harecrank {
 
+// Ways to choose the start and the engines of a long prompt at the planner.
+//
+// Starts a prompt when enough engines are free at the same moment.
+struct WhenEnginesAreFree {};
+// Plans each prompt ahead on a timetable of the engines, and reserves engine
+// time for it (engine_timetable.h).
+struct ReserveEnginesAhead {};
+using LongPlacing = std::variant<WhenEnginesAreFree, ReserveEnginesAhead>;
+
 // Parameters by which requests are placed, queued and rejected. The gap of a
 // stream is the longest pause between two of its events that is within its
 // target. The tightest gap is the shortest gap of any route to the service. A
@@ -79,6 +89,9 @@
   // queued long prompts.
   QueueOrder short_order = LeastSlackFirst{};
   QueueOrder long_order = LeastSlackFirst{};
+  // How the planner chooses the start and the engines of a long prompt. Hosts
+  // that place requests themselves always start it when engines are free.
+  LongPlacing long_placing = WhenEnginesAreFree{};
   // A queued short prompt is rejected when its first event is late by more than
   // this share of its latency target.
   double late_wait_share = 1;
--- a/include/harecrank/core/prefill_group.h
+++ b/include/harecrank/core/prefill_group.h
@@ -38,6 +38,9 @@
   // Whether the engine is reserved for short requests. A stream with the
   // tightest gap may then start on it at any time.
   bool reserved_for_short = false;
+  // Whether a part of another prompt is planned on the engine for later. A
+  // stream that is decoded on it might not tolerate that part.
+  bool has_later_part = false;
 };
 
 // A prompt that is split among several engines.
@@ -85,6 +88,28 @@
                                 const EngineCandidate& candidate,
                                 FractionalMillis tightest_gap);
 
+// Returns whether a part of the prompt that is sent to the engine now starts at
+// once. Engines that have a long prefill pending are not open. Neither are
+// engines with a prefill backlog, unless they serve short requests: on these a
+// backlog only reduces the maximum size of a part.
+bool IsOpen(const PlacementPolicy& policy, const LongPrompt& prompt,
+            const EngineCandidate& candidate);
+
+// Returns the preferred prefill time of a part of a long prompt.
+FractionalMillis PreferredPart(const PlacementPolicy& policy,
+                               const LongPrompt& prompt);
+
+// Returns the longest prefill time that a part of the prompt may have if it
+// starts now, given the time left until the first event is late.
+FractionalMillis LongestPart(const PlacementPolicy& policy,
+                             const LongPrompt& prompt);
+
+// Returns the group of the `count` engines of `pool` that suit the prompt best.
+// `pool` must have at least `count` engines, and `count` must be positive.
+PrefillGroup FormGroup(const EngineProfile& engine,
+                       const PlacementPolicy& policy, const LongPrompt& prompt,
+                       std::vector<EngineCandidate> pool, std::size_t count);
+
 // Returns the engines that prefill `prompt`, or nothing if too few engines are
 // available and the prompt has to wait.
 std::optional<PrefillGroup> ChoosePrefillGroup(
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -255,23 +255,42 @@
   }
 };
 
-// Reads the name of a queue order into `order`.
-void ReadOrder(SettingsReader* reader, const char* key, QueueOrder* order) {
-  const std::vector<QueueOrder> orders = {LeastSlackFirst{}, MostSlackFirst{},
-                                          LeastWorkFirst{}};
+// Visitor of LongPlacing: returns its name in the settings.
+struct LongPlacingName {
+  std::string operator()(WhenEnginesAreFree /*placing*/) const {
+    return "when_free";
+  }
+  std::string operator()(ReserveEnginesAhead /*placing*/) const {
+    return "reserve_ahead";
+  }
+};
+
+// Reads the name of one of the alternatives of `choice`. `alternatives` holds
+// one value of each, and `name_of` is the visitor that returns its name.
+template <typename Variant, typename NameOf>
+void ReadChoice(SettingsReader* reader, const char* key,
+                const std::vector<Variant>& alternatives, NameOf name_of,
+                Variant* choice) {
   std::vector<std::string> names;
-  names.reserve(orders.size());
-  for (const QueueOrder& candidate : orders) {
-    names.push_back(std::visit(OrderName{}, candidate));
+  names.reserve(alternatives.size());
+  for (const Variant& candidate : alternatives) {
+    names.push_back(std::visit(name_of, candidate));
   }
-  std::string name = std::visit(OrderName{}, *order);
+  std::string name = std::visit(name_of, *choice);
   reader->ReadEnum(key, names, &name);
   const auto found = std::find(names.begin(), names.end(), name);
   if (found != names.end()) {
-    *order = orders[static_cast<std::size_t>(found - names.begin())];
+    *choice = alternatives[static_cast<std::size_t>(found - names.begin())];
   }
 }
 
+// Reads the name of a queue order into `order`.
+void ReadOrder(SettingsReader* reader, const char* key, QueueOrder* order) {
+  ReadChoice<QueueOrder>(
+      reader, key, {LeastSlackFirst{}, MostSlackFirst{}, LeastWorkFirst{}},
+      OrderName{}, order);
+}
+
 void ReadPlacement(SettingsReader* reader, PlacementPolicy* policy) {
   // Upper limit of settings that are a share of an inter-token gap or of a
   // latency target. With a larger share, no request would meet its target.
@@ -307,6 +326,9 @@
   reader->ReadBool("short_waits", &policy->short_waits);
   ReadOrder(reader, "short_order", &policy->short_order);
   ReadOrder(reader, "long_order", &policy->long_order);
+  ReadChoice<LongPlacing>(reader, "long_placing",
+                          {WhenEnginesAreFree{}, ReserveEnginesAhead{}},
+                          LongPlacingName{}, &policy->long_placing);
   reader->ReadNumber("late_wait_share", 0, kMaxPerEngine,
                      &policy->late_wait_share);
   reader->ReadNumber("short_retry_after_share", 0, kMaxPerEngine,
--- a/src/adapters/settings_test.cc
+++ b/src/adapters/settings_test.cc
@@ -82,6 +82,13 @@
                        R"(, "placement": {"bound_late_parts": 1}})")
             .find("placement.bound_late_parts: found 1; allowed: true or "
                   "false") != std::string::npos);
+  CHECK(GatewayErrorOf(valid_prefix +
+                       R"(, "placement": {"long_placing": "reserve_ahead"}})")
+            .empty());
+  CHECK(GatewayErrorOf(valid_prefix +
+                       R"(, "placement": {"long_placing": "later"}})")
+            .find("placement.long_placing: found 'later'; allowed: ") !=
+        std::string::npos);
   CHECK(GatewayErrorOf(valid_prefix + R"(, "placement": {"packed": 3}})")
             .find("placement.packed: found an unknown key") !=
         std::string::npos);
--- /dev/null
+++ b/src/core/long_prompt_schedule.cc
@@ -0,0 +1,117 @@
+#include "harecrank/core/long_prompt_schedule.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace harecrank {
+namespace {
+
+// Returns the prefill time of the prompt when all requested helpers take part.
+FractionalMillis LeastPrefillTime(const LongPrompt& prompt) {
+  return prompt.prefill_time / static_cast<double>(kMaxHelpers + 1);
+}
+
+// Returns the time left before the prefill of the prompt must begin for its
+// first event to come at `event`.
+FractionalMillis SlackUntil(TimePoint event, const WaitingPrompt& prompt,
+                            TimePoint now) {
+  return FractionalMillis(event - now) - LeastPrefillTime(prompt.prompt);
+}
+
+// Plans the prompts one after the other on a timetable.
+class PromptPlanner {
+ public:
+  PromptPlanner(TimePoint now, EngineTimetable* timetable)
+      : now_(now), timetable_(timetable) {}
+
+  // Plans the prompts that must start soon to be of any use, then those that
+  // can meet their target, and returns the others.
+  std::vector<const WaitingPrompt*> PlanInTime(
+      const std::vector<WaitingPrompt>& prompts) {
+    std::vector<const WaitingPrompt*> order;
+    order.reserve(prompts.size());
+    for (const WaitingPrompt& prompt : prompts) {
+      order.push_back(&prompt);
+    }
+    SortBy(&order, [this](const WaitingPrompt& prompt) {
+      return std::make_tuple(!Expires(prompt), !prompt.has_promise,
+                             SlackUntil(prompt.first_event_due, prompt, now_));
+    });
+    std::vector<const WaitingPrompt*> rest;
+    for (const WaitingPrompt* prompt : order) {
+      const bool planned =
+          PlanUntil(*prompt, prompt->first_event_due, Prospect::kInTime) ||
+          (Expires(*prompt) &&
+           PlanUntil(*prompt, prompt->last_useful_event, Prospect::kLate));
+      if (!planned) {
+        rest.push_back(prompt);
+      }
+    }
+    return rest;
+  }
+
+  // Plans prompts that cannot meet their target, the first to expire first.
+  void PlanLate(std::vector<const WaitingPrompt*> prompts) {
+    SortBy(&prompts, [](const WaitingPrompt& prompt) {
+      return std::make_tuple(!prompt.may_have_run, !prompt.has_promise,
+                             prompt.last_useful_event);
+    });
+    for (const WaitingPrompt* prompt : prompts) {
+      const TimePoint last =
+          prompt->may_have_run ? TimePoint::max() : prompt->last_useful_event;
+      if (!PlanUntil(*prompt, last, Prospect::kLate)) {
+        plans_.push_back(PromptPlan{prompt->id, Prospect::kNoRoom, {}});
+      }
+    }
+  }
+
+  std::vector<PromptPlan> Plans() && { return std::move(plans_); }
+
+ private:
+  // Sorts by the key that `key_of` returns, then by id.
+  template <typename KeyOf>
+  static void SortBy(std::vector<const WaitingPrompt*>* prompts, KeyOf key_of) {
+    std::sort(prompts->begin(), prompts->end(),
+              [&key_of](const WaitingPrompt* a, const WaitingPrompt* b) {
+                return std::make_pair(key_of(*a), a->id) <
+                       std::make_pair(key_of(*b), b->id);
+              });
+  }
+
+  // Returns whether the prompt must start within one latency target to be of
+  // any use.
+  bool Expires(const WaitingPrompt& prompt) const {
+    return SlackUntil(prompt.last_useful_event, prompt, now_) <
+           prompt.prompt.target;
+  }
+
+  // Reserves the group with the earliest first event if its prefill ends by
+  // `last`. Returns whether it does.
+  bool PlanUntil(const WaitingPrompt& prompt, TimePoint last,
+                 Prospect prospect) {
+    auto planned = timetable_->EarliestGroup(prompt.prompt, prompt.not_before,
+                                             prompt.may_use);
+    if (!planned.has_value() || planned->prefill_end > last) {
+      return false;
+    }
+    timetable_->Reserve(*planned);
+    plans_.push_back(PromptPlan{prompt.id, prospect, std::move(planned)});
+    return true;
+  }
+
+  TimePoint now_;
+  EngineTimetable* timetable_;
+  std::vector<PromptPlan> plans_;
+};
+
+}  // namespace
+
+std::vector<PromptPlan> PlanPrompts(const std::vector<WaitingPrompt>& prompts,
+                                    EngineTimetable* timetable) {
+  PromptPlanner planner(timetable->Now(), timetable);
+  planner.PlanLate(planner.PlanInTime(prompts));
+  return std::move(planner).Plans();
+}
+
+}  // namespace harecrank
--- a/src/core/prefill_group.cc
+++ b/src/core/prefill_group.cc
@@ -32,158 +32,64 @@
                                           : EngineUse::kIdle;
 }
 
-// Chooses the prefill group of one prompt.
-class PrefillGroupChooser {
- public:
-  PrefillGroupChooser(const EngineProfile& engine,
-                      const PlacementPolicy& policy, const LongPrompt& prompt)
-      : engine_(engine),
-        policy_(policy),
-        prompt_(prompt),
-        preferred_part_(
-            std::max(FractionalMillis(1),
-                     policy.part_share_of_gap * prompt.tightest_gap)) {}
-
-  // Splits the prompt into as many parts as possible, up to the preferred
-  // number, such that there are enough engines whose streams tolerate a part of
-  // the resulting size. Returns the group of engines, or nothing if there is
-  // none.
-  std::optional<PrefillGroup> Choose(
-      const std::vector<EngineCandidate>& candidates) const {
-    const std::vector<OpenEngine> open_engines = OpenEngines(candidates);
-    const std::size_t max_count =
-        std::min(open_engines.size(), kMaxHelpers + 1);
-    const auto preferred_count = static_cast<std::size_t>(
-        std::ceil(prompt_.prefill_time / preferred_part_));
-    const FractionalMillis max_part = MaxPartTime();
-    for (std::size_t count = std::min(preferred_count, max_count); count > 0;
-         --count) {
-      const FractionalMillis part = PartTime(count);
-      if (part > std::max(max_part, preferred_part_)) {
-        break;
-      }
-      std::vector<EngineCandidate> pool = EnginesThatAllow(open_engines, part);
-      if (pool.size() >= count) {
-        return GroupOf(std::move(pool), count);
-      }
-    }
-    return std::nullopt;
-  }
+// Returns the prefill time of each of `count` equal parts of the prompt.
+FractionalMillis PartTime(const LongPrompt& prompt, std::size_t count) {
+  return prompt.prefill_time / static_cast<double>(count);
+}
 
- private:
-  // An engine that can take a part of the prompt, and the longest prefill time
-  // of a part that its streams tolerate.
-  struct OpenEngine {
-    FractionalMillis part;
-    const EngineCandidate* candidate;
-  };
-
-  // Returns the prefill time of each of `count` equal parts.
-  FractionalMillis PartTime(std::size_t count) const {
-    return prompt_.prefill_time / static_cast<double>(count);
-  }
+// Returns the cost of decoding on `candidate`; the engine with the lowest cost
+// decodes. That engine also holds the request's KV memory as far as it fits.
+// Long requests are packed onto few engines, so that the other engines have no
+// streams that a large part would stall.
+std::tuple<bool, bool, bool, double, std::int64_t> DecodeEngineCost(
+    const EngineProfile& engine, const PlacementPolicy& policy,
+    const LongPrompt& prompt, const EngineCandidate& candidate) {
+  const EndpointLoad& load = candidate.load;
+  const bool fits = !(FreeMemory(engine, load) < prompt.needed);
+  const bool tight = IsTightGap(prompt.gap, prompt.tightest_gap);
+  const bool has_short_requests =
+      EngineUseOf(candidate) == EngineUse::kShortRequests;
+  const bool full = load.long_requests >= policy.packed_writers;
+  const double packed = fits && !full ? load.long_requests : 0;
+  return {!fits, candidate.has_later_part, tight != has_short_requests, -packed,
+          load.memory.value};
+}
 
-  // Returns the engines that can take a part of the prompt. Skips engines that
-  // have a long prefill pending or, unless they serve short requests, a prefill
-  // backlog. On engines with short requests a backlog only reduces the maximum
-  // size of a part.
-  std::vector<OpenEngine> OpenEngines(
-      const std::vector<EngineCandidate>& candidates) const {
-    std::vector<OpenEngine> open_engines;
-    for (const EngineCandidate& candidate : candidates) {
-      const bool is_prefilling = candidate.load.pending_prefills > 0;
-      const bool has_backlog = candidate.load.prefill_backlog >
-                               policy_.open_share_of_part * preferred_part_;
-      if (is_prefilling || (has_backlog && EngineUseOf(candidate) !=
-                                               EngineUse::kShortRequests)) {
-        continue;
-      }
-      const FractionalMillis part =
-          MaxPrefillPart(engine_, policy_, candidate, prompt_.tightest_gap);
-      open_engines.push_back(OpenEngine{part, &candidate});
-    }
-    return open_engines;
-  }
+// An engine that can take a part of the prompt, and the longest prefill time of
+// a part that its streams tolerate.
+struct OpenEngine {
+  FractionalMillis part;
+  const EngineCandidate* candidate;
+};
 
-  // Returns the engines whose streams tolerate a prefill of duration `part`.
-  static std::vector<EngineCandidate> EnginesThatAllow(
-      const std::vector<OpenEngine>& open_engines, FractionalMillis part) {
-    std::vector<EngineCandidate> pool;
-    for (const OpenEngine& open_engine : open_engines) {
-      if (open_engine.part >= part) {
-        pool.push_back(*open_engine.candidate);
-      }
+// Returns the engines that can take a part of the prompt. Skips engines that
+// are not open.
+std::vector<OpenEngine> OpenEngines(
+    const EngineProfile& engine, const PlacementPolicy& policy,
+    const LongPrompt& prompt, const std::vector<EngineCandidate>& candidates) {
+  std::vector<OpenEngine> open_engines;
+  for (const EngineCandidate& candidate : candidates) {
+    if (!IsOpen(policy, prompt, candidate)) {
+      continue;
     }
-    return pool;
+    const FractionalMillis part =
+        MaxPrefillPart(engine, policy, candidate, prompt.tightest_gap);
+    open_engines.push_back(OpenEngine{part, &candidate});
   }
+  return open_engines;
+}
 
-  // Returns the longest prefill time that a part of the prompt may have, given
-  // the time left until the first event is late.
-  FractionalMillis MaxPartTime() const {
-    if (!policy_.bound_late_parts && prompt_.until_late < FractionalMillis(0)) {
-      return prompt_.prefill_time;
+// Returns the engines whose streams tolerate a prefill of duration `part`.
+std::vector<EngineCandidate> EnginesThatAllow(
+    const std::vector<OpenEngine>& open_engines, FractionalMillis part) {
+  std::vector<EngineCandidate> pool;
+  for (const OpenEngine& open_engine : open_engines) {
+    if (open_engine.part >= part) {
+      pool.push_back(*open_engine.candidate);
     }
-    const FractionalMillis relaxed_limit = std::max(
-        {policy_.part_stretch * preferred_part_,
-         policy_.part_stretch * PartTime(kMaxHelpers + 1),
-         FractionalMillis(policy_.part_share_of_target * prompt_.target)});
-    const bool is_urgent =
-        prompt_.until_late < policy_.hurry_share * prompt_.target;
-    return is_urgent ? std::max(relaxed_limit,
-                                FractionalMillis(policy_.time_share_used *
-                                                 prompt_.until_late))
-                     : relaxed_limit;
-  }
-
-  // Returns a group of `count` engines of `pool`, with the engine that decodes.
-  PrefillGroup GroupOf(std::vector<EngineCandidate> pool,
-                       std::size_t count) const {
-    // This host does not know yet which short requests other hosts have just
-    // placed. Short requests are placed from the front of the shared engine
-    // order, so parts of long prompts are placed from its end.
-    std::sort(pool.begin(), pool.end(),
-              [](const EngineCandidate& a, const EngineCandidate& b) {
-                const auto cost = [](const EngineCandidate& c) {
-                  return std::make_tuple(EngineUseOf(c), c.load.short_requests,
-                                         c.pace >= kSlowPace, c.rank);
-                };
-                return cost(a) < cost(b);
-              });
-    const auto decode_engine = std::min_element(
-        pool.begin(), pool.end(),
-        [this](const EngineCandidate& a, const EngineCandidate& b) {
-          return DecodeEngineCost(a) < DecodeEngineCost(b);
-        });
-    PrefillGroup group;
-    group.decode_engine = *decode_engine;
-    group.part = PartTime(count);
-    pool.erase(decode_engine);
-    pool.resize(count - 1);
-    group.helpers = std::move(pool);
-    return group;
-  }
-
-  // Returns the cost of decoding on `candidate`; the engine with the lowest
-  // cost decodes. That engine also holds the request's KV memory as far as it
-  // fits. Long requests are packed onto few engines, so that the other engines
-  // have no streams that a large part would stall.
-  std::tuple<bool, bool, double, std::int64_t> DecodeEngineCost(
-      const EngineCandidate& candidate) const {
-    const EndpointLoad& load = candidate.load;
-    const bool fits = !(FreeMemory(engine_, load) < prompt_.needed);
-    const bool tight = IsTightGap(prompt_.gap, prompt_.tightest_gap);
-    const bool has_short_requests =
-        EngineUseOf(candidate) == EngineUse::kShortRequests;
-    const bool full = load.long_requests >= policy_.packed_writers;
-    const double packed = fits && !full ? load.long_requests : 0;
-    return {!fits, tight != has_short_requests, -packed, load.memory.value};
   }
-
-  const EngineProfile& engine_;
-  const PlacementPolicy& policy_;
-  const LongPrompt& prompt_;
-  FractionalMillis preferred_part_;
-};
+  return pool;
+}
 
 }  // namespace
 
@@ -215,10 +121,94 @@
          load.prefill_backlog;
 }
 
+bool IsOpen(const PlacementPolicy& policy, const LongPrompt& prompt,
+            const EngineCandidate& candidate) {
+  if (candidate.load.pending_prefills > 0) {
+    return false;
+  }
+  const bool has_backlog =
+      candidate.load.prefill_backlog >
+      policy.open_share_of_part * PreferredPart(policy, prompt);
+  return !has_backlog || EngineUseOf(candidate) == EngineUse::kShortRequests;
+}
+
+FractionalMillis PreferredPart(const PlacementPolicy& policy,
+                               const LongPrompt& prompt) {
+  return std::max(FractionalMillis(1),
+                  policy.part_share_of_gap * prompt.tightest_gap);
+}
+
+FractionalMillis LongestPart(const PlacementPolicy& policy,
+                             const LongPrompt& prompt) {
+  if (!policy.bound_late_parts && prompt.until_late < FractionalMillis(0)) {
+    return prompt.prefill_time;
+  }
+  const FractionalMillis relaxed_limit =
+      std::max({policy.part_stretch * PreferredPart(policy, prompt),
+                policy.part_stretch * PartTime(prompt, kMaxHelpers + 1),
+                FractionalMillis(policy.part_share_of_target * prompt.target)});
+  const bool is_urgent = prompt.until_late < policy.hurry_share * prompt.target;
+  return is_urgent
+             ? std::max(relaxed_limit, FractionalMillis(policy.time_share_used *
+                                                        prompt.until_late))
+             : relaxed_limit;
+}
+
+PrefillGroup FormGroup(const EngineProfile& engine,
+                       const PlacementPolicy& policy, const LongPrompt& prompt,
+                       std::vector<EngineCandidate> pool, std::size_t count) {
+  // This host does not know yet which short requests other hosts have just
+  // placed. Short requests are placed from the front of the shared engine
+  // order, so parts of long prompts are placed from its end.
+  std::sort(pool.begin(), pool.end(),
+            [](const EngineCandidate& a, const EngineCandidate& b) {
+              const auto cost = [](const EngineCandidate& c) {
+                return std::make_tuple(EngineUseOf(c), c.load.short_requests,
+                                       c.pace >= kSlowPace, c.rank);
+              };
+              return cost(a) < cost(b);
+            });
+  const auto decode_engine =
+      std::min_element(pool.begin(), pool.end(),
+                       [&](const EngineCandidate& a, const EngineCandidate& b) {
+                         return DecodeEngineCost(engine, policy, prompt, a) <
+                                DecodeEngineCost(engine, policy, prompt, b);
+                       });
+  PrefillGroup group;
+  group.decode_engine = *decode_engine;
+  group.part = PartTime(prompt, count);
+  pool.erase(decode_engine);
+  pool.resize(count - 1);
+  group.helpers = std::move(pool);
+  return group;
+}
+
 std::optional<PrefillGroup> ChoosePrefillGroup(
     const EngineProfile& engine, const PlacementPolicy& policy,
     const LongPrompt& prompt, const std::vector<EngineCandidate>& candidates) {
-  return PrefillGroupChooser(engine, policy, prompt).Choose(candidates);
+  const std::vector<OpenEngine> open_engines =
+      OpenEngines(engine, policy, prompt, candidates);
+  const std::size_t max_count = std::min(open_engines.size(), kMaxHelpers + 1);
+  const FractionalMillis preferred_part = PreferredPart(policy, prompt);
+  const auto preferred_count =
+      static_cast<std::size_t>(std::ceil(prompt.prefill_time / preferred_part));
+  const FractionalMillis longest_part =
+      std::max(LongestPart(policy, prompt), preferred_part);
+  // Splits the prompt into as many parts as possible, up to the preferred
+  // number, such that there are enough engines whose streams tolerate a part of
+  // the resulting size.
+  for (std::size_t count = std::min(preferred_count, max_count); count > 0;
+       --count) {
+    const FractionalMillis part = PartTime(prompt, count);
+    if (part > longest_part) {
+      break;
+    }
+    std::vector<EngineCandidate> pool = EnginesThatAllow(open_engines, part);
+    if (pool.size() >= count) {
+      return FormGroup(engine, policy, prompt, std::move(pool), count);
+    }
+  }
+  return std::nullopt;
 }
 
 }  // namespace harecrank
