--- a/bench/main.cc
+++ b/bench/main.cc
@@ -38,6 +38,8 @@
   add("configuration", "processor time of one change, for each step",
       MeasureConfiguration);
   add("control", "time of the planner by number of hosts", MeasureControl);
+  add("planning", "time of a plan of long prompts by number of engines",
+      MeasurePlanning);
   add("slopes", "slopes for docs/CAPACITY.md", MeasureSlopes);
   CLI11_PARSE(app, argc, argv);
   ConfigureLogging("error");
--- a/bench/measure.cc
+++ b/bench/measure.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <ctime>
 #include <fstream>
 #include <iomanip>
 #include <iostream>
@@ -14,12 +15,22 @@
 
 constexpr int kFieldsBeforeUserTime = 11;
 constexpr double kMib = 1024.0 * 1024.0;
+constexpr double kMicros = 1e6;
 constexpr int kPlotWidth = 640;
 constexpr int kPlotHeight = 260;
 constexpr int kMargin = 60;
 
 }  // namespace
 
+double MeanMicros(int times, const std::function<void(int)>& step) {
+  const std::clock_t before = std::clock();
+  for (int i = 0; i < times; ++i) {
+    step(i);
+  }
+  return static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC * kMicros /
+         times;
+}
+
 ProcessReading ReadProcess(pid_t pid) {
   ProcessReading reading;
   const std::string directory = "/proc/" + std::to_string(pid);
--- a/bench/measure.h
+++ b/bench/measure.h
@@ -6,6 +6,7 @@
 
 #include <sys/types.h>
 
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
@@ -27,6 +28,10 @@
 // is missing. `name` includes the labels.
 double MetricValue(const std::string& metrics, const std::string& name);
 
+// Returns the mean CPU time, in microseconds, of `times` calls of `step`, which
+// receives the number of the call.
+double MeanMicros(int times, const std::function<void(int)>& step);
+
 // A measured point.
 struct Point {
   double x = 0;
--- a/bench/runs.h
+++ b/bench/runs.h
@@ -42,6 +42,10 @@
 // hosts and ten times as many endpoints.
 nlohmann::json MeasureControl(const RunOptions& options);
 
+// Measures the processor time that the planner spends on planning long prompts
+// ahead, with 60 to 3,700 engines.
+nlohmann::json MeasurePlanning(const RunOptions& options);
+
 // Measures the resource usage per link, listed endpoint, token and request that
 // docs/CAPACITY.md is derived from.
 nlohmann::json MeasureSlopes(const RunOptions& options);
--- a/include/harecrank/core/endpoint_loads.h
+++ b/include/harecrank/core/endpoint_loads.h
@@ -10,7 +10,6 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -40,6 +39,9 @@
   // kLongPart whose prefill has not been reported as done. They count even
   // after their predicted end, since predictions may be too short.
   int pending_prefills = 0;
+  // Time since the predicted end of the prefill; zero unless a prefill is
+  // pending although its predicted end has passed.
+  FractionalMillis prefill_overrun{0};
   // Number of requests in prefill or decode, by work class. Work of class
   // kHelper is not counted.
   int short_requests = 0;
@@ -69,6 +71,17 @@
   // Longest pause between two events that the target of the request's stream
   // allows; zero if the stream is decoded by another endpoint.
   Millis gap{0};
+  // Predicted time from the first event to the end of the stream; zero if it is
+  // unknown or the stream is decoded by another endpoint.
+  FractionalMillis decode_time{0};
+};
+
+// A stream that an endpoint decodes, or will decode after its prefill.
+struct ActiveStream {
+  // Longest pause between two events that the target of the stream allows.
+  FractionalMillis gap{0};
+  // Predicted end of the stream, in the future; TimePoint::max() if unknown.
+  TimePoint end{};
 };
 
 // Adds up the work in progress at each endpoint, so that new requests can be
@@ -91,6 +104,9 @@
   // Returns the current load of one endpoint.
   EndpointLoad Of(const EndpointId& endpoint) const;
 
+  // Returns the streams at `endpoint` that have a gap.
+  std::vector<ActiveStream> StreamsAt(const EndpointId& endpoint) const;
+
   // Returns the forecast of the engine's forward passes for a prompt that is
   // sent to `endpoint` now. `decode_pass` is the duration of a pass without
   // prefill.
@@ -110,6 +126,9 @@
   // Minimum prefill time of work that counts in EndpointLoad::pending_prefills.
   // Parts of long prompts usually take about this long.
   static constexpr FractionalMillis kLongPart{100};
+  // A stream that lasts longer than predicted is expected to last as long again
+  // as it has overrun its prediction, and at least for this time.
+  static constexpr Millis kMinOverrun{100};
 
  private:
   // One piece of work between Begin() and End().
@@ -118,6 +137,14 @@
     EnginePasses::Prompt prompt;
     bool prefill_done = false;
   };
+  // A stream with a gap between Begin() and End().
+  struct Stream {
+    WorkId id;
+    Millis gap{0};
+    FractionalMillis decode_time{0};
+    // Predicted end; TimePoint::max() if the decode time is unknown.
+    TimePoint end{};
+  };
   // The work in progress at one endpoint, with what is needed to update its
   // load.
   struct EndpointState {
@@ -126,8 +153,7 @@
     TimePoint prefill_until{};
     // Number of pieces of work whose prefill is not done.
     int pending = 0;
-    // Inter-token gaps that the targets of the active streams allow.
-    std::multiset<Millis> gaps;
+    std::vector<Stream> streams;
     EnginePasses passes;
   };
   // The prefill of one short request, as ShortPrefillRate() needs it.
@@ -137,7 +163,9 @@
   };
 
   EndpointLoad LoadAt(const EndpointState& state, TimePoint now) const;
-  void MarkPrefillDone(Work* work);
+  // Returns the predicted end of a stream with its first event at `first`.
+  static TimePoint StreamEnd(TimePoint first, FractionalMillis decode_time);
+  void MarkPrefillDone(WorkId id, Work* work);
   void RecordShortPrefill(FractionalMillis prefill_time);
 
   MonotonicClock clock_;
--- a/include/harecrank/core/engine_estimate.h
+++ b/include/harecrank/core/engine_estimate.h
@@ -19,6 +19,11 @@
 FractionalMillis PassTime(const EngineProfile& engine, int members,
                           Tokens context);
 
+// Returns the time from the first event of a stream to its last, on an engine
+// that decodes `members` requests with `context` tokens of KV memory in total.
+FractionalMillis StreamTime(const EngineProfile& engine, int members,
+                            Tokens context, Tokens answer);
+
 // Returns the engine time that decoding the answer of one request adds to the
 // forward passes in which the request takes part. The fixed cost of a pass is
 // excluded, since all requests of the batch share it.
--- a/include/harecrank/core/engine_timetable.h
+++ b/include/harecrank/core/engine_timetable.h
@@ -19,6 +19,7 @@
 #include <cstddef>
 #include <functional>
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
 #include "harecrank/core/clock.h"
@@ -52,10 +53,14 @@
 struct PlannedGroup {
   PrefillGroup group;
   TimePoint start{};
-  // Predicted end of the slowest part.
+  // Predicted time of the first event, at the end of the slowest part.
   TimePoint prefill_end{};
 };
 
+// The start of the first part that is planned for later on each engine that has
+// one.
+using PlannedStarts = std::unordered_map<EndpointId, TimePoint>;
+
 // Returns whether a prompt may be sent to an endpoint.
 using EndpointFilter = std::function<bool(const EndpointRecord& record)>;
 
@@ -82,6 +87,13 @@
   // has none.
   std::optional<TimePoint> ReservedFrom(const EndpointId& engine) const;
 
+  // Returns the starts of the reservations that begin after Now().
+  PlannedStarts LaterStarts() const;
+
+  // Returns whether `may_use` accepts any engine.
+  bool HasEngineFor(const EndpointFilter& may_use) const;
+
+  std::size_t EngineCount() const { return engines_.size(); }
   TimePoint Now() const { return now_; }
 
  private:
@@ -92,19 +104,35 @@
   };
   struct Engine {
     EngineAvailability availability;
+    // Time from the start of a part to its first event beyond its prefill time.
+    FractionalMillis until_event{0};
     // Reservations, in the order of time. They do not overlap.
     std::vector<Span> reserved;
   };
 
-  // Returns the spans in which a part of `part` may begin on the engine, from
-  // `not_before` on, in the order of time.
-  static void AddStartSpans(const Engine& engine, FractionalMillis part,
-                            TimePoint not_before, std::vector<Span>* spans);
-  // Returns the earliest time at which a part of `part` may begin on `count` of
-  // `engines` at once, or nothing if there is none.
-  std::optional<TimePoint> EarliestStart(
-      const std::vector<const Engine*>& engines, FractionalMillis part,
-      std::size_t count, TimePoint not_before) const;
+  // A number of parts of the same size that begin at the same time.
+  struct Parts {
+    FractionalMillis size{0};
+    std::size_t count = 0;
+    // Earliest and latest start.
+    TimePoint not_before{};
+    TimePoint not_after = TimePoint::max();
+  };
+
+  // Returns the time from the start of a part of `size` to its first event on
+  // the engine, at its observed pace.
+  static TimePoint::duration DurationOn(const Engine& engine,
+                                        FractionalMillis size);
+  // Adds the spans in which one of `parts` may begin on the engine, in the
+  // order of time.
+  static void AddStartSpans(const Engine& engine, const Parts& parts,
+                            std::vector<Span>* spans);
+  // Returns the earliest time at which `parts` may begin on `engines`, or
+  // nothing if there is none.
+  static std::optional<TimePoint> EarliestStart(
+      const std::vector<const Engine*>& engines, const Parts& parts);
+  // Returns the index of the candidate's engine in `engines_`.
+  std::size_t IndexOf(const EngineCandidate& candidate) const;
   // Returns the group of `count` engines that begin at `start`, or nothing if
   // their memory cannot hold the prompt.
   std::optional<PlannedGroup> GroupAt(const std::vector<const Engine*>& engines,
--- a/include/harecrank/core/long_prompt_schedule.h
+++ b/include/harecrank/core/long_prompt_schedule.h
@@ -30,6 +30,9 @@
   // The room for this prompt was promised to its caller. It is planned before
   // other prompts of its prospect.
   bool has_promise = false;
+  // The prompt's account has used more than its fair share of engine time. It
+  // is planned after other prompts of its prospect.
+  bool is_over_share = false;
   // An endpoint may already have run the request, so it must not be refused.
   bool may_have_run = false;
 };
@@ -45,7 +48,9 @@
   kNoRoom
 };
 
-// The plan for one prompt. `planned` is unset only with kNoRoom.
+// The plan for one prompt. With kNoRoom, `planned` is the earliest group of
+// engines, which comes too late and is not reserved; it is unset if no group of
+// engines can take the prompt at present.
 struct PromptPlan {
   WaitingRequestId id;
   Prospect prospect = Prospect::kNoRoom;
--- a/include/harecrank/core/placement.h
+++ b/include/harecrank/core/placement.h
@@ -22,6 +22,7 @@
 #include "harecrank/core/endpoint_directory.h"
 #include "harecrank/core/endpoint_health.h"
 #include "harecrank/core/endpoint_loads.h"
+#include "harecrank/core/engine_timetable.h"
 #include "harecrank/core/fleet_messages.h"
 #include "harecrank/core/placement_policy.h"
 #include "harecrank/core/prefill_group.h"
@@ -37,6 +38,17 @@
   FractionalMillis prefill_time{0};
 };
 
+// The engines on which parts of long prompts are planned for later.
+struct LaterParts {
+  // The planned starts; null if nothing is planned. Must outlive this.
+  const PlannedStarts* starts = nullptr;
+  // Parts that start at this time or later are disregarded.
+  TimePoint before{};
+
+  // Returns whether a part is planned on the engine before `before`.
+  bool Includes(const EndpointId& engine) const;
+};
+
 // A request to be placed, as Placer::Choose needs it.
 struct PlacementRequest {
   const ServiceProfile* service = nullptr;
@@ -66,6 +78,8 @@
   // Short requests that are expected to arrive, at all engines together, within
   // a period as long as the latency target.
   ShortDemand demand;
+  // Parts of long prompts that are planned to start while this request runs.
+  LaterParts later_parts;
 };
 
 // An endpoint that prefills a part of the prompt for the endpoint that decodes.
@@ -89,6 +103,9 @@
   FractionalMillis prefill_time{0};
   // Predicted time to the first event.
   FractionalMillis first_event{0};
+  // Predicted time from the first event to the end of the answer; zero if it is
+  // unknown.
+  FractionalMillis decode_time{0};
   // Number of endpoints among which the placer chose.
   std::size_t candidates = 0;
 };
@@ -109,6 +126,10 @@
 bool IsShortPrompt(const PlacementRequest& request,
                    const PlacementPolicy& policy);
 
+// Returns the prompt of `request` as the choice of engines needs it. The
+// request's service must have an engine.
+LongPrompt LongPromptOf(const PlacementRequest& request);
+
 // Returns the engine time that is counted against the fair share of the
 // request's account. The request's service must have an engine. If `by_account`
 // is false, all requests are counted for the same account.
@@ -146,6 +167,23 @@
   // if no endpoint of the service can be used.
   PlacementResult Choose(const PlacementRequest& request) const;
 
+  // Returns when and for how large a part each usable engine of the request's
+  // service is available, whether or not the request may be sent there.
+  // Suspect engines are returned only if there are no others. The service must
+  // have an engine.
+  std::vector<EngineAvailability> EnginesOf(const PlacementRequest& request,
+                                            TimePoint now) const;
+
+  // Returns the placement of the request on `group`, or nothing if the memory
+  // of the group cannot hold the request.
+  std::optional<Placement> PlaceOn(const PlacementRequest& request,
+                                   const PrefillGroup& group) const;
+
+  // Returns the predicted time from the first event to the end of the answer,
+  // on an engine with `load`. The request's service must have an engine.
+  static FractionalMillis DecodeTimeOn(const PlacementRequest& request,
+                                       const EndpointLoad& load);
+
  private:
   // Returns the usable endpoints that are neither in `request.tried` nor in
   // `request.withheld`. Suspect endpoints are returned only if there are no
@@ -161,6 +199,15 @@
   // Chooses an endpoint of a service without an engine profile: the one with
   // the fewest requests, with a preference for this data centre.
   Placement ChoosePlain(const std::vector<EngineCandidate>& candidates) const;
+  // Returns the predicted time to the first event of a request that is sent to
+  // an engine with `load` and `pace`.
+  static FractionalMillis PredictFirstEvent(const EngineProfile& engine,
+                                            const EndpointLoad& load,
+                                            double pace,
+                                            FractionalMillis prefill_time);
+  // Returns the time that is added to the prediction for an engine in
+  // `request.later_parts`.
+  FractionalMillis LaterPartCost(const PlacementRequest& request) const;
   // Returns whether an idle engine would deliver the first event before it is
   // late.
   static bool CanMeetTargetWhenIdle(const PlacementRequest& request);
@@ -188,10 +235,10 @@
   // request.
   PlacementResult ChooseLong(const PlacementRequest& request,
                              std::vector<EngineCandidate> ranked) const;
-  // Returns the placement of the request on `group`, or nothing if the memory
-  // of the group cannot hold the request.
-  std::optional<Placement> PlaceOn(const PlacementRequest& request,
-                                   const PrefillGroup& group) const;
+  // Marks the first of `ranked` as reserved for short requests, and leaves at
+  // least one unmarked. `ranked` must not be empty.
+  void MarkReservedForShort(const EngineProfile& engine,
+                            std::vector<EngineCandidate>* ranked) const;
   // Assigns `overflow` tokens of KV memory to the placement's helpers. Returns
   // false if they cannot hold it.
   static bool DistributeMemory(const EngineProfile& engine,
--- a/include/harecrank/core/placement_policy.h
+++ b/include/harecrank/core/placement_policy.h
@@ -80,6 +80,10 @@
   // requests only if its first event is then earlier by more than this share of
   // its latency target.
   double beyond_short_share = 0.8;
+  // A short request is placed on an engine on which a part of a long prompt is
+  // planned for later only if its first event is then earlier by more than this
+  // share of its latency target.
+  double later_part_share = 0.4;
   // If set, a short prompt waits at the planner while every engine would either
   // deliver its first event late, make another request late, or stall its
   // streams for too long. Without waiting, about 70% of a burst of short
--- a/include/harecrank/core/planner.h
+++ b/include/harecrank/core/planner.h
@@ -27,7 +27,9 @@
 #include "harecrank/core/endpoint_directory.h"
 #include "harecrank/core/endpoint_health.h"
 #include "harecrank/core/endpoint_loads.h"
+#include "harecrank/core/engine_timetable.h"
 #include "harecrank/core/fleet_messages.h"
+#include "harecrank/core/long_prompt_schedule.h"
 #include "harecrank/core/placement.h"
 #include "harecrank/core/routing_table.h"
 #include "harecrank/core/start_quotas.h"
@@ -44,6 +46,19 @@
   PlacementDecision decision;
 };
 
+// Numbers of decisions by the timetable of long prompts since the process
+// started.
+struct PlanningCounts {
+  // Prompts that were given a later start when they arrived or first waited.
+  std::uint64_t planned_ahead = 0;
+  // Prompts that were placed while one before them in the plan waited for its
+  // start.
+  std::uint64_t backfilled = 0;
+  // Prompts that were rejected because no engines are free before their callers
+  // give up.
+  std::uint64_t no_room = 0;
+};
+
 // Returns the current routing table, or null if there is none.
 using RoutingTableProvider =
     std::function<std::shared_ptr<const RoutingTable>()>;
@@ -90,6 +105,12 @@
   // the planner.
   void Clear();
 
+  // Returns whether the queue should be processed soon after a long prompt was
+  // queued, because its start may be now.
+  bool PlansArrivals() const {
+    return std::holds_alternative<ReserveEnginesAhead>(policy_.long_placing);
+  }
+
   std::size_t WaitingCount() const {
     return long_queue_.Count() + short_queue_.Count();
   }
@@ -111,6 +132,11 @@
     return admission_control_.Counts();
   }
 
+  const PlanningCounts& PlanningTotals() const { return planning_counts_; }
+  // Returns the delays until the planned starts of the queued long prompts, as
+  // of the latest plan and in the order in which they were planned.
+  const std::vector<Millis>& NextStarts() const { return plan_.starts; }
+
   // Window over which the arrival rate of short prompts is measured.
   static constexpr Millis kDemandWindow{500};
   // After Begin(), queries are queued until all hosts have reported their work,
@@ -133,6 +159,12 @@
   // not repeat it. It is several times the interval at which hosts repeat their
   // queries.
   static constexpr Millis kQueryTimeout{1000};
+  // Maximum number of queued prompts that are planned ahead in one pass; the
+  // others keep waiting.
+  static constexpr std::size_t kMaxPlannedPrompts = 32;
+  // Time for which a plan is used. The queue is processed more often than this
+  // while prompts wait.
+  static constexpr Millis kPlanLifetime{100};
 
  private:
   // What the planner knows of one query: its place in the queue if it waits,
@@ -154,6 +186,8 @@
     // Whether admission control, instead of a fixed time-out, ends the wait of
     // the query.
     bool uses_admission_control = false;
+    // Whether the query has been given a later start by the timetable.
+    bool planned_ahead = false;
     // Whether the request was rejected earlier with a retry time and its caller
     // has now retried at that time.
     bool has_reservation = false;
@@ -185,6 +219,10 @@
   // Tries to place the query and records its work. Returns the placement,
   // NoEndpoint, or nothing if the query must wait for an engine.
   std::optional<PlacementDecision> TryPlace(Entry* entry);
+  // Records the placement and its work, and returns it as the decision.
+  PlacementDecision RecordPlacement(Entry* entry,
+                                    const PlacementRequest& request,
+                                    const Placement& placement);
   // Returns the request of a query as input for the placer, or nothing if the
   // routing table has no such service.
   std::optional<PlacementRequest> RequestOf(const Entry& entry) const;
@@ -240,6 +278,50 @@
   // timed out. Adds the replies to `replies`.
   void ProcessQueue(WaitQueue* queue, std::size_t max_failed,
                     std::vector<DeferredReply>* replies);
+  // Removes a query from its queue and adds the reply that ends its wait.
+  void EndWait(const QueryKey& key, PlacementDecision decision,
+               std::vector<DeferredReply>* replies);
+
+  // Returns whether the query is planned on the timetable of its engines.
+  bool PlansAhead(const Entry& entry) const {
+    return PlansArrivals() && !entry.is_short;
+  }
+  // Decides on a new long prompt, which is planned at once if no other waits.
+  PlacementDecision PlanOnArrival(Entry* entry,
+                                  const PlacementRequest& request);
+  // Plans the queued long prompts, places those whose start has come, and
+  // rejects those without room. Adds the replies to `replies`.
+  void PlanLongQueue(std::vector<DeferredReply>* replies);
+  // Plans the queued prompts `ids`, which are of the same service.
+  void PlanService(const std::vector<WaitingRequestId>& ids,
+                   std::vector<DeferredReply>* replies);
+  // Returns the timetable of the engines of the request's service.
+  EngineTimetable TimetableFor(const PlacementRequest& request) const;
+  // Returns the query as input for the schedule.
+  WaitingPrompt WaitingPromptOf(const Entry& entry,
+                                const PlacementRequest& request) const;
+  // Returns the time after which a first event is of no use.
+  TimePoint LastUsefulEvent(const Entry& entry,
+                            const PlacementRequest& request) const;
+  // Returns whether the prompt must be rejected because a first event is of no
+  // use any more.
+  bool IsOfNoUse(const Entry& entry) const;
+  // Returns the decision that follows from the plan for a prompt, or nothing if
+  // the prompt waits. `timetable` holds all reservations of the pass.
+  std::optional<PlacementDecision> DecideOnPlan(
+      Entry* entry, const PromptPlan& plan, const EngineTimetable& timetable);
+  // Returns the rejection of a prompt that has no room, or nothing if it waits
+  // all the same.
+  std::optional<QueryRejected> RejectionWithoutRoom(
+      const Entry& entry, const PromptPlan& plan,
+      const EngineTimetable& timetable) const;
+  // Places the prompt on `group`, or returns nothing if that cannot be done.
+  std::optional<PlacementDecision> StartPlanned(Entry* entry,
+                                                const PlannedGroup& planned,
+                                                std::size_t candidates);
+  // Returns the parts that are planned to start while a short request runs.
+  LaterParts LaterPartsDuring(const PlacementRequest& request) const;
+
   // Records work that a host reports and that this planner has not placed, and
   // marks the work whose prefill is done.
   void AdoptWork(HostQueries* host, const QueryWork& work);
@@ -260,6 +342,17 @@
   StartHistory granted_starts_;
   Placer placer_;
   AdmissionControl admission_control_;
+  // The plan of the latest pass over the queue of long prompts.
+  struct Plan {
+    TimePoint made_at{};
+    // Delays until the starts of the prompts that wait, in the order in which
+    // they were planned.
+    std::vector<Millis> starts;
+    PlannedStarts later_parts;
+  };
+  struct LongQueueVisitor;
+  Plan plan_;
+  PlanningCounts planning_counts_;
   // Long and short prompts wait in separate queues.
   WaitQueue long_queue_;
   WaitQueue short_queue_;
--- a/include/harecrank/core/prefill_group.h
+++ b/include/harecrank/core/prefill_group.h
@@ -79,6 +79,14 @@
 // requests.
 Tokens FreeMemory(const EngineProfile& engine, const EndpointLoad& load);
 
+// Returns the longest prefill time of a part that `candidate` can take without
+// making a stream with `gap` pause for too long. The result is negative if no
+// prefill fits.
+FractionalMillis MaxPartForGap(const EngineProfile& engine,
+                               const PlacementPolicy& policy,
+                               const EngineCandidate& candidate,
+                               FractionalMillis gap);
+
 // Returns the longest prefill time of a part that `candidate` can take without
 // making any of its streams pause for too long. The result is negative if no
 // prefill fits, and the maximum value if the engine has no streams and is not
--- a/include/harecrank/core/wait_queue.h
+++ b/include/harecrank/core/wait_queue.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -92,6 +93,10 @@
   // queue. Always kEqual without `shares_by_account`.
   ShareRank ShareRankOf(const ShareClaim& claim) const;
 
+  // Returns the accounts with waiting requests that have used more than their
+  // fair share. Empty without `shares_by_account`.
+  std::set<AccountId> AccountsOverShare() const;
+
   // Return the number of accounts with waiting requests, and how many of these
   // accounts are over their fair share. Both are zero without
   // `shares_by_account`.
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -326,6 +326,8 @@
   reader->ReadBool("short_waits", &policy->short_waits);
   ReadOrder(reader, "short_order", &policy->short_order);
   ReadOrder(reader, "long_order", &policy->long_order);
+  reader->ReadNumber("later_part_share", 0, kMaxShare,
+                     &policy->later_part_share);
   ReadChoice<LongPlacing>(reader, "long_placing",
                           {WhenEnginesAreFree{}, ReserveEnginesAhead{}},
                           LongPlacingName{}, &policy->long_placing);
--- a/src/core/endpoint_loads.cc
+++ b/src/core/endpoint_loads.cc
@@ -38,7 +38,9 @@
       std::max(state.prefill_until, clock_()) + ToSteady(part.prefill_time);
   ++state.pending;
   if (part.gap > Millis(0)) {
-    state.gaps.insert(part.gap);
+    state.streams.push_back(
+        Stream{id, part.gap, part.decode_time,
+               StreamEnd(state.prefill_until, part.decode_time)});
   }
   state.load.pending_prefills += part.prefill_time >= kLongPart ? 1 : 0;
   state.load.memory = state.load.memory + part.memory;
@@ -52,6 +54,12 @@
   return id;
 }
 
+TimePoint EndpointLoads::StreamEnd(TimePoint first,
+                                   FractionalMillis decode_time) {
+  return decode_time > FractionalMillis(0) ? first + ToSteady(decode_time)
+                                           : TimePoint::max();
+}
+
 void EndpointLoads::RecordShortPrefill(FractionalMillis prefill_time) {
   const TimePoint now = clock_();
   short_prefills_.push_back(ShortPrefill{now, prefill_time});
@@ -76,7 +84,7 @@
   if (found != work_.end() && !found->second.prefill_done) {
     const Work& work = found->second;
     endpoints_[work.part.endpoint].passes.OnPrefillDone(work.prompt, clock_());
-    MarkPrefillDone(&found->second);
+    MarkPrefillDone(id, &found->second);
   }
 }
 
@@ -86,13 +94,14 @@
     return;
   }
   Work& work = found->second;
-  MarkPrefillDone(&work);
+  MarkPrefillDone(id, &work);
   const WorkPart& part = work.part;
   EndpointState& state = endpoints_[part.endpoint];
   state.load.memory = state.load.memory - part.memory;
-  if (const auto gap = state.gaps.find(part.gap); gap != state.gaps.end()) {
-    state.gaps.erase(gap);
-  }
+  state.streams.erase(
+      std::remove_if(state.streams.begin(), state.streams.end(),
+                     [id](const Stream& stream) { return stream.id == id; }),
+      state.streams.end());
   if (int* count = RequestCountOf(&state.load, part.work_class)) {
     --*count;
   }
@@ -111,6 +120,24 @@
                                    : LoadAt(state->second, clock_());
 }
 
+std::vector<ActiveStream> EndpointLoads::StreamsAt(
+    const EndpointId& endpoint) const {
+  std::vector<ActiveStream> streams;
+  const auto state = endpoints_.find(endpoint);
+  if (state == endpoints_.end()) {
+    return streams;
+  }
+  const TimePoint now = clock_();
+  for (const Stream& stream : state->second.streams) {
+    TimePoint end = stream.end;
+    if (end <= now) {
+      end = now + std::max<TimePoint::duration>(now - end, kMinOverrun);
+    }
+    streams.push_back(ActiveStream{FractionalMillis(stream.gap), end});
+  }
+  return streams;
+}
+
 PassForecast EndpointLoads::ForecastOf(const EndpointId& endpoint,
                                        FractionalMillis decode_pass) const {
   const auto state = endpoints_.find(endpoint);
@@ -124,19 +151,31 @@
   EndpointLoad load = state.load;
   load.prefill_backlog = std::max(FractionalMillis(0),
                                   FractionalMillis(state.prefill_until - now));
-  if (!state.gaps.empty()) {
-    load.tightest_gap = FractionalMillis(*state.gaps.begin());
+  if (state.load.pending_prefills > 0) {
+    load.prefill_overrun = std::max(
+        FractionalMillis(0), FractionalMillis(now - state.prefill_until));
+  }
+  for (const Stream& stream : state.streams) {
+    const FractionalMillis gap(stream.gap);
+    load.tightest_gap = load.tightest_gap > FractionalMillis(0)
+                            ? std::min(load.tightest_gap, gap)
+                            : gap;
   }
   return load;
 }
 
-void EndpointLoads::MarkPrefillDone(Work* work) {
+void EndpointLoads::MarkPrefillDone(WorkId id, Work* work) {
   if (work->prefill_done) {
     return;
   }
   work->prefill_done = true;
   EndpointState& state = endpoints_[work->part.endpoint];
   state.passes.Remove(work->prompt);
+  for (Stream& stream : state.streams) {
+    if (stream.id == id) {
+      stream.end = StreamEnd(clock_(), stream.decode_time);
+    }
+  }
   --state.pending;
   state.load.pending_prefills -= work->part.prefill_time >= kLongPart ? 1 : 0;
   if (state.pending == 0) {
--- a/src/core/engine_estimate.cc
+++ b/src/core/engine_estimate.cc
@@ -26,6 +26,13 @@
   return FractionalMillis(static_cast<double>(answer.value) * step);
 }
 
+FractionalMillis StreamTime(const EngineProfile& engine, int members,
+                            Tokens context, Tokens answer) {
+  const double passes =
+      static_cast<double>(answer.value) / engine.steps_per_pass;
+  return passes * PassTime(engine, members, context);
+}
+
 FractionalMillis PassTime(const EngineProfile& engine, int members,
                           Tokens context) {
   const double step = engine.step_ms + members * engine.step_ms_per_sequence +
--- a/src/core/engine_timetable.cc
+++ b/src/core/engine_timetable.cc
@@ -7,16 +7,14 @@
 namespace harecrank {
 namespace {
 
+// On average, a part waits for half of the current pass. Its first event comes
+// at the end of the next pass.
+constexpr double kPassesUntilFirstEvent = 1.5;
+
 TimePoint::duration ToClock(FractionalMillis time) {
   return std::chrono::duration_cast<TimePoint::duration>(time);
 }
 
-// Returns the duration of a part on the engine, at its observed pace.
-TimePoint::duration DurationOn(const EngineCandidate& candidate,
-                               FractionalMillis part) {
-  return ToClock(candidate.pace * part);
-}
-
 }  // namespace
 
 EngineTimetable::EngineTimetable(const EngineProfile* engine,
@@ -25,45 +23,58 @@
     : engine_(engine), policy_(policy), now_(now) {
   engines_.reserve(engines.size());
   for (EngineAvailability& availability : engines) {
-    engines_.push_back(Engine{std::move(availability), {}});
+    const EndpointLoad& load = availability.candidate.load;
+    const FractionalMillis until_event =
+        kPassesUntilFirstEvent *
+        PassTime(*engine, load.BatchSize() + 1, load.memory);
+    engines_.push_back(Engine{std::move(availability), until_event, {}});
   }
 }
 
-void EngineTimetable::AddStartSpans(const Engine& engine, FractionalMillis part,
-                                    TimePoint not_before,
+TimePoint::duration EngineTimetable::DurationOn(const Engine& engine,
+                                                FractionalMillis size) {
+  return ToClock(engine.availability.candidate.pace *
+                 (size + engine.until_event));
+}
+
+void EngineTimetable::AddStartSpans(const Engine& engine, const Parts& parts,
                                     std::vector<Span>* spans) {
-  TimePoint begin = std::max(not_before, engine.availability.free_at);
+  TimePoint begin = std::max(parts.not_before, engine.availability.free_at);
   for (const PartLimit& limit : engine.availability.limits) {
-    if (limit.max_part < part) {
+    if (limit.max_part < parts.size) {
       begin = std::max(begin, limit.until);
     }
   }
-  if (begin == TimePoint::max()) {
-    return;
-  }
-  const auto duration = DurationOn(engine.availability.candidate, part);
+  const auto duration = DurationOn(engine, parts.size);
   for (const Span& reserved : engine.reserved) {
+    if (begin > parts.not_after) {
+      return;
+    }
     if (begin + duration <= reserved.begin) {
       spans->push_back(Span{begin, reserved.begin - duration});
     }
     begin = std::max(begin, reserved.end);
   }
-  spans->push_back(Span{begin, TimePoint::max()});
+  if (begin < TimePoint::max() && begin <= parts.not_after) {
+    spans->push_back(Span{begin, TimePoint::max()});
+  }
 }
 
 std::optional<TimePoint> EngineTimetable::EarliestStart(
-    const std::vector<const Engine*>& engines, FractionalMillis part,
-    std::size_t count, TimePoint not_before) const {
+    const std::vector<const Engine*>& engines, const Parts& parts) {
   std::vector<Span> spans;
   spans.reserve(2 * engines.size());
   for (const Engine* engine : engines) {
-    AddStartSpans(*engine, part, not_before, &spans);
+    AddStartSpans(*engine, parts, &spans);
+  }
+  if (spans.size() < parts.count) {
+    return std::nullopt;
   }
-  const auto open_now = static_cast<std::size_t>(std::count_if(
+  const auto open_at_once = static_cast<std::size_t>(std::count_if(
       spans.begin(), spans.end(),
-      [not_before](const Span& span) { return span.begin <= not_before; }));
-  if (open_now >= count) {
-    return not_before;
+      [&parts](const Span& span) { return span.begin <= parts.not_before; }));
+  if (open_at_once >= parts.count) {
+    return parts.not_before;
   }
   // Sweeps over the begins of spans in the order of time, and keeps the number
   // of spans that contain the current time.
@@ -81,7 +92,7 @@
     while (ends[ended] < start) {
       ++ended;
     }
-    if (begun - ended >= count) {
+    if (begun - ended >= parts.count) {
       return start;
     }
   }
@@ -97,14 +108,14 @@
   std::vector<Span> spans;
   for (const Engine* engine : engines) {
     spans.clear();
-    AddStartSpans(*engine, part, start, &spans);
-    if (spans.empty() || spans.front().begin > start) {
+    AddStartSpans(*engine, Parts{part, count, start, start}, &spans);
+    if (spans.empty()) {
       continue;
     }
     EngineCandidate candidate = engine->availability.candidate;
     candidate.has_later_part =
         !engine->reserved.empty() && engine->reserved.back().end > start;
-    pool.push_back(std::move(candidate));
+    pool.push_back(candidate);
   }
   if (pool.size() < count) {
     return std::nullopt;
@@ -114,11 +125,13 @@
   planned.start = start;
   Tokens memory = FreeMemory(*engine_, planned.group.decode_engine.load);
   planned.prefill_end =
-      start + DurationOn(planned.group.decode_engine, planned.group.part);
+      start +
+      DurationOn(engines_.at(IndexOf(planned.group.decode_engine)), part);
   for (const EngineCandidate& helper : planned.group.helpers) {
     memory = memory + FreeMemory(*engine_, helper.load);
-    planned.prefill_end = std::max(
-        planned.prefill_end, start + DurationOn(helper, planned.group.part));
+    planned.prefill_end =
+        std::max(planned.prefill_end,
+                 start + DurationOn(engines_.at(IndexOf(helper)), part));
   }
   if (memory < prompt.needed) {
     return std::nullopt;
@@ -149,9 +162,11 @@
     if (best.has_value() && earliest + ToClock(part) >= best->prefill_end) {
       break;
     }
-    const auto start = EarliestStart(engines, part, count, earliest);
-    if (!start.has_value() ||
-        (best.has_value() && *start + ToClock(part) >= best->prefill_end)) {
+    const TimePoint latest =
+        best.has_value() ? best->prefill_end - ToClock(part) : TimePoint::max();
+    const auto start =
+        EarliestStart(engines, Parts{part, count, earliest, latest});
+    if (!start.has_value()) {
       continue;
     }
     auto planned = GroupAt(engines, prompt, count, *start);
@@ -163,21 +178,23 @@
   return best;
 }
 
+std::size_t EngineTimetable::IndexOf(const EngineCandidate& candidate) const {
+  const auto found = std::find_if(
+      engines_.begin(), engines_.end(), [&candidate](const Engine& engine) {
+        return engine.availability.candidate.record == candidate.record;
+      });
+  return static_cast<std::size_t>(found - engines_.begin());
+}
+
 void EngineTimetable::Reserve(const PlannedGroup& planned) {
   const auto reserve = [this, &planned](const EngineCandidate& candidate) {
-    const auto found = std::find_if(
-        engines_.begin(), engines_.end(), [&candidate](const Engine& engine) {
-          return engine.availability.candidate.record == candidate.record;
-        });
-    if (found == engines_.end()) {
-      return;
-    }
+    Engine& engine = engines_.at(IndexOf(candidate));
     const Span span{planned.start,
-                    planned.start + DurationOn(candidate, planned.group.part)};
+                    planned.start + DurationOn(engine, planned.group.part)};
     const auto after = std::find_if(
-        found->reserved.begin(), found->reserved.end(),
+        engine.reserved.begin(), engine.reserved.end(),
         [&span](const Span& other) { return span.begin < other.begin; });
-    found->reserved.insert(after, span);
+    engine.reserved.insert(after, span);
   };
   reserve(planned.group.decode_engine);
   for (const EngineCandidate& helper : planned.group.helpers) {
@@ -196,4 +213,24 @@
   return std::nullopt;
 }
 
+PlannedStarts EngineTimetable::LaterStarts() const {
+  PlannedStarts starts;
+  for (const Engine& engine : engines_) {
+    const auto later =
+        std::find_if(engine.reserved.begin(), engine.reserved.end(),
+                     [this](const Span& span) { return span.begin > now_; });
+    if (later != engine.reserved.end()) {
+      starts[engine.availability.candidate.record->id] = later->begin;
+    }
+  }
+  return starts;
+}
+
+bool EngineTimetable::HasEngineFor(const EndpointFilter& may_use) const {
+  return std::any_of(
+      engines_.begin(), engines_.end(), [&may_use](const Engine& engine) {
+        return !may_use || may_use(*engine.availability.candidate.record);
+      });
+}
+
 }  // namespace harecrank
--- a/src/core/fleet_message_decoding.cc
+++ b/src/core/fleet_message_decoding.cc
@@ -20,6 +20,7 @@
   explicit ArrayReader(const json& array) : array_(array) {}
 
   const json& Next() { return array_.at(next_++); }
+  bool AtEnd() const { return next_ >= array_.size(); }
 
   template <typename T>
   T Take() {
@@ -69,6 +70,9 @@
   part.prefill_time = reader->TakeTime();
   part.memory = reader->TakeNumber<Tokens>();
   part.gap = reader->TakeMillis();
+  if (!reader->AtEnd()) {
+    part.decode_time = reader->TakeTime();
+  }
   return part;
 }
 
--- a/src/core/fleet_message_encoding.cc
+++ b/src/core/fleet_message_encoding.cc
@@ -10,9 +10,13 @@
 using nlohmann::json;
 
 json EncodePart(const WorkPart& part) {
-  return json::array({part.endpoint.value, static_cast<int>(part.work_class),
-                      part.prefill_time.count(), part.memory.value,
-                      part.gap.count()});
+  json array = json::array(
+      {part.endpoint.value, static_cast<int>(part.work_class),
+       part.prefill_time.count(), part.memory.value, part.gap.count()});
+  if (part.decode_time > FractionalMillis(0)) {
+    array.push_back(part.decode_time.count());
+  }
+  return array;
 }
 
 json EncodeWork(const std::vector<QueryWork>& work) {
--- a/src/core/long_prompt_schedule.cc
+++ b/src/core/long_prompt_schedule.cc
@@ -36,15 +36,21 @@
     }
     SortBy(&order, [this](const WaitingPrompt& prompt) {
       return std::make_tuple(!Expires(prompt), !prompt.has_promise,
+                             prompt.is_over_share,
                              SlackUntil(prompt.first_event_due, prompt, now_));
     });
     std::vector<const WaitingPrompt*> rest;
     for (const WaitingPrompt* prompt : order) {
-      const bool planned =
-          PlanUntil(*prompt, prompt->first_event_due, Prospect::kInTime) ||
-          (Expires(*prompt) &&
-           PlanUntil(*prompt, prompt->last_useful_event, Prospect::kLate));
-      if (!planned) {
+      auto planned = EarliestGroup(*prompt);
+      const bool in_time = planned.has_value() &&
+                           planned->prefill_end <= prompt->first_event_due;
+      const bool is_last_chance =
+          planned.has_value() && Expires(*prompt) &&
+          planned->prefill_end <= prompt->last_useful_event;
+      if (in_time || is_last_chance) {
+        Reserve(*prompt, in_time ? Prospect::kInTime : Prospect::kLate,
+                *std::move(planned));
+      } else {
         rest.push_back(prompt);
       }
     }
@@ -55,13 +61,17 @@
   void PlanLate(std::vector<const WaitingPrompt*> prompts) {
     SortBy(&prompts, [](const WaitingPrompt& prompt) {
       return std::make_tuple(!prompt.may_have_run, !prompt.has_promise,
-                             prompt.last_useful_event);
+                             prompt.is_over_share, prompt.last_useful_event);
     });
     for (const WaitingPrompt* prompt : prompts) {
       const TimePoint last =
           prompt->may_have_run ? TimePoint::max() : prompt->last_useful_event;
-      if (!PlanUntil(*prompt, last, Prospect::kLate)) {
-        plans_.push_back(PromptPlan{prompt->id, Prospect::kNoRoom, {}});
+      auto planned = EarliestGroup(*prompt);
+      if (planned.has_value() && planned->prefill_end <= last) {
+        Reserve(*prompt, Prospect::kLate, *std::move(planned));
+      } else {
+        plans_.push_back(
+            PromptPlan{prompt->id, Prospect::kNoRoom, std::move(planned)});
       }
     }
   }
@@ -86,18 +96,15 @@
            prompt.prompt.target;
   }
 
-  // Reserves the group with the earliest first event if its prefill ends by
-  // `last`. Returns whether it does.
-  bool PlanUntil(const WaitingPrompt& prompt, TimePoint last,
-                 Prospect prospect) {
-    auto planned = timetable_->EarliestGroup(prompt.prompt, prompt.not_before,
-                                             prompt.may_use);
-    if (!planned.has_value() || planned->prefill_end > last) {
-      return false;
-    }
-    timetable_->Reserve(*planned);
+  std::optional<PlannedGroup> EarliestGroup(const WaitingPrompt& prompt) const {
+    return timetable_->EarliestGroup(prompt.prompt, prompt.not_before,
+                                     prompt.may_use);
+  }
+
+  void Reserve(const WaitingPrompt& prompt, Prospect prospect,
+               PlannedGroup planned) {
+    timetable_->Reserve(planned);
     plans_.push_back(PromptPlan{prompt.id, prospect, std::move(planned)});
-    return true;
   }
 
   TimePoint now_;
--- a/src/core/planner.cc
+++ b/src/core/planner.cc
@@ -75,7 +75,8 @@
   }
   if (request.has_value() && request->service->engine.has_value()) {
     const AdmissionCandidate candidate = CandidateOf(entry, *request);
-    entry.uses_admission_control = admission_control_.CanDecide(candidate);
+    entry.uses_admission_control =
+        !PlansAhead(entry) && admission_control_.CanDecide(candidate);
     if (const auto first_event_due = admission_control_.OnArrival(candidate)) {
       entry.has_reservation = true;
       entry.first_event_due = std::min(entry.first_event_due, *first_event_due);
@@ -86,6 +87,14 @@
     Enqueue(&entry, *request);
     return QueryQueued{};
   }
+  if (request.has_value() && PlansAhead(entry)) {
+    auto decision = PlanOnArrival(&entry, *request);
+    if (!entry.placed.has_value() &&
+        !std::holds_alternative<QueryQueued>(decision)) {
+      host->queries.erase(query.id);
+    }
+    return decision;
+  }
   const ShareRank share_rank = ShareRankOf(entry, request);
   // A request whose account has used more than its fair share leaves free
   // engines to the queued requests of accounts that have used less than theirs.
@@ -126,6 +135,7 @@
   request.may_have_run = entry.query.may_have_run;
   if (entry.is_short) {
     request.demand = DemandWithin(request.target_latency);
+    request.later_parts = LaterPartsDuring(request);
   }
   return request;
 }
@@ -156,17 +166,23 @@
   if (placement == nullptr) {
     return NoEndpoint{};
   }
-  for (const WorkPart& part : PartsOf(*placement, *request)) {
+  return RecordPlacement(entry, *request, *placement);
+}
+
+PlacementDecision Planner::RecordPlacement(Entry* entry,
+                                           const PlacementRequest& request,
+                                           const Placement& placement) {
+  for (const WorkPart& part : PartsOf(placement, request)) {
     entry->work.push_back(loads_.Begin(part, entry->first_event_due));
   }
-  start_quotas_->Add(*placement, *request->service, entry->query.host,
+  start_quotas_->Add(placement, *request.service, entry->query.host,
                      &granted_starts_);
-  entry->endpoint = placement->endpoint.id;
-  entry->placed = ToPlannedPlacement(*placement);
+  entry->endpoint = placement.endpoint.id;
+  entry->placed = ToPlannedPlacement(placement);
   entry->placed_at = clock_();
-  if (request->service->engine.has_value()) {
-    QueueOf(*entry).OnGranted(ShareClaimOf(*request));
-    admission_control_.OnStarted(CandidateOf(*entry, *request));
+  if (request.service->engine.has_value()) {
+    QueueOf(*entry).OnGranted(ShareClaimOf(request));
+    admission_control_.OnStarted(CandidateOf(*entry, request));
   }
   return *entry->placed;
 }
@@ -271,6 +287,7 @@
   long_queue_.ForgetGrants();
   short_queue_.ForgetGrants();
   admission_control_.Clear();
+  plan_ = {};
   unreported_hosts_.clear();
   learning_until_ = TimePoint{};
 }
--- a/src/core/planner_wait_queue.cc
+++ b/src/core/planner_wait_queue.cc
@@ -153,6 +153,9 @@
   (entry->is_short ? short_query_keys_ : long_query_keys_)
       .erase(*entry->queue_id);
   entry->queue_id.reset();
+  if (long_queue_.IsEmpty()) {
+    plan_ = Plan{};
+  }
 }
 
 bool Planner::HasTimedOut(const Entry& entry) const {
@@ -163,6 +166,20 @@
                     FractionalMillis(entry.query.target_latency);
 }
 
+// Processes the queue of long prompts by the way to place them.
+struct Planner::LongQueueVisitor {
+  Planner* planner;
+  std::size_t max_failed;
+  std::vector<DeferredReply>* replies;
+
+  void operator()(WhenEnginesAreFree /*placing*/) const {
+    planner->ProcessQueue(&planner->long_queue_, max_failed, replies);
+  }
+  void operator()(ReserveEnginesAhead /*placing*/) const {
+    planner->PlanLongQueue(replies);
+  }
+};
+
 std::vector<DeferredReply> Planner::ProcessWaitQueue() {
   std::vector<DeferredReply> replies;
   if (IsLearning()) {
@@ -177,7 +194,8 @@
   unreported_hosts_.clear();
   learning_until_ = TimePoint{};
   ProcessQueue(&short_queue_, max_failed, &replies);
-  ProcessQueue(&long_queue_, max_failed, &replies);
+  std::visit(LongQueueVisitor{this, max_failed, &replies},
+             policy_.long_placing);
   return replies;
 }
 
@@ -191,8 +209,7 @@
   for (const WaitingRequestId id : queue->InOrder(queue->Count())) {
     const QueryKey key =
         (is_short ? short_query_keys_ : long_query_keys_).at(id);
-    HostQueries& host = hosts_.at(key.host);
-    Entry& entry = host.queries.at(key.id);
+    Entry& entry = hosts_.at(key.host).queries.at(key.id);
     std::optional<PlacementDecision> decision;
     if (HasTimedOut(entry)) {
       decision = QueryRejected{};
@@ -211,12 +228,19 @@
       ++failed;
       continue;
     }
-    Dequeue(&entry);
-    replies->push_back(DeferredReply{key.host, host.incarnation, key.id,
-                                     *std::move(decision)});
-    if (!entry.placed.has_value()) {
-      host.queries.erase(key.id);
-    }
+    EndWait(key, *std::move(decision), replies);
+  }
+}
+
+void Planner::EndWait(const QueryKey& key, PlacementDecision decision,
+                      std::vector<DeferredReply>* replies) {
+  HostQueries& host = hosts_.at(key.host);
+  Entry& entry = host.queries.at(key.id);
+  Dequeue(&entry);
+  replies->push_back(
+      DeferredReply{key.host, host.incarnation, key.id, std::move(decision)});
+  if (!entry.placed.has_value()) {
+    host.queries.erase(key.id);
   }
 }
 
--- a/src/core/prefill_group.cc
+++ b/src/core/prefill_group.cc
@@ -103,22 +103,29 @@
   return Tokens{std::max<std::int64_t>(0, usable - load.memory.value)};
 }
 
+FractionalMillis MaxPartForGap(const EngineProfile& engine,
+                               const PlacementPolicy& policy,
+                               const EngineCandidate& candidate,
+                               FractionalMillis gap) {
+  const EndpointLoad& load = candidate.load;
+  const FractionalMillis pass =
+      PassTime(engine, load.BatchSize() + 1, load.memory);
+  return (policy.pause_share_of_gap * gap - pass) / candidate.pace -
+         load.prefill_backlog;
+}
+
 FractionalMillis MaxPrefillPart(const EngineProfile& engine,
                                 const PlacementPolicy& policy,
                                 const EngineCandidate& candidate,
                                 FractionalMillis tightest_gap) {
-  const EndpointLoad& load = candidate.load;
-  FractionalMillis gap = load.tightest_gap;
+  FractionalMillis gap = candidate.load.tightest_gap;
   if (candidate.reserved_for_short) {
     gap = tightest_gap;
   }
   if (gap <= FractionalMillis(0)) {
     return FractionalMillis::max();
   }
-  const FractionalMillis pass =
-      PassTime(engine, load.BatchSize() + 1, load.memory);
-  return (policy.pause_share_of_gap * gap - pass) / candidate.pace -
-         load.prefill_backlog;
+  return MaxPartForGap(engine, policy, candidate, gap);
 }
 
 bool IsOpen(const PlacementPolicy& policy, const LongPrompt& prompt,
--- a/src/core/wait_queue.cc
+++ b/src/core/wait_queue.cc
@@ -1,7 +1,6 @@
 #include "harecrank/core/wait_queue.h"
 
 #include <algorithm>
-#include <set>
 #include <tuple>
 #include <utility>
 
@@ -102,12 +101,17 @@
   return shares_.has_value() ? shares_->ShareRankOf(claim) : ShareRank::kEqual;
 }
 
+std::set<AccountId> WaitQueue::AccountsOverShare() const {
+  return shares_.has_value() ? shares_->AccountsOverShare()
+                             : std::set<AccountId>();
+}
+
 std::size_t WaitQueue::WaitingAccounts() const {
   return shares_.has_value() ? shares_->WaitingAccounts() : 0;
 }
 
 std::size_t WaitQueue::OverShareAccounts() const {
-  return shares_.has_value() ? shares_->AccountsOverShare().size() : 0;
+  return AccountsOverShare().size();
 }
 
 void WaitQueue::ForgetGrants() {
@@ -119,9 +123,7 @@
 std::vector<WaitingRequestId> WaitQueue::InOrder(std::size_t limit) const {
   using Key = std::tuple<Rank, SortKey, WaitingRequestId>;
   const TimePoint now = clock_();
-  const std::set<AccountId> over_share = shares_.has_value()
-                                             ? shares_->AccountsOverShare()
-                                             : std::set<AccountId>();
+  const std::set<AccountId> over_share = AccountsOverShare();
   std::vector<Key> keys;
   keys.reserve(requests_.size());
   for (const auto& [id, request] : requests_) {
--- a/src/gateway/gateway_gauges.cc
+++ b/src/gateway/gateway_gauges.cc
@@ -42,6 +42,31 @@
   metrics->AddGauge("harecrank_gateway_promises_broken", [parts] {
     return static_cast<double>(parts.planner->ReservationTotals().broken);
   });
+  metrics->AddGauge("harecrank_gateway_planned_starts", [parts] {
+    return static_cast<double>(parts.planner->NextStarts().size());
+  });
+  metrics->AddGauge("harecrank_gateway_planned_ahead", [parts] {
+    return static_cast<double>(parts.planner->PlanningTotals().planned_ahead);
+  });
+  metrics->AddGauge("harecrank_gateway_planned_between", [parts] {
+    return static_cast<double>(parts.planner->PlanningTotals().backfilled);
+  });
+  metrics->AddGauge("harecrank_gateway_planned_no_room", [parts] {
+    return static_cast<double>(parts.planner->PlanningTotals().no_room);
+  });
+}
+
+// Returns the delays of the first planned starts, in milliseconds.
+nlohmann::json NextStartsOf(const Planner& planner) {
+  constexpr std::size_t kMaxListed = 10;
+  nlohmann::json starts = nlohmann::json::array();
+  for (const Millis delay : planner.NextStarts()) {
+    if (starts.size() == kMaxListed) {
+      break;
+    }
+    starts.push_back(delay.count());
+  }
+  return starts;
 }
 
 }  // namespace
@@ -132,6 +157,8 @@
           {"requests",
            {{"waiting", parts.queue->Count()},
             {"waiting_at_planner", parts.planner->WaitingCount()},
+            {"planned_starts", parts.planner->NextStarts().size()},
+            {"next_starts_ms", NextStartsOf(*parts.planner)},
             {"held", parts.quarantine->QuarantinedCount()}}},
           {"copies_under_way", parts.snapshots->ActiveTransfers()},
           {"bounds", parts.start_limiter->Describe()}};
--- a/src/gateway/placement_search.cc
+++ b/src/gateway/placement_search.cc
@@ -371,13 +371,16 @@
   if (!IsWaiting() || may_have_run || !IsOversize(*request.service, needed)) {
     return std::nullopt;
   }
-  if (waits_at_planner_ && services_->policy->foresees_room) {
+  const PlacementPolicy& policy = *services_->policy;
+  const bool planner_ends_wait =
+      policy.foresees_room ||
+      std::holds_alternative<ReserveEnginesAhead>(policy.long_placing);
+  if (waits_at_planner_ && planner_ends_wait) {
     // The planner decides how long it is useful to wait. A limit on this host
     // would end the wait of the largest prompts while they still have time.
     return std::nullopt;
   }
-  return OversizeWaitEnd(request, *services_->policy, params_.late_at,
-                         params_.deadline);
+  return OversizeWaitEnd(request, policy, params_.late_at, params_.deadline);
 }
 
 void PlacementSearch::LeaveQueue() {
--- a/src/gateway/planner_service.cc
+++ b/src/gateway/planner_service.cc
@@ -22,6 +22,10 @@
   if (planner == self_) {
     metrics_->GetCounter("harecrank_gateway_asks_planned_total")->Add();
     reply.decision = planner_->OnQuery(query);
+    if (planner_->PlansArrivals() &&
+        std::holds_alternative<QueryQueued>(reply.decision)) {
+      ProcessWaitQueueSoon();
+    }
     LogRejection(query.host, query.id, reply.decision);
   } else if (planner.has_value()) {
     reply.decision = NotPlanner{*planner};
@@ -68,7 +72,11 @@
   if (planner_->WaitingCount() == 0) {
     return;
   }
-  for (DeferredReply& due : planner_->ProcessWaitQueue()) {
+  const TimePoint began = clock_();
+  std::vector<DeferredReply> replies = planner_->ProcessWaitQueue();
+  metrics_->GetHistogram("harecrank_gateway_planning_seconds")
+      ->Record(clock_() - began);
+  for (DeferredReply& due : replies) {
     LogRejection(due.host, due.id, due.decision);
     ports_.send(due.host, PlacementReply{self_, due.incarnation, due.id,
                                          std::move(due.decision)});
