--- a/src/core/engine_timetable.cc
+++ b/src/core/engine_timetable.cc
@@ -104,7 +104,7 @@
     EngineCandidate candidate = engine->availability.candidate;
     candidate.has_later_part =
         !engine->reserved.empty() && engine->reserved.back().end > start;
-    pool.push_back(std::move(candidate));
+    pool.push_back(candidate);
   }
   if (pool.size() < count) {
     return std::nullopt;
