Refuse permitted regions in the document of entry hosts and sidecars

Cause: accounts may be bound to regions, and the processes that follow the published document do not enforce that. A field that is passed over would seem to be in force. Ruled out: enforcing it there; the document has no routes and the settings of these processes no regions. Change: the schema has accounts.ID.permitted_regions, and the validator refuses a document that sets it, with the reason.

--- a/src/core/document_validator.cc
+++ b/src/core/document_validator.cc
@@ -86,6 +86,14 @@
                    "a key that no other account has");
       }
       CheckRange(path + ".weight", account.weight(), 1, kMaxWeight);
+      // A bound that no process enforces must not seem to be in force.
+      if (account.permitted_regions_size() > 0) {
+        AddProblem(
+            path + ".permitted_regions",
+            "'" + account.permitted_regions(0) + "'",
+            "none, since entry hosts and sidecars do not enforce regions; "
+            "gateways do");
+      }
     }
   }
 
