Keep requests in the regions that their route and account permit

Cause: core knew data centres only, and the published lists of regions of routes and accounts were not read. Endpoints in any region got requests and parts of prompts. Change: routes and accounts carry permitted regions, the settings the region of each data centre. One filter, MayUse, serves all choices of endpoints; the query to the planner carries the permitted data centres; the host checks each placement by the configuration in force and searches waiting requests anew when their bound has changed. Requests that no region may serve are refused without a time to return, counted, and unknown names are logged.

--- a/include/harecrank/core/fleet_messages.h
+++ b/include/harecrank/core/fleet_messages.h
@@ -19,6 +19,7 @@
 #include "harecrank/core/endpoint_health.h"
 #include "harecrank/core/endpoint_loads.h"
 #include "harecrank/core/endpoint_rate_limits.h"
+#include "harecrank/core/region_rule.h"
 #include "harecrank/core/request_origin.h"
 #include "harecrank/core/request_quarantine.h"
 #include "harecrank/core/routing_table.h"
@@ -144,6 +145,9 @@
   // used up its start quota, which is its share of the endpoint's limit on
   // request starts.
   std::set<EndpointId> withheld;
+  // The data centres in which the request may run, by the configuration that
+  // the host uses.
+  PermittedDataCentres permitted;
 };
 
 // A helper endpoint and the number of tokens of the request's KV memory that it
--- a/include/harecrank/core/placement.h
+++ b/include/harecrank/core/placement.h
@@ -25,6 +25,7 @@
 #include "harecrank/core/fleet_messages.h"
 #include "harecrank/core/placement_policy.h"
 #include "harecrank/core/prefill_group.h"
+#include "harecrank/core/region_rule.h"
 #include "harecrank/core/request_origin.h"
 #include "harecrank/core/routing_table.h"
 
@@ -60,6 +61,9 @@
   // Endpoints at which the requesting host may not start a request now, because
   // its start quota is used up. They are not chosen now.
   std::set<EndpointId> withheld;
+  // The data centres in which the request may run. Endpoints in others are not
+  // chosen.
+  PermittedDataCentres permitted;
   // Whether an endpoint may already have run the request. Such a request is
   // placed even if that makes other requests late.
   bool may_have_run = false;
@@ -147,13 +151,12 @@
   PlacementResult Choose(const PlacementRequest& request) const;
 
  private:
-  // Returns the usable endpoints that are neither in `request.tried` nor in
-  // `request.withheld`. Suspect endpoints are returned only if there are no
-  // others.
+  // Returns the usable endpoints that the request may use now (MayUse). Suspect
+  // endpoints are returned only if there are no others.
   std::vector<EngineCandidate> CandidatesFor(
       const PlacementRequest& request) const;
-  // Returns whether there is a usable endpoint that the request has not tried
-  // yet but at which the requesting host may not start a request now.
+  // Returns whether there is a usable and eligible endpoint at which the
+  // requesting host may not start a request now.
   bool HasWithheldEndpoint(const PlacementRequest& request) const;
   // Sets the ranks of the candidates in the engine order, and sorts them by
   // descending rank.
--- a/include/harecrank/core/routing_table.h
+++ b/include/harecrank/core/routing_table.h
@@ -101,6 +101,8 @@
   bool is_public = false;
   // Whether an interrupted stream may be resumed at another endpoint.
   bool resumable = false;
+  // Regions in which the requests may run. Empty: in all.
+  std::vector<RegionId> permitted_regions;
 
   // Returns whether a request may be executed more than once.
   bool MayRepeat() const {
@@ -115,6 +117,9 @@
   std::vector<std::string> keys;
   // Overrides the priority of the route if set.
   std::optional<int> priority;
+  // Regions in which the account's requests may run, in addition to the bound
+  // of the route. Empty: in all.
+  std::vector<RegionId> permitted_regions;
 };
 
 // Limits for the connections of callers.
@@ -166,6 +171,9 @@
   // Returns the account with the API key `key`, or null.
   const AccountEntry* FindAccountByKey(const std::string& key) const;
 
+  // Returns the account with the id `id`, or null.
+  const AccountEntry* FindAccount(const AccountId& id) const;
+
  private:
   // Routes of one host name by path prefix. The keys point into document_.
   using RoutesByPrefix = std::unordered_map<std::string_view, const RouteRule*>;
--- a/include/harecrank/core/strong_types.h
+++ b/include/harecrank/core/strong_types.h
@@ -58,6 +58,7 @@
 using EndpointId = StrongString<struct EndpointTag>;
 using ModelId = StrongString<struct ModelTag>;
 using NodeId = StrongString<struct NodeTag>;
+using RegionId = StrongString<struct RegionTag>;
 using ServiceName = StrongString<struct ServiceTag>;
 
 // An amount of text, work or KV memory, in tokens.
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -5,6 +5,7 @@
 #define HARECRANK_SRC_ADAPTERS_SETTINGS_H_
 
 #include <boost/leaf.hpp>
+#include <map>
 #include <string>
 #include <variant>
 #include <vector>
@@ -99,6 +100,9 @@
   std::string directory_service;
   // Operations addresses of some other hosts. Some of them may be outdated.
   std::vector<std::string> seed_peers;
+  // The region of each data centre. Routes and accounts may permit some regions
+  // only; a data centre that is missing here then gets none of their requests.
+  std::map<DataCentreId, RegionId> regions;
   // Limit on repeated attempts, which are all attempts at a request after its
   // first. Applies to all hosts together.
   RepeatLimit repeat_limit;
--- a/src/adapters/settings_test.cc
+++ b/src/adapters/settings_test.cc
@@ -94,6 +94,19 @@
         std::string::npos);
   CHECK(GatewayErrorOf(valid_prefix + R"(, "placement": []})")
             .find("an object") != std::string::npos);
+  CHECK(GatewayErrorOf(valid_prefix +
+                       R"(, "regions": {"n1": "north", "n2": "north"}})")
+            .empty());
+  CHECK(GatewayErrorOf(valid_prefix + R"(, "regions": {}})").empty());
+  CHECK(GatewayErrorOf(valid_prefix + R"(, "regions": {"n1": 3}})")
+            .find("regions.n1: found 3; allowed: a string") !=
+        std::string::npos);
+  CHECK(GatewayErrorOf(valid_prefix + R"(, "regions": {"n1": ""}})")
+            .find("regions.n1: found ''; allowed: 1 to 64 letters") !=
+        std::string::npos);
+  CHECK(GatewayErrorOf(valid_prefix + R"(, "regions": ["north"]})")
+            .find("regions: found [\"north\"]; allowed: an object") !=
+        std::string::npos);
   CHECK(GatewayErrorOf("{}").find("peers_address: found nothing") !=
         std::string::npos);
 }
--- a/src/core/fleet_message_decoding.cc
+++ b/src/core/fleet_message_decoding.cc
@@ -218,10 +218,11 @@
   return heartbeat;
 }
 
-std::set<EndpointId> TakeIds(ArrayReader* reader) {
-  std::set<EndpointId> ids;
-  for (const json& id : reader->Next()) {
-    ids.insert(EndpointId{id.get<std::string>()});
+template <typename Id>
+std::set<Id> ReadIds(const json& list) {
+  std::set<Id> ids;
+  for (const json& id : list) {
+    ids.insert(Id{id.get<std::string>()});
   }
   return ids;
 }
@@ -239,14 +240,19 @@
   query.answer = reader->TakeNumber<Tokens>();
   query.until_late = reader->TakeTime();
   query.may_have_run = reader->Take<bool>();
-  query.tried = TakeIds(reader);
+  query.tried = ReadIds<EndpointId>(reader->Next());
   query.until_deadline = reader->TakeTime();
   query.origin.request.account = reader->TakeString<AccountId>();
   query.origin.request.high = reader->Take<std::uint64_t>();
   query.origin.request.low = reader->Take<std::uint64_t>();
   query.origin.priority = reader->Take<int>();
   if (size > kSizeWithoutWithheld) {
-    query.withheld = TakeIds(reader);
+    query.withheld = ReadIds<EndpointId>(reader->Next());
+  }
+  if (size > kSizeWithoutWithheld + 1) {
+    if (const json& permitted = reader->Next(); !permitted.is_null()) {
+      query.permitted = ReadIds<DataCentreId>(permitted);
+    }
   }
   return query;
 }
--- a/src/core/fleet_message_encoding.cc
+++ b/src/core/fleet_message_encoding.cc
@@ -79,9 +79,10 @@
   return list;
 }
 
-json EncodeIds(const std::set<EndpointId>& ids) {
+template <typename Id>
+json EncodeIds(const std::set<Id>& ids) {
   json list = json::array();
-  for (const EndpointId& id : ids) {
+  for (const Id& id : ids) {
     list.push_back(id.value);
   }
   return list;
@@ -143,9 +144,14 @@
          query.until_deadline.count(), query.origin.request.account.value,
          query.origin.request.high, query.origin.request.low,
          query.origin.priority});
-    if (!query.withheld.empty()) {
+    // The remaining elements are omitted if they are empty.
+    const bool has_permitted = query.permitted.has_value();
+    if (!query.withheld.empty() || has_permitted) {
       array.push_back(EncodeIds(query.withheld));
     }
+    if (has_permitted) {
+      array.push_back(EncodeIds(*query.permitted));
+    }
     return array;
   }
 
--- a/src/core/fleet_messages_test.cc
+++ b/src/core/fleet_messages_test.cc
@@ -186,6 +186,15 @@
   CHECK(decoded.withheld.empty());
   query.withheld = {EndpointId{"g"}};
   CHECK(RoundTrip(query).withheld == query.withheld);
+  CHECK_FALSE(RoundTrip(query).permitted.has_value());
+  query.permitted = std::set<DataCentreId>{DataCentreId{"n1"}};
+  CHECK(RoundTrip(query).permitted == query.permitted);
+  CHECK(RoundTrip(query).withheld == query.withheld);
+  query.withheld.clear();
+  // No data centre at all is not the same as no bound.
+  query.permitted->clear();
+  CHECK(RoundTrip(query).permitted == query.permitted);
+  CHECK(RoundTrip(query).withheld.empty());
 }
 
 TEST_CASE("Every kind of placement decision round-trips") {
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -6,6 +6,7 @@
 #include <tuple>
 #include <utility>
 
+#include "harecrank/core/endpoint_eligibility.h"
 #include "harecrank/core/rendezvous.h"
 
 namespace harecrank {
@@ -154,8 +155,7 @@
   std::vector<EngineCandidate> suspect;
   for (const EndpointRecord* record :
        directory_->UsableOf(request.service->name)) {
-    if (request.tried.count(record->id) != 0 ||
-        request.withheld.count(record->id) != 0) {
+    if (!MayUse(request, *record)) {
       continue;
     }
     EngineCandidate candidate;
@@ -171,7 +171,7 @@
   const auto& usable = directory_->UsableOf(request.service->name);
   return std::any_of(usable.begin(), usable.end(),
                      [&request](const EndpointRecord* record) {
-                       return request.tried.count(record->id) == 0 &&
+                       return IsEligible(request, *record) &&
                               request.withheld.count(record->id) != 0;
                      });
 }
--- a/src/core/planner.cc
+++ b/src/core/planner.cc
@@ -123,6 +123,7 @@
   request.origin = entry.query.origin;
   request.tried = entry.query.tried;
   request.withheld = WithheldFor(entry, *service);
+  request.permitted = entry.query.permitted;
   request.may_have_run = entry.query.may_have_run;
   if (entry.is_short) {
     request.demand = DemandWithin(request.target_latency);
--- a/src/core/routing_table.cc
+++ b/src/core/routing_table.cc
@@ -100,4 +100,14 @@
                                         : &(*document_.accounts)[found->second];
 }
 
+const AccountEntry* RoutingTable::FindAccount(const AccountId& id) const {
+  if (!document_.accounts.has_value()) {
+    return nullptr;
+  }
+  const auto found = std::find_if(
+      document_.accounts->begin(), document_.accounts->end(),
+      [&id](const AccountEntry& account) { return account.id == id; });
+  return found == document_.accounts->end() ? nullptr : &*found;
+}
+
 }  // namespace harecrank
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -47,9 +47,9 @@
     return;
   }
   admitted.placement.origin = RequestOrigin{Fingerprint(), Priority()};
-  PlacementSearchParams params{std::move(admitted.placement),
-                               arrived_ + route_->target_latency, deadline_,
-                               id_};
+  PlacementSearchParams params{
+      std::move(admitted.placement), arrived_ + route_->target_latency,
+      deadline_, id_, RequestRegions(services_, table_, route_, account_)};
   search_ = std::make_shared<PlacementSearch>(
       services_, std::move(params), this, [this] { return log_.Fields(); });
   sender_.emplace(services_, route_, this);
@@ -87,6 +87,15 @@
   GiveUp("no_endpoint");
 }
 
+void Exchange::OnForbidden() {
+  const auto self = shared_from_this();
+  services_->metrics
+      ->GetCounter("harecrank_gateway_refused_by_region_total",
+                   "service=\"" + service_->name.value + "\"")
+      ->Add();
+  RejectForGood("no_permitted_region");
+}
+
 void Exchange::OnWaiting() {
   ArmTimer();
   if (backoff_watch_.has_value()) {
@@ -203,6 +212,9 @@
     }
     return true;
   }
+  if (search_->SearchAnewIfRegionsChanged()) {
+    return true;
+  }
   if (search_->IsWaiting() && search_->RejectIfAllBackingOff()) {
     return true;
   }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -42,6 +42,7 @@
   void OnPlaced(const Placement& placement) override;
   void OnRejected(RejectionReason reason, Millis retry_after) override;
   void OnNoEndpoint() override;
+  void OnForbidden() override;
   void OnWaiting() override;
   void OnSent() override;
   void OnResponseHead(const ResponseHead& head) override;
@@ -82,6 +83,9 @@
   nlohmann::json BrokenFields(const AttemptBroken& broken);
   // Ends a request that is quarantined because it crashes endpoints.
   void RejectQuarantined();
+  // Ends a request that would be rejected again if its caller sent it again. It
+  // is rejected without a Retry-After time, or given up if it may have run.
+  void RejectForGood(const char* code);
   // Reports a complete response to the crash guard. A response without
   // Content-Length or chunked encoding ends when the connection closes. It is
   // not reported, since a crash closes the connection, too, and may have
--- a/src/gateway/exchange_attempts.cc
+++ b/src/gateway/exchange_attempts.cc
@@ -253,17 +253,17 @@
   RejectQuarantined();
 }
 
-void Exchange::RejectQuarantined() {
+void Exchange::RejectQuarantined() { RejectForGood(kQuarantinedReason); }
+
+void Exchange::RejectForGood(const char* code) {
   AbandonAttempt();
   if (relay_.StreamBegun() || may_have_run_) {
-    GiveUp(kQuarantinedReason);
+    GiveUp(code);
     return;
   }
-  // No Retry-After, since the request would be rejected again. A 4xx status
-  // would state the cause more clearly, but platforms limit the 4xx responses
-  // of a gateway.
-  Respond(GatewayResponse{http_status::kUnavailable, kQuarantinedReason,
-                          std::nullopt, true});
+  // A 4xx status would state the cause more clearly, but platforms limit the
+  // 4xx responses of a gateway.
+  Respond(GatewayResponse{http_status::kUnavailable, code, std::nullopt, true});
 }
 
 void Exchange::ReportCompletion() {
--- a/src/gateway/gateway_gauges.cc
+++ b/src/gateway/gateway_gauges.cc
@@ -1,5 +1,6 @@
 #include "src/gateway/gateway_gauges.h"
 
+#include <utility>
 #include <vector>
 
 namespace harecrank {
@@ -13,6 +14,21 @@
   return names;
 }
 
+// Returns the region of each data centre, and the permitted regions that have
+// none.
+nlohmann::json DescribeRegions(const GatewayParts& parts) {
+  nlohmann::json data_centres = nlohmann::json::object();
+  for (const auto& [data_centre, region] : parts.regions->All()) {
+    data_centres[data_centre.value] = region.value;
+  }
+  nlohmann::json unknown = nlohmann::json::array();
+  for (const RegionId& region : parts.region_reporter->Unknown()) {
+    unknown.push_back(region.value);
+  }
+  return {{"data_centres", std::move(data_centres)},
+          {"unknown", std::move(unknown)}};
+}
+
 // Adds the gauges that are meaningful only on the planner: its known hosts, its
 // wait queue and its reservations.
 void RegisterPlannerGauges(const GatewayParts& parts, Metrics* metrics) {
@@ -52,6 +68,9 @@
     const auto table = parts.routing->InForce();
     return table == nullptr ? 0.0 : static_cast<double>(table->Version().value);
   });
+  metrics->AddGauge("harecrank_gateway_unknown_regions", [parts] {
+    return static_cast<double>(parts.region_reporter->Unknown().size());
+  });
   metrics->AddGauge("harecrank_gateway_endpoints", [parts] {
     return static_cast<double>(parts.directory->Count());
   });
@@ -114,6 +133,7 @@
   Heartbeat heartbeat;
   parts.store_sync->Describe(&heartbeat);
   return {{"configuration", table == nullptr ? 0 : table->Version().value},
+          {"regions", DescribeRegions(parts)},
           {"source",
            {{"well", heartbeat.store_data_fresh},
             {"at", heartbeat.known_up_to.value},
--- a/src/gateway/gateway_gauges.h
+++ b/src/gateway/gateway_gauges.h
@@ -14,6 +14,7 @@
 #include "src/gateway/endpoint_updater.h"
 #include "src/gateway/fleet_member.h"
 #include "src/gateway/gateway_services.h"
+#include "src/gateway/region_reporter.h"
 #include "src/gateway/snapshot_server.h"
 #include "src/gateway/start_limiter.h"
 #include "src/gateway/store_sync_state.h"
@@ -24,6 +25,8 @@
 // whose gauges read them.
 struct GatewayParts {
   RoutingState* routing;
+  const DataCentreRegions* regions;
+  const RegionReporter* region_reporter;
   EndpointDirectory* directory;
   EndpointLoads* loads;
   EndpointHealth* health;
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -52,6 +52,8 @@
       io_(1),
       log_(settings_.node_id.value, clock_),
       loop_monitor_(&log_, &metrics_, clock_),
+      regions_(settings_.regions),
+      region_reporter_(&routing_, &regions_, &log_),
       directory_(clock_, settings_.leave_limit),
       loads_(clock_),
       health_(clock_),
@@ -105,8 +107,9 @@
       store_sync_(IsSeed(settings_), MakePollSchedulePorts(),
                   MakeStoreSyncPorts(), &directory_, &log_, clock_, random_),
       store_updates_(
-          &routing_, &directory_, &endpoint_updater_, &start_limiter_,
-          &store_sync_, [this] { AcceptCallers(); }, &log_, &metrics_),
+          &routing_, &region_reporter_, &directory_, &endpoint_updater_,
+          &start_limiter_, &store_sync_, [this] { AcceptCallers(); }, &log_,
+          &metrics_),
       feed_(
           platform.make_feed(&io_, settings_, &store_updates_, &loop_monitor_)),
       snapshots_(
@@ -148,6 +151,7 @@
   services.io = &io_;
   services.names = &names_;
   services.routing = &routing_;
+  services.regions = &regions_;
   services.directory = &directory_;
   services.loads = &loads_;
   services.health = &health_;
@@ -237,73 +241,12 @@
 }
 
 GatewayParts GatewayNode::MakeParts() {
-  return GatewayParts{&routing_,     &directory_,        &loads_,      &health_,
-                      &connections_, &endpoint_updater_, &quarantine_, &queue_,
-                      &membership_,  &start_limiter_,    &planner_,    &fleet_,
-                      &store_sync_,  &snapshots_,        &callers_,    &log_};
-}
-
-PollSchedulePorts GatewayNode::MakePollSchedulePorts() {
-  PollSchedulePorts ports;
-  ports.polling_hosts = [this] { return membership_.PollingHosts(); };
-  ports.snapshot_available = [this] {
-    return membership_
-        .FindMoreUpToDate(RoutingVersion{}, store_sync_.KnownUpTo())
-        .has_value();
-  };
-  return ports;
-}
-
-StoreSyncStatePorts GatewayNode::MakeStoreSyncPorts() {
-  StoreSyncStatePorts ports;
-  ports.set_poll_mode = [this](PollMode reading) {
-    feed_->SetPollMode(reading);
-  };
-  ports.on_published = [this] { fleet_.OnPublished(); };
-  ports.on_poll_result = [this] { fleet_.OnPollResult(); };
-  ports.on_overdue_refresh = [this] { fleet_.OnOverdueRefresh(); };
-  return ports;
-}
-
-FleetMemberPorts GatewayNode::MakeFleetPorts() {
-  FleetMemberPorts ports;
-  ports.describe = [this](Heartbeat* heartbeat) {
-    const auto table = routing_.InForce();
-    heartbeat->routing = table == nullptr ? RoutingVersion{} : table->Version();
-    store_sync_.Describe(heartbeat);
-    heartbeat->crash_digest = quarantine_.SharedDigest();
-    heartbeat->peak_hosts = membership_.Size().PeakObserved();
-  };
-  ports.on_crashes = [this](const std::vector<CrashReport>& reports,
-                            std::vector<CrashReport>* missing) {
-    return crash_guard_.OnReports(reports, missing);
-  };
-  ports.shared_crashes = [this] { return quarantine_.SharedReports(); };
-  ports.limits = [this] { return start_limiter_.Reports(); };
-  ports.on_limits = [this](const std::vector<RateLimitReport>& reports) {
-    start_limiter_.MergeFromPeer(reports);
-  };
-  ports.published = [this](StoreRevision since, std::size_t max_bytes) {
-    return feed_->ExportChanges(since, max_bytes);
-  };
-  ports.is_parsing_routing = [this] { return feed_->IsParsingRouting(); };
-  ports.on_peer_freshness = [this](Millis age) {
-    store_sync_.OnPeerFreshness(age);
-  };
-  ports.on_poll_rank = [this](std::optional<int> rank) {
-    store_sync_.SetPollRank(rank);
-  };
-  ports.on_published = [this](const std::string& changes,
-                              bool store_data_fresh) {
-    endpoint_updater_.BeginPeerUpdate();
-    const auto at = feed_->Import(changes, store_data_fresh);
-    endpoint_updater_.EndPeerUpdate();
-    if (at.has_value()) {
-      store_sync_.OnImported(*at);
-    }
-    return at.has_value();
-  };
-  return ports;
+  return GatewayParts{
+      &routing_,    &regions_, &region_reporter_, &directory_,
+      &loads_,      &health_,  &connections_,     &endpoint_updater_,
+      &quarantine_, &queue_,   &membership_,      &start_limiter_,
+      &planner_,    &fleet_,   &store_sync_,      &snapshots_,
+      &callers_,    &log_};
 }
 
 void GatewayNode::AwaitSignal() {
@@ -328,6 +271,7 @@
   const std::optional<GatewaySettings> new_settings = reread_settings_();
   const bool changed = new_settings.has_value() &&
                        (new_settings->seed_peers != settings_.seed_peers ||
+                        new_settings->regions != settings_.regions ||
                         new_settings->stop_limit != settings_.stop_limit);
   if (changed) {
     ApplySettings(new_settings, "file");
@@ -346,6 +290,11 @@
   settings_.seed_peers = new_settings->seed_peers;
   settings_.stop_limit = new_settings->stop_limit;
   membership_.SetSeeds(Addresses(new_settings->seed_peers));
+  if (new_settings->regions != settings_.regions) {
+    settings_.regions = new_settings->regions;
+    regions_ = DataCentreRegions(settings_.regions);
+    region_reporter_.ReportUnknown();
+  }
   log_.Write("reload",
              {{"cause", cause},
               {"taken", true},
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -106,6 +106,8 @@
   Metrics metrics_;
   EventLoopMonitor loop_monitor_;
   RoutingState routing_;
+  DataCentreRegions regions_;
+  RegionReporter region_reporter_;
   EndpointDirectory directory_;
   EndpointLoads loads_;
   EndpointHealth health_;
--- a/src/gateway/gateway_services.h
+++ b/src/gateway/gateway_services.h
@@ -13,6 +13,7 @@
 #include "harecrank/core/endpoint_health.h"
 #include "harecrank/core/endpoint_loads.h"
 #include "harecrank/core/placement.h"
+#include "harecrank/core/region_rule.h"
 #include "harecrank/core/repeat_budget.h"
 #include "harecrank/core/routing_table.h"
 #include "src/adapters/event_log.h"
@@ -69,6 +70,8 @@
   boost::asio::io_context* io = nullptr;
   const ProtocolNames* names = nullptr;
   const RoutingState* routing = nullptr;
+  // The settings' regions; they may change while a request runs.
+  const DataCentreRegions* regions = nullptr;
   EndpointDirectory* directory = nullptr;
   EndpointLoads* loads = nullptr;
   EndpointHealth* health = nullptr;
--- a/src/gateway/placement_client.cc
+++ b/src/gateway/placement_client.cc
@@ -50,6 +50,7 @@
   query.tried = request.tried;
   query.origin = request.origin;
   query.withheld = request.withheld;
+  query.permitted = request.permitted;
   pending.target_at =
       clock_() +
       std::chrono::duration_cast<TimePoint::duration>(request.until_late);
--- a/src/gateway/placement_search.cc
+++ b/src/gateway/placement_search.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "harecrank/core/endpoint_eligibility.h"
 #include "harecrank/core/oversize_wait.h"
 
 namespace harecrank {
@@ -11,12 +12,6 @@
 // Number of placements with unusable endpoints that the planner may return for
 // one request before the host places the request itself.
 constexpr int kMaxUnusablePlacements = 5;
-// Delay before a new search if the memory for a placement could not be
-// reserved, usually because another request has reserved it in the meantime.
-constexpr Millis kMemoryRetryDelay{40};
-// Interval at which a waiting request of a service without engines checks
-// whether it may start.
-constexpr Millis kStartRetryDelay{40};
 
 }  // namespace
 
@@ -32,7 +27,8 @@
 
 void PlacementSearch::Search(SendingHistory history) {
   history_ = history;
-  if (EndIfStartLimited()) {
+  SetPermitted();
+  if (EndIfForbidden() || EndIfStartLimited()) {
     return;
   }
   // Services without engines have few endpoints and short requests, so local
@@ -51,6 +47,29 @@
   params_.request.until_deadline = params_.deadline - now;
 }
 
+void PlacementSearch::SetPermitted() {
+  params_.request.permitted = params_.regions.Permitted();
+}
+
+bool PlacementSearch::EndIfForbidden() {
+  if (!AreAllForbidden(*services_->directory, params_.request.service->name,
+                       params_.request.permitted)) {
+    return false;
+  }
+  observer_->OnForbidden();
+  return true;
+}
+
+bool PlacementSearch::SearchAnewIfRegionsChanged() {
+  const bool changed =
+      IsWaiting() && params_.regions.Permitted() != params_.request.permitted;
+  if (changed) {
+    LeaveQueue();
+    Search(history_);
+  }
+  return changed;
+}
+
 void PlacementSearch::SetWithheld() {
   params_.request.withheld =
       services_->start_limiter->Withheld(*params_.request.service);
@@ -101,15 +120,21 @@
 }
 
 void PlacementSearch::UsePlanned(const PlannedPlacement& planned) {
+  SetPermitted();
   std::optional<Placement> placement = PlacementOf(planned);
   if (placement.has_value() && MayStart(*placement)) {
     Prepare(*placement);
     return;
   }
   // An endpoint of the placement is not usable according to this host's
-  // directory, which may differ from the planner's, or this host's start quota
-  // there is used up, for example by placements of another planner.
+  // directory, which may differ from the planner's, or not permitted by this
+  // host's configuration, which may have changed since the query. Or this
+  // host's start quota there is used up, for example by placements of another
+  // planner.
   EndQuery();
+  if (EndIfForbidden()) {
+    return;
+  }
   ExcludeUnusable(planned);
   ++unusable_placements_;
   if (unusable_placements_ < kMaxUnusablePlacements) {
@@ -125,7 +150,9 @@
     endpoints.push_back(helper.endpoint);
   }
   for (const EndpointId& id : endpoints) {
-    if (Usable(id) == nullptr) {
+    // The next query names the permitted data centres, so an endpoint in
+    // another one need not be excluded.
+    if (FindUsable(id) == nullptr) {
       MarkTried(id);
     }
   }
@@ -153,10 +180,18 @@
   return placement;
 }
 
-const EndpointRecord* PlacementSearch::Usable(const EndpointId& id) const {
+const EndpointRecord* PlacementSearch::FindUsable(const EndpointId& id) const {
   return services_->directory->FindUsable(id, params_.request.service->name);
 }
 
+const EndpointRecord* PlacementSearch::Usable(const EndpointId& id) const {
+  const EndpointRecord* record = FindUsable(id);
+  const bool permitted =
+      record != nullptr &&
+      IsPermitted(params_.request.permitted, record->data_centre);
+  return permitted ? record : nullptr;
+}
+
 bool PlacementSearch::MayStart(const Placement& placement) const {
   return services_->start_limiter->MayStart(placement,
                                             *params_.request.service);
@@ -204,87 +239,6 @@
   Wait();
 }
 
-std::optional<StartAvailability> PlacementSearch::AvailabilityExcluding(
-    const std::set<EndpointId>& tried) const {
-  const ServiceProfile& service = *params_.request.service;
-  return services_->start_limiter->StartAvailabilityOf(
-      services_->directory->UsableOf(service.name), tried, service);
-}
-
-TimePoint PlacementSearch::WaitDeadline(SendingHistory history) const {
-  // A request that was sent, has not run and is past its latency target has
-  // already waited for an endpoint, so it is still served late.
-  const bool is_late = params_.late_at <= services_->clock();
-  const bool serves_late = history == SendingHistory::kMayHaveRun ||
-                           (history == SendingHistory::kNotRun && is_late);
-  return serves_late ? params_.deadline : params_.late_at;
-}
-
-bool PlacementSearch::CannotStartInTime(SendingHistory history) const {
-  const auto availability = AvailabilityExcluding(params_.request.tried);
-  return availability.has_value() && availability->next > WaitDeadline(history);
-}
-
-bool PlacementSearch::EndIfStartLimited() {
-  const auto availability = AvailabilityExcluding(params_.request.tried);
-  if (!availability.has_value() ||
-      availability->next <= WaitDeadline(history_)) {
-    return false;
-  }
-  if (history_ == SendingHistory::kMayHaveRun) {
-    observer_->OnNoEndpoint();
-  } else {
-    RejectStartLimited(*availability);
-  }
-  return true;
-}
-
-void PlacementSearch::RejectStartLimited(
-    const StartAvailability& availability) {
-  observer_->OnRejected(RejectionReason::kStartQuotaExhausted,
-                        services_->start_limiter->NextRetryAfter(
-                            params_.request.service->name, availability));
-}
-
-bool PlacementSearch::RejectIfAllBackingOff() {
-  const auto availability = AvailabilityExcluding(params_.request.tried);
-  const bool all_backing_off = availability.has_value() &&
-                               availability->backoff_until > services_->clock();
-  const bool may_reject = history_ != SendingHistory::kMayHaveRun;
-  if (!all_backing_off || !may_reject ||
-      availability->next <= WaitDeadline(history_)) {
-    return false;
-  }
-  RejectStartLimited(*availability);
-  return true;
-}
-
-std::optional<Millis> PlacementSearch::RetryAfterBackoffs() const {
-  const auto availability = AvailabilityExcluding({});
-  if (!availability.has_value() ||
-      availability->backoff_until <= services_->clock()) {
-    return std::nullopt;
-  }
-  return services_->start_limiter->NextRetryAfter(params_.request.service->name,
-                                                  *availability);
-}
-
-void PlacementSearch::WaitForStart() {
-  if (EndIfStartLimited()) {
-    return;
-  }
-  StartWaitClock();
-  retry_timer_.expires_after(kStartRetryDelay);
-  retry_timer_.async_wait(
-      [weak = weak_from_this()](const boost::system::error_code& error) {
-        const auto self = weak.lock();
-        if (!error && self != nullptr && self->observer_ != nullptr) {
-          self->PlaceWithLocalState();
-        }
-      });
-  observer_->OnWaiting();
-}
-
 bool PlacementSearch::CannotMeetTarget() const {
   if (WasSent()) {
     return false;
@@ -307,6 +261,10 @@
 
 bool PlacementSearch::TryPlace() {
   SetTimes();
+  SetPermitted();
+  if (EndIfForbidden()) {
+    return true;
+  }
   SetWithheld();
   const PlacementResult result = services_->placer->Choose(params_.request);
   if (std::holds_alternative<EnginesBusy>(result)) {
@@ -390,126 +348,4 @@
   }
 }
 
-void PlacementSearch::Prepare(const Placement& placement) {
-  ++placements_;
-  StartWork(placement);
-  std::vector<MemoryNeed> needs;
-  for (const PrefillHelper& helper : placement.helpers) {
-    if (Tokens{0} < helper.held) {
-      needs.push_back(
-          MemoryNeed{helper.record, TicketFor(helper.record.id), helper.held});
-    }
-  }
-  if (needs.empty()) {
-    Commit(placement);
-    return;
-  }
-  reservation_ = std::make_shared<MemoryReservation>(
-      services_->io, services_->orders, std::move(needs),
-      [handler = services_->response_handler, sent_at = services_->clock()](
-          const EndpointRecord& endpoint, const EndpointResponse& response) {
-        handler->OnAnswer(endpoint, response, sent_at);
-      });
-  reservation_->Acquire([weak = weak_from_this(), placement](bool reserved) {
-    const auto self = weak.lock();
-    if (self != nullptr && self->observer_ != nullptr) {
-      self->OnMemoryReserved(placement, reserved);
-    }
-  });
-  observer_->OnWaiting();
-}
-
-void PlacementSearch::Commit(const Placement& placement) {
-  services_->start_limiter->OnStart(placement, *params_.request.service);
-  observer_->OnPlaced(placement);
-}
-
-void PlacementSearch::OnMemoryReserved(const Placement& placement,
-                                       bool reserved) {
-  nlohmann::json fields = log_fields_();
-  // The reservation takes up to 300 ms. If an endpoint announces during that
-  // time that it is shutting down, the request must not be sent there: together
-  // with the time-out of the connection that would cost 0.6 s.
-  const bool usable = IsStillUsable(placement) && MayStart(placement);
-  fields["held"] = reserved;
-  fields["usable"] = usable;
-  fields["prompt"] = params_.request.prompt.value;
-  services_->log->Write("memory", std::move(fields));
-  if (reserved && usable) {
-    Commit(placement);
-    return;
-  }
-  End();
-  StartWaitClock();
-  // The memory was probably reserved by another request in the meantime, or an
-  // endpoint has become unusable, so the search is repeated after a delay.
-  retry_timer_.expires_after(kMemoryRetryDelay);
-  retry_timer_.async_wait(
-      [weak = weak_from_this()](const boost::system::error_code& error) {
-        const auto self = weak.lock();
-        if (!error && self != nullptr && self->observer_ != nullptr) {
-          self->Search(self->history_);
-        }
-      });
-}
-
-MemoryTicket PlacementSearch::TicketFor(const EndpointId& holder) const {
-  // The ticket is different for each placement, since the memory of an earlier
-  // one may not have been released yet.
-  return MemoryTicket{params_.request_id + "-" + std::to_string(placements_) +
-                      "-" + holder.value};
-}
-
-void PlacementSearch::StartWork(const Placement& placement) {
-  failed_ = false;
-  std::vector<WorkPart> parts = PartsOf(placement, params_.request);
-  for (const WorkPart& part : parts) {
-    work_.push_back(services_->loads->Begin(part));
-  }
-  if (!params_.request.service->engine.has_value()) {
-    return;
-  }
-  if (!query_id_.has_value()) {
-    query_id_ = services_->places->NewId();
-  }
-  services_->places->OnStarted(*query_id_, std::move(parts));
-}
-
-void PlacementSearch::OnPrefillDone(double slowdown) {
-  if (query_id_.has_value()) {
-    services_->places->OnPrefillDone(*query_id_, slowdown);
-  }
-  for (const WorkId id : work_) {
-    services_->loads->OnPrefillDone(id);
-  }
-}
-
-void PlacementSearch::End() {
-  services_->queue->PumpSoon();
-  for (const WorkId id : work_) {
-    services_->loads->End(id);
-  }
-  work_.clear();
-  EndQuery();
-  if (reservation_ != nullptr) {
-    reservation_->Release();
-    reservation_.reset();
-  }
-}
-
-void PlacementSearch::EndQuery() {
-  if (query_id_.has_value()) {
-    services_->places->OnEnd(*query_id_, failed_);
-    query_id_.reset();
-  }
-  waits_at_planner_ = false;
-}
-
-void PlacementSearch::Close() {
-  LeaveQueue();
-  End();
-  retry_timer_.cancel();
-  observer_ = nullptr;
-}
-
 }  // namespace harecrank
--- a/src/gateway/placement_search.h
+++ b/src/gateway/placement_search.h
@@ -14,6 +14,7 @@
 
 #include "src/gateway/gateway_services.h"
 #include "src/gateway/memory_reservation.h"
+#include "src/gateway/request_regions.h"
 #include "src/gateway/timer.h"
 
 namespace harecrank {
@@ -57,6 +58,9 @@
   virtual void OnRejected(RejectionReason reason, Millis retry_after) = 0;
   // No endpoint of the service is usable.
   virtual void OnNoEndpoint() = 0;
+  // No endpoint of the service is in a region that the request's route and
+  // account permit, and nothing tells that this will change.
+  virtual void OnForbidden() = 0;
   // The request has begun to wait for a reply of the planner, a free engine, a
   // start quota or reserved memory, or what it waits for has changed.
   virtual void OnWaiting() = 0;
@@ -64,12 +68,13 @@
 
 // The request to place, and its times.
 struct PlacementSearchParams {
-  // The request to place. Its `until_late` and `until_deadline` are recomputed
-  // from `late_at` and `deadline` at each try.
+  // The request to place. At each try, `until_late` and `until_deadline` are
+  // recomputed from `late_at` and `deadline`, and `permitted` from `regions`.
   PlacementRequest request;
   TimePoint late_at{};
   TimePoint deadline{};
   std::string request_id;
+  RequestRegions regions;
 };
 
 // Queries the planner for a placement. If no planner answers, places the
@@ -100,8 +105,12 @@
   // Returns whether the request was rejected.
   bool RejectIfAllBackingOff();
 
-  // Returns the Retry-After time if all endpoints have asked for a back-off,
-  // otherwise nothing.
+  // Searches anew if the request is waiting and the data centres in which it
+  // may run have changed since it began to wait. Returns whether it did.
+  bool SearchAnewIfRegionsChanged();
+
+  // Returns the Retry-After time if all permitted endpoints have asked for a
+  // back-off, otherwise nothing.
   std::optional<Millis> RetryAfterBackoffs() const;
 
   // Returns whether the request is in the planner's queue or in that of this
@@ -150,10 +159,14 @@
   std::optional<Placement> PlacementOf(const PlannedPlacement& planned) const;
   // Returns the record of the endpoint `id` if it accepts new work, otherwise
   // null.
+  const EndpointRecord* FindUsable(const EndpointId& id) const;
+  // Returns the record of the endpoint `id` if it accepts new work and is in a
+  // permitted data centre, otherwise null.
   const EndpointRecord* Usable(const EndpointId& id) const;
   // Returns whether this host's quotas allow it to start `placement`.
   bool MayStart(const Placement& placement) const;
-  // Returns whether all endpoints of `placement` still accept new work.
+  // Returns whether all endpoints of `placement` still accept new work and are
+  // in permitted data centres.
   bool IsStillUsable(const Placement& placement) const;
   // Logs that this host, and not the planner, places the request.
   void LogPlacedLocally();
@@ -165,6 +178,11 @@
   // if all engines that could take the request are busy.
   bool TryPlace();
   void SetTimes();
+  // Updates `params_.request.permitted` by the configuration in force.
+  void SetPermitted();
+  // Ends the search if no endpoint is in a permitted data centre. Returns
+  // whether the search was ended.
+  bool EndIfForbidden();
   // Updates `params_.request.withheld`, the endpoints at which this host may
   // not start a request now because of start limits and back-offs.
   void SetWithheld();
@@ -176,8 +194,9 @@
   // Ends the search if the request cannot start in time, as CannotStartInTime
   // defines it. Returns whether the search was ended.
   bool EndIfStartLimited();
-  // Returns when and how fast this host may start requests at the endpoints
-  // that are not in `tried`. Returns nothing if one of them has no limit.
+  // Returns when and how fast this host may start requests at the permitted
+  // endpoints that are not in `tried`. Returns nothing if one of them has no
+  // limit.
   std::optional<StartAvailability> AvailabilityExcluding(
       const std::set<EndpointId>& tried) const;
   // Returns the latest time at which waiting for an endpoint is useful: the
--- a/src/gateway/store_update_handler.cc
+++ b/src/gateway/store_update_handler.cc
@@ -5,14 +5,13 @@
 
 namespace harecrank {
 
-StoreUpdateHandler::StoreUpdateHandler(RoutingState* routing,
-                                       EndpointDirectory* directory,
-                                       EndpointUpdater* endpoint_updater,
-                                       StartLimiter* start_limiter,
-                                       StoreSyncState* store_sync,
-                                       std::function<void()> on_usable,
-                                       EventLog* log, Metrics* metrics)
+StoreUpdateHandler::StoreUpdateHandler(
+    RoutingState* routing, RegionReporter* regions,
+    EndpointDirectory* directory, EndpointUpdater* endpoint_updater,
+    StartLimiter* start_limiter, StoreSyncState* store_sync,
+    std::function<void()> on_usable, EventLog* log, Metrics* metrics)
     : routing_(routing),
+      regions_(regions),
       directory_(directory),
       endpoint_updater_(endpoint_updater),
       start_limiter_(start_limiter),
@@ -31,6 +30,7 @@
                {"routes", table->Document().routes.size()},
                {"services", table->Document().services.size()}},
               LogRateLimit::kExempt);
+  regions_->ReportUnknown();
   on_usable_();
 }
 
--- a/src/gateway/store_update_handler.h
+++ b/src/gateway/store_update_handler.h
@@ -13,6 +13,7 @@
 #include "src/gateway/directory_feed.h"
 #include "src/gateway/endpoint_updater.h"
 #include "src/gateway/gateway_services.h"
+#include "src/gateway/region_reporter.h"
 #include "src/gateway/start_limiter.h"
 #include "src/gateway/store_sync_state.h"
 
@@ -24,7 +25,8 @@
  public:
   // All pointers must outlive this. `on_usable` is called when the data may
   // have become sufficient to serve requests.
-  StoreUpdateHandler(RoutingState* routing, EndpointDirectory* directory,
+  StoreUpdateHandler(RoutingState* routing, RegionReporter* regions,
+                     EndpointDirectory* directory,
                      EndpointUpdater* endpoint_updater,
                      StartLimiter* start_limiter, StoreSyncState* store_sync,
                      std::function<void()> on_usable, EventLog* log,
@@ -52,6 +54,7 @@
   void PassIncarnation(const EndpointId& id);
 
   RoutingState* routing_;
+  RegionReporter* regions_;
   EndpointDirectory* directory_;
   EndpointUpdater* endpoint_updater_;
   StartLimiter* start_limiter_;
