--- a/src/core/planner_schedule.cc
+++ b/src/core/planner_schedule.cc
@@ -5,6 +5,7 @@
 #include <map>
 #include <utility>
 
+#include "harecrank/core/endpoint_eligibility.h"
 #include "harecrank/core/planner.h"
 
 namespace harecrank {
@@ -14,15 +15,16 @@
   return time + std::chrono::duration_cast<TimePoint::duration>(delay);
 }
 
-// Returns a filter that accepts the endpoints to which the request may be sent,
-// or an empty one if these are all.
+// Returns a filter that accepts the endpoints to which the request may be sent
+// now, or an empty one if these are all.
 EndpointFilter FilterFor(const PlacementRequest& request) {
-  if (request.tried.empty() && request.withheld.empty()) {
+  const bool is_bounded = !request.tried.empty() || !request.withheld.empty() ||
+                          request.permitted.has_value();
+  if (!is_bounded) {
     return {};
   }
-  return [tried = request.tried,
-          withheld = request.withheld](const EndpointRecord& record) {
-    return tried.count(record.id) == 0 && withheld.count(record.id) == 0;
+  return [request](const EndpointRecord& endpoint) {
+    return MayUse(request, endpoint);
   };
 }
 
