--- a/src/core/routing_table_test.cc
+++ b/src/core/routing_table_test.cc
@@ -39,7 +39,7 @@
 
 TEST_CASE("An account is found by each of its keys and by no other key") {
   RoutingDocument document;
-  document.accounts = {AccountEntry{AccountId{"acme"}, {"k1", "k2"}, 3}};
+  document.accounts = {AccountEntry{AccountId{"acme"}, {"k1", "k2"}, 3, {}}};
   const RoutingTable table(document);
   CHECK(table.NeedsKeys());
   CHECK(table.FindAccountByKey("k2")->id == AccountId{"acme"});
