--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -291,15 +291,42 @@
       OrderName{}, order);
 }
 
+// Upper limit of settings that are a share of an inter-token gap or of a
+// latency target. With a larger share, no request would meet its target.
+constexpr double kMaxShare = 4;
+// Upper limit of settings that are a number of requests on one engine, a
+// number of engines, or a factor.
+constexpr int kMaxPerEngine = 64;
+// Upper limit of patience_ms, in milliseconds.
+constexpr double kMaxCallerTimeoutMs = 600000;
+
+// Reads the keys of `placement` that tell how requests wait and are rejected.
+void ReadWaiting(SettingsReader* reader, PlacementPolicy* policy) {
+  reader->ReadNumber("late_wait_share", 0, kMaxPerEngine,
+                     &policy->late_wait_share);
+  reader->ReadNumber("short_retry_after_share", 0, kMaxPerEngine,
+                     &policy->short_retry_after_share);
+  reader->ReadNumber("late_reserve_share", 0, kMaxShare,
+                     &policy->late_reserve_share);
+  reader->ReadBool("bound_late_parts", &policy->bound_late_parts);
+  reader->ReadInteger("tried", 1, kMaxPerEngine, &policy->tried);
+  reader->ReadBool("refuses_by_precedent", &policy->refuses_by_precedent);
+  reader->ReadBool("shares_by_account", &policy->shares_by_account);
+  reader->ReadNumber("retry_after_share", 0, kMaxShare,
+                     &policy->retry_after_share);
+  reader->ReadBool("foresees_room", &policy->foresees_room);
+  reader->ReadNumber("patience_targets", 1, kMaxPerEngine,
+                     &policy->patience_targets);
+  reader->ReadNumber("patience_gaps", 0, kMaxPerEngine, &policy->patience_gaps);
+  reader->ReadNumber("patience_ms", 0, kMaxCallerTimeoutMs,
+                     &policy->patience_ms);
+  reader->ReadNumber("return_share", 0, 1, &policy->return_share);
+  reader->ReadNumber("oversize_wait_share", 0, kMaxShare,
+                     &policy->oversize_wait_share);
+}
+
+// Reads the keys of `placement`.
 void ReadPlacement(SettingsReader* reader, PlacementPolicy* policy) {
-  // Upper limit of settings that are a share of an inter-token gap or of a
-  // latency target. With a larger share, no request would meet its target.
-  constexpr double kMaxShare = 4;
-  // Upper limit of settings that are a number of requests on one engine, a
-  // number of engines, or a factor.
-  constexpr int kMaxPerEngine = 64;
-  // Upper limit of patience_ms, in milliseconds.
-  constexpr double kMaxCallerTimeoutMs = 600000;
   reader->ReadNumber("short_share_of_gap", 0, kMaxShare,
                      &policy->short_share_of_gap);
   reader->ReadNumber("part_share_of_gap", 0, kMaxShare,
@@ -331,27 +358,7 @@
   ReadChoice<LongPlacing>(reader, "long_placing",
                           {WhenEnginesAreFree{}, ReserveEnginesAhead{}},
                           LongPlacingName{}, &policy->long_placing);
-  reader->ReadNumber("late_wait_share", 0, kMaxPerEngine,
-                     &policy->late_wait_share);
-  reader->ReadNumber("short_retry_after_share", 0, kMaxPerEngine,
-                     &policy->short_retry_after_share);
-  reader->ReadNumber("late_reserve_share", 0, kMaxShare,
-                     &policy->late_reserve_share);
-  reader->ReadBool("bound_late_parts", &policy->bound_late_parts);
-  reader->ReadInteger("tried", 1, kMaxPerEngine, &policy->tried);
-  reader->ReadBool("refuses_by_precedent", &policy->refuses_by_precedent);
-  reader->ReadBool("shares_by_account", &policy->shares_by_account);
-  reader->ReadNumber("retry_after_share", 0, kMaxShare,
-                     &policy->retry_after_share);
-  reader->ReadBool("foresees_room", &policy->foresees_room);
-  reader->ReadNumber("patience_targets", 1, kMaxPerEngine,
-                     &policy->patience_targets);
-  reader->ReadNumber("patience_gaps", 0, kMaxPerEngine, &policy->patience_gaps);
-  reader->ReadNumber("patience_ms", 0, kMaxCallerTimeoutMs,
-                     &policy->patience_ms);
-  reader->ReadNumber("return_share", 0, 1, &policy->return_share);
-  reader->ReadNumber("oversize_wait_share", 0, kMaxShare,
-                     &policy->oversize_wait_share);
+  ReadWaiting(reader, policy);
 }
 
 leaf::result<json> ParseObject(const std::string& text) {
