Start groups as soon as any suffices while prompts share the engines

Cause: each prompt was given the group with the earliest end, mostly the largest one. Prompts then followed each other on 17 engines while a smaller number beside them stood idle: the longest waited 2.4 s in the middle.

Change: FirstGroup gives the earliest start among the groups that end in time, with parts as long as the policy allows. A prompt that waits alone still gets the earliest end.

--- a/include/harecrank/core/engine_timetable.h
+++ b/include/harecrank/core/engine_timetable.h
@@ -80,6 +80,16 @@
       const LongPrompt& prompt, TimePoint not_before,
       const EndpointFilter& may_use) const;
 
+  // Like EarliestGroup, but returns the group with the earliest start among
+  // those whose prefill ends by `end_by` and whose parts are not longer than
+  // LongestPart allows; the largest one if several start then. Waiting for more
+  // engines would end the prefill of this prompt sooner, but would leave
+  // engines idle that other prompts need. Returns nothing if no group ends by
+  // then.
+  std::optional<PlannedGroup> FirstGroup(const LongPrompt& prompt,
+                                         TimePoint not_before, TimePoint end_by,
+                                         const EndpointFilter& may_use) const;
+
   // Reserves the engines of `planned` from its start to the end of its prefill.
   void Reserve(const PlannedGroup& planned);
 
@@ -131,6 +141,10 @@
   // nothing if there is none.
   static std::optional<TimePoint> EarliestStart(
       const std::vector<const Engine*>& engines, const Parts& parts);
+  // Returns the engines that `may_use` accepts; all if it is empty.
+  std::vector<const Engine*> EnginesFor(const EndpointFilter& may_use) const;
+  // Returns the largest useful size of a group of `engines` for the prompt.
+  std::size_t MaxCount(const LongPrompt& prompt, std::size_t engines) const;
   // Returns the index of the candidate's engine in `engines_`.
   std::size_t IndexOf(const EngineCandidate& candidate) const;
   // Returns the group of `count` engines that begin at `start`, or nothing if
--- a/src/core/engine_timetable.cc
+++ b/src/core/engine_timetable.cc
@@ -139,8 +139,7 @@
   return planned;
 }
 
-std::optional<PlannedGroup> EngineTimetable::EarliestGroup(
-    const LongPrompt& prompt, TimePoint not_before,
+std::vector<const EngineTimetable::Engine*> EngineTimetable::EnginesFor(
     const EndpointFilter& may_use) const {
   std::vector<const Engine*> engines;
   engines.reserve(engines_.size());
@@ -149,13 +148,55 @@
       engines.push_back(&engine);
     }
   }
-  const TimePoint earliest = std::max(not_before, now_);
+  return engines;
+}
+
+std::size_t EngineTimetable::MaxCount(const LongPrompt& prompt,
+                                      std::size_t engines) const {
   const auto preferred_count = static_cast<std::size_t>(
       std::ceil(prompt.prefill_time / PreferredPart(*policy_, prompt)));
-  const std::size_t max_count =
-      std::min({preferred_count, engines.size(), kMaxHelpers + 1});
+  return std::min({preferred_count, engines, kMaxHelpers + 1});
+}
+
+std::optional<PlannedGroup> EngineTimetable::FirstGroup(
+    const LongPrompt& prompt, TimePoint not_before, TimePoint end_by,
+    const EndpointFilter& may_use) const {
+  const std::vector<const Engine*> engines = EnginesFor(may_use);
+  const TimePoint earliest = std::max(not_before, now_);
+  const FractionalMillis longest_part =
+      std::max(LongestPart(*policy_, prompt), PreferredPart(*policy_, prompt));
+  std::optional<PlannedGroup> best;
+  for (std::size_t count = MaxCount(prompt, engines.size()); count > 0;
+       --count) {
+    const FractionalMillis part =
+        prompt.prefill_time / static_cast<double>(count);
+    const TimePoint latest =
+        best.has_value() ? best->start : end_by - ToClock(part);
+    const bool is_first = best.has_value() && best->start <= earliest;
+    if (part > longest_part || is_first || latest < earliest) {
+      break;
+    }
+    const auto start =
+        EarliestStart(engines, Parts{part, count, earliest, latest});
+    if (!start.has_value() || (best.has_value() && *start >= best->start)) {
+      continue;
+    }
+    auto planned = GroupAt(engines, prompt, count, *start);
+    if (planned.has_value() && planned->prefill_end <= end_by) {
+      best = std::move(planned);
+    }
+  }
+  return best;
+}
+
+std::optional<PlannedGroup> EngineTimetable::EarliestGroup(
+    const LongPrompt& prompt, TimePoint not_before,
+    const EndpointFilter& may_use) const {
+  const std::vector<const Engine*> engines = EnginesFor(may_use);
+  const TimePoint earliest = std::max(not_before, now_);
   std::optional<PlannedGroup> best;
-  for (std::size_t count = max_count; count > 0; --count) {
+  for (std::size_t count = MaxCount(prompt, engines.size()); count > 0;
+       --count) {
     const FractionalMillis part =
         prompt.prefill_time / static_cast<double>(count);
     // Smaller groups have longer parts, so none of them can end earlier.
--- a/src/core/long_prompt_schedule.cc
+++ b/src/core/long_prompt_schedule.cc
@@ -22,8 +22,11 @@
 // Plans the prompts one after the other on a timetable.
 class PromptPlanner {
  public:
-  PromptPlanner(TimePoint now, EngineTimetable* timetable)
-      : now_(now), timetable_(timetable) {}
+  // `shares_engines` tells whether there are several prompts to plan.
+  PromptPlanner(bool shares_engines, EngineTimetable* timetable)
+      : shares_engines_(shares_engines),
+        now_(timetable->Now()),
+        timetable_(timetable) {}
 
   // Plans the prompts that must start soon to be of any use, then those that
   // can meet their target, and returns the others.
@@ -41,7 +44,7 @@
     });
     std::vector<const WaitingPrompt*> rest;
     for (const WaitingPrompt* prompt : order) {
-      auto planned = EarliestGroup(*prompt);
+      auto planned = GroupFor(*prompt, prompt->first_event_due);
       const bool in_time = planned.has_value() &&
                            planned->prefill_end <= prompt->first_event_due;
       const bool is_last_chance =
@@ -66,7 +69,7 @@
     for (const WaitingPrompt* prompt : prompts) {
       const TimePoint last =
           prompt->may_have_run ? TimePoint::max() : prompt->last_useful_event;
-      auto planned = EarliestGroup(*prompt);
+      auto planned = GroupFor(*prompt, last);
       if (planned.has_value() && planned->prefill_end <= last) {
         Reserve(*prompt, Prospect::kLate, *std::move(planned));
       } else {
@@ -96,9 +99,21 @@
            prompt.prompt.target;
   }
 
-  std::optional<PlannedGroup> EarliestGroup(const WaitingPrompt& prompt) const {
-    return timetable_->EarliestGroup(prompt.prompt, prompt.not_before,
+  // Returns the group for a prompt that is to have its first event by `end_by`,
+  // or the one with the earliest first event if none has it by then. If prompts
+  // share the engines, a prompt starts as soon as any group suffices: a larger
+  // group that begins later would leave engines idle until then.
+  std::optional<PlannedGroup> GroupFor(const WaitingPrompt& prompt,
+                                       TimePoint end_by) const {
+    std::optional<PlannedGroup> first;
+    if (shares_engines_) {
+      first = timetable_->FirstGroup(prompt.prompt, prompt.not_before, end_by,
                                      prompt.may_use);
+    }
+    return first.has_value()
+               ? first
+               : timetable_->EarliestGroup(prompt.prompt, prompt.not_before,
+                                           prompt.may_use);
   }
 
   void Reserve(const WaitingPrompt& prompt, Prospect prospect,
@@ -107,6 +122,7 @@
     plans_.push_back(PromptPlan{prompt.id, prospect, std::move(planned)});
   }
 
+  bool shares_engines_;
   TimePoint now_;
   EngineTimetable* timetable_;
   std::vector<PromptPlan> plans_;
@@ -116,7 +132,7 @@
 
 std::vector<PromptPlan> PlanPrompts(const std::vector<WaitingPrompt>& prompts,
                                     EngineTimetable* timetable) {
-  PromptPlanner planner(timetable->Now(), timetable);
+  PromptPlanner planner(prompts.size() > 1, timetable);
   planner.PlanLate(planner.PlanInTime(prompts));
   return std::move(planner).Plans();
 }
