Turn retry reservations into promises that know their prompt and their room

Cause: a reservation knew a prompt's work only, so its room could be on no timetable, and why it was broken was told nowhere. The planner owns the promises; admission control gets them. Broken ones are counted by cause.

--- a/include/harecrank/core/admission_control.h
+++ b/include/harecrank/core/admission_control.h
@@ -20,7 +20,7 @@
 #include "harecrank/core/fleet_messages.h"
 #include "harecrank/core/placement.h"
 #include "harecrank/core/placement_policy.h"
-#include "harecrank/core/retry_reservations.h"
+#include "harecrank/core/return_promises.h"
 #include "harecrank/core/wait_queue.h"
 
 namespace harecrank {
@@ -59,15 +59,6 @@
   std::optional<FractionalMillis> least_late;
 };
 
-// Numbers of reservations for retries since the process started.
-struct ReservationCounts {
-  std::uint64_t made = 0;
-  // Reservations whose retry got a placement (`kept`) or was rejected again
-  // (`broken`).
-  std::uint64_t kept = 0;
-  std::uint64_t broken = 0;
-};
-
 // Returns how long the caller of `request` waits for a first event before it
 // gives up.
 FractionalMillis FirstEventTimeout(const PlacementRequest& request,
@@ -77,7 +68,9 @@
 // rejected prompts should retry. Not thread-safe.
 class AdmissionControl {
  public:
-  AdmissionControl(const PlacementPolicy& policy, const MonotonicClock& clock);
+  // `promises` must outlive this.
+  AdmissionControl(const PlacementPolicy& policy, const MonotonicClock& clock,
+                   ReturnPromises* promises);
 
   // Returns whether admission control is enabled and the candidate carries a
   // deadline and a request fingerprint.
@@ -111,11 +104,6 @@
   std::optional<QueryRejected> RejectionOf(const AdmissionCandidate& candidate,
                                            const WorkAhead& ahead);
 
-  // Drops all reservations.
-  void Clear() { reservations_.Clear(); }
-  std::size_t ReservationCount() const { return reservations_.Count(); }
-  const ReservationCounts& Counts() const { return counts_; }
-
   // Shortest retry delay that a rejection states.
   static constexpr Millis kMinRetryAfter{100};
 
@@ -131,8 +119,7 @@
   MonotonicClock clock_;
   CapacityForecast short_forecast_;
   CapacityForecast long_forecast_;
-  RetryReservations reservations_;
-  ReservationCounts counts_;
+  ReturnPromises* promises_;
 };
 
 }  // namespace harecrank
--- a/include/harecrank/core/planner.h
+++ b/include/harecrank/core/planner.h
@@ -29,6 +29,7 @@
 #include "harecrank/core/endpoint_loads.h"
 #include "harecrank/core/fleet_messages.h"
 #include "harecrank/core/placement.h"
+#include "harecrank/core/return_promises.h"
 #include "harecrank/core/routing_table.h"
 #include "harecrank/core/start_quotas.h"
 #include "harecrank/core/wait_queue.h"
@@ -100,16 +101,10 @@
   std::size_t OverShareAccounts() const {
     return long_queue_.OverShareAccounts();
   }
-  // Number of rejected callers that hold a reservation for their retry.
-  std::size_t ReservationCount() const {
-    return admission_control_.ReservationCount();
-  }
-  // Counts since the process started: reservations made, retries with a
-  // reservation that were placed, and retries with a reservation that were
-  // rejected again.
-  const ReservationCounts& ReservationTotals() const {
-    return admission_control_.Counts();
-  }
+  // Number of rejected callers that were told when to return and have not
+  // returned yet.
+  std::size_t PromiseCount() const { return promises_.Count(); }
+  const PromiseCounts& PromiseTotals() const { return promises_.Counts(); }
 
   // Window over which the arrival rate of short prompts is measured.
   static constexpr Millis kDemandWindow{500};
@@ -259,6 +254,7 @@
   // endpoint.
   StartHistory granted_starts_;
   Placer placer_;
+  ReturnPromises promises_;
   AdmissionControl admission_control_;
   // Long and short prompts wait in separate queues.
   WaitQueue long_queue_;
--- a/include/harecrank/core/request_fingerprint.h
+++ b/include/harecrank/core/request_fingerprint.h
@@ -25,6 +25,10 @@
   std::uint64_t high = 0;
   std::uint64_t low = 0;
 
+  // Returns whether the fingerprint is set. A host of an earlier version sends
+  // none.
+  bool IsSet() const { return high != 0 || low != 0; }
+
   friend bool operator==(const RequestFingerprint& a,
                          const RequestFingerprint& b) {
     return std::tie(a.high, a.low, a.account) ==
--- a/src/core/admission_control.cc
+++ b/src/core/admission_control.cc
@@ -1,6 +1,7 @@
 #include "harecrank/core/admission_control.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace harecrank {
 namespace {
@@ -14,10 +15,6 @@
 // time left, the smallest forecast error would make all queued requests late.
 constexpr double kMaxWaitShare = 0.6;
 
-bool HasFingerprint(const PlacementRequest& request) {
-  return request.origin.request.high != 0 || request.origin.request.low != 0;
-}
-
 }  // namespace
 
 FractionalMillis FirstEventTimeout(const PlacementRequest& request,
@@ -29,37 +26,40 @@
 }
 
 AdmissionControl::AdmissionControl(const PlacementPolicy& policy,
-                                   const MonotonicClock& clock)
+                                   const MonotonicClock& clock,
+                                   ReturnPromises* promises)
     : policy_(policy),
       clock_(clock),
       short_forecast_(clock, kShortPromptForecast),
       long_forecast_(clock, kLongPromptForecast),
-      reservations_(clock) {}
+      promises_(promises) {}
 
 bool AdmissionControl::CanDecide(const AdmissionCandidate& candidate) const {
   const PlacementRequest& request = *candidate.request;
   // The deadline is zero if the host did not send one.
   return policy_.foresees_room &&
          request.until_deadline > FractionalMillis(0) &&
-         HasFingerprint(request);
+         request.origin.request.IsSet();
 }
 
 std::optional<TimePoint> AdmissionControl::OnArrival(
     const AdmissionCandidate& candidate) {
-  std::optional<TimePoint> late_at;
   if (CanDecide(candidate)) {
-    late_at = reservations_.Redeem(candidate.request->origin.request);
+    if (const auto promise =
+            promises_->Redeem(candidate.request->origin.request)) {
+      return promise->first_event_due;
+    }
   }
-  if (!late_at.has_value()) {
-    ForecastOf(candidate.kind).OnArrival(candidate.work, candidate.engines);
-  }
-  return late_at;
+  ForecastOf(candidate.kind).OnArrival(candidate.work, candidate.engines);
+  return std::nullopt;
 }
 
 void AdmissionControl::OnStarted(const AdmissionCandidate& candidate) {
   ForecastOf(candidate.kind).OnStarted(candidate.work, candidate.engines);
-  counts_.kept += candidate.has_reservation ? 1 : 0;
-  reservations_.Cancel(candidate.request->origin.request);
+  if (candidate.has_reservation) {
+    promises_->OnKept();
+  }
+  promises_->Cancel(candidate.request->origin.request);
 }
 
 bool AdmissionControl::MayStart(const WaitingRequest& request, PromptKind kind,
@@ -136,10 +136,11 @@
 QueryRejected AdmissionControl::Reject(const AdmissionCandidate& candidate,
                                        const WorkAhead& ahead) {
   const PlacementRequest& request = *candidate.request;
-  ++counts_.made;
-  counts_.broken += candidate.has_reservation ? 1 : 0;
+  if (candidate.has_reservation) {
+    promises_->OnBroken(BrokenPromiseCause::kOther);
+  }
   const FractionalMillis ahead_of_retry =
-      ahead.in_time + ahead.late + reservations_.ReservedWork();
+      ahead.in_time + ahead.late + promises_->PromisedWork();
   const FractionalMillis forecast_start =
       ForecastOf(candidate.kind)
           .TimeUntilStart(ahead_of_retry, candidate.engines);
@@ -148,11 +149,15 @@
   const FractionalMillis delay =
       std::max(std::min(forecast_start, latest_return),
                FractionalMillis(kMinRetryAfter));
-  return QueryRejected{reservations_.Reserve(
-      request.origin.request, candidate.work,
-      clock_() +
-          std::chrono::duration_cast<TimePoint::duration>(request.until_late),
-      std::chrono::duration_cast<Millis>(delay))};
+  const TimePoint now = clock_();
+  ReturnPromise promise;
+  promise.request = request.origin.request;
+  promise.prompt.prefill_time = candidate.work;
+  promise.return_at = now + std::chrono::duration_cast<Millis>(delay);
+  promise.first_event_due =
+      now + std::chrono::duration_cast<TimePoint::duration>(request.until_late);
+  promise.engines = candidate.engines;
+  return QueryRejected{promises_->Make(std::move(promise))};
 }
 
 }  // namespace harecrank
--- a/src/core/planner.cc
+++ b/src/core/planner.cc
@@ -36,7 +36,8 @@
       placer_(
           directory, &loads_, health, std::move(self), LoadScope::kAllHosts,
           [] { return 1; }, policy, std::move(random)),
-      admission_control_(policy_, clock),
+      promises_(clock),
+      admission_control_(policy_, clock, &promises_),
       long_queue_(clock, policy_.long_order, policy_.shares_by_account),
       short_queue_(std::move(clock), policy_.short_order,
                    policy_.shares_by_account) {}
@@ -270,7 +271,7 @@
   hosts_.clear();
   long_queue_.ForgetGrants();
   short_queue_.ForgetGrants();
-  admission_control_.Clear();
+  promises_.Clear();
   unreported_hosts_.clear();
   learning_until_ = TimePoint{};
 }
--- a/src/core/planner_test.cc
+++ b/src/core/planner_test.cc
@@ -457,7 +457,7 @@
   const auto early_retry = planner_->OnQuery(MakeRetry(query));
   CHECK(std::get<QueryRejected>(early_retry).retry_after ==
         after - Millis(100));
-  CHECK(planner_->ReservationCount() > 0);
+  CHECK(planner_->PromiseCount() > 0);
   now_ += after - Millis(100);
   FillQueue();
   CHECK(
@@ -472,7 +472,7 @@
   const PlacementQuery query = WithFingerprint(LongQuery(1), 1);
   now_ += RejectInOverload(query);
   planner_ = MakePlanner();
-  CHECK(planner_->ReservationCount() == 0);
+  CHECK(planner_->PromiseCount() == 0);
   CHECK(std::holds_alternative<PlannedPlacement>(
       planner_->OnQuery(MakeRetry(query))));
 }
--- a/src/gateway/gateway_gauges.cc
+++ b/src/gateway/gateway_gauges.cc
@@ -14,7 +14,7 @@
 }
 
 // Adds the gauges that are meaningful only on the planner: its known hosts, its
-// wait queue and its reservations.
+// wait queue and its promises.
 void RegisterPlannerGauges(const GatewayParts& parts, Metrics* metrics) {
   metrics->AddGauge("harecrank_gateway_is_planner",
                     [parts] { return parts.fleet->IsPlanner() ? 1.0 : 0.0; });
@@ -31,17 +31,26 @@
     return static_cast<double>(parts.planner->OverShareAccounts());
   });
   metrics->AddGauge("harecrank_gateway_promises_open", [parts] {
-    return static_cast<double>(parts.planner->ReservationCount());
+    return static_cast<double>(parts.planner->PromiseCount());
   });
   metrics->AddGauge("harecrank_gateway_promises_made", [parts] {
-    return static_cast<double>(parts.planner->ReservationTotals().made);
+    return static_cast<double>(parts.planner->PromiseTotals().made);
   });
   metrics->AddGauge("harecrank_gateway_promises_kept", [parts] {
-    return static_cast<double>(parts.planner->ReservationTotals().kept);
+    return static_cast<double>(parts.planner->PromiseTotals().kept);
   });
   metrics->AddGauge("harecrank_gateway_promises_broken", [parts] {
-    return static_cast<double>(parts.planner->ReservationTotals().broken);
+    return static_cast<double>(parts.planner->PromiseTotals().broken);
   });
+  metrics->AddGauge("harecrank_gateway_promises_broken_engines_left", [parts] {
+    return static_cast<double>(
+        parts.planner->PromiseTotals().broken_engines_left);
+  });
+  metrics->AddGauge(
+      "harecrank_gateway_promises_broken_nearer_deadline", [parts] {
+        return static_cast<double>(
+            parts.planner->PromiseTotals().broken_nearer_deadline);
+      });
 }
 
 }  // namespace
@@ -132,6 +141,7 @@
           {"requests",
            {{"waiting", parts.queue->Count()},
             {"waiting_at_planner", parts.planner->WaitingCount()},
+            {"promised", parts.planner->PromiseCount()},
             {"held", parts.quarantine->QuarantinedCount()}}},
           {"copies_under_way", parts.snapshots->ActiveTransfers()},
           {"bounds", parts.start_limiter->Describe()}};
--- a/src/gateway/planner_service.cc
+++ b/src/gateway/planner_service.cc
@@ -22,7 +22,7 @@
   if (planner == self_) {
     metrics_->GetCounter("harecrank_gateway_asks_planned_total")->Add();
     reply.decision = planner_->OnQuery(query);
-    LogRejection(query.host, query.id, reply.decision);
+    LogRejection(query.host, query.id, reply.decision, query.wants_return_time);
   } else if (planner.has_value()) {
     reply.decision = NotPlanner{*planner};
   }
@@ -30,7 +30,8 @@
 }
 
 void PlannerService::LogRejection(const HostAddress& host, QueryId id,
-                                  const PlacementDecision& decision) {
+                                  const PlacementDecision& decision,
+                                  bool not_run) {
   const auto* rejected = std::get_if<QueryRejected>(&decision);
   if (rejected == nullptr || !rejected->retry_after.has_value()) {
     return;
@@ -39,7 +40,8 @@
               {{"host", host.value},
                {"ask", id.value},
                {"return_after_ms", rejected->retry_after->count()},
-               {"promises", planner_->ReservationCount()}});
+               {"not_run", not_run},
+               {"promises", planner_->PromiseCount()}});
 }
 
 void PlannerService::OnProgressReport(const ProgressReport& report) {
@@ -69,7 +71,7 @@
     return;
   }
   for (DeferredReply& due : planner_->ProcessWaitQueue()) {
-    LogRejection(due.host, due.id, due.decision);
+    LogRejection(due.host, due.id, due.decision, false);
     ports_.send(due.host, PlacementReply{self_, due.incarnation, due.id,
                                          std::move(due.decision)});
   }
