Let a host ask when the caller of a request that nobody ran should return

Cause: a request whose attempts come to nothing is refused with a fixed half second, whatever the engines have to do by then.

--- a/include/harecrank/core/fleet_messages.h
+++ b/include/harecrank/core/fleet_messages.h
@@ -144,6 +144,10 @@
   // used up its start quota, which is its share of the endpoint's limit on
   // request starts.
   std::set<EndpointId> withheld;
+  // Set if the host can no longer send the request to an endpoint and wants no
+  // placement, only the time at which its caller should return. The decision is
+  // then a rejection.
+  bool wants_return_time = false;
 };
 
 // A helper endpoint and the number of tokens of the request's KV memory that it
--- a/src/core/fleet_message_decoding.cc
+++ b/src/core/fleet_message_decoding.cc
@@ -248,6 +248,9 @@
   if (size > kSizeWithoutWithheld) {
     query.withheld = TakeIds(reader);
   }
+  if (size > kSizeWithoutWithheld + 1) {
+    query.wants_return_time = reader->Take<bool>();
+  }
   return query;
 }
 
--- a/src/core/fleet_message_encoding.cc
+++ b/src/core/fleet_message_encoding.cc
@@ -143,9 +143,12 @@
          query.until_deadline.count(), query.origin.request.account.value,
          query.origin.request.high, query.origin.request.low,
          query.origin.priority});
-    if (!query.withheld.empty()) {
+    if (!query.withheld.empty() || query.wants_return_time) {
       array.push_back(EncodeIds(query.withheld));
     }
+    if (query.wants_return_time) {
+      array.push_back(true);
+    }
     return array;
   }
 
--- a/src/core/fleet_messages_test.cc
+++ b/src/core/fleet_messages_test.cc
@@ -184,6 +184,10 @@
   CHECK(decoded.origin.request == query.origin.request);
   CHECK(decoded.origin.priority == query.origin.priority);
   CHECK(decoded.withheld.empty());
+  CHECK_FALSE(decoded.wants_return_time);
+  query.wants_return_time = true;
+  CHECK(RoundTrip(query).wants_return_time);
+  CHECK(RoundTrip(query).withheld.empty());
   query.withheld = {EndpointId{"g"}};
   CHECK(RoundTrip(query).withheld == query.withheld);
 }
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -166,7 +166,8 @@
   timer_.async_wait(
       [self = weak_from_this()](const boost::system::error_code& error) {
         const auto exchange = self.lock();
-        if (!error && exchange != nullptr && !exchange->finished_) {
+        if (!error && exchange != nullptr && !exchange->finished_ &&
+            !exchange->rejection_code_.has_value()) {
           exchange->OnTimer();
         }
       });
@@ -252,10 +253,7 @@
     return;
   }
   if (!may_have_run_) {
-    const auto retry_after =
-        search_ == nullptr ? std::nullopt : search_->RetryAfterBackoffs();
-    Reject(http_status::kUnavailable, reason,
-           std::max(kRetryAfterRejection, retry_after.value_or(Millis(0))));
+    RejectNotRun(reason);
     return;
   }
   Reject(TimeLeft() == Millis(0) ? http_status::kGatewayTimeout
@@ -263,6 +261,26 @@
          reason, std::nullopt);
 }
 
+void Exchange::RejectNotRun(const std::string& reason) {
+  rejection_code_ = reason;
+  AbandonAttempt();
+  timer_.cancel();
+  const bool asks = search_ != nullptr && TimeLeft() >= kMinTimeForAttempt &&
+                    search_->AskReturnTime();
+  if (!asks) {
+    OnReturnTime(std::nullopt);
+  }
+}
+
+void Exchange::OnReturnTime(std::optional<Millis> return_after) {
+  const auto self = shared_from_this();
+  const auto after_backoffs =
+      search_ == nullptr ? std::nullopt : search_->RetryAfterBackoffs();
+  Reject(http_status::kUnavailable, *rejection_code_,
+         std::max(return_after.value_or(kRetryAfterRejection),
+                  after_backoffs.value_or(Millis(0))));
+}
+
 void Exchange::Reject(unsigned status, const std::string& code,
                       std::optional<Millis> retry_after) {
   // A Retry-After time is only passed for requests that have not run, so its
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -21,6 +21,10 @@
 
 namespace harecrank {
 
+// Minimum time before the deadline for a further attempt, or for a return. With
+// less time left it could not produce a response.
+inline constexpr Millis kMinTimeForAttempt{60};
+
 // Admits one request, sends it to endpoints and decides after each attempt
 // whether to retry. PlacementSearch chooses the endpoints, RequestSender runs
 // the attempts, and ResponseRelay forwards the responses. Not thread-safe; runs
@@ -42,6 +46,7 @@
   void OnPlaced(const Placement& placement) override;
   void OnRejected(RejectionReason reason, Millis retry_after) override;
   void OnNoEndpoint() override;
+  void OnReturnTime(std::optional<Millis> return_after) override;
   void OnWaiting() override;
   void OnSent() override;
   void OnResponseHead(const ResponseHead& head) override;
@@ -112,11 +117,13 @@
 
   // Functions that end the request: Reject and Respond send an error response
   // of the gateway, GiveUp chooses the response by whether the request may have
-  // run, and Finish releases everything and logs the outcome.
+  // run, RejectNotRun finds the time to return of one that has not, and Finish
+  // releases everything and logs the outcome.
   void Reject(unsigned status, const std::string& code,
               std::optional<Millis> retry_after);
   void Respond(const GatewayResponse& response);
   void GiveUp(const std::string& reason);
+  void RejectNotRun(const std::string& reason);
   void Finish(const char* outcome, unsigned status, const std::string& reason);
 
   const GatewayServices* services_;
@@ -152,6 +159,9 @@
   // Whether the head of the last response states where its body ends; see
   // ReportCompletion.
   bool has_framed_end_ = false;
+  // Error code of the rejection, while the planner is asked when the caller
+  // should return.
+  std::optional<std::string> rejection_code_;
   bool finished_ = false;
   // Registration with the back-off notifier; set once the request has begun to
   // wait for a placement.
--- a/src/gateway/exchange_attempts.cc
+++ b/src/gateway/exchange_attempts.cc
@@ -17,9 +17,6 @@
 // attempt counts as a retry and is subject to the limits in MayRetry. Fewer
 // failures do not use up retries, since the request was not sent.
 constexpr int kMaxConnectFailures = 5;
-// Minimum time before the deadline for a further attempt. With less time left
-// it could not produce a response.
-constexpr Millis kMinTimeForAttempt{60};
 // Error code of the final response to a request that crashes endpoints.
 constexpr char kQuarantinedReason[] = "ends_endpoints";
 
--- a/src/gateway/placement_client.cc
+++ b/src/gateway/placement_client.cc
@@ -33,23 +33,42 @@
       timer_(*io),
       flush_timer_(*io) {}
 
-QueryId PlacementClient::SendQuery(const PlacementRequest& request,
-                                   bool may_have_run, OnResult on_result) {
-  const QueryId id = NewId();
-  Pending& pending = pending_[id];
-  PlacementQuery& query = pending.query;
+PlacementQuery PlacementClient::QueryOf(const PlacementRequest& request) const {
+  PlacementQuery query;
   query.host = self_;
   query.incarnation = incarnation_;
-  query.id = id;
   query.service = request.service->name;
   query.target_latency = request.target_latency;
   query.target_gap = request.target_gap;
   query.prompt = request.prompt;
   query.answer = request.answer;
-  query.may_have_run = may_have_run;
   query.tried = request.tried;
   query.origin = request.origin;
   query.withheld = request.withheld;
+  return query;
+}
+
+QueryId PlacementClient::SendQuery(const PlacementRequest& request,
+                                   bool may_have_run, OnResult on_result) {
+  PlacementQuery query = QueryOf(request);
+  query.may_have_run = may_have_run;
+  return Send(std::move(query), request, std::move(on_result));
+}
+
+QueryId PlacementClient::SendReturnQuery(const PlacementRequest& request,
+                                         OnResult on_result) {
+  PlacementQuery query = QueryOf(request);
+  query.wants_return_time = true;
+  return Send(std::move(query), request, std::move(on_result));
+}
+
+QueryId PlacementClient::Send(PlacementQuery query,
+                              const PlacementRequest& request,
+                              OnResult on_result) {
+  const QueryId id = NewId();
+  Pending& pending = pending_[id];
+  pending.query = std::move(query);
+  pending.query.id = id;
   pending.target_at =
       clock_() +
       std::chrono::duration_cast<TimePoint::duration>(request.until_late);
--- a/src/gateway/placement_client.h
+++ b/src/gateway/placement_client.h
@@ -58,6 +58,11 @@
   QueryId SendQuery(const PlacementRequest& request, bool may_have_run,
                     OnResult on_result);
 
+  // Asks the planner when the caller of a request that was not run should
+  // return. The result is QueryRejected, or PlaceLocally if no planner answers.
+  // OnEnd must be called with the returned id.
+  QueryId SendReturnQuery(const PlacementRequest& request, OnResult on_result);
+
   // Returns a new id for a placement that this host has chosen itself.
   // OnStarted and OnEnd report such a placement to the planner, too.
   QueryId NewId() { return QueryId{next_id_++}; }
@@ -117,6 +122,11 @@
     int hosts_queried = 0;
   };
 
+  // Sends a query, with its times taken from `request`.
+  QueryId Send(PlacementQuery query, const PlacementRequest& request,
+               OnResult on_result);
+  // Returns the query for `request`, without its id and its times.
+  PlacementQuery QueryOf(const PlacementRequest& request) const;
   void SendToPlanner(QueryId id);
   void Resend(Pending* pending);
   // Informs `host` that a placement which it has granted, or may still grant,
--- a/src/gateway/placement_search.h
+++ b/src/gateway/placement_search.h
@@ -57,6 +57,10 @@
   virtual void OnRejected(RejectionReason reason, Millis retry_after) = 0;
   // No endpoint of the service is usable.
   virtual void OnNoEndpoint() = 0;
+  // The planner's answer to AskReturnTime: the delay after which the caller
+  // should return, or nothing if the planner knows none or has not answered in
+  // time.
+  virtual void OnReturnTime(std::optional<Millis> return_after) = 0;
   // The request has begun to wait for a reply of the planner, a free engine, a
   // start quota or reserved memory, or what it waits for has changed.
   virtual void OnWaiting() = 0;
@@ -104,6 +108,12 @@
   // otherwise nothing.
   std::optional<Millis> RetryAfterBackoffs() const;
 
+  // Asks the planner when the caller of the request, which has ended without
+  // having run, should return. The observer gets the answer, within
+  // kReturnTimeTimeout. Returns false, and asks nothing, if the planner does
+  // not plan requests of this kind ahead.
+  bool AskReturnTime();
+
   // Returns whether the request is in the planner's queue or in that of this
   // host.
   bool IsWaiting() const { return queue_id_.has_value() || waits_at_planner_; }
@@ -135,10 +145,16 @@
   std::optional<Millis> Waited() const;
   Tokens Prompt() const { return params_.request.prompt; }
 
+  // A planner that has not answered AskReturnTime by then is not waited for:
+  // its answer takes some milliseconds, and the caller waits meanwhile.
+  static constexpr Millis kReturnTimeTimeout{60};
+
  private:
   // Queries the planner. OnResult receives the reply.
   void SendQuery();
   void OnResult(const QueryResult& result);
+  // Ends a query by AskReturnTime and reports `return_after`.
+  void EndReturnQuery(std::optional<Millis> return_after);
   // Uses the planner's placement. Queries the planner again if this host knows
   // that an endpoint of the placement is not usable, or if this host may not
   // start the request there.
--- a/src/gateway/planner_service.h
+++ b/src/gateway/planner_service.h
@@ -52,9 +52,10 @@
   bool IsPlanner() const { return ports_.planner() == self_; }
   void ProcessWaitQueue();
   void ProcessWaitQueueSoon();
-  // Logs a rejection that tells the caller when to retry.
+  // Logs a rejection that tells the caller when to return. `not_run` is set if
+  // the host had asked only for that time.
   void LogRejection(const HostAddress& host, QueryId id,
-                    const PlacementDecision& decision);
+                    const PlacementDecision& decision, bool not_run);
 
   HostAddress self_;
   Planner* planner_;
