--- a/include/harecrank/core/planner.h
+++ b/include/harecrank/core/planner.h
@@ -27,9 +27,12 @@
 #include "harecrank/core/endpoint_directory.h"
 #include "harecrank/core/endpoint_health.h"
 #include "harecrank/core/endpoint_loads.h"
+#include "harecrank/core/engine_timetable.h"
 #include "harecrank/core/fleet_messages.h"
+#include "harecrank/core/long_prompt_schedule.h"
 #include "harecrank/core/placement.h"
 #include "harecrank/core/return_promises.h"
+#include "harecrank/core/room_admission.h"
 #include "harecrank/core/routing_table.h"
 #include "harecrank/core/start_quotas.h"
 #include "harecrank/core/wait_queue.h"
@@ -45,6 +48,19 @@
   PlacementDecision decision;
 };
 
+// Numbers of decisions by the timetable of long prompts since the process
+// started.
+struct PlanningCounts {
+  // Prompts that were given a later start when they arrived or first waited.
+  std::uint64_t planned_ahead = 0;
+  // Prompts that were placed while one before them in the plan waited for its
+  // start.
+  std::uint64_t backfilled = 0;
+  // Prompts that were rejected because no engines are free before their callers
+  // give up.
+  std::uint64_t no_room = 0;
+};
+
 // Returns the current routing table, or null if there is none.
 using RoutingTableProvider =
     std::function<std::shared_ptr<const RoutingTable>()>;
@@ -66,7 +82,8 @@
   void Begin(const std::vector<HostAddress>& hosts);
 
   // Decides on a query. If a query is repeated, the planner repeats its
-  // placement, or QueryQueued while it waits, and does not place it twice.
+  // placement, or QueryQueued while it waits, and does not place it twice. A
+  // query that wants only a return time is answered with QueryRejected.
   PlacementDecision OnQuery(const PlacementQuery& query);
 
   // Records which placed requests have finished their prefill, and which have
@@ -91,6 +108,12 @@
   // the planner.
   void Clear();
 
+  // Returns whether the queue should be processed soon after a long prompt was
+  // queued, because its start may be now.
+  bool PlansArrivals() const {
+    return std::holds_alternative<ReserveEnginesAhead>(policy_.long_placing);
+  }
+
   std::size_t WaitingCount() const {
     return long_queue_.Count() + short_queue_.Count();
   }
@@ -106,6 +129,11 @@
   std::size_t PromiseCount() const { return promises_.Count(); }
   const PromiseCounts& PromiseTotals() const { return promises_.Counts(); }
 
+  const PlanningCounts& PlanningTotals() const { return planning_counts_; }
+  // Returns the delays until the planned starts of the queued long prompts, as
+  // of the latest plan and in the order in which they were planned.
+  const std::vector<Millis>& NextStarts() const { return plan_.starts; }
+
   // Window over which the arrival rate of short prompts is measured.
   static constexpr Millis kDemandWindow{500};
   // After Begin(), queries are queued until all hosts have reported their work,
@@ -128,6 +156,14 @@
   // not repeat it. It is several times the interval at which hosts repeat their
   // queries.
   static constexpr Millis kQueryTimeout{1000};
+  // Maximum number of queued prompts that are planned ahead in one pass; the
+  // others keep waiting.
+  static constexpr std::size_t kMaxPlannedPrompts = 32;
+  // Maximum number of promises that take part in a pass.
+  static constexpr std::size_t kMaxPlannedPromises = 16;
+  // Time for which a plan is used. The queue is processed more often than this
+  // while prompts wait.
+  static constexpr Millis kPlanLifetime{100};
 
  private:
   // What the planner knows of one query: its place in the queue if it waits,
@@ -149,9 +185,14 @@
     // Whether admission control, instead of a fixed time-out, ends the wait of
     // the query.
     bool uses_admission_control = false;
+    // Whether the query has been given a later start by the timetable.
+    bool planned_ahead = false;
     // Whether the request was rejected earlier with a retry time and its caller
     // has now retried at that time.
     bool has_reservation = false;
+    // The promise in whose place the query waits, if its room is on the
+    // timetable.
+    std::optional<ReturnPromise> promise;
     std::optional<PlannedPlacement> placed;
     // Ids of the request's work in `loads_`; empty if it has not been placed.
     std::vector<WorkId> work;
@@ -177,9 +218,15 @@
   // new incarnation, the queries of its previous incarnation are removed.
   HostQueries* FindOrAddHost(const HostAddress& address,
                              Incarnation incarnation);
+  // Returns the entry of a query that arrives now.
+  Entry NewEntry(const PlacementQuery& query) const;
   // Tries to place the query and records its work. Returns the placement,
   // NoEndpoint, or nothing if the query must wait for an engine.
   std::optional<PlacementDecision> TryPlace(Entry* entry);
+  // Records the placement and its work, and returns it as the decision.
+  PlacementDecision RecordPlacement(Entry* entry,
+                                    const PlacementRequest& request,
+                                    const Placement& placement);
   // Returns the request of a query as input for the placer, or nothing if the
   // routing table has no such service.
   std::optional<PlacementRequest> RequestOf(const Entry& entry) const;
@@ -235,6 +282,69 @@
   // timed out. Adds the replies to `replies`.
   void ProcessQueue(WaitQueue* queue, std::size_t max_failed,
                     std::vector<DeferredReply>* replies);
+  // Removes a query from its queue and adds the reply that ends its wait.
+  void EndWait(const QueryKey& key, PlacementDecision decision,
+               std::vector<DeferredReply>* replies);
+
+  // Returns whether the query is planned on the timetable of its engines.
+  bool PlansAhead(const Entry& entry) const {
+    return PlansArrivals() && !entry.is_short;
+  }
+  // Decides on a new long prompt, which is planned at once if no other waits.
+  PlacementDecision PlanOnArrival(Entry* entry,
+                                  const PlacementRequest& request);
+  // Plans the queued long prompts, places those whose start has come, and
+  // rejects those without room. Adds the replies to `replies`.
+  void PlanLongQueue(std::vector<DeferredReply>* replies);
+  // Plans the queued prompts `ids`, which are of `service`.
+  void PlanService(const ServiceName& service,
+                   const std::vector<WaitingRequestId>& ids,
+                   std::vector<DeferredReply>* replies);
+  // Returns the timetable of the engines of the request's service.
+  EngineTimetable TimetableFor(const PlacementRequest& request) const;
+  // Returns the query as input for the schedule.
+  WaitingPrompt WaitingPromptOf(const Entry& entry,
+                                const PlacementRequest& request) const;
+  // Returns the queued prompts of `service` that are planned in a pass.
+  std::vector<WaitingPrompt> QueuedPromptsOf(const ServiceName& service) const;
+  // Adds the prompts for which room is promised on the timetable of `service`.
+  void AddPromises(const ServiceName& service,
+                   std::vector<WaitingPrompt>* prompts);
+  // Gives a query whose caller was told when to return its due time and, if
+  // room was promised, the place of the promise.
+  void ApplyPromise(Entry* entry);
+  ReturningCaller ReturningCallerOf(const Entry& entry,
+                                    const PlacementRequest& request) const;
+  // Returns the time at which the caller of a request that was not run should
+  // return; unset if requests of this kind are not planned ahead.
+  QueryRejected OnReturnQuery(const PlacementQuery& query);
+  // Returns the latest first event after which the answer ends before the
+  // deadline.
+  TimePoint LastEventBeforeDeadline(const Entry& entry,
+                                    const PlacementRequest& request) const;
+  // Returns the time after which a first event is of no use.
+  TimePoint LastUsefulEvent(const Entry& entry,
+                            const PlacementRequest& request) const;
+  // Returns whether the prompt must be rejected because a first event is of no
+  // use any more.
+  bool IsOfNoUse(const Entry& entry) const;
+  // Returns the decision that follows from the plan for a prompt, or nothing if
+  // the prompt waits. `timetable` holds all reservations of the pass.
+  std::optional<PlacementDecision> DecideOnPlan(Entry* entry,
+                                                const PromptPlan& plan,
+                                                EngineTimetable* timetable);
+  // Returns the rejection of a prompt that has no room, or nothing if it waits
+  // all the same.
+  std::optional<QueryRejected> RejectionWithoutRoom(const Entry& entry,
+                                                    const PromptPlan& plan,
+                                                    EngineTimetable* timetable);
+  // Places the prompt on `group`, or returns nothing if that cannot be done.
+  std::optional<PlacementDecision> StartPlanned(Entry* entry,
+                                                const PlannedGroup& planned,
+                                                std::size_t candidates);
+  // Returns the parts that are planned to start while a short request runs.
+  LaterParts LaterPartsDuring(const PlacementRequest& request) const;
+
   // Records work that a host reports and that this planner has not placed, and
   // marks the work whose prefill is done.
   void AdoptWork(HostQueries* host, const QueryWork& work);
@@ -256,6 +366,18 @@
   Placer placer_;
   ReturnPromises promises_;
   AdmissionControl admission_control_;
+  RoomAdmission room_admission_;
+  // The plan of the latest pass over the queue of long prompts.
+  struct Plan {
+    TimePoint made_at{};
+    // Delays until the starts of the prompts that wait, in the order in which
+    // they were planned.
+    std::vector<Millis> starts;
+    PlannedStarts later_parts;
+  };
+  struct LongQueueVisitor;
+  Plan plan_;
+  PlanningCounts planning_counts_;
   // Long and short prompts wait in separate queues.
   WaitQueue long_queue_;
   WaitQueue short_queue_;
--- /dev/null
+++ b/src/core/kept_returns_test.cc
@@ -0,0 +1,298 @@
+// Replays a burst of long prompts that the engines cannot prefill before the
+// callers give up, against the planner. Rejected callers return once, at the
+// time that they were told.
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "harecrank/core/planner.h"
+#include "testing/engine_service.h"
+
+namespace harecrank {
+namespace {
+
+const ServiceName kService{"writers"};
+const HostAddress kHost{"h"};
+constexpr int kEngines = 4;
+constexpr Millis kStep{10};
+// The prompts take half a second of all engines. Their callers wait six seconds
+// for a first event, and have more time than that before their deadline.
+constexpr Tokens kPrompt{120000};
+constexpr Millis kTarget{1500};
+constexpr Millis kGap{600};
+constexpr Millis kDeadline{15000};
+constexpr Millis kDecodeTime{200};
+
+// A caller of one prompt.
+struct Caller {
+  std::uint64_t number = 0;
+  TimePoint arrived_at{};
+  int rejections = 0;
+  TimePoint told{};
+  TimePoint placed_at{};
+};
+
+class ReturnReplay {
+ public:
+  explicit ReturnReplay(const LongPlacing& long_placing) {
+    policy_.long_placing = long_placing;
+    for (int i = 0; i < kEngines; ++i) {
+      SetEngine(i, true);
+    }
+    RoutingDocument document;
+    document.version = RoutingVersion{1};
+    document.services = {testing::MakeEngineServiceProfile(kService)};
+    RouteRule route;
+    route.name = "any";
+    route.host = "a";
+    route.path_prefix = "/";
+    route.kind = RequestKind::kStreaming;
+    route.target_gap = Millis(300);
+    route.services = {WeightedService{kService, 1}};
+    document.routes = {std::make_shared<const RouteRule>(route)};
+    table_ = std::make_shared<const RoutingTable>(std::move(document));
+    StartPlanner();
+  }
+
+  // Starts a planner that knows nothing of the queries so far.
+  void StartPlanner() {
+    planner_ = std::make_unique<Planner>(
+        &directory_, &health_, &start_quotas_, DataCentreId{"a"},
+        [this] { return table_; }, policy_, [this] { return now_; },
+        [this] { return last_random_ += 77; });
+  }
+
+  void SetEngine(int number, bool usable) {
+    EndpointRecord record;
+    record.id = EndpointId{"e" + std::to_string(number)};
+    record.service = kService;
+    record.address = record.id.value + ":1";
+    record.draining = !usable;
+    directory_.Upsert(record);
+  }
+
+  PlacementQuery QueryOf(const Caller& caller) {
+    PlacementQuery query;
+    query.host = kHost;
+    query.incarnation = Incarnation{1};
+    query.id = QueryId{++last_id_};
+    query.service = kService;
+    query.target_latency = kTarget;
+    query.target_gap = kGap;
+    query.prompt = kPrompt;
+    query.answer = Tokens{100};
+    query.until_late = kTarget;
+    query.until_deadline = caller.arrived_at + kDeadline - now_;
+    query.origin.request =
+        RequestFingerprint{AccountId{"press"}, caller.number, 1};
+    return query;
+  }
+
+  // Adds a caller that sends its prompt now. Returns its number.
+  std::uint64_t Arrive() {
+    const std::uint64_t number = callers_.size() + 1;
+    callers_[number] = Caller{number, now_};
+    Send(number);
+    return number;
+  }
+
+  void Send(std::uint64_t number) {
+    const PlacementQuery query = QueryOf(callers_.at(number));
+    numbers_[query.id] = number;
+    OnDecision(query.id, planner_->OnQuery(query));
+  }
+
+  void Run(Millis time) {
+    for (const TimePoint end = now_ + time; now_ < end;) {
+      now_ += kStep;
+      while (!due_.empty() && due_.begin()->first <= now_) {
+        const auto action = due_.begin()->second;
+        due_.erase(due_.begin());
+        action();
+      }
+      for (const DeferredReply& reply : planner_->ProcessWaitQueue()) {
+        OnDecision(reply.id, reply.decision);
+      }
+    }
+  }
+
+  // Returns the number of callers that were rejected at least `times`.
+  int RejectedTimes(int times) const {
+    return static_cast<int>(std::count_if(
+        callers_.begin(), callers_.end(), [times](const auto& entry) {
+          return entry.second.rejections >= times;
+        }));
+  }
+  const std::map<std::uint64_t, Caller>& Callers() const { return callers_; }
+  Planner& planner() { return *planner_; }
+  TimePoint Now() const { return now_; }
+  // If unset, rejected callers do not return.
+  bool callers_return = true;
+
+ private:
+  void OnDecision(QueryId id, const PlacementDecision& decision) {
+    Caller& caller = callers_.at(numbers_.at(id));
+    if (const auto* placed = std::get_if<PlannedPlacement>(&decision)) {
+      caller.placed_at = now_;
+      const TimePoint first_event =
+          now_ +
+          std::chrono::duration_cast<TimePoint::duration>(placed->first_event);
+      due_.emplace(first_event, [this, id] { Report(id, false); });
+      due_.emplace(first_event + kDecodeTime, [this, id] { Report(id, true); });
+    } else if (const auto* rejected = std::get_if<QueryRejected>(&decision)) {
+      ++caller.rejections;
+      // Hosts state the latency target if the planner states no time.
+      caller.told = now_ + rejected->retry_after.value_or(kTarget);
+      if (callers_return && caller.rejections == 1) {
+        due_.emplace(caller.told,
+                     [this, number = caller.number] { Send(number); });
+      }
+    }
+  }
+
+  void Report(QueryId id, bool ended) {
+    ProgressReport report{kHost, Incarnation{1}, {}, {}};
+    if (ended) {
+      report.ended.push_back(RequestDone{id, false});
+    } else {
+      report.read.push_back(PrefillDone{id, 1});
+    }
+    planner_->OnProgressReport(report);
+  }
+
+  TimePoint now_{std::chrono::hours(1)};
+  std::uint64_t last_random_ = 0;
+  std::uint64_t last_id_ = 0;
+  PlacementPolicy policy_;
+  EndpointDirectory directory_{[this] { return now_; }};
+  EndpointHealth health_{[this] { return now_; }};
+  ColdEndpoints cold_{[this] { return now_; }};
+  EndpointRateLimits limits_{[this] { return now_; }};
+  StartQuotas start_quotas_{ColdLimit{},      &cold_,
+                            &limits_,         HostBackoffs{},
+                            [] { return 1; }, [this] { return now_; }};
+  std::shared_ptr<const RoutingTable> table_;
+  std::unique_ptr<Planner> planner_;
+  std::map<std::uint64_t, Caller> callers_;
+  std::map<QueryId, std::uint64_t> numbers_;
+  std::multimap<TimePoint, std::function<void()>> due_;
+};
+
+constexpr int kBurst = 18;
+
+// Sends a burst of prompts that takes longer than callers wait for a first
+// event. Returns how many were rejected.
+int SendBurst(ReturnReplay* replay) {
+  for (int i = 0; i < kBurst; ++i) {
+    replay->Arrive();
+  }
+  replay->Run(kStep);
+  return replay->RejectedTimes(1);
+}
+
+TEST_CASE(
+    "Callers that return when they were told are placed then, before strangers "
+    "with the same prompt") {
+  ReturnReplay replay(ReserveEnginesAhead{});
+  const int rejected = SendBurst(&replay);
+  REQUIRE(rejected > 0);
+  // Strangers arrive just before the first caller returns.
+  TimePoint first_return = TimePoint::max();
+  for (const auto& [number, caller] : replay.Callers()) {
+    if (caller.rejections > 0) {
+      first_return = std::min(first_return, caller.told);
+    }
+  }
+  replay.Run(std::chrono::duration_cast<Millis>(first_return - replay.Now()) -
+             kStep);
+  const std::uint64_t first_stranger = replay.Arrive();
+  replay.Arrive();
+  replay.Run(kDeadline);
+  CHECK(replay.RejectedTimes(2) == 0);
+  const TimePoint stranger_placed =
+      replay.Callers().at(first_stranger).placed_at;
+  for (const auto& [number, caller] : replay.Callers()) {
+    if (number < first_stranger && caller.rejections > 0) {
+      CHECK(caller.placed_at >= caller.told);
+      CHECK(caller.placed_at <= caller.told + 20 * kStep);
+      CHECK(caller.placed_at < stranger_placed);
+    }
+  }
+  CHECK(replay.planner().PromiseTotals().kept ==
+        static_cast<std::uint64_t>(rejected));
+}
+
+TEST_CASE("Without plans ahead callers that return are rejected again") {
+  ReturnReplay replay(WhenEnginesAreFree{});
+  REQUIRE(SendBurst(&replay) > 0);
+  replay.Run(kDeadline);
+  CHECK(replay.RejectedTimes(2) > 0);
+}
+
+TEST_CASE("The room of callers that do not return is used by others") {
+  ReturnReplay replay(ReserveEnginesAhead{});
+  replay.callers_return = false;
+  REQUIRE(SendBurst(&replay) > 0);
+  // The prompts that wait are read after six seconds. What was promised
+  // follows.
+  replay.Run(Millis(6500));
+  const std::uint64_t stranger = replay.Arrive();
+  replay.Run(kTarget);
+  CHECK(replay.Callers().at(stranger).placed_at != TimePoint{});
+  replay.Run(kDeadline);
+  CHECK(replay.planner().PromiseCount() == 0);
+}
+
+TEST_CASE("A caller that returns early waits for the time that it was told") {
+  ReturnReplay replay(ReserveEnginesAhead{});
+  replay.callers_return = false;
+  REQUIRE(SendBurst(&replay) > 0);
+  std::uint64_t early = 0;
+  for (const auto& [number, caller] : replay.Callers()) {
+    early = caller.rejections > 0 ? number : early;
+  }
+  const TimePoint told = replay.Callers().at(early).told;
+  replay.Run(Millis(2000));
+  replay.Send(early);
+  replay.Run(kDeadline);
+  CHECK(replay.RejectedTimes(2) == 0);
+  CHECK(replay.Callers().at(early).placed_at >= told);
+  CHECK(replay.Callers().at(early).placed_at <= told + 20 * kStep);
+}
+
+TEST_CASE(
+    "A promise that is broken since engines have left is counted as that, and "
+    "its caller is told at once") {
+  ReturnReplay replay(ReserveEnginesAhead{});
+  REQUIRE(SendBurst(&replay) > 0);
+  replay.Run(Millis(3000));
+  for (int i = 1; i < kEngines; ++i) {
+    replay.SetEngine(i, false);
+  }
+  replay.Run(kDeadline);
+  CHECK(replay.RejectedTimes(2) > 0);
+  const PromiseCounts& counts = replay.planner().PromiseTotals();
+  CHECK(counts.broken > 0);
+  CHECK(counts.broken_engines_left == counts.broken);
+}
+
+TEST_CASE(
+    "A planner that has restarted empty serves who returns as a stranger") {
+  ReturnReplay replay(ReserveEnginesAhead{});
+  REQUIRE(SendBurst(&replay) > 0);
+  replay.StartPlanner();
+  replay.Run(kDeadline);
+  for (const auto& [number, caller] : replay.Callers()) {
+    if (caller.rejections > 0) {
+      CHECK(caller.placed_at >= caller.told);
+    }
+  }
+  CHECK(replay.planner().PromiseTotals().broken == 0);
+}
+
+}  // namespace
+}  // namespace harecrank
--- a/src/core/planner.cc
+++ b/src/core/planner.cc
@@ -38,6 +38,7 @@
           [] { return 1; }, policy, std::move(random)),
       promises_(clock),
       admission_control_(policy_, clock, &promises_),
+      room_admission_(&promises_),
       long_queue_(clock, policy_.long_order, policy_.shares_by_account),
       short_queue_(std::move(clock), policy_.short_order,
                    policy_.shares_by_account) {}
@@ -51,7 +52,23 @@
   return !unreported_hosts_.empty() && clock_() < learning_until_;
 }
 
+Planner::Entry Planner::NewEntry(const PlacementQuery& query) const {
+  const TimePoint now = clock_();
+  Entry entry;
+  entry.query = query;
+  entry.arrived_at = now;
+  entry.last_query_at = now;
+  entry.first_event_due =
+      now + std::chrono::duration_cast<TimePoint::duration>(query.until_late);
+  entry.deadline = now + std::chrono::duration_cast<TimePoint::duration>(
+                             query.until_deadline);
+  return entry;
+}
+
 PlacementDecision Planner::OnQuery(const PlacementQuery& query) {
+  if (query.wants_return_time) {
+    return OnReturnQuery(query);
+  }
   HostQueries* host = FindOrAddHost(query.host, query.incarnation);
   const auto [found, is_new] = host->queries.try_emplace(query.id);
   Entry& entry = found->second;
@@ -62,21 +79,20 @@
     }
     return QueryQueued{};
   }
-  entry.query = query;
-  entry.arrived_at = clock_();
-  entry.first_event_due =
-      clock_() +
-      std::chrono::duration_cast<TimePoint::duration>(query.until_late);
-  entry.deadline = clock_() + std::chrono::duration_cast<TimePoint::duration>(
-                                  query.until_deadline);
+  entry = NewEntry(query);
   auto request = RequestOf(entry);
   if (request.has_value() && IsShort(*request)) {
     entry.is_short = true;
     RecordDemand(*request);
   }
+  if (PlansAhead(entry)) {
+    ApplyPromise(&entry);
+    request = RequestOf(entry);
+  }
   if (request.has_value() && request->service->engine.has_value()) {
     const AdmissionCandidate candidate = CandidateOf(entry, *request);
-    entry.uses_admission_control = admission_control_.CanDecide(candidate);
+    entry.uses_admission_control =
+        !PlansAhead(entry) && admission_control_.CanDecide(candidate);
     if (const auto first_event_due = admission_control_.OnArrival(candidate)) {
       entry.has_reservation = true;
       entry.first_event_due = std::min(entry.first_event_due, *first_event_due);
@@ -87,6 +103,14 @@
     Enqueue(&entry, *request);
     return QueryQueued{};
   }
+  if (request.has_value() && PlansAhead(entry)) {
+    auto decision = PlanOnArrival(&entry, *request);
+    if (!entry.placed.has_value() &&
+        !std::holds_alternative<QueryQueued>(decision)) {
+      host->queries.erase(query.id);
+    }
+    return decision;
+  }
   const ShareRank share_rank = ShareRankOf(entry, request);
   // A request whose account has used more than its fair share leaves free
   // engines to the queued requests of accounts that have used less than theirs.
@@ -127,6 +151,7 @@
   request.may_have_run = entry.query.may_have_run;
   if (entry.is_short) {
     request.demand = DemandWithin(request.target_latency);
+    request.later_parts = LaterPartsDuring(request);
   }
   return request;
 }
@@ -157,17 +182,23 @@
   if (placement == nullptr) {
     return NoEndpoint{};
   }
-  for (const WorkPart& part : PartsOf(*placement, *request)) {
+  return RecordPlacement(entry, *request, *placement);
+}
+
+PlacementDecision Planner::RecordPlacement(Entry* entry,
+                                           const PlacementRequest& request,
+                                           const Placement& placement) {
+  for (const WorkPart& part : PartsOf(placement, request)) {
     entry->work.push_back(loads_.Begin(part, entry->first_event_due));
   }
-  start_quotas_->Add(*placement, *request->service, entry->query.host,
+  start_quotas_->Add(placement, *request.service, entry->query.host,
                      &granted_starts_);
-  entry->endpoint = placement->endpoint.id;
-  entry->placed = ToPlannedPlacement(*placement);
+  entry->endpoint = placement.endpoint.id;
+  entry->placed = ToPlannedPlacement(placement);
   entry->placed_at = clock_();
-  if (request->service->engine.has_value()) {
-    QueueOf(*entry).OnGranted(ShareClaimOf(*request));
-    admission_control_.OnStarted(CandidateOf(*entry, *request));
+  if (request.service->engine.has_value()) {
+    QueueOf(*entry).OnGranted(ShareClaimOf(request));
+    admission_control_.OnStarted(CandidateOf(*entry, request));
   }
   return *entry->placed;
 }
@@ -272,6 +303,7 @@
   long_queue_.ForgetGrants();
   short_queue_.ForgetGrants();
   promises_.Clear();
+  plan_ = {};
   unreported_hosts_.clear();
   learning_until_ = TimePoint{};
 }
