Keep promised room before all prompts without a promise

Who came back too early to wait for its time lost its promise. Ruled out: a shortage by itself; with the room kept, all fit. Change: prompts with a promise are planned first, also if they are late. Who returns early waits for its time, or is told it again if it would have to wait longer than callers wait for a first event. Expired promises are dropped at each tick, so that the gauge counts open ones. After (kept_returns_test): nobody refused twice, who returns is placed within 50 ms of the time that it was told and before the strangers; without plans ahead callers are refused again.

--- a/include/harecrank/core/long_prompt_schedule.h
+++ b/include/harecrank/core/long_prompt_schedule.h
@@ -28,7 +28,7 @@
   // The endpoints to which the prompt may be sent; all if empty.
   EndpointFilter may_use;
   // The room for this prompt was promised to its caller. It is planned before
-  // other prompts of its prospect.
+  // all prompts without a promise.
   bool has_promise = false;
   // The prompt's account has used more than its fair share of engine time. It
   // is planned after other prompts of its prospect.
@@ -60,8 +60,8 @@
 // Plans `prompts` on `timetable`, which holds all reservations afterwards.
 // Prompts that can meet their target come first, by least slack. The others are
 // planned on what these leave, by the time left until they are of no use, and a
-// prompt for which this time is nearly over goes before all others, so that
-// none starves. Returns one plan for each prompt, in the order in which they
+// prompt for which this time is nearly over goes before those, so that none
+// starves. Prompts with a promise go before all others. Returns one plan for each prompt, in the order in which they
 // were planned.
 std::vector<PromptPlan> PlanPrompts(const std::vector<WaitingPrompt>& prompts,
                                     EngineTimetable* timetable);
--- a/include/harecrank/core/planner.h
+++ b/include/harecrank/core/planner.h
@@ -101,7 +101,7 @@
   std::vector<DeferredReply> ProcessWaitQueue();
 
   // Removes hosts from which no query, progress report or heartbeat with work
-  // has arrived for kHostTimeout, and their work.
+  // has arrived for kHostTimeout, and their work. Drops expired promises.
   void RemoveSilentHosts();
 
   // Removes the state of all hosts. Must be called when another host becomes
@@ -311,8 +311,10 @@
   void AddPromises(const ServiceName& service,
                    std::vector<WaitingPrompt>* prompts);
   // Gives a query whose caller was told when to return its due time and, if
-  // room was promised, the place of the promise.
-  void ApplyPromise(Entry* entry);
+  // room was promised, the place of the promise. Returns a rejection with the
+  // same time if the caller has returned too early to wait for it.
+  std::optional<QueryRejected> ApplyPromise(Entry* entry,
+                                            const PlacementRequest& request);
   ReturningCaller ReturningCallerOf(const Entry& entry,
                                     const PlacementRequest& request) const;
   // Returns the time at which the caller of a request that was not run should
--- a/include/harecrank/core/return_promises.h
+++ b/include/harecrank/core/return_promises.h
@@ -118,6 +118,9 @@
   // request. Does not count it as made.
   void Restore(ReturnPromise promise);
 
+  // Removes the promises whose grace period is over.
+  void DropExpired();
+
   void Clear();
   std::size_t Count() const { return promises_.size(); }
   const PromiseCounts& Counts() const { return counts_; }
@@ -140,7 +143,6 @@
 
   // Returns whether the promise is due, up to the tolerance.
   bool IsDue(const ReturnPromise& promise) const;
-  void DropExpired();
   void Insert(ReturnPromise promise);
   void Erase(Promises::iterator found);
 
--- a/src/core/long_prompt_schedule.cc
+++ b/src/core/long_prompt_schedule.cc
@@ -25,8 +25,8 @@
   PromptPlanner(TimePoint now, EngineTimetable* timetable)
       : now_(now), timetable_(timetable) {}
 
-  // Plans the prompts that must start soon to be of any use, then those that
-  // can meet their target, and returns the others.
+  // Plans the prompts with a promise, those that must start soon to be of any
+  // use, and those that can meet their target. Returns the others.
   std::vector<const WaitingPrompt*> PlanInTime(
       const std::vector<WaitingPrompt>& prompts) {
     std::vector<const WaitingPrompt*> order;
@@ -35,7 +35,7 @@
       order.push_back(&prompt);
     }
     SortBy(&order, [this](const WaitingPrompt& prompt) {
-      return std::make_tuple(!Expires(prompt), !prompt.has_promise,
+      return std::make_tuple(!prompt.has_promise, !Expires(prompt),
                              prompt.is_over_share,
                              SlackUntil(prompt.first_event_due, prompt, now_));
     });
@@ -44,10 +44,10 @@
       auto planned = EarliestGroup(*prompt);
       const bool in_time = planned.has_value() &&
                            planned->prefill_end <= prompt->first_event_due;
-      const bool is_last_chance =
-          planned.has_value() && Expires(*prompt) &&
-          planned->prefill_end <= prompt->last_useful_event;
-      if (in_time || is_last_chance) {
+      const bool goes_first = prompt->has_promise || Expires(*prompt);
+      const bool is_of_use = planned.has_value() &&
+                             planned->prefill_end <= prompt->last_useful_event;
+      if (in_time || (goes_first && is_of_use)) {
         Reserve(*prompt, in_time ? Prospect::kInTime : Prospect::kLate,
                 *std::move(planned));
       } else {
--- a/src/core/planner.cc
+++ b/src/core/planner.cc
@@ -85,8 +85,11 @@
     entry.is_short = true;
     RecordDemand(*request);
   }
-  if (PlansAhead(entry)) {
-    ApplyPromise(&entry);
+  if (request.has_value() && PlansAhead(entry)) {
+    if (const auto rejected = ApplyPromise(&entry, *request)) {
+      host->queries.erase(query.id);
+      return *rejected;
+    }
     request = RequestOf(entry);
   }
   if (request.has_value() && request->service->engine.has_value()) {
@@ -285,6 +288,7 @@
 }
 
 void Planner::RemoveSilentHosts() {
+  promises_.DropExpired();
   const TimePoint now = clock_();
   for (auto it = hosts_.begin(); it != hosts_.end();) {
     const bool silent = now - it->second.last_heard > kHostTimeout;
--- a/src/core/planner_promises.cc
+++ b/src/core/planner_promises.cc
@@ -9,20 +9,27 @@
 
 namespace harecrank {
 
-void Planner::ApplyPromise(Entry* entry) {
+std::optional<QueryRejected> Planner::ApplyPromise(
+    Entry* entry, const PlacementRequest& request) {
   const ReturnPromise* promise = promises_.Find(entry->query.origin.request);
   if (promise == nullptr) {
-    return;
+    return std::nullopt;
   }
   entry->first_event_due =
       std::min(entry->first_event_due, promise->first_event_due);
   if (!promise->HasRoom()) {
-    return;
+    return std::nullopt;
+  }
+  // Who returns early waits here for the time that it was told, but not longer
+  // than a caller waits for a first event.
+  if (promise->return_at >= LastUsefulEvent(*entry, request) &&
+      !entry->query.may_have_run) {
+    return QueryRejected{promises_.Make(*promise)};
   }
-  // A caller that has returned early waits here for its time.
   entry->has_reservation = true;
   entry->promise = *promise;
   promises_.Cancel(entry->query.origin.request);
+  return std::nullopt;
 }
 
 void Planner::AddPromises(const ServiceName& service,
