Test that the room of callers who stay away is free after its grace time

The case waited for the last time told at the burst; callers that are refused later are told later ones.

--- a/src/core/kept_returns_test.cc
+++ b/src/core/kept_returns_test.cc
@@ -131,6 +131,14 @@
           return entry.second.rejections >= times;
         }));
   }
+  // Returns the latest time that a caller was told.
+  TimePoint LastTold() const {
+    TimePoint last{};
+    for (const auto& [number, caller] : callers_) {
+      last = std::max(last, caller.told);
+    }
+    return last;
+  }
   const std::map<std::uint64_t, Caller>& Callers() const { return callers_; }
   Planner& planner() { return *planner_; }
   TimePoint Now() const { return now_; }
@@ -256,12 +264,9 @@
   ReturnReplay replay(ReserveEnginesAhead{});
   replay.callers_return = false;
   REQUIRE(SendBurst(&replay) > 0);
-  TimePoint last_told{};
-  for (const auto& [number, caller] : replay.Callers()) {
-    last_told = std::max(last_told, caller.told);
+  while (replay.Now() <= replay.LastTold() + ReturnPromises::kRoomGrace) {
+    replay.Run(kStep);
   }
-  replay.Run(std::chrono::duration_cast<Millis>(last_told - replay.Now()) +
-             ReturnPromises::kRoomGrace + kStep);
   CHECK(replay.planner().PromiseCount() > 0);
   const std::uint64_t stranger = replay.Arrive();
   CHECK(replay.Callers().at(stranger).placed_at == replay.Now());
