Share the planner and engines of replay tests

The set-up of planner, directory and one engine service stood in five tests. testing/planned_engines.h has it for the new one; planner_schedule_test, planner_test, planner_shares_test and overload_admission_test could follow.

--- a/src/core/kept_returns_test.cc
+++ b/src/core/kept_returns_test.cc
@@ -6,16 +6,12 @@
 #include <catch2/catch.hpp>
 #include <functional>
 #include <map>
-#include <memory>
-#include <string>
 
-#include "harecrank/core/planner.h"
-#include "testing/engine_service.h"
+#include "testing/planned_engines.h"
 
 namespace harecrank {
 namespace {
 
-const ServiceName kService{"writers"};
 const HostAddress kHost{"h"};
 constexpr int kEngines = 4;
 constexpr Millis kStep{10};
@@ -27,6 +23,7 @@
 constexpr Tokens kPrompt{120000};
 constexpr Millis kTarget{1500};
 constexpr Millis kGap{600};
+constexpr Millis kTightestGap{300};
 constexpr Millis kDeadline{15000};
 constexpr Tokens kAnswer{10};
 constexpr Millis kDecodeTime{10};
@@ -42,41 +39,12 @@
 
 class ReturnReplay {
  public:
-  explicit ReturnReplay(const LongPlacing& long_placing) {
-    policy_.long_placing = long_placing;
-    for (int i = 0; i < kEngines; ++i) {
-      SetEngine(i, true);
-    }
-    RoutingDocument document;
-    document.version = RoutingVersion{1};
-    document.services = {testing::MakeEngineServiceProfile(kService)};
-    RouteRule route;
-    route.name = "any";
-    route.host = "a";
-    route.path_prefix = "/";
-    route.kind = RequestKind::kStreaming;
-    route.target_gap = Millis(300);
-    route.services = {WeightedService{kService, 1}};
-    document.routes = {std::make_shared<const RouteRule>(route)};
-    table_ = std::make_shared<const RoutingTable>(std::move(document));
-    StartPlanner();
-  }
-
-  // Starts a planner that knows nothing of the queries so far.
-  void StartPlanner() {
-    planner_ = std::make_unique<Planner>(
-        &directory_, &health_, &start_quotas_, DataCentreId{"a"},
-        [this] { return table_; }, policy_, [this] { return now_; },
-        [this] { return last_random_ += 77; });
-  }
+  explicit ReturnReplay(const LongPlacing& long_placing)
+      : engines_(kEngines, kTightestGap, PolicyOf(long_placing)) {}
 
+  void StartPlanner() { engines_.StartPlanner(); }
   void SetEngine(int number, bool usable) {
-    EndpointRecord record;
-    record.id = EndpointId{"e" + std::to_string(number)};
-    record.service = kService;
-    record.address = record.id.value + ":1";
-    record.draining = !usable;
-    directory_.Upsert(record);
+    engines_.SetEngine(number, usable);
   }
 
   PlacementQuery QueryOf(const Caller& caller) {
@@ -84,13 +52,13 @@
     query.host = kHost;
     query.incarnation = Incarnation{1};
     query.id = QueryId{++last_id_};
-    query.service = kService;
+    query.service = testing::kPlannedService;
     query.target_latency = kTarget;
     query.target_gap = kGap;
     query.prompt = kPrompt;
     query.answer = kAnswer;
     query.until_late = kTarget;
-    query.until_deadline = caller.arrived_at + kDeadline - now_;
+    query.until_deadline = caller.arrived_at + kDeadline - Now();
     query.origin.request =
         RequestFingerprint{AccountId{"press"}, caller.number, 1};
     return query;
@@ -99,7 +67,7 @@
   // Adds a caller that sends its prompt now. Returns its number.
   std::uint64_t Arrive() {
     const std::uint64_t number = callers_.size() + 1;
-    callers_[number] = Caller{number, now_};
+    callers_[number] = Caller{number, Now()};
     Send(number);
     return number;
   }
@@ -107,18 +75,18 @@
   void Send(std::uint64_t number) {
     const PlacementQuery query = QueryOf(callers_.at(number));
     numbers_[query.id] = number;
-    OnDecision(query.id, planner_->OnQuery(query));
+    OnDecision(query.id, planner().OnQuery(query));
   }
 
   void Run(Millis time) {
-    for (const TimePoint end = now_ + time; now_ < end;) {
-      now_ += kStep;
-      while (!due_.empty() && due_.begin()->first <= now_) {
+    for (const TimePoint end = Now() + time; Now() < end;) {
+      engines_.Advance(kStep);
+      while (!due_.empty() && due_.begin()->first <= Now()) {
         const auto action = due_.begin()->second;
         due_.erase(due_.begin());
         action();
       }
-      for (const DeferredReply& reply : planner_->ProcessWaitQueue()) {
+      for (const DeferredReply& reply : planner().ProcessWaitQueue()) {
         OnDecision(reply.id, reply.decision);
       }
     }
@@ -140,25 +108,31 @@
     return last;
   }
   const std::map<std::uint64_t, Caller>& Callers() const { return callers_; }
-  Planner& planner() { return *planner_; }
-  TimePoint Now() const { return now_; }
+  Planner& planner() { return engines_.planner(); }
+  TimePoint Now() const { return engines_.Now(); }
   // If unset, rejected callers do not return.
   bool callers_return = true;
 
  private:
+  static PlacementPolicy PolicyOf(const LongPlacing& long_placing) {
+    PlacementPolicy policy;
+    policy.long_placing = long_placing;
+    return policy;
+  }
+
   void OnDecision(QueryId id, const PlacementDecision& decision) {
     Caller& caller = callers_.at(numbers_.at(id));
     if (const auto* placed = std::get_if<PlannedPlacement>(&decision)) {
-      caller.placed_at = now_;
+      caller.placed_at = Now();
       const TimePoint first_event =
-          now_ +
+          Now() +
           std::chrono::duration_cast<TimePoint::duration>(placed->first_event);
       due_.emplace(first_event, [this, id] { Report(id, false); });
       due_.emplace(first_event + kDecodeTime, [this, id] { Report(id, true); });
     } else if (const auto* rejected = std::get_if<QueryRejected>(&decision)) {
       ++caller.rejections;
       // Hosts state the latency target if the planner states no time.
-      caller.told = now_ + rejected->retry_after.value_or(kTarget);
+      caller.told = Now() + rejected->retry_after.value_or(kTarget);
       if (callers_return && caller.rejections == 1) {
         due_.emplace(caller.told,
                      [this, number = caller.number] { Send(number); });
@@ -173,22 +147,11 @@
     } else {
       report.read.push_back(PrefillDone{id, 1});
     }
-    planner_->OnProgressReport(report);
+    planner().OnProgressReport(report);
   }
 
-  TimePoint now_{std::chrono::hours(1)};
-  std::uint64_t last_random_ = 0;
+  testing::PlannedEngines engines_;
   std::uint64_t last_id_ = 0;
-  PlacementPolicy policy_;
-  EndpointDirectory directory_{[this] { return now_; }};
-  EndpointHealth health_{[this] { return now_; }};
-  ColdEndpoints cold_{[this] { return now_; }};
-  EndpointRateLimits limits_{[this] { return now_; }};
-  StartQuotas start_quotas_{ColdLimit{},      &cold_,
-                            &limits_,         HostBackoffs{},
-                            [] { return 1; }, [this] { return now_; }};
-  std::shared_ptr<const RoutingTable> table_;
-  std::unique_ptr<Planner> planner_;
   std::map<std::uint64_t, Caller> callers_;
   std::map<QueryId, std::uint64_t> numbers_;
   std::multimap<TimePoint, std::function<void()>> due_;
