--- a/include/harecrank/core/engine_timetable.h
+++ b/include/harecrank/core/engine_timetable.h
@@ -80,15 +80,6 @@
       const LongPrompt& prompt, TimePoint not_before,
       const EndpointFilter& may_use) const;
 
-  // Returns the group that uses the least engine time, idle time before its
-  // start included, among those whose prefill ends by `end_by`. Larger groups
-  // use more: each part costs the passes that it waits for, and a group that
-  // waits for more engines keeps others idle. Returns the result of
-  // EarliestGroup if none ends by then.
-  std::optional<PlannedGroup> CheapestGroup(
-      const LongPrompt& prompt, TimePoint not_before, TimePoint end_by,
-      const EndpointFilter& may_use) const;
-
   // Reserves the engines of `planned` from its start to the end of its prefill.
   void Reserve(const PlannedGroup& planned);
 
@@ -140,10 +131,6 @@
   // nothing if there is none.
   static std::optional<TimePoint> EarliestStart(
       const std::vector<const Engine*>& engines, const Parts& parts);
-  // Returns the engines that `may_use` accepts.
-  std::vector<const Engine*> EnginesFor(const EndpointFilter& may_use) const;
-  // Returns the largest useful size of a group for the prompt.
-  std::size_t MaxCount(const LongPrompt& prompt, std::size_t engines) const;
   // Returns the index of the candidate's engine in `engines_`.
   std::size_t IndexOf(const EngineCandidate& candidate) const;
   // Returns the group of `count` engines that begin at `start`, or nothing if
--- a/src/core/engine_timetable.cc
+++ b/src/core/engine_timetable.cc
@@ -11,10 +11,6 @@
 // at the end of the next pass.
 constexpr double kPassesUntilFirstEvent = 1.5;
 
-// Assumed share of the time until its start for which an engine of a group is
-// idle: the engines become free one after the other.
-constexpr double kIdleShare = 0.5;
-
 TimePoint::duration ToClock(FractionalMillis time) {
   return std::chrono::duration_cast<TimePoint::duration>(time);
 }
@@ -143,7 +139,8 @@
   return planned;
 }
 
-std::vector<const EngineTimetable::Engine*> EngineTimetable::EnginesFor(
+std::optional<PlannedGroup> EngineTimetable::EarliestGroup(
+    const LongPrompt& prompt, TimePoint not_before,
     const EndpointFilter& may_use) const {
   std::vector<const Engine*> engines;
   engines.reserve(engines_.size());
@@ -152,63 +149,13 @@
       engines.push_back(&engine);
     }
   }
-  return engines;
-}
-
-std::size_t EngineTimetable::MaxCount(const LongPrompt& prompt,
-                                      std::size_t engines) const {
+  const TimePoint earliest = std::max(not_before, now_);
   const auto preferred_count = static_cast<std::size_t>(
       std::ceil(prompt.prefill_time / PreferredPart(*policy_, prompt)));
-  return std::min({preferred_count, engines, kMaxHelpers + 1});
-}
-
-std::optional<PlannedGroup> EngineTimetable::CheapestGroup(
-    const LongPrompt& prompt, TimePoint not_before, TimePoint end_by,
-    const EndpointFilter& may_use) const {
-  const std::vector<const Engine*> engines = EnginesFor(may_use);
-  const TimePoint earliest = std::max(not_before, now_);
-  const FractionalMillis longest_part =
-      std::max(LongestPart(*policy_, prompt), PreferredPart(*policy_, prompt));
-  const FractionalMillis until_event =
-      kPassesUntilFirstEvent * PassTime(*engine_, 1, prompt.needed);
-  std::optional<PlannedGroup> best;
-  FractionalMillis least_cost = FractionalMillis::max();
-  for (std::size_t count = 1; count <= MaxCount(prompt, engines.size());
-       ++count) {
-    const FractionalMillis part =
-        prompt.prefill_time / static_cast<double>(count);
-    const TimePoint latest = end_by - ToClock(part);
-    if (part > longest_part || latest < earliest) {
-      continue;
-    }
-    const auto start =
-        EarliestStart(engines, Parts{part, count, earliest, latest});
-    if (!start.has_value()) {
-      continue;
-    }
-    const FractionalMillis idle = kIdleShare * (*start - earliest);
-    const FractionalMillis cost =
-        static_cast<double>(count) * (idle + until_event);
-    if (cost >= least_cost) {
-      continue;
-    }
-    auto planned = GroupAt(engines, prompt, count, *start);
-    if (planned.has_value() && planned->prefill_end <= end_by) {
-      best = std::move(planned);
-      least_cost = cost;
-    }
-  }
-  return best.has_value() ? best : EarliestGroup(prompt, not_before, may_use);
-}
-
-std::optional<PlannedGroup> EngineTimetable::EarliestGroup(
-    const LongPrompt& prompt, TimePoint not_before,
-    const EndpointFilter& may_use) const {
-  const std::vector<const Engine*> engines = EnginesFor(may_use);
-  const TimePoint earliest = std::max(not_before, now_);
+  const std::size_t max_count =
+      std::min({preferred_count, engines.size(), kMaxHelpers + 1});
   std::optional<PlannedGroup> best;
-  for (std::size_t count = MaxCount(prompt, engines.size()); count > 0;
-       --count) {
+  for (std::size_t count = max_count; count > 0; --count) {
     const FractionalMillis part =
         prompt.prefill_time / static_cast<double>(count);
     // Smaller groups have longer parts, so none of them can end earlier.
--- a/src/core/long_prompt_schedule.cc
+++ b/src/core/long_prompt_schedule.cc
@@ -7,10 +7,6 @@
 namespace harecrank {
 namespace {
 
-// Share of the time left until a first event is due that a prompt may use. The
-// rest is kept for the error of the prediction.
-constexpr double kTimeShareUsed = 0.8;
-
 // Returns the prefill time of the prompt when all requested helpers take part.
 FractionalMillis LeastPrefillTime(const LongPrompt& prompt) {
   return prompt.prefill_time / static_cast<double>(kMaxHelpers + 1);
@@ -26,8 +22,8 @@
 // Plans the prompts one after the other on a timetable.
 class PromptPlanner {
  public:
-  PromptPlanner(TimePoint now, bool others_wait, EngineTimetable* timetable)
-      : now_(now), others_wait_(others_wait), timetable_(timetable) {}
+  PromptPlanner(TimePoint now, EngineTimetable* timetable)
+      : now_(now), timetable_(timetable) {}
 
   // Plans the prompts that must start soon to be of any use, then those that
   // can meet their target, and returns the others.
@@ -45,7 +41,7 @@
     });
     std::vector<const WaitingPrompt*> rest;
     for (const WaitingPrompt* prompt : order) {
-      auto planned = GroupFor(*prompt);
+      auto planned = EarliestGroup(*prompt);
       const bool in_time = planned.has_value() &&
                            planned->prefill_end <= prompt->first_event_due;
       const bool is_last_chance =
@@ -70,7 +66,7 @@
     for (const WaitingPrompt* prompt : prompts) {
       const TimePoint last =
           prompt->may_have_run ? TimePoint::max() : prompt->last_useful_event;
-      auto planned = GroupFor(*prompt);
+      auto planned = EarliestGroup(*prompt);
       if (planned.has_value() && planned->prefill_end <= last) {
         Reserve(*prompt, Prospect::kLate, *std::move(planned));
       } else {
@@ -100,20 +96,8 @@
            prompt.prompt.target;
   }
 
-  // Returns the group with which the prompt is planned. While others wait, a
-  // prompt takes no more engine time than it needs to meet its target.
-  std::optional<PlannedGroup> GroupFor(const WaitingPrompt& prompt) const {
-    if (!others_wait_) {
-      return timetable_->EarliestGroup(prompt.prompt, prompt.not_before,
-                                       prompt.may_use);
-    }
-    const bool is_late = prompt.first_event_due < now_;
-    const TimePoint due =
-        is_late ? prompt.last_useful_event : prompt.first_event_due;
-    const FractionalMillis left = kTimeShareUsed * (due - now_);
-    const TimePoint end_by =
-        now_ + std::chrono::duration_cast<TimePoint::duration>(left);
-    return timetable_->CheapestGroup(prompt.prompt, prompt.not_before, end_by,
+  std::optional<PlannedGroup> EarliestGroup(const WaitingPrompt& prompt) const {
+    return timetable_->EarliestGroup(prompt.prompt, prompt.not_before,
                                      prompt.may_use);
   }
 
@@ -124,7 +108,6 @@
   }
 
   TimePoint now_;
-  bool others_wait_;
   EngineTimetable* timetable_;
   std::vector<PromptPlan> plans_;
 };
@@ -133,7 +116,7 @@
 
 std::vector<PromptPlan> PlanPrompts(const std::vector<WaitingPrompt>& prompts,
                                     EngineTimetable* timetable) {
-  PromptPlanner planner(timetable->Now(), prompts.size() > 1, timetable);
+  PromptPlanner planner(timetable->Now(), timetable);
   planner.PlanLate(planner.PlanInTime(prompts));
   return std::move(planner).Plans();
 }
