--- a/src/core/planner.cc
+++ b/src/core/planner.cc
@@ -56,18 +56,16 @@
   Entry& entry = found->second;
   entry.last_query_at = clock_();
   if (!is_new) {
-    if (entry.placed.has_value()) {
-      return *entry.placed;
-    }
-    return QueryQueued{};
+    return entry.placed.has_value() ? PlacementDecision(*entry.placed)
+                                    : QueryQueued{};
   }
   entry.query = query;
-  entry.arrived_at = clock_();
-  entry.first_event_due =
-      clock_() +
-      std::chrono::duration_cast<TimePoint::duration>(query.until_late);
-  entry.deadline = clock_() + std::chrono::duration_cast<TimePoint::duration>(
-                                  query.until_deadline);
+  using std::chrono::duration_cast;
+  using Duration = TimePoint::duration;
+  const TimePoint now = clock_();
+  entry.arrived_at = now;
+  entry.first_event_due = now + duration_cast<Duration>(query.until_late);
+  entry.deadline = now + duration_cast<Duration>(query.until_deadline);
   auto request = RequestOf(entry);
   if (request.has_value() && IsShort(*request)) {
     entry.is_short = true;
