--- a/src/core/planner.cc
+++ b/src/core/planner.cc
@@ -74,10 +74,8 @@
   Entry& entry = found->second;
   entry.last_query_at = clock_();
   if (!is_new) {
-    if (entry.placed.has_value()) {
-      return *entry.placed;
-    }
-    return QueryQueued{};
+    return entry.placed.has_value() ? PlacementDecision(*entry.placed)
+                                    : QueryQueued{};
   }
   entry = NewEntry(query);
   auto request = RequestOf(entry);
@@ -90,7 +88,6 @@
       host->queries.erase(query.id);
       return *rejected;
     }
-    request = RequestOf(entry);
   }
   if (request.has_value() && request->service->engine.has_value()) {
     const AdmissionCandidate candidate = CandidateOf(entry, *request);
@@ -99,8 +96,8 @@
     if (const auto first_event_due = admission_control_.OnArrival(candidate)) {
       entry.has_reservation = true;
       entry.first_event_due = std::min(entry.first_event_due, *first_event_due);
-      request = RequestOf(entry);
     }
+    request = RequestOf(entry);
   }
   if (IsLearning() && request.has_value()) {
     Enqueue(&entry, *request);
@@ -108,8 +105,7 @@
   }
   if (request.has_value() && PlansAhead(entry)) {
     auto decision = PlanOnArrival(&entry, *request);
-    if (!entry.placed.has_value() &&
-        !std::holds_alternative<QueryQueued>(decision)) {
+    if (!entry.placed.has_value() && !entry.queue_id.has_value()) {
       host->queries.erase(query.id);
     }
     return decision;
