--- a/include/harecrank/core/fleet_messages.h
+++ b/include/harecrank/core/fleet_messages.h
@@ -148,6 +148,10 @@
   // The data centres in which the request may run, by the configuration that
   // the host uses.
   PermittedDataCentres permitted;
+  // Set if the host can no longer send the request to an endpoint and wants no
+  // placement, only the time at which its caller should return. The decision is
+  // then a rejection.
+  bool wants_return_time = false;
 };
 
 // A helper endpoint and the number of tokens of the request's KV memory that it
--- a/include/harecrank/core/planner.h
+++ b/include/harecrank/core/planner.h
@@ -31,6 +31,8 @@
 #include "harecrank/core/fleet_messages.h"
 #include "harecrank/core/long_prompt_schedule.h"
 #include "harecrank/core/placement.h"
+#include "harecrank/core/return_promises.h"
+#include "harecrank/core/room_admission.h"
 #include "harecrank/core/routing_table.h"
 #include "harecrank/core/start_quotas.h"
 #include "harecrank/core/wait_queue.h"
@@ -80,7 +82,8 @@
   void Begin(const std::vector<HostAddress>& hosts);
 
   // Decides on a query. If a query is repeated, the planner repeats its
-  // placement, or QueryQueued while it waits, and does not place it twice.
+  // placement, or QueryQueued while it waits, and does not place it twice. A
+  // query that wants only a return time is answered with QueryRejected.
   PlacementDecision OnQuery(const PlacementQuery& query);
 
   // Records which placed requests have finished their prefill, and which have
@@ -98,7 +101,7 @@
   std::vector<DeferredReply> ProcessWaitQueue();
 
   // Removes hosts from which no query, progress report or heartbeat with work
-  // has arrived for kHostTimeout, and their work.
+  // has arrived for kHostTimeout, and their work. Drops expired promises.
   void RemoveSilentHosts();
 
   // Removes the state of all hosts. Must be called when another host becomes
@@ -121,16 +124,10 @@
   std::size_t OverShareAccounts() const {
     return long_queue_.OverShareAccounts();
   }
-  // Number of rejected callers that hold a reservation for their retry.
-  std::size_t ReservationCount() const {
-    return admission_control_.ReservationCount();
-  }
-  // Counts since the process started: reservations made, retries with a
-  // reservation that were placed, and retries with a reservation that were
-  // rejected again.
-  const ReservationCounts& ReservationTotals() const {
-    return admission_control_.Counts();
-  }
+  // Number of rejected callers that were told when to return and have not
+  // returned yet.
+  std::size_t PromiseCount() const { return promises_.Count(); }
+  const PromiseCounts& PromiseTotals() const { return promises_.Counts(); }
 
   const PlanningCounts& PlanningTotals() const { return planning_counts_; }
   // Returns the delays until the planned starts of the queued long prompts, as
@@ -162,6 +159,8 @@
   // Maximum number of queued prompts that are planned ahead in one pass; the
   // others keep waiting.
   static constexpr std::size_t kMaxPlannedPrompts = 32;
+  // Maximum number of promises that take part in a pass.
+  static constexpr std::size_t kMaxPlannedPromises = 16;
   // Time for which a plan is used. The queue is processed more often than this
   // while prompts wait.
   static constexpr Millis kPlanLifetime{100};
@@ -191,6 +190,9 @@
     // Whether the request was rejected earlier with a retry time and its caller
     // has now retried at that time.
     bool has_reservation = false;
+    // The promise in whose place the query waits, if its room is on the
+    // timetable.
+    std::optional<ReturnPromise> promise;
     std::optional<PlannedPlacement> placed;
     // Ids of the request's work in `loads_`; empty if it has not been placed.
     std::vector<WorkId> work;
@@ -216,6 +218,8 @@
   // new incarnation, the queries of its previous incarnation are removed.
   HostQueries* FindOrAddHost(const HostAddress& address,
                              Incarnation incarnation);
+  // Returns the entry of a query that arrives now.
+  Entry NewEntry(const PlacementQuery& query) const;
   // Tries to place the query and records its work. Returns the placement,
   // NoEndpoint, or nothing if the query must wait for an engine.
   std::optional<PlacementDecision> TryPlace(Entry* entry);
@@ -292,14 +296,34 @@
   // Plans the queued long prompts, places those whose start has come, and
   // rejects those without room. Adds the replies to `replies`.
   void PlanLongQueue(std::vector<DeferredReply>* replies);
-  // Plans the queued prompts `ids`, which are of the same service.
-  void PlanService(const std::vector<WaitingRequestId>& ids,
+  // Plans the queued prompts `ids`, which are of `service`.
+  void PlanService(const ServiceName& service,
+                   const std::vector<WaitingRequestId>& ids,
                    std::vector<DeferredReply>* replies);
   // Returns the timetable of the engines of the request's service.
   EngineTimetable TimetableFor(const PlacementRequest& request) const;
   // Returns the query as input for the schedule.
   WaitingPrompt WaitingPromptOf(const Entry& entry,
                                 const PlacementRequest& request) const;
+  // Returns the queued prompts of `service` that are planned in a pass.
+  std::vector<WaitingPrompt> QueuedPromptsOf(const ServiceName& service) const;
+  // Adds the prompts for which room is promised on the timetable of `service`.
+  void AddPromises(const ServiceName& service,
+                   std::vector<WaitingPrompt>* prompts);
+  // Gives a query whose caller was told when to return its due time and, if
+  // room was promised, the place of the promise. Returns a rejection with the
+  // same time if the caller has returned too early to wait for it.
+  std::optional<QueryRejected> ApplyPromise(Entry* entry,
+                                            const PlacementRequest& request);
+  ReturningCaller ReturningCallerOf(const Entry& entry,
+                                    const PlacementRequest& request) const;
+  // Returns the time at which the caller of a request that was not run should
+  // return; unset if requests of this kind are not planned ahead.
+  QueryRejected OnReturnQuery(const PlacementQuery& query);
+  // Returns the latest first event after which the answer ends before the
+  // deadline.
+  TimePoint LastEventBeforeDeadline(const Entry& entry,
+                                    const PlacementRequest& request) const;
   // Returns the time after which a first event is of no use.
   TimePoint LastUsefulEvent(const Entry& entry,
                             const PlacementRequest& request) const;
@@ -308,13 +332,14 @@
   bool IsOfNoUse(const Entry& entry) const;
   // Returns the decision that follows from the plan for a prompt, or nothing if
   // the prompt waits. `timetable` holds all reservations of the pass.
-  std::optional<PlacementDecision> DecideOnPlan(
-      Entry* entry, const PromptPlan& plan, const EngineTimetable& timetable);
+  std::optional<PlacementDecision> DecideOnPlan(Entry* entry,
+                                                const PromptPlan& plan,
+                                                EngineTimetable* timetable);
   // Returns the rejection of a prompt that has no room, or nothing if it waits
   // all the same.
-  std::optional<QueryRejected> RejectionWithoutRoom(
-      const Entry& entry, const PromptPlan& plan,
-      const EngineTimetable& timetable) const;
+  std::optional<QueryRejected> RejectionWithoutRoom(const Entry& entry,
+                                                    const PromptPlan& plan,
+                                                    EngineTimetable* timetable);
   // Places the prompt on `group`, or returns nothing if that cannot be done.
   std::optional<PlacementDecision> StartPlanned(Entry* entry,
                                                 const PlannedGroup& planned,
@@ -341,7 +366,9 @@
   // endpoint.
   StartHistory granted_starts_;
   Placer placer_;
+  ReturnPromises promises_;
   AdmissionControl admission_control_;
+  RoomAdmission room_admission_;
   // The plan of the latest pass over the queue of long prompts.
   struct Plan {
     TimePoint made_at{};
--- a/src/core/fleet_message_decoding.cc
+++ b/src/core/fleet_message_decoding.cc
@@ -254,9 +254,10 @@
     query.withheld = ReadIds<EndpointId>(reader->Next());
   }
   if (size > kSizeWithoutWithheld + 1) {
-    if (const json& permitted = reader->Next(); !permitted.is_null()) {
-      query.permitted = ReadIds<DataCentreId>(permitted);
-    }
+    query.wants_return_time = reader->Take<bool>();
+  }
+  if (size > kSizeWithoutWithheld + 2) {
+    query.permitted = ReadIds<DataCentreId>(reader->Next());
   }
   return query;
 }
--- a/src/core/fleet_message_encoding.cc
+++ b/src/core/fleet_message_encoding.cc
@@ -150,9 +150,13 @@
          query.origin.priority});
     // The remaining elements are omitted if they are empty.
     const bool has_permitted = query.permitted.has_value();
-    if (!query.withheld.empty() || has_permitted) {
+    const bool has_return = query.wants_return_time || has_permitted;
+    if (!query.withheld.empty() || has_return) {
       array.push_back(EncodeIds(query.withheld));
     }
+    if (has_return) {
+      array.push_back(query.wants_return_time);
+    }
     if (has_permitted) {
       array.push_back(EncodeIds(*query.permitted));
     }
--- a/src/core/planner.cc
+++ b/src/core/planner.cc
@@ -36,7 +36,9 @@
       placer_(
           directory, &loads_, health, std::move(self), LoadScope::kAllHosts,
           [] { return 1; }, policy, std::move(random)),
-      admission_control_(policy_, clock),
+      promises_(clock),
+      admission_control_(policy_, clock, &promises_),
+      room_admission_(&promises_),
       long_queue_(clock, policy_.long_order, policy_.shares_by_account),
       short_queue_(std::move(clock), policy_.short_order,
                    policy_.shares_by_account) {}
@@ -50,29 +52,43 @@
   return !unreported_hosts_.empty() && clock_() < learning_until_;
 }
 
+Planner::Entry Planner::NewEntry(const PlacementQuery& query) const {
+  const TimePoint now = clock_();
+  Entry entry;
+  entry.query = query;
+  entry.arrived_at = now;
+  entry.last_query_at = now;
+  entry.first_event_due =
+      now + std::chrono::duration_cast<TimePoint::duration>(query.until_late);
+  entry.deadline = now + std::chrono::duration_cast<TimePoint::duration>(
+                             query.until_deadline);
+  return entry;
+}
+
 PlacementDecision Planner::OnQuery(const PlacementQuery& query) {
+  if (query.wants_return_time) {
+    return OnReturnQuery(query);
+  }
   HostQueries* host = FindOrAddHost(query.host, query.incarnation);
   const auto [found, is_new] = host->queries.try_emplace(query.id);
   Entry& entry = found->second;
   entry.last_query_at = clock_();
   if (!is_new) {
-    if (entry.placed.has_value()) {
-      return *entry.placed;
-    }
-    return QueryQueued{};
+    return entry.placed.has_value() ? PlacementDecision(*entry.placed)
+                                    : QueryQueued{};
   }
-  entry.query = query;
-  entry.arrived_at = clock_();
-  entry.first_event_due =
-      clock_() +
-      std::chrono::duration_cast<TimePoint::duration>(query.until_late);
-  entry.deadline = clock_() + std::chrono::duration_cast<TimePoint::duration>(
-                                  query.until_deadline);
+  entry = NewEntry(query);
   auto request = RequestOf(entry);
   if (request.has_value() && IsShort(*request)) {
     entry.is_short = true;
     RecordDemand(*request);
   }
+  if (request.has_value() && PlansAhead(entry)) {
+    if (const auto rejected = ApplyPromise(&entry, *request)) {
+      host->queries.erase(query.id);
+      return *rejected;
+    }
+  }
   if (request.has_value() && request->service->engine.has_value()) {
     const AdmissionCandidate candidate = CandidateOf(entry, *request);
     entry.uses_admission_control =
@@ -80,8 +96,8 @@
     if (const auto first_event_due = admission_control_.OnArrival(candidate)) {
       entry.has_reservation = true;
       entry.first_event_due = std::min(entry.first_event_due, *first_event_due);
-      request = RequestOf(entry);
     }
+    request = RequestOf(entry);
   }
   if (IsLearning() && request.has_value()) {
     Enqueue(&entry, *request);
@@ -89,8 +105,7 @@
   }
   if (request.has_value() && PlansAhead(entry)) {
     auto decision = PlanOnArrival(&entry, *request);
-    if (!entry.placed.has_value() &&
-        !std::holds_alternative<QueryQueued>(decision)) {
+    if (!entry.placed.has_value() && !entry.queue_id.has_value()) {
       host->queries.erase(query.id);
     }
     return decision;
@@ -270,6 +285,7 @@
 }
 
 void Planner::RemoveSilentHosts() {
+  promises_.DropExpired();
   const TimePoint now = clock_();
   for (auto it = hosts_.begin(); it != hosts_.end();) {
     const bool silent = now - it->second.last_heard > kHostTimeout;
@@ -287,7 +303,7 @@
   hosts_.clear();
   long_queue_.ForgetGrants();
   short_queue_.ForgetGrants();
-  admission_control_.Clear();
+  promises_.Clear();
   plan_ = {};
   unreported_hosts_.clear();
   learning_until_ = TimePoint{};
--- a/src/core/planner_schedule.cc
+++ b/src/core/planner_schedule.cc
@@ -41,8 +41,13 @@
     if (!timetable.HasEngineFor(prompt.may_use)) {
       decision = TryPlace(entry);
     } else {
-      const auto plans = PlanPrompts({prompt}, &timetable);
-      decision = DecideOnPlan(entry, plans.front(), timetable);
+      std::vector<WaitingPrompt> prompts = {prompt};
+      AddPromises(request.service->name, &prompts);
+      const auto plans = PlanPrompts(prompts, &timetable);
+      const auto plan = std::find_if(
+          plans.begin(), plans.end(),
+          [&prompt](const PromptPlan& one) { return one.id == prompt.id; });
+      decision = DecideOnPlan(entry, *plan, &timetable);
     }
   }
   if (decision.has_value()) {
@@ -70,11 +75,12 @@
     }
   }
   for (const auto& [service, ids] : by_service) {
-    PlanService(ids, replies);
+    PlanService(service, ids, replies);
   }
 }
 
-void Planner::PlanService(const std::vector<WaitingRequestId>& ids,
+void Planner::PlanService(const ServiceName& service,
+                          const std::vector<WaitingRequestId>& ids,
                           std::vector<DeferredReply>* replies) {
   std::optional<EngineTimetable> timetable;
   std::vector<WaitingPrompt> prompts;
@@ -98,10 +104,14 @@
   if (prompts.empty()) {
     return;
   }
+  AddPromises(service, &prompts);
   for (const PromptPlan& plan : PlanPrompts(prompts, &*timetable)) {
+    if (ReturnPromises::IsPromise(plan.id)) {
+      continue;
+    }
     const QueryKey key = long_query_keys_.at(plan.id);
     Entry& entry = hosts_.at(key.host).queries.at(key.id);
-    if (auto decision = DecideOnPlan(&entry, plan, *timetable)) {
+    if (auto decision = DecideOnPlan(&entry, plan, &*timetable)) {
       EndWait(key, *std::move(decision), replies);
     } else if (plan.planned.has_value()) {
       plan_.starts.push_back(std::chrono::duration_cast<Millis>(
@@ -126,6 +136,9 @@
   prompt.last_useful_event = LastUsefulEvent(entry, request);
   prompt.may_use = FilterFor(request);
   prompt.has_promise = entry.has_reservation;
+  if (entry.promise.has_value()) {
+    prompt.not_before = entry.promise->return_at;
+  }
   prompt.is_over_share =
       policy_.shares_by_account &&
       long_queue_.AccountsOverShare().count(ShareClaimOf(request).account) > 0;
@@ -133,20 +146,22 @@
   return prompt;
 }
 
-TimePoint Planner::LastUsefulEvent(const Entry& entry,
-                                   const PlacementRequest& request) const {
-  const TimePoint timeout =
-      After(entry.arrived_at, FirstEventTimeout(request, policy_));
+TimePoint Planner::LastEventBeforeDeadline(
+    const Entry& entry, const PlacementRequest& request) const {
   if (entry.query.until_deadline <= FractionalMillis(0)) {
-    return timeout;
+    return TimePoint::max();
   }
-  const FractionalMillis decode_time =
-      Placer::DecodeTimeOn(request, EndpointLoad{});
-  return std::min(timeout, After(entry.deadline, -decode_time));
+  return After(entry.deadline, -Placer::DecodeTimeOn(request, EndpointLoad{}));
+}
+
+TimePoint Planner::LastUsefulEvent(const Entry& entry,
+                                   const PlacementRequest& request) const {
+  return std::min(After(entry.arrived_at, FirstEventTimeout(request, policy_)),
+                  LastEventBeforeDeadline(entry, request));
 }
 
 std::optional<PlacementDecision> Planner::DecideOnPlan(
-    Entry* entry, const PromptPlan& plan, const EngineTimetable& timetable) {
+    Entry* entry, const PromptPlan& plan, EngineTimetable* timetable) {
   if (plan.prospect == Prospect::kNoRoom) {
     const auto rejected = RejectionWithoutRoom(*entry, plan, timetable);
     planning_counts_.no_room += rejected.has_value() ? 1 : 0;
@@ -154,8 +169,8 @@
                ? std::make_optional<PlacementDecision>(*rejected)
                : std::nullopt;
   }
-  if (plan.planned->start <= timetable.Now()) {
-    return StartPlanned(entry, *plan.planned, timetable.EngineCount());
+  if (plan.planned->start <= timetable->Now()) {
+    return StartPlanned(entry, *plan.planned, timetable->EngineCount());
   }
   planning_counts_.planned_ahead += entry->planned_ahead ? 0 : 1;
   entry->planned_ahead = true;
@@ -163,15 +178,14 @@
 }
 
 std::optional<QueryRejected> Planner::RejectionWithoutRoom(
-    const Entry& entry, const PromptPlan& plan,
-    const EngineTimetable& /*timetable*/) const {
-  if (entry.query.may_have_run) {
+    const Entry& entry, const PromptPlan& plan, EngineTimetable* timetable) {
+  const auto request = RequestOf(entry);
+  if (!request.has_value()) {
     return std::nullopt;
   }
-  // Without a group, the engines may still get room for the prompt, so it waits
-  // as long as that is of use.
-  const bool waits = !plan.planned.has_value() && !IsOfNoUse(entry);
-  return waits ? std::nullopt : std::make_optional(QueryRejected{});
+  return room_admission_.RejectionOf(WaitingPromptOf(entry, *request), plan,
+                                     ReturningCallerOf(entry, *request),
+                                     timetable);
 }
 
 bool Planner::IsOfNoUse(const Entry& entry) const {
--- a/src/gateway/planner_service.cc
+++ b/src/gateway/planner_service.cc
@@ -26,7 +26,7 @@
         std::holds_alternative<QueryQueued>(reply.decision)) {
       ProcessWaitQueueSoon();
     }
-    LogRejection(query.host, query.id, reply.decision);
+    LogRejection(query.host, query.id, reply.decision, query.wants_return_time);
   } else if (planner.has_value()) {
     reply.decision = NotPlanner{*planner};
   }
@@ -34,7 +34,8 @@
 }
 
 void PlannerService::LogRejection(const HostAddress& host, QueryId id,
-                                  const PlacementDecision& decision) {
+                                  const PlacementDecision& decision,
+                                  bool not_run) {
   const auto* rejected = std::get_if<QueryRejected>(&decision);
   if (rejected == nullptr || !rejected->retry_after.has_value()) {
     return;
@@ -43,7 +44,8 @@
               {{"host", host.value},
                {"ask", id.value},
                {"return_after_ms", rejected->retry_after->count()},
-               {"promises", planner_->ReservationCount()}});
+               {"not_run", not_run},
+               {"promises", planner_->PromiseCount()}});
 }
 
 void PlannerService::OnProgressReport(const ProgressReport& report) {
@@ -77,7 +79,7 @@
   metrics_->GetHistogram("harecrank_gateway_planning_seconds")
       ->Record(clock_() - began);
   for (DeferredReply& due : replies) {
-    LogRejection(due.host, due.id, due.decision);
+    LogRejection(due.host, due.id, due.decision, false);
     ports_.send(due.host, PlacementReply{self_, due.incarnation, due.id,
                                          std::move(due.decision)});
   }
