--- a/include/harecrank/core/fleet_message_kinds.h
+++ b/include/harecrank/core/fleet_message_kinds.h
@@ -15,7 +15,9 @@
   kReply = 3,
   kProgress = 4,
   kChanges = 5,
-  kCrashes = 6
+  kCrashes = 6,
+  kPlannerUpdate = 7,
+  kPlannerStateRequest = 8
 };
 
 // Wire number of a PlacementDecision's alternative; the first element of its
@@ -28,6 +30,9 @@
   kNotPlanner = 5
 };
 
+// Wire number of the alternative of PlannerRecord::state.
+enum class RecordKind { kQueued = 1, kPlaced = 2, kEnded = 3 };
+
 }  // namespace harecrank
 
 #endif  // HARECRANK_CORE_FLEET_MESSAGE_KINDS_H_
--- a/include/harecrank/core/fleet_messages.h
+++ b/include/harecrank/core/fleet_messages.h
@@ -33,6 +33,16 @@
 // Identifies one placement query. Unique within one incarnation of a host.
 using QueryId = StrongNumber<struct QueryTag, std::uint64_t>;
 
+// Identifies a query among the queries of all hosts.
+struct QueryKey {
+  HostAddress host;
+  QueryId id;
+
+  friend bool operator<(const QueryKey& a, const QueryKey& b) {
+    return a.host != b.host ? a.host < b.host : a.id < b.id;
+  }
+};
+
 // CPU share: the number of cores, possibly a fraction, that a host may use.
 // Hosts with a greater share are preferred as the planner.
 using CpuShare = StrongNumber<struct CpuShareTag, double>;
@@ -232,10 +242,65 @@
   std::vector<CrashReport> reports;
 };
 
+// A query that waits in the planner's queue.
+struct QueuedRecord {
+  // The query, with the times that were left when the record was made.
+  PlacementQuery query;
+  // Time since the query arrived at the planner.
+  FractionalMillis age{0};
+  // Whether the caller's retry holds a reservation.
+  bool has_reservation = false;
+  // Queries that arrived earlier at the same queue have smaller numbers.
+  std::uint64_t position = 0;
+};
+// A request that was placed and has not ended.
+struct PlacedRecord {
+  // Unset if the planner knows only the work, from a heartbeat.
+  std::optional<PlannedPlacement> placement;
+  QueryWork work;
+  // Time since the request was placed.
+  FractionalMillis age{0};
+  // Time that was left until the first event is late.
+  FractionalMillis until_late{0};
+};
+// A request that has ended or was rejected.
+struct EndedRecord {};
+
+// What the planner knows of one query.
+struct PlannerRecord {
+  HostAddress host;
+  Incarnation incarnation;
+  QueryId id;
+  std::variant<QueuedRecord, PlacedRecord, EndedRecord> state;
+};
+
+// The queries whose state has changed since the planner's previous update. Sent
+// to the standbys, the hosts that may become the next planner.
+struct PlannerUpdate {
+  HostAddress from;
+  Incarnation incarnation;
+  // Number of the update. Each update has the number of the previous one plus
+  // one.
+  std::uint64_t sequence = 0;
+  // Whether the records that the receiver holds are obsolete: this update and
+  // the following ones contain all queries.
+  bool restarts = false;
+  // Whether the next update follows at once because the records did not fit
+  // into this one.
+  bool has_more = false;
+  std::vector<PlannerRecord> records;
+};
+
+// Asks the planner for an update that restarts, since an update was lost.
+struct PlannerStateRequest {
+  HostAddress from;
+};
+
 // Any message between hosts.
 using FleetMessage =
     std::variant<Heartbeat, PlacementQuery, PlacementReply, ProgressReport,
-                 PublishedChanges, CrashReports>;
+                 PublishedChanges, CrashReports, PlannerUpdate,
+                 PlannerStateRequest>;
 
 // Encodes `message` as CBOR.
 std::string EncodeFleetMessage(const FleetMessage& message);
--- a/include/harecrank/core/membership.h
+++ b/include/harecrank/core/membership.h
@@ -47,6 +47,9 @@
   // cannot be the planner.
   void OnUnresponsive(const HostAddress& host);
 
+  // Returns whether `host` is suspect.
+  bool IsSuspect(const HostAddress& host) const;
+
   // Records that `host` has answered a query with NotPlanner and regards
   // `planner` as the planner.
   void OnRedirect(const HostAddress& host, const HostAddress& planner);
@@ -76,6 +79,11 @@
   // them.
   std::vector<KnownHost> PartialViewFor(const HostAddress& recipient);
 
+  // Called on the planner: returns up to `limit` other hosts, the one first
+  // that would become the planner if this host failed. Hosts that leave or are
+  // suspect are not returned.
+  std::vector<HostAddress> Successors(std::size_t limit) const;
+
   // Called on the planner: returns the other hosts that should poll the store
   // for the fleet. Hosts whose polls the store answers come first, then the
   // hosts of highest rank. Of the latter, hosts whose poll failed less than
--- a/include/harecrank/core/planner.h
+++ b/include/harecrank/core/planner.h
@@ -64,6 +64,14 @@
   // and a long prompt placed on them would make their short prompts late.
   void Begin(const std::vector<HostAddress>& hosts);
 
+  // Adds the queued queries and the work of a previous planner to what this
+  // planner, which must have begun, knows already. If `complete`, the records
+  // are all that the previous planner knew, and this planner places queries
+  // without waiting for the reports of the hosts. Returns the number of records
+  // that were used; a queued query whose time is up, or whose service no longer
+  // exists, is not.
+  std::size_t Restore(const std::vector<PlannerRecord>& records, bool complete);
+
   // Decides on a query. If a query is repeated, the planner repeats its
   // placement, or QueryQueued while it waits, and does not place it twice.
   PlacementDecision OnQuery(const PlacementQuery& query);
@@ -90,6 +98,17 @@
   // the planner.
   void Clear();
 
+  // Starts or ends the recording of queries whose state changes. Off initially.
+  void RecordChanges(bool enabled);
+  // Returns the queries whose state has changed since the last call.
+  std::set<QueryKey> TakeChanges();
+  // Returns all queries that wait or are placed.
+  std::set<QueryKey> KnownQueries() const;
+  // Returns a QueryQueued reply to each query that waits.
+  std::vector<DeferredReply> QueuedReplies() const;
+  // Returns the state of a query; nothing if it has ended.
+  std::optional<PlannerRecord> RecordOf(const QueryKey& key) const;
+
   std::size_t WaitingCount() const {
     return long_queue_.Count() + short_queue_.Count();
   }
@@ -157,9 +176,15 @@
     // Whether the request was rejected earlier with a retry time and its caller
     // has now retried at that time.
     bool has_reservation = false;
+    // Whether another planner received the query, and this one has it from that
+    // planner's records.
+    bool is_restored = false;
     std::optional<PlannedPlacement> placed;
-    // Ids of the request's work in `loads_`; empty if it has not been placed.
+    // Ids of the request's work in `loads_`, and that work; empty if it has not
+    // been placed.
     std::vector<WorkId> work;
+    std::vector<WorkPart> parts;
+    bool prefill_done = false;
     // The endpoint that decodes the answer, if the request has been placed.
     EndpointId endpoint;
   };
@@ -169,12 +194,6 @@
     TimePoint last_heard{};
     std::unordered_map<QueryId, Entry> queries;
   };
-  // Identifies a query among the queries of all hosts.
-  struct QueryKey {
-    HostAddress host;
-    QueryId id;
-  };
-
   // Returns whether queries are still queued because not all hosts have
   // reported their work since Begin().
   bool IsLearning() const;
@@ -182,6 +201,12 @@
   // new incarnation, the queries of its previous incarnation are removed.
   HostQueries* FindOrAddHost(const HostAddress& address,
                              Incarnation incarnation);
+  // Sets the query of a new entry and the times that follow from it.
+  void SetQuery(const PlacementQuery& query, Entry* entry);
+  // Records that the state of the query changes, if changes are recorded.
+  void OnChanged(const Entry& entry);
+  bool RestoreQueued(const PlannerRecord& record, const QueuedRecord& queued);
+  bool RestorePlaced(const PlannerRecord& record, const PlacedRecord& placed);
   // Tries to place the query and records its work. Returns the placement,
   // NoEndpoint, or nothing if the query must wait for an engine.
   std::optional<PlacementDecision> TryPlace(Entry* entry);
@@ -242,7 +267,12 @@
                     std::vector<DeferredReply>* replies);
   // Records work that a host reports and that this planner has not placed, and
   // marks the work whose prefill is done.
-  void AdoptWork(HostQueries* host, const QueryWork& work);
+  void AdoptWork(const HostAddress& address, HostQueries* host,
+                 const QueryWork& work);
+  // Returns whether the host has started the restored query elsewhere than this
+  // planner knows: on a placement that reached the host but not the records.
+  static bool IsPlacedElsewhere(const Entry& entry, const QueryWork& work);
+  void MarkPrefillDone(Entry* entry);
   // Removes the query from its queue and its work from `loads_`.
   void RemoveEntry(Entry* entry);
   // Removes all queries of a host, with their work.
@@ -276,6 +306,8 @@
   // Hosts passed to Begin() that have not reported their work yet.
   std::set<HostAddress> unreported_hosts_;
   TimePoint learning_until_{};
+  bool records_changes_ = false;
+  std::set<QueryKey> changes_;
 };
 
 }  // namespace harecrank
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -23,6 +23,7 @@
 constexpr double kMaxColdOverage = 1000;
 constexpr double kMaxColdSlack = 1e6;
 constexpr std::int64_t kMaxDescriptors = 1LL << 24;
+constexpr int kMaxPlannerStandbys = 2;
 
 struct Describer {
   std::string operator()(const UnreadableSettings& error) const {
@@ -447,6 +448,8 @@
   if (settings.cold_limit.slack > 0 && settings.cold_limit.overage == 0) {
     reader.AddConflict("cold_slack", "0, or cold_overage above 0");
   }
+  reader.ReadInteger("planner_standbys", 0, kMaxPlannerStandbys,
+                     &settings.planner_standbys);
   reader.ReadSection("placement", [&settings](SettingsReader* section) {
     ReadPlacement(section, &settings.placement);
   });
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -115,6 +115,9 @@
   // Limit on requests to cold (recently started) endpoints, for all hosts
   // together.
   ColdLimit cold_limit;
+  // Number of hosts that receive the planner's state, so that the next planner
+  // can plan at once; zero turns this off.
+  std::size_t planner_standbys = 0;
   PlacementPolicy placement;
 };
 
--- a/src/core/fleet_message_decoding.cc
+++ b/src/core/fleet_message_decoding.cc
@@ -1,6 +1,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "harecrank/core/array_reader.h"
 #include "harecrank/core/fleet_message_kinds.h"
 #include "harecrank/core/fleet_messages.h"
 
@@ -9,50 +10,6 @@
 
 using nlohmann::json;
 
-// Thrown for a number that is not a value of its enum. A host with a later
-// version may send such numbers.
-struct UnknownEnumValue {};
-
-// Reads the elements of a JSON array in order. Throws json::exception if an
-// element is missing or has the wrong type.
-class ArrayReader {
- public:
-  explicit ArrayReader(const json& array) : array_(array) {}
-
-  const json& Next() { return array_.at(next_++); }
-
-  template <typename T>
-  T Take() {
-    return Next().get<T>();
-  }
-
-  template <typename T>
-  T TakeString() {
-    return T{Take<std::string>()};
-  }
-
-  template <typename T>
-  T TakeNumber() {
-    return T{Take<decltype(T::value)>()};
-  }
-
-  Millis TakeMillis() { return Millis(Take<std::int64_t>()); }
-  FractionalMillis TakeTime() { return FractionalMillis(Take<double>()); }
-
-  // Reads an array of arrays and calls `read` with a reader for each of them.
-  template <typename Read>
-  void EachOf(const Read& read) {
-    for (const json& entry : Next()) {
-      ArrayReader reader(entry);
-      read(&reader);
-    }
-  }
-
- private:
-  const json& array_;
-  std::size_t next_ = 0;
-};
-
 WorkClass TakeWorkClass(ArrayReader* reader) {
   const int number = reader->Take<int>();
   if (number < static_cast<int>(WorkClass::kShort) ||
@@ -72,16 +29,20 @@
   return part;
 }
 
+QueryWork TakeQueryWork(const json& element) {
+  ArrayReader reader(element);
+  QueryWork work;
+  work.id = reader.TakeNumber<QueryId>();
+  work.prefill_done = reader.Take<bool>();
+  reader.EachOf(
+      [&work](ArrayReader* part) { work.parts.push_back(TakePart(part)); });
+  return work;
+}
+
 std::vector<QueryWork> TakeWork(const json& list) {
   std::vector<QueryWork> work;
   for (const json& element : list) {
-    ArrayReader entry(element);
-    QueryWork one;
-    one.id = entry.TakeNumber<QueryId>();
-    one.prefill_done = entry.Take<bool>();
-    entry.EachOf(
-        [&one](ArrayReader* part) { one.parts.push_back(TakePart(part)); });
-    work.push_back(std::move(one));
+    work.push_back(TakeQueryWork(element));
   }
   return work;
 }
@@ -306,6 +267,64 @@
   return progress;
 }
 
+QueuedRecord TakeQueuedRecord(ArrayReader* reader) {
+  QueuedRecord queued;
+  const json& query = reader->Next();
+  ArrayReader query_reader(query);
+  query_reader.Next();  // The kind of message, which is always a query.
+  queued.query = TakeQuery(&query_reader, query.size());
+  queued.age = reader->TakeTime();
+  queued.has_reservation = reader->Take<bool>();
+  queued.position = reader->Take<std::uint64_t>();
+  return queued;
+}
+
+PlacedRecord TakePlacedRecord(ArrayReader* reader) {
+  PlacedRecord placed;
+  if (const json& placement = reader->Next(); !placement.is_null()) {
+    ArrayReader placement_reader(placement);
+    placement_reader.Next();  // The kind of decision, always a placement.
+    placed.placement = TakePlacement(&placement_reader);
+  }
+  placed.work = TakeQueryWork(reader->Next());
+  placed.age = reader->TakeTime();
+  placed.until_late = reader->TakeTime();
+  return placed;
+}
+
+PlannerRecord TakeRecord(ArrayReader* entry) {
+  PlannerRecord record;
+  record.host = entry->TakeString<HostAddress>();
+  record.incarnation = entry->TakeNumber<Incarnation>();
+  record.id = entry->TakeNumber<QueryId>();
+  ArrayReader state(entry->Next());
+  switch (static_cast<RecordKind>(state.Take<int>())) {
+    case RecordKind::kQueued:
+      record.state = TakeQueuedRecord(&state);
+      return record;
+    case RecordKind::kPlaced:
+      record.state = TakePlacedRecord(&state);
+      return record;
+    case RecordKind::kEnded:
+      record.state = EndedRecord{};
+      return record;
+  }
+  throw UnknownEnumValue{};
+}
+
+PlannerUpdate TakePlannerUpdate(ArrayReader* reader) {
+  PlannerUpdate update;
+  update.from = reader->TakeString<HostAddress>();
+  update.incarnation = reader->TakeNumber<Incarnation>();
+  update.sequence = reader->Take<std::uint64_t>();
+  update.restarts = reader->Take<bool>();
+  update.has_more = reader->Take<bool>();
+  reader->EachOf([&update](ArrayReader* entry) {
+    update.records.push_back(TakeRecord(entry));
+  });
+  return update;
+}
+
 }  // namespace
 
 std::optional<FleetMessage> DecodeFleetMessage(const std::string& bytes) {
@@ -325,6 +344,10 @@
         return TakeChanges(&reader);
       case MessageKind::kCrashes:
         return TakeCrashReports(&reader);
+      case MessageKind::kPlannerUpdate:
+        return TakePlannerUpdate(&reader);
+      case MessageKind::kPlannerStateRequest:
+        return PlannerStateRequest{reader.TakeString<HostAddress>()};
     }
     return std::nullopt;
   } catch (const json::exception&) {
--- a/src/core/fleet_message_encoding.cc
+++ b/src/core/fleet_message_encoding.cc
@@ -15,14 +15,18 @@
                       part.gap.count()});
 }
 
+json EncodeQueryWork(const QueryWork& work) {
+  json parts = json::array();
+  for (const WorkPart& part : work.parts) {
+    parts.push_back(EncodePart(part));
+  }
+  return json::array({work.id.value, work.prefill_done, std::move(parts)});
+}
+
 json EncodeWork(const std::vector<QueryWork>& work) {
   json list = json::array();
   for (const QueryWork& one : work) {
-    json parts = json::array();
-    for (const WorkPart& part : one.parts) {
-      parts.push_back(EncodePart(part));
-    }
-    list.push_back({one.id.value, one.prefill_done, std::move(parts)});
+    list.push_back(EncodeQueryWork(one));
   }
   return list;
 }
@@ -87,6 +91,44 @@
   return list;
 }
 
+json EncodeQuery(const PlacementQuery& query) {
+  json array = json::array(
+      {static_cast<int>(MessageKind::kQuery), query.host.value,
+       query.incarnation.value, query.id.value, query.service.value,
+       query.target_latency.count(), query.target_gap.count(),
+       query.prompt.value, query.answer.value, query.until_late.count(),
+       query.may_have_run, EncodeIds(query.tried), query.until_deadline.count(),
+       query.origin.request.account.value, query.origin.request.high,
+       query.origin.request.low, query.origin.priority});
+  if (!query.withheld.empty()) {
+    array.push_back(EncodeIds(query.withheld));
+  }
+  return array;
+}
+
+json EncodeRecord(const PlannerRecord& record) {
+  struct Encoder {
+    json operator()(const QueuedRecord& queued) const {
+      return json::array({static_cast<int>(RecordKind::kQueued),
+                          EncodeQuery(queued.query), queued.age.count(),
+                          queued.has_reservation, queued.position});
+    }
+    json operator()(const PlacedRecord& placed) const {
+      return json::array({static_cast<int>(RecordKind::kPlaced),
+                          placed.placement.has_value()
+                              ? EncodeDecision(*placed.placement)
+                              : json(),
+                          EncodeQueryWork(placed.work), placed.age.count(),
+                          placed.until_late.count()});
+    }
+    json operator()(const EndedRecord& /*ended*/) const {
+      return json::array({static_cast<int>(RecordKind::kEnded)});
+    }
+  };
+  return json::array({record.host.value, record.incarnation.value,
+                      record.id.value, std::visit(Encoder{}, record.state)});
+}
+
 struct MessageEncoder {
   json operator()(const Heartbeat& heartbeat) const {
     json hosts = json::array();
@@ -134,19 +176,7 @@
   }
 
   json operator()(const PlacementQuery& query) const {
-    json array = json::array(
-        {static_cast<int>(MessageKind::kQuery), query.host.value,
-         query.incarnation.value, query.id.value, query.service.value,
-         query.target_latency.count(), query.target_gap.count(),
-         query.prompt.value, query.answer.value, query.until_late.count(),
-         query.may_have_run, EncodeIds(query.tried),
-         query.until_deadline.count(), query.origin.request.account.value,
-         query.origin.request.high, query.origin.request.low,
-         query.origin.priority});
-    if (!query.withheld.empty()) {
-      array.push_back(EncodeIds(query.withheld));
-    }
-    return array;
+    return EncodeQuery(query);
   }
 
   json operator()(const PlacementReply& reply) const {
@@ -187,6 +217,22 @@
                         progress.host.value, progress.incarnation.value,
                         std::move(prefills), std::move(ended_requests)});
   }
+
+  json operator()(const PlannerUpdate& update) const {
+    json records = json::array();
+    for (const PlannerRecord& record : update.records) {
+      records.push_back(EncodeRecord(record));
+    }
+    return json::array({static_cast<int>(MessageKind::kPlannerUpdate),
+                        update.from.value, update.incarnation.value,
+                        update.sequence, update.restarts, update.has_more,
+                        std::move(records)});
+  }
+
+  json operator()(const PlannerStateRequest& request) const {
+    return json::array({static_cast<int>(MessageKind::kPlannerStateRequest),
+                        request.from.value});
+  }
 };
 
 }  // namespace
--- a/src/core/fleet_messages_test.cc
+++ b/src/core/fleet_messages_test.cc
@@ -249,5 +249,43 @@
   CHECK_FALSE(DecodeFleetMessage(EncodeFleetMessage(heartbeat)).has_value());
 }
 
+TEST_CASE("A planner's update round-trips with every kind of record") {
+  QueuedRecord queued;
+  queued.query.host = kHost;
+  queued.query.prompt = Tokens{220000};
+  queued.query.until_deadline = FractionalMillis(900);
+  queued.query.withheld = {EndpointId{"w"}};
+  queued.age = FractionalMillis(70);
+  queued.has_reservation = true;
+  queued.position = 12;
+  PlannedPlacement placement;
+  placement.endpoint = EndpointId{"e"};
+  placement.helpers = {PlannedHelper{EndpointId{"f"}, Tokens{9}}};
+  const PlacedRecord placed{
+      placement, QueryWork{QueryId{6}, true, std::vector<WorkPart>(1)},
+      FractionalMillis(30), FractionalMillis(-4)};
+  const PlacedRecord adopted{std::nullopt, {}, {}, {}};
+  PlannerUpdate update{kHost, Incarnation{3}, 8, true, true, {}};
+  const Incarnation sender{7};
+  update.records = {PlannerRecord{kHost, sender, QueryId{5}, queued},
+                    PlannerRecord{kHost, sender, QueryId{6}, placed},
+                    PlannerRecord{kHost, sender, QueryId{7}, adopted},
+                    PlannerRecord{kHost, sender, QueryId{8}, EndedRecord{}}};
+  const PlannerUpdate decoded = RoundTrip(update);
+  CHECK(EncodeFleetMessage(decoded) == EncodeFleetMessage(update));
+  CHECK(decoded.sequence == 8);
+  REQUIRE(decoded.records.size() == 4);
+  const auto& first = std::get<QueuedRecord>(decoded.records[0].state);
+  CHECK(first.query.prompt == queued.query.prompt);
+  CHECK(first.query.withheld == queued.query.withheld);
+  CHECK(first.position == 12);
+  const auto& second = std::get<PlacedRecord>(decoded.records[1].state);
+  CHECK(second.placement->helpers.front().endpoint == EndpointId{"f"});
+  CHECK(second.work.parts.size() == 1);
+  CHECK_FALSE(std::get<PlacedRecord>(decoded.records[2].state).placement);
+  CHECK(std::holds_alternative<EndedRecord>(decoded.records[3].state));
+  CHECK(RoundTrip(PlannerStateRequest{kHost}).from == kHost);
+}
+
 }  // namespace
 }  // namespace harecrank
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -143,6 +143,11 @@
   }
 }
 
+bool Membership::IsSuspect(const HostAddress& host) const {
+  const auto found = hosts_.find(host);
+  return found != hosts_.end() && clock_() < found->second.suspect_until;
+}
+
 void Membership::OnRedirect(const HostAddress& host,
                             const HostAddress& planner) {
   const auto found = hosts_.find(host);
@@ -235,6 +240,16 @@
   return best;
 }
 
+std::vector<HostAddress> Membership::Successors(std::size_t limit) const {
+  std::vector<HostAddress> successors;
+  for (const KnownHost& host : TopAliveByRank(limit + 1)) {
+    if (host.address != self_.address && successors.size() < limit) {
+      successors.push_back(host.address);
+    }
+  }
+  return successors;
+}
+
 std::vector<KnownHost> Membership::PartialViewFor(
     const HostAddress& recipient) {
   std::vector<KnownHost> view = TopAliveByRank(kSuccessors + 1);
--- a/src/core/membership_test.cc
+++ b/src/core/membership_test.cc
@@ -350,5 +350,22 @@
   CHECK(memberships_.at(0)->HostsSharingLimits() == 6);
 }
 
+TEST_CASE_METHOD(
+    FleetFixture,
+    "The successors are the next hosts by rank that neither leave nor are "
+    "suspect") {
+  RunGossipFor(Membership::kStartupGrace + Millis(300));
+  CHECK(memberships_[0]->Successors(2) ==
+        std::vector<HostAddress>{Address(1), Address(2)});
+  memberships_[0]->OnUnresponsive(Address(1));
+  CHECK(memberships_[0]->IsSuspect(Address(1)));
+  CHECK_FALSE(memberships_[0]->IsSuspect(Address(2)));
+  memberships_[2]->Leave();
+  memberships_[0]->OnHeartbeat(HeartbeatOf(2));
+  CHECK(memberships_[0]->Successors(2) ==
+        std::vector<HostAddress>{Address(3), Address(4)});
+  CHECK(memberships_[0]->Successors(0).empty());
+}
+
 }  // namespace
 }  // namespace harecrank
--- a/src/core/planner.cc
+++ b/src/core/planner.cc
@@ -61,13 +61,7 @@
     }
     return QueryQueued{};
   }
-  entry.query = query;
-  entry.arrived_at = clock_();
-  entry.first_event_due =
-      clock_() +
-      std::chrono::duration_cast<TimePoint::duration>(query.until_late);
-  entry.deadline = clock_() + std::chrono::duration_cast<TimePoint::duration>(
-                                  query.until_deadline);
+  SetQuery(query, &entry);
   auto request = RequestOf(entry);
   if (request.has_value() && IsShort(*request)) {
     entry.is_short = true;
@@ -104,6 +98,16 @@
   return QueryQueued{};
 }
 
+void Planner::SetQuery(const PlacementQuery& query, Entry* entry) {
+  entry->query = query;
+  entry->arrived_at = clock_();
+  entry->first_event_due =
+      clock_() +
+      std::chrono::duration_cast<TimePoint::duration>(query.until_late);
+  entry->deadline = clock_() + std::chrono::duration_cast<TimePoint::duration>(
+                                   query.until_deadline);
+}
+
 std::optional<PlacementRequest> Planner::RequestOf(const Entry& entry) const {
   const auto table = routing_();
   const ServiceProfile* service =
@@ -156,7 +160,8 @@
   if (placement == nullptr) {
     return NoEndpoint{};
   }
-  for (const WorkPart& part : PartsOf(*placement, *request)) {
+  entry->parts = PartsOf(*placement, *request);
+  for (const WorkPart& part : entry->parts) {
     entry->work.push_back(loads_.Begin(part, entry->first_event_due));
   }
   start_quotas_->Add(*placement, *request->service, entry->query.host,
@@ -164,6 +169,7 @@
   entry->endpoint = placement->endpoint.id;
   entry->placed = ToPlannedPlacement(*placement);
   entry->placed_at = clock_();
+  OnChanged(*entry);
   if (request->service->engine.has_value()) {
     QueueOf(*entry).OnGranted(ShareClaimOf(*request));
     admission_control_.OnStarted(CandidateOf(*entry, *request));
@@ -178,9 +184,7 @@
     if (found == host->queries.end()) {
       continue;
     }
-    for (const WorkId work : found->second.work) {
-      loads_.OnPrefillDone(work);
-    }
+    MarkPrefillDone(&found->second);
     health_->OnSuccess(found->second.endpoint, done.pace);
   }
   for (const RequestDone& done : report.ended) {
@@ -205,7 +209,7 @@
   std::unordered_map<QueryId, const QueryWork*> reported;
   for (const QueryWork& work : *heartbeat.work) {
     reported[work.id] = &work;
-    AdoptWork(host, work);
+    AdoptWork(heartbeat.address, host, work);
   }
   const TimePoint now = clock_();
   for (auto it = host->queries.begin(); it != host->queries.end();) {
@@ -223,9 +227,17 @@
   }
 }
 
-void Planner::AdoptWork(HostQueries* host, const QueryWork& work) {
+void Planner::AdoptWork(const HostAddress& address, HostQueries* host,
+                        const QueryWork& work) {
   Entry& entry = host->queries[work.id];
+  if (IsPlacedElsewhere(entry, work)) {
+    RemoveEntry(&entry);
+    entry.placed.reset();
+  }
   if (entry.work.empty() && !entry.queue_id.has_value()) {
+    entry.query.host = address;
+    entry.query.id = work.id;
+    entry.parts = work.parts;
     for (const WorkPart& part : work.parts) {
       entry.work.push_back(loads_.Begin(part));
     }
@@ -233,11 +245,20 @@
     if (!work.parts.empty()) {
       entry.endpoint = work.parts.front().endpoint;
     }
+    OnChanged(entry);
   }
   if (work.prefill_done) {
-    for (const WorkId id : entry.work) {
-      loads_.OnPrefillDone(id);
-    }
+    MarkPrefillDone(&entry);
+  }
+}
+
+void Planner::MarkPrefillDone(Entry* entry) {
+  for (const WorkId work : entry->work) {
+    loads_.OnPrefillDone(work);
+  }
+  if (!entry->prefill_done) {
+    entry->prefill_done = true;
+    OnChanged(*entry);
   }
 }
 
@@ -273,14 +294,18 @@
   admission_control_.Clear();
   unreported_hosts_.clear();
   learning_until_ = TimePoint{};
+  changes_.clear();
 }
 
 void Planner::RemoveEntry(Entry* entry) {
+  OnChanged(*entry);
   Dequeue(entry);
   for (const WorkId work : entry->work) {
     loads_.End(work);
   }
   entry->work.clear();
+  entry->parts.clear();
+  entry->prefill_done = false;
 }
 
 void Planner::RemoveQueries(HostQueries* host) {
--- a/src/core/planner_wait_queue.cc
+++ b/src/core/planner_wait_queue.cc
@@ -120,6 +120,7 @@
 }
 
 void Planner::Enqueue(Entry* entry, const PlacementRequest& request) {
+  OnChanged(*entry);
   const FractionalMillis work =
       PrefillTime(*request.service->engine, entry->query.prompt);
   const QueryKey key{entry->query.host, entry->query.id};
@@ -149,6 +150,7 @@
   if (!entry->queue_id.has_value()) {
     return;
   }
+  OnChanged(*entry);
   (entry->is_short ? short_queue_ : long_queue_).Remove(*entry->queue_id);
   (entry->is_short ? short_query_keys_ : long_query_keys_)
       .erase(*entry->queue_id);
--- a/src/gateway/fleet_member.cc
+++ b/src/gateway/fleet_member.cc
@@ -19,6 +19,10 @@
 constexpr Millis kGossipInterval{1000};
 // A planner that has sent nothing for this long has missed a heartbeat.
 constexpr Millis kMissedHeartbeat{400};
+// A standby that has received nothing from the planner for this long, three
+// times the interval of the updates, believes another host that regards the
+// standby as the planner.
+constexpr Millis kSilentPlanner{120};
 
 }  // namespace
 
@@ -31,6 +35,7 @@
     member->OnHeartbeat(heartbeat);
   }
   void operator()(const PlacementQuery& query) const {
+    member->OnNamedPlanner();
     member->planner_service_.OnQuery(query);
   }
   void operator()(const PlacementReply& reply) const {
@@ -50,14 +55,23 @@
     member->membership_->OnMessageReceived(reports.from);
     member->crash_relay_.OnReports(reports);
   }
+  void operator()(const PlannerUpdate& update) const {
+    member->OnPlannerUpdate(update);
+  }
+  void operator()(const PlannerStateRequest& request) const {
+    member->membership_->OnMessageReceived(request.from);
+    if (member->IsPlanner()) {
+      member->handover_.OnStateRequest(request);
+    }
+  }
 };
 
 FleetMember::FleetMember(boost::asio::io_context* io, NodeId node,
                          KnownHost self, Incarnation incarnation,
                          Membership* membership, Planner* planner,
                          EndpointHealth* health, FleetSocket* socket,
-                         FleetMemberPorts ports, EventLog* log,
-                         Metrics* metrics, MonotonicClock clock,
+                         std::size_t planner_standbys, FleetMemberPorts ports,
+                         EventLog* log, Metrics* metrics, MonotonicClock clock,
                          RandomSource random)
     : io_(io),
       node_(std::move(node)),
@@ -71,15 +85,20 @@
       log_(log),
       clock_(std::move(clock)),
       random_(std::move(random)),
-      placement_client_(io, self_.address, incarnation, MakePlacementPorts(),
-                        clock_),
+      placement_client_(io, self_.address, incarnation,
+                        planner_standbys == 0 ? OnTakeover::kAskAnew
+                                              : OnTakeover::kAwaitReply,
+                        MakePlacementPorts(), clock_),
       planner_service_(io, self_.address, planner, MakePlannerServicePorts(),
                        log, metrics, clock_),
+      handover_(self_.address, incarnation, planner_standbys, membership,
+                planner, socket, log, metrics, clock_),
       publication_relay_(io, self_.address, membership, socket,
                          MakeRelayPorts(), log, clock_, random_),
       crash_relay_(io, self_.address, membership, socket,
                    {ports_.on_crashes, ports_.shared_crashes,
                     [this] { return IsPlanner(); }}),
+      poll_assignment_(membership),
       peers_log_(log, clock_),
       tick_timer_(*io),
       heartbeat_timer_(*io) {}
@@ -102,6 +121,7 @@
     RequestHeartbeat(planner);
     FollowPlanner();
   };
+  ports.on_placed_twice = [this] { SendHeartbeatSoon(); };
   return ports;
 }
 
@@ -132,6 +152,9 @@
 }
 
 void FleetMember::Leave() {
+  if (IsPlanner()) {
+    handover_.SendUpdates();
+  }
   membership_->Leave();
   FollowPlanner();
   Announce();
@@ -166,6 +189,9 @@
     // has missed a heartbeat.
     membership_->OnUnresponsive(*followed_planner_);
   }
+  if (heartbeat.planner == self_.address) {
+    OnNamedPlanner();
+  }
   if (heartbeat.planner != heartbeat.address) {
     RequestHeartbeat(heartbeat.planner);
   }
@@ -193,35 +219,31 @@
   }
 }
 
-void FleetMember::Reply(const Heartbeat& heartbeat) {
-  Heartbeat reply = OwnHeartbeat();
-  reply.hosts = membership_->PartialViewFor(heartbeat.address);
-  if (IsPlanner()) {
-    SetPollFields(heartbeat.address, &reply);
+void FleetMember::OnNamedPlanner() {
+  const bool is_standby = handover_.ExpectsUpdates() &&
+                          followed_planner_.has_value() &&
+                          *followed_planner_ != self_.address;
+  if (is_standby && clock_() - planner_heard_at_ > kSilentPlanner) {
+    membership_->OnUnresponsive(*followed_planner_);
+    FollowPlanner();
   }
-  Send(heartbeat.address, reply);
 }
 
-void FleetMember::SetPollFields(const HostAddress& host,
-                                Heartbeat* heartbeat) const {
-  const auto found = std::find(pollers_.begin(), pollers_.end(), host);
-  heartbeat->should_poll = found != pollers_.end();
-  if (*heartbeat->should_poll) {
-    // The host with rank zero polls continuously. This is the planner while the
-    // store answers the planner, otherwise the first host in `pollers_`.
-    heartbeat->poll_rank =
-        static_cast<int>(found - pollers_.begin()) + (store_answers_ ? 1 : 0);
+void FleetMember::OnPlannerUpdate(const PlannerUpdate& update) {
+  membership_->OnMessageReceived(update.from);
+  if (update.from == followed_planner_) {
+    planner_heard_at_ = clock_();
+    handover_.OnUpdate(update);
   }
 }
 
-void FleetMember::InformPollers() {
-  pollers_ = membership_->StorePollers();
-  store_answers_ = DescribeStoreData().poll_state == PollState::kAnswered;
-  Heartbeat heartbeat = OwnHeartbeat();
-  for (const HostAddress& host : pollers_) {
-    SetPollFields(host, &heartbeat);
-    Send(host, heartbeat);
+void FleetMember::Reply(const Heartbeat& heartbeat) {
+  Heartbeat reply = OwnHeartbeat();
+  reply.hosts = membership_->PartialViewFor(heartbeat.address);
+  if (IsPlanner()) {
+    poll_assignment_.SetFields(heartbeat.address, &reply);
   }
+  Send(heartbeat.address, reply);
 }
 
 void FleetMember::RequestHeartbeat(const HostAddress& planner) {
@@ -238,12 +260,6 @@
   Send(planner, heartbeat);
 }
 
-Heartbeat FleetMember::DescribeStoreData() const {
-  Heartbeat own;
-  ports_.describe(&own);
-  return own;
-}
-
 Heartbeat FleetMember::OwnHeartbeat() const {
   Heartbeat heartbeat = DescribeStoreData();
   heartbeat.node = node_;
@@ -319,12 +335,14 @@
                {"hosts", membership_->ObservedHosts()}},
               LogRateLimit::kExempt);
   if (was_planner) {
+    handover_.OnStoppedPlanning();
     planner_->Clear();
   }
   if (planner == self_.address) {
     publication_relay_.OnBecamePlanner();
-    planner_->Begin(membership_->OtherAliveHosts());
+    handover_.OnBecamePlanner();
     Announce();
+    planner_service_.AnswerRestored();
   }
   // A former planner keeps its poll rank until another planner is known, since
   // no other host distributes the store's data until then.
@@ -364,9 +382,9 @@
     SendGossip();
   }
   if (IsPlanner()) {
-    pollers_ = membership_->StorePollers();
-    store_answers_ = DescribeStoreData().poll_state == PollState::kAnswered;
+    UpdatePollers();
     planner_service_.Tick();
+    handover_.SendUpdates();
   }
   publication_relay_.FetchIfBehind(DescribeStoreData());
   tick_timer_.expires_after(kTick);
@@ -377,52 +395,4 @@
   });
 }
 
-void FleetMember::UpdateFreshness(const Heartbeat& heartbeat,
-                                  const Heartbeat& own) {
-  const bool from_planner = heartbeat.address == followed_planner_;
-  if (from_planner && heartbeat.should_poll.has_value()) {
-    ports_.on_poll_rank(*heartbeat.should_poll
-                            ? std::make_optional(heartbeat.poll_rank)
-                            : std::nullopt);
-  }
-  if (own.known_up_to < heartbeat.known_up_to) {
-    return;
-  }
-  // A host trusts the planner's data to be fresh even if the planner has
-  // received them from another host. The planner itself only trusts hosts whose
-  // own polls the store answers; otherwise two hosts could keep confirming to
-  // each other that their data are fresh while the store answers neither.
-  const bool is_up_to_date =
-      from_planner
-          ? heartbeat.store_data_fresh
-          : IsPlanner() && heartbeat.poll_state == PollState::kAnswered;
-  if (is_up_to_date) {
-    ports_.on_peer_freshness(heartbeat.store_data_age);
-  }
-}
-
-void FleetMember::OnPollResult() {
-  if (IsPlanner()) {
-    InformPollers();
-  } else {
-    // The planner passes the result on to the other hosts and uses it to choose
-    // the hosts that poll.
-    SendHeartbeatSoon();
-  }
-}
-
-void FleetMember::OnOverdueRefresh() {
-  if (IsPlanner()) {
-    Announce();
-  }
-}
-
-void FleetMember::OnChanges(const PublishedChanges& published) {
-  membership_->OnMessageReceived(published.from);
-  if (published.from == followed_planner_) {
-    planner_heard_at_ = clock_();
-  }
-  publication_relay_.OnChanges(published);
-}
-
 }  // namespace harecrank
--- a/src/gateway/fleet_member.h
+++ b/src/gateway/fleet_member.h
@@ -22,7 +22,9 @@
 #include "src/gateway/fleet_socket.h"
 #include "src/gateway/peers_log.h"
 #include "src/gateway/placement_client.h"
+#include "src/gateway/planner_handover.h"
 #include "src/gateway/planner_service.h"
+#include "src/gateway/poll_assignment.h"
 #include "src/gateway/publication_relay.h"
 #include "src/gateway/timer.h"
 
@@ -65,12 +67,14 @@
 // runs on its io_context.
 class FleetMember {
  public:
-  // All pointers must outlive this.
+  // All pointers must outlive this. `planner_standbys` is the number of hosts
+  // that receive the planner's state (PlannerHandover).
   FleetMember(boost::asio::io_context* io, NodeId node, KnownHost self,
               Incarnation incarnation, Membership* membership, Planner* planner,
               EndpointHealth* health, FleetSocket* socket,
-              FleetMemberPorts ports, EventLog* log, Metrics* metrics,
-              MonotonicClock clock, RandomSource random);
+              std::size_t planner_standbys, FleetMemberPorts ports,
+              EventLog* log, Metrics* metrics, MonotonicClock clock,
+              RandomSource random);
 
   void Start();
 
@@ -99,6 +103,9 @@
     crash_relay_.Share(std::move(report));
   }
 
+  // Returns the number of queries of the planner that this host, as a standby,
+  // knows.
+  std::size_t HeldRecords() const { return handover_.HeldRecords(); }
   PlacementClient* Placements() { return &placement_client_; }
   bool IsPlanner() { return membership_->IsPlanner(); }
 
@@ -126,14 +133,17 @@
   void Send(const HostAddress& to, const FleetMessage& message);
   void OnMessage(const FleetMessage& message);
   void OnHeartbeat(const Heartbeat& heartbeat);
+  void OnPlannerUpdate(const PlannerUpdate& update);
+  // To be called when another host regards this host as the planner. A standby
+  // then becomes the planner if it does not hear the planner either.
+  void OnNamedPlanner();
   Heartbeat OwnHeartbeat() const;
   // Returns a heartbeat that contains only the fields that
   // FleetMemberPorts::describe fills.
   Heartbeat DescribeStoreData() const;
   void Reply(const Heartbeat& heartbeat);
-  // On the planner: sets in `heartbeat` whether `host` should poll the store,
-  // and its rank among the polling hosts.
-  void SetPollFields(const HostAddress& host, Heartbeat* heartbeat) const;
+  // On the planner: chooses the other hosts that poll the store.
+  void UpdatePollers();
   // On the planner: sends each of the other hosts that poll the store a
   // heartbeat with its poll rank. The ranks depend on whether the store answers
   // the planner.
@@ -170,8 +180,10 @@
   RandomSource random_;
   PlacementClient placement_client_;
   PlannerService planner_service_;
+  PlannerHandover handover_;
   PublicationRelay publication_relay_;
   CrashRelay crash_relay_;
+  PollAssignment poll_assignment_;
   PeersLog peers_log_;
   Timer tick_timer_;
   Timer heartbeat_timer_;
@@ -183,10 +195,6 @@
   TimePoint last_request_at_{};
   bool heartbeat_scheduled_ = false;
   Millis search_interval_{50};
-  // On the planner, as of the last update: the other hosts that poll the store,
-  // and whether the store answers the planner's own polls.
-  std::vector<HostAddress> pollers_;
-  bool store_answers_ = false;
 };
 
 }  // namespace harecrank
--- a/src/gateway/fleet_socket.cc
+++ b/src/gateway/fleet_socket.cc
@@ -66,12 +66,13 @@
   SendBytes(to, EncodeFleetMessage(message));
 }
 
-void FleetSocket::SendToAll(const std::vector<HostAddress>& hosts,
-                            const FleetMessage& message) {
+std::size_t FleetSocket::SendToAll(const std::vector<HostAddress>& hosts,
+                                   const FleetMessage& message) {
   const std::string bytes = EncodeFleetMessage(message);
   for (const HostAddress& host : hosts) {
     SendBytes(host, bytes);
   }
+  return bytes.size();
 }
 
 void FleetSocket::SendBytes(const HostAddress& to, const std::string& bytes) {
--- a/src/gateway/fleet_socket.h
+++ b/src/gateway/fleet_socket.h
@@ -31,9 +31,10 @@
 
   void Send(const HostAddress& to, const FleetMessage& message);
 
-  // Sends `message` to each of `hosts`; encodes it once.
-  void SendToAll(const std::vector<HostAddress>& hosts,
-                 const FleetMessage& message);
+  // Sends `message` to each of `hosts`; encodes it once. Returns the size of
+  // the datagram in bytes.
+  std::size_t SendToAll(const std::vector<HostAddress>& hosts,
+                        const FleetMessage& message);
 
  private:
   void SendBytes(const HostAddress& to, const std::string& bytes);
--- a/src/gateway/gateway_gauges.cc
+++ b/src/gateway/gateway_gauges.cc
@@ -42,6 +42,9 @@
   metrics->AddGauge("harecrank_gateway_promises_broken", [parts] {
     return static_cast<double>(parts.planner->ReservationTotals().broken);
   });
+  metrics->AddGauge("harecrank_gateway_planner_records_held", [parts] {
+    return static_cast<double>(parts.fleet->HeldRecords());
+  });
 }
 
 }  // namespace
@@ -122,6 +125,7 @@
           {"fleet",
            {{"planner", planner.value_or(HostAddress{}).value},
             {"plans", parts.fleet->IsPlanner()},
+            {"records_held", parts.fleet->HeldRecords()},
             {"alive", parts.membership->AliveHosts()},
             {"size", parts.membership->Size().MaxHosts().value_or(0)}}},
           {"endpoints",
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -85,7 +85,8 @@
       fleet_socket_(&io_, settings_.peers_address, &metrics_),
       fleet_(&io_, settings_.node_id, Self(settings_), Incarnation{random_()},
              &membership_, &planner_, &health_, &fleet_socket_,
-             MakeFleetPorts(), &log_, &metrics_, clock_, random_),
+             settings_.planner_standbys, MakeFleetPorts(), &log_, &metrics_,
+             clock_, random_),
       crash_guard_(
           &quarantine_, &prober_, &directory_,
           [this](const EndpointId& id) {
--- a/src/gateway/placement_client.cc
+++ b/src/gateway/placement_client.cc
@@ -24,10 +24,12 @@
 
 PlacementClient::PlacementClient(boost::asio::io_context* io, HostAddress self,
                                  Incarnation incarnation,
+                                 OnTakeover on_takeover,
                                  PlacementClientPorts ports,
                                  MonotonicClock clock)
     : self_(std::move(self)),
       incarnation_(incarnation),
+      on_takeover_(on_takeover),
       ports_(std::move(ports)),
       clock_(std::move(clock)),
       timer_(*io),
@@ -100,17 +102,22 @@
     return;
   }
   const auto found = pending_.find(reply.id);
-  if (found == pending_.end() || reply.from != found->second.host) {
-    const bool placed =
-        std::holds_alternative<PlannedPlacement>(reply.decision);
-    if (placed && in_progress_.count(reply.id) == 0) {
-      // The query has ended, or was sent to another planner, so this placement
-      // is not needed any more.
-      ReleasePlacement(reply.from, reply.id);
-    }
+  if (found == pending_.end()) {
+    OnStrayReply(reply);
     return;
   }
+  if (reply.from != found->second.host) {
+    if (!IsTakenOver(found->second, reply)) {
+      OnStrayReply(reply);
+      return;
+    }
+    // Should the previous planner still be there, it frees the engines.
+    ReleasePlacement(found->second.host, reply.id);
+    found->second.left_hosts.insert(found->second.host);
+    found->second.host = reply.from;
+  }
   Pending& pending = found->second;
+  pending.move_at.reset();
   if (const auto* other = std::get_if<NotPlanner>(&reply.decision)) {
     ports_.on_redirect(reply.from, other->planner);
     SendToPlanner(reply.id);
@@ -146,9 +153,40 @@
       return PlaceLocally{};
     }
   };
+  if (std::holds_alternative<PlannedPlacement>(reply.decision)) {
+    placed_by_[reply.id] = reply.from;
+  }
   Resolve(reply.id, std::visit(ToResult{}, reply.decision));
 }
 
+bool PlacementClient::IsTakenOver(const Pending& pending,
+                                  const PlacementReply& reply) const {
+  if (on_takeover_ != OnTakeover::kAwaitReply || pending.host.value.empty() ||
+      pending.left_hosts.count(reply.from) > 0 ||
+      std::holds_alternative<NotPlanner>(reply.decision)) {
+    return false;
+  }
+  // A rejection ends the request, so it is accepted only from the planner.
+  return std::holds_alternative<PlannedPlacement>(reply.decision) ||
+         std::holds_alternative<QueryQueued>(reply.decision) ||
+         ports_.planner() == reply.from;
+}
+
+void PlacementClient::OnStrayReply(const PlacementReply& reply) {
+  if (!std::holds_alternative<PlannedPlacement>(reply.decision)) {
+    return;
+  }
+  const auto placed_by = placed_by_.find(reply.id);
+  if (placed_by == placed_by_.end()) {
+    // The query has ended, or was sent to another planner, so this placement is
+    // not needed any more.
+    ReleasePlacement(reply.from, reply.id);
+  } else if (placed_by->second != reply.from) {
+    ReleasePlacement(reply.from, reply.id);
+    ports_.on_placed_twice();
+  }
+}
+
 void PlacementClient::ReleasePlacement(const HostAddress& host, QueryId id) {
   ports_.send(
       host, ProgressReport{self_, incarnation_, {}, {RequestDone{id, false}}});
@@ -175,6 +213,7 @@
 }
 
 void PlacementClient::OnEnd(QueryId id, bool failed) {
+  placed_by_.erase(id);
   const bool known = pending_.erase(id) + in_progress_.erase(id) > 0;
   if (known) {
     requests_done_.push_back(RequestDone{id, failed});
@@ -191,12 +230,22 @@
   for (const QueryId id : ids) {
     Pending& pending = pending_.at(id);
     if (planner.has_value() && *planner != pending.host) {
-      SendToPlanner(id);
+      MoveToPlanner(id);
     }
   }
   ArmTimer();
 }
 
+void PlacementClient::MoveToPlanner(QueryId id) {
+  Pending& pending = pending_.at(id);
+  if (!pending.queued || on_takeover_ == OnTakeover::kAskAnew) {
+    pending.move_at.reset();
+    SendToPlanner(id);
+  } else if (!pending.move_at.has_value()) {
+    pending.move_at = clock_() + kTakeoverGrace;
+  }
+}
+
 std::vector<QueryWork> PlacementClient::Work() const {
   std::vector<QueryWork> work;
   work.reserve(in_progress_.size());
@@ -213,6 +262,9 @@
 }
 
 TimePoint PlacementClient::NextCheckAt(const Pending& pending) const {
+  if (pending.move_at.has_value()) {
+    return *pending.move_at;
+  }
   return pending.sent_at + (pending.queued
                                 ? kQueuedRepeatInterval
                                 : AdaptiveTimeout(kResendAfter, kResendFactor));
@@ -235,6 +287,11 @@
   if (now < NextCheckAt(pending)) {
     return;
   }
+  if (pending.move_at.has_value()) {
+    pending.move_at.reset();
+    SendToPlanner(id);
+    return;
+  }
   const Millis time_limit =
       AdaptiveTimeout(kUnresponsiveAfter, kUnresponsiveFactor) +
       (pending.queued ? kQueuedRepeatInterval : Millis(0));
@@ -243,8 +300,9 @@
     return;
   }
   ReleasePlacement(pending.host, id);
+  pending.left_hosts.insert(pending.host);
   ports_.on_unresponsive(pending.host);
-  SendToPlanner(id);
+  MoveToPlanner(id);
 }
 
 void PlacementClient::ArmTimer() {
--- a/src/gateway/placement_client.h
+++ b/src/gateway/placement_client.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -31,6 +32,20 @@
   // Called when `host` replies that it is not the planner but `planner` is.
   std::function<void(const HostAddress& host, const HostAddress& planner)>
       on_redirect;
+  // Called when a second planner has placed a request that was placed already.
+  // That planner needs to learn where the request runs.
+  std::function<void()> on_placed_twice;
+};
+
+// What a query that waits in the planner's queue does when another host becomes
+// the planner.
+enum class OnTakeover {
+  // It is sent to the new planner at once.
+  kAskAnew,
+  // It waits for a reply of the new planner, which may have it from the
+  // previous
+  // one, and is sent to it only after PlacementClient::kTakeoverGrace.
+  kAwaitReply
 };
 
 // Result of a query that no planner has answered: the querying host places the
@@ -49,8 +64,8 @@
   using OnResult = std::function<void(const QueryResult& result)>;
 
   PlacementClient(boost::asio::io_context* io, HostAddress self,
-                  Incarnation incarnation, PlacementClientPorts ports,
-                  MonotonicClock clock);
+                  Incarnation incarnation, OnTakeover on_takeover,
+                  PlacementClientPorts ports, MonotonicClock clock);
 
   // Queries the planner for a placement. The query, and the placement that
   // results from it, count as in progress until OnEnd is called with the
@@ -76,7 +91,8 @@
   void OnReply(const PlacementReply& reply);
 
   // To be called when another host has become the planner. Queries that have no
-  // final reply yet are sent to the new planner.
+  // final reply yet are sent to the new planner, those that wait in the
+  // previous planner's queue according to OnTakeover.
   void OnPlannerChanged();
 
   // Returns the work of all requests in progress, which is sent to the planner
@@ -97,6 +113,10 @@
   // Interval at which a query that waits in the planner's queue is sent again,
   // so that a dead planner or a lost reply is noticed.
   static constexpr Millis kQueuedRepeatInterval{200};
+  // How long a queued query waits for a reply of a new planner before it is
+  // sent to it: longer than hosts differ in when they notice that a planner is
+  // gone.
+  static constexpr Millis kTakeoverGrace{100};
 
  private:
   // A query without a final reply.
@@ -115,9 +135,22 @@
     TimePoint sent_at{};
     bool queued = false;
     int hosts_queried = 0;
+    // When the query is sent to the new planner unless that planner replies
+    // earlier; unset if the planner has not changed.
+    std::optional<TimePoint> move_at;
+    // Hosts that were told that a placement of theirs is not used.
+    std::set<HostAddress> left_hosts;
   };
 
   void SendToPlanner(QueryId id);
+  // Sends a query whose planner has changed to the new planner, at once or
+  // after kTakeoverGrace.
+  void MoveToPlanner(QueryId id);
+  // Returns whether the query accepts a reply of a host to which it was not
+  // sent because that host has taken the query over from the planner.
+  bool IsTakenOver(const Pending& pending, const PlacementReply& reply) const;
+  // Handles a reply to a query that is not pending at the replying host.
+  void OnStrayReply(const PlacementReply& reply);
   void Resend(Pending* pending);
   // Informs `host` that a placement which it has granted, or may still grant,
   // is not used, so that it frees the engines.
@@ -134,6 +167,7 @@
 
   HostAddress self_;
   Incarnation incarnation_;
+  OnTakeover on_takeover_;
   PlacementClientPorts ports_;
   MonotonicClock clock_;
   Timer timer_;
@@ -141,6 +175,8 @@
   std::uint64_t next_id_ = 1;
   std::map<QueryId, Pending> pending_;
   std::unordered_map<QueryId, QueryWork> in_progress_;
+  // The host whose placement each query has, from the placement to OnEnd.
+  std::unordered_map<QueryId, HostAddress> placed_by_;
   std::vector<PrefillDone> prefill_done_;
   std::vector<RequestDone> requests_done_;
   bool flush_scheduled_ = false;
--- a/src/gateway/planner_service.cc
+++ b/src/gateway/planner_service.cc
@@ -70,11 +70,22 @@
   }
   for (DeferredReply& due : planner_->ProcessWaitQueue()) {
     LogRejection(due.host, due.id, due.decision);
-    ports_.send(due.host, PlacementReply{self_, due.incarnation, due.id,
-                                         std::move(due.decision)});
+    Send(std::move(due));
   }
 }
 
+void PlannerService::AnswerRestored() {
+  ProcessWaitQueue();
+  for (DeferredReply& reply : planner_->QueuedReplies()) {
+    Send(std::move(reply));
+  }
+}
+
+void PlannerService::Send(DeferredReply reply) {
+  ports_.send(reply.host, PlacementReply{self_, reply.incarnation, reply.id,
+                                         std::move(reply.decision)});
+}
+
 void PlannerService::ProcessWaitQueueSoon() {
   if (processing_scheduled_ || planner_->WaitingCount() == 0) {
     return;
--- a/src/gateway/planner_service.h
+++ b/src/gateway/planner_service.h
@@ -37,6 +37,11 @@
   void OnProgressReport(const ProgressReport& report);
   void OnHeartbeat(const Heartbeat& heartbeat);
 
+  // To be called when this host has become the planner. Answers the queries
+  // that it has from the previous planner, so that their hosts need not ask
+  // anew.
+  void AnswerRestored();
+
   // To be called every few tens of milliseconds on the planner.
   void Tick();
 
@@ -52,6 +57,7 @@
   bool IsPlanner() const { return ports_.planner() == self_; }
   void ProcessWaitQueue();
   void ProcessWaitQueueSoon();
+  void Send(DeferredReply reply);
   // Logs a rejection that tells the caller when to retry.
   void LogRejection(const HostAddress& host, QueryId id,
                     const PlacementDecision& decision);
