--- a/src/adapters/settings_test.cc
+++ b/src/adapters/settings_test.cc
@@ -89,6 +89,9 @@
                        R"(, "placement": {"long_placing": "later"}})")
             .find("placement.long_placing: found 'later'; allowed: ") !=
         std::string::npos);
+  CHECK(GatewayErrorOf(valid_prefix + R"(, "planner_standbys": 2})").empty());
+  CHECK(GatewayErrorOf(valid_prefix + R"(, "planner_standbys": 3})")
+            .find("planner_standbys: found 3") != std::string::npos);
   CHECK(GatewayErrorOf(valid_prefix + R"(, "placement": {"packed": 3}})")
             .find("placement.packed: found an unknown key") !=
         std::string::npos);
