--- a/src/core/planner.cc
+++ b/src/core/planner.cc
@@ -188,7 +188,8 @@
 PlacementDecision Planner::RecordPlacement(Entry* entry,
                                            const PlacementRequest& request,
                                            const Placement& placement) {
-  for (const WorkPart& part : PartsOf(placement, request)) {
+  entry->parts = PartsOf(placement, request);
+  for (const WorkPart& part : entry->parts) {
     entry->work.push_back(loads_.Begin(part, entry->first_event_due));
   }
   start_quotas_->Add(placement, *request.service, entry->query.host,
@@ -196,6 +197,7 @@
   entry->endpoint = placement.endpoint.id;
   entry->placed = ToPlannedPlacement(placement);
   entry->placed_at = clock_();
+  OnChanged(*entry);
   if (request.service->engine.has_value()) {
     QueueOf(*entry).OnGranted(ShareClaimOf(request));
     admission_control_.OnStarted(CandidateOf(*entry, request));
@@ -210,9 +212,7 @@
     if (found == host->queries.end()) {
       continue;
     }
-    for (const WorkId work : found->second.work) {
-      loads_.OnPrefillDone(work);
-    }
+    MarkPrefillDone(&found->second);
     health_->OnSuccess(found->second.endpoint, done.pace);
   }
   for (const RequestDone& done : report.ended) {
@@ -237,7 +237,7 @@
   std::unordered_map<QueryId, const QueryWork*> reported;
   for (const QueryWork& work : *heartbeat.work) {
     reported[work.id] = &work;
-    AdoptWork(host, work);
+    AdoptWork(heartbeat.address, host, work);
   }
   const TimePoint now = clock_();
   for (auto it = host->queries.begin(); it != host->queries.end();) {
@@ -255,9 +255,17 @@
   }
 }
 
-void Planner::AdoptWork(HostQueries* host, const QueryWork& work) {
+void Planner::AdoptWork(const HostAddress& address, HostQueries* host,
+                        const QueryWork& work) {
   Entry& entry = host->queries[work.id];
+  if (IsPlacedElsewhere(entry, work)) {
+    RemoveEntry(&entry);
+    entry.placed.reset();
+  }
   if (entry.work.empty() && !entry.queue_id.has_value()) {
+    entry.query.host = address;
+    entry.query.id = work.id;
+    entry.parts = work.parts;
     for (const WorkPart& part : work.parts) {
       entry.work.push_back(loads_.Begin(part));
     }
@@ -265,11 +273,20 @@
     if (!work.parts.empty()) {
       entry.endpoint = work.parts.front().endpoint;
     }
+    OnChanged(entry);
   }
   if (work.prefill_done) {
-    for (const WorkId id : entry.work) {
-      loads_.OnPrefillDone(id);
-    }
+    MarkPrefillDone(&entry);
+  }
+}
+
+void Planner::MarkPrefillDone(Entry* entry) {
+  for (const WorkId work : entry->work) {
+    loads_.OnPrefillDone(work);
+  }
+  if (!entry->prefill_done) {
+    entry->prefill_done = true;
+    OnChanged(*entry);
   }
 }
 
@@ -307,14 +324,18 @@
   plan_ = {};
   unreported_hosts_.clear();
   learning_until_ = TimePoint{};
+  changes_.clear();
 }
 
 void Planner::RemoveEntry(Entry* entry) {
+  OnChanged(*entry);
   Dequeue(entry);
   for (const WorkId work : entry->work) {
     loads_.End(work);
   }
   entry->work.clear();
+  entry->parts.clear();
+  entry->prefill_done = false;
 }
 
 void Planner::RemoveQueries(HostQueries* host) {
--- a/src/gateway/gateway_gauges.cc
+++ b/src/gateway/gateway_gauges.cc
@@ -79,6 +79,9 @@
   metrics->AddGauge("harecrank_gateway_planned_no_room", [parts] {
     return static_cast<double>(parts.planner->PlanningTotals().no_room);
   });
+  metrics->AddGauge("harecrank_gateway_planner_records_held", [parts] {
+    return static_cast<double>(parts.fleet->HeldRecords());
+  });
 }
 
 // Returns the delays of the first planned starts, in milliseconds.
@@ -176,6 +179,7 @@
           {"fleet",
            {{"planner", planner.value_or(HostAddress{}).value},
             {"plans", parts.fleet->IsPlanner()},
+            {"records_held", parts.fleet->HeldRecords()},
             {"alive", parts.membership->AliveHosts()},
             {"size", parts.membership->Size().MaxHosts().value_or(0)}}},
           {"endpoints",
