--- a/include/harecrank/core/attempt_timeout.h
+++ b/include/harecrank/core/attempt_timeout.h
@@ -25,6 +25,8 @@
   // Bytes of other requests have arrived from the endpoint since
   // `last_bytes_at`.
   bool endpoint_is_alive = false;
+  // Engines have a standing by their groups (PlacementPolicy::group_pace).
+  bool judges_groups = false;
 };
 
 // Returns when the response to a request on `route` becomes overdue. A stream
@@ -33,6 +35,10 @@
 // sent.
 TimePoint OverdueAt(const RouteRule& route, const AttemptProgress& progress);
 
+// Returns when the first event of an attempt with helpers is overdue by far, so
+// that one of its engines must be slow or silent. The attempt may go on.
+TimePoint GroupTroubleAt(const AttemptProgress& progress);
+
 // Returns the longest silence of a stream on `route` after which another
 // endpoint can still resume it before the caller gives up.
 Millis UsableCallerTimeout(const RouteRule& route);
--- a/include/harecrank/core/endpoint_health.h
+++ b/include/harecrank/core/endpoint_health.h
@@ -4,10 +4,12 @@
 #ifndef HARECRANK_CORE_ENDPOINT_HEALTH_H_
 #define HARECRANK_CORE_ENDPOINT_HEALTH_H_
 
+#include <map>
 #include <unordered_map>
 #include <vector>
 
 #include "harecrank/core/clock.h"
+#include "harecrank/core/engine_pace.h"
 #include "harecrank/core/strong_types.h"
 
 namespace harecrank {
@@ -24,12 +26,22 @@
 // there is no other. Not thread-safe.
 class EndpointHealth {
  public:
-  explicit EndpointHealth(MonotonicClock clock);
+  // If `judges_groups`, engines have a standing by the groups and the prompts
+  // that they have prefilled; see EnginePace.
+  explicit EndpointHealth(MonotonicClock clock, bool judges_groups = false);
 
   // Records a response or the first event of a stream. `slowdown` is the ratio
   // of the observed to the expected response time.
   void OnSuccess(const EndpointId& id, double slowdown);
 
+  // Records the first event of a prompt that engines have prefilled. The
+  // success is that of the engine that decodes.
+  void OnFirstEvent(const PrefillObservation& observation);
+
+  // Records trouble of a group; see EnginePace::OnGroupTrouble.
+  void OnGroupTrouble(const std::vector<EndpointId>& engines, double slowdown,
+                      FractionalMillis elapsed);
+
   // Records that bytes arrived from the endpoint, which is alive even if it is
   // slow.
   void OnBytesReceived(const EndpointId& id);
@@ -71,8 +83,22 @@
   // unknown.
   double Slowdown(const EndpointId& id) const;
 
+  // Returns what recent requests show about an engine. Always kSound if engines
+  // have no standing.
+  EngineStanding StandingOf(const EndpointId& id) const;
+
+  // Returns whether an engine that is not sound should be given a prompt, to
+  // find out whether it has recovered.
+  bool IsTrialDue(const EndpointId& id) const;
+
+  // Returns the engines that are not sound.
+  std::map<EndpointId, EngineStanding> UnsoundEngines() const;
+
   // Removes the state of an endpoint.
-  void Forget(const EndpointId& id) { states_.erase(id); }
+  void Forget(const EndpointId& id) {
+    states_.erase(id);
+    pace_.Forget(id);
+  }
 
   // Time for which the first failure opens the circuit. It lies between the
   // time of a connection set-up, which would be too short, and the time until
@@ -93,6 +119,15 @@
   // avoided. Without this limit it would receive no requests while others are
   // healthy, and could never recover.
   static constexpr Millis kProbeDelay{1400};
+  // Failure ratio above which an engine is kFailing. A prompt that a group
+  // prefills costs far more than a short one, so groups leave an engine out
+  // sooner than kSuspectFailureRatio.
+  static constexpr double kFailingRatio = 0.25;
+  // How long after its last failure an engine above kFailingRatio is kFailing.
+  static constexpr Millis kFailingTime{6000};
+  // Time after the last evidence against a slow or failing engine before it is
+  // tried again. Suspected engines are tried at once, since most are sound.
+  static constexpr Millis kTrialPause{500};
   // Minimum time between the last byte of an overdue request and later bytes of
   // any request from the same endpoint for the endpoint to count as slow rather
   // than silent.
@@ -115,10 +150,14 @@
     TimePoint last_bytes_at{};
     double failure_ratio = 0;
     TimePoint last_failure_at{};
-    double slowdown = 1;
   };
 
+  // Returns whether an engine with this state fails a share of its requests.
+  bool IsFailing(const State& state) const;
+
   MonotonicClock clock_;
+  bool judges_groups_;
+  EnginePace pace_;
   std::unordered_map<EndpointId, State> states_;
 };
 
--- a/include/harecrank/core/fleet_messages.h
+++ b/include/harecrank/core/fleet_messages.h
@@ -144,6 +144,8 @@
   // used up its start quota, which is its share of the endpoint's limit on
   // request starts.
   std::set<EndpointId> withheld;
+  // Whether the request may be executed more than once.
+  bool may_repeat = false;
 };
 
 // A helper endpoint and the number of tokens of the request's KV memory that it
@@ -209,6 +211,15 @@
   bool failed = false;
 };
 
+// Reports that a request with helpers has no first event although it is overdue
+// by far, or that it broke before its first event, and that no endpoint was
+// named as the cause.
+struct GroupTrouble {
+  QueryId id;
+  // The ratio of PrefillDone::pace for the time until now.
+  double pace = 1;
+};
+
 // Reports the progress of placed requests to the planner.
 struct ProgressReport {
   HostAddress host;
@@ -216,6 +227,7 @@
   // Requests whose first event was received, and requests that have ended.
   std::vector<PrefillDone> read;
   std::vector<RequestDone> ended;
+  std::vector<GroupTrouble> troubles{};
 };
 
 // The changes of the store since one of its revisions, sent by the planner to
--- a/include/harecrank/core/placement.h
+++ b/include/harecrank/core/placement.h
@@ -63,6 +63,8 @@
   // Whether an endpoint may already have run the request. Such a request is
   // placed even if that makes other requests late.
   bool may_have_run = false;
+  // Whether the request may be executed more than once.
+  bool may_repeat = false;
   // Short requests that are expected to arrive, at all engines together, within
   // a period as long as the latency target.
   ShortDemand demand;
--- a/include/harecrank/core/placement_policy.h
+++ b/include/harecrank/core/placement_policy.h
@@ -137,6 +137,10 @@
   // Upper limit of the delay after which a rejected caller should retry, as a
   // share of the time left until its deadline.
   double return_share = 0.33;
+  // If set, engines have a standing by the prompts and the groups that they
+  // have prefilled (engine_pace.h). Groups leave out engines that are slow,
+  // fail often, or may be the cause of a slow group.
+  bool group_pace = false;
   // In one run over a queue, the planner stops placing prompts after it has
   // found this number of prompts that must keep waiting. It tries the remaining
   // ones in the next run.
--- a/include/harecrank/core/planner.h
+++ b/include/harecrank/core/planner.h
@@ -162,6 +162,8 @@
     std::vector<WorkId> work;
     // The endpoint that decodes the answer, if the request has been placed.
     EndpointId endpoint;
+    // PrefillObservation::part of the placement.
+    FractionalMillis least_first_event{0};
   };
   // A host's queries and work as the planner knows them.
   struct HostQueries {
@@ -185,6 +187,11 @@
   // Tries to place the query and records its work. Returns the placement,
   // NoEndpoint, or nothing if the query must wait for an engine.
   std::optional<PlacementDecision> TryPlace(Entry* entry);
+  // Returns PrefillObservation::part of a placement that has not begun yet.
+  FractionalMillis LeastFirstEvent(const Placement& placement,
+                                   const PlacementRequest& request) const;
+  // Returns the first event of the placed query.
+  static PrefillObservation ObservationOf(const Entry& entry, double slowdown);
   // Returns the request of a query as input for the placer, or nothing if the
   // routing table has no such service.
   std::optional<PlacementRequest> RequestOf(const Entry& entry) const;
--- a/include/harecrank/core/prefill_group.h
+++ b/include/harecrank/core/prefill_group.h
@@ -16,6 +16,7 @@
 
 #include "harecrank/core/endpoint_directory.h"
 #include "harecrank/core/endpoint_loads.h"
+#include "harecrank/core/engine_pace.h"
 #include "harecrank/core/placement_policy.h"
 #include "harecrank/core/routing_table.h"
 
@@ -41,6 +42,10 @@
   // Whether a part of another prompt is planned on the engine for later. A
   // stream that is decoded on it might not tolerate that part.
   bool has_later_part = false;
+  // What recent requests show about the engine, and whether it should be given
+  // a prompt now to find out whether it has recovered.
+  EngineStanding standing = EngineStanding::kSound;
+  bool trial_due = false;
 };
 
 // A prompt that is split among several engines.
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -339,6 +339,7 @@
   reader->ReadInteger("tried", 1, kMaxPerEngine, &policy->tried);
   reader->ReadBool("refuses_by_precedent", &policy->refuses_by_precedent);
   reader->ReadBool("shares_by_account", &policy->shares_by_account);
+  reader->ReadBool("group_pace", &policy->group_pace);
   reader->ReadNumber("retry_after_share", 0, kMaxShare,
                      &policy->retry_after_share);
   reader->ReadBool("foresees_room", &policy->foresees_room);
--- a/src/core/attempt_timeout.cc
+++ b/src/core/attempt_timeout.cc
@@ -14,6 +14,15 @@
 // prefill parts of the prompt. An engine whose helper has died stalls for 1.5 s
 // before it reports the helper; a shorter time-out would discard that report.
 constexpr Millis kHelperStallMargin{1700};
+// A group is in trouble when its first event has not come after
+// kGroupTroubleFactor times the predicted time and kGroupTroubleMargin.
+constexpr double kGroupTroubleFactor = 2.5;
+constexpr Millis kGroupTroubleMargin{500};
+// If engines have a standing, a group is overdue after this multiple of the
+// predicted time even if its endpoint is alive: one of its other engines may
+// never finish. Up to then the slowest engine probably finishes sooner than
+// another group would.
+constexpr double kAliveGroupFactor = 6;
 // A non-streaming response is overdue after this multiple of its target
 // latency.
 constexpr int kPlainTimeoutFactor = 2;
@@ -42,6 +51,12 @@
   return caller_timeout * kUsablePercent / kPercent;
 }
 
+TimePoint GroupTroubleAt(const AttemptProgress& progress) {
+  return progress.sent_at + kGroupTroubleMargin +
+         std::chrono::duration_cast<Millis>(kGroupTroubleFactor *
+                                            progress.predicted);
+}
+
 TimePoint OverdueAt(const RouteRule& route, const AttemptProgress& progress) {
   if (route.kind != RequestKind::kStreaming) {
     return progress.sent_at + kPlainTimeoutFactor * route.target_latency;
@@ -56,7 +71,14 @@
   if (progress.endpoint_is_alive) {
     // The endpoint is alive but slow. Restarting elsewhere costs more than
     // waiting until shortly before the caller gives up.
-    limit = std::max(limit, UsableCallerTimeout(route));
+    const bool watches_group = progress.judges_groups && progress.has_helpers &&
+                               !progress.first_event_seen;
+    const Millis alive_limit =
+        watches_group ? std::min(UsableCallerTimeout(route),
+                                 std::chrono::duration_cast<Millis>(
+                                     kAliveGroupFactor * progress.predicted))
+                      : UsableCallerTimeout(route);
+    limit = std::max(limit, alive_limit);
   }
   return progress.last_bytes_at + limit;
 }
--- a/src/core/attempt_timeout_test.cc
+++ b/src/core/attempt_timeout_test.cc
@@ -49,6 +49,20 @@
   CHECK(UsableCallerTimeout(StreamingRoute()) == Millis(1500));
 }
 
+// The endpoint that decodes is alive while it waits for a helper that hangs.
+TEST_CASE("A group that is judged is overdue although its endpoint is alive") {
+  RouteRule route = StreamingRoute();
+  route.target_latency = Millis(4000);
+  AttemptProgress progress = WaitingForFirstEvent();
+  progress.predicted = FractionalMillis(1000);
+  progress.has_helpers = true;
+  progress.endpoint_is_alive = true;
+  CHECK(OverdueAt(route, progress) == kSentAt + Millis(12000));
+  progress.judges_groups = true;
+  CHECK(OverdueAt(route, progress) == kSentAt + Millis(6000));
+  CHECK(GroupTroubleAt(progress) == kSentAt + Millis(3000));
+}
+
 TEST_CASE("A non-streaming response is overdue at twice its target") {
   RouteRule route = StreamingRoute();
   route.kind = RequestKind::kSafe;
--- a/src/core/endpoint_health.cc
+++ b/src/core/endpoint_health.cc
@@ -6,11 +6,8 @@
 namespace harecrank {
 namespace {
 
-// Weight of the latest sample in the exponential moving averages.
+// Weight of the latest result in the failure ratio.
 constexpr double kSmoothingFactor = 0.15;
-// Upper limit on a single slowdown sample, so that one outlier cannot dominate
-// the mean.
-constexpr double kMaxSlowdown = 10;
 
 void UpdateMean(double* mean, double newest) {
   *mean += kSmoothingFactor * (newest - *mean);
@@ -18,15 +15,29 @@
 
 }  // namespace
 
-EndpointHealth::EndpointHealth(MonotonicClock clock)
-    : clock_(std::move(clock)) {}
+EndpointHealth::EndpointHealth(MonotonicClock clock, bool judges_groups)
+    : clock_(std::move(clock)),
+      judges_groups_(judges_groups),
+      pace_(clock_, judges_groups) {}
 
 void EndpointHealth::OnSuccess(const EndpointId& id, double slowdown) {
-  State& state = states_[id];
+  PrefillObservation observation;
+  observation.engines = {id};
+  observation.slowdown = slowdown;
+  OnFirstEvent(observation);
+}
+
+void EndpointHealth::OnFirstEvent(const PrefillObservation& observation) {
+  State& state = states_[observation.engines.front()];
   state.failures_in_a_row = 0;
   state.open_until = TimePoint{};
   UpdateMean(&state.failure_ratio, 0);
-  UpdateMean(&state.slowdown, std::min(slowdown, kMaxSlowdown));
+  pace_.OnFirstEvent(observation);
+}
+
+void EndpointHealth::OnGroupTrouble(const std::vector<EndpointId>& engines,
+                                    double slowdown, FractionalMillis elapsed) {
+  pace_.OnGroupTrouble(engines, slowdown, elapsed);
 }
 
 void EndpointHealth::OnBytesReceived(const EndpointId& id) {
@@ -103,8 +114,49 @@
 }
 
 double EndpointHealth::Slowdown(const EndpointId& id) const {
+  return pace_.Of(id);
+}
+
+bool EndpointHealth::IsFailing(const State& state) const {
+  return state.failure_ratio > kFailingRatio &&
+         clock_() < state.last_failure_at + kFailingTime;
+}
+
+EngineStanding EndpointHealth::StandingOf(const EndpointId& id) const {
+  if (!judges_groups_) {
+    return EngineStanding::kSound;
+  }
   const auto found = states_.find(id);
-  return found == states_.end() ? 1 : found->second.slowdown;
+  const bool fails = found != states_.end() && IsFailing(found->second);
+  return fails ? EngineStanding::kFailing : pace_.StandingOf(id);
+}
+
+bool EndpointHealth::IsTrialDue(const EndpointId& id) const {
+  if (StandingOf(id) == EngineStanding::kSound) {
+    return false;
+  }
+  const auto found = states_.find(id);
+  const TimePoint last_failure_at =
+      found == states_.end() ? TimePoint{} : found->second.last_failure_at;
+  return clock_() >=
+         std::max(last_failure_at, pace_.ChargedAt(id)) + kTrialPause;
+}
+
+std::map<EndpointId, EngineStanding> EndpointHealth::UnsoundEngines() const {
+  std::map<EndpointId, EngineStanding> unsound;
+  const auto add = [this, &unsound](const EndpointId& id) {
+    const EngineStanding standing = StandingOf(id);
+    if (standing != EngineStanding::kSound) {
+      unsound[id] = standing;
+    }
+  };
+  for (const auto& [id, state] : states_) {
+    add(id);
+  }
+  for (const EndpointId& id : pace_.Engines()) {
+    add(id);
+  }
+  return unsound;
 }
 
 }  // namespace harecrank
--- a/src/core/fleet_message_decoding.cc
+++ b/src/core/fleet_message_decoding.cc
@@ -248,6 +248,9 @@
   if (size > kSizeWithoutWithheld) {
     query.withheld = TakeIds(reader);
   }
+  if (size > kSizeWithoutWithheld + 1) {
+    query.may_repeat = reader->Take<bool>();
+  }
   return query;
 }
 
@@ -287,7 +290,8 @@
   return crash_reports;
 }
 
-ProgressReport TakeProgressReport(ArrayReader* reader) {
+ProgressReport TakeProgressReport(ArrayReader* reader, std::size_t size) {
+  constexpr std::size_t kSizeWithoutTroubles = 5;
   ProgressReport progress;
   progress.host = reader->TakeString<HostAddress>();
   progress.incarnation = reader->TakeNumber<Incarnation>();
@@ -303,6 +307,14 @@
     one.failed = entry->Take<bool>();
     progress.ended.push_back(one);
   });
+  if (size > kSizeWithoutTroubles) {
+    reader->EachOf([&progress](ArrayReader* entry) {
+      GroupTrouble one;
+      one.id = entry->TakeNumber<QueryId>();
+      one.pace = entry->Take<double>();
+      progress.troubles.push_back(one);
+    });
+  }
   return progress;
 }
 
@@ -320,7 +332,7 @@
       case MessageKind::kReply:
         return TakeReply(&reader);
       case MessageKind::kProgress:
-        return TakeProgressReport(&reader);
+        return TakeProgressReport(&reader, array.size());
       case MessageKind::kChanges:
         return TakeChanges(&reader);
       case MessageKind::kCrashes:
--- a/src/core/fleet_message_encoding.cc
+++ b/src/core/fleet_message_encoding.cc
@@ -143,9 +143,12 @@
          query.until_deadline.count(), query.origin.request.account.value,
          query.origin.request.high, query.origin.request.low,
          query.origin.priority});
-    if (!query.withheld.empty()) {
+    if (!query.withheld.empty() || query.may_repeat) {
       array.push_back(EncodeIds(query.withheld));
     }
+    if (query.may_repeat) {
+      array.push_back(query.may_repeat);
+    }
     return array;
   }
 
@@ -183,9 +186,17 @@
     for (const RequestDone& one : progress.ended) {
       ended_requests.push_back({one.id.value, one.failed});
     }
-    return json::array({static_cast<int>(MessageKind::kProgress),
-                        progress.host.value, progress.incarnation.value,
-                        std::move(prefills), std::move(ended_requests)});
+    json array = json::array({static_cast<int>(MessageKind::kProgress),
+                              progress.host.value, progress.incarnation.value,
+                              std::move(prefills), std::move(ended_requests)});
+    if (!progress.troubles.empty()) {
+      json troubles = json::array();
+      for (const GroupTrouble& one : progress.troubles) {
+        troubles.push_back({one.id.value, one.pace});
+      }
+      array.push_back(std::move(troubles));
+    }
+    return array;
   }
 };
 
--- a/src/core/fleet_messages_test.cc
+++ b/src/core/fleet_messages_test.cc
@@ -186,6 +186,11 @@
   CHECK(decoded.withheld.empty());
   query.withheld = {EndpointId{"g"}};
   CHECK(RoundTrip(query).withheld == query.withheld);
+  CHECK_FALSE(RoundTrip(query).may_repeat);
+  query.withheld.clear();
+  query.may_repeat = true;
+  CHECK(RoundTrip(query).may_repeat);
+  CHECK(RoundTrip(query).withheld.empty());
 }
 
 TEST_CASE("Every kind of placement decision round-trips") {
@@ -223,13 +228,17 @@
   const ProgressReport progress_report{kHost,
                                        Incarnation{77},
                                        {PrefillDone{QueryId{1}, 1.5}},
-                                       {RequestDone{QueryId{2}, true}}};
+                                       {RequestDone{QueryId{2}, true}},
+                                       {GroupTrouble{QueryId{3}, 2.5}}};
   const ProgressReport decoded = RoundTrip(progress_report);
   REQUIRE(decoded.read.size() == 1);
   CHECK(decoded.read.front().pace == 1.5);
   REQUIRE(decoded.ended.size() == 1);
   CHECK(decoded.ended.front().id == QueryId{2});
   CHECK(decoded.ended.front().failed);
+  REQUIRE(decoded.troubles.size() == 1);
+  CHECK(decoded.troubles.front().id == QueryId{3});
+  CHECK(decoded.troubles.front().pace == 2.5);
 }
 
 TEST_CASE("Bytes that are not a valid message are rejected") {
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "harecrank/core/rendezvous.h"
+#include "harecrank/core/unsound_engines.h"
 
 namespace harecrank {
 namespace {
@@ -134,6 +135,9 @@
         scope_ == LoadScope::kAllHosts && placing_hosts_() <= 1;
     const bool may_wait =
         policy_.short_waits && sees_all_loads && !request.may_have_run;
+    if (is_short) {
+      LeaveOutFailing(&candidates);
+    }
     if (is_short && may_wait) {
       result = ChooseShortWithinTarget(request, candidates);
     } else if (is_short) {
@@ -162,6 +166,11 @@
     candidate.record = record;
     candidate.load = loads_->Of(record->id);
     candidate.pace = std::max(1.0, health_->Slowdown(record->id));
+    candidate.standing = health_->StandingOf(record->id);
+    // A trial must not cost a request that may be executed only once.
+    candidate.trial_due =
+        health_->IsTrialDue(record->id) &&
+        (request.may_repeat || candidate.standing != EngineStanding::kFailing);
     (health_->IsSuspect(record->id) ? suspect : healthy).push_back(candidate);
   }
   return healthy.empty() ? suspect : healthy;
@@ -234,6 +243,9 @@
       // The request would have to wait on this engine for a slot or for memory.
       time += FractionalMillis(request.target_latency);
     }
+    if (IsGoodTrial(candidate)) {
+      time -= FractionalMillis(request.target_latency);
+    }
     if (time < best_time) {
       best = &candidate;
       best_time = time;
@@ -282,6 +294,9 @@
       cost +=
           policy_.beyond_short_share * FractionalMillis(request.target_latency);
     }
+    if (IsGoodTrial(ranked[i])) {
+      cost -= FractionalMillis(request.target_latency);
+    }
     if (cost < best_cost) {
       best = &ranked[i];
       best_cost = cost;
@@ -346,6 +361,7 @@
   for (std::size_t i = 0; i < reserved_for_short; ++i) {
     ranked[i].reserved_for_short = true;
   }
+  LeaveOutUnsound(&ranked);
   LongPrompt prompt;
   prompt.prefill_time = PrefillTime(engine, request.prompt);
   prompt.needed = request.prompt + request.answer;
--- a/src/core/planner.cc
+++ b/src/core/planner.cc
@@ -124,6 +124,7 @@
   request.tried = entry.query.tried;
   request.withheld = WithheldFor(entry, *service);
   request.may_have_run = entry.query.may_have_run;
+  request.may_repeat = entry.query.may_repeat;
   if (entry.is_short) {
     request.demand = DemandWithin(request.target_latency);
   }
@@ -156,6 +157,7 @@
   if (placement == nullptr) {
     return NoEndpoint{};
   }
+  entry->least_first_event = LeastFirstEvent(*placement, *request);
   for (const WorkPart& part : PartsOf(*placement, *request)) {
     entry->work.push_back(loads_.Begin(part, entry->first_event_due));
   }
@@ -171,6 +173,31 @@
   return *entry->placed;
 }
 
+FractionalMillis Planner::LeastFirstEvent(
+    const Placement& placement, const PlacementRequest& request) const {
+  const EndpointLoad load = loads_.Of(placement.endpoint.id);
+  if (!request.service->engine.has_value() || !placement.helpers.empty() ||
+      load.BatchSize() == 0) {
+    return placement.prefill_time;
+  }
+  return placement.prefill_time +
+         PassTime(*request.service->engine, load.BatchSize() + 1, load.memory);
+}
+
+PrefillObservation Planner::ObservationOf(const Entry& entry, double slowdown) {
+  PrefillObservation observation;
+  observation.engines = {entry.endpoint};
+  observation.slowdown = slowdown;
+  if (entry.placed.has_value()) {
+    for (const PlannedHelper& helper : entry.placed->helpers) {
+      observation.engines.push_back(helper.endpoint);
+    }
+    observation.taken = TimeTaken(slowdown, entry.placed->first_event);
+    observation.part = entry.least_first_event;
+  }
+  return observation;
+}
+
 void Planner::OnProgressReport(const ProgressReport& report) {
   HostQueries* host = FindOrAddHost(report.host, report.incarnation);
   for (const PrefillDone& done : report.read) {
@@ -181,7 +208,15 @@
     for (const WorkId work : found->second.work) {
       loads_.OnPrefillDone(work);
     }
-    health_->OnSuccess(found->second.endpoint, done.pace);
+    health_->OnFirstEvent(ObservationOf(found->second, done.pace));
+  }
+  for (const GroupTrouble& trouble : report.troubles) {
+    const auto found = host->queries.find(trouble.id);
+    if (found != host->queries.end()) {
+      const PrefillObservation seen =
+          ObservationOf(found->second, trouble.pace);
+      health_->OnGroupTrouble(seen.engines, seen.slowdown, seen.taken);
+    }
   }
   for (const RequestDone& done : report.ended) {
     const auto found = host->queries.find(done.id);
--- a/src/gateway/admission.cc
+++ b/src/gateway/admission.cc
@@ -94,6 +94,7 @@
     PlacementRequest& placement = admitted_->placement;
     placement.target_latency = admitted_->route->target_latency;
     placement.target_gap = admitted_->route->target_gap;
+    placement.may_repeat = admitted_->route->MayRepeat();
     const std::string_view counts =
         View(request_[services_.names->token_counts]);
     placement.prompt = Tokens{ParseInteger(counts).value_or(0)};
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -156,6 +156,9 @@
   if (const auto overdue_at = AttemptOverdueAt()) {
     next = std::min(next, *overdue_at);
   }
+  if (const auto trouble_at = sender_->GroupTroubleAt()) {
+    next = std::min(next, *trouble_at);
+  }
   if (const auto wait_end = search_->WaitEnd(may_have_run_)) {
     next = std::min(next, *wait_end);
   }
@@ -183,6 +186,10 @@
   if (EndWaitIfDue(now)) {
     return;
   }
+  const auto trouble_at = sender_->GroupTroubleAt();
+  if (trouble_at.has_value() && now >= *trouble_at) {
+    OnGroupTrouble("overdue");
+  }
   const auto overdue_at = AttemptOverdueAt();
   if (overdue_at.has_value() && now >= *overdue_at) {
     if (RetryOverdue()) {
@@ -217,10 +224,14 @@
 
 bool Exchange::RetryOverdue() {
   // Retry only if another attempt can still produce a response in time.
-  if (!MayRetry()) {
+  if (TimeLeft() < sender_->TimeForRetry() || !MayRetry()) {
     return false;
   }
   may_have_run_ = may_have_run_ || sender_->WasSent();
+  OnGroupTrouble("overdue");
+  if (sender_->JudgesOverdue()) {
+    OnErrorAnswer();
+  }
   AbandonAttempt();
   sender_->OnOverdue();
   relay_.DropPartial();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -62,6 +62,9 @@
   int Priority() const;
   void OnErrorAnswer();
   void OnFirstEvent();
+  // Reports trouble of the engines that prefill the prompt, if there are
+  // several.
+  void OnGroupTrouble(const char* cause);
 
   // Handles the head of a response. Distinguishes rejections of requests that
   // have not run, unsigned responses, errors that are retried, event streams,
--- a/src/gateway/exchange_attempts.cc
+++ b/src/gateway/exchange_attempts.cc
@@ -43,6 +43,19 @@
   }
 }
 
+void Exchange::OnGroupTrouble(const char* cause) {
+  const auto slowdown = sender_->OnGroupTrouble();
+  if (!slowdown.has_value()) {
+    return;
+  }
+  search_->OnGroupTrouble(*slowdown);
+  nlohmann::json fields = log_.Fields();
+  fields["endpoint"] = sender_->Endpoint().id.value;
+  fields["cause"] = cause;
+  fields["slowdown"] = *slowdown;
+  services_->log->Write("group_trouble", std::move(fields));
+}
+
 void Exchange::OnSent() {
   if (is_trial_) {
     services_->crashes->OnTrialSent(Fingerprint());
@@ -170,6 +183,7 @@
   // counts as an error. If the endpoint is dead, the next connection attempt
   // fails.
   OnErrorAnswer();
+  OnGroupTrouble("broken");
   search_->End();
   relay_.DropPartial();
   HandleBroken(std::get<AttemptBroken>(failure));
--- a/src/gateway/gateway_gauges.cc
+++ b/src/gateway/gateway_gauges.cc
@@ -1,7 +1,11 @@
 #include "src/gateway/gateway_gauges.h"
 
+#include <algorithm>
+#include <map>
 #include <vector>
 
+#include "src/gateway/engine_standing_log.h"
+
 namespace harecrank {
 namespace {
 
@@ -13,6 +17,32 @@
   return names;
 }
 
+// Returns the names of the engines that are not sound, by standing.
+nlohmann::json UnsoundEngines(const EndpointHealth& health) {
+  nlohmann::json engines = nlohmann::json::object();
+  for (const auto& [id, standing] : health.UnsoundEngines()) {
+    engines[NameOf(standing)].push_back(id.value);
+  }
+  return engines;
+}
+
+// Adds gauges of the number of engines with each standing but kSound.
+void RegisterStandingGauges(const GatewayParts& parts, Metrics* metrics) {
+  for (const EngineStanding standing :
+       {EngineStanding::kSuspected, EngineStanding::kSlow,
+        EngineStanding::kFailing}) {
+    metrics->AddGauge(
+        std::string("harecrank_gateway_engines_") + NameOf(standing),
+        [parts, standing] {
+          const auto unsound = parts.health->UnsoundEngines();
+          return static_cast<double>(std::count_if(
+              unsound.begin(), unsound.end(), [standing](const auto& entry) {
+                return entry.second == standing;
+              }));
+        });
+  }
+}
+
 // Adds the gauges that are meaningful only on the planner: its known hosts, its
 // wait queue and its reservations.
 void RegisterPlannerGauges(const GatewayParts& parts, Metrics* metrics) {
@@ -48,6 +78,7 @@
 
 void RegisterGauges(const GatewayParts& parts, Metrics* metrics) {
   RegisterPlannerGauges(parts, metrics);
+  RegisterStandingGauges(parts, metrics);
   metrics->AddGauge("harecrank_gateway_configuration_version", [parts] {
     const auto table = parts.routing->InForce();
     return table == nullptr ? 0.0 : static_cast<double>(table->Version().value);
@@ -128,7 +159,8 @@
            {{"known", parts.directory->Count()},
             {"leaving", Names(parts.directory->Leaving())},
             {"missing", parts.directory->MissingCount()},
-            {"avoided", parts.health->Avoided().size()}}},
+            {"avoided", parts.health->Avoided().size()},
+            {"engines_not_sound", UnsoundEngines(*parts.health)}}},
           {"requests",
            {{"waiting", parts.queue->Count()},
             {"waiting_at_planner", parts.planner->WaitingCount()},
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -54,7 +54,8 @@
       loop_monitor_(&log_, &metrics_, clock_),
       directory_(clock_, settings_.leave_limit),
       loads_(clock_),
-      health_(clock_),
+      health_(clock_, settings_.placement.group_pace),
+      engine_standings_(&health_, &log_, &metrics_),
       connections_(&io_, clock_),
       prober_(&io_),
       quarantine_(clock_),
@@ -381,6 +382,7 @@
   endpoint_updater_.RemoveExpired();
   membership_.RecordFleetSize();
   start_limiter_.Tick();
+  engine_standings_.Tick();
   store_sync_.Tick();
   if (now - last_sweep_at_ >= kSweepInterval) {
     last_sweep_at_ = now;
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -18,6 +18,7 @@
 #include "src/gateway/endpoint_prober.h"
 #include "src/gateway/endpoint_response_handler.h"
 #include "src/gateway/endpoint_updater.h"
+#include "src/gateway/engine_standing_log.h"
 #include "src/gateway/event_loop_monitor.h"
 #include "src/gateway/fleet_member.h"
 #include "src/gateway/gateway_gauges.h"
@@ -109,6 +110,7 @@
   EndpointDirectory directory_;
   EndpointLoads loads_;
   EndpointHealth health_;
+  EngineStandingLog engine_standings_;
   EndpointConnectionPool connections_;
   EndpointProber prober_;
   RequestQuarantine quarantine_;
--- a/src/gateway/placement_client.cc
+++ b/src/gateway/placement_client.cc
@@ -50,6 +50,7 @@
   query.tried = request.tried;
   query.origin = request.origin;
   query.withheld = request.withheld;
+  query.may_repeat = request.may_repeat;
   pending.target_at =
       clock_() +
       std::chrono::duration_cast<TimePoint::duration>(request.until_late);
@@ -150,8 +151,8 @@
 }
 
 void PlacementClient::ReleasePlacement(const HostAddress& host, QueryId id) {
-  ports_.send(
-      host, ProgressReport{self_, incarnation_, {}, {RequestDone{id, false}}});
+  ports_.send(host, ProgressReport{
+                        self_, incarnation_, {}, {RequestDone{id, false}}, {}});
 }
 
 void PlacementClient::Resolve(QueryId id, const QueryResult& result) {
@@ -174,6 +175,13 @@
   }
 }
 
+void PlacementClient::OnGroupTrouble(QueryId id, double pace) {
+  if (in_progress_.count(id) != 0) {
+    troubles_.push_back(GroupTrouble{id, pace});
+    FlushSoon();
+  }
+}
+
 void PlacementClient::OnEnd(QueryId id, bool failed) {
   const bool known = pending_.erase(id) + in_progress_.erase(id) > 0;
   if (known) {
@@ -290,7 +298,8 @@
 void PlacementClient::Flush() {
   flush_scheduled_ = false;
   ProgressReport report{self_, incarnation_, std::move(prefill_done_),
-                        std::move(requests_done_)};
+                        std::move(requests_done_), std::move(troubles_)};
+  troubles_.clear();
   prefill_done_.clear();
   requests_done_.clear();
   // While no planner is known, reports are dropped. The next planner receives
--- a/src/gateway/placement_client.h
+++ b/src/gateway/placement_client.h
@@ -68,6 +68,8 @@
   // Records that the first event has arrived. `pace` is the actual time to the
   // first event divided by the predicted time.
   void OnPrefillDone(QueryId id, double pace);
+  // Records trouble of the request's engines; see GroupTrouble.
+  void OnGroupTrouble(QueryId id, double pace);
   // Records that the request has ended or that its placement is no longer
   // needed; `failed` tells whether its endpoint failed. Ignores ids that have
   // ended already.
@@ -143,6 +145,7 @@
   std::unordered_map<QueryId, QueryWork> in_progress_;
   std::vector<PrefillDone> prefill_done_;
   std::vector<RequestDone> requests_done_;
+  std::vector<GroupTrouble> troubles_;
   bool flush_scheduled_ = false;
   // Moving average of the reply time.
   FractionalMillis reply_time_{0};
--- a/src/gateway/placement_search.cc
+++ b/src/gateway/placement_search.cc
@@ -484,6 +484,12 @@
   }
 }
 
+void PlacementSearch::OnGroupTrouble(double slowdown) {
+  if (query_id_.has_value()) {
+    services_->places->OnGroupTrouble(*query_id_, slowdown);
+  }
+}
+
 void PlacementSearch::End() {
   services_->queue->PumpSoon();
   for (const WorkId id : work_) {
--- a/src/gateway/placement_search.h
+++ b/src/gateway/placement_search.h
@@ -115,6 +115,8 @@
   // Records that the first event has arrived. `slowdown` is the ratio of its
   // actual to its predicted latency.
   void OnPrefillDone(double slowdown);
+  // Records trouble of the engines of the current placement; see GroupTrouble.
+  void OnGroupTrouble(double slowdown);
   // Records that the endpoint of the current placement has failed.
   void OnFailure() { failed_ = true; }
   // Gives up the current placement, and a query that has not been answered.
--- a/src/gateway/request_sender.cc
+++ b/src/gateway/request_sender.cc
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include "harecrank/core/attempt_timeout.h"
-
 namespace harecrank {
 namespace {
 
@@ -29,7 +27,9 @@
     helpers_.push_back(helper.record.id);
   }
   predicted_ = placement.first_event;
+  part_ = placement.prefill_time;
   was_sent_ = false;
+  trouble_recorded_ = false;
   attempt_first_event_at_.reset();
   sent_at_ = services_->clock();
   last_bytes_at_ = sent_at_;
@@ -82,12 +82,57 @@
   const TimePoint now = services_->clock();
   attempt_first_event_at_ = now;
   first_event_at_ = first_event_at_.value_or(now);
-  const FractionalMillis taken = now - sent_at_;
-  // Added to both times, since for latencies below this the ratio would be
-  // mostly noise. It hardly affects the ratio of long latencies.
-  constexpr FractionalMillis kNegligible{200};
-  const double slowdown = (taken + kNegligible) / (predicted_ + kNegligible);
-  services_->health->OnSuccess(endpoint_.id, slowdown);
+  PrefillObservation observation;
+  observation.engines = Engines();
+  observation.taken = now - sent_at_;
+  observation.part = part_;
+  observation.slowdown = SlowdownOf(observation.taken, predicted_);
+  services_->health->OnFirstEvent(observation);
+  return observation.slowdown;
+}
+
+std::vector<EndpointId> RequestSender::Engines() const {
+  std::vector<EndpointId> engines = {endpoint_.id};
+  engines.insert(engines.end(), helpers_.begin(), helpers_.end());
+  return engines;
+}
+
+bool RequestSender::AwaitsGroup() const {
+  return services_->policy->group_pace && !helpers_.empty() &&
+         !attempt_first_event_at_.has_value();
+}
+
+std::optional<TimePoint> RequestSender::GroupTroubleAt() const {
+  if (!IsUnderWay() || !AwaitsGroup() || trouble_recorded_) {
+    return std::nullopt;
+  }
+  return harecrank::GroupTroubleAt(Progress());
+}
+
+bool RequestSender::JudgesOverdue() const {
+  return services_->policy->group_pace && helpers_.empty() &&
+         part_ > FractionalMillis(0);
+}
+
+Millis RequestSender::TimeForRetry() const {
+  return AwaitsGroup() ? std::chrono::duration_cast<Millis>(predicted_)
+                       : Millis(0);
+}
+
+std::optional<double> RequestSender::OnGroupTrouble() {
+  if (!AwaitsGroup()) {
+    return std::nullopt;
+  }
+  const FractionalMillis elapsed = services_->clock() - sent_at_;
+  const double slowdown = SlowdownOf(elapsed, predicted_);
+  if (slowdown < EnginePace::kClearlySlow) {
+    // An attempt that breaks this early was not delayed by a helper.
+    return std::nullopt;
+  }
+  trouble_recorded_ = true;
+  services_->health->OnGroupTrouble(Engines(), slowdown, elapsed);
+  services_->metrics->GetCounter("harecrank_gateway_group_troubles_total")
+      ->Add();
   return slowdown;
 }
 
@@ -130,7 +175,7 @@
          services_->clock() - *attempt_first_event_at_ < kStartPeriod;
 }
 
-TimePoint RequestSender::OverdueAt() const {
+AttemptProgress RequestSender::Progress() const {
   AttemptProgress progress;
   progress.sent_at = sent_at_;
   progress.last_bytes_at = last_bytes_at_;
@@ -139,7 +184,12 @@
   progress.first_event_seen = attempt_first_event_at_.has_value();
   progress.endpoint_is_alive =
       services_->health->ReceivedBytesAfter(endpoint_.id, last_bytes_at_);
-  return harecrank::OverdueAt(*route_, progress);
+  progress.judges_groups = services_->policy->group_pace;
+  return progress;
+}
+
+TimePoint RequestSender::OverdueAt() const {
+  return harecrank::OverdueAt(*route_, Progress());
 }
 
 std::optional<Millis> RequestSender::SinceFirstEvent() const {
--- a/src/gateway/request_sender.h
+++ b/src/gateway/request_sender.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "harecrank/core/attempt_timeout.h"
 #include "harecrank/core/endpoint_response.h"
 #include "src/gateway/attempt.h"
 #include "src/gateway/gateway_services.h"
@@ -40,10 +41,15 @@
   void OnAnswer(const EndpointResponse& response);
   void OnBytes();
   // Records that the first event of the response has arrived. Returns the ratio
-  // of its actual to its predicted latency, both increased by the constant
-  // kNegligible, or nothing if an event had already arrived in this
-  // attempt.
+  // of its actual to its predicted latency (SlowdownOf), or nothing if an event
+  // had already arrived in this attempt.
   std::optional<double> OnFirstEvent();
+  // Records that the engines of the attempt are in trouble: the first event is
+  // overdue by far, or the attempt broke before it. Returns the slowdown until
+  // now, or nothing if it is not clear, if a single engine or no engine
+  // prefills the prompt, if the first event has arrived, or if engines have no
+  // standing.
+  std::optional<double> OnGroupTrouble();
   void OnErrorAnswer();
   void OnUnreachable();
   void OnOverdue();
@@ -64,6 +70,18 @@
   // overdue if no more of it arrives.
   TimePoint OverdueAt() const;
 
+  // Returns the time at which the engines of the current attempt are in trouble
+  // (OnGroupTrouble) unless its first event arrives before. Nothing if this was
+  // already recorded or cannot be.
+  std::optional<TimePoint> GroupTroubleAt() const;
+
+  // Returns whether an overdue response counts as a failure of the engine, also
+  // if bytes of other requests have arrived from it.
+  bool JudgesOverdue() const;
+  // Returns the least time left with which an overdue request should be sent to
+  // other engines.
+  Millis TimeForRetry() const;
+
   int SendCount() const { return send_count_; }
   // Returns the endpoint of the last attempt.
   const EndpointRecord& Endpoint() const { return endpoint_; }
@@ -80,6 +98,12 @@
   // Returns an idle connection if the request may be repeated, otherwise a new
   // one.
   std::unique_ptr<EndpointConnection> Connection();
+  // Returns the endpoint and the helpers of the last attempt.
+  std::vector<EndpointId> Engines() const;
+  // Returns whether the standing of the engines depends on when the first event
+  // arrives.
+  bool AwaitsGroup() const;
+  AttemptProgress Progress() const;
 
   const GatewayServices* services_;
   const RouteRule* route_;
@@ -88,9 +112,11 @@
   EndpointRecord endpoint_;
   std::vector<EndpointId> helpers_;
   FractionalMillis predicted_{0};
+  FractionalMillis part_{0};
   TimePoint sent_at_{};
   TimePoint last_bytes_at_{};
   bool was_sent_ = false;
+  bool trouble_recorded_ = false;
   // Time of the first event of the last attempt; unset before it has arrived.
   std::optional<TimePoint> attempt_first_event_at_;
   std::optional<TimePoint> first_event_at_;
