Let suspects of a slow group return one by one, and test them by short prompts

Cause: suspicion was forgotten when it ran out, and a suspect that short prompts could not clear took all trials.

--- a/include/harecrank/core/engine_pace.h
+++ b/include/harecrank/core/engine_pace.h
@@ -100,8 +100,8 @@
   // was sent is not charged if other members of the group may be the cause.
   static constexpr Millis kSoundTime{1000};
   // For how long the first of several members of a slow group is suspected, and
-  // by how much longer each further member is. They return one by one, so that
-  // the next slow group tells which of them is slow.
+  // by how much longer at least each further member is. They return one by one,
+  // so that the next slow group tells which of them is slow.
   static constexpr Millis kSuspectTime{2000};
   static constexpr Millis kSuspectStep{250};
   // For how long after that an engine that was not shown to be sound is the
--- a/src/core/engine_pace.cc
+++ b/src/core/engine_pace.cc
@@ -16,6 +16,10 @@
 constexpr double kMaxSlowdown = 10;
 // Added to both times of a slowdown. It hardly affects the ratio of long times.
 constexpr FractionalMillis kNegligible{200};
+// A first event at this multiple of the least time or later suits an engine
+// that was slow, down to an estimate of kFadedSlowdown.
+constexpr double kSlowBound = 3;
+constexpr double kFadedSlowdown = 1.25;
 
 // Removes the states for which `keep` is false, unless it is false for all.
 template <typename State, typename Predicate>
@@ -78,10 +82,13 @@
     SetSlowdown(&state, seen);
     state.charged_at = clock_();
     state.suspected_until = TimePoint{};
-  } else if (accuses && current >= kSlow) {
+  } else if (bound >= kSlowBound && IsDoubted(state) &&
+             (is_brief ? current >= kFadedSlowdown
+                       : accuses && current >= kSlow)) {
     // The engine is still about as slow as it was.
     SetSlowdown(&state, current);
     state.charged_at = clock_();
+    state.suspected_until = clock_() + kDoubtTime;
   } else if (accuses && is_brief) {
     // Tells nothing for certain, so that other engines are tried first.
     state.charged_at = clock_();
@@ -141,8 +148,7 @@
   // slow engines.
   KeepIfAny(&suspects,
             [this](const State& state) { return Current(state) >= kSlow; });
-  KeepIfAny(&suspects,
-            [this](const State& state) { return IsDoubted(state); });
+  KeepIfAny(&suspects, [this](const State& state) { return IsDoubted(state); });
   KeepIfAny(&suspects, [since](const State& state) {
     return state.sound_at + kSoundTime <= since;
   });
@@ -158,13 +164,21 @@
     SetSlowdown(slow,
                 std::max(Current(*slow), std::min(slowdown, kMaxSlowdown)));
     slow->charged_at = now;
-    slow->suspected_until = TimePoint{};
+    // Once its estimate has faded, it is tried before groups use it again.
+    slow->suspected_until = now + kDoubtTime;
+    return;
+  }
+  if (suspects.empty()) {
     return;
   }
+  // The fewer suspects remain, the more groups should come between their
+  // returns, so that no group has two of them.
+  const auto step = std::max<TimePoint::duration>(
+      kSuspectStep, 2 * kSuspectTime / static_cast<int>(suspects.size()));
   TimePoint until = now + kSuspectTime;
   for (State* suspect : suspects) {
     suspect->suspected_until = until;
-    until += kSuspectStep;
+    until += step;
   }
 }
 
