--- a/src/core/engine_pace.cc
+++ b/src/core/engine_pace.cc
@@ -85,8 +85,10 @@
   } else if (bound >= kSlowBound && IsDoubted(state) &&
              (is_brief ? current >= kFadedSlowdown
                        : accuses && current >= kSlow)) {
-    // The engine is still about as slow as it was.
-    SetSlowdown(&state, current);
+    // The engine is still slow, so its estimate must not fade.
+    SetSlowdown(
+        &state,
+        current + kSmoothingFactor * (std::min(bound, kMaxSlowdown) - current));
     state.charged_at = clock_();
     state.suspected_until = clock_() + kDoubtTime;
   } else if (accuses && is_brief) {
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -37,6 +37,9 @@
 // Time from the end of a pass until the caller receives its event, with an
 // allowance for the error of the prediction.
 constexpr FractionalMillis kReplyMargin{10};
+// Subtracted from the cost of an engine that should be tried, in latency
+// targets, so that it is chosen before all others.
+constexpr double kTrialAdvantage = 3;
 // Rendezvous key of the engine order that all hosts share.
 constexpr char kSharedOrderKey[] = "short-first";
 
@@ -244,7 +247,7 @@
       time += FractionalMillis(request.target_latency);
     }
     if (IsGoodTrial(candidate)) {
-      time -= FractionalMillis(request.target_latency);
+      time -= kTrialAdvantage * FractionalMillis(request.target_latency);
     }
     if (time < best_time) {
       best = &candidate;
@@ -295,7 +298,7 @@
           policy_.beyond_short_share * FractionalMillis(request.target_latency);
     }
     if (IsGoodTrial(ranked[i])) {
-      cost -= FractionalMillis(request.target_latency);
+      cost -= kTrialAdvantage * FractionalMillis(request.target_latency);
     }
     if (cost < best_cost) {
       best = &ranked[i];
