Merge slow and failing engines

The timetable leaves out engines that are not sound, as the choice of the moment does. Off by default (group_pace).

--- a/include/harecrank/core/planner.h
+++ b/include/harecrank/core/planner.h
@@ -222,6 +222,8 @@
     bool prefill_done = false;
     // The endpoint that decodes the answer, if the request has been placed.
     EndpointId endpoint;
+    // PrefillObservation::part of the placement.
+    FractionalMillis least_first_event{0};
   };
   // A host's queries and work as the planner knows them.
   struct HostQueries {
@@ -249,6 +251,11 @@
   PlacementDecision RecordPlacement(Entry* entry,
                                     const PlacementRequest& request,
                                     const Placement& placement);
+  // Returns PrefillObservation::part of a placement that has not begun yet.
+  FractionalMillis LeastFirstEvent(const Placement& placement,
+                                   const PlacementRequest& request) const;
+  // Returns the first event of the placed query.
+  static PrefillObservation ObservationOf(const Entry& entry, double slowdown);
   // Returns the request of a query as input for the placer, or nothing if the
   // routing table has no such service.
   std::optional<PlacementRequest> RequestOf(const Entry& entry) const;
--- a/src/core/fleet_message_decoding.cc
+++ b/src/core/fleet_message_decoding.cc
@@ -217,7 +217,12 @@
     query.wants_return_time = reader->Take<bool>();
   }
   if (size > kSizeWithoutWithheld + 2) {
-    query.permitted = ReadIds<DataCentreId>(reader->Next());
+    if (const json& permitted = reader->Next(); !permitted.is_null()) {
+      query.permitted = ReadIds<DataCentreId>(permitted);
+    }
+  }
+  if (size > kSizeWithoutWithheld + 3) {
+    query.may_repeat = reader->Take<bool>();
   }
   return query;
 }
@@ -258,7 +263,8 @@
   return crash_reports;
 }
 
-ProgressReport TakeProgressReport(ArrayReader* reader) {
+ProgressReport TakeProgressReport(ArrayReader* reader, std::size_t size) {
+  constexpr std::size_t kSizeWithoutTroubles = 5;
   ProgressReport progress;
   progress.host = reader->TakeString<HostAddress>();
   progress.incarnation = reader->TakeNumber<Incarnation>();
@@ -274,6 +280,14 @@
     one.failed = entry->Take<bool>();
     progress.ended.push_back(one);
   });
+  if (size > kSizeWithoutTroubles) {
+    reader->EachOf([&progress](ArrayReader* entry) {
+      GroupTrouble one;
+      one.id = entry->TakeNumber<QueryId>();
+      one.pace = entry->Take<double>();
+      progress.troubles.push_back(one);
+    });
+  }
   return progress;
 }
 
@@ -349,7 +363,7 @@
       case MessageKind::kReply:
         return TakeReply(&reader);
       case MessageKind::kProgress:
-        return TakeProgressReport(&reader);
+        return TakeProgressReport(&reader, array.size());
       case MessageKind::kChanges:
         return TakeChanges(&reader);
       case MessageKind::kCrashes:
--- a/src/core/fleet_message_encoding.cc
+++ b/src/core/fleet_message_encoding.cc
@@ -106,16 +106,20 @@
        query.origin.request.account.value, query.origin.request.high,
        query.origin.request.low, query.origin.priority});
   // The remaining elements are omitted if they are empty.
-  const bool has_permitted = query.permitted.has_value();
-  const bool has_return = query.wants_return_time || has_permitted;
+  const bool names_permitted = query.permitted.has_value() || query.may_repeat;
+  const bool has_return = query.wants_return_time || names_permitted;
   if (!query.withheld.empty() || has_return) {
     array.push_back(EncodeIds(query.withheld));
   }
   if (has_return) {
     array.push_back(query.wants_return_time);
   }
-  if (has_permitted) {
-    array.push_back(EncodeIds(*query.permitted));
+  if (names_permitted) {
+    array.push_back(query.permitted.has_value() ? EncodeIds(*query.permitted)
+                                                : json(nullptr));
+  }
+  if (query.may_repeat) {
+    array.push_back(true);
   }
   return array;
 }
@@ -227,9 +231,17 @@
     for (const RequestDone& one : progress.ended) {
       ended_requests.push_back({one.id.value, one.failed});
     }
-    return json::array({static_cast<int>(MessageKind::kProgress),
-                        progress.host.value, progress.incarnation.value,
-                        std::move(prefills), std::move(ended_requests)});
+    json array = json::array({static_cast<int>(MessageKind::kProgress),
+                              progress.host.value, progress.incarnation.value,
+                              std::move(prefills), std::move(ended_requests)});
+    if (!progress.troubles.empty()) {
+      json troubles = json::array();
+      for (const GroupTrouble& one : progress.troubles) {
+        troubles.push_back({one.id.value, one.pace});
+      }
+      array.push_back(std::move(troubles));
+    }
+    return array;
   }
 
   json operator()(const PlannerUpdate& update) const {
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -6,6 +6,7 @@
 
 #include "harecrank/core/endpoint_eligibility.h"
 #include "harecrank/core/rendezvous.h"
+#include "harecrank/core/unsound_engines.h"
 
 namespace harecrank {
 namespace {
@@ -112,6 +113,9 @@
         scope_ == LoadScope::kAllHosts && placing_hosts_() <= 1;
     const bool may_wait =
         policy_.short_waits && sees_all_loads && !request.may_have_run;
+    if (is_short) {
+      LeaveOutFailing(&candidates);
+    }
     if (is_short && may_wait) {
       result = ChooseShortWithinTarget(request, candidates);
     } else if (is_short) {
@@ -139,6 +143,11 @@
     candidate.record = record;
     candidate.load = loads_->Of(record->id);
     candidate.pace = std::max(1.0, health_->Slowdown(record->id));
+    candidate.standing = health_->StandingOf(record->id);
+    // A trial must not cost a request that may be executed only once.
+    candidate.trial_due =
+        health_->IsTrialDue(record->id) &&
+        (request.may_repeat || candidate.standing != EngineStanding::kFailing);
     (health_->IsSuspect(record->id) ? suspect : healthy).push_back(candidate);
   }
   return healthy.empty() ? suspect : healthy;
--- a/src/core/placement_long.cc
+++ b/src/core/placement_long.cc
@@ -5,6 +5,7 @@
 
 #include "harecrank/core/engine_availability.h"
 #include "harecrank/core/placement.h"
+#include "harecrank/core/unsound_engines.h"
 
 namespace harecrank {
 namespace {
@@ -31,6 +32,7 @@
                                    std::vector<EngineCandidate> ranked) const {
   const EngineProfile& engine = *request.service->engine;
   MarkReservedForShort(engine, &ranked);
+  LeaveOutUnsound(&ranked);
   const std::optional<PrefillGroup> group =
       ChoosePrefillGroup(engine, policy_, LongPromptOf(request), ranked);
   if (!group.has_value()) {
@@ -64,6 +66,7 @@
   SortByRank(&ranked);
   const EngineProfile& engine = *request.service->engine;
   MarkReservedForShort(engine, &ranked);
+  LeaveOutUnsound(&ranked);
   engines.reserve(ranked.size());
   for (EngineCandidate& candidate : ranked) {
     const std::vector<ActiveStream> streams =
--- a/src/core/placement_short.cc
+++ b/src/core/placement_short.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "harecrank/core/placement.h"
+#include "harecrank/core/unsound_engines.h"
 
 namespace harecrank {
 namespace {
@@ -27,6 +28,9 @@
 // Time from the end of a pass until the caller receives its event, with an
 // allowance for the error of the prediction.
 constexpr FractionalMillis kReplyMargin{10};
+// Subtracted from the cost of an engine that should be tried, in latency
+// targets, so that it is chosen before all others.
+constexpr double kTrialAdvantage = 3;
 
 }  // namespace
 
@@ -72,6 +76,9 @@
       // The request would have to wait on this engine for a slot or for memory.
       time += FractionalMillis(request.target_latency);
     }
+    if (IsGoodTrial(candidate)) {
+      time -= kTrialAdvantage * FractionalMillis(request.target_latency);
+    }
     if (time < best_time) {
       best = &candidate;
       best_time = time;
@@ -128,6 +135,9 @@
     if (request.later_parts.Includes(ranked[i].record->id)) {
       cost += LaterPartCost(request);
     }
+    if (IsGoodTrial(ranked[i])) {
+      cost -= kTrialAdvantage * FractionalMillis(request.target_latency);
+    }
     if (cost < best_cost) {
       best = &ranked[i];
       best_cost = cost;
--- a/src/gateway/gateway_gauges.cc
+++ b/src/gateway/gateway_gauges.cc
@@ -1,8 +1,12 @@
 #include "src/gateway/gateway_gauges.h"
 
+#include <algorithm>
+#include <map>
 #include <utility>
 #include <vector>
 
+#include "src/gateway/engine_standing_log.h"
+
 namespace harecrank {
 namespace {
 
@@ -29,6 +33,32 @@
           {"unknown", std::move(unknown)}};
 }
 
+// Returns the names of the engines that are not sound, by standing.
+nlohmann::json UnsoundEngines(const EndpointHealth& health) {
+  nlohmann::json engines = nlohmann::json::object();
+  for (const auto& [id, standing] : health.UnsoundEngines()) {
+    engines[NameOf(standing)].push_back(id.value);
+  }
+  return engines;
+}
+
+// Adds gauges of the number of engines with each standing but kSound.
+void RegisterStandingGauges(const GatewayParts& parts, Metrics* metrics) {
+  for (const EngineStanding standing :
+       {EngineStanding::kSuspected, EngineStanding::kSlow,
+        EngineStanding::kFailing}) {
+    metrics->AddGauge(
+        std::string("harecrank_gateway_engines_") + NameOf(standing),
+        [parts, standing] {
+          const auto unsound = parts.health->UnsoundEngines();
+          return static_cast<double>(std::count_if(
+              unsound.begin(), unsound.end(), [standing](const auto& entry) {
+                return entry.second == standing;
+              }));
+        });
+  }
+}
+
 // Adds the gauges that are meaningful only on the planner: its known hosts, its
 // wait queue and its promises.
 void RegisterPlannerGauges(const GatewayParts& parts, Metrics* metrics) {
@@ -101,6 +131,7 @@
 
 void RegisterGauges(const GatewayParts& parts, Metrics* metrics) {
   RegisterPlannerGauges(parts, metrics);
+  RegisterStandingGauges(parts, metrics);
   metrics->AddGauge("harecrank_gateway_configuration_version", [parts] {
     const auto table = parts.routing->InForce();
     return table == nullptr ? 0.0 : static_cast<double>(table->Version().value);
@@ -186,7 +217,8 @@
            {{"known", parts.directory->Count()},
             {"leaving", Names(parts.directory->Leaving())},
             {"missing", parts.directory->MissingCount()},
-            {"avoided", parts.health->Avoided().size()}}},
+            {"avoided", parts.health->Avoided().size()},
+            {"engines_not_sound", UnsoundEngines(*parts.health)}}},
           {"requests",
            {{"waiting", parts.queue->Count()},
             {"waiting_at_planner", parts.planner->WaitingCount()},
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -56,7 +56,8 @@
       region_reporter_(&routing_, &regions_, &log_),
       directory_(clock_, settings_.leave_limit),
       loads_(clock_),
-      health_(clock_),
+      health_(clock_, settings_.placement.group_pace),
+      engine_standings_(&health_, &log_, &metrics_),
       connections_(&io_, clock_),
       prober_(&io_),
       quarantine_(clock_),
@@ -331,6 +332,7 @@
   endpoint_updater_.RemoveExpired();
   membership_.RecordFleetSize();
   start_limiter_.Tick();
+  engine_standings_.Tick();
   store_sync_.Tick();
   if (now - last_sweep_at_ >= kSweepInterval) {
     last_sweep_at_ = now;
