--- a/src/gateway/fleet_member.cc
+++ b/src/gateway/fleet_member.cc
@@ -153,7 +153,7 @@
 
 void FleetMember::Leave() {
   if (IsPlanner()) {
-    handover_.SendUpdates();
+    handover_.SendLastUpdates();
   }
   membership_->Leave();
   FollowPlanner();
--- a/src/gateway/planner_handover.cc
+++ b/src/gateway/planner_handover.cc
@@ -7,8 +7,10 @@
 namespace {
 
 // Maximum number of updates that are sent at once. The rest of a large state
-// follows with the next calls.
+// follows with the next calls. kMaxLastUpdates applies when this host leaves,
+// so that there are no next calls.
 constexpr int kMaxUpdatesAtOnce = 8;
+constexpr int kMaxLastUpdates = 64;
 // Minimum time between two restarts of the updates on request, and between two
 // requests.
 constexpr Millis kRestartInterval{200};
@@ -65,7 +67,11 @@
   standbys_.clear();
 }
 
-void PlannerHandover::SendUpdates() {
+void PlannerHandover::SendUpdates() { SendUpTo(kMaxUpdatesAtOnce); }
+
+void PlannerHandover::SendLastUpdates() { SendUpTo(kMaxLastUpdates); }
+
+void PlannerHandover::SendUpTo(int max_updates) {
   if (max_standbys_ == 0) {
     return;
   }
@@ -78,7 +84,7 @@
   if (!update.has_value() && planner_->WaitingCount() > 0) {
     update = journal_.EmptyUpdate();
   }
-  for (int sent = 0; update.has_value() && sent < kMaxUpdatesAtOnce; ++sent) {
+  for (int sent = 0; update.has_value() && sent < max_updates; ++sent) {
     Send(*update);
     update = update->has_more ? journal_.TakeUpdate() : std::nullopt;
   }
--- a/src/gateway/planner_handover.h
+++ b/src/gateway/planner_handover.h
@@ -36,8 +36,10 @@
 
   // Sends the changes since the last call to the standbys, or an empty update
   // if there are none but queries wait. To be called on the planner every few
-  // tens of milliseconds, and before it leaves.
+  // tens of milliseconds.
   void SendUpdates();
+  // Sends all that has changed. To be called on the planner before it leaves.
+  void SendLastUpdates();
 
   // Applies an update of the planner that this host follows.
   void OnUpdate(const PlannerUpdate& update);
@@ -52,6 +54,7 @@
   std::size_t HeldRecords() const { return replica_.Count(); }
 
  private:
+  void SendUpTo(int max_updates);
   void Send(const PlannerUpdate& update);
   // Updates `standbys_`. Logs a change.
   void ChooseStandbys();
