Trial: streams with a tight gap limit parts for good

Groups of 14 to 17 engines are planned nearly always, and wait 0.3 to 1 s to gather, already from second 3 on.

--- a/src/core/engine_availability.cc
+++ b/src/core/engine_availability.cc
@@ -22,22 +22,27 @@
   return candidate.pace * (load.prefill_backlog + pass);
 }
 
-// Returns one limit for each of the different gaps of `streams`.
+// Returns one limit for each of the different gaps of `streams`. Limits by
+// streams with a tight gap are permanent: short requests are packed onto few
+// engines, so others follow when these end.
 std::vector<PartLimit> LimitsOf(const EngineProfile& engine,
                                 const PlacementPolicy& policy,
                                 const EngineCandidate& candidate,
-                                const std::vector<ActiveStream>& streams) {
+                                const std::vector<ActiveStream>& streams,
+                                FractionalMillis tightest_gap) {
   std::vector<PartLimit> limits;
   for (const ActiveStream& stream : streams) {
     const FractionalMillis part =
         MaxPartForGap(engine, policy, candidate, stream.gap);
+    const TimePoint until =
+        IsTightGap(stream.gap, tightest_gap) ? TimePoint::max() : stream.end;
     const auto same =
         std::find_if(limits.begin(), limits.end(),
                      [part](const PartLimit& l) { return l.max_part == part; });
     if (same == limits.end()) {
-      limits.push_back(PartLimit{part, stream.end});
+      limits.push_back(PartLimit{part, until});
     } else {
-      same->until = std::max(same->until, stream.end);
+      same->until = std::max(same->until, until);
     }
   }
   return limits;
@@ -66,7 +71,7 @@
   EngineCandidate without_backlog = candidate;
   without_backlog.load.prefill_backlog = FractionalMillis(0);
   std::vector<PartLimit> limits =
-      LimitsOf(engine, policy, without_backlog, streams);
+      LimitsOf(engine, policy, without_backlog, streams, tightest_gap);
   if (candidate.reserved_for_short) {
     limits.push_back(
         PartLimit{MaxPartForGap(engine, policy, without_backlog, tightest_gap),
