--- a/src/core/engine_availability.cc
+++ b/src/core/engine_availability.cc
@@ -22,27 +22,22 @@
   return candidate.pace * (load.prefill_backlog + pass);
 }
 
-// Returns one limit for each of the different gaps of `streams`. Limits by
-// streams with a tight gap are permanent: short requests are packed onto few
-// engines, so others follow when these end.
+// Returns one limit for each of the different gaps of `streams`.
 std::vector<PartLimit> LimitsOf(const EngineProfile& engine,
                                 const PlacementPolicy& policy,
                                 const EngineCandidate& candidate,
-                                const std::vector<ActiveStream>& streams,
-                                FractionalMillis tightest_gap) {
+                                const std::vector<ActiveStream>& streams) {
   std::vector<PartLimit> limits;
   for (const ActiveStream& stream : streams) {
     const FractionalMillis part =
         MaxPartForGap(engine, policy, candidate, stream.gap);
-    const TimePoint until =
-        IsTightGap(stream.gap, tightest_gap) ? TimePoint::max() : stream.end;
     const auto same =
         std::find_if(limits.begin(), limits.end(),
                      [part](const PartLimit& l) { return l.max_part == part; });
     if (same == limits.end()) {
-      limits.push_back(PartLimit{part, until});
+      limits.push_back(PartLimit{part, stream.end});
     } else {
-      same->until = std::max(same->until, until);
+      same->until = std::max(same->until, stream.end);
     }
   }
   return limits;
@@ -71,7 +66,7 @@
   EngineCandidate without_backlog = candidate;
   without_backlog.load.prefill_backlog = FractionalMillis(0);
   std::vector<PartLimit> limits =
-      LimitsOf(engine, policy, without_backlog, streams, tightest_gap);
+      LimitsOf(engine, policy, without_backlog, streams);
   if (candidate.reserved_for_short) {
     limits.push_back(
         PartLimit{MaxPartForGap(engine, policy, without_backlog, tightest_gap),
