--- a/src/core/planner_schedule_test.cc
+++ b/src/core/planner_schedule_test.cc
@@ -77,7 +77,7 @@
 
   QueryId Send(const Kind& kind) {
     PlacementQuery query;
-    query.host = kHost;
+    query.host = host_;
     query.incarnation = Incarnation{1};
     query.id = QueryId{++last_id_};
     query.service = kService;
@@ -118,8 +118,8 @@
     const auto found = placements_.find(id);
     return found == placements_.end() ? nullptr : &found->second;
   }
-  Planner& planner() { return *planner_; }
-  EndpointHealth& health() { return health_; }
+  Planner& GetPlanner() { return *planner_; }
+  EndpointHealth& Health() { return health_; }
   TimePoint Now() const { return now_; }
 
  private:
@@ -156,7 +156,7 @@
   }
 
   void Report(QueryId id, bool ended) {
-    ProgressReport report{kHost, Incarnation{1}, {}, {}};
+    ProgressReport report{host_, Incarnation{1}, {}, {}};
     if (ended) {
       report.ended.push_back(RequestDone{id, false});
     } else {
@@ -174,7 +174,7 @@
   }
 
   static constexpr Millis kDecodeTime{350};
-  const HostAddress kHost{"h"};
+  HostAddress host_{"h"};
   int engines_;
   TimePoint now_{std::chrono::hours(1)};
   std::uint64_t last_random_ = 0;
@@ -228,7 +228,7 @@
   SendSteadyMiddle(&ahead, kInterval);
   CHECK(ahead.TallyOf(kLongest).in_time == 1);
   CHECK(ahead.TallyOf(kMiddle).in_time == ahead.TallyOf(kMiddle).sent);
-  CHECK(ahead.planner().PlanningTotals().backfilled > 0);
+  CHECK(ahead.GetPlanner().PlanningTotals().backfilled > 0);
 }
 
 // Two thirds of 24 engines are left, and the longest prompts come at 2.6 times
@@ -299,7 +299,7 @@
     waiting = replay.Send(kMiddle);
     REQUIRE(replay.PlacementOf(waiting) == nullptr);
     replay.Run(kStep);
-    REQUIRE(replay.planner().NextStarts().size() == 1);
+    REQUIRE(replay.GetPlanner().NextStarts().size() == 1);
   }
 
   Replay replay;
@@ -322,7 +322,7 @@
   const EndpointId slow = replay.PlacementOf(running)->endpoint;
   constexpr double kSlowdown = 8;
   for (int i = 0; i < 10; ++i) {
-    replay.health().OnSuccess(slow, kSlowdown);
+    replay.Health().OnSuccess(slow, kSlowdown);
   }
   replay.Run(Millis(1500));
   REQUIRE(replay.PlacementOf(waiting) != nullptr);
@@ -333,12 +333,12 @@
                  "A caller that leaves frees the engines reserved for it") {
   const QueryId next = replay.Send(kMiddle);
   replay.Run(kStep);
-  CHECK(replay.planner().NextStarts().size() == 2);
-  const Millis behind = replay.planner().NextStarts().back();
+  CHECK(replay.GetPlanner().NextStarts().size() == 2);
+  const Millis behind = replay.GetPlanner().NextStarts().back();
   replay.Leave(waiting);
   replay.Run(kStep);
-  REQUIRE(replay.planner().NextStarts().size() == 1);
-  CHECK(replay.planner().NextStarts().front() < behind);
+  REQUIRE(replay.GetPlanner().NextStarts().size() == 1);
+  CHECK(replay.GetPlanner().NextStarts().front() < behind);
   replay.Run(Millis(1500));
   CHECK(replay.PlacementOf(next) != nullptr);
 }
