--- a/src/core/kept_returns_test.cc
+++ b/src/core/kept_returns_test.cc
@@ -75,7 +75,7 @@
   void Send(std::uint64_t number) {
     const PlacementQuery query = QueryOf(callers_.at(number));
     numbers_[query.id] = number;
-    OnDecision(query.id, planner().OnQuery(query));
+    OnDecision(query.id, PlannerUnderTest().OnQuery(query));
   }
 
   void Run(Millis time) {
@@ -86,7 +86,7 @@
         due_.erase(due_.begin());
         action();
       }
-      for (const DeferredReply& reply : planner().ProcessWaitQueue()) {
+      for (const DeferredReply& reply : PlannerUnderTest().ProcessWaitQueue()) {
         OnDecision(reply.id, reply.decision);
       }
     }
@@ -108,7 +108,7 @@
     return last;
   }
   const std::map<std::uint64_t, Caller>& Callers() const { return callers_; }
-  Planner& planner() { return engines_.planner(); }
+  Planner& PlannerUnderTest() { return engines_.PlannerUnderTest(); }
   TimePoint Now() const { return engines_.Now(); }
   // If unset, rejected callers do not return.
   bool callers_return = true;
@@ -147,7 +147,7 @@
     } else {
       report.read.push_back(PrefillDone{id, 1});
     }
-    planner().OnProgressReport(report);
+    PlannerUnderTest().OnProgressReport(report);
   }
 
   testing::PlannedEngines engines_;
@@ -212,7 +212,7 @@
       CHECK(caller.placed_at < stranger_placed);
     }
   }
-  CHECK(replay.planner().PromiseTotals().kept ==
+  CHECK(replay.PlannerUnderTest().PromiseTotals().kept ==
         static_cast<std::uint64_t>(replay.RejectedTimes(1)));
 }
 
@@ -230,12 +230,12 @@
   while (replay.Now() <= replay.LastTold() + ReturnPromises::kRoomGrace) {
     replay.Run(kStep);
   }
-  CHECK(replay.planner().PromiseCount() > 0);
+  CHECK(replay.PlannerUnderTest().PromiseCount() > 0);
   const std::uint64_t stranger = replay.Arrive();
   CHECK(replay.Callers().at(stranger).placed_at == replay.Now());
   replay.Run(kDeadline);
-  replay.planner().RemoveSilentHosts();
-  CHECK(replay.planner().PromiseCount() == 0);
+  replay.PlannerUnderTest().RemoveSilentHosts();
+  CHECK(replay.PlannerUnderTest().PromiseCount() == 0);
 }
 
 TEST_CASE("A caller that returns early waits for the time that it was told") {
@@ -263,7 +263,7 @@
   }
   replay.Run(kDeadline);
   CHECK(replay.RejectedTimes(2) > 0);
-  const PromiseCounts& counts = replay.planner().PromiseTotals();
+  const PromiseCounts& counts = replay.PlannerUnderTest().PromiseTotals();
   CHECK(counts.broken > 0);
   CHECK(counts.broken_engines_left == counts.broken);
 }
@@ -276,7 +276,7 @@
   replay.Run(kDeadline);
   const Caller& returned = replay.Callers().at(FirstToReturn(replay).number);
   CHECK(returned.placed_at >= returned.told);
-  CHECK(replay.planner().PromiseTotals().broken == 0);
+  CHECK(replay.PlannerUnderTest().PromiseTotals().broken == 0);
 }
 
 }  // namespace
--- a/src/gateway/gateway_gauges.cc
+++ b/src/gateway/gateway_gauges.cc
@@ -114,6 +114,34 @@
   });
 }
 
+// Adds the gauges of the published endpoints and of what limits their use.
+void RegisterEndpointGauges(const GatewayParts& parts, Metrics* metrics) {
+  metrics->AddGauge("harecrank_gateway_endpoints", [parts] {
+    return static_cast<double>(parts.directory->Count());
+  });
+  metrics->AddGauge("harecrank_gateway_endpoints_missing", [parts] {
+    return static_cast<double>(parts.directory->MissingCount());
+  });
+  metrics->AddGauge("harecrank_gateway_endpoints_cold", [parts] {
+    return static_cast<double>(parts.start_limiter->ColdCount());
+  });
+  metrics->AddGauge("harecrank_gateway_endpoints_limited", [parts] {
+    return static_cast<double>(parts.start_limiter->LimitedCount());
+  });
+  metrics->AddGauge("harecrank_gateway_endpoints_leaving", [parts] {
+    return static_cast<double>(parts.directory->Leaving().size());
+  });
+  metrics->AddGauge("harecrank_gateway_endpoints_resting", [parts] {
+    return static_cast<double>(parts.start_limiter->BackoffCount());
+  });
+  metrics->AddGauge("harecrank_gateway_data_centres_closed", [parts] {
+    return static_cast<double>(parts.directory->Drained().Count());
+  });
+  metrics->AddGauge("harecrank_gateway_closed_endpoints_busy", [parts] {
+    return static_cast<double>(parts.updater->BusyDrainedCount(*parts.loads));
+  });
+}
+
 // Returns the delays of the first planned starts, in milliseconds.
 nlohmann::json NextStartsOf(const Planner& planner) {
   constexpr std::size_t kMaxListed = 10;
@@ -131,6 +159,7 @@
 
 void RegisterGauges(const GatewayParts& parts, Metrics* metrics) {
   RegisterPlannerGauges(parts, metrics);
+  RegisterEndpointGauges(parts, metrics);
   RegisterStandingGauges(parts, metrics);
   metrics->AddGauge("harecrank_gateway_configuration_version", [parts] {
     const auto table = parts.routing->InForce();
@@ -139,33 +168,9 @@
   metrics->AddGauge("harecrank_gateway_unknown_regions", [parts] {
     return static_cast<double>(parts.region_reporter->Unknown().size());
   });
-  metrics->AddGauge("harecrank_gateway_endpoints", [parts] {
-    return static_cast<double>(parts.directory->Count());
-  });
-  metrics->AddGauge("harecrank_gateway_endpoints_missing", [parts] {
-    return static_cast<double>(parts.directory->MissingCount());
-  });
-  metrics->AddGauge("harecrank_gateway_endpoints_cold", [parts] {
-    return static_cast<double>(parts.start_limiter->ColdCount());
-  });
-  metrics->AddGauge("harecrank_gateway_endpoints_limited", [parts] {
-    return static_cast<double>(parts.start_limiter->LimitedCount());
-  });
-  metrics->AddGauge("harecrank_gateway_endpoints_leaving", [parts] {
-    return static_cast<double>(parts.directory->Leaving().size());
-  });
-  metrics->AddGauge("harecrank_gateway_endpoints_resting", [parts] {
-    return static_cast<double>(parts.start_limiter->BackoffCount());
-  });
   metrics->AddGauge("harecrank_gateway_fleet_size", [parts] {
     return static_cast<double>(parts.membership->Size().MaxHosts().value_or(0));
   });
-  metrics->AddGauge("harecrank_gateway_data_centres_closed", [parts] {
-    return static_cast<double>(parts.directory->Drained().Count());
-  });
-  metrics->AddGauge("harecrank_gateway_closed_endpoints_busy", [parts] {
-    return static_cast<double>(parts.updater->BusyDrainedCount(*parts.loads));
-  });
   metrics->AddGauge("harecrank_gateway_source_well", [parts] {
     return parts.store_sync->HasFreshData() ? 1.0 : 0.0;
   });
--- a/testing/planned_engines.h
+++ b/testing/planned_engines.h
@@ -57,7 +57,7 @@
     directory_.Upsert(record);
   }
 
-  Planner& planner() { return *planner_; }
+  Planner& PlannerUnderTest() { return *planner_; }
   TimePoint Now() const { return now_; }
   void Advance(Millis time) { now_ += time; }
 
