Tell how each host uses its part of the limit on repeats

repeat_permitted and repeat_denied tell cause, first attempts and repeats of the window, the host's part and its count of hosts; placed tells how long ago a repeat was permitted; not_sent tells attempts of which no byte left. Counters by service and cause, and 'repeats' in the dump. No decision is changed: TryRepeat returns what it decided by. RepeatBudgets moves to core, where fleets are simulated without I/O.

Ruled out: labels on sent_again_total, which tools may sum already.

--- a/include/harecrank/core/repeat_budget.h
+++ b/include/harecrank/core/repeat_budget.h
@@ -25,6 +25,38 @@
   Millis window{10000};
 };
 
+// Why a request is sent again.
+enum class RepeatCause {
+  // The endpoint answered that it has not run the request, or was not reached.
+  kNotRun,
+  // The endpoint answered with an error.
+  kErrorAnswer,
+  // The answer was invalid or broke off.
+  kBroken,
+  // The answer is overdue.
+  kOverdue
+};
+
+// Name of `cause` for logs and metrics.
+const char* NameOf(RepeatCause cause);
+
+// What one host has sent to a service within the last window, and what it may
+// repeat there.
+struct RepeatUse {
+  int first_attempts = 0;
+  int repeats = 0;
+  // Number of hosts by which the allowance is divided.
+  int hosts = 0;
+  // Maximum of `repeats`.
+  double part = 0;
+};
+
+// Whether one repeat is permitted. If it is, `use` includes it.
+struct RepeatDecision {
+  bool permitted = false;
+  RepeatUse use;
+};
+
 // Decides whether this host may repeat a request to one service, within the
 // host's part of the limit. Not thread-safe.
 class RepeatBudget {
@@ -35,9 +67,13 @@
   void OnFirstAttempt();
 
   // Counts one repeat against this host's part of the limit, with the allowance
-  // divided by `hosts` (at least 1). Returns false and counts nothing if the
-  // repeat would exceed this part.
-  bool TryRepeat(int hosts);
+  // divided by `hosts` (at least 1). Counts nothing if the repeat would exceed
+  // this part, and is then not permitted.
+  RepeatDecision TryRepeat(int hosts);
+
+  // Returns what this host has sent and may repeat, with the allowance divided
+  // by `hosts` (at least 1).
+  RepeatUse Use(int hosts) const;
 
   // Fraction of the limit that hosts use. The rest is a margin, because the
   // windows of different hosts are not aligned, and a change in the number of
@@ -55,6 +91,9 @@
   // Drops the slices that are older than the window and returns the slice for
   // the present time.
   Slice* Current();
+  bool IsInWindow(const Slice& slice) const {
+    return clock_() - slice.start < limit_.window;
+  }
 
   RepeatLimit limit_;
   MonotonicClock clock_;
--- /dev/null
+++ b/include/harecrank/core/repeat_budgets.h
@@ -0,0 +1,41 @@
+// The repeat budgets of all services on one host.
+
+#ifndef HARECRANK_CORE_REPEAT_BUDGETS_H_
+#define HARECRANK_CORE_REPEAT_BUDGETS_H_
+
+#include <functional>
+#include <map>
+
+#include "harecrank/core/clock.h"
+#include "harecrank/core/repeat_budget.h"
+#include "harecrank/core/strong_types.h"
+
+namespace harecrank {
+
+// Limits the retries of each service, so that they do not amplify an overload.
+// Not thread-safe.
+class RepeatBudgets {
+ public:
+  // `host_count` returns the number of hosts that share the limit (at least 1).
+  RepeatBudgets(RepeatLimit limit, std::function<int()> host_count,
+                MonotonicClock clock);
+
+  void OnFirstAttempt(const ServiceName& service);
+  RepeatDecision TryRepeat(const ServiceName& service);
+
+  // Returns what this host has sent to each service and may repeat there, for
+  // operators.
+  std::map<ServiceName, RepeatUse> Uses() const;
+
+ private:
+  RepeatBudget* BudgetOf(const ServiceName& service);
+
+  RepeatLimit limit_;
+  std::function<int()> host_count_;
+  MonotonicClock clock_;
+  std::map<ServiceName, RepeatBudget> budgets_;
+};
+
+}  // namespace harecrank
+
+#endif  // HARECRANK_CORE_REPEAT_BUDGETS_H_
--- a/src/core/repeat_budget.cc
+++ b/src/core/repeat_budget.cc
@@ -11,31 +11,52 @@
 
 }  // namespace
 
+const char* NameOf(RepeatCause cause) {
+  switch (cause) {
+    case RepeatCause::kNotRun:
+      return "not_run";
+    case RepeatCause::kErrorAnswer:
+      return "error_answer";
+    case RepeatCause::kBroken:
+      return "broken";
+    case RepeatCause::kOverdue:
+      return "overdue";
+  }
+  return "";
+}
+
 RepeatBudget::RepeatBudget(RepeatLimit limit, MonotonicClock clock)
     : limit_(limit), clock_(std::move(clock)) {}
 
 void RepeatBudget::OnFirstAttempt() { ++Current()->first_attempts; }
 
-bool RepeatBudget::TryRepeat(int hosts) {
-  Slice* current = Current();
-  int first_attempts = 0;
-  int repeats = 0;
-  for (const Slice& slice : slices_) {
-    first_attempts += slice.first_attempts;
-    repeats += slice.repeats;
+RepeatDecision RepeatBudget::TryRepeat(int hosts) {
+  RepeatUse use = Use(hosts);
+  if (use.repeats + 1 > use.part) {
+    return {false, use};
   }
-  const double max_repeats =
-      kUsedShare * (limit_.ratio * first_attempts + limit_.allowance / hosts);
-  if (repeats + 1 > max_repeats) {
-    return false;
+  ++Current()->repeats;
+  ++use.repeats;
+  return {true, use};
+}
+
+RepeatUse RepeatBudget::Use(int hosts) const {
+  RepeatUse use;
+  use.hosts = hosts;
+  for (const Slice& slice : slices_) {
+    if (IsInWindow(slice)) {
+      use.first_attempts += slice.first_attempts;
+      use.repeats += slice.repeats;
+    }
   }
-  ++current->repeats;
-  return true;
+  use.part = kUsedShare *
+             (limit_.ratio * use.first_attempts + limit_.allowance / hosts);
+  return use;
 }
 
 RepeatBudget::Slice* RepeatBudget::Current() {
   const TimePoint now = clock_();
-  while (!slices_.empty() && now - slices_.front().start >= limit_.window) {
+  while (!slices_.empty() && !IsInWindow(slices_.front())) {
     slices_.pop_front();
   }
   if (slices_.empty() ||
--- a/src/core/repeat_budget_test.cc
+++ b/src/core/repeat_budget_test.cc
@@ -16,7 +16,7 @@
     for (int i = 0; i < kFirstAttempts; ++i) {
       budget.OnFirstAttempt();
     }
-    while (budget.TryRepeat(kHosts)) {
+    while (budget.TryRepeat(kHosts).permitted) {
       ++repeats;
     }
   }
@@ -27,12 +27,28 @@
 TEST_CASE("Repeats become available again when the window has passed") {
   TimePoint now{};
   RepeatBudget budget({0, 10, Millis(1000)}, [&now] { return now; });
-  while (budget.TryRepeat(1)) {
+  while (budget.TryRepeat(1).permitted) {
   }
   now += Millis(500);
-  CHECK_FALSE(budget.TryRepeat(1));
+  CHECK_FALSE(budget.TryRepeat(1).permitted);
   now += Millis(600);
-  CHECK(budget.TryRepeat(1));
+  CHECK(budget.TryRepeat(1).permitted);
+}
+
+TEST_CASE("The use of the limit tells what was sent and what may be") {
+  TimePoint now{};
+  RepeatBudget budget({0.5, 20, Millis(1000)}, [&now] { return now; });
+  budget.OnFirstAttempt();
+  budget.OnFirstAttempt();
+  const RepeatDecision decision = budget.TryRepeat(2);
+  CHECK(decision.permitted);
+  CHECK(decision.use.first_attempts == 2);
+  CHECK(decision.use.repeats == 1);
+  CHECK(decision.use.hosts == 2);
+  CHECK(decision.use.part >= 1);
+  now += Millis(1000);
+  CHECK(budget.Use(2).first_attempts == 0);
+  CHECK(budget.Use(2).repeats == 0);
 }
 
 }  // namespace
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -119,7 +119,8 @@
   }
   search_->MarkTried(placement.endpoint.id);
   relay_.BeginAttempt();
-  log_.LogPlaced(placement, prompt_, search_->Waited());
+  log_.LogPlaced(placement, prompt_, search_->Waited(), repeat_decided_at_);
+  repeat_decided_at_.reset();
   OutgoingRequest outgoing;
   outgoing.request_id = id_;
   outgoing.head = HeadFor(placement);
@@ -237,7 +238,8 @@
 
 bool Exchange::RetryOverdue() {
   // Retry only if another attempt can still produce a response in time.
-  if (TimeLeft() < sender_->TimeForRetry() || !MayRetry()) {
+  if (TimeLeft() < sender_->TimeForRetry() ||
+      !MayRetry(RepeatCause::kOverdue)) {
     return false;
   }
   may_have_run_ = may_have_run_ || sender_->WasSent();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -105,7 +105,8 @@
   // OnMayHaveRun if one may have run it.
   void OnNotRun(const std::string& reason);
   void OnMayHaveRun(const std::string& reason);
-  bool MayRetry();
+  // Returns whether the request may be sent again, and counts the repeat if so.
+  bool MayRetry(RepeatCause cause);
   void AbandonAttempt();
 
   // The functions from here to TimeLeft enforce the request's time limits with
@@ -170,6 +171,8 @@
   // should return.
   std::optional<std::string> rejection_code_;
   bool finished_ = false;
+  // When the last repeat was permitted; unset until it is placed.
+  std::optional<TimePoint> repeat_decided_at_;
   // Registration with the back-off notifier; set once the request has begun to
   // wait for a placement.
   std::optional<BackoffNotifier::Id> backoff_watch_;
--- a/src/gateway/exchange_attempts.cc
+++ b/src/gateway/exchange_attempts.cc
@@ -114,7 +114,7 @@
     OnMayHaveRun("resumption_answered_" + std::to_string(status));
     return true;
   }
-  if (!MayRetry()) {
+  if (!MayRetry(RepeatCause::kErrorAnswer)) {
     return false;
   }
   may_have_run_ = true;
@@ -192,6 +192,7 @@
     services_->crashes->OnTrialNotSent(Fingerprint());
   }
   sender_->OnUnreachable();
+  log_.LogNotSent(sender_->Endpoint().id, failure.reason);
   ++connect_failures_;
   if (connect_failures_ < kMaxConnectFailures) {
     TryNext();
@@ -284,7 +285,7 @@
 }
 
 void Exchange::OnNotRun(const std::string& reason) {
-  if (MayRetry()) {
+  if (MayRetry(RepeatCause::kNotRun)) {
     log_.LogRetry(sender_->Endpoint().id, reason, nlohmann::json::object());
     TryNext();
     return;
@@ -298,7 +299,7 @@
     RejectQuarantined();
     return;
   }
-  if (route_->MayRepeat() && MayRetry()) {
+  if (route_->MayRepeat() && MayRetry(RepeatCause::kBroken)) {
     log_.LogRetry(sender_->Endpoint().id, reason,
                   {{"resumes_after", relay_.LastEventId()}});
     TryNext();
@@ -307,14 +308,19 @@
   GiveUp(reason);
 }
 
-bool Exchange::MayRetry() {
+bool Exchange::MayRetry(RepeatCause cause) {
   if (sender_->SendCount() >= route_->max_attempts ||
       TimeLeft() < kMinTimeForAttempt ||
       search_->CannotStartInTime(History())) {
     return false;
   }
-  budget_exhausted_ = !services_->budgets->TryRepeat(service_->name);
-  return !budget_exhausted_;
+  const RepeatDecision decision = services_->budgets->TryRepeat(service_->name);
+  log_.LogRepeatDecision(service_->name, cause, decision);
+  budget_exhausted_ = !decision.permitted;
+  if (decision.permitted) {
+    repeat_decided_at_ = services_->clock();
+  }
+  return decision.permitted;
 }
 
 void Exchange::AbandonAttempt() {
--- a/src/gateway/exchange_log.cc
+++ b/src/gateway/exchange_log.cc
@@ -41,7 +41,8 @@
 }
 
 void ExchangeLog::LogPlaced(const Placement& placement, Tokens prompt,
-                            std::optional<Millis> waited) const {
+                            std::optional<Millis> waited,
+                            std::optional<TimePoint> repeat_decided_at) const {
   nlohmann::json fields = Fields();
   const EndpointId& endpoint = placement.endpoint.id;
   fields["endpoint"] = endpoint.value;
@@ -60,9 +61,45 @@
   if (waited.has_value()) {
     fields["waited_ms"] = waited->count();
   }
+  if (repeat_decided_at.has_value()) {
+    fields["since_decision_ms"] =
+        WholeMillis(services_->clock() - *repeat_decided_at);
+  }
   services_->log->Write("placed", std::move(fields));
 }
 
+void ExchangeLog::LogNotSent(const EndpointId& endpoint,
+                             const std::string& reason) const {
+  nlohmann::json fields = Fields();
+  fields["endpoint"] = endpoint.value;
+  fields["reason"] = reason;
+  services_->metrics->GetCounter("harecrank_gateway_not_sent_total")->Add();
+  services_->log->Write("not_sent", std::move(fields));
+}
+
+void ExchangeLog::LogRepeatDecision(const ServiceName& service,
+                                    RepeatCause cause,
+                                    const RepeatDecision& decision) const {
+  const std::string labels =
+      "service=\"" + service.value + "\",cause=\"" + NameOf(cause) + "\"";
+  services_->metrics
+      ->GetCounter(decision.permitted
+                       ? "harecrank_gateway_repeats_total"
+                       : "harecrank_gateway_repeats_denied_total",
+                   labels)
+      ->Add();
+  nlohmann::json fields = Fields();
+  fields["service"] = service.value;
+  fields["cause"] = NameOf(cause);
+  fields["first_attempts"] = decision.use.first_attempts;
+  fields["repeats"] = decision.use.repeats;
+  fields["part"] = decision.use.part;
+  fields["hosts"] = decision.use.hosts;
+  services_->log->Write(
+      decision.permitted ? "repeat_permitted" : "repeat_denied",
+      std::move(fields));
+}
+
 void ExchangeLog::LogRetry(const EndpointId& endpoint,
                            const std::string& reason,
                            const nlohmann::json& extra) const {
--- a/src/gateway/exchange_log.h
+++ b/src/gateway/exchange_log.h
@@ -42,9 +42,16 @@
   nlohmann::json Fields() const;
 
   // Logs that the request is sent to the endpoint of `placement`. `waited` is
-  // unset if the request did not wait.
+  // unset if the request did not wait, and `repeat_decided_at`, the time at
+  // which its repeat was permitted, if it is sent for the first time.
   void LogPlaced(const Placement& placement, Tokens prompt,
-                 std::optional<Millis> waited) const;
+                 std::optional<Millis> waited,
+                 std::optional<TimePoint> repeat_decided_at) const;
+  // Logs that no byte of the request was sent to `endpoint`.
+  void LogNotSent(const EndpointId& endpoint, const std::string& reason) const;
+  // Logs and counts whether a repeat to `service` was permitted.
+  void LogRepeatDecision(const ServiceName& service, RepeatCause cause,
+                         const RepeatDecision& decision) const;
   // Logs that the request is retried after an attempt at `endpoint`. `extra`
   // contains further fields.
   void LogRetry(const EndpointId& endpoint, const std::string& reason,
--- a/src/gateway/gateway_gauges.cc
+++ b/src/gateway/gateway_gauges.cc
@@ -42,6 +42,18 @@
   return engines;
 }
 
+// Returns what this host has sent to each service and may repeat there.
+nlohmann::json DescribeRepeats(const RepeatBudgets& budgets) {
+  nlohmann::json services = nlohmann::json::object();
+  for (const auto& [service, use] : budgets.Uses()) {
+    services[service.value] = {{"first_attempts", use.first_attempts},
+                               {"repeats", use.repeats},
+                               {"part", use.part},
+                               {"hosts", use.hosts}};
+  }
+  return services;
+}
+
 // Adds gauges of the number of engines with each standing but kSound.
 void RegisterStandingGauges(const GatewayParts& parts, Metrics* metrics) {
   for (const EngineStanding standing :
@@ -232,7 +244,8 @@
             {"next_starts_ms", NextStartsOf(*parts.planner)},
             {"held", parts.quarantine->QuarantinedCount()}}},
           {"copies_under_way", parts.snapshots->ActiveTransfers()},
-          {"bounds", parts.start_limiter->Describe()}};
+          {"bounds", parts.start_limiter->Describe()},
+          {"repeats", DescribeRepeats(*parts.budgets)}};
 }
 
 }  // namespace harecrank
--- a/src/gateway/gateway_gauges.h
+++ b/src/gateway/gateway_gauges.h
@@ -36,6 +36,7 @@
   DispatchQueue* queue;
   Membership* membership;
   StartLimiter* start_limiter;
+  RepeatBudgets* budgets;
   Planner* planner;
   FleetMember* fleet;
   StoreSyncState* store_sync;
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -244,11 +244,10 @@
 
 GatewayParts GatewayNode::MakeParts() {
   return GatewayParts{
-      &routing_,    &regions_, &region_reporter_, &directory_,
-      &loads_,      &health_,  &connections_,     &endpoint_updater_,
-      &quarantine_, &queue_,   &membership_,      &start_limiter_,
-      &planner_,    &fleet_,   &store_sync_,      &snapshots_,
-      &callers_,    &log_};
+      &routing_,    &regions_,       &region_reporter_,  &directory_,  &loads_,
+      &health_,     &connections_,   &endpoint_updater_, &quarantine_, &queue_,
+      &membership_, &start_limiter_, &budgets_,          &planner_,    &fleet_,
+      &store_sync_, &snapshots_,     &callers_,          &log_};
 }
 
 void GatewayNode::AwaitSignal() {
--- a/src/gateway/gateway_services.h
+++ b/src/gateway/gateway_services.h
@@ -5,7 +5,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 
@@ -14,7 +13,7 @@
 #include "harecrank/core/endpoint_loads.h"
 #include "harecrank/core/placement.h"
 #include "harecrank/core/region_rule.h"
-#include "harecrank/core/repeat_budget.h"
+#include "harecrank/core/repeat_budgets.h"
 #include "harecrank/core/routing_table.h"
 #include "src/adapters/event_log.h"
 #include "src/adapters/metrics.h"
@@ -45,25 +44,6 @@
   std::shared_ptr<const RoutingTable> table_;
 };
 
-// Limits the retries of each service, so that they do not amplify an overload.
-// Not thread-safe.
-class RepeatBudgets {
- public:
-  RepeatBudgets(RepeatLimit limit, std::function<int()> host_count,
-                MonotonicClock clock);
-
-  void OnFirstAttempt(const ServiceName& service);
-  bool TryRepeat(const ServiceName& service);
-
- private:
-  RepeatBudget* BudgetOf(const ServiceName& service);
-
-  RepeatLimit limit_;
-  std::function<int()> host_count_;
-  MonotonicClock clock_;
-  std::map<ServiceName, RepeatBudget> budgets_;
-};
-
 // References to the components of the process that requests use; there is one
 // of each. All must outlive every request.
 struct GatewayServices {
