Failing tests: the sum of what hosts repeat

- Repeats that wait: they are counted when they are decided on, and as many again are permitted while they still wait.

--- a/src/core/repeat_budget_test.cc
+++ b/src/core/repeat_budget_test.cc
@@ -35,6 +35,39 @@
   CHECK(budget.TryRepeat(1).permitted);
 }
 
+TEST_CASE("Repeats that wait to be sent do not pile up beyond the limit") {
+  TimePoint now{};
+  RepeatBudget budget({0, 10, Millis(1000)}, [&now] { return now; });
+  int waiting = 0;
+  while (budget.TryRepeat(1).permitted) {
+    ++waiting;
+  }
+  REQUIRE(waiting > 0);
+  now += Millis(1100);
+  CHECK_FALSE(budget.TryRepeat(1).permitted);
+}
+
+TEST_CASE("A process that ends and its successor earn no repeats twice") {
+  TimePoint now{};
+  const RepeatLimit limit{0.2, 0, Millis(1000)};
+  constexpr int kRequestsPerWindow = 1000;
+  int repeats = 0;
+  // The first process is denied nothing until its end, the second one until the
+  // end of the window that begins there.
+  for (int process = 0; process < 2; ++process) {
+    RepeatBudget budget(limit, [&now] { return now; });
+    for (int i = 0; i < kRequestsPerWindow; ++i) {
+      now += limit.window / kRequestsPerWindow;
+      budget.OnFirstAttempt();
+    }
+    while (budget.TryRepeat(1).permitted) {
+      ++repeats;
+    }
+  }
+  CHECK(repeats <= limit.ratio * kRequestsPerWindow);
+  CHECK(repeats > 0);
+}
+
 TEST_CASE("The use of the limit tells what was sent and what may be") {
   TimePoint now{};
   RepeatBudget budget({0.5, 20, Millis(1000)}, [&now] { return now; });
