A host that has just started has no part of the allowance for repeats

Cause: each process divides the allowance by the hosts of the fleet and keeps to its part by its own memory. A host that is killed after it has spent its part has the whole part again when it starts: the sum grows with each restart within the window. Class: a limit for all hosts together that each keeps by what it remembers, while its memory is shorter-lived than the limit's window.

Change: the part begins one window after the start of the process. Whatever the process before it spent has then left every window. The part that first attempts earn is not affected.

Ruled out: a smaller part for all (any constant is spent again by the next restart); a part that grows over the window (the sum of two lives is twice the part).

--- a/include/harecrank/core/fleet_size.h
+++ b/include/harecrank/core/fleet_size.h
@@ -69,6 +69,11 @@
   // seeds but has not heard of another host.
   std::optional<int> MaxHosts() const;
 
+  // Returns MaxHosts() for a limit on what all hosts together do within
+  // `window`. Returns nothing if this host started less than `window` ago: the
+  // process that it replaces may have used its part just before it ended.
+  std::optional<int> MaxHostsSharing(Millis window) const;
+
   // Time after the start of a host during which MaxHosts() returns nothing,
   // since hosts that start together have not observed each other yet.
   static constexpr Millis kStartupGrace{2000};
--- a/include/harecrank/core/membership.h
+++ b/include/harecrank/core/membership.h
@@ -114,10 +114,11 @@
   // that other hosts report.
   int AliveHosts() const;
 
-  // Returns the number of hosts among which a fleet-wide limit is divided. It
-  // includes hosts that are currently unreachable: if the fleet is partitioned,
-  // the hosts on both sides together must not exceed the limit.
-  int HostsSharingLimits() const;
+  // Returns the number of hosts among which a limit on what all hosts together
+  // do within `window` is divided, or nothing while this host has no part of
+  // it. The number includes hosts that are currently unreachable: if the fleet
+  // is partitioned, the hosts on both sides together must not exceed the limit.
+  std::optional<int> HostsSharingLimit(Millis window) const;
 
   // Records ObservedHosts() for Size(). Must be called a few times a second.
   void RecordFleetSize();
--- a/include/harecrank/core/repeat_budget.h
+++ b/include/harecrank/core/repeat_budget.h
@@ -4,12 +4,14 @@
 // applies to all hosts together, but no host can count the requests of all
 // hosts. So each host keeps to its own part of the limit: the configured ratio
 // of its own requests in the last window, plus an equal part of the fixed
-// allowance.
+// allowance. A process that has just started has no part of the allowance,
+// since its predecessor may have used it.
 
 #ifndef HARECRANK_CORE_REPEAT_BUDGET_H_
 #define HARECRANK_CORE_REPEAT_BUDGET_H_
 
 #include <deque>
+#include <optional>
 
 #include "harecrank/core/clock.h"
 #include "harecrank/core/strong_types.h"
@@ -45,7 +47,8 @@
 struct RepeatUse {
   int first_attempts = 0;
   int repeats = 0;
-  // Number of hosts by which the allowance is divided.
+  // Number of hosts by which the allowance is divided; zero while it is
+  // unknown, and the host has no part of the allowance.
   int hosts = 0;
   // Maximum of `repeats`.
   double part = 0;
@@ -67,13 +70,14 @@
   void OnFirstAttempt();
 
   // Counts one repeat against this host's part of the limit, with the allowance
-  // divided by `hosts` (at least 1). Counts nothing if the repeat would exceed
-  // this part, and is then not permitted.
-  RepeatDecision TryRepeat(int hosts);
+  // divided by `hosts` (at least 1); this host has no part of it if `hosts` is
+  // not set. Counts nothing if the repeat would exceed this part, and is then
+  // not permitted.
+  RepeatDecision TryRepeat(std::optional<int> hosts);
 
   // Returns what this host has sent and may repeat, with the allowance divided
-  // by `hosts` (at least 1).
-  RepeatUse Use(int hosts) const;
+  // by `hosts` (at least 1), if it is set.
+  RepeatUse Use(std::optional<int> hosts) const;
 
   // Fraction of the limit that hosts use. The rest is a margin, because the
   // windows of different hosts are not aligned, and a change in the number of
--- a/include/harecrank/core/repeat_budgets.h
+++ b/include/harecrank/core/repeat_budgets.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 
 #include "harecrank/core/clock.h"
 #include "harecrank/core/repeat_budget.h"
@@ -16,8 +17,10 @@
 // Not thread-safe.
 class RepeatBudgets {
  public:
-  // `host_count` returns the number of hosts that share the limit (at least 1).
-  RepeatBudgets(RepeatLimit limit, std::function<int()> host_count,
+  // `host_count` returns the number of hosts that share the limit (at least 1),
+  // or nothing while this host must not use a part of the allowance.
+  RepeatBudgets(RepeatLimit limit,
+                std::function<std::optional<int>()> host_count,
                 MonotonicClock clock);
 
   void OnFirstAttempt(const ServiceName& service);
@@ -31,7 +34,7 @@
   RepeatBudget* BudgetOf(const ServiceName& service);
 
   RepeatLimit limit_;
-  std::function<int()> host_count_;
+  std::function<std::optional<int>()> host_count_;
   MonotonicClock clock_;
   std::map<ServiceName, RepeatBudget> budgets_;
 };
--- a/src/core/fleet_size.cc
+++ b/src/core/fleet_size.cc
@@ -49,4 +49,8 @@
   return most;
 }
 
+std::optional<int> FleetSize::MaxHostsSharing(Millis window) const {
+  return clock_() - started_at_ < window ? std::nullopt : MaxHosts();
+}
+
 }  // namespace harecrank
--- a/src/core/fleet_size_test.cc
+++ b/src/core/fleet_size_test.cc
@@ -18,6 +18,18 @@
   CHECK(size_.MaxHosts() == 24);
 }
 
+TEST_CASE_METHOD(FleetSizeFixture,
+                 "A host that has just started has no part of a limit that its "
+                 "predecessor may have used") {
+  constexpr Millis kWindow{10000};
+  size_.OnReported(24);
+  now_ += kWindow - Millis(1);
+  CHECK(size_.MaxHosts() == 24);
+  CHECK_FALSE(size_.MaxHostsSharing(kWindow).has_value());
+  now_ += Millis(1);
+  CHECK(size_.MaxHostsSharing(kWindow) == 24);
+}
+
 TEST_CASE_METHOD(FleetSizeFixture,
                  "A host with seeds that has heard of no other host does not "
                  "know the size") {
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -337,8 +337,12 @@
   return std::max(ObservedHosts(), ranking_.MaxReportedAliveHosts());
 }
 
-int Membership::HostsSharingLimits() const {
-  return std::max(AliveHosts(), size_.MaxHosts().value_or(0));
+std::optional<int> Membership::HostsSharingLimit(Millis window) const {
+  const std::optional<int> most = size_.MaxHostsSharing(window);
+  if (!most.has_value()) {
+    return std::nullopt;
+  }
+  return std::max(AliveHosts(), *most);
 }
 
 HostRank Membership::RankOf(const HostAddress& address, CpuShare cpu_share) {
--- a/src/core/membership_test.cc
+++ b/src/core/membership_test.cc
@@ -343,11 +343,12 @@
       }
     }
   };
+  constexpr Millis kWindow{5000};
   exchange_among(0, 5);
-  CHECK(memberships_.at(0)->HostsSharingLimits() == 6);
+  CHECK(memberships_.at(0)->HostsSharingLimit(kWindow) == 6);
   exchange_among(0, 2);
   CHECK(memberships_.at(0)->AliveHosts() == 3);
-  CHECK(memberships_.at(0)->HostsSharingLimits() == 6);
+  CHECK(memberships_.at(0)->HostsSharingLimit(kWindow) == 6);
 }
 
 TEST_CASE_METHOD(
--- a/src/core/repeat_budget.cc
+++ b/src/core/repeat_budget.cc
@@ -30,7 +30,7 @@
 
 void RepeatBudget::OnFirstAttempt() { ++Current()->first_attempts; }
 
-RepeatDecision RepeatBudget::TryRepeat(int hosts) {
+RepeatDecision RepeatBudget::TryRepeat(std::optional<int> hosts) {
   RepeatUse use = Use(hosts);
   if (use.repeats + 1 > use.part) {
     return {false, use};
@@ -40,17 +40,17 @@
   return {true, use};
 }
 
-RepeatUse RepeatBudget::Use(int hosts) const {
+RepeatUse RepeatBudget::Use(std::optional<int> hosts) const {
   RepeatUse use;
-  use.hosts = hosts;
+  use.hosts = hosts.value_or(0);
   for (const Slice& slice : slices_) {
     if (IsInWindow(slice)) {
       use.first_attempts += slice.first_attempts;
       use.repeats += slice.repeats;
     }
   }
-  use.part = kUsedShare *
-             (limit_.ratio * use.first_attempts + limit_.allowance / hosts);
+  const double allowance = hosts.has_value() ? limit_.allowance / *hosts : 0.0;
+  use.part = kUsedShare * (limit_.ratio * use.first_attempts + allowance);
   return use;
 }
 
--- a/src/core/repeat_budgets.cc
+++ b/src/core/repeat_budgets.cc
@@ -4,7 +4,8 @@
 
 namespace harecrank {
 
-RepeatBudgets::RepeatBudgets(RepeatLimit limit, std::function<int()> host_count,
+RepeatBudgets::RepeatBudgets(RepeatLimit limit,
+                             std::function<std::optional<int>()> host_count,
                              MonotonicClock clock)
     : limit_(limit),
       host_count_(std::move(host_count)),
--- a/src/core/repeat_fleet_test.cc
+++ b/src/core/repeat_fleet_test.cc
@@ -119,8 +119,7 @@
     host->size = std::make_unique<FleetSize>(clock);
     FleetSize* size = host->size.get();
     host->budgets = std::make_unique<RepeatBudgets>(
-        kLimit, [size] { return std::max(3, size->MaxHosts().value_or(0)); },
-        clock);
+        kLimit, [size] { return size->MaxHostsSharing(kLimit.window); }, clock);
     host->is_dead = false;
     host->waiting.clear();
   }
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -67,10 +67,7 @@
           LoadScope::kThisHost, [this] { return KnownHosts(); },
           settings_.placement, random_),
       budgets_(
-          settings_.repeat_limit,
-          [this] {
-            return std::max(KnownHosts(), membership_.HostsSharingLimits());
-          },
+          settings_.repeat_limit, [this] { return HostsSharingRepeats(); },
           clock_),
       queue_(&io_, clock_, settings_.placement.tried,
              settings_.placement.shares_by_account),
@@ -209,6 +206,15 @@
                    membership_.AliveHosts()});
 }
 
+std::optional<int> GatewayNode::HostsSharingRepeats() const {
+  const std::optional<int> hosts =
+      membership_.HostsSharingLimit(settings_.repeat_limit.window);
+  if (!hosts.has_value()) {
+    return std::nullopt;
+  }
+  return std::max(KnownHosts(), *hosts);
+}
+
 HttpReply GatewayNode::HandleReadiness(const HttpRequest& request) {
   if (request.target() != names_.readiness_path) {
     return MakeReply(http_status::kNotFound, "text/plain", "no such page\n");
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -92,6 +92,9 @@
   void Tick();
   void ContinueDrain();
   int KnownHosts() const;
+  // Returns the number of hosts that share the limit on repeats, or nothing
+  // while this host has no part of its allowance.
+  std::optional<int> HostsSharingRepeats() const;
   bool IsReady() const {
     return !draining_ && routing_.InForce() != nullptr &&
            directory_.Count() > 0;
