Count a repeat until it was sent, and for a whole window from then on

Cause: a repeat counted from the moment at which it was decided on. It may wait for engines for longer than a window; meanwhile it left the count, as many again were permitted, and both arrived in one window. Class: a limit on what arrives that counts what is decided.

Change: a permitted repeat is reserved until it is sent (then it counts for a window) or withdrawn, because its request ended before or was sent for the first time after all. A request whose endpoints could not be reached keeps its permission and does not take a second one: callers win those back. Entries leave the window by slices of a twentieth: a slice now counts until its youngest entry is older than the window, before until its oldest was.

Ruled out: to count at the sending only, for then a crowd that is decided on at once has no bound.

--- a/include/harecrank/core/repeat_budget.h
+++ b/include/harecrank/core/repeat_budget.h
@@ -46,15 +46,17 @@
 // repeat there.
 struct RepeatUse {
   int first_attempts = 0;
+  // Repeats that were sent, and those that were permitted and not sent yet.
   int repeats = 0;
+  int unsent = 0;
   // Number of hosts by which the allowance is divided; zero while it is
   // unknown, and the host has no part of the allowance.
   int hosts = 0;
-  // Maximum of `repeats`.
+  // Maximum of `repeats` and `unsent` together.
   double part = 0;
 };
 
-// Whether one repeat is permitted. If it is, `use` includes it.
+// Whether one repeat is permitted. If it is, `use` includes it as unsent.
 struct RepeatDecision {
   bool permitted = false;
   RepeatUse use;
@@ -69,12 +71,18 @@
   // Records that a request was sent for the first time.
   void OnFirstAttempt();
 
-  // Counts one repeat against this host's part of the limit, with the allowance
-  // divided by `hosts` (at least 1); this host has no part of it if `hosts` is
-  // not set. Counts nothing if the repeat would exceed this part, and is then
-  // not permitted.
+  // Permits one repeat if this host's part of the limit suffices, with the
+  // allowance divided by `hosts` (at least 1); this host has no part of it if
+  // `hosts` is not set. A permitted repeat counts from then on until it is
+  // withdrawn, or for a whole window after it was sent: it may wait for longer
+  // than a window before it is sent.
   RepeatDecision TryRepeat(std::optional<int> hosts);
 
+  // Records that a permitted repeat was sent, or that it never will be. One of
+  // them must be called for each permitted repeat.
+  void OnRepeatSent();
+  void OnRepeatWithdrawn();
+
   // Returns what this host has sent and may repeat, with the allowance divided
   // by `hosts` (at least 1), if it is set.
   RepeatUse Use(std::optional<int> hosts) const;
@@ -92,16 +100,18 @@
     int repeats = 0;
   };
 
-  // Drops the slices that are older than the window and returns the slice for
-  // the present time.
+  // Drops the slices that are not needed any more and returns the slice for the
+  // present time.
   Slice* Current();
-  bool IsInWindow(const Slice& slice) const {
-    return clock_() - slice.start < limit_.window;
-  }
+  // Returns how long after its start a slice may hold entries that are younger
+  // than the window.
+  Millis SliceLifetime() const;
 
   RepeatLimit limit_;
   MonotonicClock clock_;
   std::deque<Slice> slices_;
+  // Number of permitted repeats that have not been sent.
+  int unsent_ = 0;
 };
 
 }  // namespace harecrank
--- a/include/harecrank/core/repeat_budgets.h
+++ b/include/harecrank/core/repeat_budgets.h
@@ -24,7 +24,11 @@
                 MonotonicClock clock);
 
   void OnFirstAttempt(const ServiceName& service);
+  // Decides whether a request may be sent to `service` once more. For each
+  // permitted repeat, one of the two functions below must be called.
   RepeatDecision TryRepeat(const ServiceName& service);
+  void OnRepeatSent(const ServiceName& service);
+  void OnRepeatWithdrawn(const ServiceName& service);
 
   // Returns what this host has sent to each service and may repeat there, for
   // operators.
--- a/src/core/repeat_budget.cc
+++ b/src/core/repeat_budget.cc
@@ -5,8 +5,7 @@
 namespace harecrank {
 namespace {
 
-// Number of slices into which the sliding window is divided. The window moves
-// on by whole slices.
+// Number of slices into which the sliding window is divided.
 constexpr int kSlicesPerWindow = 20;
 
 }  // namespace
@@ -32,20 +31,33 @@
 
 RepeatDecision RepeatBudget::TryRepeat(std::optional<int> hosts) {
   RepeatUse use = Use(hosts);
-  if (use.repeats + 1 > use.part) {
+  if (use.repeats + use.unsent + 1 > use.part) {
     return {false, use};
   }
-  ++Current()->repeats;
-  ++use.repeats;
+  ++unsent_;
+  ++use.unsent;
   return {true, use};
 }
 
+void RepeatBudget::OnRepeatSent() {
+  --unsent_;
+  ++Current()->repeats;
+}
+
+void RepeatBudget::OnRepeatWithdrawn() { --unsent_; }
+
 RepeatUse RepeatBudget::Use(std::optional<int> hosts) const {
+  const TimePoint now = clock_();
   RepeatUse use;
+  use.unsent = unsent_;
   use.hosts = hosts.value_or(0);
+  // A slice that is partly older than the window counts if it adds to the use,
+  // and does not if it adds to the limit.
   for (const Slice& slice : slices_) {
-    if (IsInWindow(slice)) {
+    if (now - slice.start < limit_.window) {
       use.first_attempts += slice.first_attempts;
+    }
+    if (now - slice.start < SliceLifetime()) {
       use.repeats += slice.repeats;
     }
   }
@@ -56,7 +68,7 @@
 
 RepeatBudget::Slice* RepeatBudget::Current() {
   const TimePoint now = clock_();
-  while (!slices_.empty() && !IsInWindow(slices_.front())) {
+  while (!slices_.empty() && now - slices_.front().start >= SliceLifetime()) {
     slices_.pop_front();
   }
   if (slices_.empty() ||
@@ -66,4 +78,8 @@
   return &slices_.back();
 }
 
+Millis RepeatBudget::SliceLifetime() const {
+  return limit_.window + limit_.window / kSlicesPerWindow;
+}
+
 }  // namespace harecrank
--- a/src/core/repeat_budgets.cc
+++ b/src/core/repeat_budgets.cc
@@ -19,6 +19,14 @@
   return BudgetOf(service)->TryRepeat(host_count_());
 }
 
+void RepeatBudgets::OnRepeatSent(const ServiceName& service) {
+  BudgetOf(service)->OnRepeatSent();
+}
+
+void RepeatBudgets::OnRepeatWithdrawn(const ServiceName& service) {
+  BudgetOf(service)->OnRepeatWithdrawn();
+}
+
 std::map<ServiceName, RepeatUse> RepeatBudgets::Uses() const {
   std::map<ServiceName, RepeatUse> uses;
   for (const auto& [service, budget] : budgets_) {
--- a/src/core/repeat_fleet_test.cc
+++ b/src/core/repeat_fleet_test.cc
@@ -249,6 +249,9 @@
       const auto due =
           std::partition(host.waiting.begin(), host.waiting.end(),
                          [this](TimePoint send_at) { return send_at > now_; });
+      for (auto sent = due; sent != host.waiting.end(); ++sent) {
+        host.budgets->OnRepeatSent(kService);
+      }
       repeats_.insert(repeats_.end(),
                       static_cast<std::size_t>(host.waiting.end() - due), now_);
       host.waiting.erase(due, host.waiting.end());
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -119,8 +119,7 @@
   }
   search_->MarkTried(placement.endpoint.id);
   relay_.BeginAttempt();
-  log_.LogPlaced(placement, prompt_, search_->Waited(), repeat_decided_at_);
-  repeat_decided_at_.reset();
+  log_.LogPlaced(placement, prompt_, search_->Waited(), unsent_repeat_since_);
   OutgoingRequest outgoing;
   outgoing.request_id = id_;
   outgoing.head = HeadFor(placement);
@@ -337,6 +336,7 @@
     services_->backoff_notifier->Remove(*backoff_watch_);
   }
   AbandonAttempt();
+  WithdrawRepeat();
   ExchangeResult end{outcome, status, reason, 0, prompt_, {}, {}};
   if (search_ != nullptr) {
     search_->Close();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -105,8 +105,13 @@
   // OnMayHaveRun if one may have run it.
   void OnNotRun(const std::string& reason);
   void OnMayHaveRun(const std::string& reason);
-  // Returns whether the request may be sent again, and counts the repeat if so.
+  // Returns whether the request may be sent again. If so, takes the permission
+  // for a repeat, unless the last one was not used.
   bool MayRetry(RepeatCause cause);
+  bool TakeRepeat(RepeatCause cause);
+  // Give the permission up, after the request was sent or for good.
+  void OnRepeatSent();
+  void WithdrawRepeat();
   void AbandonAttempt();
 
   // The functions from here to TimeLeft enforce the request's time limits with
@@ -171,8 +176,8 @@
   // should return.
   std::optional<std::string> rejection_code_;
   bool finished_ = false;
-  // When the last repeat was permitted; unset until it is placed.
-  std::optional<TimePoint> repeat_decided_at_;
+  // Since when a repeat has been permitted that was not sent yet.
+  std::optional<TimePoint> unsent_repeat_since_;
   // Registration with the back-off notifier; set once the request has begun to
   // wait for a placement.
   std::optional<BackoffNotifier::Id> backoff_watch_;
--- a/src/gateway/exchange_attempts.cc
+++ b/src/gateway/exchange_attempts.cc
@@ -58,6 +58,7 @@
     services_->crashes->OnTrialSent(Fingerprint());
   }
   sender_->OnSent();
+  OnRepeatSent();
 }
 
 void Exchange::OnResponseHead(const ResponseHead& head) {
@@ -314,15 +315,37 @@
       search_->CannotStartInTime(History())) {
     return false;
   }
+  budget_exhausted_ = !unsent_repeat_since_.has_value() && !TakeRepeat(cause);
+  return !budget_exhausted_;
+}
+
+bool Exchange::TakeRepeat(RepeatCause cause) {
   const RepeatDecision decision = services_->budgets->TryRepeat(service_->name);
   log_.LogRepeatDecision(service_->name, cause, decision);
-  budget_exhausted_ = !decision.permitted;
   if (decision.permitted) {
-    repeat_decided_at_ = services_->clock();
+    unsent_repeat_since_ = services_->clock();
   }
   return decision.permitted;
 }
 
+void Exchange::OnRepeatSent() {
+  if (sender_->SendCount() <= 1) {
+    // Endpoints that could not be reached used the permission up, but this is
+    // the first sending.
+    WithdrawRepeat();
+  } else if (unsent_repeat_since_.has_value()) {
+    services_->budgets->OnRepeatSent(service_->name);
+    unsent_repeat_since_.reset();
+  }
+}
+
+void Exchange::WithdrawRepeat() {
+  if (unsent_repeat_since_.has_value()) {
+    services_->budgets->OnRepeatWithdrawn(service_->name);
+    unsent_repeat_since_.reset();
+  }
+}
+
 void Exchange::AbandonAttempt() {
   if (search_ == nullptr) {
     return;
--- a/src/gateway/exchange_log.cc
+++ b/src/gateway/exchange_log.cc
@@ -93,6 +93,7 @@
   fields["cause"] = NameOf(cause);
   fields["first_attempts"] = decision.use.first_attempts;
   fields["repeats"] = decision.use.repeats;
+  fields["unsent"] = decision.use.unsent;
   fields["part"] = decision.use.part;
   fields["hosts"] = decision.use.hosts;
   services_->log->Write(
--- a/src/gateway/gateway_gauges.cc
+++ b/src/gateway/gateway_gauges.cc
@@ -48,6 +48,7 @@
   for (const auto& [service, use] : budgets.Uses()) {
     services[service.value] = {{"first_attempts", use.first_attempts},
                                {"repeats", use.repeats},
+                               {"unsent", use.unsent},
                                {"part", use.part},
                                {"hosts", use.hosts}};
   }
