Let first attempts earn repeats that no restart and no move of load doubles

Cause: a host might repeat a fifth of its first attempts of the last window. The windows of hosts and of their successors are not the one that the rule looks at: a process spends what the window before has earned and ends, and its successor, or the host that gets its callers, earns and spends as much again in the same window. The margin of three tenths hid it while hosts lived.

Change: credit. A first attempt earns 0.6 of the ratio, and a host holds at most what 0.4 of the ratio of its last window's first attempts gives, both of nine tenths of the limit. Repeats of a window come from what was held at its begin and what was earned in it: the sum is within the ratio of the larger of two windows that the rule looks at, whichever hosts live. A repeat is paid for by credit first, for that comes back, and by the allowance for the rest, so that parts of a whole are not lost. With the sums bound, seven tenths become nine: burst and window of a host that lives are 0.36 and 0.9 of the ratio and 0.9 of its part of the allowance, where 0.7 of both was all.

Ruled out: half of the ratio in a sliding window (bounds as well, and gives callers less); an expiry of what was earned (bounds only while traffic is even).

--- a/include/harecrank/core/repeat_budget.h
+++ b/include/harecrank/core/repeat_budget.h
@@ -1,11 +1,18 @@
 // Limit on repeated requests to a service.
 //
 // A repeat is another attempt of a request that was sent before. The limit
-// applies to all hosts together, but no host can count the requests of all
-// hosts. So each host keeps to its own part of the limit: the configured ratio
-// of its own requests in the last window, plus an equal part of the fixed
-// allowance. A process that has just started has no part of the allowance,
-// since its predecessor may have used it.
+// applies to all hosts together. No host sees what the others send, and a host
+// that restarts does not know what its previous process sent. Each host
+// therefore keeps to two parts of the limit, which add up to at most the limit
+// whatever happens to the hosts:
+//
+// - Credit, which first attempts earn. The repeats of a window spend the credit
+//   that was held when the window began, and the credit that was earned within
+//   it. What a host holds is bounded by its first attempts of the last window,
+//   so that both together never exceed the ratio. A process that ends loses its
+//   credit, and a new one has none.
+// - An equal part of the allowance in each window. A process that has just
+//   started has no part, since its predecessor may have used it.
 
 #ifndef HARECRANK_CORE_REPEAT_BUDGET_H_
 #define HARECRANK_CORE_REPEAT_BUDGET_H_
@@ -49,21 +56,32 @@
   // Repeats that were sent, and those that were permitted and not sent yet.
   int repeats = 0;
   int unsent = 0;
+  // Repeats that the credit pays for, without those that were permitted.
+  double credit = 0;
+  // The host's part of the allowance, and how much of it the repeats have used.
+  double allowance = 0;
+  double allowance_used = 0;
   // Number of hosts by which the allowance is divided; zero while it is
-  // unknown, and the host has no part of the allowance.
+  // unknown, and the host has no part.
   int hosts = 0;
-  // Maximum of `repeats` and `unsent` together.
-  double part = 0;
 };
 
-// Whether one repeat is permitted. If it is, `use` includes it as unsent.
+// Permission for one repeat: how much of it is paid for by credit, and how much
+// by the allowance. The two add up to one.
+struct RepeatPermit {
+  double credit = 0;
+  double allowance = 0;
+};
+
+// Whether one repeat is permitted, and by which use of the limit this was
+// decided.
 struct RepeatDecision {
-  bool permitted = false;
+  std::optional<RepeatPermit> permit;
   RepeatUse use;
 };
 
 // Decides whether this host may repeat a request to one service, within the
-// host's part of the limit. Not thread-safe.
+// host's parts of the limit. Not thread-safe.
 class RepeatBudget {
  public:
   RepeatBudget(RepeatLimit limit, MonotonicClock clock);
@@ -71,26 +89,31 @@
   // Records that a request was sent for the first time.
   void OnFirstAttempt();
 
-  // Permits one repeat if this host's part of the limit suffices, with the
+  // Permits one repeat if this host's parts of the limit suffice, with the
   // allowance divided by `hosts` (at least 1); this host has no part of it if
   // `hosts` is not set. A permitted repeat counts from then on until it is
   // withdrawn, or for a whole window after it was sent: it may wait for longer
   // than a window before it is sent.
   RepeatDecision TryRepeat(std::optional<int> hosts);
 
-  // Records that a permitted repeat was sent, or that it never will be. One of
-  // them must be called for each permitted repeat.
-  void OnRepeatSent();
-  void OnRepeatWithdrawn();
+  // Records that the repeat of `permit` was sent, or that it never will be. One
+  // of them must be called for each permit.
+  void OnRepeatSent(const RepeatPermit& permit);
+  void OnRepeatWithdrawn(const RepeatPermit& permit);
 
   // Returns what this host has sent and may repeat, with the allowance divided
   // by `hosts` (at least 1), if it is set.
   RepeatUse Use(std::optional<int> hosts) const;
 
-  // Fraction of the limit that hosts use. The rest is a margin, because the
-  // windows of different hosts are not aligned, and a change in the number of
-  // hosts becomes known late.
-  static constexpr double kUsedShare = 0.7;
+  // Fraction of the limit that the hosts use. The rest is a margin for requests
+  // that arrive at their endpoints later than others.
+  static constexpr double kUsedShare = 0.9;
+  // Fraction of the used ratio that each first attempt earns.
+  static constexpr double kEarnedShare = 0.6;
+  // Credit that a host may hold, as a fraction of what its first attempts of
+  // the last window would earn at the used ratio. The sum of both fractions
+  // must not exceed 1.
+  static constexpr double kHeldShare = 1 - kEarnedShare;
 
  private:
   // Counts of one slice of the sliding window.
@@ -98,6 +121,7 @@
     TimePoint start;
     int first_attempts = 0;
     int repeats = 0;
+    double allowance_used = 0;
   };
 
   // Drops the slices that are not needed any more and returns the slice for the
@@ -106,11 +130,16 @@
   // Returns how long after its start a slice may hold entries that are younger
   // than the window.
   Millis SliceLifetime() const;
+  // Returns the largest credit that may be held now, with `first_attempts` in
+  // the last window.
+  double MaxCredit(int first_attempts) const;
 
   RepeatLimit limit_;
   MonotonicClock clock_;
   std::deque<Slice> slices_;
-  // Number of permitted repeats that have not been sent.
+  double credit_ = 0;
+  // Sums over the permits whose repeats have not been sent.
+  RepeatPermit reserved_;
   int unsent_ = 0;
 };
 
--- a/include/harecrank/core/repeat_budgets.h
+++ b/include/harecrank/core/repeat_budgets.h
@@ -24,11 +24,12 @@
                 MonotonicClock clock);
 
   void OnFirstAttempt(const ServiceName& service);
-  // Decides whether a request may be sent to `service` once more. For each
-  // permitted repeat, one of the two functions below must be called.
+  // Decides whether a request may be sent to `service` once more. One of the
+  // two functions below must be called for each permit.
   RepeatDecision TryRepeat(const ServiceName& service);
-  void OnRepeatSent(const ServiceName& service);
-  void OnRepeatWithdrawn(const ServiceName& service);
+  void OnRepeatSent(const ServiceName& service, const RepeatPermit& permit);
+  void OnRepeatWithdrawn(const ServiceName& service,
+                         const RepeatPermit& permit);
 
   // Returns what this host has sent to each service and may repeat there, for
   // operators.
--- a/src/core/repeat_budget.cc
+++ b/src/core/repeat_budget.cc
@@ -1,5 +1,6 @@
 #include "harecrank/core/repeat_budget.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace harecrank {
@@ -7,6 +8,9 @@
 
 // Number of slices into which the sliding window is divided.
 constexpr int kSlicesPerWindow = 20;
+// A repeat is paid for if no more than this is lacking, which many additions of
+// fractions may lose.
+constexpr double kRoundingError = 1e-6;
 
 }  // namespace
 
@@ -27,45 +31,75 @@
 RepeatBudget::RepeatBudget(RepeatLimit limit, MonotonicClock clock)
     : limit_(limit), clock_(std::move(clock)) {}
 
-void RepeatBudget::OnFirstAttempt() { ++Current()->first_attempts; }
+void RepeatBudget::OnFirstAttempt() {
+  credit_ = Use(std::nullopt).credit;
+  ++Current()->first_attempts;
+  credit_ += kUsedShare * limit_.ratio * kEarnedShare;
+}
 
 RepeatDecision RepeatBudget::TryRepeat(std::optional<int> hosts) {
-  RepeatUse use = Use(hosts);
-  if (use.repeats + use.unsent + 1 > use.part) {
-    return {false, use};
+  const RepeatUse use = Use(hosts);
+  const double allowance_left =
+      std::max(0.0, use.allowance - use.allowance_used);
+  if (use.credit + allowance_left < 1 - kRoundingError) {
+    return {std::nullopt, use};
   }
+  RepeatPermit permit;
+  permit.credit = std::min(1.0, use.credit);
+  permit.allowance = 1 - permit.credit;
+  credit_ = use.credit - permit.credit;
+  reserved_.credit += permit.credit;
+  reserved_.allowance += permit.allowance;
   ++unsent_;
-  ++use.unsent;
-  return {true, use};
+  return {permit, use};
 }
 
-void RepeatBudget::OnRepeatSent() {
+void RepeatBudget::OnRepeatSent(const RepeatPermit& permit) {
+  Slice* slice = Current();
+  ++slice->repeats;
+  slice->allowance_used += permit.allowance;
+  reserved_.credit -= permit.credit;
+  reserved_.allowance -= permit.allowance;
   --unsent_;
-  ++Current()->repeats;
 }
 
-void RepeatBudget::OnRepeatWithdrawn() { --unsent_; }
+void RepeatBudget::OnRepeatWithdrawn(const RepeatPermit& permit) {
+  credit_ += permit.credit;
+  reserved_.credit -= permit.credit;
+  reserved_.allowance -= permit.allowance;
+  --unsent_;
+}
 
 RepeatUse RepeatBudget::Use(std::optional<int> hosts) const {
-  const TimePoint now = clock_();
   RepeatUse use;
-  use.unsent = unsent_;
-  use.hosts = hosts.value_or(0);
-  // A slice that is partly older than the window counts if it adds to the use,
-  // and does not if it adds to the limit.
+  const TimePoint now = clock_();
+  use.allowance_used = reserved_.allowance;
   for (const Slice& slice : slices_) {
+    // A slice that is partly older than the window counts if it makes the use
+    // larger, not if it makes the limit larger.
     if (now - slice.start < limit_.window) {
       use.first_attempts += slice.first_attempts;
     }
     if (now - slice.start < SliceLifetime()) {
       use.repeats += slice.repeats;
+      use.allowance_used += slice.allowance_used;
     }
   }
-  const double allowance = hosts.has_value() ? limit_.allowance / *hosts : 0.0;
-  use.part = kUsedShare * (limit_.ratio * use.first_attempts + allowance);
+  use.unsent = unsent_;
+  use.credit = std::min(credit_, MaxCredit(use.first_attempts));
+  use.hosts = hosts.value_or(0);
+  if (hosts.has_value()) {
+    use.allowance = kUsedShare * limit_.allowance / *hosts;
+  }
   return use;
 }
 
+double RepeatBudget::MaxCredit(int first_attempts) const {
+  const double max_held =
+      kUsedShare * limit_.ratio * kHeldShare * first_attempts;
+  return std::max(0.0, max_held - reserved_.credit);
+}
+
 RepeatBudget::Slice* RepeatBudget::Current() {
   const TimePoint now = clock_();
   while (!slices_.empty() && now - slices_.front().start >= SliceLifetime()) {
@@ -73,7 +107,7 @@
   }
   if (slices_.empty() ||
       now - slices_.back().start >= limit_.window / kSlicesPerWindow) {
-    slices_.push_back(Slice{now, 0, 0});
+    slices_.push_back(Slice{now, 0, 0, 0});
   }
   return &slices_.back();
 }
--- a/src/core/repeat_budget_test.cc
+++ b/src/core/repeat_budget_test.cc
@@ -8,8 +8,8 @@
 // Sends repeats for as long as they are permitted, and returns their number.
 int SendRepeats(RepeatBudget* budget, int hosts) {
   int repeats = 0;
-  while (budget->TryRepeat(hosts).permitted) {
-    budget->OnRepeatSent();
+  while (const auto permit = budget->TryRepeat(hosts).permit) {
+    budget->OnRepeatSent(*permit);
     ++repeats;
   }
   return repeats;
@@ -37,31 +37,34 @@
   RepeatBudget budget({0, 10, Millis(1000)}, [&now] { return now; });
   SendRepeats(&budget, 1);
   now += Millis(500);
-  CHECK_FALSE(budget.TryRepeat(1).permitted);
+  CHECK_FALSE(budget.TryRepeat(1).permit.has_value());
   now += Millis(600);
-  CHECK(budget.TryRepeat(1).permitted);
+  CHECK(budget.TryRepeat(1).permit.has_value());
 }
 
 TEST_CASE("Repeats that wait to be sent do not pile up beyond the limit") {
   TimePoint now{};
   RepeatBudget budget({0, 10, Millis(1000)}, [&now] { return now; });
   int waiting = 0;
-  while (budget.TryRepeat(1).permitted) {
+  while (budget.TryRepeat(1).permit.has_value()) {
     ++waiting;
   }
   REQUIRE(waiting > 0);
   now += Millis(1100);
-  CHECK_FALSE(budget.TryRepeat(1).permitted);
+  CHECK_FALSE(budget.TryRepeat(1).permit.has_value());
 }
 
 TEST_CASE("A repeat that is withdrawn may be used by another request") {
   TimePoint now{};
   RepeatBudget budget({0, 10, Millis(1000)}, [&now] { return now; });
-  while (budget.TryRepeat(1).permitted) {
+  std::optional<RepeatPermit> last;
+  while (const auto permit = budget.TryRepeat(1).permit) {
+    last = permit;
   }
-  budget.OnRepeatWithdrawn();
-  CHECK(budget.TryRepeat(1).permitted);
-  CHECK_FALSE(budget.TryRepeat(1).permitted);
+  REQUIRE(last.has_value());
+  budget.OnRepeatWithdrawn(*last);
+  CHECK(budget.TryRepeat(1).permit.has_value());
+  CHECK_FALSE(budget.TryRepeat(1).permit.has_value());
 }
 
 TEST_CASE("A repeat counts for a whole window after it was sent") {
@@ -73,7 +76,7 @@
   now += kWindow / 25;
   SendRepeats(&budget, 1);
   now += kWindow - Millis(1);
-  CHECK_FALSE(budget.TryRepeat(1).permitted);
+  CHECK_FALSE(budget.TryRepeat(1).permit.has_value());
 }
 
 TEST_CASE("A process that ends and its successor earn no repeats twice") {
@@ -101,13 +104,15 @@
   budget.OnFirstAttempt();
   budget.OnFirstAttempt();
   const RepeatDecision decision = budget.TryRepeat(2);
-  CHECK(decision.permitted);
+  REQUIRE(decision.permit.has_value());
   CHECK(decision.use.first_attempts == 2);
   CHECK(decision.use.repeats == 0);
-  CHECK(decision.use.unsent == 1);
+  CHECK(decision.use.unsent == 0);
+  CHECK(budget.Use(2).unsent == 1);
   CHECK(decision.use.hosts == 2);
-  CHECK(decision.use.part >= 1);
-  budget.OnRepeatSent();
+  CHECK(decision.use.allowance > 1);
+  CHECK(decision.use.allowance < 20);
+  budget.OnRepeatSent(*decision.permit);
   CHECK(budget.Use(2).repeats == 1);
   CHECK(budget.Use(2).unsent == 0);
   now += Millis(1100);
--- a/src/core/repeat_budgets.cc
+++ b/src/core/repeat_budgets.cc
@@ -19,12 +19,14 @@
   return BudgetOf(service)->TryRepeat(host_count_());
 }
 
-void RepeatBudgets::OnRepeatSent(const ServiceName& service) {
-  BudgetOf(service)->OnRepeatSent();
+void RepeatBudgets::OnRepeatSent(const ServiceName& service,
+                                 const RepeatPermit& permit) {
+  BudgetOf(service)->OnRepeatSent(permit);
 }
 
-void RepeatBudgets::OnRepeatWithdrawn(const ServiceName& service) {
-  BudgetOf(service)->OnRepeatWithdrawn();
+void RepeatBudgets::OnRepeatWithdrawn(const ServiceName& service,
+                                      const RepeatPermit& permit) {
+  BudgetOf(service)->OnRepeatWithdrawn(permit);
 }
 
 std::map<ServiceName, RepeatUse> RepeatBudgets::Uses() const {
--- a/src/core/repeat_fleet_test.cc
+++ b/src/core/repeat_fleet_test.cc
@@ -35,6 +35,12 @@
   bool repeats_wait = false;
 };
 
+// A permitted repeat, and when it is to be sent.
+struct WaitingRepeat {
+  RepeatPermit permit;
+  TimePoint send_at;
+};
+
 // One host: its estimate of the fleet's size and its repeat budgets, which a
 // restart replaces.
 struct Host {
@@ -45,8 +51,7 @@
   bool is_dead = false;
   // Hosts in different groups do not hear each other.
   int group = 0;
-  // When each repeat that waits is to be sent.
-  std::vector<TimePoint> waiting;
+  std::vector<WaitingRepeat> waiting;
 };
 
 // A fleet whose endpoints answer nearly every request with an error for some
@@ -219,11 +224,14 @@
         continue;
       }
       host.budgets->OnFirstAttempt(kService);
-      if (!EndpointFails() || !host.budgets->TryRepeat(kService).permitted) {
+      if (!EndpointFails()) {
         continue;
       }
-      const int wait = disruptions_.repeats_wait ? Draw(0, 8000) : 0;
-      host.waiting.push_back(now_ + Millis(wait));
+      const auto permit = host.budgets->TryRepeat(kService).permit;
+      if (permit.has_value()) {
+        const int wait = disruptions_.repeats_wait ? Draw(0, 8000) : 0;
+        host.waiting.push_back({*permit, now_ + Millis(wait)});
+      }
     }
     SendWaiting();
   }
@@ -246,11 +254,12 @@
       if (!Runs(host)) {
         continue;
       }
-      const auto due =
-          std::partition(host.waiting.begin(), host.waiting.end(),
-                         [this](TimePoint send_at) { return send_at > now_; });
+      const auto due = std::partition(host.waiting.begin(), host.waiting.end(),
+                                      [this](const WaitingRepeat& repeat) {
+                                        return repeat.send_at > now_;
+                                      });
       for (auto sent = due; sent != host.waiting.end(); ++sent) {
-        host.budgets->OnRepeatSent(kService);
+        host.budgets->OnRepeatSent(kService, sent->permit);
       }
       repeats_.insert(repeats_.end(),
                       static_cast<std::size_t>(host.waiting.end() - due), now_);
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -119,7 +119,10 @@
   }
   search_->MarkTried(placement.endpoint.id);
   relay_.BeginAttempt();
-  log_.LogPlaced(placement, prompt_, search_->Waited(), unsent_repeat_since_);
+  const auto repeat_decided_at = unsent_repeat_.has_value()
+                                     ? std::make_optional(unsent_repeat_since_)
+                                     : std::nullopt;
+  log_.LogPlaced(placement, prompt_, search_->Waited(), repeat_decided_at);
   OutgoingRequest outgoing;
   outgoing.request_id = id_;
   outgoing.head = HeadFor(placement);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -105,11 +105,12 @@
   // OnMayHaveRun if one may have run it.
   void OnNotRun(const std::string& reason);
   void OnMayHaveRun(const std::string& reason);
-  // Returns whether the request may be sent again. If so, takes the permission
-  // for a repeat, unless the last one was not used.
+  // Returns whether the request may be sent again. If so, takes a permit for a
+  // repeat, unless the last one was not used.
   bool MayRetry(RepeatCause cause);
   bool TakeRepeat(RepeatCause cause);
-  // Give the permission up, after the request was sent or for good.
+  // Give the permit back, after the request was sent or because it never will
+  // be.
   void OnRepeatSent();
   void WithdrawRepeat();
   void AbandonAttempt();
@@ -176,8 +177,9 @@
   // should return.
   std::optional<std::string> rejection_code_;
   bool finished_ = false;
-  // Since when a repeat has been permitted that was not sent yet.
-  std::optional<TimePoint> unsent_repeat_since_;
+  // The permit for a repeat that was not sent yet, and since when it is held.
+  std::optional<RepeatPermit> unsent_repeat_;
+  TimePoint unsent_repeat_since_{};
   // Registration with the back-off notifier; set once the request has begun to
   // wait for a placement.
   std::optional<BackoffNotifier::Id> backoff_watch_;
--- a/src/gateway/exchange_attempts.cc
+++ b/src/gateway/exchange_attempts.cc
@@ -315,34 +315,33 @@
       search_->CannotStartInTime(History())) {
     return false;
   }
-  budget_exhausted_ = !unsent_repeat_since_.has_value() && !TakeRepeat(cause);
+  budget_exhausted_ = !unsent_repeat_.has_value() && !TakeRepeat(cause);
   return !budget_exhausted_;
 }
 
 bool Exchange::TakeRepeat(RepeatCause cause) {
   const RepeatDecision decision = services_->budgets->TryRepeat(service_->name);
   log_.LogRepeatDecision(service_->name, cause, decision);
-  if (decision.permitted) {
-    unsent_repeat_since_ = services_->clock();
-  }
-  return decision.permitted;
+  unsent_repeat_ = decision.permit;
+  unsent_repeat_since_ = services_->clock();
+  return unsent_repeat_.has_value();
 }
 
 void Exchange::OnRepeatSent() {
   if (sender_->SendCount() <= 1) {
-    // Endpoints that could not be reached used the permission up, but this is
+    // Endpoints that could not be reached used the permit up, but this is
     // the first sending.
     WithdrawRepeat();
-  } else if (unsent_repeat_since_.has_value()) {
-    services_->budgets->OnRepeatSent(service_->name);
-    unsent_repeat_since_.reset();
+  } else if (unsent_repeat_.has_value()) {
+    services_->budgets->OnRepeatSent(service_->name, *unsent_repeat_);
+    unsent_repeat_.reset();
   }
 }
 
 void Exchange::WithdrawRepeat() {
-  if (unsent_repeat_since_.has_value()) {
-    services_->budgets->OnRepeatWithdrawn(service_->name);
-    unsent_repeat_since_.reset();
+  if (unsent_repeat_.has_value()) {
+    services_->budgets->OnRepeatWithdrawn(service_->name, *unsent_repeat_);
+    unsent_repeat_.reset();
   }
 }
 
--- a/src/gateway/exchange_log.cc
+++ b/src/gateway/exchange_log.cc
@@ -83,7 +83,7 @@
   const std::string labels =
       "service=\"" + service.value + "\",cause=\"" + NameOf(cause) + "\"";
   services_->metrics
-      ->GetCounter(decision.permitted
+      ->GetCounter(decision.permit.has_value()
                        ? "harecrank_gateway_repeats_total"
                        : "harecrank_gateway_repeats_denied_total",
                    labels)
@@ -94,10 +94,12 @@
   fields["first_attempts"] = decision.use.first_attempts;
   fields["repeats"] = decision.use.repeats;
   fields["unsent"] = decision.use.unsent;
-  fields["part"] = decision.use.part;
+  fields["credit"] = decision.use.credit;
+  fields["allowance"] = decision.use.allowance;
+  fields["allowance_used"] = decision.use.allowance_used;
   fields["hosts"] = decision.use.hosts;
   services_->log->Write(
-      decision.permitted ? "repeat_permitted" : "repeat_denied",
+      decision.permit.has_value() ? "repeat_permitted" : "repeat_denied",
       std::move(fields));
 }
 
--- a/src/gateway/gateway_gauges.cc
+++ b/src/gateway/gateway_gauges.cc
@@ -49,7 +49,9 @@
     services[service.value] = {{"first_attempts", use.first_attempts},
                                {"repeats", use.repeats},
                                {"unsent", use.unsent},
-                               {"part", use.part},
+                               {"credit", use.credit},
+                               {"allowance", use.allowance},
+                               {"allowance_used", use.allowance_used},
                                {"hosts", use.hosts}};
   }
   return services;
