Test that hosts killed in series keep to a named limit together

The same cause looked for elsewhere: a host that restarts forgets what it has started at an endpoint that names a limit. Simulated fleets of 3 to 100 hosts under serial kills keep the platform's bound on the code as it is (80 runs): starts are paced, not counted alone, so each restart adds one at most.

--- a/src/core/limited_fleet_test.cc
+++ b/src/core/limited_fleet_test.cc
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "harecrank/core/endpoint_rate_limits.h"
+#include "harecrank/core/fleet_size.h"
 #include "harecrank/core/start_quotas.h"
 
 namespace harecrank {
@@ -30,12 +31,15 @@
   // nothing.
   std::function<std::optional<RequestRate>(Millis time)> limit_at;
   std::uint64_t seed = 1;
+  // Whether hosts are killed again and again and start anew at once.
+  bool restarts = false;
 };
 
 // A request that arrives at the endpoint.
 struct Arrival {
   TimePoint at{};
-  // When its host first heard of a limit from the endpoint itself.
+  // When its host's process first heard of a limit: from the endpoint itself,
+  // or from anybody if the process is not the host's first one.
   std::optional<TimePoint> first_heard_at;
 };
 
@@ -44,8 +48,7 @@
   explicit LimitedFleet(FleetOptions options)
       : options_(std::move(options)), random_(options_.seed) {
     for (int i = 0; i < options_.hosts; ++i) {
-      hosts_.push_back(std::make_unique<Host>(
-          HostAddress{"h" + std::to_string(i)}, options_.hosts, clock_));
+      hosts_.push_back(MakeHost(i));
     }
   }
 
@@ -53,10 +56,13 @@
     const TimePoint end = now_ + time;
     while (now_ < end) {
       ReceiveResponses();
+      if (options_.restarts && now_ >= next_restart_) {
+        RestartAny();
+      }
       for (const auto& host : hosts_) {
         // Each host has nothing to send in a quarter of the steps.
         if (random_() % 4 != 0) {
-          TrySend(host.get());
+          TrySend(host);
         }
       }
       if (options_.links_hold && now_ - last_exchange_ >= kReportInterval) {
@@ -103,6 +109,8 @@
 
  private:
   static constexpr Millis kReportInterval{300};
+  // Longest time in which each host is restarted once on average.
+  static constexpr Millis kMaxRestartInterval{5000};
 
   struct Host {
     Host(HostAddress host, int fleet, const MonotonicClock& clock)
@@ -111,7 +119,11 @@
           cold_endpoints(clock),
           quotas(
               ColdLimit{}, &cold_endpoints, &limits, HostBackoffs{},
-              [fleet] { return fleet; }, clock),
+              [this, fleet] {
+                return size.has_value() ? size->MaxHosts()
+                                        : std::make_optional(fleet);
+              },
+              clock),
           starts(clock) {}
 
     HostAddress address;
@@ -119,18 +131,37 @@
     ColdEndpoints cold_endpoints;
     StartQuotas quotas;
     StartHistory starts;
+    // Set once the host was restarted; before, it knows the size of the fleet.
+    std::optional<FleetSize> size;
     std::optional<TimePoint> first_heard_at;
   };
 
   struct Response {
     TimePoint at{};
-    Host* host = nullptr;
+    std::weak_ptr<Host> host;
     std::optional<RequestRate> rate;
     TimePoint sent_at{};
     bool operator<(const Response& other) const { return at > other.at; }
   };
 
-  void TrySend(Host* host) {
+  std::shared_ptr<Host> MakeHost(int number) {
+    return std::make_shared<Host>(HostAddress{"h" + std::to_string(number)},
+                                  options_.hosts, clock_);
+  }
+
+  void RestartAny() {
+    const auto number = random_() % hosts_.size();
+    auto host = MakeHost(static_cast<int>(number));
+    host->size.emplace(clock_);
+    host->size->OnReported(options_.hosts);
+    hosts_[number] = std::move(host);
+    const auto longest =
+        kMaxRestartInterval.count() / static_cast<std::int64_t>(hosts_.size());
+    next_restart_ =
+        now_ + Millis(static_cast<std::int64_t>(random_()) % (longest + 1));
+  }
+
+  void TrySend(const std::shared_ptr<Host>& host) {
     if (!host->quotas.MayStart(host->starts, host->address, kEndpoint,
                                ServiceProfile{})) {
       return;
@@ -155,12 +186,15 @@
       const Response response = responses_.top();
       responses_.pop();
       RateLimitHint hint = NoRateLimit{};
+      const auto host = response.host.lock();
+      if (host == nullptr) {
+        continue;
+      }
       if (response.rate.has_value()) {
         hint = *response.rate;
-        response.host->first_heard_at =
-            response.host->first_heard_at.value_or(now_);
+        host->first_heard_at = host->first_heard_at.value_or(now_);
       }
-      response.host->limits.OnAnswer(kEndpoint, hint, response.sent_at);
+      host->limits.OnAnswer(kEndpoint, hint, response.sent_at);
     }
   }
 
@@ -176,6 +210,9 @@
     for (const auto& host : hosts_) {
       for (const RateLimitReport& report : hosts_.front()->limits.Reports()) {
         host->limits.MergeFromPeer(report);
+        if (host->size.has_value()) {
+          host->first_heard_at = host->first_heard_at.value_or(now_);
+        }
       }
     }
   }
@@ -186,7 +223,9 @@
   TimePoint last_exchange_{};
   MonotonicClock clock_ = [this] { return now_; };
   std::mt19937_64 random_;
-  std::vector<std::unique_ptr<Host>> hosts_;
+  // A restarted host forgets everything, and its open requests are lost.
+  std::vector<std::shared_ptr<Host>> hosts_;
+  TimePoint next_restart_{};
   std::priority_queue<Response> responses_;
   std::vector<Arrival> arrivals_;
 };
@@ -219,6 +258,23 @@
   }
 }
 
+TEST_CASE("Hosts that are killed in series keep to a named limit together") {
+  const int hosts = GENERATE(3, 11, 27, 100);
+  const double rate = GENERATE(0.4, 1.6, 7.0, 40.0);
+  CAPTURE(hosts, rate);
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    FleetOptions options;
+    options.hosts = hosts;
+    options.seed = seed;
+    options.restarts = true;
+    options.limit_at = [rate](Millis) { return RequestRate{rate}; };
+    LimitedFleet fleet(options);
+    fleet.Run(Millis(40000));
+    CAPTURE(seed);
+    CHECK(fleet.MaxArrivalsUnderLimit(Millis(0)) <= Allowed(rate));
+  }
+}
+
 TEST_CASE("Hosts keep to the limit that was named last") {
   FleetOptions options;
   options.hosts = GENERATE(3, 24);
