Hosts that all start on one side of a partition take no part by their own number

Cause: the number of hosts that a limit is divided by is remembered for ten minutes, but by processes. If all hosts of one side of a partition start anew, nobody there remembers the other side, and each divides by its own side's number: the sides together come to as many allowances as there are sides. Class: one's own view taken for the whole.

Change: such a host has no part of the allowance for 30 s after its start, unless it knows all its seeds (at most one side can hold them all) or another host remembers more hosts than are alive.

Evidence: 'Hosts that all start on one side of a partition do not divide limits by their own number' fails without the condition. Cost: a fleet one of whose seeds is gone for good waits 30 s in place of 10 s after a start. Left: a side that holds all seeds and starts anew as a whole takes a whole allowance beside the parts of those who remember.

--- a/include/harecrank/core/membership.h
+++ b/include/harecrank/core/membership.h
@@ -118,6 +118,9 @@
   // do within `window` is divided, or nothing while this host has no part of
   // it. The number includes hosts that are currently unreachable: if the fleet
   // is partitioned, the hosts on both sides together must not exceed the limit.
+  // A host that started in a partition may know only its own side, so it has no
+  // part for kPartitionLimit after its start, unless it knows all its seeds or
+  // another host has told it that the fleet had more hosts before.
   std::optional<int> HostsSharingLimit(Millis window) const;
 
   // Records ObservedHosts() for Size(). Must be called a few times a second.
@@ -146,6 +149,9 @@
   // own planner. With a shorter time, hosts that restart one after the other
   // would each plan for themselves and place prompts on the same engines.
   static constexpr Millis kIsolatedStartupGrace{1500};
+  // Time after which a partition that began before the start of this host has
+  // probably ended.
+  static constexpr Millis kPartitionLimit{30000};
   // Number of hosts that may become the next planner. Every host knows them and
   // therefore finds the next planner without a search if up to kSuccessors
   // hosts fail together.
@@ -206,6 +212,9 @@
   // Returns whether this host has waited long enough after its start to choose
   // a planner by rank.
   bool IsPastStartupGrace() const;
+  // Returns whether this host may have seen only one side of a partitioned
+  // fleet since its start.
+  bool MayKnowOnlyOneSide() const;
   // Returns whether `host` can be the planner: it is neither leaving nor
   // suspect.
   bool IsEligible(const Host& host) const;
@@ -241,6 +250,9 @@
   // as happens if this host was the planner before a restart. This host then
   // need not wait for the startup grace period.
   bool expected_to_plan_ = false;
+  // Whether another host remembers more hosts than are alive, so that its count
+  // includes hosts on the other side of a partition.
+  bool told_of_lost_hosts_ = false;
   // When the last message from any other host arrived.
   TimePoint last_heard_any_at_{};
   Hosts hosts_;
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -58,6 +58,8 @@
   host.leaving = heartbeat.leaving;
   host.planner = heartbeat.planner;
   size_.OnReported(std::max(heartbeat.alive_hosts, heartbeat.peak_hosts));
+  told_of_lost_hosts_ =
+      told_of_lost_hosts_ || heartbeat.peak_hosts > heartbeat.alive_hosts;
   if (heartbeat.poll_state == PollState::kFailed) {
     host.poll_failed_at = clock_();
   }
@@ -339,12 +341,22 @@
 
 std::optional<int> Membership::HostsSharingLimit(Millis window) const {
   const std::optional<int> most = size_.MaxHostsSharing(window);
-  if (!most.has_value()) {
+  if (!most.has_value() || MayKnowOnlyOneSide()) {
     return std::nullopt;
   }
   return std::max(AliveHosts(), *most);
 }
 
+bool Membership::MayKnowOnlyOneSide() const {
+  if (clock_() - started_at_ >= kPartitionLimit || told_of_lost_hosts_) {
+    return false;
+  }
+  return std::any_of(seeds_.begin(), seeds_.end(),
+                     [this](const HostAddress& seed) {
+                       return seed != self_.address && hosts_.count(seed) == 0;
+                     });
+}
+
 HostRank Membership::RankOf(const HostAddress& address, CpuShare cpu_share) {
   return {cpu_share.value, RendezvousWeight(kPlannerKey, address.value)};
 }
--- a/src/core/membership_test.cc
+++ b/src/core/membership_test.cc
@@ -351,6 +351,33 @@
   CHECK(memberships_.at(0)->HostsSharingLimit(kWindow) == 6);
 }
 
+TEST_CASE_METHOD(
+    FleetFixture,
+    "Hosts that all start on one side of a partition do not divide "
+    "limits by their own number") {
+  constexpr Millis kWindow{5000};
+  // The fixture's seeds are the hosts 0 and 1; only hosts 2 and 3 are here.
+  const auto exchange_for = [this](Millis time) {
+    for (Millis passed{0}; passed < time; passed += Millis(100)) {
+      now_ += Millis(100);
+      ExchangeHeartbeats(2, 3);
+      memberships_.at(2)->RecordFleetSize();
+      memberships_.at(3)->RecordFleetSize();
+    }
+  };
+  exchange_for(2 * kWindow);
+  CHECK(memberships_.at(2)->Size().MaxHosts() == 2);
+  CHECK_FALSE(memberships_.at(2)->HostsSharingLimit(kWindow).has_value());
+  // A host that was there before tells how many hosts there are.
+  Heartbeat heartbeat = HeartbeatOf(4);
+  heartbeat.peak_hosts = 6;
+  memberships_.at(2)->OnHeartbeat(heartbeat);
+  CHECK(memberships_.at(2)->HostsSharingLimit(kWindow) == 6);
+  CHECK_FALSE(memberships_.at(3)->HostsSharingLimit(kWindow).has_value());
+  exchange_for(Membership::kPartitionLimit);
+  CHECK(memberships_.at(3)->HostsSharingLimit(kWindow).has_value());
+}
+
 TEST_CASE_METHOD(
     FleetFixture,
     "The successors are the next hosts by rank that neither leave nor are "
