--- a/include/harecrank/core/fleet_size.h
+++ b/include/harecrank/core/fleet_size.h
@@ -52,6 +52,13 @@
     has_other_seeds_ = has_other_seeds;
   }
 
+  // Sets whether the whole fleet starts for the first time together with this
+  // host.
+  void SetIsFirstStart(bool is_first_start) {
+    is_first_start_ = is_first_start;
+  }
+  bool IsFirstStart() const { return is_first_start_; }
+
   // Records the number of alive hosts that this host observes, including
   // itself.
   void OnObserved(int hosts);
@@ -69,9 +76,11 @@
   // seeds but has not heard of another host.
   std::optional<int> MaxHosts() const;
 
-  // Returns MaxHosts() for a limit on what all hosts together do within
-  // `window`. Returns nothing if this host started less than `window` ago: the
-  // process that it replaces may have used its part just before it ended.
+  // Returns the largest number of hosts that may share a limit on what all
+  // hosts together do within `window`. Returns nothing if this host started
+  // less than `window` ago: the process that it replaces may have used its part
+  // just before it ended. At the first start of the fleet there was no such
+  // process.
   std::optional<int> MaxHostsSharing(Millis window) const;
 
   // Time after the start of a host during which MaxHosts() returns nothing,
@@ -80,6 +89,7 @@
 
  private:
   bool has_other_seeds_ = true;
+  bool is_first_start_ = false;
   MonotonicClock clock_;
   TimePoint started_at_;
   WindowedMax observed_;
--- a/include/harecrank/core/membership.h
+++ b/include/harecrank/core/membership.h
@@ -123,6 +123,12 @@
   // another host has told it that the fleet had more hosts before.
   std::optional<int> HostsSharingLimit(Millis window) const;
 
+  // Sets whether the whole fleet starts for the first time together with this
+  // host, so that limits are divided without regard to earlier processes.
+  void SetIsFirstStart(bool is_first_start) {
+    size_.SetIsFirstStart(is_first_start);
+  }
+
   // Records ObservedHosts() for Size(). Must be called a few times a second.
   void RecordFleetSize();
 
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -145,6 +145,7 @@
                      &settings.directory_service);
   reader.ReadStrings("seed_peers", &settings.seed_peers);
   ReadRegions(&reader, &settings.regions);
+  reader.ReadBool("first_start", &settings.first_start);
   reader.ReadNumber("repeat_ratio", 0, 1, &settings.repeat_limit.ratio);
   reader.ReadNumber("repeat_allowance", 0, kMaxRepeats,
                     &settings.repeat_limit.allowance);
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -103,6 +103,10 @@
   // The region of each data centre. Routes and accounts may permit some regions
   // only; a data centre that is missing here then gets none of their requests.
   std::map<DataCentreId, RegionId> regions;
+  // Whether the whole fleet starts for the first time together with this
+  // process. If not, an earlier process may have used this host's parts of the
+  // limits on what all hosts do together.
+  bool first_start = false;
   // Limit on repeated attempts, which are all attempts at a request after its
   // first. Applies to all hosts together.
   RepeatLimit repeat_limit;
--- a/src/core/fleet_size.cc
+++ b/src/core/fleet_size.cc
@@ -50,7 +50,11 @@
 }
 
 std::optional<int> FleetSize::MaxHostsSharing(Millis window) const {
-  return clock_() - started_at_ < window ? std::nullopt : MaxHosts();
+  const Millis needed_age = std::max(window, kStartupGrace);
+  if (!is_first_start_ && clock_() - started_at_ < needed_age) {
+    return std::nullopt;
+  }
+  return std::max(PeakObserved(), reported_.Value());
 }
 
 }  // namespace harecrank
--- a/src/core/fleet_size_test.cc
+++ b/src/core/fleet_size_test.cc
@@ -30,6 +30,14 @@
   CHECK(size_.MaxHostsSharing(kWindow) == 24);
 }
 
+TEST_CASE_METHOD(FleetSizeFixture,
+                 "At the first start of the fleet no predecessor has used a "
+                 "part") {
+  size_.SetIsFirstStart(true);
+  size_.OnReported(24);
+  CHECK(size_.MaxHostsSharing(Millis(10000)) == 24);
+}
+
 TEST_CASE_METHOD(FleetSizeFixture,
                  "A host with seeds that has heard of no other host does not "
                  "know the size") {
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -348,7 +348,8 @@
 }
 
 bool Membership::MayKnowOnlyOneSide() const {
-  if (clock_() - started_at_ >= kPartitionLimit || told_of_lost_hosts_) {
+  if (size_.IsFirstStart() || told_of_lost_hosts_ ||
+      clock_() - started_at_ >= kPartitionLimit) {
     return false;
   }
   return std::any_of(seeds_.begin(), seeds_.end(),
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -123,6 +123,7 @@
                   [this](const HttpRequest& r) { return HandleOperations(r); }),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       tick_timer_(io_) {
+  membership_.SetIsFirstStart(settings_.first_start);
   RegisterGauges(MakeParts(), &metrics_);
 }
 
@@ -132,6 +133,7 @@
   log_.Write("start",
              {{"version", HARECRANK_VERSION},
               {"data_centre", settings_.data_centre.value},
+              {"first_start", settings_.first_start},
               {"callers_address", settings_.callers_address}},
              LogRateLimit::kExempt);
   started_at_ = clock_();
