--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -109,8 +109,8 @@
   // repeat, unless the last one was not used.
   bool MayRetry(RepeatCause cause);
   bool TakeRepeat(RepeatCause cause);
-  // Give the permit back, after the request was sent or because it never will
-  // be.
+  // Both end the permit, if there is one: the request was sent, or will not be
+  // sent again.
   void OnRepeatSent();
   void WithdrawRepeat();
   void AbandonAttempt();
--- a/src/gateway/exchange_attempts.cc
+++ b/src/gateway/exchange_attempts.cc
@@ -329,8 +329,8 @@
 
 void Exchange::OnRepeatSent() {
   if (sender_->SendCount() <= 1) {
-    // Endpoints that could not be reached used the permit up, but this is
-    // the first sending.
+    // The permit was taken because endpoints could not be reached, and the
+    // request is sent for the first time.
     WithdrawRepeat();
   } else if (unsent_repeat_.has_value()) {
     services_->budgets->OnRepeatSent(service_->name, *unsent_repeat_);
