Tell which parts a broken answer had, what is known of them, and why it was sent

Cause of the change: the log can't tell a part of a prompt that ends endpoints from repeats that spread the harm. It names a broken answer by the fingerprint of its whole request, and no two of these are alike.

Change: broken_off tells the shared parts of the prompt, for each the time since the last answer that its endpoint survived, whether the attempt was the first, a repeat or a trial, and how old it was. No decision uses it yet.

--- a/src/gateway/crash_guard.cc
+++ b/src/gateway/crash_guard.cc
@@ -16,11 +16,13 @@
   }
 }
 
-CrashGuard::CrashGuard(RequestQuarantine* quarantine, EndpointProber* prober,
+CrashGuard::CrashGuard(RequestQuarantine* quarantine, PartHistory* history,
+                       EndpointProber* prober,
                        const EndpointDirectory* directory,
                        IsBackingOff is_backing_off, ShareRecord share_record,
                        EventLog* log, Metrics* metrics)
     : quarantine_(quarantine),
+      history_(history),
       prober_(prober),
       directory_(directory),
       is_backing_off_(std::move(is_backing_off)),
@@ -106,6 +108,26 @@
   share_record_(request->Fingerprint());
 }
 
+void CrashGuard::OnSound(const GuardedRequest& request, TimePoint began) {
+  for (const PromptPartId part : request.Parts()) {
+    history_->OnSound(part, began);
+  }
+}
+
+nlohmann::json CrashGuard::DescribeParts(const GuardedRequest& request,
+                                         TimePoint now) const {
+  nlohmann::json parts = nlohmann::json::array();
+  for (const PromptPartId part : request.Parts()) {
+    nlohmann::json fields = {{"part", LogName(part)}};
+    if (const auto sound_at = history_->LastSound(part)) {
+      fields["sound_ms"] =
+          std::chrono::duration_cast<Millis>(now - *sound_at).count();
+    }
+    parts.push_back(std::move(fields));
+  }
+  return parts;
+}
+
 std::vector<CrashReport> CrashGuard::OnReports(
     const std::vector<CrashReport>& reports,
     std::vector<CrashReport>* missing) {
--- a/src/gateway/crash_guard.h
+++ b/src/gateway/crash_guard.h
@@ -11,10 +11,13 @@
 
 #include <functional>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <set>
 #include <vector>
 
 #include "harecrank/core/endpoint_directory.h"
+#include "harecrank/core/part_history.h"
+#include "harecrank/core/prompt_parts.h"
 #include "harecrank/core/request_quarantine.h"
 #include "src/adapters/event_log.h"
 #include "src/adapters/metrics.h"
@@ -32,6 +35,8 @@
   virtual ~GuardedRequest() = default;
 
   virtual const RequestFingerprint& Fingerprint() = 0;
+  // The shared parts of the request's prompt.
+  virtual const std::vector<PromptPartId>& Parts() const = 0;
   // Called when the request has been quarantined.
   virtual void OnQuarantined() = 0;
 };
@@ -48,7 +53,8 @@
   using IsBackingOff = std::function<bool(const EndpointId& endpoint)>;
 
   // All pointers must outlive this.
-  CrashGuard(RequestQuarantine* quarantine, EndpointProber* prober,
+  CrashGuard(RequestQuarantine* quarantine, PartHistory* history,
+             EndpointProber* prober,
              const EndpointDirectory* directory, IsBackingOff is_backing_off,
              ShareRecord share_record, EventLog* log, Metrics* metrics);
 
@@ -103,6 +109,15 @@
   // Records that an endpoint has answered the request completely.
   void OnCompleted(GuardedRequest* request);
 
+  // Records that an endpoint began an answer to the request at `began` and did
+  // not crash on it.
+  void OnSound(const GuardedRequest& request, TimePoint began);
+
+  // Returns, for the log, what is known of the shared parts of the request's
+  // prompt.
+  nlohmann::json DescribeParts(const GuardedRequest& request,
+                               TimePoint now) const;
+
   // Merges the crash reports of another host. Returns the updated reports on
   // those requests for which `reports` contained new data, to be passed on to
   // other hosts. Adds to `missing` this host's reports that contain data which
@@ -118,6 +133,7 @@
   void NotifyQuarantined(const RequestFingerprint& request);
 
   RequestQuarantine* quarantine_;
+  PartHistory* history_;
   EndpointProber* prober_;
   // Returns whether a probe of `endpoint` is allowed.
   bool MayProbe(const EndpointRecord& endpoint) const;
--- a/src/gateway/crash_guard_test.cc
+++ b/src/gateway/crash_guard_test.cc
@@ -16,8 +16,11 @@
       : fingerprint_{AccountId{"acme"}, number, number} {}
 
   const RequestFingerprint& Fingerprint() override { return fingerprint_; }
+  const std::vector<PromptPartId>& Parts() const override { return parts; }
   void OnQuarantined() override { ++quarantined_count; }
 
+  std::vector<PromptPartId> parts;
+
   int quarantined_count = 0;
 
  private:
@@ -41,10 +44,12 @@
   EventLog log{"n", SystemClock()};
   Metrics metrics;
   RequestQuarantine quarantine{SystemClock()};
+  PartHistory history;
   EndpointProber prober{&io};
   EndpointDirectory directory{SystemClock()};
   bool is_backing_off = false;
   CrashGuard guard{&quarantine,
+                   &history,
                    &prober,
                    &directory,
                    [this](const EndpointId&) { return is_backing_off; },
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -40,6 +40,7 @@
   strip_key_ = admitted.strip_key;
   deadline_ = admitted.deadline;
   prompt_ = admitted.placement.prompt;
+  parts_ = SharedPartsOf(View(request_[services_->names->prompt_parts]));
   log_.SetRoute(route_ == nullptr ? "" : route_->name,
                 table_ == nullptr ? RoutingVersion{} : table_->Version());
   if (const std::optional<Rejection>& rejection = admitted.rejection) {
@@ -117,6 +118,7 @@
     RejectQuarantined();
     return;
   }
+  sound_reported_ = false;
   search_->MarkTried(placement.endpoint.id);
   relay_.BeginAttempt();
   const auto repeat_decided_at = unsent_repeat_.has_value()
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -57,6 +57,7 @@
   // Returns the request's fingerprint, which is computed at the first call and
   // cached.
   const RequestFingerprint& Fingerprint() override;
+  const std::vector<PromptPartId>& Parts() const override { return parts_; }
   void OnQuarantined() override;
 
  private:
@@ -99,6 +100,11 @@
   // not reported, since a crash closes the connection, too, and may have
   // truncated it.
   void ReportCompletion();
+  // Reports to the crash guard, once in each attempt, that the endpoint did not
+  // crash on the request.
+  void ReportSound();
+  // Returns, for the log, why the current attempt was made.
+  const char* AttemptKind() const;
 
   // Both functions handle a failed attempt by retrying the request or giving it
   // up. OnNotRun is called if no endpoint ran the request in this attempt,
@@ -158,6 +164,7 @@
   bool strip_key_ = false;
   TimePoint deadline_{};
   Tokens prompt_;
+  std::vector<PromptPartId> parts_;
   // `search_` and `sender_` are set once the request has been admitted.
   std::shared_ptr<PlacementSearch> search_;
   std::optional<RequestSender> sender_;
@@ -166,6 +173,8 @@
   bool may_have_run_ = false;
   // Whether the current attempt is the trial of a quarantined request.
   bool is_trial_ = false;
+  // Whether the current attempt was reported as sound.
+  bool sound_reported_ = false;
   // Whether the retry budget has denied the last retry, or an overdue attempt
   // could not be retried for any reason. While set, overdue attempts are not
   // retried.
--- a/src/gateway/exchange_attempts.cc
+++ b/src/gateway/exchange_attempts.cc
@@ -132,6 +132,9 @@
   switch (relay_.Accept(bytes)) {
     case ResponseRelay::AcceptResult::kEvents:
       OnFirstEvent();
+      if (!sender_->IsStarting()) {
+        ReportSound();
+      }
       break;
     case ResponseRelay::AcceptResult::kTooLarge:
       AbandonAttempt();
@@ -164,6 +167,7 @@
   const bool completed = relay_.BufferedStatus() < http_status::kBadRequest;
   if (completed) {
     OnFirstEvent();
+    ReportSound();
   }
   const unsigned status = relay_.SendBuffered();
   Finish(completed ? "completed" : "failed", status,
@@ -208,12 +212,23 @@
   fields["endpoint"] = sender_->Endpoint().id.value;
   fields["by_endpoint"] = broken.closed_by_endpoint;
   fields["answer_began"] = broken.response_began;
+  fields["sent_as"] = AttemptKind();
+  fields["sent_ms"] = sender_->SinceSent().count();
+  fields["parts"] =
+      services_->crashes->DescribeParts(*this, services_->clock());
   if (const auto since = sender_->SinceFirstEvent()) {
     fields["since_first_event_ms"] = since->count();
   }
   return fields;
 }
 
+const char* Exchange::AttemptKind() const {
+  if (is_trial_) {
+    return "trial";
+  }
+  return sender_->SendCount() > 1 ? "repeat" : "first";
+}
+
 void Exchange::HandleBroken(const AttemptBroken& broken) {
   // The crash guard probes the endpoint before the request is retried, since
   // the request may just have crashed its third endpoint and must then be
@@ -280,8 +295,19 @@
 }
 
 void Exchange::ReportCompletion() {
-  if (has_framed_end_) {
-    services_->crashes->OnCompleted(this);
+  if (!has_framed_end_) {
+    return;
+  }
+  services_->crashes->OnCompleted(this);
+  if (relay_.IsStream() && sender_->HasFirstEvent()) {
+    ReportSound();
+  }
+}
+
+void Exchange::ReportSound() {
+  if (!sound_reported_) {
+    sound_reported_ = true;
+    services_->crashes->OnSound(*this, *sender_->AttemptFirstEventAt());
   }
 }
 
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -88,7 +88,7 @@
              settings_.planner_standbys, MakeFleetPorts(), &log_, &metrics_,
              clock_, random_),
       crash_guard_(
-          &quarantine_, &prober_, &directory_,
+          &quarantine_, &part_history_, &prober_, &directory_,
           [this](const EndpointId& id) {
             return start_limiter_.IsBackingOff(id);
           },
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -119,6 +119,7 @@
   EndpointConnectionPool connections_;
   EndpointProber prober_;
   RequestQuarantine quarantine_;
+  PartHistory part_history_;
   EndpointUpdater endpoint_updater_;
   Placer placer_;
   RepeatBudgets budgets_;
--- a/src/gateway/protocol_names.h
+++ b/src/gateway/protocol_names.h
@@ -26,6 +26,8 @@
   // "PROMPT,ANSWER" in tokens, sent by the caller. ANSWER is the maximum length
   // of the answer.
   std::string token_counts;
+  // "NAME:TOKENS,...": the parts of the prompt in order, sent by the caller.
+  std::string prompt_parts;
   // The caller's estimate of the answer's length in tokens.
   std::string answer_guess;
   // Sent to endpoints: the helpers that process parts of the prompt.
--- a/src/gateway/request_sender.cc
+++ b/src/gateway/request_sender.cc
@@ -192,6 +192,10 @@
   return harecrank::OverdueAt(*route_, Progress());
 }
 
+Millis RequestSender::SinceSent() const {
+  return std::chrono::duration_cast<Millis>(services_->clock() - sent_at_);
+}
+
 std::optional<Millis> RequestSender::SinceFirstEvent() const {
   if (!attempt_first_event_at_.has_value()) {
     return std::nullopt;
--- a/src/gateway/request_sender.h
+++ b/src/gateway/request_sender.h
@@ -89,6 +89,12 @@
   // Returns the time since the first event of this attempt, or nothing before
   // it.
   std::optional<Millis> SinceFirstEvent() const;
+  // Returns the time since the last attempt was begun.
+  Millis SinceSent() const;
+  // Returns the time of the first event of the last attempt.
+  const std::optional<TimePoint>& AttemptFirstEventAt() const {
+    return attempt_first_event_at_;
+  }
   // Returns the time of the first event in any of the attempts.
   const std::optional<TimePoint>& FirstEventAt() const {
     return first_event_at_;
