Hold the part of a prompt that ends endpoints, on all hosts together

Cause: harm was counted by whole requests. Each prompt with the part is a new request, so no count ever passed what one request can do by its own attempts.

Ruled out: held requests that are let through (none came back); repeats as the source (two attempts at most for each prompt).

Change: ends are counted by the shared parts of prompts (PartQuarantine). An answer that its endpoint survives clears the parts of its prompt. Requests under way with a new held part end. A request that was only beside a held part is not blamed for that crash.

Why it works: the bound holds by the name that all deadly requests have in common; trials are bounded by ownership, not by messages.

--- a/include/harecrank/core/fleet_messages.h
+++ b/include/harecrank/core/fleet_messages.h
@@ -19,6 +19,7 @@
 #include "harecrank/core/endpoint_health.h"
 #include "harecrank/core/endpoint_loads.h"
 #include "harecrank/core/endpoint_rate_limits.h"
+#include "harecrank/core/part_evidence.h"
 #include "harecrank/core/region_rule.h"
 #include "harecrank/core/request_origin.h"
 #include "harecrank/core/request_quarantine.h"
@@ -27,10 +28,6 @@
 
 namespace harecrank {
 
-// Identifies a host: IP address and port of its server for operators and other
-// hosts.
-using HostAddress = StrongString<struct HostAddressTag>;
-
 // Identifies one placement query. Unique within one incarnation of a host.
 using QueryId = StrongNumber<struct QueryTag, std::uint64_t>;
 
@@ -118,7 +115,8 @@
   // All work in progress of the sender's requests; unset if this heartbeat does
   // not report it.
   std::optional<std::vector<QueryWork>> work;
-  // Digest of the sender's reports about requests that crash endpoints; zero if
+  // Digest of the sender's reports about requests and parts that crash
+  // endpoints; zero if
   // it has no such reports.
   std::uint64_t crash_digest = 0;
   // Largest number of hosts, including itself, that the sender has observed
@@ -256,10 +254,12 @@
   std::string changes;
 };
 
-// A host's reports about requests that crash endpoints.
+// A host's reports about requests, and parts of prompts, that crash endpoints.
 struct CrashReports {
   HostAddress from;
   std::vector<CrashReport> reports;
+  // Hosts of an earlier version send and read none.
+  PartEvidence parts{};
 };
 
 // A query that waits in the planner's queue.
--- a/include/harecrank/core/membership.h
+++ b/include/harecrank/core/membership.h
@@ -72,6 +72,11 @@
 
   std::vector<HostAddress> OtherAliveHosts() const;
 
+  // Returns this host and all hosts that it remembers, alive or not; empty
+  // while it may have seen only one side of a partitioned fleet since its
+  // start.
+  std::vector<HostAddress> RememberedHosts() const;
+
   // Returns the members that a heartbeat to `recipient` names: the members of
   // highest rank and a few random ones. If `recipient` may become the next
   // planner, the heartbeat names as many members as fit into it; successive
--- a/include/harecrank/core/request_quarantine.h
+++ b/include/harecrank/core/request_quarantine.h
@@ -26,33 +26,15 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <tuple>
 #include <vector>
 
 #include "harecrank/core/clock.h"
-#include "harecrank/core/endpoint_directory.h"
+#include "harecrank/core/endpoint_crash.h"
 #include "harecrank/core/request_fingerprint.h"
 #include "harecrank/core/strong_types.h"
 
 namespace harecrank {
 
-// The crash of one incarnation of an endpoint. Equal values denote the same
-// crash, however many hosts and requests observed it.
-struct EndpointCrash {
-  EndpointId endpoint;
-  // Zero on platforms that do not publish incarnations.
-  EndpointIncarnation incarnation;
-
-  friend bool operator==(const EndpointCrash& a, const EndpointCrash& b) {
-    return std::tie(a.endpoint, a.incarnation.value) ==
-           std::tie(b.endpoint, b.incarnation.value);
-  }
-  friend bool operator<(const EndpointCrash& a, const EndpointCrash& b) {
-    return std::tie(a.endpoint, a.incarnation.value) <
-           std::tie(b.endpoint, b.incarnation.value);
-  }
-};
-
 // The crashes and trials of one request, as one host reports them to another.
 // Times are sent as ages because hosts do not share a clock.
 struct CrashReport {
@@ -82,6 +64,11 @@
   // whether the crash was not known before.
   bool OnCrash(const RequestFingerprint& request, const EndpointCrash& crash);
 
+  // Notes that `crash` had another cause than `request`, which must not be
+  // counted for it. Returns whether it was.
+  bool OnExplained(const RequestFingerprint& request,
+                   const EndpointCrash& crash);
+
   // Notes that an endpoint answered `request` completely, and clears the
   // crashes that were counted against the request. Returns whether there were
   // any.
--- a/include/harecrank/core/strong_types.h
+++ b/include/harecrank/core/strong_types.h
@@ -56,6 +56,9 @@
 using AdapterName = StrongString<struct AdapterTag>;
 using DataCentreId = StrongString<struct DataCentreTag>;
 using EndpointId = StrongString<struct EndpointTag>;
+// Identifies a host: IP address and port of its server for operators and other
+// hosts.
+using HostAddress = StrongString<struct HostAddressTag>;
 using ModelId = StrongString<struct ModelTag>;
 using NodeId = StrongString<struct NodeTag>;
 using RegionId = StrongString<struct RegionTag>;
--- a/src/core/fleet_message_decoding.cc
+++ b/src/core/fleet_message_decoding.cc
@@ -104,6 +104,42 @@
   return crashes;
 }
 
+SuspectCrash TakeSuspectCrash(ArrayReader* reader) {
+  SuspectCrash crash;
+  crash.crash.endpoint = reader->TakeString<EndpointId>();
+  crash.crash.incarnation = reader->TakeNumber<EndpointIncarnation>();
+  crash.age = reader->TakeMillis();
+  reader->EachOf([&crash](ArrayReader* entry) {
+    SuspectPart suspect{entry->TakeNumber<PromptPartId>(), std::nullopt};
+    if (!entry->AtEnd()) {
+      suspect.sound_age = entry->TakeMillis();
+    }
+    crash.parts.push_back(suspect);
+  });
+  return crash;
+}
+
+PartEvidence TakeEvidence(const json& element) {
+  ArrayReader reader(element);
+  PartEvidence evidence;
+  reader.EachOf([&evidence](ArrayReader* entry) {
+    evidence.crashes.push_back(TakeSuspectCrash(entry));
+  });
+  reader.EachOf([&evidence](ArrayReader* entry) {
+    const auto part = entry->TakeNumber<PromptPartId>();
+    evidence.sound.push_back(SoundPart{part, entry->TakeMillis()});
+  });
+  reader.EachOf([&evidence](ArrayReader* entry) {
+    HeldPart held;
+    held.part = entry->TakeNumber<PromptPartId>();
+    held.first_crash_age = entry->TakeMillis();
+    held.last_crash_age = entry->TakeMillis();
+    held.held_for = entry->TakeMillis();
+    evidence.held.push_back(held);
+  });
+  return evidence;
+}
+
 std::vector<RateLimitReport> TakeLimits(ArrayReader* reader) {
   std::vector<RateLimitReport> limits;
   reader->EachOf([&limits](ArrayReader* entry) {
@@ -260,6 +296,9 @@
     report.quarantined_for = entry->TakeMillis();
     crash_reports.reports.push_back(std::move(report));
   });
+  if (!reader->AtEnd()) {
+    crash_reports.parts = TakeEvidence(reader->Next());
+  }
   return crash_reports;
 }
 
--- a/src/core/fleet_message_encoding.cc
+++ b/src/core/fleet_message_encoding.cc
@@ -77,6 +77,37 @@
   return list;
 }
 
+json EncodeSuspects(const std::vector<SuspectPart>& suspects) {
+  json list = json::array();
+  for (const SuspectPart& suspect : suspects) {
+    json entry = json::array({suspect.part.value});
+    if (suspect.sound_age.has_value()) {
+      entry.push_back(suspect.sound_age->count());
+    }
+    list.push_back(std::move(entry));
+  }
+  return list;
+}
+
+json EncodeEvidence(const PartEvidence& evidence) {
+  json crashes = json::array();
+  for (const SuspectCrash& crash : evidence.crashes) {
+    crashes.push_back({crash.crash.endpoint.value,
+                       crash.crash.incarnation.value, crash.age.count(),
+                       EncodeSuspects(crash.parts)});
+  }
+  json sound = json::array();
+  for (const SoundPart& part : evidence.sound) {
+    sound.push_back({part.part.value, part.age.count()});
+  }
+  json held = json::array();
+  for (const HeldPart& part : evidence.held) {
+    held.push_back({part.part.value, part.first_crash_age.count(),
+                    part.last_crash_age.count(), part.held_for.count()});
+  }
+  return json::array({std::move(crashes), std::move(sound), std::move(held)});
+}
+
 json EncodeLimits(const std::vector<RateLimitReport>& limits) {
   json list = json::array();
   for (const RateLimitReport& report : limits) {
@@ -218,8 +249,12 @@
                          report.failed_trials, report.age.count(),
                          report.quarantined_for.count()});
     }
-    return json::array({static_cast<int>(MessageKind::kCrashes),
-                        crash_reports.from.value, std::move(reports)});
+    json array = json::array({static_cast<int>(MessageKind::kCrashes),
+                              crash_reports.from.value, std::move(reports)});
+    if (!crash_reports.parts.IsEmpty()) {
+      array.push_back(EncodeEvidence(crash_reports.parts));
+    }
+    return array;
   }
 
   json operator()(const ProgressReport& progress) const {
--- a/src/core/fleet_messages_test.cc
+++ b/src/core/fleet_messages_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "harecrank/core/part_quarantine.h"
+
 namespace harecrank {
 namespace {
 
@@ -68,6 +70,48 @@
   CHECK(report.quarantined_for == Millis(-20));
 }
 
+TEST_CASE("Evidence on parts round-trips, and its absence does") {
+  CHECK(RoundTrip(MakeCrashReports()).parts.IsEmpty());
+  CrashReports sent{kHost, {}};
+  sent.parts.crashes = {
+      {EndpointCrash{EndpointId{"e1"}, EndpointIncarnation{9}},
+       Millis(12),
+       {{PromptPartId{7}, std::nullopt}, {PromptPartId{8}, Millis(40)}}}};
+  sent.parts.sound = {{PromptPartId{8}, Millis(3)}};
+  sent.parts.held = {{PromptPartId{7}, Millis(30), Millis(20), Millis(10)}};
+  const PartEvidence parts = RoundTrip(sent).parts;
+  REQUIRE(parts.crashes.size() == 1);
+  CHECK(parts.crashes[0].crash == sent.parts.crashes[0].crash);
+  CHECK(parts.crashes[0].age == Millis(12));
+  REQUIRE(parts.crashes[0].parts.size() == 2);
+  CHECK_FALSE(parts.crashes[0].parts[0].sound_age.has_value());
+  CHECK(parts.crashes[0].parts[1].sound_age == Millis(40));
+  REQUIRE(parts.sound.size() == 1);
+  CHECK(parts.sound[0].age == Millis(3));
+  REQUIRE(parts.held.size() == 1);
+  CHECK(parts.held[0].part == PromptPartId{7});
+  CHECK(parts.held[0].first_crash_age == Millis(30));
+  CHECK(parts.held[0].last_crash_age == Millis(20));
+  CHECK(parts.held[0].held_for == Millis(10));
+}
+
+TEST_CASE("The largest evidence on parts fits into one datagram") {
+  CrashReports all{kHost, {}};
+  constexpr std::uint64_t kLargeName = std::uint64_t{1} << 63U;
+  const EndpointCrash crash{EndpointId{std::string(40, 'e')},
+                            EndpointIncarnation{1781218352519}};
+  SuspectCrash record{crash, Millis(500000), {}};
+  for (std::size_t i = 0; i < PartCrashes::kMaxParts; ++i) {
+    record.parts.push_back({PromptPartId{kLargeName + i}, Millis(500000)});
+  }
+  all.parts.crashes.assign(PartQuarantine::kMaxSharedCrashes, record);
+  all.parts.held.assign(PartQuarantine::kMaxHolds,
+                        {PromptPartId{kLargeName}, Millis(500000),
+                         Millis(500000), Millis(500000)});
+  constexpr std::size_t kMostDatagram = 65507;
+  CHECK(EncodeFleetMessage(all).size() < kMostDatagram / 4);
+}
+
 TEST_CASE("The largest set of crash reports fits into one datagram") {
   CrashReports all{kHost, {}};
   for (std::size_t i = 0; i < RequestQuarantine::kMaxSharedReports; ++i) {
--- a/src/core/membership_counts.cc
+++ b/src/core/membership_counts.cc
@@ -32,6 +32,15 @@
   return std::max(AliveHosts(), *most);
 }
 
+std::vector<HostAddress> Membership::RememberedHosts() const {
+  if (MayKnowOnlyOneSide()) {
+    return {};
+  }
+  std::vector<HostAddress> hosts = addresses_;
+  hosts.push_back(self_.address);
+  return hosts;
+}
+
 bool Membership::MayKnowOnlyOneSide() const {
   if (size_.IsFirstStart() || told_of_lost_hosts_ ||
       clock_() - started_at_ >= kPartitionLimit) {
--- a/src/core/request_quarantine.cc
+++ b/src/core/request_quarantine.cc
@@ -54,6 +54,24 @@
   return is_new;
 }
 
+bool RequestQuarantine::OnExplained(const RequestFingerprint& request,
+                                    const EndpointCrash& crash) {
+  const auto found = records_.find(request);
+  if (found == records_.end() || found->second.crashes.erase(crash) == 0) {
+    return false;
+  }
+  InvalidateDigest();
+  CrashHistory& record = found->second;
+  if (record.cleared.size() > kMaxCleared) {
+    record.cleared.clear();
+  }
+  record.cleared.insert(crash);
+  if (record.crashes.empty()) {
+    ClearCrashes(&record);
+  }
+  return true;
+}
+
 bool RequestQuarantine::OnCompleted(const RequestFingerprint& request) {
   const auto found = records_.find(request);
   if (found == records_.end() || found->second.crashes.empty()) {
--- a/src/gateway/crash_guard.cc
+++ b/src/gateway/crash_guard.cc
@@ -1,8 +1,15 @@
 #include "src/gateway/crash_guard.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace harecrank {
+namespace {
+
+// Some seconds of crashes, with some dozens of requests each.
+constexpr std::size_t kMaxRecentCrashes = 512;
+
+}  // namespace
 
 CrashGuard::Registration::Registration(
     const std::shared_ptr<RequestSet>& requests, GuardedRequest* request)
@@ -16,41 +23,66 @@
   }
 }
 
-CrashGuard::CrashGuard(RequestQuarantine* quarantine, PartHistory* history,
+CrashGuard::CrashGuard(RequestQuarantine* quarantine, PartQuarantine* parts,
                        EndpointProber* prober,
                        const EndpointDirectory* directory,
-                       IsBackingOff is_backing_off, ShareRecord share_record,
-                       EventLog* log, Metrics* metrics)
+                       IsBackingOff is_backing_off, Share share, EventLog* log,
+                       Metrics* metrics)
     : quarantine_(quarantine),
-      history_(history),
+      parts_(parts),
       prober_(prober),
       directory_(directory),
       is_backing_off_(std::move(is_backing_off)),
-      share_record_(std::move(share_record)),
+      share_(std::move(share)),
       log_(log),
       metrics_(metrics) {}
 
 bool CrashGuard::IsQuarantined(GuardedRequest* request) const {
-  return !quarantine_->IsEmpty() &&
-         quarantine_->IsQuarantined(request->Fingerprint());
+  return parts_->IsHeld(request->Parts()) ||
+         (!quarantine_->IsEmpty() &&
+          quarantine_->IsQuarantined(request->Fingerprint()));
 }
 
-bool CrashGuard::TryAdmit(GuardedRequest* request, bool* is_trial) {
-  *is_trial = false;
-  return quarantine_->IsEmpty() ||
-         quarantine_->TryAdmit(request->Fingerprint(), is_trial);
+bool CrashGuard::TryAdmit(GuardedRequest* request, Trial* trial) {
+  *trial = Trial{};
+  const PartAdmission admission = parts_->TryAdmit(request->Parts());
+  if (admission == PartAdmission::kHeld) {
+    return false;
+  }
+  trial->of_part = admission == PartAdmission::kTrial;
+  const bool admitted =
+      quarantine_->IsEmpty() ||
+      quarantine_->TryAdmit(request->Fingerprint(), &trial->of_request);
+  if (!admitted && trial->of_part) {
+    parts_->CancelTrial(request->Parts());
+  }
+  return admitted;
 }
 
-void CrashGuard::OnTrialSent(const RequestFingerprint& request) {
-  log_->Write("request_tried",
-              {{"fingerprint", LogName(request)},
-               {"crashes", quarantine_->CrashCount(request)}},
-              LogRateLimit::kExempt);
-  share_record_(request);
+void CrashGuard::OnSent(GuardedRequest* request, const Trial& trial) {
+  parts_->OnSent(request->Parts());
+  if (trial.of_part) {
+    log_->Write("part_tried",
+                {{"parts", DescribeParts(*request, parts_->Now())}},
+                LogRateLimit::kExempt);
+  }
+  if (trial.of_request) {
+    const RequestFingerprint& fingerprint = request->Fingerprint();
+    log_->Write("request_tried",
+                {{"fingerprint", LogName(fingerprint)},
+                 {"crashes", quarantine_->CrashCount(fingerprint)}},
+                LogRateLimit::kExempt);
+    share_.record(fingerprint);
+  }
 }
 
-void CrashGuard::OnTrialNotSent(const RequestFingerprint& request) {
-  quarantine_->CancelTrial(request);
+void CrashGuard::OnNotSent(GuardedRequest* request, const Trial& trial) {
+  if (trial.of_part) {
+    parts_->CancelTrial(request->Parts());
+  }
+  if (trial.of_request) {
+    quarantine_->CancelTrial(request->Fingerprint());
+  }
 }
 
 bool CrashGuard::MayProbe(const EndpointRecord& endpoint) const {
@@ -64,39 +96,90 @@
 }
 
 void CrashGuard::OnResponseAborted(
-    const RequestFingerprint& request, const EndpointRecord& endpoint,
-    bool was_starting, std::function<void(ProbeResult result)> on_probed) {
+    const Suspect& suspect, const EndpointRecord& endpoint, bool was_starting,
+    std::function<void(ProbeResult result)> on_probed) {
   if (!MayProbe(endpoint)) {
     prober_->Skip(std::move(on_probed));
     return;
   }
   prober_->Probe(endpoint.address,
-                 [this, request, endpoint, was_starting,
+                 [this, suspect, endpoint, was_starting,
                   on_probed = std::move(on_probed)](ProbeResult result) {
                    if (was_starting && result == ProbeResult::kRefused) {
-                     OnCrash(request, endpoint);
+                     OnCrash(suspect, endpoint);
                    }
                    on_probed(result);
                  });
 }
 
-void CrashGuard::OnCrash(const RequestFingerprint& request,
+void CrashGuard::OnCrash(const Suspect& suspect,
                          const EndpointRecord& endpoint) {
   const EndpointCrash crash{
       endpoint.id, endpoint.incarnation.value_or(EndpointIncarnation{})};
-  if (!quarantine_->OnCrash(request, crash)) {
+  share_.parts(parts_->OnCrash(crash, suspect.parts));
+  OnPartsHeld();
+  const RequestFingerprint& request = suspect.request;
+  if (parts_->IsExplained(crash, suspect.parts) ||
+      !quarantine_->OnCrash(request, crash)) {
     return;
   }
+  recent_crashes_.push_back({crash, suspect});
+  if (recent_crashes_.size() > kMaxRecentCrashes) {
+    recent_crashes_.pop_front();
+  }
   log_->Write("request_suspected",
               {{"fingerprint", LogName(request)},
                {"account", request.account.value},
                {"endpoint", endpoint.id.value},
                {"crashes", quarantine_->CrashCount(request)}},
               LogRateLimit::kExempt);
-  share_record_(request);
+  share_.record(request);
   NotifyQuarantined(request);
 }
 
+void CrashGuard::OnPartsHeld() {
+  const std::vector<PartQuarantine::NewHold> held = parts_->TakeNewlyHeld();
+  for (const PartQuarantine::NewHold& hold : held) {
+    log_->Write("part_held",
+                {{"part", LogName(hold.part)},
+                 {"crashes", parts_->Crashes().CountAgainst(hold.part)},
+                 {"answered_before", hold.was_known}},
+                LogRateLimit::kExempt);
+    metrics_->GetCounter("harecrank_gateway_parts_held_total")->Add();
+    if (!hold.was_known) {
+      EndRequestsWith(hold.part);
+    }
+  }
+  if (!held.empty()) {
+    ClearExplainedRequests();
+  }
+}
+
+void CrashGuard::EndRequestsWith(PromptPartId part) {
+  // Iterates over a copy, since OnQuarantined may end a request, which removes
+  // it from the set.
+  const RequestSet requests = *requests_;
+  for (GuardedRequest* candidate : requests) {
+    if (requests_->count(candidate) == 0) {
+      continue;
+    }
+    const std::vector<PromptPartId>& parts = candidate->Parts();
+    if (std::find(parts.begin(), parts.end(), part) != parts.end()) {
+      candidate->OnQuarantined();
+    }
+  }
+}
+
+void CrashGuard::ClearExplainedRequests() {
+  for (const RecentCrash& recent : recent_crashes_) {
+    const Suspect& suspect = recent.suspect;
+    if (parts_->IsExplained(recent.crash, suspect.parts) &&
+        quarantine_->OnExplained(suspect.request, recent.crash)) {
+      share_.record(suspect.request);
+    }
+  }
+}
+
 void CrashGuard::OnCompleted(GuardedRequest* request) {
   if (quarantine_->IsEmpty() ||
       !quarantine_->OnCompleted(request->Fingerprint())) {
@@ -105,21 +188,27 @@
   log_->Write("request_cleared",
               {{"fingerprint", LogName(request->Fingerprint())}},
               LogRateLimit::kExempt);
-  share_record_(request->Fingerprint());
+  share_.record(request->Fingerprint());
 }
 
 void CrashGuard::OnSound(const GuardedRequest& request, TimePoint began) {
-  for (const PromptPartId part : request.Parts()) {
-    history_->OnSound(part, began);
+  PartEvidence told = parts_->OnSound(request.Parts(), began);
+  for (const SoundPart& sound : told.sound) {
+    log_->Write("part_cleared", {{"part", LogName(sound.part)}},
+                LogRateLimit::kExempt);
   }
+  share_.parts(std::move(told));
 }
 
 nlohmann::json CrashGuard::DescribeParts(const GuardedRequest& request,
                                          TimePoint now) const {
   nlohmann::json parts = nlohmann::json::array();
   for (const PromptPartId part : request.Parts()) {
-    nlohmann::json fields = {{"part", LogName(part)}};
-    if (const auto sound_at = history_->LastSound(part)) {
+    nlohmann::json fields = {{"part", LogName(part)},
+                             {"sent", parts_->Crashes().SentCount(part)},
+                             {"crashes", parts_->Crashes().CountAgainst(part)},
+                             {"held", parts_->IsHeld(part)}};
+    if (const auto sound_at = parts_->LastSound(part)) {
       fields["sound_ms"] =
           std::chrono::duration_cast<Millis>(now - *sound_at).count();
     }
@@ -128,6 +217,13 @@
   return parts;
 }
 
+PartEvidence CrashGuard::OnPartEvidence(const PartEvidence& evidence,
+                                        PartEvidence* missing) {
+  PartEvidence news = parts_->Merge(evidence, missing);
+  OnPartsHeld();
+  return news;
+}
+
 std::vector<CrashReport> CrashGuard::OnReports(
     const std::vector<CrashReport>& reports,
     std::vector<CrashReport>* missing) {
--- a/src/gateway/crash_guard.h
+++ b/src/gateway/crash_guard.h
@@ -4,11 +4,13 @@
 // An aborted response does not prove a crash: a network link may have failed,
 // or an overloaded endpoint may have reset the connection. Therefore the
 // endpoint's address is probed first, and a crash is counted against the
-// requests that the endpoint was starting only if the connection is refused.
+// requests that the endpoint was starting, and the parts of their prompts, only
+// if the connection is refused.
 
 #ifndef HARECRANK_SRC_GATEWAY_CRASH_GUARD_H_
 #define HARECRANK_SRC_GATEWAY_CRASH_GUARD_H_
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -16,7 +18,7 @@
 #include <vector>
 
 #include "harecrank/core/endpoint_directory.h"
-#include "harecrank/core/part_history.h"
+#include "harecrank/core/part_quarantine.h"
 #include "harecrank/core/prompt_parts.h"
 #include "harecrank/core/request_quarantine.h"
 #include "src/adapters/event_log.h"
@@ -46,17 +48,21 @@
 // Not thread-safe; runs on its io_context.
 class CrashGuard {
  public:
-  // Sends the other hosts this host's crash report on `request`.
-  using ShareRecord = std::function<void(const RequestFingerprint& request)>;
+  // Sends the other hosts this host's crash report on `request`, and evidence
+  // on parts.
+  struct Share {
+    std::function<void(const RequestFingerprint& request)> record;
+    std::function<void(PartEvidence evidence)> parts;
+  };
   // Returns whether a back-off that `endpoint` has asked of this host has not
   // ended yet.
   using IsBackingOff = std::function<bool(const EndpointId& endpoint)>;
 
   // All pointers must outlive this.
-  CrashGuard(RequestQuarantine* quarantine, PartHistory* history,
-             EndpointProber* prober,
-             const EndpointDirectory* directory, IsBackingOff is_backing_off,
-             ShareRecord share_record, EventLog* log, Metrics* metrics);
+  CrashGuard(RequestQuarantine* quarantine, PartQuarantine* parts,
+             EndpointProber* prober, const EndpointDirectory* directory,
+             IsBackingOff is_backing_off, Share share, EventLog* log,
+             Metrics* metrics);
 
   // The requests in progress. Requests that are aborted when the host stops
   // outlive the CrashGuard, hence the shared ownership.
@@ -81,29 +87,44 @@
     return std::make_unique<Registration>(requests_, request);
   }
 
+  // What an attempt tries out.
+  struct Trial {
+    bool of_request = false;
+    // Of the held part of its prompt.
+    bool of_part = false;
+    bool IsAny() const { return of_request || of_part; }
+  };
+
   // Returns whether `request` must not be sent to any endpoint now. Computes
   // the request's fingerprint only if crashes are recorded for any request.
   bool IsQuarantined(GuardedRequest* request) const;
 
   // To be called right before `request` is sent. Returns whether it may be
   // sent. A quarantined request is admitted from time to time as a trial, never
-  // together with the trial of another request; `is_trial` is set to whether
-  // this attempt is a trial.
-  bool TryAdmit(GuardedRequest* request, bool* is_trial);
-  // OnTrialSent records that a trial was sent to its endpoint. OnTrialNotSent
-  // records that it was not sent and cancels the trial.
-  void OnTrialSent(const RequestFingerprint& request);
-  void OnTrialNotSent(const RequestFingerprint& request);
-
-  // Handles the abort of a response of `endpoint` to `request`. Probes the
+  // together with the trial of another request, and a request with a held part
+  // as a trial of the part; `trial` is set to what this attempt tries out.
+  bool TryAdmit(GuardedRequest* request, Trial* trial);
+  // Records that the request was sent to its endpoint, as `trial`.
+  void OnSent(GuardedRequest* request, const Trial& trial);
+  // Cancels the trial of a request that was not sent.
+  void OnNotSent(GuardedRequest* request, const Trial& trial);
+
+  // What may have crashed an endpoint.
+  struct Suspect {
+    RequestFingerprint request;
+    std::vector<PromptPartId> parts;
+  };
+
+  // Handles the abort of a response of `endpoint` to `suspect`. Probes the
   // endpoint's address and then calls `on_probed` with the result, never from
   // within this call. If the probe shows that the endpoint's process has ended
   // and the endpoint was starting the request (`was_starting`), the crash is
-  // counted against the request before `on_probed` is called. An endpoint that
-  // is in a drained data centre, has announced its shutdown, or has asked for
-  // back-off is not probed, and no crash is counted.
-  void OnResponseAborted(const RequestFingerprint& request,
-                         const EndpointRecord& endpoint, bool was_starting,
+  // counted against the parts of its prompt and, unless one of the other
+  // prompts explains it, against the request, before `on_probed` is called. An
+  // endpoint that is in a drained data centre, has announced its shutdown, or
+  // has asked for back-off is not probed, and no crash is counted.
+  void OnResponseAborted(const Suspect& suspect, const EndpointRecord& endpoint,
+                         bool was_starting,
                          std::function<void(ProbeResult result)> on_probed);
 
   // Records that an endpoint has answered the request completely.
@@ -125,25 +146,41 @@
   std::vector<CrashReport> OnReports(const std::vector<CrashReport>& reports,
                                      std::vector<CrashReport>* missing);
 
+  // The same for the evidence on parts: returns what was new.
+  PartEvidence OnPartEvidence(const PartEvidence& evidence,
+                              PartEvidence* missing);
+
  private:
-  void OnCrash(const RequestFingerprint& request,
-               const EndpointRecord& endpoint);
+  struct RecentCrash {
+    EndpointCrash crash;
+    Suspect suspect;
+  };
+
+  void OnCrash(const Suspect& suspect, const EndpointRecord& endpoint);
+  // Does what the hold of a part entails: ends its requests in progress, and
+  // clears the requests that were only beside it.
+  void OnPartsHeld();
+  void EndRequestsWith(PromptPartId part);
+  void ClearExplainedRequests();
   // If `request` is quarantined now, notifies all requests in progress with
   // this fingerprint.
   void NotifyQuarantined(const RequestFingerprint& request);
 
   RequestQuarantine* quarantine_;
-  PartHistory* history_;
+  PartQuarantine* parts_;
   EndpointProber* prober_;
   // Returns whether a probe of `endpoint` is allowed.
   bool MayProbe(const EndpointRecord& endpoint) const;
 
   const EndpointDirectory* directory_;
   IsBackingOff is_backing_off_;
-  ShareRecord share_record_;
+  Share share_;
   EventLog* log_;
   Metrics* metrics_;
   std::shared_ptr<RequestSet> requests_ = std::make_shared<RequestSet>();
+  // The last crashes that were counted against requests, at most
+  // kMaxRecentCrashes.
+  std::deque<RecentCrash> recent_crashes_;
 };
 
 }  // namespace harecrank
--- a/src/gateway/crash_guard_test.cc
+++ b/src/gateway/crash_guard_test.cc
@@ -44,16 +44,18 @@
   EventLog log{"n", SystemClock()};
   Metrics metrics;
   RequestQuarantine quarantine{SystemClock()};
-  PartHistory history;
+  PartQuarantine parts{HostAddress{"h1"},
+                       [] { return std::vector{HostAddress{"h1"}}; },
+                       SystemClock()};
   EndpointProber prober{&io};
   EndpointDirectory directory{SystemClock()};
   bool is_backing_off = false;
   CrashGuard guard{&quarantine,
-                   &history,
+                   &parts,
                    &prober,
                    &directory,
                    [this](const EndpointId&) { return is_backing_off; },
-                   [](const RequestFingerprint&) {},
+                   {[](const RequestFingerprint&) {}, [](PartEvidence) {}},
                    &log,
                    &metrics};
 };
@@ -100,7 +102,7 @@
   FakeRequest request(1);
   std::optional<ProbeResult> result;
   host->guard.OnResponseAborted(
-      request.Fingerprint(), endpoint, true,
+      {request.Fingerprint(), request.Parts()}, endpoint, true,
       [&result](ProbeResult probed) { result = probed; });
   CHECK_FALSE(result.has_value());
   host->io.restart();
--- a/src/gateway/crash_relay.cc
+++ b/src/gateway/crash_relay.cc
@@ -16,14 +16,27 @@
 
 void CrashRelay::Share(CrashReport report) {
   pending_reports_.push_back(std::move(report));
-  if (pending_reports_.size() == 1) {
+  SendSoon();
+}
+
+void CrashRelay::Share(PartEvidence evidence) {
+  if (!evidence.IsEmpty()) {
+    Append(std::move(evidence), &pending_parts_);
+    SendSoon();
+  }
+}
+
+void CrashRelay::SendSoon() {
+  if (!send_scheduled_) {
+    send_scheduled_ = true;
     boost::asio::post(*io_, [this] { SendPending(); });
   }
 }
 
 void CrashRelay::SendPending() {
-  const CrashReports message{self_, std::move(pending_reports_)};
-  pending_reports_.clear();
+  send_scheduled_ = false;
+  const CrashReports message{self_, std::exchange(pending_reports_, {}),
+                             std::exchange(pending_parts_, {})};
   socket_->SendToAll(membership_->OtherAliveHosts(), message);
 }
 
@@ -31,15 +44,17 @@
   CrashReports missing{self_, {}};
   std::vector<CrashReport> new_reports =
       ports_.on_reports(received.reports, &missing.reports);
-  if (!missing.reports.empty()) {
+  PartEvidence new_parts = ports_.on_parts(received.parts, &missing.parts);
+  if (!missing.reports.empty() || !missing.parts.IsEmpty()) {
     socket_->Send(received.from, missing);
   }
-  // Only the planner forwards new reports, since only the planner knows all
+  // Only the planner forwards what is new, since only the planner knows all
   // alive hosts.
   if (ports_.is_planner()) {
     for (CrashReport& report : new_reports) {
       Share(std::move(report));
     }
+    Share(std::move(new_parts));
   }
 }
 
@@ -47,7 +62,10 @@
   if (own_digest == heartbeat.crash_digest || own_digest == 0) {
     return;
   }
+  // Two messages, since each may fill a datagram.
   socket_->Send(heartbeat.address, CrashReports{self_, ports_.shared()});
+  socket_->Send(heartbeat.address,
+                CrashReports{self_, {}, ports_.shared_parts()});
 }
 
 }  // namespace harecrank
--- a/src/gateway/crash_relay.h
+++ b/src/gateway/crash_relay.h
@@ -1,4 +1,5 @@
-// Shares reports on requests that crash endpoints with the other hosts.
+// Shares reports on requests and parts of prompts that crash endpoints with the
+// other hosts.
 
 #ifndef HARECRANK_SRC_GATEWAY_CRASH_RELAY_H_
 #define HARECRANK_SRC_GATEWAY_CRASH_RELAY_H_
@@ -21,8 +22,13 @@
       const std::vector<CrashReport>& reports,
       std::vector<CrashReport>* missing)>
       on_reports;
-  // Returns the reports that are sent to a host that has missed messages.
+  // The same for the evidence on parts of prompts.
+  std::function<PartEvidence(const PartEvidence& evidence,
+                             PartEvidence* missing)>
+      on_parts;
+  // Return what is sent to a host that has missed messages.
   std::function<std::vector<CrashReport>()> shared;
+  std::function<PartEvidence()> shared_parts;
   std::function<bool()> is_planner;
 };
 
@@ -36,18 +42,20 @@
              Membership* membership, FleetSocket* socket,
              CrashRelayPorts ports);
 
-  // Sends `report` to all other hosts. Reports that are shared in the same turn
-  // of the event loop are sent in one message.
+  // Both send something to all other hosts. What is shared in the same turn of
+  // the event loop is sent in one message.
   void Share(CrashReport report);
+  void Share(PartEvidence evidence);
 
   void OnReports(const CrashReports& received);
 
-  // Sends all shared reports to the sender of `heartbeat` if the digest of the
+  // Sends everything shared to the sender of `heartbeat` if the digest of the
   // sender's reports differs from `own_digest`, the digest of this host's
   // reports.
   void Repair(const Heartbeat& heartbeat, std::uint64_t own_digest);
 
  private:
+  void SendSoon();
   void SendPending();
 
   boost::asio::io_context* io_;
@@ -55,8 +63,10 @@
   Membership* membership_;
   FleetSocket* socket_;
   CrashRelayPorts ports_;
-  // Reports to be sent in the next message.
+  // What is to be sent in the next message.
   std::vector<CrashReport> pending_reports_;
+  PartEvidence pending_parts_;
+  bool send_scheduled_ = false;
 };
 
 }  // namespace harecrank
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -114,7 +114,7 @@
   const auto self = shared_from_this();
   // Other requests with the same fingerprint may have crashed endpoints while
   // this one waited.
-  if (!services_->crashes->TryAdmit(this, &is_trial_)) {
+  if (!services_->crashes->TryAdmit(this, &trial_)) {
     RejectQuarantined();
     return;
   }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -171,8 +171,7 @@
   int connect_failures_ = 0;
   // Whether an endpoint may have run the request in an earlier attempt.
   bool may_have_run_ = false;
-  // Whether the current attempt is the trial of a quarantined request.
-  bool is_trial_ = false;
+  CrashGuard::Trial trial_;
   // Whether the current attempt was reported as sound.
   bool sound_reported_ = false;
   // Whether the retry budget has denied the last retry, or an overdue attempt
--- a/src/gateway/exchange_attempts.cc
+++ b/src/gateway/exchange_attempts.cc
@@ -54,9 +54,7 @@
 }
 
 void Exchange::OnSent() {
-  if (is_trial_) {
-    services_->crashes->OnTrialSent(Fingerprint());
-  }
+  services_->crashes->OnSent(this, trial_);
   sender_->OnSent();
   OnRepeatSent();
 }
@@ -193,9 +191,7 @@
 
 void Exchange::OnNotSent(const AttemptNotSent& failure) {
   search_->End();
-  if (is_trial_) {
-    services_->crashes->OnTrialNotSent(Fingerprint());
-  }
+  services_->crashes->OnNotSent(this, trial_);
   sender_->OnUnreachable();
   log_.LogNotSent(sender_->Endpoint().id, failure.reason);
   ++connect_failures_;
@@ -223,7 +219,7 @@
 }
 
 const char* Exchange::AttemptKind() const {
-  if (is_trial_) {
+  if (trial_.IsAny()) {
     return "trial";
   }
   return sender_->SendCount() > 1 ? "repeat" : "first";
@@ -236,7 +232,7 @@
   may_have_run_ = true;
   const bool may_continue = route_->MayRepeat();
   services_->crashes->OnResponseAborted(
-      Fingerprint(), sender_->Endpoint(),
+      {Fingerprint(), parts_}, sender_->Endpoint(),
       broken.closed_by_endpoint && sender_->IsStarting(),
       [weak = weak_from_this(), services = services_, may_continue,
        reason = broken.reason,
--- a/src/gateway/fleet_member.cc
+++ b/src/gateway/fleet_member.cc
@@ -95,9 +95,10 @@
                 planner, socket, log, metrics, clock_),
       publication_relay_(io, self_.address, membership, socket,
                          MakeRelayPorts(), log, clock_, random_),
-      crash_relay_(io, self_.address, membership, socket,
-                   {ports_.on_crashes, ports_.shared_crashes,
-                    [this] { return IsPlanner(); }}),
+      crash_relay_(
+          io, self_.address, membership, socket,
+          {ports_.on_crashes, ports_.on_part_evidence, ports_.shared_crashes,
+           ports_.shared_part_evidence, [this] { return IsPlanner(); }}),
       poll_assignment_(membership),
       peers_log_(log, clock_),
       tick_timer_(*io),
@@ -212,6 +213,9 @@
   const Heartbeat own = DescribeStoreData();
   UpdateFreshness(heartbeat, own);
   crash_relay_.Repair(heartbeat, own.crash_digest);
+  if (heartbeat.crash_digest == own.crash_digest) {
+    ports_.on_crashes_synced();
+  }
   publication_relay_.FetchIfBehind(own);
   planner_service_.OnHeartbeat(heartbeat);
   if (heartbeat.wants_reply) {
--- a/src/gateway/fleet_member.h
+++ b/src/gateway/fleet_member.h
@@ -55,6 +55,13 @@
       std::vector<CrashReport>* missing)>
       on_crashes;
   std::function<std::vector<CrashReport>()> shared_crashes;
+  std::function<PartEvidence(const PartEvidence& evidence,
+                             PartEvidence* missing)>
+      on_part_evidence;
+  std::function<PartEvidence()> shared_part_evidence;
+  // Called when another host was found to hold no crash reports that this host
+  // lacks.
+  std::function<void()> on_crashes_synced;
   // Returns the rate limits that endpoints have advertised to this host and to
   // others.
   std::function<std::vector<RateLimitReport>()> limits;
@@ -98,10 +105,13 @@
   // (PollSchedule::IsOverdue).
   void OnOverdueRefresh();
 
-  // Sends the other hosts a report on a request that crashes endpoints.
+  // Both send the other hosts reports on what crashes endpoints.
   void ShareCrashReport(CrashReport report) {
     crash_relay_.Share(std::move(report));
   }
+  void SharePartEvidence(PartEvidence evidence) {
+    crash_relay_.Share(std::move(evidence));
+  }
 
   // Returns the number of queries of the planner that this host, as a standby,
   // knows.
--- a/src/gateway/gateway_gauges.cc
+++ b/src/gateway/gateway_gauges.cc
@@ -18,6 +18,14 @@
   return names;
 }
 
+std::vector<std::string> HeldParts(const PartQuarantine& parts) {
+  std::vector<std::string> names;
+  for (const HeldPart& held : parts.SharedEvidence().held) {
+    names.push_back(LogName(held.part));
+  }
+  return names;
+}
+
 // Returns the region of each data centre, and the permitted regions that have
 // none.
 nlohmann::json DescribeRegions(const GatewayParts& parts) {
@@ -210,6 +218,12 @@
   metrics->AddGauge("harecrank_gateway_requests_held", [parts] {
     return static_cast<double>(parts.quarantine->QuarantinedCount());
   });
+  metrics->AddGauge("harecrank_gateway_parts_held", [parts] {
+    return static_cast<double>(parts.prompt_parts->HeldCount());
+  });
+  metrics->AddGauge("harecrank_gateway_part_crashes", [parts] {
+    return static_cast<double>(parts.prompt_parts->Crashes().All().size());
+  });
   metrics->AddGauge("harecrank_gateway_log_lines_dropped", [parts] {
     return static_cast<double>(parts.log->Dropped());
   });
@@ -245,7 +259,8 @@
             {"promised", parts.planner->PromiseCount()},
             {"planned_starts", parts.planner->NextStarts().size()},
             {"next_starts_ms", NextStartsOf(*parts.planner)},
-            {"held", parts.quarantine->QuarantinedCount()}}},
+            {"held", parts.quarantine->QuarantinedCount()},
+            {"parts_held", HeldParts(*parts.prompt_parts)}}},
           {"copies_under_way", parts.snapshots->ActiveTransfers()},
           {"bounds", parts.start_limiter->Describe()},
           {"repeats", DescribeRepeats(*parts.budgets)}};
--- a/src/gateway/gateway_gauges.h
+++ b/src/gateway/gateway_gauges.h
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "harecrank/core/membership.h"
+#include "harecrank/core/part_quarantine.h"
 #include "harecrank/core/planner.h"
 #include "harecrank/core/request_quarantine.h"
 #include "src/gateway/caller_listener.h"
@@ -33,6 +34,7 @@
   EndpointConnectionPool* connections;
   EndpointUpdater* updater;
   RequestQuarantine* quarantine;
+  PartQuarantine* prompt_parts;
   DispatchQueue* queue;
   Membership* membership;
   StartLimiter* start_limiter;
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -61,6 +61,9 @@
       connections_(&io_, clock_),
       prober_(&io_),
       quarantine_(clock_),
+      parts_(
+          Self(settings_).address,
+          [this] { return membership_.RememberedHosts(); }, clock_),
       endpoint_updater_(&directory_, &health_, &connections_, &log_, &metrics_),
       placer_(
           &directory_, &loads_, &health_, settings_.data_centre,
@@ -88,13 +91,16 @@
              settings_.planner_standbys, MakeFleetPorts(), &log_, &metrics_,
              clock_, random_),
       crash_guard_(
-          &quarantine_, &part_history_, &prober_, &directory_,
+          &quarantine_, &parts_, &prober_, &directory_,
           [this](const EndpointId& id) {
             return start_limiter_.IsBackingOff(id);
           },
-          [this](const RequestFingerprint& request) {
-            fleet_.ShareCrashReport(quarantine_.ReportOf(request));
-          },
+          {[this](const RequestFingerprint& request) {
+             fleet_.ShareCrashReport(quarantine_.ReportOf(request));
+           },
+           [this](PartEvidence evidence) {
+             fleet_.SharePartEvidence(std::move(evidence));
+           }},
           &log_, &metrics_),
       backoff_notifier_([this](std::function<void()> run) {
         boost::asio::post(io_, std::move(run));
@@ -252,10 +258,10 @@
 
 GatewayParts GatewayNode::MakeParts() {
   return GatewayParts{
-      &routing_,    &regions_,       &region_reporter_,  &directory_,  &loads_,
-      &health_,     &connections_,   &endpoint_updater_, &quarantine_, &queue_,
-      &membership_, &start_limiter_, &budgets_,          &planner_,    &fleet_,
-      &store_sync_, &snapshots_,     &callers_,          &log_};
+      &routing_, &regions_,     &region_reporter_,  &directory_,  &loads_,
+      &health_,  &connections_, &endpoint_updater_, &quarantine_, &parts_,
+      &queue_,   &membership_,  &start_limiter_,    &budgets_,    &planner_,
+      &fleet_,   &store_sync_,  &snapshots_,        &callers_,    &log_};
 }
 
 void GatewayNode::AwaitSignal() {
@@ -324,15 +330,24 @@
 
 void GatewayNode::AcceptCallers() {
   // Callers' connections wait in the listen queue until this host has an active
-  // configuration and knows endpoints. After kConfigurationWait they are
-  // accepted anyway, and their requests get an error response.
+  // configuration and knows endpoints, and what crashes them. After
+  // kConfigurationWait they are accepted anyway.
   const bool has_waited = clock_() - started_at_ >= kConfigurationWait;
-  if (!accepting_ && (IsReady() || has_waited)) {
+  if (!accepting_ && ((IsReady() && KnowsCrashes()) || has_waited)) {
     accepting_ = true;
     callers_.Start();
   }
 }
 
+bool GatewayNode::KnowsCrashes() const {
+  const std::vector<HostAddress> seeds = Addresses(settings_.seed_peers);
+  const bool is_alone =
+      std::all_of(seeds.begin(), seeds.end(), [this](const HostAddress& seed) {
+        return seed == Self(settings_).address;
+      });
+  return crashes_synced_ || settings_.first_start || is_alone;
+}
+
 void GatewayNode::Tick() {
   const TimePoint now = clock_();
   AcceptCallers();
@@ -345,6 +360,7 @@
     last_sweep_at_ = now;
     connections_.Sweep();
     quarantine_.Sweep();
+    parts_.Sweep();
   }
   if (now - last_reread_at_ >= kSettingsPollInterval) {
     RereadSettings();
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -89,6 +89,8 @@
                      const char* cause);
   void BeginDrain();
   void AcceptCallers();
+  // Returns whether this host need not wait for the crash reports of others.
+  bool KnowsCrashes() const;
   void Tick();
   void ContinueDrain();
   int KnownHosts() const;
@@ -119,7 +121,7 @@
   EndpointConnectionPool connections_;
   EndpointProber prober_;
   RequestQuarantine quarantine_;
-  PartHistory part_history_;
+  PartQuarantine parts_;
   EndpointUpdater endpoint_updater_;
   Placer placer_;
   RepeatBudgets budgets_;
@@ -144,6 +146,8 @@
   boost::asio::signal_set signals_;
   Timer tick_timer_;
   TimePoint started_at_{};
+  // Whether this host knows all crash reports of some other host.
+  bool crashes_synced_ = false;
   bool accepting_ = false;
   bool draining_ = false;
   TimePoint drain_started_at_{};
--- a/src/gateway/gateway_node_ports.cc
+++ b/src/gateway/gateway_node_ports.cc
@@ -33,7 +33,7 @@
     const auto table = routing_.InForce();
     heartbeat->routing = table == nullptr ? RoutingVersion{} : table->Version();
     store_sync_.Describe(heartbeat);
-    heartbeat->crash_digest = quarantine_.SharedDigest();
+    heartbeat->crash_digest = quarantine_.SharedDigest() ^ parts_.HeldDigest();
     heartbeat->peak_hosts = membership_.Size().PeakObserved();
   };
   ports.on_crashes = [this](const std::vector<CrashReport>& reports,
@@ -41,6 +41,15 @@
     return crash_guard_.OnReports(reports, missing);
   };
   ports.shared_crashes = [this] { return quarantine_.SharedReports(); };
+  ports.on_part_evidence = [this](const PartEvidence& evidence,
+                                  PartEvidence* missing) {
+    return crash_guard_.OnPartEvidence(evidence, missing);
+  };
+  ports.shared_part_evidence = [this] { return parts_.SharedEvidence(); };
+  ports.on_crashes_synced = [this] {
+    crashes_synced_ = true;
+    AcceptCallers();
+  };
   ports.limits = [this] { return start_limiter_.Reports(); };
   ports.on_limits = [this](const std::vector<RateLimitReport>& reports) {
     start_limiter_.MergeFromPeer(reports);
