Take a stream without framing for whole only if its endpoint lives

What callers would see: a stream with neither a length nor chunks ends with its connection. An endpoint that ends closes the connection in the same way, so a broken stream was passed on as complete, and the end of the endpoint counted against nobody.

Change: when such a stream ends, the endpoint's address is asked for a connection, as after a broken answer. Refused: it was broken off, counts and goes on elsewhere if it may be resumed. Answers that are no streams stay as they were: whole at an orderly end, broken at a reset, and at most once where they may not be repeated (tests).

--- a/src/gateway/exchange_attempts.cc
+++ b/src/gateway/exchange_attempts.cc
@@ -1,5 +1,5 @@
-// How an exchange handles responses, failed attempts and quarantined requests.
-// The rest of the class is in exchange.cc.
+// How an exchange handles responses and failed attempts. exchange_crashes.cc
+// handles broken answers, exchange.cc the rest of the class.
 
 #include <utility>
 
@@ -17,9 +17,6 @@
 // attempt counts as a retry and is subject to the limits in MayRetry. Fewer
 // failures do not use up retries, since the request was not sent.
 constexpr int kMaxConnectFailures = 5;
-// Error code of the final response to a request that crashes endpoints.
-constexpr char kQuarantinedReason[] = "ends_endpoints";
-
 bool IsEventStream(const ResponseHead& head) {
   const std::string_view wanted = "text/event-stream";
   return View(head[http::field::content_type]).substr(0, wanted.size()) ==
@@ -156,10 +153,13 @@
     HandleBroken(AttemptBroken{"ended_inside_an_event", true, false, true});
     return;
   }
+  if (relay_.IsStream() && !has_framed_end_) {
+    ConfirmStreamEnd();
+    return;
+  }
   ReportCompletion();
   if (relay_.IsStream()) {
-    relay_.EndStream();
-    Finish("completed", http_status::kOk, "");
+    CompleteStream();
     return;
   }
   const bool completed = relay_.BufferedStatus() < http_status::kBadRequest;
@@ -202,83 +202,6 @@
   }
 }
 
-nlohmann::json Exchange::BrokenFields(const AttemptBroken& broken) {
-  nlohmann::json fields = log_.Fields();
-  fields["fingerprint"] = LogName(Fingerprint());
-  fields["endpoint"] = sender_->Endpoint().id.value;
-  fields["by_endpoint"] = broken.closed_by_endpoint;
-  fields["answer_began"] = broken.response_began;
-  fields["sent_as"] = AttemptKind();
-  fields["sent_ms"] = sender_->SinceSent().count();
-  fields["parts"] =
-      services_->crashes->DescribeParts(*this, services_->clock());
-  if (const auto since = sender_->SinceFirstEvent()) {
-    fields["since_first_event_ms"] = since->count();
-  }
-  return fields;
-}
-
-const char* Exchange::AttemptKind() const {
-  if (trial_.IsAny()) {
-    return "trial";
-  }
-  return sender_->SendCount() > 1 ? "repeat" : "first";
-}
-
-void Exchange::HandleBroken(const AttemptBroken& broken) {
-  // The crash guard probes the endpoint before the request is retried, since
-  // the request may just have crashed its third endpoint and must then be
-  // quarantined.
-  may_have_run_ = true;
-  const bool may_continue = route_->MayRepeat();
-  services_->crashes->OnResponseAborted(
-      {Fingerprint(), parts_}, sender_->Endpoint(),
-      broken.closed_by_endpoint && sender_->IsStarting(),
-      [weak = weak_from_this(), services = services_, may_continue,
-       reason = broken.reason,
-       fields = BrokenFields(broken)](ProbeResult result) {
-        nlohmann::json line = fields;
-        line["connection"] = Name(result);
-        services->log->Write("broken_off", std::move(line),
-                             LogRateLimit::kExempt);
-        const auto self = weak.lock();
-        if (may_continue && self != nullptr && !self->finished_) {
-          self->OnMayHaveRun(reason);
-        }
-      });
-  if (!may_continue) {
-    GiveUp(broken.reason);
-  }
-}
-
-const RequestFingerprint& Exchange::Fingerprint() {
-  if (!fingerprint_.has_value()) {
-    FingerprintParts parts;
-    parts.account = account_ == nullptr ? AccountId{} : account_->id;
-    parts.method = View(request_.method_string());
-    parts.target = View(request_.target());
-    parts.body = *body_;
-    fingerprint_ = FingerprintOf(parts);
-  }
-  return *fingerprint_;
-}
-
-void Exchange::OnQuarantined() {
-  const auto self = shared_from_this();
-  // A request whose first event has arrived is not interrupted, since its
-  // outcome shows whether it causes a crash. A sent request that may run only
-  // once is not interrupted either.
-  const bool sent = sender_->IsUnderWay() && sender_->WasSent();
-  const bool runs = sent && (sender_->HasFirstEvent() || !route_->MayRepeat());
-  if (finished_ || runs) {
-    return;
-  }
-  may_have_run_ = may_have_run_ || sent;
-  RejectQuarantined();
-}
-
-void Exchange::RejectQuarantined() { RejectForGood(kQuarantinedReason); }
-
 void Exchange::RejectForGood(const char* code) {
   AbandonAttempt();
   if (relay_.StreamBegun() || may_have_run_) {
@@ -290,23 +213,6 @@
   Respond(GatewayResponse{http_status::kUnavailable, code, std::nullopt, true});
 }
 
-void Exchange::ReportCompletion() {
-  if (!has_framed_end_) {
-    return;
-  }
-  services_->crashes->OnCompleted(this);
-  if (relay_.IsStream() && sender_->HasFirstEvent()) {
-    ReportSound();
-  }
-}
-
-void Exchange::ReportSound() {
-  if (!sound_reported_) {
-    sound_reported_ = true;
-    services_->crashes->OnSound(*this, *sender_->AttemptFirstEventAt());
-  }
-}
-
 void Exchange::OnNotRun(const std::string& reason) {
   if (MayRetry(RepeatCause::kNotRun)) {
     log_.LogRetry(sender_->Endpoint().id, reason, nlohmann::json::object());
