Refuse connections that a host cannot serve at once, unread

What callers would see: where one host gets most new connections of a data centre, connections beyond its sessions stayed in the listen queue, and those of an event loop that is behind were taken and served late. Callers wait a second or longer for a host that cannot serve them.

Change: AcceptGate decides. A connection beyond the sessions, or while the event loop runs over 250 ms late, is closed at once with nothing read, so its caller may go elsewhere with any request; connections that are open and requests that were read are served as before. A metric counts the refused, a log line tells when a loop falls behind and catches up.

Not covered: shares of limits that endpoints name are divided by hosts, not by their load (docs/design).

--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -11,9 +11,10 @@
 namespace asio = boost::asio;
 
 // Delay before the next connection is accepted after an accept has failed, for
-// example for lack of file descriptors, or while the maximum number of sessions
-// is open.
+// example for lack of file descriptors.
 constexpr Millis kAcceptRetryDelay{50};
+// Minimum interval at which ended sessions are searched for to take a new one.
+constexpr Millis kSweepInterval{20};
 // Ended sessions are removed from the session list when it has grown to twice
 // the length that the previous removal left, and at least to this threshold.
 constexpr std::size_t kMinSweepThreshold = 64;
@@ -21,12 +22,14 @@
 }  // namespace
 
 CallerListener::CallerListener(asio::io_context* io, const std::string& address,
-                               std::size_t max_sessions, SessionContext context)
+                               const AcceptGate* gate, SessionContext context,
+                               Metrics* metrics)
     : io_(io),
       acceptor_(Listen(io, address)),
       retry_timer_(*io),
-      max_sessions_(max_sessions),
+      gate_(gate),
       context_(std::move(context)),
+      metrics_(metrics),
       sweep_threshold_(kMinSweepThreshold) {}
 
 void CallerListener::Start() { Accept(); }
@@ -66,32 +69,41 @@
       RetryAccept();
       return;
     }
-    const auto session =
-        std::make_shared<CallerSession>(std::move(socket), &context_);
-    sessions_.push_back(session);
-    session->Start();
-    if (sessions_.size() >= sweep_threshold_) {
-      RemoveClosed();
-      sweep_threshold_ = std::max(kMinSweepThreshold, 2 * sessions_.size());
-    }
-    if (sessions_.size() >= max_sessions_) {
-      RetryAccept();
-    } else {
-      Accept();
-    }
+    OnAccepted(std::move(socket));
+    Accept();
   });
 }
 
+void CallerListener::OnAccepted(asio::ip::tcp::socket socket) {
+  if (!Admits()) {
+    // The socket's destructor closes the connection, of which nothing was read.
+    metrics_->GetCounter("harecrank_gateway_callers_refused_total")->Add();
+    return;
+  }
+  const auto session =
+      std::make_shared<CallerSession>(std::move(socket), &context_);
+  sessions_.push_back(session);
+  session->Start();
+  if (sessions_.size() >= sweep_threshold_) {
+    RemoveClosed();
+    sweep_threshold_ = std::max(kMinSweepThreshold, 2 * sessions_.size());
+  }
+}
+
+bool CallerListener::Admits() {
+  const TimePoint now = context_.clock();
+  if (!gate_->Admits(sessions_.size()) &&
+      now - last_sweep_at_ >= kSweepInterval) {
+    last_sweep_at_ = now;
+    RemoveClosed();
+  }
+  return gate_->Admits(sessions_.size());
+}
+
 void CallerListener::RetryAccept() {
   retry_timer_.expires_after(kAcceptRetryDelay);
   retry_timer_.async_wait([this](boost::system::error_code error) {
-    if (error) {
-      return;
-    }
-    RemoveClosed();
-    if (sessions_.size() >= max_sessions_) {
-      RetryAccept();
-    } else {
+    if (!error) {
       Accept();
     }
   });
--- a/src/gateway/caller_listener.h
+++ b/src/gateway/caller_listener.h
@@ -9,6 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "harecrank/core/accept_gate.h"
+#include "src/adapters/metrics.h"
 #include "src/gateway/caller_session.h"
 #include "src/gateway/timer.h"
 
@@ -18,11 +20,11 @@
 // open ones. Not thread-safe; runs on its io_context.
 class CallerListener {
  public:
-  // Throws boost::system::system_error if `address` cannot be bound. At most
-  // `max_sessions` connections are open at once; further ones stay in the
-  // kernel's accept queue.
+  // Throws boost::system::system_error if `address` cannot be bound. `gate` and
+  // `metrics` must outlive this.
   CallerListener(boost::asio::io_context* io, const std::string& address,
-                 std::size_t max_sessions, SessionContext context);
+                 const AcceptGate* gate, SessionContext context,
+                 Metrics* metrics);
 
   void Start();
 
@@ -39,16 +41,21 @@
 
  private:
   void Accept();
+  void OnAccepted(boost::asio::ip::tcp::socket socket);
   void RetryAccept();
+  // Returns whether a new connection is taken. Ended sessions do not count.
+  bool Admits();
   void RemoveClosed();
 
   boost::asio::io_context* io_;
   boost::asio::ip::tcp::acceptor acceptor_;
   Timer retry_timer_;
-  std::size_t max_sessions_;
+  const AcceptGate* gate_;
   SessionContext context_;
+  Metrics* metrics_;
   std::vector<std::weak_ptr<CallerSession>> sessions_;
   std::size_t sweep_threshold_;
+  TimePoint last_sweep_at_{};
 };
 
 }  // namespace harecrank
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -121,8 +121,9 @@
           Self(settings_).cpu_share, &membership_,
           [this](StoreRevision since) { return feed_->Export(since); },
           [this] { return store_sync_.KnownUpTo(); }, &metrics_, clock_),
-      callers_(&io_, settings_.callers_address,
-               MaxSessions(settings_.descriptors), MakeSessionContext()),
+      accept_gate_(MaxSessions(settings_.descriptors)),
+      callers_(&io_, settings_.callers_address, &accept_gate_,
+               MakeSessionContext(), &metrics_),
       readiness_(&io_, settings_.readiness_address,
                  [this](const HttpRequest& r) { return HandleReadiness(r); }),
       operations_(&io_, settings_.operations_address,
@@ -339,6 +340,15 @@
   }
 }
 
+void GatewayNode::WatchLoopDelay(TimePoint now) {
+  const bool was_behind = accept_gate_.IsBehind();
+  accept_gate_.OnLoopDelay(now - tick_due_at_.value_or(now));
+  if (accept_gate_.IsBehind() != was_behind) {
+    log_.Write("accepting", {{"refuses", accept_gate_.IsBehind()},
+                             {"callers", callers_.Count()}});
+  }
+}
+
 bool GatewayNode::KnowsCrashes() const {
   const std::vector<HostAddress> seeds = Addresses(settings_.seed_peers);
   const bool is_alone =
@@ -350,6 +360,7 @@
 
 void GatewayNode::Tick() {
   const TimePoint now = clock_();
+  WatchLoopDelay(now);
   AcceptCallers();
   endpoint_updater_.RemoveExpired();
   membership_.RecordFleetSize();
@@ -368,7 +379,8 @@
   if (draining_) {
     ContinueDrain();
   }
-  tick_timer_.expires_after(kTick);
+  tick_due_at_ = clock_() + kTick;
+  tick_timer_.expires_at(*tick_due_at_);
   tick_timer_.async_wait([this](boost::system::error_code error) {
     if (!error) {
       Tick();
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -92,6 +92,8 @@
   // Returns whether this host need not wait for the crash reports of others.
   bool KnowsCrashes() const;
   void Tick();
+  // Records how late this tick is.
+  void WatchLoopDelay(TimePoint now);
   void ContinueDrain();
   int KnownHosts() const;
   // Returns the number of hosts that share the limit on repeats, or nothing
@@ -140,11 +142,14 @@
   StoreUpdateHandler store_updates_;
   std::unique_ptr<DirectoryFeed> feed_;
   SnapshotServer snapshots_;
+  AcceptGate accept_gate_;
   CallerListener callers_;
   SimpleHttpServer readiness_;
   SimpleHttpServer operations_;
   boost::asio::signal_set signals_;
   Timer tick_timer_;
+  // When the next tick is due; unset before the first.
+  std::optional<TimePoint> tick_due_at_;
   TimePoint started_at_{};
   // Whether this host knows all crash reports of some other host.
   bool crashes_synced_ = false;
