--- a/src/core/prompt_parts_test.cc
+++ b/src/core/prompt_parts_test.cc
@@ -16,7 +16,8 @@
 }
 
 TEST_CASE("Names of parts may have blanks around them and any characters") {
-  const auto parts = SharedPartsOf(" a1:8 , no hex:4,,:3,a1:9,ffffffffffffff:1");
+  const auto parts =
+      SharedPartsOf(" a1:8 , no hex:4,,:3,a1:9,ffffffffffffff:1");
   REQUIRE(parts.size() == 2);
   CHECK(parts[0] == PromptPartId{0xa1});
   CHECK(parts[1] == SharedPartsOf("no hex,x").front());
