--- a/src/core/request_quarantine_test.cc
+++ b/src/core/request_quarantine_test.cc
@@ -156,6 +156,20 @@
   CHECK_FALSE(host.quarantine.IsQuarantined(Request(1)));
 }
 
+TEST_CASE("A crash that had another cause is not counted, also if told again") {
+  Host host;
+  host.AddCrashes(3);
+  CHECK(host.quarantine.OnExplained(Request(1), Crash(1)));
+  CHECK_FALSE(host.quarantine.OnExplained(Request(1), Crash(1)));
+  CHECK_FALSE(host.quarantine.OnExplained(Request(2), Crash(1)));
+  CHECK_FALSE(host.quarantine.IsQuarantined(Request(1)));
+  CHECK_FALSE(host.quarantine.OnCrash(Request(1), Crash(1)));
+  Host other;
+  other.AddCrashes(3);
+  other.quarantine.Merge(host.quarantine.ReportOf(Request(1)));
+  CHECK(other.quarantine.CrashCount(Request(1)) == 2);
+}
+
 TEST_CASE("Old crashes are not counted") {
   Host host;
   host.AddCrashes(2);
--- a/src/gateway/crash_guard_test.cc
+++ b/src/gateway/crash_guard_test.cc
@@ -140,6 +140,52 @@
   CHECK(host.quarantine.Count() == 1);
 }
 
+constexpr PromptPartId kFirst{1};
+constexpr PromptPartId kDeadly{66};
+
+// Lets `endpoints` endpoints crash, in series, while they start `crashing` and
+// `beside`.
+void CrashUnder(Host* host, FakeRequest* crashing, FakeRequest* beside,
+                int endpoints) {
+  for (int i = 0; i < endpoints; ++i) {
+    EndpointRecord endpoint = MakeEndedEndpoint();
+    endpoint.id = EndpointId{"e" + std::to_string(i)};
+    for (FakeRequest* request : {crashing, beside}) {
+      host->guard.OnSent(request, {});
+      host->guard.OnResponseAborted(
+          {request->Fingerprint(), request->Parts()}, endpoint, true,
+          [](ProbeResult) {});
+    }
+    host->io.restart();
+    host->io.run();
+  }
+}
+
+// Guards against harmless requests that are refused because they break off
+// beside a part that crashes endpoints.
+TEST_CASE("A request beside a held part is not blamed for its crashes") {
+  Host host;
+  FakeRequest crashing(1);
+  crashing.parts = {kFirst, kDeadly};
+  FakeRequest beside(2);
+  beside.parts = {kFirst};
+  FakeRequest waiting(3);
+  waiting.parts = {kFirst, kDeadly};
+  const auto waiting_registration = host.guard.Watch(&waiting);
+  const auto beside_registration = host.guard.Watch(&beside);
+  for (int i = 0; i < 20; ++i) {
+    host.guard.OnSent(&beside, {});
+  }
+  constexpr int kEndpoints = PartQuarantine::kNewPartSimultaneousCrashes;
+  CrashUnder(&host, &crashing, &beside, kEndpoints);
+  REQUIRE(host.parts.IsHeld(kDeadly));
+  CHECK_FALSE(host.parts.IsHeld(kFirst));
+  CHECK(waiting.quarantined_count == 1);
+  CHECK(host.guard.IsQuarantined(&waiting));
+  CHECK(host.quarantine.CrashCount(beside.Fingerprint()) == 0);
+  CHECK_FALSE(host.guard.IsQuarantined(&beside));
+}
+
 // Guards against a use after free: sessions that are aborted by a stop are
 // destroyed with the event loop, after the guard.
 TEST_CASE("A request may outlive the guard with which it is registered") {
