Hold no rare part that waves of crashes interrupt, and release it everywhere

Cause: a part that few prompts have can be interrupted in each of two waves; three crashes, two of them in one wave, extended over the proof time without a sound answer in between. And a host that hears of a crash late dates it late: a sound answer that began 40 ms after the crash elsewhere seemed to precede it, and the hosts took turns in holding and clearing the part.

Change: without sound answers a part is held after five crashes of which no two are simultaneous, as for parts that were answered before. A sound answer clears crashes up to 200 ms after its begin; a deadly part has none, so it gains nothing but that time.

--- a/include/harecrank/core/part_crashes.h
+++ b/include/harecrank/core/part_crashes.h
@@ -54,6 +54,9 @@
     return history_.LastSound(part);
   }
 
+  // Returns whether a sound answer to a prompt with `part` clears the part of a
+  // crash at `crashed_at`.
+  bool IsCleared(PromptPartId part, TimePoint crashed_at) const;
   // Returns whether the crash counts against `part`, which it must contain.
   bool CountsAgainst(PromptPartId part, const PartCrash& crash) const;
   // Returns the number of crashes that count against `part`.
@@ -73,6 +76,9 @@
   // Removes crashes that count no more.
   void Sweep();
 
+  // A sound answer also clears the crashes so long after its begin. Hosts learn
+  // of each other's crashes late, by their own clocks.
+  static constexpr Millis kTimeTolerance{200};
   // How long crashes count against a part.
   static constexpr Millis kRetention{600000};
   // Maximum number of recorded crashes. Beyond it, those go first that count
--- a/include/harecrank/core/part_quarantine.h
+++ b/include/harecrank/core/part_quarantine.h
@@ -136,10 +136,9 @@
   // Number of crashes, no two of them simultaneous and none explained by a held
   // part, after which a part is held that was answered before.
   static constexpr std::size_t kKnownPartCrashes = 5;
-  // Any part is held if kUnprovenCrashes crashes extend over kProofTime and
-  // none of its answers in between was sound. An answer proves sound within
-  // less time, if endpoints are left at all.
-  static constexpr std::size_t kUnprovenCrashes = 3;
+  // Any part is held after as many crashes, whatever explains them, if they
+  // extend over this time and none of its answers in between was sound. An
+  // answer proves sound within less time, if endpoints are left at all.
   static constexpr Millis kProofTime{1500};
   // How long a part is held after its last crash.
   static constexpr Millis kHoldRetention{3600000};
--- a/src/core/part_crashes.cc
+++ b/src/core/part_crashes.cc
@@ -57,11 +57,14 @@
   *parts = std::set<PromptPartId>(ranked.begin(), ranked.end());
 }
 
+bool PartCrashes::IsCleared(PromptPartId part, TimePoint crashed_at) const {
+  const auto sound_at = LastSound(part);
+  return sound_at.has_value() && crashed_at <= *sound_at + kTimeTolerance;
+}
+
 bool PartCrashes::CountsAgainst(PromptPartId part,
                                 const PartCrash& crash) const {
-  const auto sound_at = LastSound(part);
-  return clock_() - crash.at <= kRetention &&
-         !(sound_at.has_value() && *sound_at >= crash.at);
+  return clock_() - crash.at <= kRetention && !IsCleared(part, crash.at);
 }
 
 std::size_t PartCrashes::CountAgainst(PromptPartId part) const {
--- a/src/core/part_quarantine.cc
+++ b/src/core/part_quarantine.cc
@@ -96,7 +96,8 @@
   const std::size_t counted = crashes_.CountAgainst(part);
   crashes_.OnSound(part, began);
   const auto held = holds_.find(part);
-  if (held != holds_.end() && held->second.last_crash < began) {
+  if (held != holds_.end() &&
+      crashes_.IsCleared(part, held->second.last_crash)) {
     holds_.erase(held);
     return true;
   }
@@ -135,9 +136,9 @@
                                PartEvidence* missing) {
   const TimePoint now = clock_();
   const TimePoint last_crash = now - held.last_crash_age;
-  const auto sound_at = LastSound(held.part);
-  if (sound_at.has_value() && *sound_at > last_crash) {
-    missing->sound.push_back(SoundPart{held.part, AgeOf(*sound_at)});
+  if (crashes_.IsCleared(held.part, last_crash)) {
+    missing->sound.push_back(
+        SoundPart{held.part, AgeOf(*LastSound(held.part))});
     return;
   }
   if (holds_.count(held.part) == 0) {
@@ -203,7 +204,8 @@
 }
 
 bool PartQuarantine::IsUnproven(const std::vector<TimePoint>& crashes) {
-  return crashes.size() >= kUnprovenCrashes && SpanOf(crashes) >= kProofTime;
+  return CountDistinct(crashes) >= kKnownPartCrashes &&
+         SpanOf(crashes) >= kProofTime;
 }
 
 void PartQuarantine::AddHold(PromptPartId part,
