--- a/src/core/part_quarantine_test.cc
+++ b/src/core/part_quarantine_test.cc
@@ -35,6 +35,7 @@
             Address(number),
             [hosts] {
               std::vector<HostAddress> all;
+              all.reserve(static_cast<std::size_t>(hosts));
               for (int i = 0; i < hosts; ++i) {
                 all.push_back(Address(i));
               }
@@ -85,7 +86,9 @@
   // The deadly part stands in the middle; no two prompts are alike.
   for (int i = 0; i < 3; ++i) {
     CHECK_FALSE(test.host->Holds(kDeadly));
-    test.host->CrashOn(i, {kFirst, kDeadly, PromptPartId{1000U + i}});
+    test.host->CrashOn(
+        i,
+        {kFirst, kDeadly, PromptPartId{1000U + static_cast<std::uint64_t>(i)}});
     test.Pass(Millis(90));
   }
   CHECK(test.host->Holds(kDeadly));
--- a/src/gateway/crash_guard_test.cc
+++ b/src/gateway/crash_guard_test.cc
@@ -50,14 +50,15 @@
   EndpointProber prober{&io};
   EndpointDirectory directory{SystemClock()};
   bool is_backing_off = false;
-  CrashGuard guard{&quarantine,
-                   &parts,
-                   &prober,
-                   &directory,
-                   [this](const EndpointId&) { return is_backing_off; },
-                   {[](const RequestFingerprint&) {}, [](PartEvidence) {}},
-                   &log,
-                   &metrics};
+  CrashGuard guard{
+      &quarantine,
+      &parts,
+      &prober,
+      &directory,
+      [this](const EndpointId&) { return is_backing_off; },
+      {[](const RequestFingerprint&) {}, [](const PartEvidence&) {}},
+      &log,
+      &metrics};
 };
 
 TEST_CASE("Only the quarantined request in progress is notified") {
@@ -152,9 +153,8 @@
     endpoint.id = EndpointId{"e" + std::to_string(i)};
     for (FakeRequest* request : {crashing, beside}) {
       host->guard.OnSent(request, {});
-      host->guard.OnResponseAborted(
-          {request->Fingerprint(), request->Parts()}, endpoint, true,
-          [](ProbeResult) {});
+      host->guard.OnResponseAborted({request->Fingerprint(), request->Parts()},
+                                    endpoint, true, [](ProbeResult) {});
     }
     host->io.restart();
     host->io.run();
