Agree on the owners of a held part's trials, and run each once

What callers would see: servers that end under a part that is held, once more for each host that takes itself for the owner of a trial.

Cause: each host derived the owner of a trial from the hosts that it knew at that moment. In a large fleet no host knows all others, and the hosts that one knows change; a host that was forgotten hands its trial on to the next.

Change: the host that holds a part chooses the owners among the hosts that are alive; they travel with the hold, and hosts that chose differently agree within a heartbeat or two, long before the first trial. A trial that was sent is told at once, so its owner may be unclear and it is run once all the same. Overdue trials are no more run together (PartTrialSchedule). A process runs trials only while more than half of the hosts that the fleet may have are alive.

What it does not bound: a partition that begins in the 1.7 s between a hold and its first trial, before hosts have missed each other for 3 s: that one trial may run on both sides.

--- a/include/harecrank/core/membership.h
+++ b/include/harecrank/core/membership.h
@@ -72,11 +72,6 @@
 
   std::vector<HostAddress> OtherAliveHosts() const;
 
-  // Returns this host and all hosts that it remembers, alive or not; empty
-  // while it may have seen only one side of a partitioned fleet since its
-  // start.
-  std::vector<HostAddress> RememberedHosts() const;
-
   // Returns the members that a heartbeat to `recipient` names: the members of
   // highest rank and a few random ones. If `recipient` may become the next
   // planner, the heartbeat names as many members as fit into it; successive
@@ -128,6 +123,11 @@
   // another host has told it that the fleet had more hosts before.
   std::optional<int> HostsSharingLimit(Millis window) const;
 
+  // Returns whether this host belongs to the majority of the fleet: more than
+  // half of the hosts that the fleet may have are alive. False while this host
+  // may know only one side of a partition.
+  bool IsOfMajority() const;
+
   // Sets whether the whole fleet starts for the first time together with this
   // host, so that limits are divided without regard to earlier processes.
   void SetIsFirstStart(bool is_first_start) {
--- a/include/harecrank/core/part_evidence.h
+++ b/include/harecrank/core/part_evidence.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "harecrank/core/endpoint_crash.h"
+#include "harecrank/core/part_trials.h"
 #include "harecrank/core/prompt_parts.h"
 #include "harecrank/core/strong_types.h"
 
@@ -43,6 +44,7 @@
   Millis first_crash_age{0};
   Millis last_crash_age{0};
   Millis held_for{0};
+  PartTrials trials{};
 };
 
 struct PartEvidence {
--- a/include/harecrank/core/part_quarantine.h
+++ b/include/harecrank/core/part_quarantine.h
@@ -18,9 +18,10 @@
 //   survived for some time in which endpoints crashed.
 //
 // A held part is sent to endpoints only in trials, of which each has one owner
-// among the hosts. A process runs only those trials that it owns, each once,
-// and none of a part that crashed endpoints before the process started.
-// Therefore the number of trials is bounded over all hosts and restarts.
+// among the hosts; see part_trials.h. A process runs none of a part that
+// crashed endpoints before the process started, and none while most hosts of
+// the fleet may be on the other side of a partition. Therefore the number of
+// trials is bounded over all hosts, restarts and partitions.
 //
 // State is merged between hosts by union and by maximum time, so lost,
 // duplicate or delayed messages do no harm. Nothing is persisted.
@@ -28,7 +29,6 @@
 #ifndef HARECRANK_CORE_PART_QUARANTINE_H_
 #define HARECRANK_CORE_PART_QUARANTINE_H_
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -41,6 +41,7 @@
 #include "harecrank/core/endpoint_crash.h"
 #include "harecrank/core/part_crashes.h"
 #include "harecrank/core/part_evidence.h"
+#include "harecrank/core/part_trials.h"
 #include "harecrank/core/prompt_parts.h"
 #include "harecrank/core/strong_types.h"
 
@@ -66,12 +67,15 @@
     bool was_known = false;
   };
 
-  // Returns all hosts that this host knows, itself included, or an empty list
-  // while it may know only a part of the fleet.
-  using KnownHosts = std::function<std::vector<HostAddress>()>;
+  // The fleet as this host sees it.
+  struct FleetView {
+    // Returns the hosts that are alive, this one included.
+    std::function<std::vector<HostAddress>()> alive_hosts;
+    // Returns whether they are most hosts of the fleet.
+    std::function<bool()> is_of_majority;
+  };
 
-  PartQuarantine(HostAddress self, KnownHosts known_hosts,
-                 MonotonicClock clock);
+  PartQuarantine(HostAddress self, FleetView fleet, MonotonicClock clock);
 
   // Notes that a prompt with `parts` was sent to an endpoint.
   void OnSent(const std::vector<PromptPartId>& parts);
@@ -93,9 +97,13 @@
   // Returns whether a prompt with `parts` must not be sent to endpoints now.
   bool IsHeld(const std::vector<PromptPartId>& parts) const;
 
-  // Must be called before each attempt. Reserves the trial if the result is
-  // kTrial; CancelTrial returns it if the attempt reaches no endpoint.
+  // Must be called before each attempt. If the result is kTrial, a trial is
+  // reserved, until either OnTrialSent or CancelTrial is called.
   PartAdmission TryAdmit(const std::vector<PromptPartId>& parts);
+  // Records that the reserved trial was sent to an endpoint. Returns what other
+  // hosts must be told.
+  PartEvidence OnTrialSent(const std::vector<PromptPartId>& parts);
+  // Returns the reserved trial: the attempt reached no endpoint.
   void CancelTrial(const std::vector<PromptPartId>& parts);
 
   // Returns whether a held part that is not among `parts` explains the crash.
@@ -108,8 +116,8 @@
   // Returns the evidence that a host needs that has missed all messages: the
   // held parts, and the crashes that count against others.
   PartEvidence SharedEvidence() const;
-  // Returns a digest of the held parts; zero if there are none. Hosts with
-  // equal digests need not exchange their evidence.
+  // Returns a digest of the held parts and their trials; zero if there are
+  // none. Hosts with equal digests need not exchange their evidence.
   std::uint64_t HeldDigest() const;
 
   // Forgets what is out of date.
@@ -142,10 +150,6 @@
   static constexpr Millis kProofTime{1500};
   // How long a part is held after its last crash.
   static constexpr Millis kHoldRetention{3600000};
-  // Times from the hold of a part to its trials. By the first, answers that
-  // were in progress have proved the part sound if it is.
-  static constexpr std::array<Millis, 3> kTrialDelays{
-      Millis(1700), Millis(15000), Millis(120000)};
   // Maximum number of held parts. Beyond it, the one whose last crash is the
   // oldest is released.
   static constexpr std::size_t kMaxHolds = 64;
@@ -157,9 +161,7 @@
   struct Hold {
     TimePoint first_crash{};
     TimePoint last_crash{};
-    TimePoint held_at{};
-    // The trials that this process has run.
-    std::array<bool, kTrialDelays.size()> tried{};
+    PartTrialSchedule trials;
   };
   using Holds = std::map<PromptPartId, Hold>;
 
@@ -178,25 +180,25 @@
   // Returns whether crashes at these times, whatever explains them, suffice to
   // hold a part.
   static bool IsUnproven(const std::vector<TimePoint>& crashes);
-  void AddHold(PromptPartId part, const std::vector<TimePoint>& crashes);
+  void HoldPart(PromptPartId part, const std::vector<TimePoint>& crashes);
+  void AddHold(PromptPartId part, Hold hold);
   // Records a sound answer and releases the part if that contradicts its hold.
   // Returns whether crashes counted against the part.
   bool AddSound(PromptPartId part, TimePoint began);
   void MergeHold(const HeldPart& held, PartEvidence* news,
                  PartEvidence* missing);
-  // Returns the trial of `part` that this process owns and that is due.
-  std::optional<std::size_t> DueTrial(PromptPartId part,
-                                      const Hold& hold) const;
-  bool Owns(PromptPartId part, std::size_t trial) const;
+  HeldPart Describe(PromptPartId part, const Hold& hold) const;
+  // Returns whether this process may run trials of a part with this hold.
+  bool MayTry(const Hold& hold) const;
   // Returns the only held part among `parts`; nothing if there is none or more
   // than one.
-  const Holds::value_type* OnlyHeld(
+  std::optional<PromptPartId> OnlyHeld(
       const std::vector<PromptPartId>& parts) const;
   std::size_t CountHeld(const std::vector<PromptPartId>& parts) const;
   Millis AgeOf(TimePoint time) const;
 
   HostAddress self_;
-  KnownHosts known_hosts_;
+  FleetView fleet_;
   MonotonicClock clock_;
   TimePoint started_at_;
   Holds holds_;
--- a/src/core/fleet_message_decoding.cc
+++ b/src/core/fleet_message_decoding.cc
@@ -119,6 +119,21 @@
   return crash;
 }
 
+HeldPart TakeHeldPart(ArrayReader* reader) {
+  HeldPart held;
+  held.part = reader->TakeNumber<PromptPartId>();
+  held.first_crash_age = reader->TakeMillis();
+  held.last_crash_age = reader->TakeMillis();
+  held.held_for = reader->TakeMillis();
+  if (!reader->AtEnd()) {
+    for (const json& owner : reader->Next()) {
+      held.trials.owners.push_back(HostAddress{owner.get<std::string>()});
+    }
+    held.trials.run = reader->Take<decltype(held.trials.run)>();
+  }
+  return held;
+}
+
 PartEvidence TakeEvidence(const json& element) {
   ArrayReader reader(element);
   PartEvidence evidence;
@@ -130,12 +145,7 @@
     evidence.sound.push_back(SoundPart{part, entry->TakeMillis()});
   });
   reader.EachOf([&evidence](ArrayReader* entry) {
-    HeldPart held;
-    held.part = entry->TakeNumber<PromptPartId>();
-    held.first_crash_age = entry->TakeMillis();
-    held.last_crash_age = entry->TakeMillis();
-    held.held_for = entry->TakeMillis();
-    evidence.held.push_back(held);
+    evidence.held.push_back(TakeHeldPart(entry));
   });
   return evidence;
 }
--- a/src/core/fleet_message_encoding.cc
+++ b/src/core/fleet_message_encoding.cc
@@ -89,6 +89,16 @@
   return list;
 }
 
+json EncodeHeldPart(const HeldPart& held) {
+  json owners = json::array();
+  for (const HostAddress& owner : held.trials.owners) {
+    owners.push_back(owner.value);
+  }
+  return json::array({held.part.value, held.first_crash_age.count(),
+                      held.last_crash_age.count(), held.held_for.count(),
+                      std::move(owners), held.trials.run});
+}
+
 json EncodeEvidence(const PartEvidence& evidence) {
   json crashes = json::array();
   for (const SuspectCrash& crash : evidence.crashes) {
@@ -102,8 +112,7 @@
   }
   json held = json::array();
   for (const HeldPart& part : evidence.held) {
-    held.push_back({part.part.value, part.first_crash_age.count(),
-                    part.last_crash_age.count(), part.held_for.count()});
+    held.push_back(EncodeHeldPart(part));
   }
   return json::array({std::move(crashes), std::move(sound), std::move(held)});
 }
--- a/src/core/fleet_messages_test.cc
+++ b/src/core/fleet_messages_test.cc
@@ -78,7 +78,9 @@
        Millis(12),
        {{PromptPartId{7}, std::nullopt}, {PromptPartId{8}, Millis(40)}}}};
   sent.parts.sound = {{PromptPartId{8}, Millis(3)}};
-  sent.parts.held = {{PromptPartId{7}, Millis(30), Millis(20), Millis(10)}};
+  const PartTrials trials{{kHost, HostAddress{"h2"}}, {true, false, true}};
+  sent.parts.held = {
+      {PromptPartId{7}, Millis(30), Millis(20), Millis(10), trials}};
   const PartEvidence parts = RoundTrip(sent).parts;
   REQUIRE(parts.crashes.size() == 1);
   CHECK(parts.crashes[0].crash == sent.parts.crashes[0].crash);
@@ -93,6 +95,7 @@
   CHECK(parts.held[0].first_crash_age == Millis(30));
   CHECK(parts.held[0].last_crash_age == Millis(20));
   CHECK(parts.held[0].held_for == Millis(10));
+  CHECK(parts.held[0].trials == trials);
 }
 
 TEST_CASE("The largest evidence on parts fits into one datagram") {
@@ -105,9 +108,11 @@
     record.parts.push_back({PromptPartId{kLargeName + i}, Millis(500000)});
   }
   all.parts.crashes.assign(PartQuarantine::kMaxSharedCrashes, record);
-  all.parts.held.assign(PartQuarantine::kMaxHolds,
-                        {PromptPartId{kLargeName}, Millis(500000),
-                         Millis(500000), Millis(500000)});
+  const HostAddress owner{"100.100.100.100:65535"};
+  all.parts.held.assign(
+      PartQuarantine::kMaxHolds,
+      {PromptPartId{kLargeName}, Millis(500000), Millis(500000), Millis(500000),
+       PartTrials{std::vector(kPartTrials, owner), {true, true, true}}});
   constexpr std::size_t kMostDatagram = 65507;
   CHECK(EncodeFleetMessage(all).size() < kMostDatagram / 4);
 }
--- a/src/core/membership_counts.cc
+++ b/src/core/membership_counts.cc
@@ -32,13 +32,9 @@
   return std::max(AliveHosts(), *most);
 }
 
-std::vector<HostAddress> Membership::RememberedHosts() const {
-  if (MayKnowOnlyOneSide()) {
-    return {};
-  }
-  std::vector<HostAddress> hosts = addresses_;
-  hosts.push_back(self_.address);
-  return hosts;
+bool Membership::IsOfMajority() const {
+  const std::optional<int> most = size_.MaxHosts();
+  return most.has_value() && !MayKnowOnlyOneSide() && 2 * AliveHosts() > *most;
 }
 
 bool Membership::MayKnowOnlyOneSide() const {
--- a/src/core/membership_test.cc
+++ b/src/core/membership_test.cc
@@ -346,9 +346,14 @@
   constexpr Millis kWindow{5000};
   exchange_among(0, 5);
   CHECK(memberships_.at(0)->HostsSharingLimit(kWindow) == 6);
+  CHECK(memberships_.at(0)->IsOfMajority());
   exchange_among(0, 2);
   CHECK(memberships_.at(0)->AliveHosts() == 3);
   CHECK(memberships_.at(0)->HostsSharingLimit(kWindow) == 6);
+  // Half of the hosts are no majority, four of six are.
+  CHECK_FALSE(memberships_.at(0)->IsOfMajority());
+  exchange_among(0, 3);
+  CHECK(memberships_.at(0)->IsOfMajority());
 }
 
 TEST_CASE_METHOD(
@@ -368,6 +373,7 @@
   exchange_for(2 * kWindow);
   CHECK(memberships_.at(2)->Size().MaxHosts() == 2);
   CHECK_FALSE(memberships_.at(2)->HostsSharingLimit(kWindow).has_value());
+  CHECK_FALSE(memberships_.at(2)->IsOfMajority());
   // A host that was there before tells how many hosts there are.
   Heartbeat heartbeat = HeartbeatOf(4);
   heartbeat.peak_hosts = 6;
--- a/src/core/part_quarantine.cc
+++ b/src/core/part_quarantine.cc
@@ -6,8 +6,6 @@
 #include <iterator>
 #include <utility>
 
-#include "harecrank/core/rendezvous.h"
-
 namespace harecrank {
 namespace {
 
@@ -49,10 +47,10 @@
   move_to(&more.held, &evidence->held);
 }
 
-PartQuarantine::PartQuarantine(HostAddress self, KnownHosts known_hosts,
+PartQuarantine::PartQuarantine(HostAddress self, FleetView fleet,
                                MonotonicClock clock)
     : self_(std::move(self)),
-      known_hosts_(std::move(known_hosts)),
+      fleet_(std::move(fleet)),
       clock_(std::move(clock)),
       started_at_(clock_()),
       crashes_([this](PromptPartId part) { return holds_.count(part) != 0; },
@@ -141,14 +139,20 @@
         SoundPart{held.part, AgeOf(*LastSound(held.part))});
     return;
   }
+  const TimePoint first_crash = now - held.first_crash_age;
+  const TimePoint held_at = now - held.held_for;
+  bool is_news = false;
   if (holds_.count(held.part) == 0) {
-    AddHold(held.part, {now - held.first_crash_age, last_crash});
-    news->held.push_back(held);
+    AddHold(held.part, Hold{first_crash, last_crash,
+                            PartTrialSchedule(held.trials, held_at)});
+    is_news = true;
   }
   Hold& hold = holds_.at(held.part);
-  hold.first_crash = std::min(hold.first_crash, now - held.first_crash_age);
+  hold.first_crash = std::min(hold.first_crash, first_crash);
   hold.last_crash = std::max(hold.last_crash, last_crash);
-  hold.held_at = std::min(hold.held_at, now - held.held_for);
+  if (hold.trials.Merge(held.trials, held_at) || is_news) {
+    news->held.push_back(Describe(held.part, hold));
+  }
 }
 
 std::vector<PromptPartId> PartQuarantine::Record(
@@ -170,7 +174,7 @@
   }
   for (const auto& [part, crashes] : crashes_.FindSuspects()) {
     if (IsUnproven(crashes)) {
-      AddHold(part, crashes);
+      HoldPart(part, crashes);
     }
   }
 }
@@ -189,7 +193,7 @@
   if (rarest == nullptr) {
     return false;
   }
-  AddHold(rarest->first, rarest->second);
+  HoldPart(rarest->first, rarest->second);
   return true;
 }
 
@@ -208,50 +212,32 @@
          SpanOf(crashes) >= kProofTime;
 }
 
-void PartQuarantine::AddHold(PromptPartId part,
-                             const std::vector<TimePoint>& crashes) {
+void PartQuarantine::HoldPart(PromptPartId part,
+                              const std::vector<TimePoint>& crashes) {
   if (holds_.count(part) != 0) {
     return;
   }
+  AddHold(part, Hold{crashes.front(), crashes.back(),
+                     PartTrialSchedule(ChooseTrials(part, fleet_.alive_hosts()),
+                                       clock_())});
+}
+
+void PartQuarantine::AddHold(PromptPartId part, Hold hold) {
   if (holds_.size() >= kMaxHolds) {
     holds_.erase(std::min_element(
         holds_.begin(), holds_.end(), [](const auto& a, const auto& b) {
           return a.second.last_crash < b.second.last_crash;
         }));
   }
-  Hold hold;
-  hold.first_crash = crashes.front();
-  hold.last_crash = crashes.back();
-  hold.held_at = clock_();
-  holds_[part] = hold;
+  holds_.emplace(part, std::move(hold));
   newly_held_.push_back(NewHold{part, LastSound(part).has_value()});
 }
 
-bool PartQuarantine::Owns(PromptPartId part, std::size_t trial) const {
-  std::vector<std::string> hosts;
-  for (const HostAddress& host : known_hosts_()) {
-    hosts.push_back(host.value);
-  }
-  const std::string key = LogName(part) + "/" + std::to_string(trial);
-  const std::vector<std::string> owner =
-      RendezvousTop(key, std::move(hosts), 1);
-  return !owner.empty() && owner.front() == self_.value;
-}
-
-std::optional<std::size_t> PartQuarantine::DueTrial(PromptPartId part,
-                                                    const Hold& hold) const {
-  if (hold.first_crash < started_at_) {
-    // An earlier process of this host may have run the trials.
-    return std::nullopt;
-  }
-  const auto held_for = clock_() - hold.held_at;
-  for (std::size_t trial = 0; trial < kTrialDelays.size(); ++trial) {
-    if (!hold.tried.at(trial) && held_for >= kTrialDelays.at(trial) &&
-        Owns(part, trial)) {
-      return trial;
-    }
-  }
-  return std::nullopt;
+bool PartQuarantine::MayTry(const Hold& hold) const {
+  // An earlier process of this host may have run the trials, and so may the
+  // hosts beyond a partition.
+  return hold.first_crash >= started_at_ && fleet_.is_of_majority() &&
+         hold.trials.IsDue(self_, clock_());
 }
 
 std::size_t PartQuarantine::CountHeld(
@@ -261,15 +247,14 @@
       [this](PromptPartId part) { return holds_.count(part) != 0; }));
 }
 
-const PartQuarantine::Holds::value_type* PartQuarantine::OnlyHeld(
+std::optional<PromptPartId> PartQuarantine::OnlyHeld(
     const std::vector<PromptPartId>& parts) const {
   if (CountHeld(parts) != 1) {
-    return nullptr;
+    return std::nullopt;
   }
-  const auto part = std::find_if(
-      parts.begin(), parts.end(),
-      [this](PromptPartId candidate) { return holds_.count(candidate) != 0; });
-  return &*holds_.find(*part);
+  return *std::find_if(parts.begin(), parts.end(), [this](PromptPartId part) {
+    return holds_.count(part) != 0;
+  });
 }
 
 bool PartQuarantine::IsHeld(const std::vector<PromptPartId>& parts) const {
@@ -277,38 +262,49 @@
     return false;
   }
   // A failed trial of two held parts would tell nothing.
-  const auto* held = OnlyHeld(parts);
-  return held == nullptr || !DueTrial(held->first, held->second).has_value();
+  const auto held = OnlyHeld(parts);
+  return !held.has_value() || !MayTry(holds_.at(*held));
 }
 
 PartAdmission PartQuarantine::TryAdmit(const std::vector<PromptPartId>& parts) {
-  if (holds_.empty() || CountHeld(parts) == 0) {
-    return PartAdmission::kAdmitted;
-  }
-  const auto* held = OnlyHeld(parts);
-  if (held == nullptr) {
+  if (IsHeld(parts)) {
     return PartAdmission::kHeld;
   }
-  const auto trial = DueTrial(held->first, held->second);
-  if (!trial.has_value()) {
-    return PartAdmission::kHeld;
+  const auto held = OnlyHeld(parts);
+  if (!held.has_value()) {
+    return PartAdmission::kAdmitted;
   }
-  holds_.at(held->first).tried.at(*trial) = true;
-  return PartAdmission::kTrial;
+  const bool reserved = holds_.at(*held).trials.Reserve(self_, clock_());
+  return reserved ? PartAdmission::kTrial : PartAdmission::kHeld;
 }
 
-void PartQuarantine::CancelTrial(const std::vector<PromptPartId>& parts) {
-  const auto* held = OnlyHeld(parts);
-  if (held == nullptr) {
-    return;
+PartEvidence PartQuarantine::OnTrialSent(
+    const std::vector<PromptPartId>& parts) {
+  PartEvidence told;
+  for (const PromptPartId part : parts) {
+    const auto held = holds_.find(part);
+    if (held != holds_.end()) {
+      held->second.trials.OnSent();
+      told.held.push_back(Describe(part, held->second));
+    }
   }
-  auto& tried = holds_.at(held->first).tried;
-  const auto last = std::find(tried.rbegin(), tried.rend(), true);
-  if (last != tried.rend()) {
-    *last = false;
+  return told;
+}
+
+void PartQuarantine::CancelTrial(const std::vector<PromptPartId>& parts) {
+  for (const PromptPartId part : parts) {
+    const auto held = holds_.find(part);
+    if (held != holds_.end()) {
+      held->second.trials.Cancel();
+    }
   }
 }
 
+HeldPart PartQuarantine::Describe(PromptPartId part, const Hold& hold) const {
+  return HeldPart{part, AgeOf(hold.first_crash), AgeOf(hold.last_crash),
+                  AgeOf(hold.trials.HeldAt()), hold.trials.Trials()};
+}
+
 bool PartQuarantine::IsExplained(const EndpointCrash& crash,
                                  const std::vector<PromptPartId>& parts) const {
   const PartCrash* record = crashes_.Find(crash);
@@ -326,9 +322,7 @@
 PartEvidence PartQuarantine::SharedEvidence() const {
   PartEvidence shared;
   for (const auto& [part, hold] : holds_) {
-    shared.held.push_back(HeldPart{part, AgeOf(hold.first_crash),
-                                   AgeOf(hold.last_crash),
-                                   AgeOf(hold.held_at)});
+    shared.held.push_back(Describe(part, hold));
   }
   for (const auto& [crash, record] : crashes_.All()) {
     if (shared.crashes.size() == kMaxSharedCrashes) {
@@ -352,7 +346,8 @@
   std::uint64_t digest = 0;
   for (const auto& [part, hold] : holds_) {
     // XOR makes the digest independent of the order in which parts were held.
-    digest ^= XXH3_64bits(&part.value, sizeof(part.value));
+    digest ^= XXH3_64bits_withSeed(&part.value, sizeof(part.value),
+                                   DigestOf(hold.trials.Trials()));
   }
   return digest;
 }
--- a/src/core/part_quarantine_test.cc
+++ b/src/core/part_quarantine_test.cc
@@ -1,6 +1,7 @@
 #include "harecrank/core/part_quarantine.h"
 
 #include <catch2/catch.hpp>
+#include <functional>
 #include <memory>
 #include <random>
 #include <set>
@@ -29,19 +30,19 @@
 
 // One host. All hosts of a test share `now`.
 struct Host {
-  Host(int number, TimePoint* clock, int hosts = 1)
+  // The host knows itself and the hosts `others`.
+  Host(int number, TimePoint* clock, const std::vector<int>& others = {})
       : now(clock),
-        quarantine(
-            Address(number),
-            [hosts] {
-              std::vector<HostAddress> all;
-              all.reserve(static_cast<std::size_t>(hosts));
-              for (int i = 0; i < hosts; ++i) {
-                all.push_back(Address(i));
-              }
-              return all;
-            },
-            [clock] { return *clock; }) {}
+        quarantine(Address(number),
+                   {[number, others] {
+                      std::vector<HostAddress> known{Address(number)};
+                      for (const int other : others) {
+                        known.push_back(Address(other));
+                      }
+                      return known;
+                    },
+                    [this] { return of_majority; }},
+                   [clock] { return *clock; }) {}
 
   // An endpoint answers a prompt with `parts` and lives.
   void Answer(const Parts& parts) {
@@ -60,6 +61,7 @@
   bool Holds(PromptPartId part) const { return quarantine.IsHeld(part); }
 
   TimePoint* now;
+  bool of_majority = true;
   PartQuarantine quarantine;
 };
 
@@ -248,7 +250,7 @@
     test.Pass(Millis(90));
   }
   REQUIRE(test.host->Holds(kOther));
-  test.Pass(PartQuarantine::kTrialDelays[0]);
+  test.Pass(PartTrialSchedule::kDelays[0]);
   REQUIRE(test.host->quarantine.TryAdmit({kOther}) == PartAdmission::kTrial);
   CHECK(test.host->quarantine.TryAdmit({kOther}) == PartAdmission::kHeld);
   const PartEvidence told = test.host->quarantine.OnSound({kOther}, test.now);
@@ -263,7 +265,7 @@
     test.host->CrashOn(2 * i + 1, {kDeadlyToo}, {});
     test.Pass(Millis(90));
   }
-  test.Pass(PartQuarantine::kTrialDelays[0]);
+  test.Pass(PartTrialSchedule::kDelays[0]);
   CHECK(test.host->quarantine.TryAdmit({kDeadly, kDeadlyToo}) ==
         PartAdmission::kHeld);
   CHECK(test.host->quarantine.TryAdmit({kDeadly}) == PartAdmission::kTrial);
@@ -275,7 +277,7 @@
     test.host->CrashOn(i, {kOther}, {});
     test.Pass(Millis(90));
   }
-  test.Pass(PartQuarantine::kTrialDelays[0]);
+  test.Pass(PartTrialSchedule::kDelays[0]);
   REQUIRE(test.host->quarantine.TryAdmit({kOther}) == PartAdmission::kTrial);
   test.host->quarantine.CancelTrial({kOther});
   CHECK(test.host->quarantine.TryAdmit({kOther}) == PartAdmission::kTrial);
@@ -284,23 +286,46 @@
 // Hosts that exchange all evidence. Endpoints are numbered by their crashes.
 class HostFleet {
  public:
-  explicit HostFleet(int hosts) {
+  // Returns the hosts that the given one knows beside itself.
+  using KnownHosts = std::function<std::vector<int>(int host)>;
+
+  explicit HostFleet(int hosts)
+      : HostFleet(hosts, [hosts](int host) { return Others(hosts, host); }) {}
+  HostFleet(int hosts, KnownHosts known_hosts)
+      : known_hosts_(std::move(known_hosts)) {
     for (int i = 0; i < hosts; ++i) {
-      hosts_.push_back(std::make_unique<Host>(i, &now_, hosts));
+      hosts_.push_back(std::make_unique<Host>(i, &now_, known_hosts_(i)));
       hosts_.back()->Answer({kFirst, kMiddle});
     }
   }
 
+  static std::vector<int> Others(int hosts, int host) {
+    std::vector<int> others;
+    for (int i = 0; i < hosts; ++i) {
+      if (i != host) {
+        others.push_back(i);
+      }
+    }
+    return others;
+  }
+
   // A caller sends a prompt with the deadly part to `host`. The endpoint
   // crashes if the host sends it on.
   void SendDeadly(int host, bool reaches_others = true) {
     Host& at = *hosts_[static_cast<std::size_t>(host)];
     const Parts parts = {kFirst, kDeadly, PromptPartId{10000U + sent_}};
-    if (at.quarantine.TryAdmit(parts) == PartAdmission::kHeld) {
+    const PartAdmission admission = at.quarantine.TryAdmit(parts);
+    if (admission == PartAdmission::kHeld) {
       return;
     }
     at.quarantine.OnSent(parts);
     ++sent_;
+    if (admission == PartAdmission::kTrial) {
+      const PartEvidence trial = at.quarantine.OnTrialSent(parts);
+      if (reaches_others) {
+        Tell(host, trial);
+      }
+    }
     const PartEvidence told =
         at.quarantine.OnCrash(Crash(static_cast<int>(sent_)), parts);
     if (reaches_others) {
@@ -334,7 +359,7 @@
 
   void Restart(int host) {
     hosts_[static_cast<std::size_t>(host)] =
-        std::make_unique<Host>(host, &now_, static_cast<int>(hosts_.size()));
+        std::make_unique<Host>(host, &now_, known_hosts_(host));
   }
 
   void Pass(Millis time) { now_ += time; }
@@ -343,6 +368,7 @@
 
  private:
   TimePoint now_{Millis(1000000)};
+  KnownHosts known_hosts_;
   std::vector<std::unique_ptr<Host>> hosts_;
   std::size_t sent_ = 0;
 };
@@ -379,8 +405,53 @@
       fleet.Pass(Millis(50));
     }
     CAPTURE(seed);
-    REQUIRE(fleet.Sent() - held_after <= PartQuarantine::kTrialDelays.size());
+    REQUIRE(fleet.Sent() - held_after <= kPartTrials);
+  }
+}
+
+// In a large fleet no host knows all others, and those that it knows change.
+TEST_CASE("Hosts that know different hosts run no more trials together") {
+  for (std::uint32_t seed = 1; seed <= 50; ++seed) {
+    std::mt19937 random(seed);
+    constexpr int kHosts = 12;
+    HostFleet fleet(kHosts, [&random](int host) {
+      std::vector<int> known;
+      for (const int other : HostFleet::Others(kHosts, host)) {
+        if (random() % 2 == 0) {
+          known.push_back(other);
+        }
+      }
+      return known;
+    });
+    while (!fleet.At(0).Holds(kDeadly)) {
+      fleet.SendDeadly(static_cast<int>(random() % kHosts));
+      fleet.Pass(Millis(60));
+    }
+    const std::size_t held_after = fleet.Sent();
+    for (int step = 0; step < 3000; ++step) {
+      if (step % 6 == 0) {
+        fleet.Repair();
+      }
+      fleet.SendDeadly(static_cast<int>(random() % kHosts));
+      fleet.Pass(Millis(50));
+    }
+    CAPTURE(seed);
+    REQUIRE(fleet.Sent() - held_after <= kPartTrials);
+  }
+}
+
+// The hosts of the smaller side have the same evidence, and may choose owners
+// among themselves.
+TEST_CASE("The smaller side of a partition runs no trials") {
+  HostFleet fleet(5);
+  for (const int host : {3, 4}) {
+    fleet.At(host).of_majority = false;
   }
+  for (int step = 0; step < 3000; ++step) {
+    fleet.SendDeadly(3 + step % 2);
+    fleet.Pass(Millis(50));
+  }
+  CHECK(fleet.Sent() == PartQuarantine::kNewPartCrashes);
 }
 
 TEST_CASE("A host that missed all messages learns of a hold, and of its end") {
--- a/src/gateway/crash_guard.cc
+++ b/src/gateway/crash_guard.cc
@@ -65,6 +65,7 @@
     log_->Write("part_tried",
                 {{"parts", DescribeParts(*request, parts_->Now())}},
                 LogRateLimit::kExempt);
+    share_.parts(parts_->OnTrialSent(request->Parts()));
   }
   if (trial.of_request) {
     const RequestFingerprint& fingerprint = request->Fingerprint();
--- a/src/gateway/crash_guard_test.cc
+++ b/src/gateway/crash_guard_test.cc
@@ -44,9 +44,10 @@
   EventLog log{"n", SystemClock()};
   Metrics metrics;
   RequestQuarantine quarantine{SystemClock()};
-  PartQuarantine parts{HostAddress{"h1"},
-                       [] { return std::vector{HostAddress{"h1"}}; },
-                       SystemClock()};
+  PartQuarantine parts{
+      HostAddress{"h1"},
+      {[] { return std::vector{HostAddress{"h1"}}; }, [] { return true; }},
+      SystemClock()};
   EndpointProber prober{&io};
   EndpointDirectory directory{SystemClock()};
   bool is_backing_off = false;
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -61,9 +61,7 @@
       connections_(&io_, clock_),
       prober_(&io_),
       quarantine_(clock_),
-      parts_(
-          Self(settings_).address,
-          [this] { return membership_.RememberedHosts(); }, clock_),
+      parts_(Self(settings_).address, MakeFleetView(), clock_),
       endpoint_updater_(&directory_, &health_, &connections_, &log_, &metrics_),
       placer_(
           &directory_, &loads_, &health_, settings_.data_centre,
@@ -210,6 +208,17 @@
   return context;
 }
 
+PartQuarantine::FleetView GatewayNode::MakeFleetView() {
+  PartQuarantine::FleetView fleet;
+  fleet.alive_hosts = [this] {
+    std::vector<HostAddress> hosts = membership_.OtherAliveHosts();
+    hosts.push_back(Self(settings_).address);
+    return hosts;
+  };
+  fleet.is_of_majority = [this] { return membership_.IsOfMajority(); };
+  return fleet;
+}
+
 int GatewayNode::KnownHosts() const {
   return std::max({kMinHosts, static_cast<int>(settings_.seed_peers.size()),
                    membership_.AliveHosts()});
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -76,6 +76,7 @@
   SessionContext MakeSessionContext();
   HttpReply HandleReadiness(const HttpRequest& request);
   SimpleHttpReply HandleOperations(const HttpRequest& request);
+  PartQuarantine::FleetView MakeFleetView();
   FleetMemberPorts MakeFleetPorts();
   PollSchedulePorts MakePollSchedulePorts();
   StoreSyncStatePorts MakeStoreSyncPorts();
