Run no trials after a restart of all hosts, which nobody remembers

What callers would see: after all hosts have lost power, a part under which servers ended is learnt again, and tried again as if for the first time.

Cause: a process runs a trial if it was there before the first crash.

Change: hosts tell each other in heartbeats whether they may lack holds that were there before: from the first start of the fleet, or from a host that knew and holds the same, a host knows that it lacks none. Who may lack some runs no trials, until holds of before have expired. A harmless part that is held in error after such a restart is released by answers that were in progress, or when its hold expires.

What it does not bound: several restarts of all hosts; each time the part is learnt anew by three crashes.

--- a/include/harecrank/core/fleet_messages.h
+++ b/include/harecrank/core/fleet_messages.h
@@ -116,14 +116,16 @@
   // not report it.
   std::optional<std::vector<QueryWork>> work;
   // Digest of the sender's reports about requests and parts that crash
-  // endpoints; zero if
-  // it has no such reports.
+  // endpoints; zero if it has no such reports.
   std::uint64_t crash_digest = 0;
   // Largest number of hosts, including itself, that the sender has observed
   // (FleetSize::PeakObserved); zero if it does not report this number.
   int peak_hosts = 0;
   // Rate limits announced by endpoints, as far as the sender knows them.
   std::vector<RateLimitReport> limits;
+  // Whether the fleet may have held parts of prompts before of which the sender
+  // does not know (PartQuarantine::KnowsAllHolds).
+  bool may_lack_holds = false;
 };
 
 // Asks the planner to place one request.
--- a/include/harecrank/core/part_quarantine.h
+++ b/include/harecrank/core/part_quarantine.h
@@ -19,9 +19,10 @@
 //
 // A held part is sent to endpoints only in trials, of which each has one owner
 // among the hosts; see part_trials.h. A process runs none of a part that
-// crashed endpoints before the process started, and none while most hosts of
-// the fleet may be on the other side of a partition. Therefore the number of
-// trials is bounded over all hosts, restarts and partitions.
+// crashed endpoints before the process started, none while it may not know what
+// the fleet held before, and none while most hosts of the fleet may be on the
+// other side of a partition. Therefore the number of trials is bounded over all
+// hosts, restarts and partitions.
 //
 // State is merged between hosts by union and by maximum time, so lost,
 // duplicate or delayed messages do no harm. Nothing is persisted.
@@ -100,6 +101,13 @@
   // Must be called before each attempt. If the result is kTrial, a trial is
   // reserved, until either OnTrialSent or CancelTrial is called.
   PartAdmission TryAdmit(const std::vector<PromptPartId>& parts);
+  // Records that this host now knows all parts that the fleet holds: the fleet
+  // starts for the first time, or a host that knew them holds the same. After a
+  // restart of all hosts nobody knows them, nor which trials were run, until
+  // the holds have expired; this host runs no trials before.
+  void SetKnowsAllHolds() { was_told_all_holds_ = true; }
+  bool KnowsAllHolds() const;
+
   // Records that the reserved trial was sent to an endpoint. Returns what other
   // hosts must be told.
   PartEvidence OnTrialSent(const std::vector<PromptPartId>& parts);
@@ -201,6 +209,7 @@
   FleetView fleet_;
   MonotonicClock clock_;
   TimePoint started_at_;
+  bool was_told_all_holds_ = false;
   Holds holds_;
   PartCrashes crashes_;
   std::vector<NewHold> newly_held_;
--- a/src/core/fleet_message_decoding.cc
+++ b/src/core/fleet_message_decoding.cc
@@ -225,6 +225,9 @@
   if (size > kSizeWithoutWork + 4) {
     heartbeat.poll_rank = reader->Take<int>();
   }
+  if (size > kSizeWithoutWork + 5) {
+    heartbeat.may_lack_holds = reader->Take<bool>();
+  }
   return heartbeat;
 }
 
--- a/src/core/fleet_messages_test.cc
+++ b/src/core/fleet_messages_test.cc
@@ -128,6 +128,14 @@
   CHECK(EncodeFleetMessage(all).size() < kMostDatagram / 4);
 }
 
+TEST_CASE("A heartbeat tells that its sender may lack holds") {
+  Heartbeat heartbeat = MakeHeartbeat();
+  CHECK_FALSE(RoundTrip(heartbeat).may_lack_holds);
+  heartbeat.may_lack_holds = true;
+  CHECK(RoundTrip(heartbeat).may_lack_holds);
+  CHECK(RoundTrip(heartbeat).poll_rank == heartbeat.poll_rank);
+}
+
 TEST_CASE("A heartbeat carries the crash digest with or without its work") {
   Heartbeat heartbeat = MakeHeartbeat();
   heartbeat.crash_digest = ~std::uint64_t{0};
--- a/src/core/part_quarantine.cc
+++ b/src/core/part_quarantine.cc
@@ -233,11 +233,15 @@
   newly_held_.push_back(NewHold{part, LastSound(part).has_value()});
 }
 
+bool PartQuarantine::KnowsAllHolds() const {
+  return was_told_all_holds_ || clock_() - started_at_ >= kHoldRetention;
+}
+
 bool PartQuarantine::MayTry(const Hold& hold) const {
-  // An earlier process of this host may have run the trials, and so may the
-  // hosts beyond a partition.
-  return hold.first_crash >= started_at_ && fleet_.is_of_majority() &&
-         hold.trials.IsDue(self_, clock_());
+  // Processes that have ended may have run the trials, and so may the hosts
+  // beyond a partition.
+  return hold.first_crash >= started_at_ && KnowsAllHolds() &&
+         fleet_.is_of_majority() && hold.trials.IsDue(self_, clock_());
 }
 
 std::size_t PartQuarantine::CountHeld(
--- a/src/core/part_quarantine_test.cc
+++ b/src/core/part_quarantine_test.cc
@@ -66,7 +66,10 @@
 };
 
 struct OneHost {
-  OneHost() { host = std::make_unique<Host>(0, &now); }
+  OneHost() {
+    host = std::make_unique<Host>(0, &now);
+    host->quarantine.SetKnowsAllHolds();
+  }
 
   // Harmless prompts are answered for a while.
   void KnowHarmlessParts() {
@@ -295,6 +298,7 @@
       : known_hosts_(std::move(known_hosts)) {
     for (int i = 0; i < hosts; ++i) {
       hosts_.push_back(std::make_unique<Host>(i, &now_, known_hosts_(i)));
+      hosts_.back()->quarantine.SetKnowsAllHolds();
       hosts_.back()->Answer({kFirst, kMiddle});
     }
   }
@@ -353,6 +357,10 @@
           to->quarantine.Merge(from->quarantine.SharedEvidence(), &missing);
           from->quarantine.Merge(missing, &missing);
         }
+        if (from->quarantine.HeldDigest() == to->quarantine.HeldDigest() &&
+            from->quarantine.KnowsAllHolds()) {
+          to->quarantine.SetKnowsAllHolds();
+        }
       }
     }
   }
@@ -454,6 +462,35 @@
   CHECK(fleet.Sent() == PartQuarantine::kNewPartCrashes);
 }
 
+// Nobody is left who knows what was held, and which trials were run.
+TEST_CASE("A fleet that starts anew as a whole runs no trials") {
+  constexpr int kHosts = 3;
+  HostFleet fleet(kHosts);
+  const auto send = [&fleet](int prompts) {
+    for (int i = 0; i < prompts; ++i) {
+      fleet.SendDeadly(i % kHosts);
+      fleet.Pass(Millis(100));
+    }
+  };
+  send(300);
+  const std::size_t sent = fleet.Sent();
+  CHECK(sent >= PartQuarantine::kNewPartCrashes);
+  for (int i = 0; i < kHosts; ++i) {
+    fleet.Restart(i);
+  }
+  fleet.Repair();
+  send(2000);
+  CHECK(fleet.Sent() - sent == PartQuarantine::kNewPartCrashes);
+}
+
+TEST_CASE("A host that started alone runs trials again after the retention") {
+  OneHost test;
+  test.host = std::make_unique<Host>(0, &test.now);
+  CHECK_FALSE(test.host->quarantine.KnowsAllHolds());
+  test.Pass(PartQuarantine::kHoldRetention);
+  CHECK(test.host->quarantine.KnowsAllHolds());
+}
+
 TEST_CASE("A host that missed all messages learns of a hold, and of its end") {
   HostFleet fleet(2);
   for (int i = 0; i < 3; ++i) {
--- a/src/gateway/fleet_member.cc
+++ b/src/gateway/fleet_member.cc
@@ -214,7 +214,7 @@
   UpdateFreshness(heartbeat, own);
   crash_relay_.Repair(heartbeat, own.crash_digest);
   if (heartbeat.crash_digest == own.crash_digest) {
-    ports_.on_crashes_synced();
+    ports_.on_crashes_synced(heartbeat.may_lack_holds);
   }
   publication_relay_.FetchIfBehind(own);
   planner_service_.OnHeartbeat(heartbeat);
--- a/src/gateway/fleet_member.h
+++ b/src/gateway/fleet_member.h
@@ -60,8 +60,9 @@
       on_part_evidence;
   std::function<PartEvidence()> shared_part_evidence;
   // Called when another host was found to hold no crash reports that this host
-  // lacks.
-  std::function<void()> on_crashes_synced;
+  // lacks. `may_lack_holds` tells whether the other host may lack some itself;
+  // see Heartbeat.
+  std::function<void(bool may_lack_holds)> on_crashes_synced;
   // Returns the rate limits that endpoints have advertised to this host and to
   // others.
   std::function<std::vector<RateLimitReport>()> limits;
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -129,6 +129,9 @@
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       tick_timer_(io_) {
   membership_.SetIsFirstStart(settings_.first_start);
+  if (settings_.first_start) {
+    parts_.SetKnowsAllHolds();
+  }
   RegisterGauges(MakeParts(), &metrics_);
 }
 
--- a/src/gateway/gateway_node_ports.cc
+++ b/src/gateway/gateway_node_ports.cc
@@ -35,6 +35,7 @@
     store_sync_.Describe(heartbeat);
     heartbeat->crash_digest = quarantine_.SharedDigest() ^ parts_.HeldDigest();
     heartbeat->peak_hosts = membership_.Size().PeakObserved();
+    heartbeat->may_lack_holds = !parts_.KnowsAllHolds();
   };
   ports.on_crashes = [this](const std::vector<CrashReport>& reports,
                             std::vector<CrashReport>* missing) {
@@ -46,8 +47,11 @@
     return crash_guard_.OnPartEvidence(evidence, missing);
   };
   ports.shared_part_evidence = [this] { return parts_.SharedEvidence(); };
-  ports.on_crashes_synced = [this] {
+  ports.on_crashes_synced = [this](bool may_lack_holds) {
     crashes_synced_ = true;
+    if (!may_lack_holds) {
+      parts_.SetKnowsAllHolds();
+    }
     AcceptCallers();
   };
   ports.limits = [this] { return start_limiter_.Reports(); };
