A crowded host refuses connections unread while its part of a limit is used up

What callers would see: one host gets most new connections of a data centre, its part of what endpoints allow (named limits, cold endpoints, rests) is used up, and what it reads it rejects, while the parts of other hosts are left over.

Change: hosts tell each other in heartbeats how many new connections they got within a second (ConnectionShare). A host that gets twice as many as the others on average refuses new ones for 250 ms after it had to reject a request for want of its part; their callers go to hosts that have theirs left. Connections that are open are served as before. A fleet in which all hosts have too little refuses none unread, since callers would find nothing elsewhere.

A host that refuses, also one whose event loop is behind, takes one connection a second all the same: callers may have nowhere else to go, and a host that says it is ready must take some. A test is new for that.

Weighed: parts lent by messages between hosts. It serves the crowd where it is, and needs a term for each loan, permits at the planner and a second way to count starts; a connection elsewhere costs its caller a millisecond.

--- a/include/harecrank/core/accept_gate.h
+++ b/include/harecrank/core/accept_gate.h
@@ -4,8 +4,10 @@
 #define HARECRANK_CORE_ACCEPT_GATE_H_
 
 #include <cstddef>
+#include <optional>
 
 #include "harecrank/core/clock.h"
+#include "harecrank/core/connection_share.h"
 #include "harecrank/core/strong_types.h"
 
 namespace harecrank {
@@ -16,17 +18,24 @@
 // requests that were read are served as before. Not thread-safe.
 class AcceptGate {
  public:
-  // At most `max_sessions` connections are open at once.
-  explicit AcceptGate(std::size_t max_sessions);
+  // At most `max_sessions` connections are open at once. `share` must outlive
+  // this.
+  AcceptGate(std::size_t max_sessions, const ConnectionShare* share,
+             MonotonicClock clock);
 
   // Records how late a periodic task of the event loop has run. A request that
   // arrives now is delayed by as much.
   void OnLoopDelay(TimePoint::duration delay);
 
-  // Returns whether a new connection is taken while `open` others are open.
-  bool Admits(std::size_t open) const {
-    return open < max_sessions_ && !is_behind_;
-  }
+  // Records that a request was rejected because this host has used up its part
+  // of a limit that all hosts share.
+  void OnPartUsedUp() { part_used_up_at_ = clock_(); }
+
+  // Decides on a new connection while `open` others are open.
+  bool Admit(std::size_t open);
+
+  // Returns whether there is room for a connection beside `open` others.
+  bool HasRoom(std::size_t open) const { return open < max_sessions_; }
 
   // Returns whether new connections are refused because the event loop is
   // behind.
@@ -38,10 +47,24 @@
   static constexpr Millis kMaxDelay{250};
   // Delay below which they are taken again.
   static constexpr Millis kResumeDelay{100};
+  // How long connections are refused after a rejection, if this host is
+  // crowded: until its part allows a few requests again.
+  static constexpr Millis kUsedUpTime{250};
+  // A host that has room takes a connection at least this often, since callers
+  // may have nowhere else to go.
+  static constexpr Millis kMaxRefusalTime{1000};
 
  private:
+  // Returns whether a connection that is taken now would be served worse than
+  // at another host.
+  bool IsOverloaded() const;
+
   std::size_t max_sessions_;
+  const ConnectionShare* share_;
+  MonotonicClock clock_;
   bool is_behind_ = false;
+  std::optional<TimePoint> part_used_up_at_;
+  TimePoint last_admitted_at_;
 };
 
 }  // namespace harecrank
--- a/include/harecrank/core/fleet_messages.h
+++ b/include/harecrank/core/fleet_messages.h
@@ -126,6 +126,9 @@
   // Whether the fleet may have held parts of prompts before of which the sender
   // does not know (PartQuarantine::KnowsAllHolds).
   bool may_lack_holds = false;
+  // Number of new connections of callers that the sender got within
+  // ConnectionShare::kWindow.
+  int new_connections = 0;
 };
 
 // Asks the planner to place one request.
--- a/src/core/accept_gate_test.cc
+++ b/src/core/accept_gate_test.cc
@@ -7,24 +7,72 @@
 
 constexpr std::size_t kMaxSessions = 300;
 
+struct Fixture {
+  // Most new connections of the fleet go to this host.
+  void Crowd() {
+    share.OnOtherHost(HostAddress{"10.0.0.2:1"}, 1);
+    for (int i = 0; i < 2 * ConnectionShare::kMinCrowd; ++i) {
+      share.OnConnection();
+    }
+  }
+
+  TimePoint now{Millis(100000)};
+  ConnectionShare share{[this] { return now; }};
+  AcceptGate gate{kMaxSessions, &share, [this] { return now; }};
+};
+
 TEST_CASE("A host takes as many connections as it may have open") {
-  const AcceptGate gate(kMaxSessions);
-  CHECK(gate.Admits(kMaxSessions - 1));
-  CHECK_FALSE(gate.Admits(kMaxSessions));
+  Fixture test;
+  CHECK(test.gate.Admit(kMaxSessions - 1));
+  CHECK_FALSE(test.gate.Admit(kMaxSessions));
 }
 
 // Replays a host whose event loop falls behind and catches up.
 TEST_CASE("A host that is behind refuses connections until it has caught up") {
-  AcceptGate gate(kMaxSessions);
-  gate.OnLoopDelay(AcceptGate::kMaxDelay);
-  CHECK(gate.Admits(0));
-  gate.OnLoopDelay(AcceptGate::kMaxDelay + Millis(1));
-  CHECK_FALSE(gate.Admits(0));
-  CHECK(gate.IsBehind());
-  gate.OnLoopDelay(AcceptGate::kResumeDelay + Millis(1));
-  CHECK_FALSE(gate.Admits(0));
-  gate.OnLoopDelay(AcceptGate::kResumeDelay);
-  CHECK(gate.Admits(0));
+  Fixture test;
+  test.gate.OnLoopDelay(AcceptGate::kMaxDelay);
+  CHECK(test.gate.Admit(0));
+  test.gate.OnLoopDelay(AcceptGate::kMaxDelay + Millis(1));
+  CHECK_FALSE(test.gate.Admit(0));
+  CHECK(test.gate.IsBehind());
+  test.gate.OnLoopDelay(AcceptGate::kResumeDelay + Millis(1));
+  CHECK_FALSE(test.gate.Admit(0));
+  test.gate.OnLoopDelay(AcceptGate::kResumeDelay);
+  CHECK(test.gate.Admit(0));
+}
+
+TEST_CASE("A host that stays behind takes a connection now and then") {
+  Fixture test;
+  REQUIRE(test.gate.Admit(0));
+  test.gate.OnLoopDelay(2 * AcceptGate::kMaxDelay);
+  test.now += AcceptGate::kMaxRefusalTime - Millis(1);
+  CHECK_FALSE(test.gate.Admit(0));
+  test.now += Millis(1);
+  CHECK(test.gate.Admit(0));
+  CHECK_FALSE(test.gate.Admit(0));
+  test.now += AcceptGate::kMaxRefusalTime;
+  CHECK_FALSE(test.gate.Admit(kMaxSessions));
+}
+
+// Replays a host that gets most new connections, while endpoints name limits of
+// which it has its part only.
+TEST_CASE("A crowded host refuses connections while its part is used up") {
+  Fixture test;
+  test.Crowd();
+  CHECK(test.gate.Admit(0));
+  test.gate.OnPartUsedUp();
+  CHECK_FALSE(test.gate.Admit(0));
+  test.now += AcceptGate::kUsedUpTime;
+  CHECK(test.gate.Admit(0));
+}
+
+TEST_CASE("A host that is not crowded takes connections in any case") {
+  Fixture test;
+  test.Crowd();
+  test.share.OnOtherHost(HostAddress{"10.0.0.3:1"},
+                         2 * ConnectionShare::kMinCrowd);
+  test.gate.OnPartUsedUp();
+  CHECK(test.gate.Admit(0));
 }
 
 }  // namespace
--- a/src/core/fleet_message_decoding.cc
+++ b/src/core/fleet_message_decoding.cc
@@ -228,6 +228,9 @@
   if (size > kSizeWithoutWork + 5) {
     heartbeat.may_lack_holds = reader->Take<bool>();
   }
+  if (size > kSizeWithoutWork + 6) {
+    heartbeat.new_connections = reader->Take<int>();
+  }
   return heartbeat;
 }
 
--- a/src/core/fleet_message_encoding.cc
+++ b/src/core/fleet_message_encoding.cc
@@ -210,8 +210,10 @@
                                            : json()});
     // The remaining elements of a heartbeat are omitted if they are empty.
     // Hosts of an earlier version ignore elements beyond those that they know.
-    const bool has_poll_rank =
-        heartbeat.may_lack_holds || heartbeat.poll_rank != 0;
+    const bool has_new_connections = heartbeat.new_connections != 0;
+    const bool has_may_lack_holds =
+        has_new_connections || heartbeat.may_lack_holds;
+    const bool has_poll_rank = has_may_lack_holds || heartbeat.poll_rank != 0;
     const bool has_limits = has_poll_rank || !heartbeat.limits.empty();
     const bool has_peak_hosts = has_limits || heartbeat.peak_hosts != 0;
     const bool has_crash_digest = has_peak_hosts || heartbeat.crash_digest != 0;
@@ -231,8 +233,11 @@
     if (has_poll_rank) {
       array.push_back(heartbeat.poll_rank);
     }
-    if (heartbeat.may_lack_holds) {
-      array.push_back(true);
+    if (has_may_lack_holds) {
+      array.push_back(heartbeat.may_lack_holds);
+    }
+    if (has_new_connections) {
+      array.push_back(heartbeat.new_connections);
     }
     return array;
   }
--- a/src/core/fleet_messages_test.cc
+++ b/src/core/fleet_messages_test.cc
@@ -128,6 +128,14 @@
   CHECK(EncodeFleetMessage(all).size() < kMostDatagram / 4);
 }
 
+TEST_CASE("A heartbeat tells the new connections of its sender") {
+  Heartbeat heartbeat = MakeHeartbeat();
+  CHECK(RoundTrip(heartbeat).new_connections == 0);
+  heartbeat.new_connections = 12;
+  CHECK(RoundTrip(heartbeat).new_connections == 12);
+  CHECK_FALSE(RoundTrip(heartbeat).may_lack_holds);
+}
+
 TEST_CASE("A heartbeat tells that its sender may lack holds") {
   Heartbeat heartbeat = MakeHeartbeat();
   CHECK_FALSE(RoundTrip(heartbeat).may_lack_holds);
--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -22,12 +22,13 @@
 }  // namespace
 
 CallerListener::CallerListener(asio::io_context* io, const std::string& address,
-                               const AcceptGate* gate, SessionContext context,
-                               Metrics* metrics)
+                               AcceptGate* gate, ConnectionShare* share,
+                               SessionContext context, Metrics* metrics)
     : io_(io),
       acceptor_(Listen(io, address)),
       retry_timer_(*io),
       gate_(gate),
+      share_(share),
       context_(std::move(context)),
       metrics_(metrics),
       sweep_threshold_(kMinSweepThreshold) {}
@@ -75,7 +76,8 @@
 }
 
 void CallerListener::OnAccepted(asio::ip::tcp::socket socket) {
-  if (!Admits()) {
+  share_->OnConnection();
+  if (!Admit()) {
     // The socket's destructor closes the connection, of which nothing was read.
     metrics_->GetCounter("harecrank_gateway_callers_refused_total")->Add();
     return;
@@ -90,14 +92,14 @@
   }
 }
 
-bool CallerListener::Admits() {
+bool CallerListener::Admit() {
   const TimePoint now = context_.clock();
-  if (!gate_->Admits(sessions_.size()) &&
+  if (!gate_->HasRoom(sessions_.size()) &&
       now - last_sweep_at_ >= kSweepInterval) {
     last_sweep_at_ = now;
     RemoveClosed();
   }
-  return gate_->Admits(sessions_.size());
+  return gate_->Admit(sessions_.size());
 }
 
 void CallerListener::RetryAccept() {
--- a/src/gateway/caller_listener.h
+++ b/src/gateway/caller_listener.h
@@ -20,11 +20,11 @@
 // open ones. Not thread-safe; runs on its io_context.
 class CallerListener {
  public:
-  // Throws boost::system::system_error if `address` cannot be bound. `gate` and
-  // `metrics` must outlive this.
+  // Throws boost::system::system_error if `address` cannot be bound. `gate`,
+  // `share` and `metrics` must outlive this.
   CallerListener(boost::asio::io_context* io, const std::string& address,
-                 const AcceptGate* gate, SessionContext context,
-                 Metrics* metrics);
+                 AcceptGate* gate, ConnectionShare* share,
+                 SessionContext context, Metrics* metrics);
 
   void Start();
 
@@ -44,13 +44,14 @@
   void OnAccepted(boost::asio::ip::tcp::socket socket);
   void RetryAccept();
   // Returns whether a new connection is taken. Ended sessions do not count.
-  bool Admits();
+  bool Admit();
   void RemoveClosed();
 
   boost::asio::io_context* io_;
   boost::asio::ip::tcp::acceptor acceptor_;
   Timer retry_timer_;
-  const AcceptGate* gate_;
+  AcceptGate* gate_;
+  ConnectionShare* share_;
   SessionContext context_;
   Metrics* metrics_;
   std::vector<std::weak_ptr<CallerSession>> sessions_;
--- a/src/gateway/fleet_member.cc
+++ b/src/gateway/fleet_member.cc
@@ -200,6 +200,7 @@
     health_->OnAvoidedByPeer(endpoint.id, endpoint.left);
   }
   ports_.on_limits(heartbeat.limits);
+  ports_.on_new_connections(heartbeat.address, heartbeat.new_connections);
   FollowPlanner();
   if (heartbeat.planner == heartbeat.address &&
       heartbeat.address != followed_planner_) {
--- a/src/gateway/fleet_member.h
+++ b/src/gateway/fleet_member.h
@@ -33,8 +33,8 @@
 // Callbacks through which FleetMember accesses the rest of this host's state.
 struct FleetMemberPorts {
   // Fills those fields of a heartbeat that FleetMember does not know itself:
-  // routing version, state of this host's copy of the store's data, digest of
-  // crash reports and peak fleet size.
+  // routing version, state of this host's copy of the store's data, knowledge
+  // of crashes, peak fleet size and new connections.
   std::function<void(Heartbeat* heartbeat)> describe;
   // Functions that are passed to PublicationRelay; see PublicationRelayPorts.
   std::function<std::vector<std::string>(StoreRevision since,
@@ -63,6 +63,10 @@
   // lacks. `may_lack_holds` tells whether the other host may lack some itself;
   // see Heartbeat.
   std::function<void(bool may_lack_holds)> on_crashes_synced;
+  // Called with the number of new connections that another host got within
+  // ConnectionShare::kWindow.
+  std::function<void(const HostAddress& host, int connections)>
+      on_new_connections;
   // Returns the rate limits that endpoints have advertised to this host and to
   // others.
   std::function<std::vector<RateLimitReport>()> limits;
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -119,9 +119,11 @@
           Self(settings_).cpu_share, &membership_,
           [this](StoreRevision since) { return feed_->Export(since); },
           [this] { return store_sync_.KnownUpTo(); }, &metrics_, clock_),
-      accept_gate_(MaxSessions(settings_.descriptors)),
+      connection_share_(clock_),
+      accept_gate_(MaxSessions(settings_.descriptors), &connection_share_,
+                   clock_),
       callers_(&io_, settings_.callers_address, &accept_gate_,
-               MakeSessionContext(), &metrics_),
+               &connection_share_, MakeSessionContext(), &metrics_),
       readiness_(&io_, settings_.readiness_address,
                  [this](const HttpRequest& r) { return HandleReadiness(r); }),
       operations_(&io_, settings_.operations_address,
@@ -184,6 +186,7 @@
   };
   services.places = fleet_.Placements();
   services.on_endpoint_fault = [this] { fleet_.SendHeartbeatSoon(); };
+  services.on_start_quota_exhausted = [this] { accept_gate_.OnPartUsedUp(); };
   services.clock = clock_;
   services.random = random_;
   return services;
--- a/src/gateway/gateway_node_ports.cc
+++ b/src/gateway/gateway_node_ports.cc
@@ -36,6 +36,7 @@
     heartbeat->crash_digest = quarantine_.SharedDigest() ^ parts_.HeldDigest();
     heartbeat->peak_hosts = membership_.Size().PeakObserved();
     heartbeat->may_lack_holds = !parts_.KnowsAllHolds();
+    heartbeat->new_connections = connection_share_.Recent();
   };
   ports.on_crashes = [this](const std::vector<CrashReport>& reports,
                             std::vector<CrashReport>* missing) {
@@ -54,6 +55,9 @@
     }
     AcceptCallers();
   };
+  ports.on_new_connections = [this](const HostAddress& host, int connections) {
+    connection_share_.OnOtherHost(host, connections);
+  };
   ports.limits = [this] { return start_limiter_.Reports(); };
   ports.on_limits = [this](const std::vector<RateLimitReport>& reports) {
     start_limiter_.MergeFromPeer(reports);
