--- a/include/harecrank/core/accept_gate.h
+++ b/include/harecrank/core/accept_gate.h
@@ -27,8 +27,8 @@
   // arrives now is delayed by as much.
   void OnLoopDelay(TimePoint::duration delay);
 
-  // Records that a request was rejected because this host has used up its part
-  // of a limit that all hosts share.
+  // Records that a request waits or was rejected because this host has used up
+  // its part of the limits that all hosts share.
   void OnPartUsedUp() { part_used_up_at_ = clock_(); }
 
   // Decides on a new connection while `open` others are open.
@@ -47,8 +47,8 @@
   static constexpr Millis kMaxDelay{250};
   // Delay below which they are taken again.
   static constexpr Millis kResumeDelay{100};
-  // How long connections are refused after a rejection, if this host is
-  // crowded: until its part allows a few requests again.
+  // How long connections are refused after this host's part was used up, if it
+  // is crowded: until the part allows a few requests again.
   static constexpr Millis kUsedUpTime{250};
   // A host that has room takes a connection at least this often, since callers
   // may have nowhere else to go.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -77,11 +77,9 @@
 
 void Exchange::OnRejected(RejectionReason reason, Millis retry_after) {
   const auto self = shared_from_this();
-  const char* code = "waits_in_vain";
-  if (reason == RejectionReason::kStartQuotaExhausted) {
-    code = "starts_used_up";
-    services_->on_start_quota_exhausted();
-  }
+  const char* code = reason == RejectionReason::kStartQuotaExhausted
+                         ? "starts_used_up"
+                         : "waits_in_vain";
   Reject(http_status::kUnavailable, code, retry_after);
 }
 
--- a/src/gateway/gateway_services.h
+++ b/src/gateway/gateway_services.h
@@ -75,8 +75,8 @@
   // Called when an endpoint was found to be at fault, to inform the planner
   // soon.
   std::function<void()> on_endpoint_fault;
-  // To be called when a request is rejected because this host has used up its
-  // part of the limits of all endpoints.
+  // To be called when a request waits or is rejected because this host has used
+  // up its part of the limits of all endpoints.
   std::function<void()> on_start_quota_exhausted;
   MonotonicClock clock;
   RandomSource random;
--- a/src/gateway/placement_search_start_limits.cc
+++ b/src/gateway/placement_search_start_limits.cc
@@ -49,6 +49,9 @@
 
 bool PlacementSearch::EndIfStartLimited() {
   const auto availability = AvailabilityExcluding(params_.request.tried);
+  if (availability.has_value() && availability->next > services_->clock()) {
+    services_->on_start_quota_exhausted();
+  }
   if (!availability.has_value() ||
       availability->next <= WaitDeadline(history_)) {
     return false;
