Rank the parts of a crowded crash record once

Cause: a record of a crash with more than 64 parts was sorted by a comparison that counted the crashes against both parts each time: some 90,000 look-ups for 96 parts among 64 records, on the event loop, whenever a flood of new names meets a crash.

Change: each part is ranked once, 6,000 look-ups. Order and result as before.

--- a/src/core/part_crashes.cc
+++ b/src/core/part_crashes.cc
@@ -45,16 +45,19 @@
     return;
   }
   // A flood of names must not displace the one that crashes have in common.
-  std::vector<PromptPartId> ranked(parts->begin(), parts->end());
+  using Rank = std::pair<std::size_t, bool>;
+  std::vector<std::pair<Rank, PromptPartId>> ranked;
+  ranked.reserve(parts->size());
+  for (const PromptPartId part : *parts) {
+    const Rank rank(CountAgainst(part), !LastSound(part).has_value());
+    ranked.emplace_back(rank, part);
+  }
   std::stable_sort(
-      ranked.begin(), ranked.end(), [this](PromptPartId a, PromptPartId b) {
-        const auto rank = [this](PromptPartId part) {
-          return std::pair(CountAgainst(part), !LastSound(part).has_value());
-        };
-        return rank(a) > rank(b);
-      });
-  ranked.resize(kMaxParts);
-  *parts = std::set<PromptPartId>(ranked.begin(), ranked.end());
+      ranked.begin(), ranked.end(),
+      [](const auto& a, const auto& b) { return a.first > b.first; });
+  for (std::size_t i = kMaxParts; i < ranked.size(); ++i) {
+    parts->erase(ranked[i].second);
+  }
 }
 
 bool PartCrashes::IsCleared(PromptPartId part, TimePoint crashed_at) const {
