Tell refused connections by their cause

An operator could not tell from the count whether a host had no sessions left, was behind, or was crowded; each asks for something else. The gate's decision names the cause, and the metric carries it as a label. No decision changed.

--- a/include/harecrank/core/accept_gate.h
+++ b/include/harecrank/core/accept_gate.h
@@ -12,6 +12,20 @@
 
 namespace harecrank {
 
+// What becomes of a new connection.
+enum class AcceptDecision {
+  kTaken,
+  // Refused since as many connections as possible are open.
+  kNoRoom,
+  // Refused since the event loop is behind.
+  kBehind,
+  // Refused since this host is crowded and has used up its part of limits.
+  kCrowded
+};
+
+// Name of `decision` for metrics.
+const char* NameOf(AcceptDecision decision);
+
 // A load balancer may direct most new connections of a data centre or region to
 // one host. A connection that the host cannot serve in time is refused at once,
 // before anything is read from it: its caller then tries another host, and the
@@ -32,7 +46,7 @@
   void OnPartUsedUp() { part_used_up_at_ = clock_(); }
 
   // Decides on a new connection while `open` others are open.
-  bool Admit(std::size_t open);
+  AcceptDecision Decide(std::size_t open);
 
   // Returns whether there is room for a connection beside `open` others.
   bool HasRoom(std::size_t open) const { return open < max_sessions_; }
@@ -55,16 +69,16 @@
   static constexpr Millis kMaxRefusalTime{1000};
 
  private:
-  // Returns whether a connection that is taken now would be served worse than
-  // at another host.
-  bool IsOverloaded() const;
+  // Returns whether a connection that is taken now would wait for this host's
+  // part of limits, while other hosts probably have some left.
+  bool IsCrowded() const;
 
   std::size_t max_sessions_;
   const ConnectionShare* share_;
   MonotonicClock clock_;
   bool is_behind_ = false;
   std::optional<TimePoint> part_used_up_at_;
-  TimePoint last_admitted_at_;
+  TimePoint last_taken_at_;
 };
 
 }  // namespace harecrank
--- a/src/core/accept_gate.cc
+++ b/src/core/accept_gate.cc
@@ -4,31 +4,51 @@
 
 namespace harecrank {
 
+const char* NameOf(AcceptDecision decision) {
+  switch (decision) {
+    case AcceptDecision::kTaken:
+      return "taken";
+    case AcceptDecision::kNoRoom:
+      return "no_room";
+    case AcceptDecision::kBehind:
+      return "behind";
+    case AcceptDecision::kCrowded:
+      return "crowded";
+  }
+  return "";
+}
+
 AcceptGate::AcceptGate(std::size_t max_sessions, const ConnectionShare* share,
                        MonotonicClock clock)
     : max_sessions_(max_sessions),
       share_(share),
       clock_(std::move(clock)),
-      last_admitted_at_(clock_()) {}
+      last_taken_at_(clock_()) {}
 
 void AcceptGate::OnLoopDelay(TimePoint::duration delay) {
   is_behind_ = delay > (is_behind_ ? kResumeDelay : kMaxDelay);
 }
 
-bool AcceptGate::Admit(std::size_t open) {
+AcceptDecision AcceptGate::Decide(std::size_t open) {
+  if (!HasRoom(open)) {
+    return AcceptDecision::kNoRoom;
+  }
   const TimePoint now = clock_();
-  const bool is_due = now - last_admitted_at_ >= kMaxRefusalTime;
-  if (!HasRoom(open) || (IsOverloaded() && !is_due)) {
-    return false;
+  const bool may_refuse = now - last_taken_at_ < kMaxRefusalTime;
+  if (may_refuse && is_behind_) {
+    return AcceptDecision::kBehind;
+  }
+  if (may_refuse && IsCrowded()) {
+    return AcceptDecision::kCrowded;
   }
-  last_admitted_at_ = now;
-  return true;
+  last_taken_at_ = now;
+  return AcceptDecision::kTaken;
 }
 
-bool AcceptGate::IsOverloaded() const {
+bool AcceptGate::IsCrowded() const {
   const bool is_used_up = part_used_up_at_.has_value() &&
                           clock_() - *part_used_up_at_ < kUsedUpTime;
-  return is_behind_ || (is_used_up && share_->IsCrowded());
+  return is_used_up && share_->IsCrowded();
 }
 
 }  // namespace harecrank
--- a/src/core/accept_gate_test.cc
+++ b/src/core/accept_gate_test.cc
@@ -16,6 +16,11 @@
     }
   }
 
+  // Whether a connection is taken while `open` others are open.
+  bool Takes(std::size_t open) {
+    return gate.Decide(open) == AcceptDecision::kTaken;
+  }
+
   TimePoint now{Millis(100000)};
   ConnectionShare share{[this] { return now; }};
   AcceptGate gate{kMaxSessions, &share, [this] { return now; }};
@@ -23,35 +28,35 @@
 
 TEST_CASE("A host takes as many connections as it may have open") {
   Fixture test;
-  CHECK(test.gate.Admit(kMaxSessions - 1));
-  CHECK_FALSE(test.gate.Admit(kMaxSessions));
+  CHECK(test.Takes(kMaxSessions - 1));
+  CHECK(test.gate.Decide(kMaxSessions) == AcceptDecision::kNoRoom);
 }
 
 // Replays a host whose event loop falls behind and catches up.
 TEST_CASE("A host that is behind refuses connections until it has caught up") {
   Fixture test;
   test.gate.OnLoopDelay(AcceptGate::kMaxDelay);
-  CHECK(test.gate.Admit(0));
+  CHECK(test.Takes(0));
   test.gate.OnLoopDelay(AcceptGate::kMaxDelay + Millis(1));
-  CHECK_FALSE(test.gate.Admit(0));
+  CHECK(test.gate.Decide(0) == AcceptDecision::kBehind);
   CHECK(test.gate.IsBehind());
   test.gate.OnLoopDelay(AcceptGate::kResumeDelay + Millis(1));
-  CHECK_FALSE(test.gate.Admit(0));
+  CHECK_FALSE(test.Takes(0));
   test.gate.OnLoopDelay(AcceptGate::kResumeDelay);
-  CHECK(test.gate.Admit(0));
+  CHECK(test.Takes(0));
 }
 
 TEST_CASE("A host that stays behind takes a connection now and then") {
   Fixture test;
-  REQUIRE(test.gate.Admit(0));
+  REQUIRE(test.Takes(0));
   test.gate.OnLoopDelay(2 * AcceptGate::kMaxDelay);
   test.now += AcceptGate::kMaxRefusalTime - Millis(1);
-  CHECK_FALSE(test.gate.Admit(0));
+  CHECK_FALSE(test.Takes(0));
   test.now += Millis(1);
-  CHECK(test.gate.Admit(0));
-  CHECK_FALSE(test.gate.Admit(0));
+  CHECK(test.Takes(0));
+  CHECK_FALSE(test.Takes(0));
   test.now += AcceptGate::kMaxRefusalTime;
-  CHECK_FALSE(test.gate.Admit(kMaxSessions));
+  CHECK_FALSE(test.Takes(kMaxSessions));
 }
 
 // Replays a host that gets most new connections, while endpoints name limits of
@@ -59,11 +64,11 @@
 TEST_CASE("A crowded host refuses connections while its part is used up") {
   Fixture test;
   test.Crowd();
-  CHECK(test.gate.Admit(0));
+  CHECK(test.Takes(0));
   test.gate.OnPartUsedUp();
-  CHECK_FALSE(test.gate.Admit(0));
+  CHECK(test.gate.Decide(0) == AcceptDecision::kCrowded);
   test.now += AcceptGate::kUsedUpTime;
-  CHECK(test.gate.Admit(0));
+  CHECK(test.Takes(0));
 }
 
 TEST_CASE("A host that is not crowded takes connections in any case") {
@@ -72,7 +77,7 @@
   test.share.OnOtherHost(HostAddress{"10.0.0.3:1"},
                          2 * ConnectionShare::kMinCrowd);
   test.gate.OnPartUsedUp();
-  CHECK(test.gate.Admit(0));
+  CHECK(test.Takes(0));
 }
 
 }  // namespace
--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -77,9 +77,13 @@
 
 void CallerListener::OnAccepted(asio::ip::tcp::socket socket) {
   share_->OnConnection();
-  if (!Admit()) {
+  const AcceptDecision decision = Decide();
+  if (decision != AcceptDecision::kTaken) {
     // The socket's destructor closes the connection, of which nothing was read.
-    metrics_->GetCounter("harecrank_gateway_callers_refused_total")->Add();
+    metrics_
+        ->GetCounter("harecrank_gateway_callers_refused_total",
+                     std::string("cause=\"") + NameOf(decision) + "\"")
+        ->Add();
     return;
   }
   const auto session =
@@ -92,14 +96,14 @@
   }
 }
 
-bool CallerListener::Admit() {
+AcceptDecision CallerListener::Decide() {
   const TimePoint now = context_.clock();
   if (!gate_->HasRoom(sessions_.size()) &&
       now - last_sweep_at_ >= kSweepInterval) {
     last_sweep_at_ = now;
     RemoveClosed();
   }
-  return gate_->Admit(sessions_.size());
+  return gate_->Decide(sessions_.size());
 }
 
 void CallerListener::RetryAccept() {
--- a/src/gateway/caller_listener.h
+++ b/src/gateway/caller_listener.h
@@ -43,8 +43,8 @@
   void Accept();
   void OnAccepted(boost::asio::ip::tcp::socket socket);
   void RetryAccept();
-  // Returns whether a new connection is taken. Ended sessions do not count.
-  bool Admit();
+  // Decides on a new connection. Ended sessions do not count as open.
+  AcceptDecision Decide();
   void RemoveClosed();
 
   boost::asio::io_context* io_;
