Bound the memory that the bodies of requests hold

What callers would see: a host that gets most new connections takes as many bodies as it has sessions. On a small host (160 MB, 4,100 descriptors) 2,900 callers with bodies of 64 kB come to 215 MB: the process is killed, and all its callers are cut off.

Evidence: 2,900 connections that each sent a head and 64,000 bytes: 214,544 kB resident; 2,900 idle ones: 18,468 kB, so that sessions alone are no matter.

Change: setting memory_mb, which the deploy template fills. A quarter of it may hold bodies, which are reserved by their length before they are read and until their requests have ended. From three quarters of that on, new connections are refused unread; on open ones a body that does not fit is rejected at once, with Retry-After, and nothing of it was sent on. A body that is alone always fits.

--- a/include/harecrank/core/accept_gate.h
+++ b/include/harecrank/core/accept_gate.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <optional>
 
+#include "harecrank/core/body_budget.h"
 #include "harecrank/core/clock.h"
 #include "harecrank/core/connection_share.h"
 #include "harecrank/core/strong_types.h"
@@ -17,6 +18,8 @@
   kTaken,
   // Refused since as many connections as possible are open.
   kNoRoom,
+  // Refused since the bodies of requests occupy most of their memory.
+  kNoMemory,
   // Refused since the event loop is behind.
   kBehind,
   // Refused since this host is crowded and has used up its part of limits.
@@ -32,10 +35,10 @@
 // requests that were read are served as before. Not thread-safe.
 class AcceptGate {
  public:
-  // At most `max_sessions` connections are open at once. `share` must outlive
-  // this.
-  AcceptGate(std::size_t max_sessions, const ConnectionShare* share,
-             MonotonicClock clock);
+  // At most `max_sessions` connections are open at once. `bodies` and `share`
+  // must outlive this.
+  AcceptGate(std::size_t max_sessions, const BodyBudget* bodies,
+             const ConnectionShare* share, MonotonicClock clock);
 
   // Records how late a periodic task of the event loop has run. A request that
   // arrives now is delayed by as much.
@@ -74,6 +77,7 @@
   bool IsCrowded() const;
 
   std::size_t max_sessions_;
+  const BodyBudget* bodies_;
   const ConnectionShare* share_;
   MonotonicClock clock_;
   bool is_behind_ = false;
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -21,6 +21,7 @@
 constexpr double kMaxColdOverage = 1000;
 constexpr double kMaxColdSlack = 1e6;
 constexpr std::int64_t kMaxDescriptors = 1LL << 24;
+constexpr std::int64_t kMaxMemoryMb = 1LL << 24;
 constexpr int kMaxPlannerStandbys = 2;
 
 struct Describer {
@@ -153,6 +154,7 @@
   reader.ReadSeconds("stop_limit_s", &settings.stop_limit);
   reader.ReadMillis("leave_limit_ms", &settings.leave_limit);
   reader.ReadInteger("descriptors", 1, kMaxDescriptors, &settings.descriptors);
+  reader.ReadInteger("memory_mb", 0, kMaxMemoryMb, &settings.memory_mb);
   reader.ReadNumber("power", 0, kMaxCpuShare, &settings.power);
   reader.ReadNumber("cold_overage", 0, kMaxColdOverage,
                     &settings.cold_limit.overage);
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -117,6 +117,9 @@
   Millis leave_limit = EndpointDirectory::kDefaultLeaveLimit;
   // Maximum number of file descriptors that this process may have open.
   std::size_t descriptors = 1024;
+  // Memory that this process may use, in units of 10^6 bytes; zero if it is not
+  // limited.
+  std::size_t memory_mb = 0;
   // CPU share: number of cores that this host may use. Hosts with a larger
   // share are preferred as the planner.
   double power = 1;
--- a/src/core/accept_gate.cc
+++ b/src/core/accept_gate.cc
@@ -10,6 +10,8 @@
       return "taken";
     case AcceptDecision::kNoRoom:
       return "no_room";
+    case AcceptDecision::kNoMemory:
+      return "no_memory";
     case AcceptDecision::kBehind:
       return "behind";
     case AcceptDecision::kCrowded:
@@ -18,9 +20,10 @@
   return "";
 }
 
-AcceptGate::AcceptGate(std::size_t max_sessions, const ConnectionShare* share,
-                       MonotonicClock clock)
+AcceptGate::AcceptGate(std::size_t max_sessions, const BodyBudget* bodies,
+                       const ConnectionShare* share, MonotonicClock clock)
     : max_sessions_(max_sessions),
+      bodies_(bodies),
       share_(share),
       clock_(std::move(clock)),
       last_taken_at_(clock_()) {}
@@ -33,6 +36,9 @@
   if (!HasRoom(open)) {
     return AcceptDecision::kNoRoom;
   }
+  if (bodies_->IsNearlyUsed()) {
+    return AcceptDecision::kNoMemory;
+  }
   const TimePoint now = clock_();
   const bool may_refuse = now - last_taken_at_ < kMaxRefusalTime;
   if (may_refuse && is_behind_) {
--- a/src/core/accept_gate_test.cc
+++ b/src/core/accept_gate_test.cc
@@ -22,8 +22,9 @@
   }
 
   TimePoint now{Millis(100000)};
+  BodyBudget bodies{1000};
   ConnectionShare share{[this] { return now; }};
-  AcceptGate gate{kMaxSessions, &share, [this] { return now; }};
+  AcceptGate gate{kMaxSessions, &bodies, &share, [this] { return now; }};
 };
 
 TEST_CASE("A host takes as many connections as it may have open") {
@@ -32,6 +33,12 @@
   CHECK(test.gate.Decide(kMaxSessions) == AcceptDecision::kNoRoom);
 }
 
+TEST_CASE("A host that holds many large bodies refuses connections") {
+  Fixture test;
+  const BodyBudget::Reservation body(test.bodies, 900);
+  CHECK(test.gate.Decide(0) == AcceptDecision::kNoMemory);
+}
+
 // Replays a host whose event loop falls behind and catches up.
 TEST_CASE("A host that is behind refuses connections until it has caught up") {
   Fixture test;
--- /dev/null
+++ b/src/core/body_budget.cc
@@ -0,0 +1,30 @@
+#include "harecrank/core/body_budget.h"
+
+namespace harecrank {
+namespace {
+
+// Share of the limit from which on new callers are refused.
+constexpr double kNearlyUsedShare = 0.75;
+
+}  // namespace
+
+BodyBudget::Reservation::Reservation(const BodyBudget& budget,
+                                     std::size_t bytes)
+    : reserved_(budget.reserved_), bytes_(bytes) {
+  *reserved_ += bytes_;
+}
+
+BodyBudget::Reservation::~Reservation() { *reserved_ -= bytes_; }
+
+bool BodyBudget::Fits(std::size_t bytes) const {
+  return !limit_.has_value() || Reserved() == 0 ||
+         Reserved() + bytes <= *limit_;
+}
+
+bool BodyBudget::IsNearlyUsed() const {
+  return limit_.has_value() &&
+         static_cast<double>(Reserved()) >=
+             kNearlyUsedShare * static_cast<double>(*limit_);
+}
+
+}  // namespace harecrank
--- a/src/gateway/caller_session.cc
+++ b/src/gateway/caller_session.cc
@@ -24,6 +24,11 @@
 // prompt are much smaller.
 constexpr std::size_t kMaxQueuedBytes = 4U << 20U;
 constexpr int kVersion11 = 11;
+// Reserved for a body of unknown length, which most do not exceed.
+constexpr std::size_t kUnknownBodyBytes = 64U << 10U;
+// When a caller whose body did not fit may return: by then most requests that
+// hold memory have ended.
+constexpr char kRetryAfterSeconds[] = "1";
 
 }  // namespace
 
@@ -128,6 +133,10 @@
     OnRequest();
     return;
   }
+  if (!ReserveBody()) {
+    RejectForMemory();
+    return;
+  }
   if (boost::beast::iequals(parser_->get()[http::field::expect],
                             "100-continue")) {
     Queue("HTTP/1.1 100 Continue\r\n\r\n");
@@ -135,6 +144,16 @@
   ReadBody();
 }
 
+bool CallerSession::ReserveBody() {
+  const std::uint64_t bytes =
+      parser_->content_length().value_or(kUnknownBodyBytes);
+  if (!context_->bodies->Fits(bytes)) {
+    return false;
+  }
+  body_.emplace(*context_->bodies, bytes);
+  return true;
+}
+
 void CallerSession::ReadBody() {
   StartTimer(context_->limits().idle_timeout, &CallerSession::OnReadTimeout);
   http::async_read(
@@ -209,6 +228,16 @@
   SendWhole(std::move(head), reason + "\n");
 }
 
+void CallerSession::RejectForMemory() {
+  state_ = State::kResponding;
+  keep_alive_ = false;
+  ResponseHead head;
+  head.result(http_status::kUnavailable);
+  head.set(http::field::content_type, "text/plain");
+  head.set(http::field::retry_after, kRetryAfterSeconds);
+  SendWhole(std::move(head), "no memory for the body\n");
+}
+
 void CallerSession::SendWhole(ResponseHead head, std::string body) {
   if (state_ != State::kResponding) {
     return;
@@ -339,6 +368,7 @@
 
 void CallerSession::FinishResponse() {
   request_.reset();
+  body_.reset();
   response_complete_ = true;
   close_after_flush_ = !keep_alive_;
 }
@@ -350,6 +380,7 @@
   state_ = State::kClosed;
   ++timer_generation_;
   timer_.cancel();
+  body_.reset();
   // The request handle may hold the last reference to this.
   const auto self = shared_from_this();
   if (const auto request = std::move(request_)) {
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <string_view>
 
+#include "harecrank/core/body_budget.h"
 #include "harecrank/core/clock.h"
 #include "harecrank/core/routing_table.h"
 #include "src/gateway/response_sink.h"
@@ -51,6 +52,8 @@
   // Returns whether this host is shutting down, so that connections are closed
   // after the current response.
   std::function<bool()> is_draining;
+  // The memory for bodies of requests. Must outlive the use of the context.
+  const BodyBudget* bodies = nullptr;
   MonotonicClock clock;
 };
 
@@ -93,12 +96,17 @@
   void CheckCallerConnection();
   void ReadHead();
   void OnHead(const Error& error);
+  // Reserves memory for the body whose head has been read. Returns false if it
+  // does not fit.
+  bool ReserveBody();
   void ReadBody();
   void OnRequest();
   void RejectUnreadable(const Error& error);
   void StartTimer(Millis limit, void (CallerSession::*expired)());
   void OnIdleTimeout();
   void OnReadTimeout();
+  // Rejects the request whose body does not fit; nothing of it was sent on.
+  void RejectForMemory();
   void RespondAndClose(unsigned status, const std::string& reason);
   void Queue(std::string_view bytes);
   void Flush();
@@ -119,6 +127,8 @@
   State state_ = State::kIdle;
   bool watching_ = false;
   std::shared_ptr<RequestHandle> request_;
+  // Memory for the body of the request that is being read or in progress.
+  std::optional<BodyBudget::Reservation> body_;
   // Properties of the current request's response: whether the connection stays
   // open afterwards, whether there is no body, and whether a streamed body is
   // sent in chunks.
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -119,9 +119,10 @@
           Self(settings_).cpu_share, &membership_,
           [this](StoreRevision since) { return feed_->Export(since); },
           [this] { return store_sync_.KnownUpTo(); }, &metrics_, clock_),
+      bodies_(MaxBodyBytes(settings_.memory_mb)),
       connection_share_(clock_),
-      accept_gate_(MaxSessions(settings_.descriptors), &connection_share_,
-                   clock_),
+      accept_gate_(MaxSessions(settings_.descriptors), &bodies_,
+                   &connection_share_, clock_),
       callers_(&io_, settings_.callers_address, &accept_gate_,
                &connection_share_, MakeSessionContext(), &metrics_),
       readiness_(&io_, settings_.readiness_address,
@@ -210,6 +211,7 @@
     return table == nullptr ? CallerLimits{} : table->Limits();
   };
   context.is_draining = [this] { return draining_; };
+  context.bodies = &bodies_;
   context.clock = clock_;
   return context;
 }
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -143,6 +143,7 @@
   StoreUpdateHandler store_updates_;
   std::unique_ptr<DirectoryFeed> feed_;
   SnapshotServer snapshots_;
+  BodyBudget bodies_;
   ConnectionShare connection_share_;
   AcceptGate accept_gate_;
   CallerListener callers_;
--- a/src/gateway/settings_views.cc
+++ b/src/gateway/settings_views.cc
@@ -9,6 +9,10 @@
 // connections: files, listening sockets, and connections to endpoints.
 constexpr std::size_t kReservedDescriptors = 1200;
 constexpr std::size_t kMinSessions = 256;
+// Bodies may occupy this fraction of the memory. A body may be in memory twice
+// for a moment, and the rest of the process needs the other half.
+constexpr std::size_t kBodyFraction = 4;
+constexpr std::size_t kBytesPerMb = 1000000;
 
 }  // namespace
 
@@ -18,6 +22,13 @@
              : kMinSessions;
 }
 
+std::optional<std::size_t> MaxBodyBytes(std::size_t memory_mb) {
+  if (memory_mb == 0) {
+    return std::nullopt;
+  }
+  return memory_mb * kBytesPerMb / kBodyFraction;
+}
+
 KnownHost Self(const GatewaySettings& settings) {
   return KnownHost{HostAddress{settings.operations_address},
                    CpuShare{settings.power}};
--- a/src/gateway/settings_views.h
+++ b/src/gateway/settings_views.h
@@ -3,6 +3,7 @@
 #ifndef HARECRANK_SRC_GATEWAY_SETTINGS_VIEWS_H_
 #define HARECRANK_SRC_GATEWAY_SETTINGS_VIEWS_H_
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,10 @@
 // open `descriptors` file descriptors.
 std::size_t MaxSessions(std::size_t descriptors);
 
+// Returns how many bytes the bodies of requests may occupy in a process that
+// may use `memory_mb` units of 10^6 bytes; nothing if that is zero: no limit.
+std::optional<std::size_t> MaxBodyBytes(std::size_t memory_mb);
+
 // Returns this host's address and CPU share as other hosts see them.
 KnownHost Self(const GatewaySettings& settings);
 
