Refuse a crowd only, and only where another host has room

Evidence: two causes in the logs. Lines `accepting": a loop over 250 ms late on a busy machine refused, whoever else was late (regions, limits). And nine new connections in a second, where two others have four each, counted as a crowd (data centres emptied; no line `accepting`): that is chance, or the connections that come back to a host after its restart.

Ruled out: memory for bodies (no setting in the soak), sessions used up (at most 51 callers of 256), the soak's record of crowds (these sets have none).

Change: both refusals need a crowd: twice the average of the others and five standard deviations more, twelve connections, and three seconds since the start. Others count only while they have room: ready, settled, not behind, memory left.

--- a/include/harecrank/core/accept_gate.h
+++ b/include/harecrank/core/accept_gate.h
@@ -20,7 +20,7 @@
   kNoRoom,
   // Refused since the bodies of requests occupy most of their memory.
   kNoMemory,
-  // Refused since the event loop is behind.
+  // Refused since this host is crowded and its event loop is behind.
   kBehind,
   // Refused since this host is crowded and has used up its part of limits.
   kCrowded
@@ -54,10 +54,14 @@
   // Returns whether there is room for a connection beside `open` others.
   bool HasRoom(std::size_t open) const { return open < max_sessions_; }
 
-  // Returns whether new connections are refused because the event loop is
-  // behind.
+  // Returns whether the event loop is behind, so that a crowd is refused.
   bool IsBehind() const { return is_behind_; }
 
+  // Returns whether this host can serve connections that another one refuses.
+  // False until load balancers know of its start. A part of a limit that is
+  // used up does not count, since some of it returns within a moment.
+  bool HasRoomForOthers() const;
+
   // Delay from which on connections are refused: a quarter of the time that
   // callers give a new connection, and more than a pause by a limit on CPU
   // time.
@@ -70,16 +74,21 @@
   // A host that has room takes a connection at least this often, since callers
   // may have nowhere else to go.
   static constexpr Millis kMaxRefusalTime{1000};
+  // After its start a host gets all the connections that its last process had,
+  // which is no crowd, and load balancers do not know it for as long.
+  static constexpr Millis kSettleTime{3000};
 
  private:
   // Returns whether a connection that is taken now would wait for this host's
-  // part of limits, while other hosts probably have some left.
-  bool IsCrowded() const;
+  // part of limits.
+  bool IsPartUsedUp() const;
+  bool HasSettled() const { return clock_() - started_at_ >= kSettleTime; }
 
   std::size_t max_sessions_;
   const BodyBudget* bodies_;
   const ConnectionShare* share_;
   MonotonicClock clock_;
+  TimePoint started_at_;
   bool is_behind_ = false;
   std::optional<TimePoint> part_used_up_at_;
   TimePoint last_taken_at_;
--- a/include/harecrank/core/fleet_messages.h
+++ b/include/harecrank/core/fleet_messages.h
@@ -127,8 +127,8 @@
   // does not know (PartQuarantine::KnowsAllHolds).
   bool may_lack_holds = false;
   // Number of new connections of callers that the sender got within
-  // ConnectionShare::kWindow.
-  int new_connections = 0;
+  // ConnectionShare::kWindow; unset if it has no room for more.
+  std::optional<int> new_connections;
 };
 
 // Asks the planner to place one request.
--- a/src/core/accept_gate.cc
+++ b/src/core/accept_gate.cc
@@ -26,7 +26,8 @@
       bodies_(bodies),
       share_(share),
       clock_(std::move(clock)),
-      last_taken_at_(clock_()) {}
+      started_at_(clock_()),
+      last_taken_at_(started_at_) {}
 
 void AcceptGate::OnLoopDelay(TimePoint::duration delay) {
   is_behind_ = delay > (is_behind_ ? kResumeDelay : kMaxDelay);
@@ -40,21 +41,23 @@
     return AcceptDecision::kNoMemory;
   }
   const TimePoint now = clock_();
-  const bool may_refuse = now - last_taken_at_ < kMaxRefusalTime;
-  if (may_refuse && is_behind_) {
-    return AcceptDecision::kBehind;
-  }
-  if (may_refuse && IsCrowded()) {
-    return AcceptDecision::kCrowded;
+  const bool is_late = is_behind_ || IsPartUsedUp();
+  const bool may_refuse =
+      HasSettled() && now - last_taken_at_ < kMaxRefusalTime;
+  if (is_late && may_refuse && share_->IsCrowded()) {
+    return is_behind_ ? AcceptDecision::kBehind : AcceptDecision::kCrowded;
   }
   last_taken_at_ = now;
   return AcceptDecision::kTaken;
 }
 
-bool AcceptGate::IsCrowded() const {
-  const bool is_used_up = part_used_up_at_.has_value() &&
-                          clock_() - *part_used_up_at_ < kUsedUpTime;
-  return is_used_up && share_->IsCrowded();
+bool AcceptGate::HasRoomForOthers() const {
+  return HasSettled() && !bodies_->IsNearlyUsed() && !is_behind_;
+}
+
+bool AcceptGate::IsPartUsedUp() const {
+  return part_used_up_at_.has_value() &&
+         clock_() - *part_used_up_at_ < kUsedUpTime;
 }
 
 }  // namespace harecrank
--- a/src/core/connection_share.cc
+++ b/src/core/connection_share.cc
@@ -1,6 +1,7 @@
 #include "harecrank/core/connection_share.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <utility>
 
@@ -50,7 +51,12 @@
       connections += report.connections;
     }
   }
-  return hosts > 0 && own * hosts >= kCrowdedFactor * connections;
+  if (hosts == 0) {
+    return false;
+  }
+  const double average = static_cast<double>(connections) / hosts;
+  return own >= kCrowdedFactor * average &&
+         own >= average + kCrowdedDeviations * std::sqrt(average);
 }
 
 }  // namespace harecrank
--- a/src/core/fleet_message_encoding.cc
+++ b/src/core/fleet_message_encoding.cc
@@ -210,7 +210,7 @@
                                            : json()});
     // The remaining elements of a heartbeat are omitted if they are empty.
     // Hosts of an earlier version ignore elements beyond those that they know.
-    const bool has_new_connections = heartbeat.new_connections != 0;
+    const bool has_new_connections = heartbeat.new_connections.has_value();
     const bool has_may_lack_holds =
         has_new_connections || heartbeat.may_lack_holds;
     const bool has_poll_rank = has_may_lack_holds || heartbeat.poll_rank != 0;
@@ -237,7 +237,7 @@
       array.push_back(heartbeat.may_lack_holds);
     }
     if (has_new_connections) {
-      array.push_back(heartbeat.new_connections);
+      array.push_back(*heartbeat.new_connections);
     }
     return array;
   }
--- a/src/core/fleet_messages_test.cc
+++ b/src/core/fleet_messages_test.cc
@@ -130,6 +130,8 @@
 
 TEST_CASE("A heartbeat tells the new connections of its sender") {
   Heartbeat heartbeat = MakeHeartbeat();
+  CHECK_FALSE(RoundTrip(heartbeat).new_connections.has_value());
+  heartbeat.new_connections = 0;
   CHECK(RoundTrip(heartbeat).new_connections == 0);
   heartbeat.new_connections = 12;
   CHECK(RoundTrip(heartbeat).new_connections == 12);
--- a/src/gateway/fleet_member.h
+++ b/src/gateway/fleet_member.h
@@ -64,8 +64,8 @@
   // see Heartbeat.
   std::function<void(bool may_lack_holds)> on_crashes_synced;
   // Called with the number of new connections that another host got within
-  // ConnectionShare::kWindow.
-  std::function<void(const HostAddress& host, int connections)>
+  // ConnectionShare::kWindow; unset if it has no room for more.
+  std::function<void(const HostAddress& host, std::optional<int> connections)>
       on_new_connections;
   // Returns the rate limits that endpoints have advertised to this host and to
   // others.
--- a/src/gateway/gateway_node_ports.cc
+++ b/src/gateway/gateway_node_ports.cc
@@ -36,7 +36,9 @@
     heartbeat->crash_digest = quarantine_.SharedDigest() ^ parts_.HeldDigest();
     heartbeat->peak_hosts = membership_.Size().PeakObserved();
     heartbeat->may_lack_holds = !parts_.KnowsAllHolds();
-    heartbeat->new_connections = connection_share_.Recent();
+    if (IsReady() && accept_gate_.HasRoomForOthers()) {
+      heartbeat->new_connections = connection_share_.Recent();
+    }
   };
   ports.on_crashes = [this](const std::vector<CrashReport>& reports,
                             std::vector<CrashReport>* missing) {
@@ -55,8 +57,13 @@
     }
     AcceptCallers();
   };
-  ports.on_new_connections = [this](const HostAddress& host, int connections) {
-    connection_share_.OnOtherHost(host, connections);
+  ports.on_new_connections = [this](const HostAddress& host,
+                                    std::optional<int> connections) {
+    if (connections.has_value()) {
+      connection_share_.OnOtherHost(host, *connections);
+    } else {
+      connection_share_.OnOtherHostWithoutRoom(host);
+    }
   };
   ports.limits = [this] { return start_limiter_.Reports(); };
   ports.on_limits = [this](const std::vector<RateLimitReport>& reports) {
