--- a/src/gateway/fleet_member.cc
+++ b/src/gateway/fleet_member.cc
@@ -135,18 +135,6 @@
   return ports;
 }
 
-PublicationRelayPorts FleetMember::MakeRelayPorts() {
-  PublicationRelayPorts ports;
-  ports.describe = [this] { return DescribeStoreData(); };
-  ports.published = ports_.published;
-  ports.on_published = ports_.on_published;
-  ports.is_parsing_routing = ports_.is_parsing_routing;
-  ports.is_planner = [this] { return IsPlanner(); };
-  ports.announce = [this] { Announce(); };
-  ports.send_heartbeat = [this] { SendHeartbeatSoon(); };
-  return ports;
-}
-
 void FleetMember::Start() {
   socket_->Start([this](const FleetMessage& message) { OnMessage(message); });
   Tick();
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -7,7 +7,6 @@
 
 #include "harecrank/core/http_status.h"
 #include "src/gateway/endpoint_request.h"
-#include "src/gateway/exchange.h"
 #include "src/gateway/settings_views.h"
 
 namespace harecrank {
@@ -197,36 +196,6 @@
   boost::asio::post(io_, [this] { BeginDrain(); });
 }
 
-SessionContext GatewayNode::MakeSessionContext() {
-  SessionContext context;
-  context.start_request = [this](CallerRequest request, TimePoint arrived,
-                                 std::shared_ptr<ResponseSink> answer) {
-    auto exchange = std::make_shared<Exchange>(&services_, std::move(request),
-                                               arrived, std::move(answer));
-    exchange->Start();
-    return std::shared_ptr<RequestHandle>(exchange);
-  };
-  context.limits = [this] {
-    const auto table = routing_.InForce();
-    return table == nullptr ? CallerLimits{} : table->Limits();
-  };
-  context.is_draining = [this] { return draining_; };
-  context.bodies = &bodies_;
-  context.clock = clock_;
-  return context;
-}
-
-PartQuarantine::FleetView GatewayNode::MakeFleetView() {
-  PartQuarantine::FleetView fleet;
-  fleet.alive_hosts = [this] {
-    std::vector<HostAddress> hosts = membership_.OtherAliveHosts();
-    hosts.push_back(Self(settings_).address);
-    return hosts;
-  };
-  fleet.is_of_majority = [this] { return membership_.IsOfMajority(); };
-  return fleet;
-}
-
 int GatewayNode::KnownHosts() const {
   return std::max({kMinHosts, static_cast<int>(settings_.seed_peers.size()),
                    membership_.AliveHosts()});
--- a/src/gateway/gateway_node_ports.cc
+++ b/src/gateway/gateway_node_ports.cc
@@ -1,7 +1,11 @@
 // The functions of GatewayNode that connect its components to each other. The
 // other functions are in gateway_node.cc.
 
+#include <utility>
+
+#include "src/gateway/exchange.h"
 #include "src/gateway/gateway_node.h"
+#include "src/gateway/settings_views.h"
 
 namespace harecrank {
 
@@ -92,4 +96,34 @@
   return ports;
 }
 
+SessionContext GatewayNode::MakeSessionContext() {
+  SessionContext context;
+  context.start_request = [this](CallerRequest request, TimePoint arrived,
+                                 std::shared_ptr<ResponseSink> answer) {
+    auto exchange = std::make_shared<Exchange>(&services_, std::move(request),
+                                               arrived, std::move(answer));
+    exchange->Start();
+    return std::shared_ptr<RequestHandle>(exchange);
+  };
+  context.limits = [this] {
+    const auto table = routing_.InForce();
+    return table == nullptr ? CallerLimits{} : table->Limits();
+  };
+  context.is_draining = [this] { return draining_; };
+  context.bodies = &bodies_;
+  context.clock = clock_;
+  return context;
+}
+
+PartQuarantine::FleetView GatewayNode::MakeFleetView() {
+  PartQuarantine::FleetView fleet;
+  fleet.alive_hosts = [this] {
+    std::vector<HostAddress> hosts = membership_.OtherAliveHosts();
+    hosts.push_back(Self(settings_).address);
+    return hosts;
+  };
+  fleet.is_of_majority = [this] { return membership_.IsOfMajority(); };
+  return fleet;
+}
+
 }  // namespace harecrank
