Tell a crowd by requests, of more than chance and of two other hosts

Cause: new connections are a poor measure. Callers keep theirs open, so a host whose callers do opens none, and one whose callers were refused gets more of them, which looks like a crowd and refuses on. And one other host is a poor comparison: while one of three is restarted, its callers may go to one of the two.

What it costs: in a fleet of two hosts nothing is refused as crowded; there a crowd waits for the host's part, as before.

--- a/include/harecrank/core/accept_gate.h
+++ b/include/harecrank/core/accept_gate.h
@@ -8,7 +8,7 @@
 
 #include "harecrank/core/body_budget.h"
 #include "harecrank/core/clock.h"
-#include "harecrank/core/connection_share.h"
+#include "harecrank/core/request_share.h"
 #include "harecrank/core/strong_types.h"
 
 namespace harecrank {
@@ -38,7 +38,7 @@
   // At most `max_sessions` connections are open at once. `bodies` and `share`
   // must outlive this.
   AcceptGate(std::size_t max_sessions, const BodyBudget* bodies,
-             const ConnectionShare* share, MonotonicClock clock);
+             const RequestShare* share, MonotonicClock clock);
 
   // Records how late a periodic task of the event loop has run. A request that
   // arrives now is delayed by as much.
@@ -74,7 +74,7 @@
   // A host that has room takes a connection at least this often, since callers
   // may have nowhere else to go.
   static constexpr Millis kMaxRefusalTime{1000};
-  // After its start a host gets all the connections that its last process had,
+  // After its start a host gets all the callers that its last process had,
   // which is no crowd, and load balancers do not know it for as long.
   static constexpr Millis kSettleTime{3000};
 
@@ -86,7 +86,7 @@
 
   std::size_t max_sessions_;
   const BodyBudget* bodies_;
-  const ConnectionShare* share_;
+  const RequestShare* share_;
   MonotonicClock clock_;
   TimePoint started_at_;
   bool is_behind_ = false;
--- a/include/harecrank/core/fleet_messages.h
+++ b/include/harecrank/core/fleet_messages.h
@@ -126,9 +126,9 @@
   // Whether the fleet may have held parts of prompts before of which the sender
   // does not know (PartQuarantine::KnowsAllHolds).
   bool may_lack_holds = false;
-  // Number of new connections of callers that the sender got within
-  // ConnectionShare::kWindow; unset if it has no room for more.
-  std::optional<int> new_connections;
+  // Number of callers' requests that the sender got within
+  // RequestShare::kWindow; unset if it has no room for more.
+  std::optional<int> recent_requests;
 };
 
 // Asks the planner to place one request.
--- a/src/core/accept_gate.cc
+++ b/src/core/accept_gate.cc
@@ -21,7 +21,7 @@
 }
 
 AcceptGate::AcceptGate(std::size_t max_sessions, const BodyBudget* bodies,
-                       const ConnectionShare* share, MonotonicClock clock)
+                       const RequestShare* share, MonotonicClock clock)
     : max_sessions_(max_sessions),
       bodies_(bodies),
       share_(share),
--- a/src/core/fleet_message_decoding.cc
+++ b/src/core/fleet_message_decoding.cc
@@ -173,7 +173,7 @@
     heartbeat.may_lack_holds = reader->Take<bool>();
   }
   if (size > kSizeWithoutWork + 6) {
-    heartbeat.new_connections = reader->Take<int>();
+    heartbeat.recent_requests = reader->Take<int>();
   }
   return heartbeat;
 }
--- a/src/core/fleet_message_encoding.cc
+++ b/src/core/fleet_message_encoding.cc
@@ -210,9 +210,9 @@
                                            : json()});
     // The remaining elements of a heartbeat are omitted if they are empty.
     // Hosts of an earlier version ignore elements beyond those that they know.
-    const bool has_new_connections = heartbeat.new_connections.has_value();
+    const bool has_recent_requests = heartbeat.recent_requests.has_value();
     const bool has_may_lack_holds =
-        has_new_connections || heartbeat.may_lack_holds;
+        has_recent_requests || heartbeat.may_lack_holds;
     const bool has_poll_rank = has_may_lack_holds || heartbeat.poll_rank != 0;
     const bool has_limits = has_poll_rank || !heartbeat.limits.empty();
     const bool has_peak_hosts = has_limits || heartbeat.peak_hosts != 0;
@@ -236,8 +236,8 @@
     if (has_may_lack_holds) {
       array.push_back(heartbeat.may_lack_holds);
     }
-    if (has_new_connections) {
-      array.push_back(*heartbeat.new_connections);
+    if (has_recent_requests) {
+      array.push_back(*heartbeat.recent_requests);
     }
     return array;
   }
--- a/src/core/connection_share.cc
+++ b/src/core/request_share.cc
@@ -1,4 +1,4 @@
-#include "harecrank/core/connection_share.h"
+#include "harecrank/core/request_share.h"
 
 #include <algorithm>
 #include <cmath>
@@ -7,20 +7,25 @@
 
 namespace harecrank {
 
-ConnectionShare::ConnectionShare(MonotonicClock clock)
+RequestShare::RequestShare(MonotonicClock clock)
     : clock_(std::move(clock)), last_sweep_at_(clock_()) {}
 
-void ConnectionShare::OnConnection() {
+void RequestShare::OnRequest() {
   const TimePoint now = clock_();
-  while (!connections_.empty() && connections_.front() <= now - kWindow) {
-    connections_.pop_front();
+  while (!requests_.empty() && requests_.front() <= now - kWindow) {
+    requests_.pop_front();
   }
-  connections_.push_back(now);
+  requests_.push_back(now);
 }
 
-void ConnectionShare::OnOtherHost(const HostAddress& host, int connections) {
+void RequestShare::OnOtherHost(const HostAddress& host,
+                               std::optional<int> requests) {
   const TimePoint now = clock_();
-  reports_[host] = Report{connections, now};
+  if (requests.has_value()) {
+    reports_[host] = Report{*requests, now};
+  } else {
+    reports_.erase(host);
+  }
   if (now - last_sweep_at_ < kReportLifetime) {
     return;
   }
@@ -31,30 +36,30 @@
   }
 }
 
-int ConnectionShare::Recent() const {
-  const auto first = std::upper_bound(connections_.begin(), connections_.end(),
-                                      clock_() - kWindow);
-  return static_cast<int>(std::distance(first, connections_.end()));
+int RequestShare::Recent() const {
+  const auto first =
+      std::upper_bound(requests_.begin(), requests_.end(), clock_() - kWindow);
+  return static_cast<int>(std::distance(first, requests_.end()));
 }
 
-bool ConnectionShare::IsCrowded() const {
+bool RequestShare::IsCrowded() const {
   const int own = Recent();
   if (own < kMinCrowd) {
     return false;
   }
   const TimePoint now = clock_();
   int hosts = 0;
-  int connections = 0;
+  int requests = 0;
   for (const auto& [host, report] : reports_) {
     if (now - report.at < kReportLifetime) {
       ++hosts;
-      connections += report.connections;
+      requests += report.requests;
     }
   }
-  if (hosts == 0) {
+  if (hosts < kMinHosts) {
     return false;
   }
-  const double average = static_cast<double>(connections) / hosts;
+  const double average = static_cast<double>(requests) / hosts;
   return own >= kCrowdedFactor * average &&
          own >= average + kCrowdedDeviations * std::sqrt(average);
 }
--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -22,7 +22,7 @@
 }  // namespace
 
 CallerListener::CallerListener(asio::io_context* io, const std::string& address,
-                               AcceptGate* gate, ConnectionShare* share,
+                               AcceptGate* gate, RequestShare* share,
                                SessionContext context, Metrics* metrics)
     : io_(io),
       acceptor_(Listen(io, address)),
@@ -76,9 +76,9 @@
 }
 
 void CallerListener::OnAccepted(asio::ip::tcp::socket socket) {
-  share_->OnConnection();
   const AcceptDecision decision = Decide();
   if (decision != AcceptDecision::kTaken) {
+    share_->OnRequest();
     // The socket's destructor closes the connection, of which nothing was read.
     metrics_
         ->GetCounter("harecrank_gateway_callers_refused_total",
--- a/src/gateway/caller_listener.h
+++ b/src/gateway/caller_listener.h
@@ -23,8 +23,8 @@
   // Throws boost::system::system_error if `address` cannot be bound. `gate`,
   // `share` and `metrics` must outlive this.
   CallerListener(boost::asio::io_context* io, const std::string& address,
-                 AcceptGate* gate, ConnectionShare* share,
-                 SessionContext context, Metrics* metrics);
+                 AcceptGate* gate, RequestShare* share, SessionContext context,
+                 Metrics* metrics);
 
   void Start();
 
@@ -51,7 +51,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   Timer retry_timer_;
   AcceptGate* gate_;
-  ConnectionShare* share_;
+  RequestShare* share_;
   SessionContext context_;
   Metrics* metrics_;
   std::vector<std::weak_ptr<CallerSession>> sessions_;
--- a/src/gateway/fleet_member.cc
+++ b/src/gateway/fleet_member.cc
@@ -188,7 +188,7 @@
     health_->OnAvoidedByPeer(endpoint.id, endpoint.left);
   }
   ports_.on_limits(heartbeat.limits);
-  ports_.on_new_connections(heartbeat.address, heartbeat.new_connections);
+  ports_.on_recent_requests(heartbeat.address, heartbeat.recent_requests);
   FollowPlanner();
   if (heartbeat.planner == heartbeat.address &&
       heartbeat.address != followed_planner_) {
--- a/src/gateway/fleet_member.h
+++ b/src/gateway/fleet_member.h
@@ -34,7 +34,7 @@
 struct FleetMemberPorts {
   // Fills those fields of a heartbeat that FleetMember does not know itself:
   // routing version, state of this host's copy of the store's data, knowledge
-  // of crashes, peak fleet size and new connections.
+  // of crashes, peak fleet size and recent requests.
   std::function<void(Heartbeat* heartbeat)> describe;
   // Functions that are passed to PublicationRelay; see PublicationRelayPorts.
   std::function<std::vector<std::string>(StoreRevision since,
@@ -63,10 +63,10 @@
   // lacks. `may_lack_holds` tells whether the other host may lack some itself;
   // see Heartbeat.
   std::function<void(bool may_lack_holds)> on_crashes_synced;
-  // Called with the number of new connections that another host got within
-  // ConnectionShare::kWindow; unset if it has no room for more.
-  std::function<void(const HostAddress& host, std::optional<int> connections)>
-      on_new_connections;
+  // Called with the number of callers' requests that another host got within
+  // RequestShare::kWindow; unset if it has no room for more.
+  std::function<void(const HostAddress& host, std::optional<int> requests)>
+      on_recent_requests;
   // Returns the rate limits that endpoints have advertised to this host and to
   // others.
   std::function<std::vector<RateLimitReport>()> limits;
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -144,7 +144,7 @@
   std::unique_ptr<DirectoryFeed> feed_;
   SnapshotServer snapshots_;
   BodyBudget bodies_;
-  ConnectionShare connection_share_;
+  RequestShare request_share_;
   AcceptGate accept_gate_;
   CallerListener callers_;
   SimpleHttpServer readiness_;
--- a/src/gateway/gateway_node_ports.cc
+++ b/src/gateway/gateway_node_ports.cc
@@ -41,7 +41,7 @@
     heartbeat->peak_hosts = membership_.Size().PeakObserved();
     heartbeat->may_lack_holds = !parts_.KnowsAllHolds();
     if (IsReady() && accept_gate_.HasRoomForOthers()) {
-      heartbeat->new_connections = connection_share_.Recent();
+      heartbeat->recent_requests = request_share_.Recent();
     }
   };
   ports.on_crashes = [this](const std::vector<CrashReport>& reports,
@@ -61,13 +61,9 @@
     }
     AcceptCallers();
   };
-  ports.on_new_connections = [this](const HostAddress& host,
-                                    std::optional<int> connections) {
-    if (connections.has_value()) {
-      connection_share_.OnOtherHost(host, *connections);
-    } else {
-      connection_share_.OnOtherHostWithoutRoom(host);
-    }
+  ports.on_recent_requests = [this](const HostAddress& host,
+                                    std::optional<int> requests) {
+    request_share_.OnOtherHost(host, requests);
   };
   ports.limits = [this] { return start_limiter_.Reports(); };
   ports.on_limits = [this](const std::vector<RateLimitReport>& reports) {
@@ -100,6 +96,7 @@
   SessionContext context;
   context.start_request = [this](CallerRequest request, TimePoint arrived,
                                  std::shared_ptr<ResponseSink> answer) {
+    request_share_.OnRequest();
     auto exchange = std::make_shared<Exchange>(&services_, std::move(request),
                                                arrived, std::move(answer));
     exchange->Start();
