Count what a host told of its requests for two seconds

What callers would see: a crowd waits for its host's part of limits in one of three plays. Seen: the test of a crowd among limits failed beside a test run and a build (138 read, 97 served at once; 195 of 237 served), and in one of three plays beside a test run (161, 97; 149 of 213); it passed in the other two.

Cause: the lifetime of one second took hosts to tell each other every 300 ms. That is the word to and from the planner; two others hear each other by gossip, at one host chosen at random each second. A crowded host that is not the planner had mostly heard of fewer than two.

Ruled out: the load itself; in the plays that passed the load was the same.

Change: two seconds, two rounds of gossip. The test is as it was.

--- a/include/harecrank/core/request_share.h
+++ b/include/harecrank/core/request_share.h
@@ -36,9 +36,9 @@
   bool IsCrowded() const;
 
   static constexpr Millis kWindow{1000};
-  // What another host has reported counts for this long: three heartbeats, and
-  // less than a load balancer takes to remove a host that has ended.
-  static constexpr Millis kReportLifetime{1000};
+  // What another host has reported counts for this long: hosts that are not the
+  // planner hear each other about once a second.
+  static constexpr Millis kReportLifetime{2000};
   // This host is crowded if it gets so many times the requests that the others
   // get on average. Load balancers divide unevenly, but by less.
   static constexpr double kCrowdedFactor = 2.5;
