--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases as target/review/standins. Needs only the
+# packages of deploy/system.toml.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+g++ -std=c++17 -O1 -Wall -Wextra -I. -Iinclude -o target/review/standins \
+  review/standins/*.cc platform/names.cc platform/testing/stand_in_store.cc \
+  src/adapters/http.cc -lPocoNet -lPocoFoundation -lpthread
