Refuse CBOR that nests deeper than any message before it is parsed

What was seen: one POST of a megabyte to the operations port of an entry host or a sidecar ended the process, and so did one frame on a sidecar's link.

Cause: the JSON library's parser of CBOR calls itself for each level of nesting, so a message of nothing but beginnings of lists uses up the stack. Ruled out: its parser of JSON text and its destructor, which do not call themselves. A datagram of 65,000 levels did not end a gateway, but is as deep as it may be.

Change: IsShallowCbor reads the structure without recursion and refuses what nests over 32 deep (messages of the project nest half as deep), in front of each parser of datagrams, links, peers' states and compressed pages.

It works since depth is bounded before any recursion begins, wherever the bytes come from.

--- a/include/harecrank/core/text_edits.h
+++ b/include/harecrank/core/text_edits.h
@@ -27,8 +27,12 @@
 std::vector<TextEdit> DiffTexts(const std::string& base,
                                 const std::string& next);
 
+// Maximum size of a text that edits make, several times the largest document. A
+// few edits may otherwise copy a text any number of times.
+inline constexpr std::size_t kMaxEditedBytes = 32U << 20U;
+
 // Applies `edits` to `base` and returns the result, or nothing if an edit
-// copies a range beyond the end of `base`.
+// copies a range beyond the end of `base` or the result is too large.
 std::optional<std::string> ApplyEdits(const std::string& base,
                                       const std::vector<TextEdit>& edits);
 
--- a/src/adapters/wire.cc
+++ b/src/adapters/wire.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "harecrank/core/cbor_depth.h"
+
 // JSON conversions of strong types and durations, which all messages use.
 namespace nlohmann {
 
@@ -182,6 +184,9 @@
 leaf::result<Message> Decode(const std::string& bytes) {
   constexpr bool kStrict = true;
   constexpr bool kThrow = false;
+  if (!IsShallowCbor(bytes)) {
+    return leaf::new_error(WireError{NotCbor{}});
+  }
   const json frame = json::from_cbor(bytes, kStrict, kThrow);
   if (!frame.is_array() || frame.size() != 2 || !frame[0].is_number()) {
     return leaf::new_error(WireError{NotCbor{}});
--- a/src/core/fleet_message_decoding.cc
+++ b/src/core/fleet_message_decoding.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "harecrank/core/array_reader.h"
+#include "harecrank/core/cbor_depth.h"
 #include "harecrank/core/crash_report_decoding.h"
 #include "harecrank/core/fleet_message_kinds.h"
 #include "harecrank/core/fleet_messages.h"
@@ -329,6 +330,9 @@
 }  // namespace
 
 std::optional<FleetMessage> DecodeFleetMessage(const std::string& bytes) {
+  if (!IsShallowCbor(bytes)) {
+    return std::nullopt;
+  }
   try {
     const json array = json::from_cbor(bytes);
     ArrayReader reader(array);
--- a/src/core/text_edits.cc
+++ b/src/core/text_edits.cc
@@ -80,6 +80,9 @@
       return std::nullopt;
     }
     size += edit.copy_size + edit.inserted.size();
+    if (size > kMaxEditedBytes) {
+      return std::nullopt;
+    }
   }
   std::string next;
   next.reserve(size);
--- a/src/node/peer_messages.cc
+++ b/src/node/peer_messages.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "harecrank/core/cbor_depth.h"
+
 namespace harecrank {
 
 using nlohmann::json;
@@ -22,6 +24,9 @@
 
 template <typename T>
 std::optional<T> FromBytes(const std::string& bytes) {
+  if (!IsShallowCbor(bytes)) {
+    return std::nullopt;
+  }
   try {
     return json::from_cbor(bytes).get<T>();
   } catch (const json::exception&) {
