Bound what datagrams of made-up hosts make a gateway remember

What was seen: 1,500 datagrams that name 400 hosts each, none of which exists, took a gateway beyond 64 MB.

Cause: Membership keeps each host that a heartbeat names for ten minutes, the planner each host and query for seconds, EndpointHealth each endpoint that is to be avoided, without a limit on their number.

Change: 4,096 hosts (five times the target), 16,384 endpoints, 32,768 queries. A host that sends a heartbeat itself takes the place of one that is silent, so that a fleet finds its hosts again after such a flood. What the planner drops it counts (harecrank_gateway_planner_messages_dropped_total) and tells in the log.

Evidence: "Hosts that do not exist are remembered within memory" failed before and passes. "Queries that no host has sent are kept within memory" passed before as well, with 100,000 queries of one host; its bound is now by construction.

--- a/include/harecrank/core/endpoint_health.h
+++ b/include/harecrank/core/endpoint_health.h
@@ -105,6 +105,8 @@
   // missing heartbeats show that a host is dead, which would be too long.
   static constexpr Millis kInitialOpenTime{700};
   static constexpr Millis kMaxOpenTime{5600};
+  // Endpoints that only other hosts name are remembered up to this number.
+  static constexpr std::size_t kMaxEndpoints = 16384;
   // How long an endpoint is avoided after another endpoint has reported it.
   // After about this time a leaving endpoint is gone or published as leaving.
   // While the store is unavailable, further requests cause new reports, one per
--- a/include/harecrank/core/membership.h
+++ b/include/harecrank/core/membership.h
@@ -181,6 +181,10 @@
   // planner: as many as fit into a datagram. The heartbeats sent within
   // kHeartbeatTimeout together name ten times as many.
   static constexpr std::size_t kMaxMembersPerHeartbeat = 400;
+  // Maximum number of hosts that are remembered, several times those of the
+  // largest fleet. Further ones that heartbeats name are ignored; one that
+  // sends a heartbeat itself takes the place of one that is silent.
+  static constexpr std::size_t kMaxHosts = 4096;
 
  private:
   // What this host knows about another host.
@@ -209,7 +213,8 @@
   static HostRank RankOf(const HostAddress& address, CpuShare cpu_share);
 
   // Returns the entry of the host with `address`, which is added if necessary,
-  // and updates its CPU share.
+  // and updates its CPU share. Returns null if it is not known and there is no
+  // room for it.
   Hosts::value_type* FindOrAdd(const HostAddress& address, CpuShare cpu_share);
   // Records that a message from `host` has arrived: it is alive and not
   // suspect.
@@ -245,6 +250,9 @@
   // named, for a long time (kForgetAfter in membership.cc).
   void ForgetSilentHosts();
   void Forget(Hosts::iterator host);
+  // Forgets a host from which nothing has arrived lately if there is no room
+  // for another one.
+  void MakeRoom();
 
   KnownHost self_;
   std::vector<HostAddress> seeds_;
--- a/include/harecrank/core/planner.h
+++ b/include/harecrank/core/planner.h
@@ -112,6 +112,15 @@
   // has arrived for kHostTimeout, and their work. Drops expired promises.
   void RemoveSilentHosts();
 
+  // Returns whether the queries of `host` can be remembered: it is known, or
+  // there is room for another host.
+  bool HasRoomFor(const HostAddress& host) const {
+    return hosts_.size() < kMaxHosts || hosts_.count(host) != 0;
+  }
+  // Returns the number of queries of all hosts that have not ended. Visits each
+  // host.
+  std::size_t QueryCount() const;
+
   // Removes the state of all hosts. Must be called when another host becomes
   // the planner.
   void Clear();
@@ -177,6 +186,10 @@
   // Maximum number of queued prompts that are planned ahead in one pass; the
   // others keep waiting.
   static constexpr std::size_t kMaxPlannedPrompts = 32;
+  // Maximum numbers of hosts and of queries that are remembered, several times
+  // what one planner plans for.
+  static constexpr std::size_t kMaxHosts = 4096;
+  static constexpr std::size_t kMaxQueries = 32768;
   // Maximum number of promises that take part in a pass.
   static constexpr std::size_t kMaxPlannedPromises = 16;
   // Time for which a plan is used. The queue is processed more often than this
--- a/src/core/endpoint_health.cc
+++ b/src/core/endpoint_health.cc
@@ -55,6 +55,9 @@
 }
 
 void EndpointHealth::OnAvoidedByPeer(const EndpointId& id, Millis left) {
+  if (states_.size() >= kMaxEndpoints && states_.count(id) == 0) {
+    return;
+  }
   states_[id].peer_avoids_until = clock_() + std::min(left, kMaxOpenTime);
 }
 
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -47,7 +47,13 @@
   }
   Expire();
   const bool is_new = !heard_hosts_.Contains(heartbeat.address);
+  if (hosts_.count(heartbeat.address) == 0) {
+    MakeRoom();
+  }
   Hosts::value_type* known = FindOrAdd(heartbeat.address, heartbeat.cpu_share);
+  if (known == nullptr) {
+    return false;
+  }
   Host& host = known->second;
   host.ranking_entry.routing = heartbeat.routing;
   host.ranking_entry.known_up_to = heartbeat.known_up_to;
@@ -67,6 +73,9 @@
   for (const KnownHost& other : heartbeat.hosts) {
     if (other.address != self_.address) {
       Hosts::value_type* reported = FindOrAdd(other.address, other.cpu_share);
+      if (reported == nullptr) {
+        continue;
+      }
       reported->second.last_reported_at = clock_();
       alive_hosts_.Extend(reported->first, clock_() + kHeartbeatTimeout);
       alive_by_rank_.emplace(reported->second.ranking_entry.rank,
@@ -80,6 +89,9 @@
 
 Membership::Hosts::value_type* Membership::FindOrAdd(const HostAddress& address,
                                                      CpuShare cpu_share) {
+  if (hosts_.size() >= kMaxHosts && hosts_.count(address) == 0) {
+    return nullptr;
+  }
   const auto [known, is_new] = hosts_.try_emplace(address);
   Host& host = known->second;
   if (is_new) {
@@ -357,7 +369,21 @@
   }
 }
 
+void Membership::MakeRoom() {
+  if (hosts_.size() < kMaxHosts) {
+    return;
+  }
+  const auto silent =
+      std::find_if(hosts_.begin(), hosts_.end(), [this](const auto& entry) {
+        return !heard_hosts_.Contains(entry.first);
+      });
+  if (silent != hosts_.end()) {
+    Forget(silent);
+  }
+}
+
 void Membership::Forget(Hosts::iterator host) {
+  alive_by_rank_.erase({host->second.ranking_entry.rank, host->first});
   const std::size_t address_index = host->second.address_index;
   addresses_[address_index] = addresses_.back();
   hosts_.at(addresses_[address_index]).address_index = address_index;
--- a/src/core/planner.cc
+++ b/src/core/planner.cc
@@ -335,6 +335,14 @@
   return &host;
 }
 
+std::size_t Planner::QueryCount() const {
+  std::size_t count = 0;
+  for (const auto& [address, host] : hosts_) {
+    count += host.queries.size();
+  }
+  return count;
+}
+
 void Planner::RemoveSilentHosts() {
   promises_.DropExpired();
   const TimePoint now = clock_();
--- a/src/gateway/planner_service.cc
+++ b/src/gateway/planner_service.cc
@@ -20,6 +20,9 @@
   PlacementReply reply{self_, query.incarnation, query.id, NotPlanner{}};
   const std::optional<HostAddress> planner = ports_.planner();
   if (planner == self_) {
+    if (!HasRoomFor(query.host, 1)) {
+      return;
+    }
     metrics_->GetCounter("harecrank_gateway_asks_planned_total")->Add();
     reply.decision = planner_->OnQuery(query);
     if (planner_->PlansArrivals() &&
@@ -48,15 +51,30 @@
                {"promises", planner_->PromiseCount()}});
 }
 
+bool PlannerService::HasRoomFor(const HostAddress& host, std::size_t queries) {
+  if (planner_->HasRoomFor(host) &&
+      query_count_ + queries <= Planner::kMaxQueries) {
+    query_count_ += queries;
+    return true;
+  }
+  metrics_->GetCounter("harecrank_gateway_planner_messages_dropped_total")
+      ->Add();
+  log_->Write("planner_full",
+              {{"host", host.value}, {"queries", query_count_}});
+  return false;
+}
+
 void PlannerService::OnProgressReport(const ProgressReport& report) {
-  if (IsPlanner()) {
+  if (IsPlanner() && HasRoomFor(report.host, 0)) {
     planner_->OnProgressReport(report);
     ProcessWaitQueueSoon();
   }
 }
 
 void PlannerService::OnHeartbeat(const Heartbeat& heartbeat) {
-  if (IsPlanner()) {
+  if (IsPlanner() &&
+      HasRoomFor(heartbeat.address,
+                 heartbeat.work.has_value() ? heartbeat.work->size() : 0)) {
     planner_->OnHeartbeat(heartbeat);
     ProcessWaitQueueSoon();
   }
@@ -64,6 +82,7 @@
 
 void PlannerService::Tick() {
   planner_->RemoveSilentHosts();
+  query_count_ = planner_->QueryCount();
   if (clock_() - last_processed_at_ >= kProcessInterval) {
     ProcessWaitQueue();
   }
--- a/src/gateway/planner_service.h
+++ b/src/gateway/planner_service.h
@@ -55,6 +55,9 @@
 
  private:
   bool IsPlanner() const { return ports_.planner() == self_; }
+  // Returns whether `queries` more of `host` can be remembered, and counts
+  // them.
+  bool HasRoomFor(const HostAddress& host, std::size_t queries);
   void ProcessWaitQueue();
   void ProcessWaitQueueSoon();
   void Send(DeferredReply reply);
@@ -72,6 +75,8 @@
   Timer timer_;
   TimePoint last_processed_at_{};
   bool processing_scheduled_ = false;
+  // At most the number of queries that the planner remembers.
+  std::size_t query_count_ = 0;
 };
 
 }  // namespace harecrank
