Take a time left below zero as none, and bound counts of tokens

Cause: the milliseconds wrap when they become nanoseconds, and the deadline lies far ahead; nothing then ends the request. Counts of tokens went into sums unbounded.

Change: the time is clamped to zero and the route's time, the tokens to 0 and 10^9, so that sums and squares stay within their types.

Evidence: "A deadline that lies before all times is over" failed before (no answer in 10 s) and passes.

--- a/src/gateway/admission.cc
+++ b/src/gateway/admission.cc
@@ -10,6 +10,13 @@
 
 namespace http = boost::beast::http;
 
+// Larger than any prompt or answer, and small enough for sums and squares.
+constexpr std::int64_t kMaxTokens = 1000000000;
+
+Tokens ClampTokens(std::int64_t tokens) {
+  return Tokens{std::clamp<std::int64_t>(tokens, 0, kMaxTokens)};
+}
+
 // Result of one admission step: a rejection, or nothing if the request passes.
 using StepResult = std::optional<Rejection>;
 
@@ -41,7 +48,7 @@
     const auto requested =
         ParseInteger(View(request_[services_.names->time_left]));
     if (requested.has_value()) {
-      time_limit = std::min(time_limit, Millis(*requested));
+      time_limit = std::clamp(Millis(*requested), Millis(0), time_limit);
     }
     admitted_->deadline = arrived_ + time_limit;
     return std::nullopt;
@@ -97,7 +104,7 @@
     placement.may_repeat = admitted_->route->MayRepeat();
     const std::string_view counts =
         View(request_[services_.names->token_counts]);
-    placement.prompt = Tokens{ParseInteger(counts).value_or(0)};
+    placement.prompt = ClampTokens(ParseInteger(counts).value_or(0));
     const std::size_t comma = counts.find(',');
     std::int64_t answer = 0;
     if (comma != std::string_view::npos) {
@@ -108,7 +115,7 @@
     if (guess.has_value()) {
       answer = answer > 0 ? std::min(answer, *guess) : *guess;
     }
-    placement.answer = Tokens{answer};
+    placement.answer = ClampTokens(answer);
   }
 
   const ServiceProfile* PickWeightedService() const {
