Name memory tickets without the caller's request id

Cause: the id of the request was part of the name of each ticket. The name goes into JSON, of which dump() throws on invalid UTF-8, and the event loop ended with it; and it goes into a header of a list. One id at two hosts also shared a ticket's name.

Change: the name is a random number of the host, the placement and the engine.

No text of a caller is left in a ticket, so no other character can matter.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -1,6 +1,7 @@
 #include "src/gateway/exchange.h"
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 #include "harecrank/core/http_status.h"
@@ -17,6 +18,14 @@
 // stop, and whether all endpoints have asked for a back-off.
 constexpr Millis kWaitCheckInterval{100};
 
+// Returns a name for the tickets of a request. The caller's id is no part of
+// it: callers choose their ids, and a ticket's name goes into headers and JSON.
+std::string TicketName(std::uint64_t number) {
+  std::ostringstream text;
+  text << std::hex << number;
+  return text.str();
+}
+
 }  // namespace
 
 Exchange::Exchange(const GatewayServices* services, CallerRequest request,
@@ -50,7 +59,8 @@
   admitted.placement.origin = RequestOrigin{Fingerprint(), Priority()};
   PlacementSearchParams params{
       std::move(admitted.placement), arrived_ + route_->target_latency,
-      deadline_, id_, RequestRegions(services_, table_, route_, account_)};
+      deadline_, TicketName(services_->random()),
+      RequestRegions(services_, table_, route_, account_)};
   search_ = std::make_shared<PlacementSearch>(
       services_, std::move(params), this, [this] { return log_.Fields(); });
   sender_.emplace(services_, route_, this);
--- a/src/gateway/placement_search.h
+++ b/src/gateway/placement_search.h
@@ -77,7 +77,8 @@
   PlacementRequest request;
   TimePoint late_at{};
   TimePoint deadline{};
-  std::string request_id;
+  // Unique name of the request among those of all hosts, for its tickets.
+  std::string ticket_name;
   RequestRegions regions;
 };
 
--- a/src/gateway/placement_search_work.cc
+++ b/src/gateway/placement_search_work.cc
@@ -81,7 +81,7 @@
 MemoryTicket PlacementSearch::TicketFor(const EndpointId& holder) const {
   // The ticket is different for each placement, since the memory of an earlier
   // one may not have been released yet.
-  return MemoryTicket{params_.request_id + "-" + std::to_string(placements_) +
+  return MemoryTicket{params_.ticket_name + "-" + std::to_string(placements_) +
                       "-" + holder.value};
 }
 
