Read the names in a Connection header once for each message

Cause: for each field of a head the whole Connection header was read again. A head within the limits, half of it names in Connection and half of it small fields, costs some thousand times some thousand comparisons on the event loop.

Ruled out: a limit on fields or names, which clients inside the published limits could meet. Change: the names of all Connection headers go into a set once; the earlier code read the first such header only.

Evidence: by construction; time is not tested. The tests of forwarded headers are as before. Each field now costs a look-up.

--- a/src/gateway/endpoint_request.cc
+++ b/src/gateway/endpoint_request.cc
@@ -40,11 +40,10 @@
   head.append(" ");
   head.append(View(request.target()));
   head.append(" HTTP/1.1\r\n");
-  const std::string connection(request[http::field::connection]);
+  const HopByHopHeaders hop_by_hop(request);
   for (const auto& field : request) {
     const std::string_view name = View(field.name_string());
-    if (!IsHopByHop(name, connection) &&
-        !IsSetByGateway(name, names, changes)) {
+    if (!hop_by_hop.Contains(name) && !IsSetByGateway(name, names, changes)) {
       AppendHeader(name, View(field.value()), &head);
     }
   }
--- a/src/gateway/message_text.cc
+++ b/src/gateway/message_text.cc
@@ -18,9 +18,27 @@
   return {text.data(), text.size()};
 }
 
+std::string LowerCase(std::string_view text) {
+  std::string lower(text);
+  for (char& c : lower) {
+    c = beast::detail::ascii_tolower(c);
+  }
+  return lower;
+}
+
 }  // namespace
 
-bool IsHopByHop(std::string_view name, std::string_view connection) {
+HopByHopHeaders::HopByHopHeaders(const beast::http::fields& fields) {
+  const auto [first, last] = fields.equal_range(beast::http::field::connection);
+  for (auto field = first; field != last; ++field) {
+    for (const beast::string_view token :
+         beast::http::token_list(field->value())) {
+      named_.insert(LowerCase(FromBeast(token)));
+    }
+  }
+}
+
+bool HopByHopHeaders::Contains(std::string_view name) const {
   // The hop-by-hop headers of RFC 9110, section 7.6.1. Content-Length is added
   // because the gateway frames the body anew on each connection.
   constexpr std::array<std::string_view, 10> kNames = {
@@ -32,8 +50,7 @@
       return true;
     }
   }
-  return !connection.empty() &&
-         beast::http::token_list(ToBeast(connection)).exists(ToBeast(name));
+  return !named_.empty() && named_.count(LowerCase(name)) != 0;
 }
 
 void AppendHeader(std::string_view name, std::string_view value,
@@ -50,10 +67,10 @@
   text->append(" ");
   text->append(FromBeast(head.reason()));
   text->append("\r\n");
-  const std::string connection(head[beast::http::field::connection]);
+  const HopByHopHeaders hop_by_hop(head);
   for (const auto& field : head) {
     const std::string_view name = FromBeast(field.name_string());
-    if (!IsHopByHop(name, connection)) {
+    if (!hop_by_hop.Contains(name)) {
       AppendHeader(name, FromBeast(field.value()), text);
     }
   }
--- a/src/gateway/message_text.h
+++ b/src/gateway/message_text.h
@@ -12,10 +12,19 @@
 
 namespace harecrank {
 
-// Returns whether the header `name` is hop-by-hop and must not be forwarded.
-// `connection` is the value of the message's Connection header, which may name
-// further headers.
-bool IsHopByHop(std::string_view name, std::string_view connection);
+// The headers of one message that are hop-by-hop and must not be forwarded.
+class HopByHopHeaders {
+ public:
+  // `fields` are those of the message, whose Connection headers may name
+  // further headers.
+  explicit HopByHopHeaders(const boost::beast::http::fields& fields);
+
+  bool Contains(std::string_view name) const;
+
+ private:
+  // In lower case.
+  std::set<std::string> named_;
+};
 
 // Appends "Name: value" and CRLF.
 void AppendHeader(std::string_view name, std::string_view value,
