Bound connections, heads and bodies at the ports for short requests

What was seen: 400 idle connections to the readiness or operations port of a gateway of 300 descriptors are all kept for 30 s; trailers or a chunk's extension without end, and bodies of a megabyte, took it beyond 64 MB.

Cause: these ports had no limit on connections, and the parser's own limits do not cover trailers, extensions and the read buffer. An accept that failed for lack of descriptors was tried again at once, without end, on the event loop.

Change: each port has an eighth of the descriptors (16 at least); a further connection takes the place of the one that is idle for longest, and is counted (harecrank_gateway_short_connections_closed_total). After a failed accept the port waits 50 ms. With few descriptors callers get half of them, and no longer 256 whatever the setting says.

--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -124,10 +124,16 @@
                    &request_share_, clock_),
       callers_(&io_, settings_.callers_address, &accept_gate_, &request_share_,
                MakeSessionContext(), &metrics_),
-      readiness_(&io_, settings_.readiness_address,
-                 [this](const HttpRequest& r) { return HandleReadiness(r); }),
-      operations_(&io_, settings_.operations_address,
-                  [this](const HttpRequest& r) { return HandleOperations(r); }),
+      readiness_(
+          &io_, settings_.readiness_address, "readiness",
+          MaxShortConnections(settings_.descriptors),
+          [this](const HttpRequest& r) { return HandleReadiness(r); },
+          &metrics_),
+      operations_(
+          &io_, settings_.operations_address, "operations",
+          MaxShortConnections(settings_.descriptors),
+          [this](const HttpRequest& r) { return HandleOperations(r); },
+          &metrics_),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       tick_timer_(io_) {
   membership_.SetIsFirstStart(settings_.first_start);
--- a/src/gateway/settings_views.cc
+++ b/src/gateway/settings_views.cc
@@ -9,8 +9,13 @@
 // connections: files, listening sockets, and connections to endpoints.
 constexpr std::size_t kReservedDescriptors = 1200;
 constexpr std::size_t kMinSessions = 256;
-// Bodies may occupy this fraction of the memory. A body may be in memory twice
-// for a moment, and the rest of the process needs the other half.
+// Of few descriptors callers get this fraction, and each port for short
+// requests the other one.
+constexpr std::size_t kSessionFraction = 2;
+constexpr std::size_t kShortFraction = 8;
+constexpr std::size_t kMinShortConnections = 16;
+// Requests and answers may occupy this fraction of the memory. They may be in
+// memory twice for a moment, and the rest of the process needs the other half.
 constexpr std::size_t kBodyFraction = 4;
 constexpr std::size_t kBytesPerMb = 1000000;
 
@@ -19,7 +24,12 @@
 std::size_t MaxSessions(std::size_t descriptors) {
   return descriptors > kReservedDescriptors + kMinSessions
              ? descriptors - kReservedDescriptors
-             : kMinSessions;
+             : std::min(kMinSessions, std::max<std::size_t>(
+                                          1, descriptors / kSessionFraction));
+}
+
+std::size_t MaxShortConnections(std::size_t descriptors) {
+  return std::max(kMinShortConnections, descriptors / kShortFraction);
 }
 
 std::optional<std::size_t> MaxBodyBytes(std::size_t memory_mb) {
--- a/src/gateway/settings_views.h
+++ b/src/gateway/settings_views.h
@@ -16,8 +16,12 @@
 // open `descriptors` file descriptors.
 std::size_t MaxSessions(std::size_t descriptors);
 
-// Returns how many bytes the bodies of requests may occupy in a process that
-// may use `memory_mb` units of 10^6 bytes; nothing if that is zero: no limit.
+// Returns the maximum number of connections at each of the ports that answer
+// short requests, for the same process.
+std::size_t MaxShortConnections(std::size_t descriptors);
+
+// Returns how many bytes requests and answers may occupy in a process that may
+// use `memory_mb` units of 10^6 bytes; nothing if that is zero: no limit.
 std::optional<std::size_t> MaxBodyBytes(std::size_t memory_mb);
 
 // Returns this host's address and CPU share as other hosts see them.
--- a/src/gateway/simple_http_server.h
+++ b/src/gateway/simple_http_server.h
@@ -7,11 +7,14 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
+#include <list>
 #include <memory>
 #include <string>
 #include <utility>
 
+#include "src/adapters/metrics.h"
 #include "src/gateway/http_client.h"
+#include "src/gateway/timer.h"
 
 namespace harecrank {
 
@@ -36,23 +39,38 @@
 HttpReply MakeReply(unsigned status, const std::string& content_type,
                     std::string body);
 
+class SimpleHttpSession;
+
 // Accepts HTTP connections and answers each request with the result of a
-// handler. Not thread-safe; runs on its io_context.
+// handler. If all connections are in use, a new one takes the place of the one
+// that has been idle for longest. Not thread-safe; runs on its io_context.
 class SimpleHttpServer {
  public:
-  // Throws boost::system::system_error if `address` cannot be bound.
+  // Throws boost::system::system_error if `address` cannot be bound. `name` is
+  // that of the port in metrics. `metrics` must outlive this.
   SimpleHttpServer(boost::asio::io_context* io, const std::string& address,
-                   SimpleHttpHandler handler);
+                   std::string name, std::size_t max_connections,
+                   SimpleHttpHandler handler, Metrics* metrics);
 
   void Start();
   void Stop();
 
  private:
   void Accept();
+  void RetryAccept();
+  void OnAccepted(boost::asio::ip::tcp::socket socket);
+  // Closes a connection if there is no place for another one.
+  void MakePlace();
 
   boost::asio::io_context* io_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  Timer retry_timer_;
+  std::string name_;
+  std::size_t max_connections_;
   std::shared_ptr<const SimpleHttpHandler> handler_;
+  Metrics* metrics_;
+  // The oldest first.
+  std::list<std::weak_ptr<SimpleHttpSession>> sessions_;
 };
 
 // Opens a listening socket. Throws boost::system::system_error if `address`
