Let an exception end a handler, not the process

Cause: what any handler of the event loop threw reached main, which ended the process with status 4.

Change: the loop goes on; what the handler held is released, the exception is counted (harecrank_gateway_exceptions_total) and told in the log, within its limit of lines. The client for the store and other hosts bounds its read buffer, as heads and trailers had no end there.

--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -158,11 +158,24 @@
   operations_.Start();
   AwaitSignal();
   Tick();
-  io_.run();
+  RunLoop();
   log_.Write("stop", {{"requests_cut", callers_.BusyCount()}},
              LogRateLimit::kExempt);
 }
 
+void GatewayNode::RunLoop() {
+  while (true) {
+    try {
+      io_.run();
+      return;
+    } catch (const std::exception& error) {
+      // What the handler held is released; the requests of others go on.
+      metrics_.GetCounter("harecrank_gateway_exceptions_total")->Add();
+      log_.Write("exception", {{"what", error.what()}});
+    }
+  }
+}
+
 GatewayServices GatewayNode::MakeServices() {
   GatewayServices services;
   services.io = &io_;
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -72,6 +72,8 @@
   void RequestStop();
 
  private:
+  // Runs the event loop until it is stopped. An exception ends one handler.
+  void RunLoop();
   GatewayServices MakeServices();
   SessionContext MakeSessionContext();
   HttpReply HandleReadiness(const HttpRequest& request);
--- a/src/gateway/http_client.cc
+++ b/src/gateway/http_client.cc
@@ -16,6 +16,9 @@
 // Maximum size of a reply. Values in the platform's store are at most a
 // megabyte, and a page of several values is a few megabytes.
 constexpr std::uint64_t kMaxReplyBytes = 16U << 20U;
+// Maximum size of the read buffer, which holds a head, the line of a chunk's
+// size, a trailer, or a piece of the body.
+constexpr std::size_t kMaxBufferedBytes = 128U << 10U;
 constexpr unsigned kHttp11 = 11;
 
 }  // namespace
@@ -105,6 +108,7 @@
 void HttpClient::Receive() {
   parser_.emplace();
   parser_->body_limit(kMaxReplyBytes);
+  buffer_.max_size(kMaxBufferedBytes);
   http::async_read(*stream_, buffer_, *parser_,
                    [self = shared_from_this()](boost::system::error_code error,
                                                std::size_t) {
