One budget for all that callers hold, and an end for each part of a message

The parser bounds heads and bodies, not the line of a chunk's size, trailers or the buffer that waits for their ends. The budget counted announced bodies alone. What waited for a slow reader was bounded per connection (4 MiB twice), not in sum, and reading from the endpoint did not stop. The write's time-out replaced that of the read. The parser treats an unknown coding as no body. Exchange::OnResponseBytes did not keep the exchange alive.

Ruled out: a cap for each holding, which multiplies with the crowd; a limit on the number of fields, which clients inside the published limits could meet.

Everything that a connection holds is counted as it grows: head with its fields, body, buffers, the response that is buffered or queued. Beyond the limit (a quarter of memory_mb, as before) the connections go first that hold most, for longest, behind a pace of 64 KiB/s (connection_relief.h, no I/O); those at an endpoint go last. Where memory or places are short for a newcomer, who has been behind for 1 s (memory) or 2 s (places) makes room. What was not read whole gets 503 with Retry-After, which is true: nothing was sent on. A read buffer holds the limit on heads and 4 KiB. Only "chunked" is a known coding, else 501 or 400 and the connection closes. Trailers are dropped. An endpoint is not read while 256 KiB wait for the caller, and is not blamed for it. Events of 1 MiB at most, eight interim responses. Counter harecrank_gateway_callers_ended_total{cause} and a limited log line; refusals by the caller's own fault (4xx, never sent) are limited lines too.

--- a/include/harecrank/core/body_budget.h
+++ b/include/harecrank/core/body_budget.h
@@ -1,4 +1,4 @@
-// Limits the memory that the bodies of callers' requests occupy.
+// Limits the memory that callers' requests and the answers to them occupy.
 
 #ifndef HARECRANK_CORE_BODY_BUDGET_H_
 #define HARECRANK_CORE_BODY_BUDGET_H_
@@ -9,7 +9,8 @@
 
 namespace harecrank {
 
-// The bytes that may be reserved for bodies at once. Bodies are read whole, and
+// The bytes that all connections of callers may hold at once: heads and bodies
+// of requests, and answers that were not sent yet. Bodies are read whole, and
 // kept until their requests have ended. Not thread-safe.
 class BodyBudget {
  public:
@@ -21,6 +22,10 @@
     Reservation(const Reservation&) = delete;
     Reservation& operator=(const Reservation&) = delete;
 
+    // Changes what is reserved to `bytes`, whether or not they fit.
+    void Resize(std::size_t bytes);
+    std::size_t Bytes() const { return bytes_; }
+
    private:
     std::shared_ptr<std::size_t> reserved_;
     std::size_t bytes_;
@@ -37,6 +42,9 @@
   // is left for those who have a connection.
   bool IsNearlyUsed() const;
 
+  // Returns whether more is reserved than the limit allows.
+  bool IsExceeded() const { return limit_.has_value() && Reserved() > *limit_; }
+
   std::size_t Reserved() const { return *reserved_; }
 
  private:
--- a/include/harecrank/core/event_scanner.h
+++ b/include/harecrank/core/event_scanner.h
@@ -21,10 +21,12 @@
   std::string Accept(std::string_view bytes);
 
   // Discards the incomplete event at the end of the bytes accepted so far.
-  void DropPartial() { partial_.clear(); }
+  void DropPartial();
 
   // Returns whether there is an incomplete event.
   bool HasPartial() const { return !partial_.empty(); }
+  // Returns the number of bytes of the incomplete event.
+  std::size_t PartialSize() const { return partial_.size(); }
 
   // Returns the id of the last complete event with an "id" field, or an empty
   // string.
@@ -38,6 +40,8 @@
   void RecordEvent(std::string_view event);
 
   std::string partial_;
+  // No blank line begins before this position in `partial_`.
+  std::size_t scanned_ = 0;
   std::string last_id_;
   std::size_t count_ = 0;
 };
--- a/include/harecrank/core/http_status.h
+++ b/include/harecrank/core/http_status.h
@@ -13,6 +13,7 @@
 constexpr int kForbidden = 403;
 constexpr int kNotFound = 404;
 constexpr int kMethodNotAllowed = 405;
+constexpr int kRequestTimeout = 408;
 constexpr int kConflict = 409;
 constexpr int kTooLarge = 413;
 // The request reached another endpoint than the intended one, which has not run
@@ -22,8 +23,11 @@
 // The request needs a ticket, which ensures that it is executed at most once.
 constexpr int kPreconditionRequired = 428;
 constexpr int kTooManyRequests = 429;
+constexpr int kHeadTooLarge = 431;
 // Non-standard, for logs: the caller has disconnected.
 constexpr int kClientClosed = 499;
+constexpr int kInternalError = 500;
+constexpr int kNotImplemented = 501;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
--- a/src/core/body_budget.cc
+++ b/src/core/body_budget.cc
@@ -16,6 +16,12 @@
 
 BodyBudget::Reservation::~Reservation() { *reserved_ -= bytes_; }
 
+void BodyBudget::Reservation::Resize(std::size_t bytes) {
+  *reserved_ += bytes;
+  *reserved_ -= bytes_;
+  bytes_ = bytes;
+}
+
 bool BodyBudget::Fits(std::size_t bytes) const {
   return !limit_.has_value() || Reserved() == 0 ||
          Reserved() + bytes <= *limit_;
--- a/src/core/event_scanner.cc
+++ b/src/core/event_scanner.cc
@@ -1,19 +1,24 @@
 #include "harecrank/core/event_scanner.h"
 
+#include <algorithm>
+
 namespace harecrank {
 namespace {
 
+// The longest form of the end of an event.
+constexpr std::string_view kBlankLine = "\r\n\r\n";
+
 // Returns the position after the first blank line at or after `from`, or npos.
 std::size_t EndOfEvent(std::string_view text, std::size_t from) {
   const std::size_t lf_end = text.find("\n\n", from);
-  const std::size_t crlf_end = text.find("\r\n\r\n", from);
+  const std::size_t crlf_end = text.find(kBlankLine, from);
   if (lf_end == std::string_view::npos && crlf_end == std::string_view::npos) {
     return std::string_view::npos;
   }
   if (lf_end < crlf_end) {
     return lf_end + 2;
   }
-  return crlf_end + 4;
+  return crlf_end + kBlankLine.size();
 }
 
 // Returns the value of an "id" field, or an empty view if `line` is another
@@ -35,10 +40,15 @@
 
 }  // namespace
 
+void EventScanner::DropPartial() {
+  partial_.clear();
+  scanned_ = 0;
+}
+
 std::string EventScanner::Accept(std::string_view bytes) {
   partial_.append(bytes);
   std::size_t complete_size = 0;
-  std::size_t end = EndOfEvent(partial_, complete_size);
+  std::size_t end = EndOfEvent(partial_, scanned_);
   while (end != std::string_view::npos) {
     RecordEvent(
         std::string_view(partial_).substr(complete_size, end - complete_size));
@@ -47,6 +57,8 @@
   }
   std::string events = partial_.substr(0, complete_size);
   partial_.erase(0, complete_size);
+  // The longest blank line may lack its last byte.
+  scanned_ = partial_.size() - std::min(partial_.size(), kBlankLine.size() - 1);
   return events;
 }
 
--- a/src/gateway/attempt.cc
+++ b/src/gateway/attempt.cc
@@ -21,6 +21,12 @@
 // connection, that an attempt skips before it fails. An endpoint may send one
 // stale response, but not a series.
 constexpr int kMaxStaleMessages = 2;
+// Maximum number of interim responses (1xx) before a response. Endpoints send
+// at most one.
+constexpr int kMaxInterimResponses = 8;
+// Maximum size of the read buffer. It holds a head, the line of a chunk's size
+// with its extensions, or a trailer.
+constexpr std::size_t kMaxBufferedBytes = kMaxHeaderBytes + 4096;
 
 }  // namespace
 
@@ -119,6 +125,7 @@
   parser_ = std::make_unique<Parser>();
   parser_->header_limit(kMaxHeaderBytes);
   parser_->body_limit(boost::none);
+  connection_->buffer.max_size(kMaxBufferedBytes);
   if (request_.response_has_no_body) {
     parser_->skip(true);
   }
@@ -139,6 +146,11 @@
   }
   const ResponseHead& head = parser_->get();
   if (head.result_int() / 100 == 1) {
+    if (++interim_responses_ > kMaxInterimResponses) {
+      Fail(AttemptBroken{"interim responses without end", false,
+                         connection_->reused, false});
+      return;
+    }
     ReadHead();
     return;
   }
@@ -169,7 +181,19 @@
   return id != head.end() && id->value() == request_.request_id;
 }
 
+void Attempt::ResumeReading() {
+  paused_ = false;
+  if (read_is_due_ && !ended_) {
+    read_is_due_ = false;
+    ReadBody();
+  }
+}
+
 void Attempt::ReadBody() {
+  if (paused_) {
+    read_is_due_ = true;
+    return;
+  }
   auto& body = parser_->get().body();
   body.data = bytes_.data();
   body.size = bytes_.size();
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -87,6 +87,12 @@
   // request. The observer is not called any more.
   void Cancel();
 
+  // Stops reading the response after the bytes that were already passed on, and
+  // reads on. The endpoint waits meanwhile, since it can send no more.
+  void PauseReading() { paused_ = true; }
+  void ResumeReading();
+  bool IsPaused() const { return paused_; }
+
  private:
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
@@ -125,6 +131,10 @@
   // this connection.
   bool is_stale_ = false;
   int stale_messages_ = 0;
+  int interim_responses_ = 0;
+  bool paused_ = false;
+  // Whether the next read waits for ResumeReading.
+  bool read_is_due_ = false;
   bool ended_ = false;
 };
 
--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -1,6 +1,7 @@
 #include "src/gateway/caller_listener.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <utility>
 
 #include "src/gateway/simple_http_server.h"
@@ -15,23 +16,52 @@
 constexpr Millis kAcceptRetryDelay{50};
 // Minimum interval at which ended sessions are searched for to take a new one.
 constexpr Millis kSweepInterval{20};
+// Minimum interval at which connections are closed to make room for new ones.
+constexpr Millis kReliefInterval{20};
+// How long a connection may be behind its pace while others need the memory or
+// the place that it holds. Longer than pauses that the network causes.
+constexpr Millis kMemoryPatience{1000};
+constexpr Millis kPlacePatience{2000};
+// Number of connections that are closed at once to make room for new ones.
+constexpr std::size_t kPlacesAtOnce = 16;
 // Ended sessions are removed from the session list when it has grown to twice
 // the length that the previous removal left, and at least to this threshold.
 constexpr std::size_t kMinSweepThreshold = 64;
 
+std::vector<ConnectionHolding> HoldingsOf(
+    const std::vector<std::shared_ptr<CallerSession>>& sessions) {
+  std::vector<ConnectionHolding> holdings;
+  holdings.reserve(sessions.size());
+  for (const auto& session : sessions) {
+    holdings.push_back(session->Holding());
+  }
+  return holdings;
+}
+
 }  // namespace
 
 CallerListener::CallerListener(asio::io_context* io, const std::string& address,
                                AcceptGate* gate, RequestShare* share,
-                               SessionContext context, Metrics* metrics)
+                               SessionContext context, EventLog* log,
+                               Metrics* metrics)
     : io_(io),
       acceptor_(Listen(io, address)),
       retry_timer_(*io),
       gate_(gate),
       share_(share),
       context_(std::move(context)),
+      log_(log),
       metrics_(metrics),
-      sweep_threshold_(kMinSweepThreshold) {}
+      sweep_threshold_(kMinSweepThreshold) {
+  context_.make_memory = [this](std::size_t bytes) {
+    MakeMemory([this, bytes] { return context_.bodies->Fits(bytes); });
+    return context_.bodies->Fits(bytes);
+  };
+  context_.on_memory_exceeded = [this] { EndExcessSoon(); };
+  context_.on_ended = [this](CallerFault fault, std::size_t held_bytes) {
+    RecordEnd(fault, held_bytes);
+  };
+}
 
 void CallerListener::Start() { Accept(); }
 
@@ -76,7 +106,12 @@
 }
 
 void CallerListener::OnAccepted(asio::ip::tcp::socket socket) {
-  const AcceptDecision decision = Decide();
+  AcceptDecision decision = Decide();
+  if (decision == AcceptDecision::kNoRoom ||
+      decision == AcceptDecision::kNoMemory) {
+    Relieve(decision);
+    decision = Decide();
+  }
   if (decision != AcceptDecision::kTaken) {
     share_->OnRequest();
     // The socket's destructor closes the connection, of which nothing was read.
@@ -106,7 +141,94 @@
   return gate_->Decide(sessions_.size());
 }
 
+void CallerListener::Relieve(AcceptDecision decision) {
+  const TimePoint now = context_.clock();
+  if (now - last_relief_at_ < kReliefInterval) {
+    return;
+  }
+  last_relief_at_ = now;
+  if (decision == AcceptDecision::kNoRoom) {
+    MakePlaces();
+    RemoveClosed();
+  } else {
+    MakeMemory([this] { return !context_.bodies->IsNearlyUsed(); });
+  }
+}
+
+std::vector<std::shared_ptr<CallerSession>> CallerListener::OpenSessions()
+    const {
+  std::vector<std::shared_ptr<CallerSession>> open;
+  for (const auto& weak : sessions_) {
+    auto session = weak.lock();
+    if (session != nullptr && !session->IsClosed()) {
+      open.push_back(std::move(session));
+    }
+  }
+  return open;
+}
+
+void CallerListener::MakePlaces() {
+  const auto open = OpenSessions();
+  const auto order =
+      OrderForRoom(HoldingsOf(open), context_.clock(), kPlacePatience);
+  for (std::size_t i = 0; i < std::min(kPlacesAtOnce, order.size()); ++i) {
+    open[order[i]]->EndFor(CallerFault::kHeldPlace);
+  }
+}
+
+void CallerListener::MakeMemory(const std::function<bool()>& is_enough) {
+  const auto open = OpenSessions();
+  for (const std::size_t i :
+       OrderForMemory(HoldingsOf(open), context_.clock(), kMemoryPatience)) {
+    if (is_enough()) {
+      return;
+    }
+    open[i]->EndFor(CallerFault::kHeldMemory);
+  }
+}
+
+void CallerListener::EndExcessSoon() {
+  if (ends_excess_) {
+    return;
+  }
+  ends_excess_ = true;
+  asio::post(*io_, [this] {
+    ends_excess_ = false;
+    EndExcess();
+  });
+}
+
+void CallerListener::EndExcess() {
+  const auto open = OpenSessions();
+  std::size_t holding = 0;
+  for (const auto& session : open) {
+    holding += session->Holding().bytes > 0 ? 1 : 0;
+  }
+  for (const std::size_t i :
+       OrderAllForMemory(HoldingsOf(open), context_.clock())) {
+    // One request alone may need more than the limit.
+    if (!context_.bodies->IsExceeded() || holding <= 1) {
+      return;
+    }
+    --holding;
+    open[i]->EndFor(CallerFault::kHeldMemory);
+  }
+}
+
+void CallerListener::RecordEnd(CallerFault fault, std::size_t held_bytes) {
+  metrics_
+      ->GetCounter("harecrank_gateway_callers_ended_total",
+                   std::string("cause=\"") + NameOf(fault) + "\"")
+      ->Add();
+  log_->Write("caller_ended", {{"cause", NameOf(fault)},
+                               {"held_bytes", held_bytes},
+                               {"held_by_all", context_.bodies->Reserved()},
+                               {"callers", sessions_.size()}});
+}
+
 void CallerListener::RetryAccept() {
+  // Usually no descriptor is left.
+  MakePlaces();
   retry_timer_.expires_after(kAcceptRetryDelay);
   retry_timer_.async_wait([this](boost::system::error_code error) {
     if (!error) {
--- a/src/gateway/caller_session.cc
+++ b/src/gateway/caller_session.cc
@@ -2,8 +2,8 @@
 
 #include <sys/socket.h>
 
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
+#include <exception>
 #include <utility>
 
 #include "harecrank/core/http_status.h"
@@ -16,27 +16,45 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
-// Time-out of a write to the caller. If the caller does not accept the bytes in
-// this time, the connection is closed.
-constexpr Millis kFlushTimeout{10000};
-// Maximum number of bytes that are buffered for a slow caller. If more are
-// queued, the connection is closed. The longest streams of a million-token
-// prompt are much smaller.
-constexpr std::size_t kMaxQueuedBytes = 4U << 20U;
 constexpr int kVersion11 = 11;
-// Reserved for a body of unknown length, which most do not exceed.
-constexpr std::size_t kUnknownBodyBytes = 64U << 10U;
+// Added to the published limit on heads for the size of the read buffer, which
+// also holds the line of a chunk's size with its extensions, and trailers.
+constexpr std::size_t kFramingBytes = 4096;
 // When a caller whose body did not fit may return: by then most requests that
 // hold memory have ended.
 constexpr char kRetryAfterSeconds[] = "1";
 
 }  // namespace
 
+const char* NameOf(CallerFault fault) {
+  switch (fault) {
+    case CallerFault::kLargeHead:
+      return "large_head";
+    case CallerFault::kLargeBody:
+      return "large_body";
+    case CallerFault::kNotHttp:
+      return "not_http";
+    case CallerFault::kSlowToSend:
+      return "slow_to_send";
+    case CallerFault::kSlowToRead:
+      return "slow_to_read";
+    case CallerFault::kHeldMemory:
+      return "held_memory";
+    case CallerFault::kHeldPlace:
+      return "held_place";
+    case CallerFault::kException:
+      break;
+  }
+  return "exception";
+}
+
 CallerSession::CallerSession(asio::ip::tcp::socket socket,
                              const SessionContext* context)
     : socket_(std::move(socket)),
       context_(context),
-      timer_(socket_.get_executor()) {}
+      timer_(socket_.get_executor()),
+      output_(&socket_, this, [this] { return shared_from_this(); }),
+      memory_(*context->bodies, 0) {}
 
 void CallerSession::Start() {
   SetConnectionOptions(&socket_);
@@ -51,11 +69,13 @@
 
 void CallerSession::AwaitRequest() {
   state_ = State::kIdle;
+  pace_.Restart(context_->clock());
   if (buffer_.size() > 0) {
     ReadHead();
     return;
   }
   buffer_.shrink_to_fit();
+  UpdateMemory();
   StartTimer(context_->limits().idle_timeout, &CallerSession::OnIdleTimeout);
   WatchSocket();
 }
@@ -110,6 +130,7 @@
   parser_.emplace();
   parser_->header_limit(limits.max_header_bytes);
   parser_->body_limit(limits.max_body_bytes);
+  buffer_.max_size(limits.max_header_bytes + kFramingBytes);
   http::async_read_header(
       socket_, buffer_, *parser_,
       [self = shared_from_this()](const Error& error, std::size_t) {
@@ -126,9 +147,14 @@
     return;
   }
   arrived_ = context_->clock();
+  pace_.Restart(arrived_);
   keep_alive_ = parser_->keep_alive();
   response_has_no_body_ = parser_->get().method() == http::verb::head;
   chunked_ = parser_->get().version() >= kVersion11;
+  request_bytes_ = HeadMemory(parser_->get());
+  if (!HasKnownEnd()) {
+    return;
+  }
   if (parser_->is_done()) {
     OnRequest();
     return;
@@ -139,45 +165,96 @@
   }
   if (boost::beast::iequals(parser_->get()[http::field::expect],
                             "100-continue")) {
-    Queue("HTTP/1.1 100 Continue\r\n\r\n");
+    Send("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  if (parser_->chunked()) {
+    head_.emplace(std::move(parser_->get().base()));
+    parser_->get().base() = RequestHead();
   }
+  StartTimer(context_->limits().idle_timeout, &CallerSession::OnReadTimeout);
+  parser_->eager(true);
   ReadBody();
 }
 
+bool CallerSession::HasKnownEnd() {
+  switch (CheckFraming(parser_->get())) {
+    case FramingCheck::kKnown:
+      return true;
+    case FramingCheck::kUnknownCoding:
+      RespondAndClose(CallerFault::kNotHttp, http_status::kNotImplemented,
+                      "the only known transfer coding is chunked");
+      return false;
+    case FramingCheck::kNoEnd:
+      RespondAndClose(CallerFault::kNotHttp, http_status::kBadRequest,
+                      "the end of the body is not known");
+      return false;
+  }
+  return false;
+}
+
 bool CallerSession::ReserveBody() {
-  const std::uint64_t bytes =
-      parser_->content_length().value_or(kUnknownBodyBytes);
-  if (!context_->bodies->Fits(bytes)) {
+  const std::size_t announced = parser_->content_length().value_or(0);
+  if (!context_->bodies->Fits(announced) && !context_->make_memory(announced)) {
     return false;
   }
-  body_.emplace(*context_->bodies, bytes);
+  request_bytes_ += announced;
+  UpdateMemory();
   return true;
 }
 
 void CallerSession::ReadBody() {
-  StartTimer(context_->limits().idle_timeout, &CallerSession::OnReadTimeout);
-  http::async_read(
+  http::async_read_some(
       socket_, buffer_, *parser_,
-      [self = shared_from_this()](const Error& error, std::size_t) {
-        if (self->state_ != State::kReading) {
-          return;
-        }
-        if (error) {
-          self->RejectUnreadable(error);
-          return;
-        }
-        self->OnRequest();
+      [self = shared_from_this()](const Error& error, std::size_t bytes) {
+        self->OnBodyBytes(error, bytes);
       });
 }
 
+void CallerSession::OnBodyBytes(const Error& error, std::size_t bytes) {
+  if (state_ != State::kReading) {
+    // The request was rejected while this read was in progress.
+    DropRequestMemory();
+    return;
+  }
+  if (error) {
+    RejectUnreadable(error);
+    return;
+  }
+  pace_.OnBytes(bytes, context_->clock());
+  if (parser_->is_done()) {
+    OnRequest();
+    return;
+  }
+  UpdateMemory();
+  ReadBody();
+}
+
 void CallerSession::OnRequest() {
   state_ = State::kResponding;
   ++timer_generation_;
   timer_.cancel();
   CallerRequest request = parser_->release();
   parser_.reset();
-  std::shared_ptr<RequestHandle> handle =
-      context_->start_request(std::move(request), arrived_, shared_from_this());
+  if (head_.has_value()) {
+    request_bytes_ += request.body().capacity();
+    request.base() = *std::move(head_);
+    head_.reset();
+  }
+  UpdateMemory();
+  StartRequest(std::move(request));
+}
+
+void CallerSession::StartRequest(CallerRequest request) {
+  std::shared_ptr<RequestHandle> handle;
+  try {
+    handle = context_->start_request(std::move(request), arrived_,
+                                     shared_from_this());
+  } catch (const std::exception&) {
+    // Whether the request was sent on is not known.
+    RespondAndClose(CallerFault::kException, http_status::kInternalError,
+                    "the request could not be handled");
+    return;
+  }
   if (state_ == State::kResponding && !response_complete_) {
     request_ = std::move(handle);
     WatchSocket();
@@ -189,12 +266,16 @@
       error.category() == asio::error::get_system_category() ||
       error == asio::error::eof || error == http::error::partial_message) {
     Close();
-  } else if (error == http::error::header_limit) {
-    RespondAndClose(431, "the head is larger than allowed");
+  } else if (error == http::error::header_limit ||
+             error == http::error::buffer_overflow) {
+    RespondAndClose(CallerFault::kLargeHead, http_status::kHeadTooLarge,
+                    "the head, a chunk's extensions or the trailer are larger "
+                    "than allowed");
   } else if (error == http::error::body_limit) {
-    RespondAndClose(http_status::kTooLarge, "the body is larger than allowed");
+    RespondAndClose(CallerFault::kLargeBody, http_status::kTooLarge,
+                    "the body is larger than allowed");
   } else {
-    RespondAndClose(http_status::kBadRequest,
+    RespondAndClose(CallerFault::kNotHttp, http_status::kBadRequest,
                     "not a request: " + error.message());
   }
 }
@@ -215,11 +296,13 @@
 void CallerSession::OnIdleTimeout() { Close(); }
 
 void CallerSession::OnReadTimeout() {
-  RespondAndClose(408, "the request did not come in time");
+  RespondAndClose(CallerFault::kSlowToSend, http_status::kRequestTimeout,
+                  "the request did not come in time");
 }
 
-void CallerSession::RespondAndClose(unsigned status,
+void CallerSession::RespondAndClose(CallerFault fault, unsigned status,
                                     const std::string& reason) {
+  RecordEnd(fault);
   state_ = State::kResponding;
   keep_alive_ = false;
   ResponseHead head;
@@ -228,149 +311,62 @@
   SendWhole(std::move(head), reason + "\n");
 }
 
-void CallerSession::RejectForMemory() {
-  state_ = State::kResponding;
-  keep_alive_ = false;
-  ResponseHead head;
-  head.result(http_status::kUnavailable);
-  head.set(http::field::content_type, "text/plain");
-  head.set(http::field::retry_after, kRetryAfterSeconds);
-  SendWhole(std::move(head), "no memory for the body\n");
+void CallerSession::RecordEnd(CallerFault fault) const {
+  context_->on_ended(fault, memory_.Bytes());
 }
 
-void CallerSession::SendWhole(ResponseHead head, std::string body) {
-  if (state_ != State::kResponding) {
-    return;
-  }
-  keep_alive_ = keep_alive_ && !context_->is_draining();
-  std::string text;
-  AppendAnswerHead(head, &text);
-  const unsigned status = head.result_int();
-  const bool may_have_body = status != 204 && status != 304;
-  if (may_have_body && !(response_has_no_body_ && body.empty())) {
-    AppendHeader("Content-Length", std::to_string(body.size()), &text);
-  } else if (response_has_no_body_) {
-    const auto length = head.find(http::field::content_length);
-    if (length != head.end()) {
-      AppendHeader(
-          "Content-Length",
-          std::string_view(length->value().data(), length->value().size()),
-          &text);
-    }
-  }
-  if (!keep_alive_) {
-    AppendHeader("Connection", "close", &text);
-  }
-  text.append("\r\n");
-  if (may_have_body && !response_has_no_body_) {
-    text.append(body);
-  }
-  Queue(text);
-  FinishResponse();
+ConnectionHolding CallerSession::Holding() const {
+  const bool awaits_endpoint =
+      state_ == State::kResponding && output_.IsEmpty();
+  return {memory_.Bytes(), pace_.KeptUntil(), awaits_endpoint};
 }
 
-void CallerSession::BeginStream(ResponseHead head) {
-  if (state_ != State::kResponding) {
-    return;
-  }
-  keep_alive_ = keep_alive_ && chunked_ && !context_->is_draining();
-  std::string text;
-  AppendAnswerHead(head, &text);
-  if (chunked_) {
-    AppendHeader("Transfer-Encoding", "chunked", &text);
-  }
-  if (!keep_alive_) {
-    AppendHeader("Connection", "close", &text);
-  }
-  text.append("\r\n");
-  Queue(text);
-}
-
-void CallerSession::SendEvents(std::string bytes) {
-  if (state_ != State::kResponding) {
-    return;
-  }
-  if (!chunked_) {
-    Queue(bytes);
-    return;
-  }
-  std::string chunk;
-  AppendChunk(bytes, &chunk);
-  Queue(chunk);
-}
-
-void CallerSession::EndStream() {
-  if (state_ != State::kResponding) {
-    return;
-  }
-  if (chunked_) {
-    Queue(kLastChunk);
-  }
-  FinishResponse();
-}
-
-void CallerSession::AbortStream() {
-  request_.reset();
-  close_after_flush_ = true;
-  // Data that is already queued is still sent. The caller recognises the
-  // incomplete response by its missing end.
-  if (in_flight_.empty() && queued_.empty()) {
-    Close();
-  }
-}
-
-void CallerSession::Queue(std::string_view bytes) {
-  if (state_ == State::kClosed) {
-    return;
-  }
-  queued_.append(bytes);
-  if (queued_.size() > kMaxQueuedBytes) {
-    Close();
+void CallerSession::EndFor(CallerFault fault) {
+  if (state_ == State::kReading && fault == CallerFault::kHeldMemory) {
+    // Ends the read in progress, which then frees its memory.
+    Error ignored;
+    socket_.cancel(ignored);
+    RejectForMemory();
     return;
   }
-  if (in_flight_.empty()) {
-    Flush();
-  }
+  RecordEnd(fault);
+  Close();
 }
 
-void CallerSession::Flush() {
-  in_flight_.swap(queued_);
-  StartTimer(kFlushTimeout, &CallerSession::Close);
-  asio::async_write(
-      socket_, asio::buffer(in_flight_),
-      [self = shared_from_this()](const Error& error, std::size_t) {
-        self->OnFlushed(error);
-      });
+void CallerSession::RejectForMemory() {
+  RecordEnd(CallerFault::kHeldMemory);
+  state_ = State::kResponding;
+  keep_alive_ = false;
+  ResponseHead head;
+  head.result(http_status::kUnavailable);
+  head.set(http::field::content_type, "text/plain");
+  head.set(http::field::retry_after, kRetryAfterSeconds);
+  SendWhole(std::move(head), "no memory for the body\n");
 }
 
-void CallerSession::OnFlushed(const Error& error) {
+void CallerSession::UpdateMemory() {
   if (state_ == State::kClosed) {
     return;
   }
-  if (error) {
-    Close();
-    return;
-  }
-  in_flight_.clear();
-  if (!queued_.empty()) {
-    Flush();
-    return;
-  }
-  ++timer_generation_;
-  if (close_after_flush_) {
-    Close();
-  } else if (response_complete_) {
-    std::string().swap(in_flight_);
-    std::string().swap(queued_);
-    AwaitRequest();
+  // A body without an announced length is counted as it comes.
+  const bool is_growing = parser_.has_value() && head_.has_value();
+  const std::size_t body =
+      is_growing ? parser_->get().body().capacity() : std::size_t{0};
+  const std::size_t before = memory_.Bytes();
+  memory_.Resize(request_bytes_ + response_bytes_ + body + buffer_.capacity() +
+                 output_.Memory());
+  if (memory_.Bytes() > before && context_->bodies->IsExceeded()) {
+    context_->on_memory_exceeded();
   }
 }
 
-void CallerSession::FinishResponse() {
-  request_.reset();
-  body_.reset();
-  response_complete_ = true;
-  close_after_flush_ = !keep_alive_;
+void CallerSession::DropRequestMemory() {
+  parser_.reset();
+  head_.reset();
+  request_bytes_ = 0;
+  buffer_.clear();
+  buffer_.shrink_to_fit();
+  UpdateMemory();
 }
 
 void CallerSession::Close() {
@@ -380,7 +376,8 @@
   state_ = State::kClosed;
   ++timer_generation_;
   timer_.cancel();
-  body_.reset();
+  output_.Close();
+  memory_.Resize(0);
   // The request handle may hold the last reference to this.
   const auto self = shared_from_this();
   if (const auto request = std::move(request_)) {
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -15,7 +15,10 @@
 
 #include "harecrank/core/body_budget.h"
 #include "harecrank/core/clock.h"
+#include "harecrank/core/connection_relief.h"
 #include "harecrank/core/routing_table.h"
+#include "src/gateway/caller_output.h"
+#include "src/gateway/request_framing.h"
 #include "src/gateway/response_sink.h"
 #include "src/gateway/timer.h"
 
@@ -35,6 +38,9 @@
 
   // The caller has closed its connection, so the response is no longer needed.
   virtual void OnCallerDisconnected() = 0;
+
+  // The caller has read on after ResponseSink::IsCongested had returned true.
+  virtual void OnCallerReadOn() = 0;
 };
 
 // Starts the handling of one request. `arrived` is the time at which its header
@@ -44,6 +50,27 @@
     CallerRequest request, TimePoint arrived,
     std::shared_ptr<ResponseSink> sink)>;
 
+// Why this host ended a connection.
+enum class CallerFault {
+  // The head or the framing of the body was larger than allowed.
+  kLargeHead,
+  kLargeBody,
+  // What was sent is not a request of HTTP, or the end of its body is unknown.
+  kNotHttp,
+  // The head or the body did not come in time.
+  kSlowToSend,
+  // The answer was not read in time.
+  kSlowToRead,
+  // It held memory that others needed, or a place among the connections.
+  kHeldMemory,
+  kHeldPlace,
+  // A part of this process threw an exception while it handled the request.
+  kException
+};
+
+// Name of `fault` for metrics and logs.
+const char* NameOf(CallerFault fault);
+
 // Callbacks and the clock that all sessions of a listener share.
 struct SessionContext {
   RequestStarter start_request;
@@ -52,14 +79,24 @@
   // Returns whether this host is shutting down, so that connections are closed
   // after the current response.
   std::function<bool()> is_draining;
-  // The memory for bodies of requests. Must outlive the use of the context.
+  // The memory for requests and answers. Must outlive the use of the context.
   const BodyBudget* bodies = nullptr;
   MonotonicClock clock;
+  // Closes connections that hold memory and have been behind for a while, until
+  // `bytes` more fit. Returns whether they fit.
+  std::function<bool(std::size_t bytes)> make_memory;
+  // More memory is held than allowed. Closes connections later, never from
+  // within this call.
+  std::function<void()> on_memory_exceeded;
+  // Records that this host has ended a connection because of what its caller
+  // did or held.
+  std::function<void(CallerFault fault, std::size_t held_bytes)> on_ended;
 };
 
 // Reads the requests of one caller connection and writes the responses to it.
 // Not thread-safe; runs on its socket's io_context.
 class CallerSession : public ResponseSink,
+                      public CallerOutputObserver,
                       public std::enable_shared_from_this<CallerSession> {
  public:
   // `context` must outlive the session.
@@ -78,11 +115,22 @@
   bool IsBusy() const { return state_ != State::kIdle; }
   bool IsClosed() const { return state_ == State::kClosed; }
 
+  // Returns what this connection holds.
+  ConnectionHolding Holding() const;
+
+  // Ends the connection because others need what it holds. A request that was
+  // not read whole is rejected, as one that has not run.
+  void EndFor(CallerFault fault);
+
   void SendWhole(ResponseHead head, std::string body) override;
   void BeginStream(ResponseHead head) override;
   void SendEvents(std::string bytes) override;
   void EndStream() override;
   void AbortStream() override;
+  bool IsCongested() const override { return output_.IsCongested(); }
+  void OnResponseHeld(std::size_t bytes) override;
+  void OnFlushed(std::size_t bytes) override;
+  void OnOutputFailed() override { EndFor(CallerFault::kSlowToRead); }
 
  private:
   enum class State { kIdle, kReading, kResponding, kClosed };
@@ -96,21 +144,30 @@
   void CheckCallerConnection();
   void ReadHead();
   void OnHead(const Error& error);
+  // Returns whether the body whose head has been read has a known end. If not,
+  // the request is rejected.
+  bool HasKnownEnd();
   // Reserves memory for the body whose head has been read. Returns false if it
   // does not fit.
   bool ReserveBody();
   void ReadBody();
+  void OnBodyBytes(const Error& error, std::size_t bytes);
   void OnRequest();
+  void StartRequest(CallerRequest request);
   void RejectUnreadable(const Error& error);
   void StartTimer(Millis limit, void (CallerSession::*expired)());
   void OnIdleTimeout();
   void OnReadTimeout();
   // Rejects the request whose body does not fit; nothing of it was sent on.
   void RejectForMemory();
-  void RespondAndClose(unsigned status, const std::string& reason);
-  void Queue(std::string_view bytes);
-  void Flush();
-  void OnFlushed(const Error& error);
+  void RespondAndClose(CallerFault fault, unsigned status,
+                       const std::string& reason);
+  void RecordEnd(CallerFault fault) const;
+  void Send(std::string_view bytes);
+  // Reserves the memory that this connection occupies now.
+  void UpdateMemory();
+  // Frees what reading the request has occupied.
+  void DropRequestMemory();
   void FinishResponse();
   void Close();
 
@@ -121,14 +178,23 @@
   // still run after the wait was cancelled; it is ignored since its number
   // differs.
   std::uint64_t timer_generation_ = 0;
+  CallerOutput output_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
+  // The head of a request with a chunked body, which is kept apart from the
+  // fields of its trailer.
+  std::optional<RequestHead> head_;
   TimePoint arrived_{};
   State state_ = State::kIdle;
   bool watching_ = false;
   std::shared_ptr<RequestHandle> request_;
-  // Memory for the body of the request that is being read or in progress.
-  std::optional<BodyBudget::Reservation> body_;
+  CallerPace pace_;
+  // All memory of this connection: `request_bytes_` for the request that is
+  // being read or in progress, `response_bytes_` for its response before that
+  // is sent, and the buffers.
+  BodyBudget::Reservation memory_;
+  std::size_t request_bytes_ = 0;
+  std::size_t response_bytes_ = 0;
   // Properties of the current request's response: whether the connection stays
   // open afterwards, whether there is no body, and whether a streamed body is
   // sent in chunks.
@@ -137,8 +203,8 @@
   bool chunked_ = false;
   bool close_after_flush_ = false;
   bool response_complete_ = false;
-  std::string queued_;
-  std::string in_flight_;
+  // Whether the request in progress waits to be told that the caller reads on.
+  bool was_congested_ = false;
 };
 
 }  // namespace harecrank
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -272,8 +272,9 @@
 }
 
 std::optional<TimePoint> Exchange::AttemptOverdueAt() const {
-  if (!sender_->IsUnderWay() || !route_->MayRepeat() || budget_exhausted_ ||
-      sender_->SendCount() >= route_->max_attempts) {
+  // An endpoint that waits for a caller to read is not overdue.
+  if (!sender_->IsUnderWay() || sender_->IsPaused() || !route_->MayRepeat() ||
+      budget_exhausted_ || sender_->SendCount() >= route_->max_attempts) {
     return std::nullopt;
   }
   return sender_->OverdueAt();
@@ -340,6 +341,16 @@
   }
 }
 
+void Exchange::OnCallerReadOn() {
+  const auto self = shared_from_this();
+  if (!finished_ && sender_.has_value() && sender_->IsPaused()) {
+    sender_->ResumeReading();
+    if (!finished_) {
+      ArmTimer();
+    }
+  }
+}
+
 void Exchange::Finish(const char* outcome, unsigned status,
                       const std::string& reason) {
   if (finished_) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -43,6 +43,7 @@
   void Start();
 
   void OnCallerDisconnected() override;
+  void OnCallerReadOn() override;
   void OnPlaced(const Placement& placement) override;
   void OnRejected(RejectionReason reason, Millis retry_after) override;
   void OnNoEndpoint() override;
--- a/src/gateway/exchange_attempts.cc
+++ b/src/gateway/exchange_attempts.cc
@@ -123,6 +123,7 @@
 }
 
 void Exchange::OnResponseBytes(std::string_view bytes) {
+  const auto self = shared_from_this();
   sender_->OnBytes();
   switch (relay_.Accept(bytes)) {
     case ResponseRelay::AcceptResult::kEvents:
@@ -130,6 +131,9 @@
       if (!sender_->IsStarting()) {
         ReportSound();
       }
+      if (sink_->IsCongested()) {
+        sender_->PauseReading();
+      }
       break;
     case ResponseRelay::AcceptResult::kTooLarge:
       AbandonAttempt();
--- a/src/gateway/exchange_log.cc
+++ b/src/gateway/exchange_log.cc
@@ -3,9 +3,14 @@
 #include <string_view>
 #include <utility>
 
+#include "harecrank/core/http_status.h"
+
 namespace harecrank {
 namespace {
 
+// Longer ids are cut in the log, so that a few lines do not fill its buffer.
+constexpr std::size_t kMaxLoggedIdBytes = 128;
+
 std::int64_t WholeMillis(TimePoint::duration time) {
   return std::chrono::duration_cast<Millis>(time).count();
 }
@@ -23,7 +28,7 @@
 ExchangeLog::ExchangeLog(const GatewayServices* services,
                          std::string request_id, TimePoint arrived)
     : services_(services),
-      request_id_(std::move(request_id)),
+      request_id_(std::move(request_id).substr(0, kMaxLoggedIdBytes)),
       arrived_(arrived) {}
 
 void ExchangeLog::SetRoute(std::string route, RoutingVersion configuration) {
@@ -138,10 +143,14 @@
   fields["sendings"] = end.send_count;
   fields["prompt"] = end.prompt.value;
   fields["endpoint"] = end.endpoint.value;
-  const bool failed = std::string_view(end.outcome) != "completed";
-  services_->log->Write(
-      "ended", std::move(fields),
-      failed ? LogRateLimit::kExempt : LogRateLimit::kLimited);
+  const bool completed = std::string_view(end.outcome) == "completed";
+  // Callers may send any number of requests that are refused at once.
+  const bool is_callers_fault = end.send_count == 0 &&
+                                end.status >= http_status::kBadRequest &&
+                                end.status < http_status::kInternalError;
+  services_->log->Write("ended", std::move(fields),
+                        completed || is_callers_fault ? LogRateLimit::kLimited
+                                                      : LogRateLimit::kExempt);
 }
 
 }  // namespace harecrank
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -123,7 +123,7 @@
       accept_gate_(MaxSessions(settings_.descriptors), &bodies_,
                    &request_share_, clock_),
       callers_(&io_, settings_.callers_address, &accept_gate_, &request_share_,
-               MakeSessionContext(), &metrics_),
+               MakeSessionContext(), &log_, &metrics_),
       readiness_(
           &io_, settings_.readiness_address, "readiness",
           MaxShortConnections(settings_.descriptors),
--- a/src/gateway/request_sender.cc
+++ b/src/gateway/request_sender.cc
@@ -60,6 +60,22 @@
   }
 }
 
+void RequestSender::PauseReading() {
+  if (attempt_ != nullptr) {
+    attempt_->PauseReading();
+  }
+}
+
+void RequestSender::ResumeReading() {
+  if (!IsPaused()) {
+    return;
+  }
+  last_bytes_at_ = services_->clock();
+  // The attempt may end, and with it `attempt_`, while it reads on.
+  const std::shared_ptr<Attempt> attempt = attempt_;
+  attempt->ResumeReading();
+}
+
 void RequestSender::OnSent() {
   was_sent_ = true;
   ++send_count_;
--- a/src/gateway/request_sender.h
+++ b/src/gateway/request_sender.h
@@ -30,6 +30,12 @@
   // Cancels the attempt by closing its connection, which makes the endpoint
   // stop processing the request.
   void Cancel();
+  // Pauses the current attempt while the caller does not read its response.
+  void PauseReading();
+  // Ends the pause. The endpoint is not blamed for it.
+  void ResumeReading();
+  // Returns whether the endpoint waits for the caller.
+  bool IsPaused() const { return attempt_ != nullptr && attempt_->IsPaused(); }
   // Records that the current attempt has ended by itself, not by Cancel.
   void OnEnded() { attempt_.reset(); }
 
--- a/src/gateway/response_relay.cc
+++ b/src/gateway/response_relay.cc
@@ -9,6 +9,8 @@
 // Maximum size of a response that is not a stream. Such a response is buffered
 // until it is complete.
 constexpr std::size_t kMaxResponseBytes = 16U << 20U;
+// Maximum size of one event of a stream. An event is held until it is complete.
+constexpr std::size_t kMaxEventBytes = 1U << 20U;
 
 }  // namespace
 
@@ -18,8 +20,9 @@
 
 void ResponseRelay::BeginAttempt() {
   is_stream_ = false;
-  body_.clear();
+  std::string().swap(body_);
   head_.reset();
+  sink_->OnResponseHeld(0);
 }
 
 void ResponseRelay::RelayEvents(const ResponseHead& head) {
@@ -35,12 +38,15 @@
 ResponseRelay::AcceptResult ResponseRelay::Accept(std::string_view bytes) {
   if (!is_stream_) {
     body_.append(bytes);
+    sink_->OnResponseHeld(body_.capacity());
     return body_.size() > kMaxResponseBytes ? AcceptResult::kTooLarge
                                             : AcceptResult::kBuffered;
   }
   std::string events = scanner_.Accept(bytes);
+  sink_->OnResponseHeld(scanner_.PartialSize());
   if (events.empty()) {
-    return AcceptResult::kBuffered;
+    return scanner_.PartialSize() > kMaxEventBytes ? AcceptResult::kTooLarge
+                                                   : AcceptResult::kBuffered;
   }
   RecordGap();
   sink_->SendEvents(std::move(events));
--- a/src/gateway/response_relay.h
+++ b/src/gateway/response_relay.h
@@ -37,7 +37,7 @@
     kBuffered,
     // At least one complete event was forwarded to the caller.
     kEvents,
-    // The response exceeds the size limit.
+    // The response, or an event of the stream, exceeds the size limit.
     kTooLarge
   };
   AcceptResult Accept(std::string_view bytes);
--- a/src/gateway/response_sink.h
+++ b/src/gateway/response_sink.h
@@ -35,6 +35,13 @@
   // Closes the connection without the end of the response, so that the caller
   // recognises the response as incomplete.
   virtual void AbortStream() = 0;
+
+  // Returns whether so much of a stream waits for the caller to read it that no
+  // more should be fetched now.
+  virtual bool IsCongested() const = 0;
+
+  // Tells how many bytes of the response are held until it is sent as a whole.
+  virtual void OnResponseHeld(std::size_t bytes) = 0;
 };
 
 }  // namespace harecrank
