Take an answer without a length for whole only if its endpoint runs on

Cause: an answer without a length or chunks ends with its connection, in the same way when the server's process ends. The gateway asked whether the server still listens for streams alone, not for a server that is draining or asked for back-off, and took each answer but a refusal for "runs on". A coding other than chunked counted as an end.

Ruled out: taking each such answer for broken, which would repeat whole ones.

Whole only if the connection is accepted; otherwise a stream goes on elsewhere or is broken off, and another answer is repeated where its route allows that, else it is 502, which promises nothing. HEAD, 204 and 304 have no body and need no end.

--- a/src/gateway/crash_guard.cc
+++ b/src/gateway/crash_guard.cc
@@ -113,6 +113,17 @@
                  });
 }
 
+void CrashGuard::ConfirmEnd(const Suspect& suspect,
+                            const EndpointRecord& endpoint, bool was_starting,
+                            std::function<void(ProbeResult result)> on_probed) {
+  const bool is_drained = directory_->Drained().IsDrained(endpoint.data_centre);
+  if (MayProbe(endpoint) || is_drained) {
+    OnResponseAborted(suspect, endpoint, was_starting, std::move(on_probed));
+    return;
+  }
+  prober_->Probe(endpoint.address, std::move(on_probed));
+}
+
 void CrashGuard::OnCrash(const Suspect& suspect,
                          const EndpointRecord& endpoint) {
   const EndpointCrash crash{
--- a/src/gateway/crash_guard.h
+++ b/src/gateway/crash_guard.h
@@ -127,6 +127,14 @@
                          bool was_starting,
                          std::function<void(ProbeResult result)> on_probed);
 
+  // Like OnResponseAborted, for a response that ended with its connection and
+  // has no other end: it is whole only if the endpoint's process runs on. Also
+  // an endpoint that has announced its shutdown or asked for back-off is
+  // probed, without a crash being counted; one in a drained data centre is not.
+  void ConfirmEnd(const Suspect& suspect, const EndpointRecord& endpoint,
+                  bool was_starting,
+                  std::function<void(ProbeResult result)> on_probed);
+
   // Records that an endpoint has answered the request completely.
   void OnCompleted(GuardedRequest* request);
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -90,11 +90,14 @@
   // endpoint has crashed. A request that may be repeated is retried after this
   // check; any other is given up at once.
   void HandleBroken(const AttemptBroken& broken);
+  // Sends the end of a response, or all of it, to the caller.
+  void Complete();
   void CompleteStream();
-  // Completes a stream without Content-Length or chunked encoding whose
-  // connection has ended, unless the endpoint has ended, too, or there was no
-  // event: then the stream was broken off.
-  void ConfirmStreamEnd();
+  void CompleteBuffered();
+  // Completes a response without Content-Length or chunked encoding whose
+  // connection has ended, if the endpoint runs on. If it does not, or this is
+  // not known, or a stream has no event, the response was broken off.
+  void ConfirmEnd();
   nlohmann::json BrokenFields(const AttemptBroken& broken);
   // Ends a request that is quarantined because it crashes endpoints.
   void RejectQuarantined();
@@ -104,7 +107,7 @@
   // Reports a complete response to the crash guard. A response without
   // Content-Length or chunked encoding ends when the connection closes. It is
   // not reported, since a crash closes the connection, too, and may have
-  // truncated it. See ConfirmStreamEnd for streams.
+  // truncated it. See ConfirmEnd.
   void ReportCompletion();
   // Reports to the crash guard, once in each attempt, that the endpoint did not
   // crash on the request.
--- a/src/gateway/exchange_attempts.cc
+++ b/src/gateway/exchange_attempts.cc
@@ -23,6 +23,18 @@
          wanted;
 }
 
+// Returns whether the head tells where the body of the response ends. Any
+// coding but chunked ends with the connection.
+bool HasFramedEnd(const ResponseHead& head) {
+  const auto coding = head.find(http::field::transfer_encoding);
+  if (coding != head.end()) {
+    return boost::beast::iequals(coding->value(), "chunked");
+  }
+  return head.count(http::field::content_length) != 0 ||
+         head.result() == http::status::no_content ||
+         head.result() == http::status::not_modified;
+}
+
 }  // namespace
 
 void Exchange::OnErrorAnswer() {
@@ -60,8 +72,7 @@
   const auto self = shared_from_this();
   const EndpointResponse response = DecodeResponse(head, *services_->names);
   sender_->OnAnswer(response);
-  has_framed_end_ = head.count(http::field::content_length) != 0 ||
-                    head.count(http::field::transfer_encoding) != 0;
+  has_framed_end_ = request_.method() == http::verb::head || HasFramedEnd(head);
   HandleResponseHead(response, head);
 }
 
@@ -157,15 +168,28 @@
     HandleBroken(AttemptBroken{"ended_inside_an_event", true, false, true});
     return;
   }
-  if (relay_.IsStream() && !has_framed_end_) {
-    ConfirmStreamEnd();
+  if (!has_framed_end_) {
+    ConfirmEnd();
     return;
   }
   ReportCompletion();
+  Complete();
+}
+
+void Exchange::Complete() {
   if (relay_.IsStream()) {
     CompleteStream();
-    return;
+  } else {
+    CompleteBuffered();
   }
+}
+
+void Exchange::CompleteStream() {
+  relay_.EndStream();
+  Finish("completed", http_status::kOk, "");
+}
+
+void Exchange::CompleteBuffered() {
   const bool completed = relay_.BufferedStatus() < http_status::kBadRequest;
   if (completed) {
     OnFirstEvent();
--- a/src/gateway/exchange_crashes.cc
+++ b/src/gateway/exchange_crashes.cc
@@ -22,18 +22,13 @@
 
 }  // namespace
 
-void Exchange::CompleteStream() {
-  relay_.EndStream();
-  Finish("completed", http_status::kOk, "");
-}
-
-void Exchange::ConfirmStreamEnd() {
-  if (relay_.EventCount() == 0) {
+void Exchange::ConfirmEnd() {
+  if (relay_.IsStream() && relay_.EventCount() == 0) {
     HandleBroken(AttemptBroken{"ended_without_an_event", true, false, true});
     return;
   }
   const AttemptBroken ended{"ended_with_its_connection", true, false, true};
-  services_->crashes->OnResponseAborted(
+  services_->crashes->ConfirmEnd(
       {Fingerprint(), parts_}, sender_->Endpoint(), sender_->IsStarting(),
       [weak = weak_from_this(), reason = ended.reason,
        fields = BrokenFields(ended)](ProbeResult result) {
@@ -41,8 +36,8 @@
         if (self == nullptr || self->finished_) {
           return;
         }
-        if (result != ProbeResult::kRefused) {
-          self->CompleteStream();
+        if (result == ProbeResult::kAccepted) {
+          self->Complete();
           return;
         }
         LogBroken(*self->services_, fields, result);
