Leave the first 8 KiB of each connection out of the memory budget

Change: what an ordinary small request needs is not counted, 8 KiB for each connection: 24 MB at 3,000 connections, within what the rest of the process has. An ordinary small caller so holds nothing and is never closed for memory.

--- a/src/gateway/caller_session.cc
+++ b/src/gateway/caller_session.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/beast/http/read.hpp>
 #include <exception>
 #include <utility>
@@ -20,6 +21,10 @@
 // Added to the published limit on heads for the size of the read buffer, which
 // also holds the line of a chunk's size with its extensions, and trailers.
 constexpr std::size_t kFramingBytes = 4096;
+// Memory of each connection that is not counted: what an ordinary small request
+// needs. All connections together need little of the rest of the process's
+// memory for it.
+constexpr std::size_t kUncountedBytes = 8U << 10U;
 // When a caller whose body did not fit may return: by then most requests that
 // hold memory have ended.
 constexpr char kRetryAfterSeconds[] = "1";
@@ -353,8 +358,9 @@
   const std::size_t body =
       is_growing ? parser_->get().body().capacity() : std::size_t{0};
   const std::size_t before = memory_.Bytes();
-  memory_.Resize(request_bytes_ + response_bytes_ + body + buffer_.capacity() +
-                 output_.Memory());
+  const std::size_t bytes = request_bytes_ + response_bytes_ + body +
+                            buffer_.capacity() + output_.Memory();
+  memory_.Resize(bytes - std::min(bytes, kUncountedBytes));
   if (memory_.Bytes() > before && context_->bodies->IsExceeded()) {
     context_->on_memory_exceeded();
   }
