Bound the bodies that a sidecar holds

What was seen: eight links with one body of 60 MB each took a sidecar to 505 MB, where its machine has 192.

Cause: a body was bounded (64 MB), not their sum. The test of it, landed with the others, passed on the untouched product since its frames told their size in too many bytes and its deadline was in the past, so that the sidecar closed the link: both mended here, crowd and bound as they were.

Change: setting body_memory_bytes (64 MiB); a request that does not fit beside others is refused as "overloaded", not run, to be sent again after 500 ms, and counted (harecrank_sidecar_no_memory_total). A body is no longer reserved before it comes.

--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -16,6 +16,7 @@
 constexpr std::int64_t kMaxThreads = 4096;
 constexpr std::int64_t kMaxQueue = 1000000;
 constexpr std::int64_t kMaxBodyBytes = 64LL << 20;
+constexpr std::int64_t kMaxBodyMemoryBytes = 64LL << 30;
 constexpr double kMaxRepeats = 1e6;
 constexpr double kMaxCpuShare = 1024;
 constexpr double kMaxColdOverage = 1000;
@@ -104,6 +105,9 @@
   reader.ReadInteger("max_requests", 1, kMaxThreads, &settings.max_requests);
   reader.ReadInteger("max_body_bytes", 1, kMaxBodyBytes,
                      &settings.max_body_bytes);
+  reader.ReadInteger("body_memory_bytes", 1, kMaxBodyMemoryBytes,
+                     &settings.body_memory_bytes);
+  reader.ReadMillis("head_timeout_ms", &settings.head_timeout);
   reader.ReadEnum("routing_policy", {"random", "least_loaded", "length_aware"},
                   &settings.routing_policy);
   reader.ReadMillis("drain_limit_ms", &settings.drain_limit);
@@ -120,6 +124,8 @@
   reader.ReadAddress("endpoint_address", Presence::kRequired,
                      &settings.endpoint_address);
   reader.ReadInteger("queue_limit", 1, kMaxQueue, &settings.queue_limit);
+  reader.ReadInteger("body_memory_bytes", 1, kMaxBodyMemoryBytes,
+                     &settings.body_memory_bytes);
   reader.ReadInteger("max_running", 1, kMaxThreads, &settings.max_running);
   reader.ReadMillis("pulse_interval_ms", &settings.pulse_interval);
   reader.ReadMillis("reconcile_interval_ms", &settings.reconcile_interval);
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -50,6 +50,11 @@
   // immediately.
   int max_requests = 512;
   std::size_t max_body_bytes = 16U << 20U;
+  // Maximum number of bytes of all bodies that are held at once. Requests whose
+  // bodies do not fit are rejected.
+  std::size_t body_memory_bytes = 64U << 20U;
+  // Time for the head of a request, from its first byte.
+  Millis head_timeout{10000};
   std::string routing_policy = "length_aware";
   // Maximum duration of the drain: when the process is stopped, it waits at
   // most this long for active requests to end.
@@ -65,6 +70,9 @@
   std::string endpoint_address;
   // Maximum number of queued requests.
   std::size_t queue_limit = 512;
+  // Maximum number of bytes of the bodies of all requests that are queued or
+  // running. Further requests are refused.
+  std::size_t body_memory_bytes = 64U << 20U;
   // Maximum number of concurrently running requests.
   int max_running = 64;
   // Interval between two heartbeats to an entry host.
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -35,6 +35,9 @@
 constexpr std::int64_t kServiceMemory = 1 << 20;
 constexpr Millis kDrainPollInterval{20};
 constexpr Millis kMaxReservationTtl{30000};
+// When a request whose body did not fit may be sent again: by then most bodies
+// that were held have been passed to the engine.
+constexpr Millis kMemoryRetryDelay{500};
 
 std::string SubmitErrorMessage(const SubmitError& error) {
   if (const auto* larger = std::get_if<LargerThanEngine>(&error)) {
@@ -111,6 +114,7 @@
   Metrics* metrics = node_.GetMetrics();
   accepted_ = metrics->GetCounter("harecrank_sidecar_accepted_total");
   rejected_ = metrics->GetCounter("harecrank_sidecar_refused_total");
+  no_memory_ = metrics->GetCounter("harecrank_sidecar_no_memory_total");
   started_ = metrics->GetCounter("harecrank_sidecar_started_total");
   replayed_ = metrics->GetCounter("harecrank_sidecar_replayed_total");
   abandoned_ = metrics->GetCounter("harecrank_sidecar_abandoned_total");
@@ -228,10 +232,18 @@
                                "a stream number used twice, or too large"});
     return;
   }
+  if (submit.body_bytes + BodyBytes() > settings_.body_memory_bytes &&
+      !by_key_.empty()) {
+    no_memory_->Add();
+    links_->Send(connection,
+                 wire::Refused{submit.stream, "overloaded",
+                               "the sidecar holds all the bodies it can",
+                               kMemoryRetryDelay});
+    return;
+  }
   const auto stream = std::make_shared<SidecarStream>(next_key_++, connection,
                                                       std::move(submit));
   stream->deadline = TimePoint(Millis(stream->submit.deadline.value));
-  stream->body.reserve(stream->submit.body_bytes);
   streams_.emplace(name, stream);
   by_key_.emplace(stream->key, stream);
   if (stream->submit.body_bytes == 0) {
@@ -239,6 +251,14 @@
   }
 }
 
+std::size_t SidecarNode::BodyBytes() const {
+  std::size_t bytes = 0;
+  for (const auto& stream : by_key_) {
+    bytes += stream.second->submit.body_bytes;
+  }
+  return bytes;
+}
+
 void SidecarNode::On(ConnectionId connection, wire::BodyChunk& chunk) {
   const std::lock_guard<std::mutex> lock(mutex_);
   const StreamPtr stream = Find(connection, chunk.stream);
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -115,6 +115,8 @@
   // Queues an allocation for release by the canceller thread.
   void QueueCancel(const AllocationId& allocation);
   StreamPtr Find(ConnectionId connection, StreamId stream) const;
+  // Returns the sizes of the bodies of all requests together, in bytes.
+  std::size_t BodyBytes() const;
 
   void OnRunEnded(const StreamPtr& stream, bool replay);
   void ApplyConfiguration();
@@ -164,6 +166,7 @@
   std::thread canceller_;
   Counter* accepted_;
   Counter* rejected_;
+  Counter* no_memory_;
   Counter* started_;
   Counter* replayed_;
   Counter* abandoned_;
--- a/tests/hostile_caller_test.cc
+++ b/tests/hostile_caller_test.cc
@@ -217,10 +217,12 @@
   link.ReadSome();
 }
 
-// Sends `payload` as one frame, masked by zeros.
+// Sends `payload`, of 126 bytes or more, as one frame that is masked by zeros.
+// Its size has 2 or 8 bytes, as it needs.
 void SendFrame(const HostileConnection& link, const std::string& payload) {
-  std::string frame = "\x82\xff";
-  for (int shift = 56; shift >= 0; shift -= 8) {
+  const bool is_long = payload.size() > 0xffff;
+  std::string frame = is_long ? "\x82\xff" : "\x82\xfe";
+  for (int shift = is_long ? 56 : 8; shift >= 0; shift -= 8) {
     frame += static_cast<char>((payload.size() >> shift) & 0xffU);
   }
   frame.append(4, '\0');
@@ -248,7 +250,7 @@
     wire::Submit submit;
     submit.stream = StreamId{1};
     submit.body_bytes = kAnnounced;
-    submit.deadline = RemoteMillis{std::int64_t{1} << 60};
+    submit.deadline = RemoteMillis{1000000000000};
     SendFrame(link, wire::Encode(submit));
     wire::BodyChunk chunk;
     chunk.stream = submit.stream;
