Keep slow and large senders from an entry host's threads and memory

What callers saw: 40 bodies that do not end took an entry host to 1,182 MB; a crowd of 100 idle connections, or of bodies that do not come, kept every other caller out for as long as it liked, at the operations port of a sidecar too; a body of an unknown coding was awaited without end; 8 MB of small JSON values took more than 260 MB.

Cause: POCO's server has a thread for each connection and no limit on the time of a head or body; the sum of bodies was not bounded; the allocator keeps freed bodies for the thread that freed them; each JSON value takes dozens of bytes.

Ruled out: more threads, which the crowd takes as well; a proxy in front.

Change: GuardedSocket, a socket of POCO's server that tells who is behind: heads have 64 KiB and 10 s (head_timeout_ms), a body must keep 64 KiB/s within 10 s, and where all threads are taken those longest behind are closed for newcomers, the sooner the more wait. Bodies draw on body_memory_bytes (64 MiB), of which large ones leave a quarter to small ones; who does not fit gets 503, not run. Large blocks go back to the system when freed. 100,000 JSON values at most. Several lengths or a coding but chunked: 400, and the connection closes. Other exceptions of a handler are answered. Counters: harecrank_entry_no_memory_total, harecrank_entry_body_bytes, harecrank_entry_connections_closed.

--- a/src/adapters/http.cc
+++ b/src/adapters/http.cc
@@ -9,6 +9,7 @@
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
+#include <Poco/String.h>
 #include <Poco/URI.h>
 
 #include <array>
@@ -50,14 +51,16 @@
       static_cast<Poco::Timespan::TimeDiff>(time.count() * kMicrosPerMilli)};
 }
 
-// Appends the rest of `source` to `to`. Returns false if `to` would exceed
-// `limit` bytes.
-bool ReadAll(std::istream& source, std::size_t limit, std::string* to) {
+// Appends the rest of `source` to `to`, as long as `fits` returns true for the
+// size of `to`. Returns whether it did.
+bool ReadWhile(std::istream& source,
+               const std::function<bool(std::size_t size)>& fits,
+               std::string* to) {
   std::array<char, kReadChunk> chunk{};
   while (source.good()) {
     source.read(chunk.data(), chunk.size());
     const auto received = static_cast<std::size_t>(source.gcount());
-    if (to->size() + received > limit) {
+    if (!fits(to->size() + received)) {
       return false;
     }
     to->append(chunk.data(), received);
@@ -65,6 +68,23 @@
   return true;
 }
 
+// Appends the rest of `source` to `to`. Returns false if `to` would exceed
+// `limit` bytes.
+bool ReadAll(std::istream& source, std::size_t limit, std::string* to) {
+  return ReadWhile(
+      source, [limit](std::size_t size) { return size <= limit; }, to);
+}
+
+int CountFields(const Poco::Net::HTTPServerRequest& request,
+                const std::string& name) {
+  auto it = request.find(name);
+  int count = 0;
+  for (; it != request.end() && Poco::icompare(it->first, name) == 0; ++it) {
+    ++count;
+  }
+  return count;
+}
+
 void SendRequest(HTTPClientSession& session, const HttpCall& call) {
   HTTPRequest request(call.method, call.path, HTTPMessage::HTTP_1_1);
   for (const HttpHeader& field : call.fields) {
@@ -111,18 +131,53 @@
     auto& implementation =
         static_cast<Poco::Net::HTTPServerRequestImpl&>(request);
     implementation.socket().setNoDelay(true);
+    GuardedSocket* socket = GuardedSocketOf(request);
+    socket->BeginBody();
     try {
-      handler_(request, response);
+      Handle(request, response);
     } catch (const Poco::Exception&) {
-      // The peer has disconnected, so the error cannot be reported to it.
+      // The peer has disconnected or is beyond the limits, so the error cannot
+      // be reported to it.
       response.setKeepAlive(false);
+    } catch (const std::exception&) {
+      response.setKeepAlive(false);
+      ReportException(response);
     }
+    socket->BeginHead();
   }
 
  private:
+  void Handle(Poco::Net::HTTPServerRequest& request,
+              Poco::Net::HTTPServerResponse& response) {
+    if (HasKnownEnd(request)) {
+      handler_(request, response);
+      return;
+    }
+    response.setKeepAlive(false);
+    SendResponse(response, HTTPResponse::HTTP_BAD_REQUEST,
+                 R"({"error":{"code":"two_lengths","outcome":"not_run",)"
+                 R"("message":"send either one Content-Length or the )"
+                 R"(Transfer-Encoding chunked"}})");
+  }
+
+  // Whether the request has run is not known to this class.
+  static void ReportException(Poco::Net::HTTPServerResponse& response) {
+    if (!response.sent()) {
+      SendResponse(response, HTTPResponse::HTTP_INTERNAL_SERVER_ERROR,
+                   R"({"error":{"code":"internal_error"}})");
+    }
+  }
+
   const HttpHandler& handler_;
 };
 
+ConnectionLimits LimitsFor(const HttpServerOptions& options) {
+  ConnectionLimits limits;
+  limits.max_handled = static_cast<std::size_t>(options.threads);
+  limits.head_timeout = options.head_timeout;
+  return limits;
+}
+
 // Makes a FunctionHandler for each request that the server receives.
 class FunctionHandlerFactory : public Poco::Net::HTTPRequestHandlerFactory {
  public:
@@ -184,14 +239,16 @@
 }
 
 HttpServer::HttpServer(const HttpServerOptions& options, HttpHandler handler)
-    : pool_(kSpareThreads, options.threads + kSpareThreads) {
+    : guard_(std::make_shared<ConnectionGuard>(LimitsFor(options))),
+      pool_(kSpareThreads, options.threads + kSpareThreads) {
   auto* params = new Poco::Net::HTTPServerParams;
   params->setMaxThreads(options.threads);
   params->setMaxQueued(options.queued);
   params->setKeepAlive(true);
   params->setKeepAliveTimeout(Poco::Timespan(kKeepAliveSeconds, 0));
+  params->setTimeout(ToTimespan(options.head_timeout));
   const Poco::Net::SocketAddress address(options.address);
-  Poco::Net::ServerSocket socket;
+  GuardedServerSocket socket(guard_);
   socket.bind(address, true, false);
   socket.listen(kBacklog);
   server_ = std::make_unique<Poco::Net::HTTPServer>(
@@ -222,7 +279,41 @@
       request.getContentLength64() > static_cast<Poco::Int64>(limit)) {
     return false;
   }
-  return ReadAll(request.stream(), limit, body);
+  const bool is_read = ReadAll(request.stream(), limit, body);
+  GuardedSocketOf(request)->BeginRun();
+  return is_read;
+}
+
+BodyFault ReadBodyInto(Poco::Net::HTTPServerRequest& request, std::size_t limit,
+                       BodyMemory::Holding* memory, std::string* body) {
+  const auto announced = request.hasContentLength()
+                             ? request.getContentLength64()
+                             : Poco::Int64{0};
+  BodyFault fault = announced > static_cast<Poco::Int64>(limit)
+                        ? BodyFault::kTooLarge
+                        : BodyFault::kNone;
+  const auto fits = [&](std::size_t size) {
+    if (size > limit) {
+      fault = BodyFault::kTooLarge;
+    } else if (!memory->TryResize(size)) {
+      fault = BodyFault::kNoMemory;
+    }
+    return fault == BodyFault::kNone;
+  };
+  if (fault == BodyFault::kNone) {
+    ReadWhile(request.stream(), fits, body);
+  }
+  GuardedSocketOf(request)->BeginRun();
+  return fault;
+}
+
+bool HasKnownEnd(const Poco::Net::HTTPServerRequest& request) {
+  const int codings = CountFields(request, "Transfer-Encoding");
+  if (CountFields(request, "Content-Length") + codings > 1) {
+    return false;
+  }
+  return codings == 0 ||
+         Poco::icompare(request.get("Transfer-Encoding"), "chunked") == 0;
 }
 
 void DiscardBody(Poco::Net::HTTPServerRequest& request, std::size_t limit) {
--- a/src/adapters/http.h
+++ b/src/adapters/http.h
@@ -18,6 +18,8 @@
 #include <vector>
 
 #include "harecrank/core/strong_types.h"
+#include "src/adapters/body_memory.h"
+#include "src/adapters/guarded_socket.h"
 
 namespace harecrank {
 
@@ -94,6 +96,8 @@
   int threads = 8;
   // Maximum number of accepted connections that wait for a thread.
   int queued = 64;
+  // Time for the head of a request.
+  Millis head_timeout{10000};
 };
 
 // A server that passes each request to one handler. It listens from its
@@ -115,7 +119,12 @@
   // Number of threads that are handling connections.
   int Threads() const { return server_->currentThreads(); }
 
+  // Number of connections that were closed since their peers were slow or sent
+  // too much.
+  std::uint64_t ClosedConnections() const { return guard_->Closed(); }
+
  private:
+  std::shared_ptr<ConnectionGuard> guard_;
   Poco::ThreadPool pool_;
   std::unique_ptr<Poco::Net::HTTPServer> server_;
 };
@@ -130,6 +139,19 @@
 bool ReadBody(Poco::Net::HTTPServerRequest& request, std::size_t limit,
               std::string* body);
 
+// Why ReadBodyInto has not read a body.
+enum class BodyFault { kNone, kTooLarge, kNoMemory };
+
+// Reads a request body of at most `limit` bytes, whose memory is held in
+// `memory` as it grows.
+BodyFault ReadBodyInto(Poco::Net::HTTPServerRequest& request, std::size_t limit,
+                       BodyMemory::Holding* memory, std::string* body);
+
+// Returns whether the end of the request's body is known, and known alike to
+// all HTTP parsers: it has one length or the coding "chunked" alone. What
+// follows any other head must not be read.
+bool HasKnownEnd(const Poco::Net::HTTPServerRequest& request);
+
 // Reads and discards the rest of a request body, up to `limit` bytes. Call this
 // before an early response: a caller that is still sending its body may
 // otherwise not receive the response.
--- a/src/cli/run_commands.cc
+++ b/src/cli/run_commands.cc
@@ -9,6 +9,7 @@
 #include <memory>
 #include <sstream>
 
+#include "src/adapters/allocator.h"
 #include "src/adapters/logging.h"
 #include "src/adapters/settings.h"
 #include "src/adapters/system_sources.h"
@@ -32,6 +33,7 @@
 // Starts a node, waits for a stop signal, and drains and stops the node.
 template <typename NodeType, typename Settings>
 int RunNode(const Settings& settings, const char* role) {
+  ReturnLargeBlocksToSystem();
   ConfigureLogging(settings.node.log_level);
   const auto log = GetLog("main");
   BlockStopSignals();
--- a/src/entry/caller_request.cc
+++ b/src/entry/caller_request.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "harecrank/core/http_status.h"
+#include "src/adapters/json_values.h"
 #include "src/adapters/system_sources.h"
 
 namespace harecrank {
@@ -23,6 +24,11 @@
 }
 
 leaf::result<json> ParseBody(const std::string& body) {
+  if (!HasFewJsonValues(body)) {
+    return Reject(http_status::kBadRequest, "too_many_values",
+                  "the body holds more than " + std::to_string(kMaxJsonValues) +
+                      " values");
+  }
   json parsed = json::parse(body, nullptr, false);
   if (parsed.is_discarded() || !parsed.is_object()) {
     return Reject(http_status::kBadRequest, "bad_json",
@@ -61,6 +67,11 @@
       return Reject(http_status::kBadRequest, "bad_request",
                     "each message needs a string 'content'");
     }
+    const auto role = message.find("role");
+    if (role != message.end() && !role->is_string()) {
+      return Reject(http_status::kBadRequest, "bad_request",
+                    "the 'role' of a message must be a string");
+    }
     prompt += message.value("role", std::string("user")) + ": " +
               message["content"].get<std::string>() + "\n";
   }
--- a/src/entry/caller_server.cc
+++ b/src/entry/caller_server.cc
@@ -1,11 +1,10 @@
 #include "src/entry/caller_server.h"
 
-#include <Poco/String.h>
-
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "harecrank/core/http_status.h"
+#include "src/adapters/json_values.h"
 #include "src/entry/answer_writer.h"
 
 namespace harecrank {
@@ -22,6 +21,8 @@
 // Maximum number of bytes that are read and discarded from a body that is too
 // large. Reading the body allows the caller to receive the error response.
 constexpr std::size_t kMaxDiscardedBytes = 256U << 20U;
+// Maximum size of a request for a ticket.
+constexpr std::size_t kMaxTicketBytes = 64U << 10U;
 constexpr Millis kFullRetryDelay{1000};
 constexpr Millis kDrainRetryDelay{1000};
 constexpr char kTickets[] = "/v1/tickets";
@@ -37,21 +38,6 @@
   return Refusal{status, code, message, Outcome::kNotRun, retry_after};
 }
 
-// Returns whether the length of the request's body is unambiguous. Otherwise
-// two HTTP parsers can disagree on where the body ends, and a second request
-// can be smuggled inside the first.
-bool HasUnambiguousLength(const HTTPServerRequest& request) {
-  const auto count = [&request](const std::string& name) {
-    auto it = request.find(name);
-    int found = 0;
-    for (; it != request.end() && Poco::icompare(it->first, name) == 0; ++it) {
-      ++found;
-    }
-    return found;
-  };
-  return count("Content-Length") + count("Transfer-Encoding") <= 1;
-}
-
 bool IsCompletions(const std::string& path) {
   return path == "/v1/completions" || path == "/v1/chat/completions";
 }
@@ -97,11 +83,21 @@
     : settings_(settings),
       node_(node),
       dispatcher_(dispatcher),
-      clock_(std::move(clock)) {
+      clock_(std::move(clock)),
+      body_memory_(settings.body_memory_bytes) {
   Metrics* metrics = node->GetMetrics();
   requests_ = metrics->GetCounter("harecrank_entry_requests_total");
   answered_ = metrics->GetCounter("harecrank_entry_answered_total");
   rejected_ = metrics->GetCounter("harecrank_entry_refused_total");
+  no_memory_ = metrics->GetCounter("harecrank_entry_no_memory_total");
+  metrics->AddGauge("harecrank_entry_body_bytes", [this] {
+    return static_cast<double>(body_memory_.Held());
+  });
+  metrics->AddGauge("harecrank_entry_connections_closed", [this] {
+    return server_ == nullptr
+               ? 0.0
+               : static_cast<double>(server_->ClosedConnections());
+  });
   first_part_short_ = metrics->GetHistogram(
       "harecrank_time_to_first_token_seconds", "length=\"short\"");
   first_part_long_ = metrics->GetHistogram(
@@ -117,6 +113,7 @@
   options.address = settings_.callers_address;
   options.threads = settings_.max_requests + kSpareThreads;
   options.queued = settings_.max_requests;
+  options.head_timeout = settings_.head_timeout;
   server_ = std::make_unique<HttpServer>(
       options,
       [this](HTTPServerRequest& request, HTTPServerResponse& response) {
@@ -145,13 +142,6 @@
     return;
   }
   requests_->Add();
-  if (!HasUnambiguousLength(request)) {
-    response.setKeepAlive(false);
-    Reject(response, NotRun(http_status::kBadRequest, "two_lengths",
-                            "send either one Content-Length or one "
-                            "Transfer-Encoding"));
-    return;
-  }
   if (draining_ || !node_->IsReady()) {
     response.setKeepAlive(false);
     Reject(
@@ -226,8 +216,12 @@
           return {};
         }
         std::string text;
-        ReadBody(request, settings_.max_body_bytes, &text);
-        const json body = json::parse(text, nullptr, false);
+        BodyMemory::Holding memory(&body_memory_);
+        const bool is_read = ReadBodyInto(request, kMaxTicketBytes, &memory,
+                                          &text) == BodyFault::kNone;
+        const json body = is_read && HasFewJsonValues(text)
+                              ? json::parse(text, nullptr, false)
+                              : json();
         if (!body.is_object()) {
           return leaf::new_error(NotRun(http_status::kBadRequest, "bad_json",
                                         "the body holds no JSON object"));
@@ -256,7 +250,18 @@
 void CallerServer::HandleRequest(HTTPServerRequest& request,
                                  HTTPServerResponse& response) {
   std::string body;
-  if (!ReadBody(request, settings_.max_body_bytes, &body)) {
+  BodyMemory::Holding memory(&body_memory_);
+  const BodyFault fault =
+      ReadBodyInto(request, settings_.max_body_bytes, &memory, &body);
+  if (fault == BodyFault::kNoMemory) {
+    no_memory_->Add();
+    response.setKeepAlive(false);
+    Reject(response, NotRun(http_status::kUnavailable, "no_memory",
+                            "this entry host holds all the bodies it can",
+                            kFullRetryDelay));
+    return;
+  }
+  if (fault == BodyFault::kTooLarge) {
     DiscardBody(request, kMaxDiscardedBytes);
     response.setKeepAlive(false);
     Reject(response,
--- a/src/entry/caller_server.h
+++ b/src/entry/caller_server.h
@@ -62,6 +62,8 @@
   Counter* requests_;
   Counter* answered_;
   Counter* rejected_;
+  Counter* no_memory_;
+  BodyMemory body_memory_;
   DurationHistogram* first_part_short_;
   DurationHistogram* first_part_long_;
   DurationHistogram* between_parts_;
