--- a/testing/hostile_client.cc
+++ b/testing/hostile_client.cc
@@ -71,6 +71,12 @@
   return true;
 }
 
+void HostileConnection::SendNow(std::string_view bytes) const {
+  // What is not taken is not sent: the next piece follows soon.
+  static_cast<void>(
+      send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT));
+}
+
 std::string HostileConnection::ReadSome() const {
   std::string bytes(kReadBytes, '\0');
   const ssize_t received = recv(socket_, bytes.data(), bytes.size(), 0);
--- a/testing/hostile_client.h
+++ b/testing/hostile_client.h
@@ -36,6 +36,9 @@
   // Sends `piece` again and again, `bytes` in total. Returns false like Send.
   bool SendRepeatedly(std::string_view piece, std::size_t bytes) const;
 
+  // Sends what the system takes of `bytes` at once.
+  void SendNow(std::string_view bytes) const;
+
   // Reads what arrives next; empty once the connection has ended or if nothing
   // arrives within kPatience.
   std::string ReadSome() const;
