--- a/tests/hostile_caller_test.cc
+++ b/tests/hostile_caller_test.cc
@@ -68,6 +68,10 @@
   }
 }
 
+std::string LongField(int number) {
+  return "X-" + std::to_string(number) + ": " + std::string(8000, 'x') + "\r\n";
+}
+
 TEST_CASE("Heads that do not end are held within an entry host's memory") {
   Fleet fleet(SmallFleet());
   REQUIRE(fleet.WaitReady());
@@ -75,8 +79,7 @@
                     [](const HostileConnection& caller) {
                       caller.Send(Head(""));
                       for (int i = 0; i < 95; ++i) {
-                        caller.Send("X-" + std::to_string(i) + ": " +
-                                    std::string(8000, 'x') + "\r\n");
+                        caller.Send(LongField(i));
                       }
                     });
   CheckUnharmed(&fleet, "entry-0", kEntryMemory);
@@ -159,6 +162,11 @@
   CheckUnharmed(&fleet, "entry-0", kEntryMemory);
 }
 
+std::string HeadOfCoding(const std::string& coding) {
+  return Head("Transfer-Encoding: " + coding +
+              "\r\nContent-Type: application/json\r\n\r\n");
+}
+
 TEST_CASE("A request of an unknown coding is refused by an entry host") {
   Fleet fleet(SmallFleet());
   REQUIRE(fleet.WaitReady());
@@ -167,9 +175,7 @@
       std::string(kAccountKey) + "\r\n\r\n";
   for (const std::string coding : {"gzip", "identity", "chunked, identity"}) {
     const HostileConnection caller(fleet.CallersAddress(0));
-    caller.Send(Head("Transfer-Encoding: " + coding +
-                     "\r\nContent-Type: application/json\r\n\r\n") +
-                inner);
+    caller.Send(HeadOfCoding(coding) + inner);
     const std::string answer = caller.ReadAll();
     CAPTURE(coding, answer);
     CHECK(answer.find("HTTP/1.1 200") == std::string::npos);
@@ -190,6 +196,12 @@
   return nests;
 }
 
+std::string PeerRequest(const std::string& path, const std::string& body) {
+  return "POST " + path +
+         " HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
 TEST_CASE("What peers send and nests without end does not end a node") {
   Fleet fleet(SmallFleet());
   REQUIRE(fleet.WaitReady());
@@ -197,8 +209,7 @@
     for (const std::string& nest : DeepNests()) {
       for (const std::string path : {"/peer/compare", "/peer/offer"}) {
         const HostileConnection peer(fleet.OperationsAddress(node));
-        peer.Send("POST " + path + " HTTP/1.1\r\nContent-Length: " +
-                  std::to_string(nest.size()) + "\r\n\r\n" + nest);
+        peer.Send(PeerRequest(path, nest));
         CAPTURE(node, path);
         CHECK(peer.ReadSome().rfind("HTTP/1.1 400", 0) == 0);
       }
