Hold an answer of the largest size once

Cause: a buffered answer grew by doubling, to twice the 16 MB that are delivered, and was copied into the queue for its caller.

Change: the buffer grows up to the limit on answers; what is sent is moved, not copied.

--- a/src/gateway/caller_output.cc
+++ b/src/gateway/caller_output.cc
@@ -23,11 +23,15 @@
       owner_(std::move(owner)),
       timer_(socket->get_executor()) {}
 
-void CallerOutput::Send(std::string_view bytes) {
+void CallerOutput::Send(std::string bytes) {
   if (closed_) {
     return;
   }
-  queued_.append(bytes);
+  if (queued_.empty()) {
+    queued_ = std::move(bytes);
+  } else {
+    queued_.append(bytes);
+  }
   if (in_flight_.empty() && !queued_.empty()) {
     in_flight_.swap(queued_);
     SendPiece();
--- a/src/gateway/caller_output.h
+++ b/src/gateway/caller_output.h
@@ -8,7 +8,6 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <string_view>
 
 #include "harecrank/core/strong_types.h"
 #include "src/gateway/timer.h"
@@ -41,7 +40,7 @@
                std::function<std::shared_ptr<void>()> owner);
 
   // Queues bytes, and sends them unless others are being sent.
-  void Send(std::string_view bytes);
+  void Send(std::string bytes);
 
   // Frees the memory once everything is sent.
   void Shrink();
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -163,7 +163,7 @@
   void RespondAndClose(CallerFault fault, unsigned status,
                        const std::string& reason);
   void RecordEnd(CallerFault fault) const;
-  void Send(std::string_view bytes);
+  void Send(std::string bytes);
   // Reserves the memory that this connection occupies now.
   void UpdateMemory();
   // Frees what reading the request has occupied.
--- a/src/gateway/caller_session_response.cc
+++ b/src/gateway/caller_session_response.cc
@@ -43,7 +43,7 @@
   }
   // Before the text is queued, so that the memory is not counted twice.
   FinishResponse();
-  Send(text);
+  Send(std::move(text));
 }
 
 void CallerSession::BeginStream(ResponseHead head) {
@@ -60,7 +60,7 @@
     AppendHeader("Connection", "close", &text);
   }
   text.append("\r\n");
-  Send(text);
+  Send(std::move(text));
 }
 
 void CallerSession::SendEvents(std::string bytes) {
@@ -68,12 +68,12 @@
     return;
   }
   if (!chunked_) {
-    Send(bytes);
+    Send(std::move(bytes));
     return;
   }
   std::string chunk;
   AppendChunk(bytes, &chunk);
-  Send(chunk);
+  Send(std::move(chunk));
 }
 
 void CallerSession::EndStream() {
@@ -82,7 +82,7 @@
   }
   FinishResponse();
   if (chunked_) {
-    Send(kLastChunk);
+    Send(std::string(kLastChunk));
   } else if (output_.IsEmpty()) {
     OnFlushed(0);
   }
@@ -98,11 +98,11 @@
   }
 }
 
-void CallerSession::Send(std::string_view bytes) {
+void CallerSession::Send(std::string bytes) {
   if (output_.IsEmpty()) {
     pace_.Restart(context_->clock());
   }
-  output_.Send(bytes);
+  output_.Send(std::move(bytes));
   was_congested_ = was_congested_ || output_.IsCongested();
   UpdateMemory();
 }
--- a/src/gateway/response_relay.cc
+++ b/src/gateway/response_relay.cc
@@ -37,7 +37,7 @@
 
 ResponseRelay::AcceptResult ResponseRelay::Accept(std::string_view bytes) {
   if (!is_stream_) {
-    body_.append(bytes);
+    Append(bytes);
     sink_->OnResponseHeld(body_.capacity());
     return body_.size() > kMaxResponseBytes ? AcceptResult::kTooLarge
                                             : AcceptResult::kBuffered;
@@ -53,6 +53,15 @@
   return AcceptResult::kEvents;
 }
 
+void ResponseRelay::Append(std::string_view bytes) {
+  const std::size_t size = body_.size() + bytes.size();
+  if (size > body_.capacity()) {
+    // No response that is delivered needs more than the limit.
+    body_.reserve(std::max(size, std::min(2 * size, kMaxResponseBytes)));
+  }
+  body_.append(bytes);
+}
+
 void ResponseRelay::RecordGap() {
   const TimePoint now = clock_();
   if (last_event_at_ != TimePoint{}) {
--- a/src/gateway/response_relay.h
+++ b/src/gateway/response_relay.h
@@ -66,6 +66,8 @@
   TimePoint::duration LongestGap() const { return longest_gap_; }
 
  private:
+  // Appends to the buffered response, which grows up to the size limit.
+  void Append(std::string_view bytes);
   // Updates `longest_gap_` when events are forwarded.
   void RecordGap();
 
