--- a/src/adapters/body_memory_test.cc
+++ b/src/adapters/body_memory_test.cc
@@ -14,7 +14,9 @@
 TEST_CASE("Large bodies leave room for small ones") {
   BodyMemory memory(kLimit);
   std::vector<std::unique_ptr<BodyMemory::Holding>> large;
-  for (int i = 0; i < 40; ++i) {
+  constexpr std::size_t kSenders = 40;
+  large.reserve(kSenders);
+  for (std::size_t i = 0; i < kSenders; ++i) {
     large.push_back(std::make_unique<BodyMemory::Holding>(&memory));
   }
   for (std::size_t bytes = 100000; bytes < kLimit; bytes += 100000) {
