Take callers also while bodies use up their memory

Cause: from three quarters of the memory for bodies on a new connection was refused unread. A few callers that announce large bodies again and again keep it there; those behind for 1 s are closed, but new ones come sooner.

Ruled out: a shorter patience (they renew at once), a smaller part for large bodies (at 260 MB no allowed body is large against the budget).

Change: the gate decides as before, but a connection is taken without memory too: a small request needs none of the budget (its first 8 KiB are not counted), and a body that does not fit gets 503 when its head is read, as before.

--- a/include/harecrank/core/accept_gate.h
+++ b/include/harecrank/core/accept_gate.h
@@ -18,7 +18,8 @@
   kTaken,
   // Refused since as many connections as possible are open.
   kNoRoom,
-  // Refused since the bodies of requests occupy most of their memory.
+  // The bodies of requests occupy most of their memory, so that only small
+  // requests can be served.
   kNoMemory,
   // Refused since this host is crowded and its event loop is behind.
   kBehind,
--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -112,7 +112,10 @@
     Relieve(decision);
     decision = Decide();
   }
-  if (decision != AcceptDecision::kTaken) {
+  // Without memory for bodies a caller is taken nevertheless, since most send
+  // small requests. A body that does not fit is rejected once its head is read.
+  if (decision != AcceptDecision::kTaken &&
+      decision != AcceptDecision::kNoMemory) {
     share_->OnRequest();
     // The socket's destructor closes the connection, of which nothing was read.
     metrics_
