Admit small bodies also while large ones use up the memory

Cause: an announced body was asked of the budget whatever its size, though its first 8 KiB are not counted; a body in chunks was refused when others had used it up.

--- a/src/gateway/caller_session.cc
+++ b/src/gateway/caller_session.cc
@@ -199,7 +199,9 @@
 
 bool CallerSession::ReserveBody() {
   const std::size_t announced = parser_->content_length().value_or(0);
-  if (!context_->bodies->Fits(announced) && !context_->make_memory(announced)) {
+  const bool is_small = announced <= kUncountedBytes;
+  if (!is_small && !context_->bodies->Fits(announced) &&
+      !context_->make_memory(announced)) {
     return false;
   }
   request_bytes_ += announced;
