Give up an answer whose announced length is too large before it is read

What can't be delivered need not be read.

Change: an announced length beyond 16 MB ends the attempt at its head, as "answer too large" did at the limit; the response promises nothing, since the request has run. review/build.sh names one more unit that the server's clock is in.

--- a/review/build.sh
+++ b/review/build.sh
@@ -7,4 +7,5 @@
 g++ -std=c++17 -O1 -Wall -Wextra -I. -Iinclude -o target/review/standins \
   review/standins/*.cc platform/names.cc platform/testing/stand_in_store.cc \
   src/adapters/http.cc src/adapters/guarded_socket.cc \
-  src/adapters/body_memory.cc src/core/connection_relief.cc -lPocoNet -lPocoFoundation -lpthread
+  src/adapters/body_memory.cc src/adapters/system_sources.cc \
+  src/core/connection_relief.cc -lPocoNet -lPocoFoundation -lpthread
--- a/src/gateway/exchange_attempts.cc
+++ b/src/gateway/exchange_attempts.cc
@@ -35,6 +35,14 @@
          head.result() == http::status::not_modified;
 }
 
+// Returns whether the head announces a body that cannot be buffered.
+bool IsTooLarge(const ResponseHead& head) {
+  const auto bytes = ParseInteger(View(head[http::field::content_length]));
+  constexpr auto kMaxBytes =
+      static_cast<std::int64_t>(ResponseRelay::kMaxResponseBytes);
+  return bytes.has_value() && *bytes > kMaxBytes;
+}
+
 }  // namespace
 
 void Exchange::OnErrorAnswer() {
@@ -101,6 +109,11 @@
     relay_.RelayEvents(head);
     return;
   }
+  if (request_.method() != http::verb::head && IsTooLarge(head)) {
+    AbandonAttempt();
+    OnMayHaveRun("answer_too_large");
+    return;
+  }
   relay_.BufferWhole(head);
 }
 
--- a/src/gateway/response_relay.cc
+++ b/src/gateway/response_relay.cc
@@ -6,9 +6,6 @@
 namespace harecrank {
 namespace {
 
-// Maximum size of a response that is not a stream. Such a response is buffered
-// until it is complete.
-constexpr std::size_t kMaxResponseBytes = 16U << 20U;
 // Maximum size of one event of a stream. An event is held until it is complete.
 constexpr std::size_t kMaxEventBytes = 1U << 20U;
 
--- a/src/gateway/response_relay.h
+++ b/src/gateway/response_relay.h
@@ -32,6 +32,9 @@
   // Buffers the current response until it is complete.
   void BufferWhole(ResponseHead head);
 
+  // Maximum size of a response that is not a stream.
+  static constexpr std::size_t kMaxResponseBytes = 16U << 20U;
+
   // Result of Accept.
   enum class AcceptResult {
     kBuffered,
