Ask whether an endpoint still listens once it may have closed all its sockets

Cause, suspected: a process that is killed closes its sockets one after the other; the connection of the answer may go before the port, which then still accepts for a moment. Not proved by a trace.

Change: the port is asked 50 ms after the end, by when an ending process has closed it. Such an answer comes 50 ms later; it is rare.

--- a/src/gateway/crash_guard.cc
+++ b/src/gateway/crash_guard.cc
@@ -117,11 +117,19 @@
                             const EndpointRecord& endpoint, bool was_starting,
                             std::function<void(ProbeResult result)> on_probed) {
   const bool is_drained = directory_->Drained().IsDrained(endpoint.data_centre);
-  if (MayProbe(endpoint) || is_drained) {
-    OnResponseAborted(suspect, endpoint, was_starting, std::move(on_probed));
+  if (is_drained) {
+    prober_->Skip(std::move(on_probed));
     return;
   }
-  prober_->Probe(endpoint.address, std::move(on_probed));
+  const bool counts = was_starting && MayProbe(endpoint);
+  prober_->ProbeLater(endpoint.address,
+                      [this, suspect, endpoint, counts,
+                       on_probed = std::move(on_probed)](ProbeResult result) {
+                        if (counts && result == ProbeResult::kRefused) {
+                          OnCrash(suspect, endpoint);
+                        }
+                        on_probed(result);
+                      });
 }
 
 void CrashGuard::OnCrash(const Suspect& suspect,
--- a/src/gateway/endpoint_prober.cc
+++ b/src/gateway/endpoint_prober.cc
@@ -84,6 +84,18 @@
       });
 }
 
+void EndpointProber::ProbeLater(const std::string& address,
+                                OnResult on_result) {
+  const auto timer = std::make_shared<Timer>(*io_);
+  timer->expires_after(kEndingTime);
+  timer->async_wait([this, timer, address, on_result = std::move(on_result)](
+                        const Error& error) mutable {
+    if (!error) {
+      Probe(address, std::move(on_result));
+    }
+  });
+}
+
 void EndpointProber::Skip(OnResult on_result) {
   asio::post(*io_, [on_result = std::move(on_result)] {
     on_result(ProbeResult::kSkipped);
--- a/src/gateway/exchange_log.cc
+++ b/src/gateway/exchange_log.cc
@@ -26,9 +26,9 @@
 }  // namespace
 
 ExchangeLog::ExchangeLog(const GatewayServices* services,
-                         std::string request_id, TimePoint arrived)
+                         const std::string& request_id, TimePoint arrived)
     : services_(services),
-      request_id_(std::move(request_id).substr(0, kMaxLoggedIdBytes)),
+      request_id_(request_id.substr(0, kMaxLoggedIdBytes)),
       arrived_(arrived) {}
 
 void ExchangeLog::SetRoute(std::string route, RoutingVersion configuration) {
--- a/src/gateway/exchange_log.h
+++ b/src/gateway/exchange_log.h
@@ -31,7 +31,7 @@
 class ExchangeLog {
  public:
   // `services` must outlive this.
-  ExchangeLog(const GatewayServices* services, std::string request_id,
+  ExchangeLog(const GatewayServices* services, const std::string& request_id,
               TimePoint arrived);
 
   // Sets the route and the configuration version to log. Called once the
--- a/src/gateway/simple_http_server.cc
+++ b/src/gateway/simple_http_server.cc
@@ -25,7 +25,7 @@
 // Limits on one request. The requests that these ports answer are far smaller.
 constexpr std::uint32_t kMaxHeadBytes = 8U << 10U;
 constexpr std::uint64_t kMaxBodyBytes = 16U << 10U;
-constexpr std::size_t kMaxBufferedBytes = 2 * kMaxHeadBytes;
+constexpr std::size_t kMaxBufferedBytes = std::size_t{2} * kMaxHeadBytes;
 // Delay before the next connection is accepted after an accept has failed, for
 // example for lack of file descriptors.
 constexpr Millis kAcceptRetryDelay{50};
