Tell in log and metrics which block of a stream was no piece, and of which attempt

What an on-call engineer lacked: no line named a request whose caller had got a piece without an id. The hypotheses of the incident differ in how the attempt's end was framed, whether its connection was kept, how many sendings there were and what the caller had before: the line garbled has these, broken_off has its reason, and a counter has the fault.

It acts on nothing yet: every block is passed on as before.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -99,6 +99,8 @@
   // not known, or a stream has no event, the response was broken off.
   void ConfirmEnd();
   nlohmann::json BrokenFields(const AttemptBroken& broken);
+  // Logs and counts bytes of an endpoint that are no piece of the stream.
+  void LogGarbled(PieceFault fault);
   // Ends a request that is quarantined because it crashes endpoints.
   void RejectQuarantined();
   // Ends a request that would be rejected again if its caller sent it again. It
--- a/src/gateway/exchange_attempts.cc
+++ b/src/gateway/exchange_attempts.cc
@@ -151,6 +151,9 @@
   sender_->OnBytes();
   switch (relay_.Accept(bytes)) {
     case ResponseRelay::AcceptResult::kEvents:
+      if (const auto fault = relay_.TakeFault()) {
+        LogGarbled(*fault);
+      }
       OnFirstEvent();
       if (!sender_->IsStarting()) {
         ReportSound();
--- a/src/gateway/exchange_crashes.cc
+++ b/src/gateway/exchange_crashes.cc
@@ -46,10 +46,30 @@
       });
 }
 
+void Exchange::LogGarbled(PieceFault fault) {
+  services_->metrics
+      ->GetCounter("harecrank_gateway_garbled_streams_total",
+                   std::string("fault=\"") + NameOf(fault) + "\"")
+      ->Add();
+  nlohmann::json fields = log_.Fields();
+  fields["endpoint"] = sender_->Endpoint().id.value;
+  fields["fault"] = NameOf(fault);
+  fields["last_id"] = relay_.LastEventId();
+  fields["events"] = relay_.EventCount();
+  fields["framed"] = has_framed_end_;
+  fields["kept_connection"] = sender_->UsesKeptConnection();
+  fields["sent_as"] = AttemptKind();
+  fields["sendings"] = sender_->SendCount();
+  fields["since_first_event_ms"] =
+      sender_->SinceFirstEvent().value_or(Millis(0)).count();
+  services_->log->Write("garbled", std::move(fields));
+}
+
 nlohmann::json Exchange::BrokenFields(const AttemptBroken& broken) {
   nlohmann::json fields = log_.Fields();
   fields["fingerprint"] = LogName(Fingerprint());
   fields["endpoint"] = sender_->Endpoint().id.value;
+  fields["reason"] = broken.reason;
   fields["by_endpoint"] = broken.closed_by_endpoint;
   fields["answer_began"] = broken.response_began;
   fields["sent_as"] = AttemptKind();
--- a/src/gateway/request_sender.cc
+++ b/src/gateway/request_sender.cc
@@ -35,7 +35,9 @@
   last_bytes_at_ = sent_at_;
   attempt_ = std::make_shared<Attempt>(services_->io, services_->connections,
                                        services_->names, observer_);
-  attempt_->Start(Connection(), endpoint_.address, std::move(request),
+  std::unique_ptr<EndpointConnection> connection = Connection();
+  uses_kept_connection_ = connection->reused;
+  attempt_->Start(std::move(connection), endpoint_.address, std::move(request),
                   kConnectTimeout);
 }
 
--- a/src/gateway/request_sender.h
+++ b/src/gateway/request_sender.h
@@ -64,6 +64,9 @@
   // line.
   void OnRejection(const EndpointResponse& response, nlohmann::json fields);
 
+  // Returns whether the last attempt used a connection that had carried a
+  // request before.
+  bool UsesKeptConnection() const { return uses_kept_connection_; }
   bool IsUnderWay() const { return attempt_ != nullptr; }
   // Returns whether the last attempt has begun to write the request to the
   // connection, so that the endpoint may have received it.
@@ -128,6 +131,7 @@
   TimePoint sent_at_{};
   TimePoint last_bytes_at_{};
   bool was_sent_ = false;
+  bool uses_kept_connection_ = false;
   bool trouble_recorded_ = false;
   // Time of the first event of the last attempt; unset before it has arrived.
   std::optional<TimePoint> attempt_first_event_at_;
--- a/src/gateway/response_relay.cc
+++ b/src/gateway/response_relay.cc
@@ -45,6 +45,7 @@
     return scanner_.PartialSize() > kMaxEventBytes ? AcceptResult::kTooLarge
                                                    : AcceptResult::kBuffered;
   }
+  Check(events);
   RecordGap();
   sink_->SendEvents(std::move(events));
   return AcceptResult::kEvents;
@@ -59,6 +60,17 @@
   body_.append(bytes);
 }
 
+void ResponseRelay::Check(std::string_view events) {
+  splitter_.Append(events);
+  while (const auto block = splitter_.Next()) {
+    const EventVerdict verdict = check_.Accept(*block);
+    const auto* fault = std::get_if<PieceFault>(&verdict);
+    if (fault != nullptr && !fault_.has_value()) {
+      fault_ = *fault;
+    }
+  }
+}
+
 void ResponseRelay::RecordGap() {
   const TimePoint now = clock_();
   if (last_event_at_ != TimePoint{}) {
--- a/src/gateway/response_relay.h
+++ b/src/gateway/response_relay.h
@@ -8,9 +8,12 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "harecrank/core/clock.h"
+#include "harecrank/core/event_check.h"
 #include "harecrank/core/event_scanner.h"
+#include "harecrank/core/event_splitter.h"
 #include "src/gateway/response_sink.h"
 
 namespace harecrank {
@@ -49,6 +52,9 @@
   void DropPartial() { scanner_.DropPartial(); }
   bool HasPartial() const { return scanner_.HasPartial(); }
 
+  // Returns what was first wrong with the events of this attempt, once.
+  std::optional<PieceFault> TakeFault() { return std::exchange(fault_, {}); }
+
   // Ends the stream to the caller.
   void EndStream();
   // Closes the caller's connection without the end of the stream, so that the
@@ -71,12 +77,17 @@
  private:
   // Appends to the buffered response, which grows up to the size limit.
   void Append(std::string_view bytes);
+  // Checks complete events and keeps the first fault.
+  void Check(std::string_view events);
   // Updates `longest_gap_` when events are forwarded.
   void RecordGap();
 
   std::shared_ptr<ResponseSink> sink_;
   MonotonicClock clock_;
   EventScanner scanner_;
+  EventSplitter splitter_;
+  EventCheck check_;
+  std::optional<PieceFault> fault_;
   std::optional<ResponseHead> head_;
   std::string body_;
   bool is_stream_ = false;
