--- /dev/null
+++ b/src/adapters/http_call_test.cc
@@ -0,0 +1,102 @@
+// Tests of calls to servers that send what no answer may be. Guards against an
+// answer that breaks off and is taken for whole.
+
+#include <catch2/catch.hpp>
+#include <thread>
+
+#include "src/adapters/http.h"
+#include "testing/byte_server.h"
+
+namespace harecrank {
+namespace {
+
+namespace leaf = boost::leaf;
+using testing::ByteConnection;
+using testing::ByteServer;
+using testing::SendAndClose;
+
+HttpCall CallTo(const ByteServer& server) {
+  HttpCall call;
+  call.address = server.Address();
+  return call;
+}
+
+// Returns the answer; its status is 0 if the call failed.
+HttpResponse Send(const HttpCall& call) {
+  return leaf::try_handle_all([&] { return SendHttpRequest(call); },
+                              [] { return HttpResponse(); });
+}
+
+HttpResponse SendTo(const ByteServer::Serve& serve) {
+  const ByteServer server(serve);
+  return Send(CallTo(server));
+}
+
+TEST_CASE("A call whose answer's head stops halfway has no response") {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+      "Content-Length: 0\r\n\r\n";
+  for (std::size_t size = 0; size < head.size(); ++size) {
+    CAPTURE(size);
+    CHECK(SendTo(SendAndClose(head.substr(0, size))).status == 0);
+  }
+  CHECK(SendTo(SendAndClose(head)).status == 200);
+}
+
+TEST_CASE("A call whose answer's body is cut off has no response") {
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
+  const std::string body = "\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+  for (std::size_t size = 2; size < body.size(); ++size) {
+    CAPTURE(size);
+    CHECK(SendTo(SendAndClose(chunked + body.substr(0, size))).status == 0);
+  }
+  CHECK(SendTo(SendAndClose(chunked + body)).body == "abcde");
+  CHECK(SendTo(SendAndClose("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc"))
+            .status == 0);
+}
+
+TEST_CASE("A call whose answer is reset has no response") {
+  const HttpResponse response = SendTo([](ByteConnection& connection) {
+    connection.ReadHead();
+    connection.Send("HTTP/1.1 200 OK\r\n\r\nhalf of it");
+    std::this_thread::sleep_for(Millis(50));
+    connection.Reset();
+  });
+  CHECK(response.status == 0);
+}
+
+TEST_CASE("A call whose answer is not HTTP has no response") {
+  for (const char* bytes :
+       {"noise\r\n\r\n", "HTTP/1.1 99 Odd\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n"}) {
+    CAPTURE(bytes);
+    CHECK(SendTo(SendAndClose(bytes)).status == 0);
+  }
+}
+
+TEST_CASE("A call whose answer comes without end fails at its time-out") {
+  constexpr Millis kPause{10};
+  const ByteServer server([kPause](ByteConnection& connection) {
+    connection.ReadHead();
+    connection.Send("HTTP/1.1 200 OK\r\n\r\n");
+    // Long past the time-out of the call, but not for ever.
+    for (int i = 0; i < 300 && connection.Send("x"); ++i) {
+      std::this_thread::sleep_for(kPause);
+    }
+  });
+  HttpCall call = CallTo(server);
+  call.timeout = 20 * kPause;
+  CHECK(Send(call).status == 0);
+}
+
+TEST_CASE("Interim responses come before the response of a call") {
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  CHECK(SendTo(SendAndClose(interim +
+                            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+            .body == "ok");
+}
+
+}  // namespace
+}  // namespace harecrank
