Pass on nothing of an endpoint that is no piece of the caller's answer

What callers saw: pieces without an id in a stream, from an endpoint that sent garbage, and streams that ended as whole behind it.

Cause: the scanner cut a body at blank lines and passed on whatever stood before one; ids were read only to know where to resume. A piece was a piece by its place, not by what it is.

Ruled out: bytes of another message (the head must carry the request's id, and Beast keeps to the framing) and half pieces joined by us (each end of an attempt dropped them): the tests of the class fail with sound framing, on a new connection, in the first attempt.

Change: the decision stands in core (EventScanner with EventCheck and PieceSequence, CheckAnswer for heads), without I/O. A piece is text, has one id whose number rises above what the caller has, and data. The good pieces before are passed on, all that follows in that run is not; the endpoint counts as failing, its connection is closed, and the stream goes on after the last piece elsewhere, within the budget, or is cut. Blocks that are no events (comments, blank lines, retry) are left out: a caller would ignore them. A stream without any event, an encoded success, a status outside 200 to 599 and a resumed answer that is no stream are no answers. A caller that names an event to resume after, and gets one that is not after it, is told by a cut at once: nobody is blamed, since it may have named any.

--- a/include/harecrank/core/endpoint_response.h
+++ b/include/harecrank/core/endpoint_response.h
@@ -35,6 +35,10 @@
   // The response carries the endpoint's own signature header, so callers can
   // verify its body.
   bool is_signed = false;
+  // The body has a Content-Encoding.
+  bool is_encoded = false;
+  // The body is a stream of events.
+  bool is_event_stream = false;
   // The endpoint has not run the request and will not.
   bool not_run = false;
   // Id or address of the endpoint that caused the failure, if that is not the
--- a/include/harecrank/core/event_check.h
+++ b/include/harecrank/core/event_check.h
@@ -7,6 +7,7 @@
 #define HARECRANK_CORE_EVENT_CHECK_H_
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -26,6 +27,12 @@
 // thread-safe.
 class EventCheck {
  public:
+  // The caller has the events up to `id` from an earlier answer. An id that no
+  // event could have is ignored.
+  void ResumeAfter(std::string_view id);
+  // Returns whether ResumeAfter was called with an id that events can have.
+  bool IsResumed() const { return is_resumed_; }
+
   // Checks a block of lines. If it is the next event, records its id.
   EventVerdict Accept(std::string_view block);
 
@@ -42,8 +49,9 @@
 
   PieceSequence sequence_{PieceStep::kAscending};
   std::string last_id_;
-  // What stands before the numbers in the ids of this answer.
-  std::string id_prefix_;
+  // What stands before the numbers in the ids of this answer, once known.
+  std::optional<std::string> id_prefix_;
+  bool is_resumed_ = false;
   std::size_t count_ = 0;
 };
 
--- a/include/harecrank/core/piece_sequence.h
+++ b/include/harecrank/core/piece_sequence.h
@@ -31,6 +31,9 @@
   kBackwards,
   // Positions are left out.
   kGap,
+  // The first piece does not come after those that the caller says it has from
+  // an earlier answer. The caller may be at fault.
+  kNotResumed,
   // No end within the size limit of one piece.
   kTooLarge
 };
--- a/src/core/event_check.cc
+++ b/src/core/event_check.cc
@@ -87,6 +87,14 @@
 
 }  // namespace
 
+void EventCheck::ResumeAfter(std::string_view id) {
+  if (const auto parsed = ParseId(id)) {
+    sequence_ = PieceSequence(PieceStep::kAscending, parsed->number + 1);
+    id_prefix_ = std::string(parsed->prefix);
+    is_resumed_ = true;
+  }
+}
+
 EventVerdict EventCheck::Accept(std::string_view text) {
   if (!IsUtf8(text)) {
     return PieceFault::kNotText;
@@ -112,11 +120,12 @@
   if (!parsed.has_value()) {
     return PieceFault::kMalformedId;
   }
-  if (count_ > 0 && parsed->prefix != id_prefix_) {
-    return PieceFault::kForeignId;
-  }
-  if (const auto fault = sequence_.Accept(parsed->number)) {
-    return *fault;
+  const bool is_foreign =
+      id_prefix_.has_value() && parsed->prefix != *id_prefix_;
+  const auto fault = is_foreign ? std::make_optional(PieceFault::kForeignId)
+                                : sequence_.Accept(parsed->number);
+  if (fault.has_value()) {
+    return is_resumed_ && count_ == 0 ? PieceFault::kNotResumed : *fault;
   }
   id_prefix_ = std::string(parsed->prefix);
   last_id_ = std::string(id);
--- a/src/core/event_scanner.cc
+++ b/src/core/event_scanner.cc
@@ -1,80 +1,58 @@
 #include "harecrank/core/event_scanner.h"
 
-#include <algorithm>
-
 namespace harecrank {
 namespace {
 
-// The longest form of the end of an event.
-constexpr std::string_view kBlankLine = "\r\n\r\n";
-
-// Returns the position after the first blank line at or after `from`, or npos.
-std::size_t EndOfEvent(std::string_view text, std::size_t from) {
-  const std::size_t lf_end = text.find("\n\n", from);
-  const std::size_t crlf_end = text.find(kBlankLine, from);
-  if (lf_end == std::string_view::npos && crlf_end == std::string_view::npos) {
-    return std::string_view::npos;
-  }
-  if (lf_end < crlf_end) {
-    return lf_end + 2;
-  }
-  return crlf_end + kBlankLine.size();
-}
+// By the format, a stream may begin with this mark. Within a stream it would
+// belong to the first line of an event.
+constexpr std::string_view kByteOrderMark = "\xef\xbb\xbf";
 
-// Returns the value of an "id" field, or an empty view if `line` is another
-// field.
-std::string_view ParseId(std::string_view line) {
-  constexpr std::string_view kField = "id:";
-  if (line.substr(0, kField.size()) != kField) {
-    return {};
-  }
-  line.remove_prefix(kField.size());
-  if (!line.empty() && line.front() == ' ') {
-    line.remove_prefix(1);
+std::string_view WithoutMark(std::string_view block) {
+  if (block.substr(0, kByteOrderMark.size()) == kByteOrderMark) {
+    block.remove_prefix(kByteOrderMark.size());
   }
-  if (!line.empty() && line.back() == '\r') {
-    line.remove_suffix(1);
-  }
-  return line;
+  return block;
 }
 
 }  // namespace
 
-void EventScanner::DropPartial() {
-  partial_.clear();
-  scanned_ = 0;
-}
+void EventScanner::ResumeAfter(std::string_view id) { check_.ResumeAfter(id); }
 
-std::string EventScanner::Accept(std::string_view bytes) {
-  partial_.append(bytes);
-  std::size_t complete_size = 0;
-  std::size_t end = EndOfEvent(partial_, scanned_);
-  while (end != std::string_view::npos) {
-    RecordEvent(
-        std::string_view(partial_).substr(complete_size, end - complete_size));
-    complete_size = end;
-    end = EndOfEvent(partial_, complete_size);
-  }
-  std::string events = partial_.substr(0, complete_size);
-  partial_.erase(0, complete_size);
-  // The longest blank line may lack its last byte.
-  scanned_ = partial_.size() - std::min(partial_.size(), kBlankLine.size() - 1);
-  return events;
+void EventScanner::BeginRun() {
+  splitter_.Clear();
+  at_start_ = true;
+  is_garbled_ = false;
 }
 
-void EventScanner::RecordEvent(std::string_view event) {
-  ++count_;
-  while (!event.empty()) {
-    const std::size_t end = event.find('\n');
-    const std::string_view id = ParseId(event.substr(0, end));
-    if (!id.empty()) {
-      last_id_ = std::string(id);
-    }
-    if (end == std::string_view::npos) {
-      return;
+ScannedEvents EventScanner::Accept(std::string_view bytes) {
+  ScannedEvents scanned;
+  if (is_garbled_) {
+    return scanned;
+  }
+  splitter_.Append(bytes);
+  while (const auto next = splitter_.Next()) {
+    const std::string_view block = at_start_ ? WithoutMark(*next) : *next;
+    at_start_ = false;
+    const EventVerdict verdict = check_.Accept(block);
+    if (std::holds_alternative<NextEvent>(verdict)) {
+      scanned.events.append(block);
+    } else if (const auto* fault = std::get_if<PieceFault>(&verdict)) {
+      scanned.fault = *fault;
+      break;
     }
-    event.remove_prefix(end + 1);
   }
+  if (!scanned.fault.has_value() && PartialSize() > kMaxEventBytes) {
+    scanned.fault = PieceFault::kTooLarge;
+  }
+  if (scanned.fault.has_value()) {
+    splitter_.Clear();
+    is_garbled_ = true;
+  }
+  return scanned;
+}
+
+bool EventScanner::MayEnd() const {
+  return !HasPartial() && !is_garbled_ && (Count() > 0 || check_.IsResumed());
 }
 
 }  // namespace harecrank
--- a/src/core/piece_sequence.cc
+++ b/src/core/piece_sequence.cc
@@ -24,6 +24,8 @@
       return "backwards";
     case PieceFault::kGap:
       return "gap";
+    case PieceFault::kNotResumed:
+      return "not_resumed";
     case PieceFault::kTooLarge:
       return "too_large";
   }
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -49,6 +49,9 @@
   strip_key_ = admitted.strip_key;
   deadline_ = admitted.deadline;
   prompt_ = admitted.placement.prompt;
+  if (route_ != nullptr && route_->MayRepeat()) {
+    relay_.ResumeAfter(View(request_["Last-Event-ID"]));
+  }
   parts_ = SharedPartsOf(View(request_[services_->names->prompt_parts]));
   log_.SetRoute(route_ == nullptr ? "" : route_->name,
                 table_ == nullptr ? RoutingVersion{} : table_->Version());
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -96,11 +96,14 @@
   void CompleteBuffered();
   // Completes a response without Content-Length or chunked encoding whose
   // connection has ended, if the endpoint runs on. If it does not, or this is
-  // not known, or a stream has no event, the response was broken off.
+  // not known, the response was broken off.
   void ConfirmEnd();
   nlohmann::json BrokenFields(const AttemptBroken& broken);
-  // Logs and counts bytes of an endpoint that are no piece of the stream.
-  void LogGarbled(PieceFault fault);
+  // Ends the attempt because its endpoint sent bytes that are no piece of the
+  // stream. The stream goes on elsewhere after the last piece, or is cut off.
+  void OnGarbled(PieceFault fault);
+  // Logs and counts an answer that is not passed on.
+  void LogGarbled(const char* fault);
   // Ends a request that is quarantined because it crashes endpoints.
   void RejectQuarantined();
   // Ends a request that would be rejected again if its caller sent it again. It
--- a/src/gateway/exchange_attempts.cc
+++ b/src/gateway/exchange_attempts.cc
@@ -3,6 +3,7 @@
 
 #include <utility>
 
+#include "harecrank/core/answer_check.h"
 #include "harecrank/core/http_status.h"
 #include "src/gateway/endpoint_request.h"
 #include "src/gateway/exchange.h"
@@ -17,11 +18,6 @@
 // attempt counts as a retry and is subject to the limits in MayRetry. Fewer
 // failures do not use up retries, since the request was not sent.
 constexpr int kMaxConnectFailures = 5;
-bool IsEventStream(const ResponseHead& head) {
-  const std::string_view wanted = "text/event-stream";
-  return View(head[http::field::content_type]).substr(0, wanted.size()) ==
-         wanted;
-}
 
 // Returns whether the head tells where the body of the response ends. Any
 // coding but chunked ends with the connection.
@@ -92,20 +88,21 @@
     OnNotRunResponse(response);
     return;
   }
-  const bool success = response.IsSuccess();
-  if (success && !response.is_signed) {
+  if (const auto fault = CheckAnswer(response, {true, relay_.StreamBegun()})) {
+    LogGarbled(NameOf(*fault));
     OnErrorAnswer();
     AbandonAttempt();
-    OnMayHaveRun("unsigned_answer");
+    OnMayHaveRun(NameOf(*fault));
     return;
   }
+  const bool success = response.IsSuccess();
   const bool endpoint_failed = status / 100 == 5;
   if (!success && (relay_.StreamBegun() || endpoint_failed) &&
       route_->MayRepeat() && RetryElsewhere(status)) {
     return;
   }
   if (success && route_->kind == RequestKind::kStreaming &&
-      IsEventStream(head)) {
+      response.is_event_stream) {
     relay_.RelayEvents(head);
     return;
   }
@@ -149,39 +146,37 @@
 void Exchange::OnResponseBytes(std::string_view bytes) {
   const auto self = shared_from_this();
   sender_->OnBytes();
-  switch (relay_.Accept(bytes)) {
-    case ResponseRelay::AcceptResult::kEvents:
-      if (const auto fault = relay_.TakeFault()) {
-        LogGarbled(*fault);
-      }
-      OnFirstEvent();
-      if (!sender_->IsStarting()) {
-        ReportSound();
-      }
-      if (sink_->IsCongested()) {
-        sender_->PauseReading();
-      }
-      break;
-    case ResponseRelay::AcceptResult::kTooLarge:
-      AbandonAttempt();
-      OnMayHaveRun("answer_too_large");
-      break;
-    case ResponseRelay::AcceptResult::kBuffered:
-      break;
+  const ResponseRelay::Relayed relayed = relay_.Accept(bytes);
+  if (relayed.has_events) {
+    OnFirstEvent();
+    if (!sender_->IsStarting()) {
+      ReportSound();
+    }
+    if (sink_->IsCongested()) {
+      sender_->PauseReading();
+    }
+  }
+  if (relayed.fault.has_value()) {
+    OnGarbled(*relayed.fault);
+  } else if (relayed.is_too_large) {
+    AbandonAttempt();
+    OnMayHaveRun("answer_too_large");
   }
 }
 
 void Exchange::OnResponseEnd() {
   const auto self = shared_from_this();
   sender_->OnEnded();
-  const bool is_truncated = relay_.IsStream() && relay_.HasPartial();
-  if (is_truncated) {
+  const bool is_broken = relay_.IsStream() && !relay_.MayEndStream();
+  if (is_broken) {
     OnErrorAnswer();
   }
   search_->End();
-  if (is_truncated) {
+  if (is_broken) {
+    const char* reason = relay_.HasPartial() ? "ended_inside_an_event"
+                                             : "ended_without_an_event";
     relay_.DropPartial();
-    HandleBroken(AttemptBroken{"ended_inside_an_event", true, false, true});
+    HandleBroken(AttemptBroken{reason, true, false, true});
     return;
   }
   if (!has_framed_end_) {
--- a/src/gateway/exchange_crashes.cc
+++ b/src/gateway/exchange_crashes.cc
@@ -23,10 +23,6 @@
 }  // namespace
 
 void Exchange::ConfirmEnd() {
-  if (relay_.IsStream() && relay_.EventCount() == 0) {
-    HandleBroken(AttemptBroken{"ended_without_an_event", true, false, true});
-    return;
-  }
   const AttemptBroken ended{"ended_with_its_connection", true, false, true};
   services_->crashes->ConfirmEnd(
       {Fingerprint(), parts_}, sender_->Endpoint(), sender_->IsStarting(),
@@ -46,14 +42,31 @@
       });
 }
 
-void Exchange::LogGarbled(PieceFault fault) {
+void Exchange::OnGarbled(PieceFault fault) {
+  LogGarbled(NameOf(fault));
+  if (fault == PieceFault::kNotResumed) {
+    // Not the endpoint's fault if the caller named an event that the stream
+    // never had. Other endpoints could do no better.
+    may_have_run_ = true;
+    AbandonAttempt();
+    GiveUp(NameOf(fault));
+    return;
+  }
+  OnErrorAnswer();
+  OnGroupTrouble("broken");
+  AbandonAttempt();
+  relay_.DropPartial();
+  HandleBroken(AttemptBroken{NameOf(fault), true, false, false});
+}
+
+void Exchange::LogGarbled(const char* fault) {
   services_->metrics
-      ->GetCounter("harecrank_gateway_garbled_streams_total",
-                   std::string("fault=\"") + NameOf(fault) + "\"")
+      ->GetCounter("harecrank_gateway_garbled_answers_total",
+                   std::string("fault=\"") + fault + "\"")
       ->Add();
   nlohmann::json fields = log_.Fields();
   fields["endpoint"] = sender_->Endpoint().id.value;
-  fields["fault"] = NameOf(fault);
+  fields["fault"] = fault;
   fields["last_id"] = relay_.LastEventId();
   fields["events"] = relay_.EventCount();
   fields["framed"] = has_framed_end_;
--- a/src/gateway/response_decoder.cc
+++ b/src/gateway/response_decoder.cc
@@ -35,6 +35,17 @@
   return date.timestamp();
 }
 
+bool IsEventStream(const ResponseHead& head) {
+  constexpr std::string_view kType = "text/event-stream";
+  return View(head[http::field::content_type]).substr(0, kType.size()) == kType;
+}
+
+bool IsEncoded(const ResponseHead& head) {
+  const auto coding = head.find(http::field::content_encoding);
+  return coding != head.end() &&
+         !boost::beast::iequals(coding->value(), "identity");
+}
+
 // Returns whether a Retry-After header in a response with `status` is a
 // back-off hint.
 bool MayCarryBackoffHint(unsigned status) {
@@ -74,6 +85,8 @@
   EndpointResponse response;
   response.status = head.result_int();
   response.is_signed = head.count(names.answer_signature) != 0;
+  response.is_encoded = IsEncoded(head);
+  response.is_event_stream = IsEventStream(head);
   response.not_run = head.count(names.not_run) != 0;
   response.at_fault = std::string(head[names.endpoint_at_fault]);
   const auto limit = head.find(names.request_limit);
--- a/src/gateway/response_relay.cc
+++ b/src/gateway/response_relay.cc
@@ -4,13 +4,6 @@
 #include <utility>
 
 namespace harecrank {
-namespace {
-
-// Maximum size of one event of a stream. An event is held until it is complete.
-constexpr std::size_t kMaxEventBytes = 1U << 20U;
-
-}  // namespace
-
 ResponseRelay::ResponseRelay(std::shared_ptr<ResponseSink> sink,
                              MonotonicClock clock)
     : sink_(std::move(sink)), clock_(std::move(clock)) {}
@@ -19,6 +12,7 @@
   is_stream_ = false;
   std::string().swap(body_);
   head_.reset();
+  scanner_.BeginRun();
   sink_->OnResponseHeld(0);
 }
 
@@ -32,23 +26,23 @@
 
 void ResponseRelay::BufferWhole(ResponseHead head) { head_ = std::move(head); }
 
-ResponseRelay::AcceptResult ResponseRelay::Accept(std::string_view bytes) {
+ResponseRelay::Relayed ResponseRelay::Accept(std::string_view bytes) {
+  Relayed relayed;
   if (!is_stream_) {
     Append(bytes);
     sink_->OnResponseHeld(body_.capacity());
-    return body_.size() > kMaxResponseBytes ? AcceptResult::kTooLarge
-                                            : AcceptResult::kBuffered;
+    relayed.is_too_large = body_.size() > kMaxResponseBytes;
+    return relayed;
   }
-  std::string events = scanner_.Accept(bytes);
+  ScannedEvents scanned = scanner_.Accept(bytes);
+  relayed.fault = scanned.fault;
   sink_->OnResponseHeld(scanner_.PartialSize());
-  if (events.empty()) {
-    return scanner_.PartialSize() > kMaxEventBytes ? AcceptResult::kTooLarge
-                                                   : AcceptResult::kBuffered;
+  if (!scanned.events.empty()) {
+    relayed.has_events = true;
+    RecordGap();
+    sink_->SendEvents(std::move(scanned.events));
   }
-  Check(events);
-  RecordGap();
-  sink_->SendEvents(std::move(events));
-  return AcceptResult::kEvents;
+  return relayed;
 }
 
 void ResponseRelay::Append(std::string_view bytes) {
@@ -60,17 +54,6 @@
   body_.append(bytes);
 }
 
-void ResponseRelay::Check(std::string_view events) {
-  splitter_.Append(events);
-  while (const auto block = splitter_.Next()) {
-    const EventVerdict verdict = check_.Accept(*block);
-    const auto* fault = std::get_if<PieceFault>(&verdict);
-    if (fault != nullptr && !fault_.has_value()) {
-      fault_ = *fault;
-    }
-  }
-}
-
 void ResponseRelay::RecordGap() {
   const TimePoint now = clock_();
   if (last_event_at_ != TimePoint{}) {
--- a/src/gateway/response_relay.h
+++ b/src/gateway/response_relay.h
@@ -11,9 +11,7 @@
 #include <utility>
 
 #include "harecrank/core/clock.h"
-#include "harecrank/core/event_check.h"
 #include "harecrank/core/event_scanner.h"
-#include "harecrank/core/event_splitter.h"
 #include "src/gateway/response_sink.h"
 
 namespace harecrank {
@@ -25,6 +23,9 @@
  public:
   ResponseRelay(std::shared_ptr<ResponseSink> sink, MonotonicClock clock);
 
+  // The caller has the events of the stream up to `id` from an earlier answer.
+  void ResumeAfter(std::string_view id) { scanner_.ResumeAfter(id); }
+
   // Prepares for the response of a new attempt. If a stream to the caller has
   // begun, it continues after the last event that was forwarded.
   void BeginAttempt();
@@ -38,22 +39,23 @@
   // Maximum size of a response that is not a stream.
   static constexpr std::size_t kMaxResponseBytes = 16U << 20U;
 
-  // Result of Accept.
-  enum class AcceptResult {
-    kBuffered,
-    // At least one complete event was forwarded to the caller.
-    kEvents,
-    // The response, or an event of the stream, exceeds the size limit.
-    kTooLarge
+  // What became of bytes of a response.
+  struct Relayed {
+    // At least one event was forwarded to the caller.
+    bool has_events = false;
+    // A response that is not a stream exceeds the size limit.
+    bool is_too_large = false;
+    // What is wrong with the bytes after the forwarded events. Nothing more of
+    // the attempt is forwarded.
+    std::optional<PieceFault> fault;
   };
-  AcceptResult Accept(std::string_view bytes);
+  Relayed Accept(std::string_view bytes);
 
   // Discards the received bytes of an incomplete event.
-  void DropPartial() { scanner_.DropPartial(); }
+  void DropPartial() { scanner_.BeginRun(); }
   bool HasPartial() const { return scanner_.HasPartial(); }
-
-  // Returns what was first wrong with the events of this attempt, once.
-  std::optional<PieceFault> TakeFault() { return std::exchange(fault_, {}); }
+  // Returns whether the stream may be complete if the attempt has ended.
+  bool MayEndStream() const { return scanner_.MayEnd(); }
 
   // Ends the stream to the caller.
   void EndStream();
@@ -77,17 +79,12 @@
  private:
   // Appends to the buffered response, which grows up to the size limit.
   void Append(std::string_view bytes);
-  // Checks complete events and keeps the first fault.
-  void Check(std::string_view events);
   // Updates `longest_gap_` when events are forwarded.
   void RecordGap();
 
   std::shared_ptr<ResponseSink> sink_;
   MonotonicClock clock_;
   EventScanner scanner_;
-  EventSplitter splitter_;
-  EventCheck check_;
-  std::optional<PieceFault> fault_;
   std::optional<ResponseHead> head_;
   std::string body_;
   bool is_stream_ = false;
