Read no reply from bytes that came before its call

What could happen: an engine that sends more after the answer to a memory order, or the store after a listing, had those bytes read as the answer to the next order on that connection: memory counted as held that is not.

Cause: HttpClient kept a connection with bytes left in its buffer, and did not look whether something had arrived before the next call, as the pool of endpoint connections does.

Change: a connection is kept only if the buffer is empty, and used again only if it is quiet; one function tells that for both.

--- a/src/gateway/endpoint_connection_pool.cc
+++ b/src/gateway/endpoint_connection_pool.cc
@@ -1,10 +1,10 @@
 #include "src/gateway/endpoint_connection_pool.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <utility>
 
+#include "src/gateway/socket_options.h"
+
 namespace harecrank {
 
 EndpointConnectionPool::EndpointConnectionPool(boost::asio::io_context* io,
@@ -93,12 +93,7 @@
   if (clock_() - connection->idle_since >= connection->idle_limit) {
     return true;
   }
-  char byte = 0;
-  const ssize_t received = ::recv(connection->socket.native_handle(), &byte, 1,
-                                  MSG_PEEK | MSG_DONTWAIT);
-  // On a usable idle connection there is nothing to read: neither data nor end
-  // of file.
-  return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  return !IsQuiet(&connection->socket);
 }
 
 }  // namespace harecrank
--- a/src/gateway/http_client.cc
+++ b/src/gateway/http_client.cc
@@ -1,11 +1,11 @@
 #include "src/gateway/http_client.h"
 
-#include <boost/asio/ip/address.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-#include <charconv>
 #include <utility>
 
+#include "src/gateway/socket_options.h"
+
 namespace harecrank {
 namespace {
 
@@ -23,24 +23,6 @@
 
 }  // namespace
 
-std::optional<asio::ip::tcp::endpoint> ParseTcpEndpoint(
-    const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) {
-    return std::nullopt;
-  }
-  boost::system::error_code error;
-  const auto ip = asio::ip::make_address(text.substr(0, colon), error);
-  std::uint16_t port = 0;
-  const char* first = text.data() + colon + 1;
-  const char* last = text.data() + text.size();
-  const auto [end, number_error] = std::from_chars(first, last, port);
-  if (error || number_error != std::errc() || end != last) {
-    return std::nullopt;
-  }
-  return asio::ip::tcp::endpoint(ip, port);
-}
-
 HttpClient::HttpClient(asio::io_context* io, std::string address)
     : io_(io), address_(std::move(address)) {}
 
@@ -63,6 +45,7 @@
   request_.set(http::field::host, address_);
   request_.prepare_payload();
   handler_ = std::move(handler);
+  DropUnusable();
   reused_ = stream_ != nullptr;
   if (stream_ == nullptr) {
     stream_ = std::make_unique<beast::tcp_stream>(*io_);
@@ -75,6 +58,17 @@
   }
 }
 
+void HttpClient::DropUnusable() {
+  if (stream_ != nullptr && !IsQuiet(&stream_->socket())) {
+    Close();
+  }
+}
+
+void HttpClient::Close() {
+  stream_.reset();
+  buffer_.clear();
+}
+
 void HttpClient::Connect() {
   const auto endpoint = ParseTcpEndpoint(address_);
   if (!endpoint.has_value()) {
@@ -116,11 +110,11 @@
                        self->Fail("read", error);
                        return;
                      }
-                     const bool keep = self->parser_->keep_alive();
+                     const bool keep = self->parser_->keep_alive() &&
+                                       self->buffer_.size() == 0;
                      HttpReply reply = self->parser_->release();
                      if (!keep) {
-                       self->stream_.reset();
-                       self->buffer_.clear();
+                       self->Close();
                      }
                      self->Finish(std::move(reply));
                    });
@@ -128,8 +122,7 @@
 
 void HttpClient::Fail(const std::string& step,
                       const boost::system::error_code& error) {
-  stream_.reset();
-  buffer_.clear();
+  Close();
   Finish(CallFailure{step + ": " + error.message() +
                      (reused_ ? " on a kept connection" : "")});
 }
--- a/src/gateway/http_client.h
+++ b/src/gateway/http_client.h
@@ -18,13 +18,10 @@
 #include <variant>
 
 #include "harecrank/core/strong_types.h"
+#include "src/adapters/tcp_endpoint.h"
 
 namespace harecrank {
 
-// Parses "IP:PORT". Returns nothing if `text` is not such an address.
-std::optional<boost::asio::ip::tcp::endpoint> ParseTcpEndpoint(
-    const std::string& text);
-
 // The reason for which a call got no response.
 struct CallFailure {
   std::string reason;
@@ -62,6 +59,10 @@
   void Connect();
   void Send();
   void Receive();
+  // Closes the connection if there is something to read on it: it is no reply
+  // to a call that has not been sent yet.
+  void DropUnusable();
+  void Close();
   void Finish(CallResult result);
   void Fail(const std::string& step, const boost::system::error_code& error);
 
--- a/src/gateway/socket_options.cc
+++ b/src/gateway/socket_options.cc
@@ -1,6 +1,9 @@
 #include "src/gateway/socket_options.h"
 
 #include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
 
 namespace harecrank {
 
@@ -41,4 +44,11 @@
   socket->set_option(Count(kUnansweredProbes), ignored);
 }
 
+bool IsQuiet(boost::asio::ip::tcp::socket* socket) {
+  char byte = 0;
+  const ssize_t received =
+      ::recv(socket->native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 }  // namespace harecrank
--- a/src/gateway/socket_options.h
+++ b/src/gateway/socket_options.h
@@ -26,6 +26,10 @@
 // freed the memory that they have reserved for its request.
 void SetEndpointOptions(boost::asio::ip::tcp::socket* socket);
 
+// Returns whether there is nothing to read from `socket`: neither bytes nor the
+// end of the connection. Between two requests, a usable connection is quiet.
+bool IsQuiet(boost::asio::ip::tcp::socket* socket);
+
 // Idle time before the first keepalive probe, and interval between probes.
 constexpr int kProbeIntervalSeconds = 1;
 // Number of unanswered probes after which the connection is closed; a single
