Leave one odd entry of the host list out, not the whole list

What could happen: an entry without a state, or with an id that is no text, made a node pass over the whole list, again at each read: nodes that leave went on getting requests.

Cause: one exception for the list, where each entry is somebody else's. Change: an entry that cannot be read says nothing of any host.

--- a/src/node/platform.cc
+++ b/src/node/platform.cc
@@ -70,6 +70,15 @@
   }
 }
 
+// Returns whether `host` is an entry of the host list and not live. An entry
+// that cannot be read says nothing of any host.
+bool IsLeaving(const json& host) {
+  const auto id = host.find("id");
+  const auto state = host.find("state");
+  return id != host.end() && id->is_string() && *id != "" &&
+         state != host.end() && state->is_string() && *state != "live";
+}
+
 }  // namespace
 
 std::string Describe(const PlatformError& error) {
@@ -110,7 +119,7 @@
     HostListVersion list;
     body.at("version").get_to(list.version);
     for (const json& host : body.at("hosts")) {
-      if (host.at("state") != "live") {
+      if (IsLeaving(host)) {
         list.leaving.insert(NodeId{host.at("id").get<std::string>()});
       }
     }
