Hold an engine's tokens behind a sidecar to the rule for pieces

What callers could see: tokens left out or of another run, taken for an answer's; a sidecar that grew to 14.6 GB by one line without end, in a token or in the reason of an error.

Cause: positions were trusted, lines were read by getline without a limit, and the length at the end was not compared with what had come.

Change: PieceSequence decides here, too: each token is the next one, and the end is as long as the tokens.

--- a/src/sidecar/engine_port.h
+++ b/src/sidecar/engine_port.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "harecrank/core/model_orders.h"
+#include "harecrank/core/piece_sequence.h"
 #include "harecrank/core/strong_types.h"
 
 namespace harecrank {
@@ -38,8 +39,14 @@
 // The engine rejected an order because its fencing token is older than one that
 // the engine has seen: the order is based on an outdated configuration.
 struct EngineFenceOutdated {};
-using EngineError = std::variant<EngineRejected, EngineUnreachable,
-                                 EngineOutcomeUnknown, EngineFenceOutdated>;
+// The engine sent something that is no piece of the answer. What came before it
+// has been passed on.
+struct EngineGarbled {
+  PieceFault fault;
+};
+using EngineError =
+    std::variant<EngineRejected, EngineUnreachable, EngineOutcomeUnknown,
+                 EngineFenceOutdated, EngineGarbled>;
 
 // Returns a human-readable description.
 std::string Describe(const EngineError& error);
--- a/src/sidecar/http_engine.cc
+++ b/src/sidecar/http_engine.cc
@@ -1,5 +1,6 @@
 #include "src/sidecar/http_engine.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
@@ -17,6 +18,12 @@
 // Time-out of an order. It is long because an engine responds to an order to
 // load weights only once they are loaded.
 constexpr Millis kOrderTimeout{120000};
+// Maximum size of a line, which has one token.
+constexpr std::size_t kMaxLineBytes = 64U << 10U;
+constexpr std::size_t kMaxReasonBytes = 1024;
+// Maximum size of a reply that is no answer to a prompt: an engine's state, or
+// the result of an order.
+constexpr std::size_t kMaxReplyBytes = 1U << 20U;
 
 // Returns a human-readable description of an EngineError.
 struct Describer {
@@ -32,6 +39,10 @@
   std::string operator()(const EngineFenceOutdated&) const {
     return "the engine has already seen a newer fencing token";
   }
+  std::string operator()(const EngineGarbled& error) const {
+    return std::string("the engine sent no piece of the answer: ") +
+           NameOf(error.fault);
+  }
 };
 
 // Converts an HTTP error to an EngineError.
@@ -58,7 +69,7 @@
 leaf::result<HttpResponse> Call(const HttpCall& call) {
   HttpResponse response;
   BOOST_LEAF_CHECK(ConvertErrors([&]() -> leaf::result<void> {
-    BOOST_LEAF_ASSIGN(response, SendHttpRequest(call));
+    BOOST_LEAF_ASSIGN(response, SendHttpRequest(call, kMaxReplyBytes));
     return {};
   }));
   return response;
@@ -120,29 +131,96 @@
   }
 };
 
-// Reads the response lines and passes the tokens to `on_token`. Returns the
-// length of the answer, or nullopt if the response was truncated or malformed,
-// or if `on_token` returned false.
-std::optional<std::int64_t> ReadLines(std::istream& body,
-                                      const EnginePort::OnToken& on_token) {
-  std::string line;
-  try {
-    while (std::getline(body, line)) {
-      const json event = json::parse(line);
-      if (event.contains("length")) {
-        return event["length"].get<std::int64_t>();
-      }
-      if (!on_token(event.at("p").get<std::int64_t>(),
-                    event.at("t").get<std::string>())) {
-        return std::nullopt;
-      }
+enum class LineResult { kLine, kEnd, kTooLong };
+
+// Reads a line without its end. What is left of a line where the body is cut
+// off is no line.
+LineResult ReadLine(std::istream& body, std::size_t max_bytes,
+                    std::string* line) {
+  line->clear();
+  char next = 0;
+  while (body.get(next)) {
+    if (next == '\n') {
+      return LineResult::kLine;
+    }
+    if (line->size() == max_bytes) {
+      return LineResult::kTooLong;
     }
-  } catch (const json::exception&) {
-    return std::nullopt;
+    line->push_back(next);
   }
-  return std::nullopt;
+  return LineResult::kEnd;
 }
 
+// Reads the lines of a response and passes on the tokens that follow each
+// other.
+class TokenReader {
+ public:
+  TokenReader(std::uint64_t next, const EnginePort::OnToken& on_token)
+      : sequence_(PieceStep::kConsecutive, next), on_token_(on_token) {}
+
+  // Reads up to the line that ends the answer, or to the first fault. Stops if
+  // the body is cut off or if the caller needs no more.
+  void Read(std::istream& body) {
+    std::string line;
+    bool goes_on = true;
+    while (goes_on) {
+      const LineResult result = ReadLine(body, kMaxLineBytes, &line);
+      if (result == LineResult::kTooLong) {
+        fault_ = PieceFault::kTooLarge;
+      }
+      goes_on = result == LineResult::kLine && Accept(line);
+    }
+  }
+
+  // The length of the whole answer, once its end has been read.
+  const std::optional<std::int64_t>& Length() const { return length_; }
+  const std::optional<PieceFault>& Fault() const { return fault_; }
+
+ private:
+  bool Accept(const std::string& line) {
+    const json event = json::parse(line, nullptr, false);
+    if (!event.is_object()) {
+      fault_ = PieceFault::kMalformed;
+      return false;
+    }
+    return event.contains("length") ? AcceptEnd(event["length"])
+                                    : AcceptToken(event);
+  }
+
+  bool AcceptEnd(const json& length) {
+    if (!length.is_number_unsigned()) {
+      fault_ = PieceFault::kMalformed;
+    } else if (length.get<std::uint64_t>() != sequence_.Next()) {
+      fault_ = PieceFault::kGap;
+    } else {
+      length_ = length.get<std::int64_t>();
+    }
+    return false;
+  }
+
+  bool AcceptToken(const json& event) {
+    constexpr std::uint64_t kMaxPosition =
+        std::numeric_limits<std::int64_t>::max();
+    const auto position = event.find("p");
+    const auto text = event.find("t");
+    if (position == event.end() || !position->is_number_unsigned() ||
+        position->get<std::uint64_t>() > kMaxPosition) {
+      fault_ = PieceFault::kNoId;
+    } else if (text == event.end() || !text->is_string()) {
+      fault_ = PieceFault::kNoData;
+    } else {
+      fault_ = sequence_.Accept(position->get<std::uint64_t>());
+    }
+    return !fault_.has_value() &&
+           on_token_(position->get<std::int64_t>(), text->get<std::string>());
+  }
+
+  PieceSequence sequence_;
+  const EnginePort::OnToken& on_token_;
+  std::optional<std::int64_t> length_;
+  std::optional<PieceFault> fault_;
+};
+
 EngineStatus ToStatus(const json& body) {
   EngineStatus engine_status;
   body.at("memory").get_to(engine_status.memory.value);
@@ -176,29 +254,32 @@
   HttpCall call = MakeCall(address_, "POST", "/v1/streams", request.timeout);
   call.body = ToJson(request);
   int status = 0;
-  std::optional<std::int64_t> length;
   std::string reason;
+  TokenReader tokens(static_cast<std::uint64_t>(request.resume_from), on_token);
   const auto read = [&](int response_status, std::istream& body) {
     status = response_status;
     if (status != http_status::kOk) {
-      std::getline(body, reason);
+      ReadLine(body, kMaxReasonBytes, &reason);
       return;
     }
     on_accepted();
-    length = ReadLines(body, on_token);
+    tokens.Read(body);
   };
   auto sent = ConvertErrors([&] { return StreamHttp(call, read); });
   if (status != 0 && status != http_status::kOk) {
     return leaf::new_error(EngineError{EngineRejected{status, reason}});
   }
+  if (tokens.Fault().has_value()) {
+    return leaf::new_error(EngineError{EngineGarbled{*tokens.Fault()}});
+  }
   if (!sent) {
     return sent.error();
   }
-  if (!length) {
+  if (!tokens.Length().has_value()) {
     return leaf::new_error(
         EngineError{EngineOutcomeUnknown{"the answer was cut"}});
   }
-  return *length;
+  return *tokens.Length();
 }
 
 leaf::result<void> HttpEngine::Prefill(const EngineRequest& request) {
