Deliver a service's answer behind a sidecar only if it is one, within memory

What callers could see: half of an answer as a whole 200 from a service that was killed in the middle of one without a length, encoded bodies, statuses that HTTP does not have.

Cause: the sidecar had none of the gateway's checks; a body doubled its buffer up to 32 MB for each request, with no sum.

Change: CheckAnswer decides, as at the gateway; an answer that ends with its connection is whole only if its service still listens after the time in which an ending process has closed its sockets (one constant for both). Answers share body_memory_bytes; one that does not fit is read later, while its service waits, until the request ends; announced bodies take their memory at once, so that those of sound services do not wait for each other halfway.

--- a/src/gateway/endpoint_prober.cc
+++ b/src/gateway/endpoint_prober.cc
@@ -87,7 +87,7 @@
 void EndpointProber::ProbeLater(const std::string& address,
                                 OnResult on_result) {
   const auto timer = std::make_shared<Timer>(*io_);
-  timer->expires_after(kEndingTime);
+  timer->expires_after(kProcessEndingTime);
   timer->async_wait([this, timer, address, on_result = std::move(on_result)](
                         const Error& error) mutable {
     if (!error) {
--- a/src/gateway/endpoint_prober.h
+++ b/src/gateway/endpoint_prober.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "harecrank/core/process_ending.h"
 #include "harecrank/core/strong_types.h"
 
 namespace harecrank {
@@ -42,13 +43,9 @@
   // aborts dozens of requests at once and each connection has a cost.
   void Probe(const std::string& address, OnResult on_result);
 
-  // Like Probe, after a delay in which a process that is ending has closed all
-  // its sockets: while it does so, its address may still accept connections.
+  // Like Probe, after kProcessEndingTime.
   void ProbeLater(const std::string& address, OnResult on_result);
 
-  // Delay of ProbeLater.
-  static constexpr Millis kEndingTime{50};
-
   // Calls `on_result` with kSkipped, never from within this call.
   void Skip(OnResult on_result);
 
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -90,8 +90,10 @@
       incarnation_(DrawIncarnation(random)),
       node_(settings.node, incarnation_, clock, random),
       engine_(std::make_unique<HttpEngine>(settings.endpoint_address)),
+      answer_memory_(settings.body_memory_bytes),
       runner_(WorkRunnerPorts{
           engine_.get(), settings.endpoint_address, incarnation_, clock,
+          &answer_memory_,
           [this](ConnectionId to, const wire::Message& message) {
             return links_->Send(to, message);
           }}),
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -135,6 +135,7 @@
   Incarnation incarnation_;
   Node node_;
   std::unique_ptr<EnginePort> engine_;
+  BodyMemory answer_memory_;
   WorkRunner runner_;
   EngineReconciler reconciler_;
   Poco::ThreadPool pool_;
--- a/src/sidecar/work_runner.cc
+++ b/src/sidecar/work_runner.cc
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <thread>
 #include <utility>
 
-#include "src/adapters/http.h"
+#include "harecrank/core/answer_check.h"
+#include "harecrank/core/process_ending.h"
 
 namespace harecrank {
 namespace {
@@ -22,6 +24,15 @@
 constexpr Millis kRetryAfter{500};
 constexpr std::size_t kServiceChunkBytes = 64U << 10U;
 constexpr std::size_t kMaxServiceResponseBytes = 16U << 20U;
+constexpr Millis kProbeTimeout{250};
+constexpr Millis kMemoryPollInterval{5};
+
+// Returns whether the process at `address` still listens, after a time in which
+// one that is ending has closed its sockets.
+bool RunsOn(const std::string& address) {
+  std::this_thread::sleep_for(kProcessEndingTime);
+  return AcceptsConnection(address, kProbeTimeout);
+}
 
 // Converts an engine error to a message to the entry host. The message is
 // Refused only if the request cannot have run.
@@ -41,6 +52,9 @@
   wire::Message operator()(const EngineFenceOutdated&) const {
     return wire::Refused{stream, "engine_refused", "fenced", kRetryAfter};
   }
+  wire::Message operator()(const EngineGarbled& error) const {
+    return wire::Failed{stream, "engine_garbled", NameOf(error.fault), false};
+  }
 };
 
 // Converts an error of a call to a plain service to a message to the entry
@@ -201,6 +215,7 @@
 
 wire::Message WorkRunner::CallService(SidecarStream* stream) {
   const wire::Submit& submit = stream->submit;
+  BodyMemory::Holding memory(ports_.answer_memory);
   HttpCall call;
   call.address = ports_.endpoint_address;
   call.method = submit.method;
@@ -214,20 +229,12 @@
   return leaf::try_handle_all(
       [&]() -> leaf::result<wire::Message> {
         BOOST_LEAF_AUTO(response,
-                        SendHttpRequest(call, kMaxServiceResponseBytes));
-        std::int64_t chunks = 0;
-        for (std::size_t at = 0; at < response.body.size();
-             at += kServiceChunkBytes) {
-          Deliver(stream, chunks++,
-                  response.body.substr(at, kServiceChunkBytes));
-        }
-        wire::Finished finished;
-        finished.stream = submit.stream;
-        finished.length = chunks;
-        finished.reason = "answered";
-        finished.status = response.status;
-        finished.content_type = response.content_type;
-        return wire::Message(finished);
+                        SendHttpRequest(call, kMaxServiceResponseBytes,
+                                        [&](std::size_t bytes) {
+                                          return HoldMemory(*stream, bytes,
+                                                            &memory);
+                                        }));
+        return DeliverResponse(stream, std::move(response));
       },
       [&](const HttpError& error) {
         return std::visit(HttpErrorToMessage{submit.stream}, error);
@@ -238,6 +245,43 @@
       });
 }
 
+bool WorkRunner::HoldMemory(const SidecarStream& stream, std::size_t bytes,
+                            BodyMemory::Holding* memory) const {
+  while (!memory->TryResize(bytes)) {
+    if (stream.cancelled || ports_.clock() >= stream.deadline) {
+      return false;
+    }
+    std::this_thread::sleep_for(kMemoryPollInterval);
+  }
+  return true;
+}
+
+wire::Message WorkRunner::DeliverResponse(SidecarStream* stream,
+                                          HttpResponse response) {
+  const StreamId id = stream->submit.stream;
+  EndpointResponse head;
+  head.status = static_cast<unsigned>(response.status);
+  head.is_encoded = response.is_encoded;
+  if (const auto fault = CheckAnswer(head, {false, false})) {
+    return wire::Failed{id, "service_garbled", NameOf(*fault), true};
+  }
+  if (response.ends_with_connection && !RunsOn(ports_.endpoint_address)) {
+    return wire::Failed{id, "service_lost", "the answer was cut", false};
+  }
+  std::int64_t chunks = 0;
+  for (std::size_t at = 0; at < response.body.size();
+       at += kServiceChunkBytes) {
+    Deliver(stream, chunks++, response.body.substr(at, kServiceChunkBytes));
+  }
+  wire::Finished finished;
+  finished.stream = id;
+  finished.length = chunks;
+  finished.reason = "answered";
+  finished.status = response.status;
+  finished.content_type = response.content_type;
+  return finished;
+}
+
 bool WorkRunner::Deliver(SidecarStream* stream, std::int64_t position,
                          std::string token) {
   if (stream->cancelled || ports_.clock() >= stream->deadline) {
--- a/src/sidecar/work_runner.h
+++ b/src/sidecar/work_runner.h
@@ -7,6 +7,8 @@
 #include <memory>
 #include <string>
 
+#include "src/adapters/body_memory.h"
+#include "src/adapters/http_call.h"
 #include "src/sidecar/engine_port.h"
 #include "src/sidecar/sidecar_stream.h"
 
@@ -19,6 +21,8 @@
   std::string endpoint_address;
   Incarnation incarnation;
   MonotonicClock clock;
+  // For the answers of plain services.
+  BodyMemory* answer_memory = nullptr;
   // Sends a message to the stream's entry host. Returns false if the connection
   // is closed.
   std::function<bool(ConnectionId, const wire::Message&)> send;
@@ -57,6 +61,13 @@
   wire::Message PrefillSegment(SidecarStream* stream,
                                const PrefillPolicy& policy);
   wire::Message CallService(SidecarStream* stream);
+  // Holds `bytes` for an answer, and waits for them if others hold too much.
+  // Returns false if the request ends before.
+  bool HoldMemory(const SidecarStream& stream, std::size_t bytes,
+                  BodyMemory::Holding* memory) const;
+  // Sends the response of a plain service to the entry host. Returns the
+  // message that ends the request.
+  wire::Message DeliverResponse(SidecarStream* stream, HttpResponse response);
   bool Deliver(SidecarStream* stream, std::int64_t position, std::string token);
   EngineRequest MakeRequest(const SidecarStream& stream,
                             const PrefillPolicy& policy) const;
--- a/src/sidecar/work_runner_test.cc
+++ b/src/sidecar/work_runner_test.cc
@@ -21,6 +21,8 @@
   WorkRunnerPorts ports;
   ports.endpoint_address = address;
   ports.clock = SystemClock();
+  BodyMemory memory(64U << 20U);
+  ports.answer_memory = &memory;
   ports.send = [&sent](ConnectionId /*to*/, const wire::Message& message) {
     sent.push_back(message);
     return true;
