--- a/src/adapters/http_call.cc
+++ b/src/adapters/http_call.cc
@@ -31,7 +31,7 @@
 constexpr std::uint32_t kMaxHeaderBytes = 64U << 10U;
 // Maximum size of the read buffer, which holds a head, the line of a chunk's
 // size with its extensions, a trailer, or a piece of the body.
-constexpr std::size_t kMaxBufferedBytes = 2 * kMaxHeaderBytes;
+constexpr std::size_t kMaxBufferedBytes = std::size_t{2} * kMaxHeaderBytes;
 constexpr std::size_t kReadBytes = 16384;
 // Maximum number of interim responses (1xx) before a response.
 constexpr int kMaxInterimResponses = 8;
