--- a/src/gateway/exchange_attempts.cc
+++ b/src/gateway/exchange_attempts.cc
@@ -88,7 +88,9 @@
     OnNotRunResponse(response);
     return;
   }
-  if (const auto fault = CheckAnswer(response, {true, relay_.StreamBegun()})) {
+  ExpectedAnswer expected;
+  expected.continues_stream = relay_.StreamBegun();
+  if (const auto fault = CheckAnswer(response, expected)) {
     LogGarbled(NameOf(*fault));
     OnErrorAnswer();
     AbandonAttempt();
--- a/src/sidecar/http_engine_test.cc
+++ b/src/sidecar/http_engine_test.cc
@@ -72,8 +72,11 @@
       "{\"length\":\"1\"}\n"};
   for (const std::string& line : lines) {
     CAPTURE(line);
-    const Generated generated = GenerateBy(SendAndClose(
-        Head() + first + line + "{\"p\":1,\"t\":\"b\"}\n{\"length\":2}\n"));
+    std::string answer = Head();
+    answer += first;
+    answer += line;
+    answer += "{\"p\":1,\"t\":\"b\"}\n{\"length\":2}\n";
+    const Generated generated = GenerateBy(SendAndClose(answer));
     CHECK(generated.text == "a");
     CHECK(generated.length == -1);
   }
--- a/src/sidecar/work_runner.cc
+++ b/src/sidecar/work_runner.cc
@@ -234,7 +234,7 @@
                                           return HoldMemory(*stream, bytes,
                                                             &memory);
                                         }));
-        return DeliverResponse(stream, std::move(response));
+        return DeliverResponse(stream, response);
       },
       [&](const HttpError& error) {
         return std::visit(HttpErrorToMessage{submit.stream}, error);
@@ -257,12 +257,14 @@
 }
 
 wire::Message WorkRunner::DeliverResponse(SidecarStream* stream,
-                                          HttpResponse response) {
+                                          const HttpResponse& response) {
   const StreamId id = stream->submit.stream;
   EndpointResponse head;
   head.status = static_cast<unsigned>(response.status);
   head.is_encoded = response.is_encoded;
-  if (const auto fault = CheckAnswer(head, {false, false})) {
+  ExpectedAnswer expected;
+  expected.is_signed = false;
+  if (const auto fault = CheckAnswer(head, expected)) {
     return wire::Failed{id, "service_garbled", NameOf(*fault), true};
   }
   if (response.ends_with_connection && !RunsOn(ports_.endpoint_address)) {
--- a/src/sidecar/work_runner.h
+++ b/src/sidecar/work_runner.h
@@ -67,7 +67,8 @@
                   BodyMemory::Holding* memory) const;
   // Sends the response of a plain service to the entry host. Returns the
   // message that ends the request.
-  wire::Message DeliverResponse(SidecarStream* stream, HttpResponse response);
+  wire::Message DeliverResponse(SidecarStream* stream,
+                                const HttpResponse& response);
   bool Deliver(SidecarStream* stream, std::int64_t position, std::string token);
   EngineRequest MakeRequest(const SidecarStream& stream,
                             const PrefillPolicy& policy) const;
