Tell when a host is behind the others, and ask for a full copy in the end

Change: CatchUp (core, no I/O) decides what a host that is behind asks for: the changes after its revision, a full copy after three answers without progress, and ever less often if full copies do not help. New entries are no progress of a host that lacks the configuration. The lines `behind` and `caught_up` (after 2 s), the gauge harecrank_gateway_behind_ms and the dump tell it; `peer_asked` tells after which revision was asked. No byte more goes between hosts.

--- a/src/gateway/fleet_member.h
+++ b/src/gateway/fleet_member.h
@@ -102,6 +102,10 @@
   // the other hosts.
   void OnPublished() { publication_relay_.OnPublished(); }
 
+  // Returns whether another host has newer data than this one, and for how
+  // long.
+  const CatchUp& Progress() const { return publication_relay_.Progress(); }
+
   // To be called when a poll of the store by this host has succeeded or failed.
   void OnPollResult();
 
--- a/src/gateway/gateway_gauges.cc
+++ b/src/gateway/gateway_gauges.cc
@@ -197,6 +197,9 @@
   metrics->AddGauge("harecrank_gateway_source_well", [parts] {
     return parts.store_sync->HasFreshData() ? 1.0 : 0.0;
   });
+  metrics->AddGauge("harecrank_gateway_behind_ms", [parts] {
+    return static_cast<double>(parts.fleet->Progress().BehindFor().count());
+  });
   metrics->AddGauge("harecrank_gateway_copies_under_way", [parts] {
     return static_cast<double>(parts.snapshots->ActiveTransfers());
   });
@@ -234,36 +237,39 @@
   const auto table = parts.routing->InForce();
   Heartbeat heartbeat;
   parts.store_sync->Describe(&heartbeat);
-  return {{"configuration", table == nullptr ? 0 : table->Version().value},
-          {"regions", DescribeRegions(parts)},
-          {"source",
-           {{"well", heartbeat.store_data_fresh},
-            {"at", heartbeat.known_up_to.value},
-            {"age_ms", heartbeat.store_data_age.count()},
-            {"reads", heartbeat.poll_state != PollState::kNone}}},
-          {"fleet",
-           {{"planner", planner.value_or(HostAddress{}).value},
-            {"plans", parts.fleet->IsPlanner()},
-            {"records_held", parts.fleet->HeldRecords()},
-            {"alive", parts.membership->AliveHosts()},
-            {"size", parts.membership->Size().MaxHosts().value_or(0)}}},
-          {"endpoints",
-           {{"known", parts.directory->Count()},
-            {"leaving", Names(parts.directory->Leaving())},
-            {"missing", parts.directory->MissingCount()},
-            {"avoided", parts.health->Avoided().size()},
-            {"engines_not_sound", UnsoundEngines(*parts.health)}}},
-          {"requests",
-           {{"waiting", parts.queue->Count()},
-            {"waiting_at_planner", parts.planner->WaitingCount()},
-            {"promised", parts.planner->PromiseCount()},
-            {"planned_starts", parts.planner->NextStarts().size()},
-            {"next_starts_ms", NextStartsOf(*parts.planner)},
-            {"held", parts.quarantine->QuarantinedCount()},
-            {"parts_held", HeldParts(*parts.prompt_parts)}}},
-          {"copies_under_way", parts.snapshots->ActiveTransfers()},
-          {"bounds", parts.start_limiter->Describe()},
-          {"repeats", DescribeRepeats(*parts.budgets)}};
+  return {
+      {"configuration", table == nullptr ? 0 : table->Version().value},
+      {"regions", DescribeRegions(parts)},
+      {"source",
+       {{"well", heartbeat.store_data_fresh},
+        {"at", heartbeat.known_up_to.value},
+        {"age_ms", heartbeat.store_data_age.count()},
+        {"behind_ms", parts.fleet->Progress().BehindFor().count()},
+        {"lacks_configuration", parts.fleet->Progress().LacksConfiguration()},
+        {"reads", heartbeat.poll_state != PollState::kNone}}},
+      {"fleet",
+       {{"planner", planner.value_or(HostAddress{}).value},
+        {"plans", parts.fleet->IsPlanner()},
+        {"records_held", parts.fleet->HeldRecords()},
+        {"alive", parts.membership->AliveHosts()},
+        {"size", parts.membership->Size().MaxHosts().value_or(0)}}},
+      {"endpoints",
+       {{"known", parts.directory->Count()},
+        {"leaving", Names(parts.directory->Leaving())},
+        {"missing", parts.directory->MissingCount()},
+        {"avoided", parts.health->Avoided().size()},
+        {"engines_not_sound", UnsoundEngines(*parts.health)}}},
+      {"requests",
+       {{"waiting", parts.queue->Count()},
+        {"waiting_at_planner", parts.planner->WaitingCount()},
+        {"promised", parts.planner->PromiseCount()},
+        {"planned_starts", parts.planner->NextStarts().size()},
+        {"next_starts_ms", NextStartsOf(*parts.planner)},
+        {"held", parts.quarantine->QuarantinedCount()},
+        {"parts_held", HeldParts(*parts.prompt_parts)}}},
+      {"copies_under_way", parts.snapshots->ActiveTransfers()},
+      {"bounds", parts.start_limiter->Describe()},
+      {"repeats", DescribeRepeats(*parts.budgets)}};
 }
 
 }  // namespace harecrank
--- a/src/gateway/publication_relay.cc
+++ b/src/gateway/publication_relay.cc
@@ -29,6 +29,9 @@
 // changes, such as a configuration with many routes, are fetched over a
 // connection.
 constexpr std::size_t kMaxChangesBytes = 16384;
+// How long this host may be behind another one before the log tells it. New
+// data usually arrive within a tenth of this time.
+constexpr Millis kLogBehindAfter{2000};
 
 namespace http = boost::beast::http;
 
@@ -70,7 +73,8 @@
       ports_(std::move(ports)),
       log_(log),
       clock_(std::move(clock)),
-      random_(std::move(random)) {}
+      random_(std::move(random)),
+      catch_up_(clock_) {}
 
 void PublicationRelay::OnPublished() {
   if (changes_scheduled_) {
@@ -127,25 +131,49 @@
 }
 
 void PublicationRelay::FetchIfBehind(const Heartbeat& own) {
+  const auto host = FindNewer(own);
+  LogProgress(host);
+  if (!host.has_value() || is_fetching_ || clock_() < next_fetch_at_ ||
+      catch_up_.BehindFor() < FetchDelay(own)) {
+    return;
+  }
+  Fetch(*host, catch_up_.AskAfter(), false);
+}
+
+std::optional<HostAddress> PublicationRelay::FindNewer(const Heartbeat& own) {
   // A routing table that is being parsed need not be fetched.
   const RoutingVersion routing =
       ports_.is_parsing_routing()
           ? RoutingVersion{std::numeric_limits<std::uint64_t>::max()}
           : own.routing;
-  const auto host = membership_->FindMoreUpToDate(routing, own.known_up_to);
+  auto host = membership_->FindMoreUpToDate(routing, own.known_up_to);
   if (!host.has_value()) {
-    behind_since_.reset();
-    return;
-  }
-  const TimePoint now = clock_();
-  if (!behind_since_.has_value()) {
-    behind_since_ = now;
+    catch_up_.OnCaughtUp();
+    return host;
   }
-  if (is_fetching_ || now < next_fetch_at_ ||
-      now - *behind_since_ < FetchDelay(own)) {
+  const StoreRevision any{std::numeric_limits<std::uint64_t>::max()};
+  const bool lacks_configuration =
+      membership_->FindMoreUpToDate(routing, any).has_value();
+  catch_up_.OnBehind({own.routing, own.known_up_to}, lacks_configuration);
+  return host;
+}
+
+void PublicationRelay::LogProgress(const std::optional<HostAddress>& newer) {
+  const bool is_behind = catch_up_.BehindFor() >= kLogBehindAfter;
+  if (is_behind == behind_logged_) {
     return;
   }
-  Fetch(*host, own.known_up_to, false);
+  behind_logged_ = is_behind;
+  const Heartbeat own = ports_.describe();
+  nlohmann::json fields = {{"configuration", own.routing.value},
+                           {"known_up_to", own.known_up_to.value}};
+  if (is_behind) {
+    fields["behind_ms"] = catch_up_.BehindFor().count();
+    fields["lacks_configuration"] = catch_up_.LacksConfiguration();
+    fields["newer_at"] = newer.value_or(HostAddress{}).value;
+  }
+  log_->Write(is_behind ? "behind" : "caught_up", std::move(fields),
+              LogRateLimit::kExempt);
 }
 
 Millis PublicationRelay::FetchDelay(const Heartbeat& own) const {
@@ -173,9 +201,13 @@
   const unsigned status = reply == nullptr ? 0 : reply->result_int();
   const bool imported =
       status == http_status::kOk && ports_.on_published(reply->body(), false);
-  log_->Write(
-      "peer_asked",
-      {{"address", host.value}, {"status", status}, {"taken", imported}});
+  if (status == http_status::kOk) {
+    catch_up_.OnAnswer();
+  }
+  log_->Write("peer_asked", {{"address", host.value},
+                             {"after", since.value},
+                             {"status", status},
+                             {"taken", imported}});
   const auto redirect =
       status == http_status::kTemporaryRedirect && !is_redirected
           ? RedirectTarget(*reply)
@@ -203,8 +235,9 @@
   // together.
   const Millis jitter(static_cast<std::int64_t>(
       random_() % static_cast<std::uint64_t>(kFetchInterval.count())));
-  next_fetch_at_ =
-      clock_() + retry_after.value_or(kFetchInterval / 2) + jitter / 2;
+  const Millis pause =
+      std::max(retry_after.value_or(kFetchInterval / 2), catch_up_.Pause());
+  next_fetch_at_ = clock_() + pause + jitter / 2;
 }
 
 }  // namespace harecrank
--- a/src/gateway/publication_relay.h
+++ b/src/gateway/publication_relay.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "harecrank/core/catch_up.h"
 #include "harecrank/core/membership.h"
 #include "src/adapters/event_log.h"
 #include "src/gateway/fleet_socket.h"
@@ -26,8 +27,8 @@
   // copy of the store's data.
   std::function<Heartbeat()> describe;
   // Returns the changes after `since`, for hosts whose data are complete up to
-  // it, in consecutive messages of at most `max_bytes`; only the last one may
-  // be larger.
+  // it, in consecutive messages of at most `max_bytes`; only one with a single
+  // large change may be larger.
   std::function<std::vector<std::string>(StoreRevision since,
                                          std::size_t max_bytes)>
       published;
@@ -73,12 +74,20 @@
   // few tens of milliseconds.
   void FetchIfBehind(const Heartbeat& own);
 
+  // Returns whether another host has newer data, and for how long.
+  const CatchUp& Progress() const { return catch_up_; }
+
  private:
   // Informs the other hosts of the changes after `sent_up_to_`: the planner
   // sends the changes, or a heartbeat if they are too large; any other host
   // sends the planner a heartbeat. The first data of a host that polls the
   // store are announced to all hosts by a heartbeat.
   void SendChanges();
+  // Returns a host with newer data than `own`, and records in `catch_up_`
+  // whether there is one.
+  std::optional<HostAddress> FindNewer(const Heartbeat& own);
+  // Logs that this host has been behind for a while, and that it no longer is.
+  void LogProgress(const std::optional<HostAddress>& newer);
   // After this host has learned that another host has newer data, it waits some
   // time to receive them before it fetches them. Returns this time; zero if
   // this host has no routing table yet.
@@ -101,8 +110,9 @@
   std::shared_ptr<HttpClient> fetch_client_;
   bool is_fetching_ = false;
   TimePoint next_fetch_at_{};
-  // Since when another host has had newer data; unset if none has.
-  std::optional<TimePoint> behind_since_;
+  CatchUp catch_up_;
+  // Whether the log tells that this host is behind.
+  bool behind_logged_ = false;
   // Revision up to which changes have been sent to the other hosts.
   StoreRevision sent_up_to_;
   bool changes_scheduled_ = false;
