--- a/src/gateway/directory_feed.h
+++ b/src/gateway/directory_feed.h
@@ -80,7 +80,9 @@
   // Returns the same data as Export, but only for hosts whose data are complete
   // up to `since`, because entries may be encoded as differences to their
   // previous versions. The data are split into consecutive messages of at most
-  // `max_bytes`; only the last one may be larger.
+  // `max_bytes`; only one with a single large change may be larger. A host that
+  // has imported a message has all data up to the revision that Import returns,
+  // whether or not it gets the next one.
   virtual std::vector<std::string> ExportChanges(
       StoreRevision since, std::size_t max_bytes) const = 0;
 
