Take the error of a write for what it says of an answer without a length

Cause: a socket reports an error once. The write takes it and was passed over; the read then sees an orderly end, which is the end of an answer without a length. Evidence: "An unframed answer that is reset under a long body is no success" fails on the untouched code (200) and passes now (502, "answer's end: Connection reset by peer"). The same reset behind an answer with a length stays a success, by a test beside it. Change: Attempt keeps the error and fails an answer that ends with its connection by it.

--- a/src/gateway/attempt.cc
+++ b/src/gateway/attempt.cc
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <utility>
 
+#include "harecrank/core/answer_end.h"
 #include "src/gateway/http_client.h"
 #include "src/gateway/socket_options.h"
 
@@ -117,8 +118,9 @@
   }
   // A failed write does not end the attempt: the endpoint may have responded
   // before it read the whole request. The result of reading the response
-  // decides.
+  // decides, if the response has an end of its own.
   request_written_ = !error;
+  write_error_ = error;
 }
 
 void Attempt::ReadHead() {
@@ -235,6 +237,10 @@
     }
     return;
   }
+  if (IsCutOff()) {
+    FailBroken("answer's end", write_error_);
+    return;
+  }
   ended_ = true;
   // Bytes after the response belong to no request, so the connection cannot be
   // reused. A connection on which the endpoint responded before the whole
@@ -250,6 +256,13 @@
   observer_->OnResponseEnd();
 }
 
+bool Attempt::IsCutOff() const {
+  ConnectionEnd end;
+  end.closed_in_order = true;
+  end.other_operation_failed = static_cast<bool>(write_error_);
+  return parser_->need_eof() && !MayBeWhole(end);
+}
+
 void Attempt::NoteKeepAlive(const ResponseHead& head) {
   const auto field = head.find(http::field::keep_alive);
   if (field == head.end()) {
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -112,6 +112,9 @@
   void NoteKeepAlive(const ResponseHead& head);
   void Fail(const AttemptFailure& failure);
   void FailBroken(const std::string& step, const Error& error);
+  // Returns whether the response has ended with its connection and cannot be
+  // whole.
+  bool IsCutOff() const;
 
   boost::asio::io_context* io_;
   EndpointConnectionPool* connections_;
@@ -126,6 +129,9 @@
   // been written yet.
   bool connecting_ = false;
   bool request_written_ = false;
+  // The error of the write, which the socket then reports to no other
+  // operation.
+  Error write_error_;
   bool response_began_ = false;
   // Whether the message being read is the response to an earlier request on
   // this connection.
