Ask who answers before an answer without a length counts as whole

Cause: 50 ms after such an answer's connection had ended, a new connection was opened, and the answer counted as whole if anybody accepted it. A server that is up again by then has a new id, which nobody looked at. Change: EndpointIdentifier asks the service's published health check, naming the endpoint: 421 or another id is another process. It waits as long as the request may still take, since a full endpoint answers late; 1 s where the request can be repeated. A restart counts as an end of the endpoint. An answer that proved whole clears its request of suspicion, as one with a length does.

--- a/include/harecrank/core/routing_table.h
+++ b/include/harecrank/core/routing_table.h
@@ -58,6 +58,8 @@
   // Maximum number of connections that one endpoint accepts from all hosts
   // together.
   int max_connections = 0;
+  // Path of the endpoints' health check; empty if they have none.
+  std::string health_path;
   // Set for model engines, absent for plain services.
   std::optional<EngineProfile> engine;
   // Time after its start during which an endpoint is cold, that is, may accept
--- a/src/gateway/crash_guard.cc
+++ b/src/gateway/crash_guard.cc
@@ -24,13 +24,14 @@
 }
 
 CrashGuard::CrashGuard(RequestQuarantine* quarantine, PartQuarantine* parts,
-                       EndpointProber* prober,
+                       EndpointProber* prober, EndpointIdentifier* identifier,
                        const EndpointDirectory* directory,
                        IsBackingOff is_backing_off, Share share, EventLog* log,
                        Metrics* metrics)
     : quarantine_(quarantine),
       parts_(parts),
       prober_(prober),
+      identifier_(identifier),
       directory_(directory),
       is_backing_off_(std::move(is_backing_off)),
       share_(std::move(share)),
@@ -115,6 +116,7 @@
 
 void CrashGuard::ConfirmEnd(const Suspect& suspect,
                             const EndpointRecord& endpoint, bool was_starting,
+                            IdentityCheck check,
                             std::function<void(ProbeResult result)> on_probed) {
   const bool is_drained = directory_->Drained().IsDrained(endpoint.data_centre);
   if (is_drained) {
@@ -122,14 +124,17 @@
     return;
   }
   const bool counts = was_starting && MayProbe(endpoint);
-  prober_->ProbeLater(endpoint.address,
-                      [this, suspect, endpoint, counts,
-                       on_probed = std::move(on_probed)](ProbeResult result) {
-                        if (counts && result == ProbeResult::kRefused) {
-                          OnCrash(suspect, endpoint);
-                        }
-                        on_probed(result);
-                      });
+  identifier_->Ask({endpoint.id, endpoint.address, std::move(check.health_path),
+                    check.patience},
+                   [this, suspect, endpoint, counts,
+                    on_probed = std::move(on_probed)](ProbeResult result) {
+                     const bool has_ended = result == ProbeResult::kRefused ||
+                                            result == ProbeResult::kReplaced;
+                     if (counts && has_ended) {
+                       OnCrash(suspect, endpoint);
+                     }
+                     on_probed(result);
+                   });
 }
 
 void CrashGuard::OnCrash(const Suspect& suspect,
--- a/src/gateway/crash_guard.h
+++ b/src/gateway/crash_guard.h
@@ -23,6 +23,7 @@
 #include "harecrank/core/request_quarantine.h"
 #include "src/adapters/event_log.h"
 #include "src/adapters/metrics.h"
+#include "src/gateway/endpoint_identifier.h"
 #include "src/gateway/endpoint_prober.h"
 
 namespace harecrank {
@@ -60,9 +61,9 @@
 
   // All pointers must outlive this.
   CrashGuard(RequestQuarantine* quarantine, PartQuarantine* parts,
-             EndpointProber* prober, const EndpointDirectory* directory,
-             IsBackingOff is_backing_off, Share share, EventLog* log,
-             Metrics* metrics);
+             EndpointProber* prober, EndpointIdentifier* identifier,
+             const EndpointDirectory* directory, IsBackingOff is_backing_off,
+             Share share, EventLog* log, Metrics* metrics);
 
   // The requests in progress. Requests that are aborted when the host stops
   // outlive the CrashGuard, hence the shared ownership.
@@ -127,12 +128,19 @@
                          bool was_starting,
                          std::function<void(ProbeResult result)> on_probed);
 
+  // How to ask an endpoint whether it runs on; see EndpointIdentifier.
+  struct IdentityCheck {
+    std::string health_path;
+    Millis patience{0};
+  };
+
   // Like OnResponseAborted, for a response that ended with its connection and
-  // has no other end: it is whole only if the endpoint's process runs on. Also
-  // an endpoint that has announced its shutdown or asked for back-off is
-  // probed, without a crash being counted; one in a drained data centre is not.
+  // has no other end: it is whole only if the endpoint's process runs on, that
+  // is, if the result is kSame. Also an endpoint that has announced its
+  // shutdown or asked for back-off is asked, without a crash being counted; one
+  // in a drained data centre is not.
   void ConfirmEnd(const Suspect& suspect, const EndpointRecord& endpoint,
-                  bool was_starting,
+                  bool was_starting, IdentityCheck check,
                   std::function<void(ProbeResult result)> on_probed);
 
   // Records that an endpoint has answered the request completely.
@@ -177,6 +185,7 @@
   RequestQuarantine* quarantine_;
   PartQuarantine* parts_;
   EndpointProber* prober_;
+  EndpointIdentifier* identifier_;
   // Returns whether a probe of `endpoint` is allowed.
   bool MayProbe(const EndpointRecord& endpoint) const;
 
--- a/src/gateway/crash_guard_test.cc
+++ b/src/gateway/crash_guard_test.cc
@@ -49,12 +49,15 @@
       {[] { return std::vector{HostAddress{"h1"}}; }, [] { return true; }},
       SystemClock()};
   EndpointProber prober{&io};
+  ProtocolNames names;
+  EndpointIdentifier identifier{&io, &names};
   EndpointDirectory directory{SystemClock()};
   bool is_backing_off = false;
   CrashGuard guard{
       &quarantine,
       &parts,
       &prober,
+      &identifier,
       &directory,
       [this](const EndpointId&) { return is_backing_off; },
       {[](const RequestFingerprint&) {}, [](const PartEvidence&) {}},
--- a/src/gateway/endpoint_prober.cc
+++ b/src/gateway/endpoint_prober.cc
@@ -48,6 +48,10 @@
       return "accepted";
     case ProbeResult::kSkipped:
       return "not_asked";
+    case ProbeResult::kSame:
+      return "same";
+    case ProbeResult::kReplaced:
+      return "replaced";
     case ProbeResult::kTimedOut:
       break;
   }
@@ -84,18 +88,6 @@
       });
 }
 
-void EndpointProber::ProbeLater(const std::string& address,
-                                OnResult on_result) {
-  const auto timer = std::make_shared<Timer>(*io_);
-  timer->expires_after(kProcessEndingTime);
-  timer->async_wait([this, timer, address, on_result = std::move(on_result)](
-                        const Error& error) mutable {
-    if (!error) {
-      Probe(address, std::move(on_result));
-    }
-  });
-}
-
 void EndpointProber::Skip(OnResult on_result) {
   asio::post(*io_, [on_result = std::move(on_result)] {
     on_result(ProbeResult::kSkipped);
--- a/src/gateway/endpoint_prober.h
+++ b/src/gateway/endpoint_prober.h
@@ -9,7 +9,6 @@
 #include <string>
 #include <vector>
 
-#include "harecrank/core/process_ending.h"
 #include "harecrank/core/strong_types.h"
 
 namespace harecrank {
@@ -24,7 +23,11 @@
   // network link may have failed, or the whole machine.
   kTimedOut,
   // Skip was called instead of Probe, so no connection was attempted.
-  kSkipped
+  kSkipped,
+  // The process of the endpoint is running (EndpointIdentifier).
+  kSame,
+  // Another process listens at the address (EndpointIdentifier).
+  kReplaced
 };
 
 // Returns the name of `result` in logs.
@@ -43,9 +46,6 @@
   // aborts dozens of requests at once and each connection has a cost.
   void Probe(const std::string& address, OnResult on_result);
 
-  // Like Probe, after kProcessEndingTime.
-  void ProbeLater(const std::string& address, OnResult on_result);
-
   // Calls `on_result` with kSkipped, never from within this call.
   void Skip(OnResult on_result);
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -95,9 +95,10 @@
   void CompleteStream();
   void CompleteBuffered();
   // Completes a response without Content-Length or chunked encoding whose
-  // connection has ended, if the endpoint runs on. If it does not, or this is
-  // not known, the response was broken off.
+  // connection has ended, if the endpoint's process runs on. If it does not, or
+  // this cannot be found out, the response was broken off.
   void ConfirmEnd();
+  void OnEndConfirmed();
   nlohmann::json BrokenFields(const AttemptBroken& broken);
   // Ends the attempt because its endpoint sent bytes that are no piece of the
   // stream. The stream goes on elsewhere after the last piece, or is cut off.
@@ -109,10 +110,7 @@
   // Ends a request that would be rejected again if its caller sent it again. It
   // is rejected without a Retry-After time, or given up if it may have run.
   void RejectForGood(const char* code);
-  // Reports a complete response to the crash guard. A response without
-  // Content-Length or chunked encoding ends when the connection closes. It is
-  // not reported, since a crash closes the connection, too, and may have
-  // truncated it. See ConfirmEnd.
+  // Reports a complete response to the crash guard.
   void ReportCompletion();
   // Reports to the crash guard, once in each attempt, that the endpoint did not
   // crash on the request.
@@ -193,7 +191,7 @@
   // retried.
   bool budget_exhausted_ = false;
   // Whether the head of the last response states where its body ends; see
-  // ReportCompletion.
+  // ConfirmEnd.
   bool has_framed_end_ = false;
   // Error code of the rejection, while the planner is asked when the caller
   // should return.
--- a/src/gateway/exchange_crashes.cc
+++ b/src/gateway/exchange_crashes.cc
@@ -1,6 +1,7 @@
 // How an exchange handles broken answers, and what crashes endpoints. The rest
 // of the class is in exchange.cc and exchange_attempts.cc.
 
+#include <algorithm>
 #include <utility>
 
 #include "harecrank/core/http_status.h"
@@ -12,6 +13,9 @@
 
 // Error code of the final response to a request that crashes endpoints.
 constexpr char kQuarantinedReason[] = "ends_endpoints";
+// How long to wait until an endpoint tells whether it runs on, if the request
+// can be repeated instead.
+constexpr Millis kMaxPatienceBeforeRepeat{1000};
 
 // Logs that an answer was broken off. `result` is that of the probe.
 void LogBroken(const GatewayServices& services, nlohmann::json fields,
@@ -24,16 +28,20 @@
 
 void Exchange::ConfirmEnd() {
   const AttemptBroken ended{"ended_with_its_connection", true, false, true};
+  const Millis patience = route_->MayRepeat()
+                              ? std::min(TimeLeft(), kMaxPatienceBeforeRepeat)
+                              : TimeLeft();
   services_->crashes->ConfirmEnd(
       {Fingerprint(), parts_}, sender_->Endpoint(), sender_->IsStarting(),
+      {service_->health_path, patience},
       [weak = weak_from_this(), reason = ended.reason,
        fields = BrokenFields(ended)](ProbeResult result) {
         const auto self = weak.lock();
         if (self == nullptr || self->finished_) {
           return;
         }
-        if (result == ProbeResult::kAccepted) {
-          self->Complete();
+        if (result == ProbeResult::kSame) {
+          self->OnEndConfirmed();
           return;
         }
         LogBroken(*self->services_, fields, result);
@@ -42,6 +50,11 @@
       });
 }
 
+void Exchange::OnEndConfirmed() {
+  ReportCompletion();
+  Complete();
+}
+
 void Exchange::OnGarbled(PieceFault fault) {
   LogGarbled(NameOf(fault));
   if (fault == PieceFault::kNotResumed) {
@@ -154,9 +167,6 @@
 void Exchange::RejectQuarantined() { RejectForGood(kQuarantinedReason); }
 
 void Exchange::ReportCompletion() {
-  if (!has_framed_end_) {
-    return;
-  }
   services_->crashes->OnCompleted(this);
   if (relay_.IsStream() && sender_->HasFirstEvent()) {
     ReportSound();
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -59,6 +59,7 @@
       engine_standings_(&health_, &log_, &metrics_),
       connections_(&io_, clock_),
       prober_(&io_),
+      identifier_(&io_, &names_),
       quarantine_(clock_),
       parts_(Self(settings_).address, MakeFleetView(), clock_),
       endpoint_updater_(&directory_, &health_, &connections_, &log_, &metrics_),
@@ -88,7 +89,7 @@
              settings_.planner_standbys, MakeFleetPorts(), &log_, &metrics_,
              clock_, random_),
       crash_guard_(
-          &quarantine_, &parts_, &prober_, &directory_,
+          &quarantine_, &parts_, &prober_, &identifier_, &directory_,
           [this](const EndpointId& id) {
             return start_limiter_.IsBackingOff(id);
           },
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -125,6 +125,7 @@
   EngineStandingLog engine_standings_;
   EndpointConnectionPool connections_;
   EndpointProber prober_;
+  EndpointIdentifier identifier_;
   RequestQuarantine quarantine_;
   PartQuarantine parts_;
   EndpointUpdater endpoint_updater_;
--- a/src/gateway/protocol_names.h
+++ b/src/gateway/protocol_names.h
@@ -23,6 +23,8 @@
   std::string account;
   // Sent to endpoints: id of the only endpoint that may run the request.
   std::string expected_endpoint;
+  // In the response to a health check: id of the responding endpoint.
+  std::string own_endpoint;
   // "PROMPT,ANSWER" in tokens, sent by the caller. ANSWER is the maximum length
   // of the answer.
   std::string token_counts;
