Count a request as run while it is not known whether its answer is whole

Cause: while the end of an answer without a length is confirmed, its attempt counts as ended and `may_have_run_` was not set. A quarantine of its like took it for one that was never sent. Evidence: "A request that has run is not refused when its like are held", with the check of the endpoint slowed down: with this change taken out the first caller gets 503 `not_run`, and so does the one whose request ended the third server; now 200 and 502. Change: the request counts as run from the moment at which its answer has ended, and is not ended when its like are held. Beside that, Respond turns "not run" into 502 for any request that was sent and not turned away, so that no other path can tell it.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -331,7 +331,18 @@
   Respond(GatewayResponse{status, code, retry_after, retry_after.has_value()});
 }
 
+bool Exchange::MayHaveRun() const {
+  const bool is_sent =
+      sender_.has_value() && sender_->IsUnderWay() && sender_->WasSent();
+  return may_have_run_ || is_sent;
+}
+
 void Exchange::Respond(const GatewayResponse& response) {
+  if (response.not_run && MayHaveRun()) {
+    Respond(GatewayResponse{http_status::kBadGateway, response.code,
+                            std::nullopt, false});
+    return;
+  }
   sink_->SendWhole(HeadOf(response, *services_->names, id_), BodyOf(response));
   Finish(response.not_run ? "refused" : "failed", response.status,
          response.code);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -96,7 +96,8 @@
   void CompleteBuffered();
   // Completes a response without Content-Length or chunked encoding whose
   // connection has ended, if the endpoint's process runs on. If it does not, or
-  // this cannot be found out, the response was broken off.
+  // this cannot be found out, the response was broken off. Until then the
+  // request may have run.
   void ConfirmEnd();
   void OnEndConfirmed();
   nlohmann::json BrokenFields(const AttemptBroken& broken);
@@ -157,6 +158,9 @@
   void GiveUp(const std::string& reason);
   void RejectNotRun(const std::string& reason);
   void Finish(const char* outcome, unsigned status, const std::string& reason);
+  // Returns whether an endpoint may have run the request, in the current
+  // attempt or an earlier one.
+  bool MayHaveRun() const;
 
   const GatewayServices* services_;
   CallerRequest request_;
@@ -193,6 +197,9 @@
   // Whether the head of the last response states where its body ends; see
   // ConfirmEnd.
   bool has_framed_end_ = false;
+  // Whether a response has ended and ConfirmEnd has not found out yet whether
+  // it is whole.
+  bool is_confirming_ = false;
   // Error code of the rejection, while the planner is asked when the caller
   // should return.
   std::optional<std::string> rejection_code_;
--- a/src/gateway/exchange_crashes.cc
+++ b/src/gateway/exchange_crashes.cc
@@ -28,6 +28,8 @@
 
 void Exchange::ConfirmEnd() {
   const AttemptBroken ended{"ended_with_its_connection", true, false, true};
+  may_have_run_ = true;
+  is_confirming_ = true;
   const Millis patience = route_->MayRepeat()
                               ? std::min(TimeLeft(), kMaxPatienceBeforeRepeat)
                               : TimeLeft();
@@ -40,6 +42,7 @@
         if (self == nullptr || self->finished_) {
           return;
         }
+        self->is_confirming_ = false;
         if (result == ProbeResult::kSame) {
           self->OnEndConfirmed();
           return;
@@ -154,10 +157,10 @@
   const auto self = shared_from_this();
   // A request whose first event has arrived is not interrupted, since its
   // outcome shows whether it causes a crash. A sent request that may run only
-  // once is not interrupted either.
+  // once is not interrupted either, nor one whose response has ended.
   const bool sent = sender_->IsUnderWay() && sender_->WasSent();
   const bool runs = sent && (sender_->HasFirstEvent() || !route_->MayRepeat());
-  if (finished_ || runs) {
+  if (finished_ || runs || is_confirming_) {
     return;
   }
   may_have_run_ = may_have_run_ || sent;
