Keep a connection to an endpoint that reads nothing and acknowledges probes

Cause: TCP_USER_TIMEOUT, 3 s, is meant for peers that acknowledge nothing. The system also applies it while the peer's window is closed, although the peer acknowledges each probe. Change: JudgeSend (core, no I/O) tells from what the system says of the connection whether its peer is alive and not reading; the limit is lifted meanwhile, and set again when bytes move. A peer that leaves two probes and 3 s without an acknowledgement is lost. One look a second, only at requests that last so long. Where the system tells nothing, all stays as it was.

--- a/src/gateway/attempt.cc
+++ b/src/gateway/attempt.cc
@@ -37,7 +37,8 @@
       connections_(connections),
       names_(names),
       observer_(observer),
-      connect_timer_(*io) {}
+      connect_timer_(*io),
+      send_timer_(*io) {}
 
 void Attempt::Start(std::unique_ptr<EndpointConnection> connection,
                     const std::string& address, OutgoingRequest request,
@@ -54,6 +55,7 @@
 void Attempt::Cancel() {
   ended_ = true;
   connect_timer_.cancel();
+  send_timer_.cancel();
   if (connection_ != nullptr) {
     Error ignored;
     connection_->socket.close(ignored);
@@ -109,9 +111,40 @@
       [self = shared_from_this()](const Error& error, std::size_t) {
         self->OnWritten(error);
       });
+  CheckSendLater();
   ReadHead();
 }
 
+void Attempt::CheckSendLater() {
+  send_timer_.expires_after(kSendCheckInterval);
+  send_timer_.async_wait([weak = weak_from_this()](const Error& error) {
+    const auto self = weak.lock();
+    if (!error && self != nullptr && !self->ended_) {
+      self->CheckSend();
+    }
+  });
+}
+
+void Attempt::CheckSend() {
+  const auto state = ReadSendState(&connection_->socket);
+  if (!state.has_value()) {
+    return;
+  }
+  const SendVerdict verdict = JudgeSend(*state, kKeepaliveTimeout);
+  if (verdict == SendVerdict::kPeerLost) {
+    FailBroken("request", asio::error::timed_out);
+    return;
+  }
+  const bool is_unlimited = verdict == SendVerdict::kPeerNotReading;
+  if (is_unlimited != is_unlimited_) {
+    is_unlimited_ = is_unlimited;
+    LimitUnacknowledged(&connection_->socket, !is_unlimited);
+  }
+  if (verdict != SendVerdict::kDone || (!request_written_ && !write_error_)) {
+    CheckSendLater();
+  }
+}
+
 void Attempt::OnWritten(const Error& error) {
   if (ended_) {
     return;
@@ -242,10 +275,12 @@
     return;
   }
   ended_ = true;
+  send_timer_.cancel();
   // Bytes after the response belong to no request, so the connection cannot be
   // reused. A connection on which the endpoint responded before the whole
   // request was written cannot be reused either.
-  const bool reusable = request_written_ && parser_->keep_alive() &&
+  const bool reusable = request_written_ && !is_unlimited_ &&
+                        parser_->keep_alive() &&
                         connection_->buffer.size() == 0;
   if (reusable) {
     connections_->PutIdle(std::move(connection_));
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -98,11 +98,17 @@
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
   using Error = boost::system::error_code;
   static constexpr std::size_t kReadBytes = 4096;
+  // Less than half of the time limit for bytes that nobody acknowledges.
+  static constexpr Millis kSendCheckInterval{1000};
 
   void Connect(const std::string& address, Millis timeout);
   void OnConnected(const Error& error);
   void Send();
   void OnWritten(const Error& error);
+  // Checks after kSendCheckInterval, and again until all bytes of the request
+  // have arrived, whether the endpoint is alive though it reads nothing.
+  void CheckSendLater();
+  void CheckSend();
   void ReadHead();
   void OnHead(const Error& error);
   bool IsResponseToThisRequest() const;
@@ -122,6 +128,9 @@
   AttemptObserver* observer_;
   std::unique_ptr<EndpointConnection> connection_;
   Timer connect_timer_;
+  Timer send_timer_;
+  // Whether the endpoint may leave bytes unacknowledged without a time limit.
+  bool is_unlimited_ = false;
   OutgoingRequest request_;
   std::unique_ptr<Parser> parser_;
   std::array<char, kReadBytes> bytes_{};
--- a/src/gateway/socket_options.cc
+++ b/src/gateway/socket_options.cc
@@ -1,6 +1,8 @@
 #include "src/gateway/socket_options.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -9,10 +11,10 @@
 
 namespace {
 
+using UserTimeout =
+    boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
 void SetOptions(boost::asio::ip::tcp::socket* socket, Millis unacknowledged) {
-  using UserTimeout =
-      boost::asio::detail::socket_option::integer<IPPROTO_TCP,
-                                                  TCP_USER_TIMEOUT>;
   // Errors are ignored: if the system does not support an option, faults are
   // detected later, but correctness is not affected.
   boost::system::error_code ignored;
@@ -44,6 +46,30 @@
   socket->set_option(Count(kUnansweredProbes), ignored);
 }
 
+void LimitUnacknowledged(boost::asio::ip::tcp::socket* socket,
+                         bool is_limited) {
+  const Millis limit = is_limited ? kKeepaliveTimeout : Millis(0);
+  boost::system::error_code ignored;
+  socket->set_option(UserTimeout(static_cast<int>(limit.count())), ignored);
+}
+
+std::optional<SendState> ReadSendState(boost::asio::ip::tcp::socket* socket) {
+  const int descriptor = socket->native_handle();
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  int unsent = 0;
+  if (::getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+      ::ioctl(descriptor, SIOCOUTQNSD, &unsent) != 0) {
+    return std::nullopt;
+  }
+  SendState state;
+  state.in_flight = info.tcpi_unacked;
+  state.unsent_bytes = static_cast<std::uint32_t>(unsent);
+  state.unanswered_probes = info.tcpi_probes;
+  state.since_acknowledged = Millis(info.tcpi_last_ack_recv);
+  return state;
+}
+
 bool IsQuiet(boost::asio::ip::tcp::socket* socket) {
   char byte = 0;
   const ssize_t received =
--- a/src/gateway/socket_options.h
+++ b/src/gateway/socket_options.h
@@ -4,7 +4,9 @@
 #define HARECRANK_SRC_GATEWAY_SOCKET_OPTIONS_H_
 
 #include <boost/asio/ip/tcp.hpp>
+#include <optional>
 
+#include "harecrank/core/send_state.h"
 #include "harecrank/core/strong_types.h"
 
 namespace harecrank {
@@ -26,6 +28,15 @@
 // freed the memory that they have reserved for its request.
 void SetEndpointOptions(boost::asio::ip::tcp::socket* socket);
 
+// Sets whether the time limit for bytes that nobody acknowledges applies to a
+// connection to an endpoint. The system also applies it while the endpoint
+// reads nothing, although it acknowledges each probe of its closed window.
+void LimitUnacknowledged(boost::asio::ip::tcp::socket* socket, bool is_limited);
+
+// Returns the state of the bytes that were written to `socket`, or nothing if
+// the system does not tell it.
+std::optional<SendState> ReadSendState(boost::asio::ip::tcp::socket* socket);
+
 // Returns whether there is nothing to read from `socket`: neither bytes nor the
 // end of the connection. Between two requests, a usable connection is quiet.
 bool IsQuiet(boost::asio::ip::tcp::socket* socket);
