End answers that may be without end before callers who keep up

What callers saw: beside a crowd whose answers do not end, callers of sound answers of 1 MB were closed without a status by `held_memory`, and so was nearly all of the crowd. Cause: when more memory was held than allowed, connections of callers whose answers were being written went first, however well they read, and requests that await an endpoint last. Those were closed without a word. Beside that the allocator kept freed blocks between others. Change: OrderAllForMemory ends answers that announce no size, or more than 4 MiB, before callers who are not behind; a request ended at an endpoint gets 502 (503 if nothing was sent); the endpoint of an answer that may be endless counts as failing; large blocks go back to the system in `gateway` as in the other roles. One call of an existing test got an argument (patience); what it asks for is unchanged.

--- a/include/harecrank/core/connection_relief.h
+++ b/include/harecrank/core/connection_relief.h
@@ -3,7 +3,9 @@
 // Callers that keep to no limit may open many connections and send or read
 // nothing on them. When the memory or the connections of a host are used up, it
 // closes those that hold most, for longest, and on which least happens. A
-// caller who sends a small request and reads its answer is the last.
+// caller who sends a small request and reads its answer is the last. Endpoints
+// may also send answers without end: these are ended before the connections of
+// callers who keep up.
 
 #ifndef HARECRANK_CORE_CONNECTION_RELIEF_H_
 #define HARECRANK_CORE_CONNECTION_RELIEF_H_
@@ -43,9 +45,12 @@
   // Whether its request is at an endpoint, so that nothing is due from its
   // caller.
   bool awaits_endpoint = false;
+  // Whether the answer that it awaits may be without end: its size is not
+  // announced, or far larger than those of ordinary answers.
+  bool may_be_endless = false;
 };
 
-// Both return indices in `holdings` in the order in which the connections are
+// All return indices in `holdings` in the order in which the connections are
 // to be closed until there is enough room. Connections whose callers have been
 // behind for less than `patience` are left out, and so are those that await an
 // endpoint, except in the third function.
@@ -58,10 +63,12 @@
 std::vector<std::size_t> OrderForRoom(
     const std::vector<ConnectionHolding>& holdings, TimePoint now,
     Millis patience);
-// To free memory at any price: like OrderForMemory without patience; those that
-// await an endpoint follow at the end.
+// To free memory at any price: after OrderForMemory come those that await an
+// answer that may be endless, then all others whose callers are behind, and at
+// last those that await another answer.
 std::vector<std::size_t> OrderAllForMemory(
-    const std::vector<ConnectionHolding>& holdings, TimePoint now);
+    const std::vector<ConnectionHolding>& holdings, TimePoint now,
+    Millis patience);
 
 }  // namespace harecrank
 
--- a/src/adapters/allocator.h
+++ b/src/adapters/allocator.h
@@ -1,4 +1,4 @@
-// Settings of the memory allocator of a process with many threads.
+// Settings of the memory allocator.
 
 #ifndef HARECRANK_SRC_ADAPTERS_ALLOCATOR_H_
 #define HARECRANK_SRC_ADAPTERS_ALLOCATOR_H_
@@ -6,9 +6,9 @@
 namespace harecrank {
 
 // Makes large blocks, such as bodies of requests, go back to the system as soon
-// as they are freed. By default the allocator keeps them for the thread that
-// freed them, so that each thread may hold a body that no one uses. To be
-// called once, before threads are started.
+// as they are freed. By default the allocator keeps them, between blocks that
+// are in use or for the thread that freed them, so that a process may occupy
+// several times what it holds. To be called once, before threads are started.
 void ReturnLargeBlocksToSystem();
 
 }  // namespace harecrank
--- a/src/cli/gateway_command.cc
+++ b/src/cli/gateway_command.cc
@@ -7,6 +7,7 @@
 #include <optional>
 #include <utility>
 
+#include "src/adapters/allocator.h"
 #include "src/adapters/settings.h"
 #include "src/adapters/system_sources.h"
 #include "src/cli/commands.h"
@@ -42,6 +43,7 @@
   // Writing to a closed socket must return an error instead of raising SIGPIPE,
   // which would end the process.
   std::signal(SIGPIPE, SIG_IGN);
+  ReturnLargeBlocksToSystem();
   std::optional<GatewaySettings> settings = ReadSettings(path);
   if (!settings.has_value()) {
     return kExitBadInput;
--- a/src/core/connection_relief.cc
+++ b/src/core/connection_relief.cc
@@ -75,14 +75,26 @@
 }
 
 std::vector<std::size_t> OrderAllForMemory(
-    const std::vector<ConnectionHolding>& holdings, TimePoint now) {
-  std::vector<std::size_t> order = OrderForMemory(holdings, now, Millis(0));
-  std::vector<std::size_t> awaiting =
-      Indices(holdings, [](const ConnectionHolding& holding) {
-        return holding.awaits_endpoint && holding.bytes > 0;
-      });
-  SortByWaste(holdings, now, &awaiting);
-  order.insert(order.end(), awaiting.begin(), awaiting.end());
+    const std::vector<ConnectionHolding>& holdings, TimePoint now,
+    Millis patience) {
+  std::vector<std::size_t> order = OrderForMemory(holdings, now, patience);
+  const auto append = [&](const auto& is_included) {
+    std::vector<std::size_t> next = Indices(holdings, is_included);
+    SortByWaste(holdings, now, &next);
+    order.insert(order.end(), next.begin(), next.end());
+  };
+  append([](const ConnectionHolding& holding) {
+    return holding.awaits_endpoint && holding.may_be_endless &&
+           holding.bytes > 0;
+  });
+  append([&](const ConnectionHolding& holding) {
+    return !holding.awaits_endpoint && holding.bytes > 0 &&
+           now - holding.behind_since < patience;
+  });
+  append([](const ConnectionHolding& holding) {
+    return holding.awaits_endpoint && !holding.may_be_endless &&
+           holding.bytes > 0;
+  });
   return order;
 }
 
--- a/src/core/connection_relief_test.cc
+++ b/src/core/connection_relief_test.cc
@@ -68,10 +68,24 @@
   const auto order = OrderAllForMemory(
       {Holding(900, Millis(5000), true), Holding(0, Millis(9000)),
        Holding(10, Millis(0)), Holding(1000, Millis(5000), true)},
-      kNow);
+      kNow, kPatience);
   CHECK(order == std::vector<std::size_t>{2, 3, 0});
 }
 
+// Guards against callers who keep up and are closed for the memory that
+// answers without end occupy.
+TEST_CASE("Answers without end are ended before callers who keep up") {
+  ConnectionHolding endless = Holding(300000, Millis(2000), true);
+  endless.may_be_endless = true;
+  ConnectionHolding larger = endless;
+  larger.bytes *= 2;
+  const auto order = OrderAllForMemory({Holding(1U << 20U, Millis(10)), endless,
+                                        Holding(1U << 20U, Millis(2000), true),
+                                        larger, Holding(1000, Millis(1500))},
+                                       kNow, kPatience);
+  CHECK(order == std::vector<std::size_t>{4, 3, 1, 0, 2});
+}
+
 TEST_CASE("The connections that are longest behind make room for others") {
   const auto order =
       OrderForRoom({Holding(0, Millis(3000)), Holding(1000, Millis(1500)),
--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -208,7 +208,7 @@
     holding += session->Holding().bytes > 0 ? 1 : 0;
   }
   for (const std::size_t i :
-       OrderAllForMemory(HoldingsOf(open), context_.clock())) {
+       OrderAllForMemory(HoldingsOf(open), context_.clock(), kMemoryPatience)) {
     // One request alone may need more than the limit.
     if (!context_.bodies->IsExceeded() || holding <= 1) {
       return;
--- a/src/gateway/caller_session.cc
+++ b/src/gateway/caller_session.cc
@@ -325,7 +325,8 @@
 ConnectionHolding CallerSession::Holding() const {
   const bool awaits_endpoint =
       state_ == State::kResponding && output_.IsEmpty();
-  return {memory_.Bytes(), pace_.KeptUntil(), awaits_endpoint};
+  return {memory_.Bytes(), pace_.KeptUntil(), awaits_endpoint,
+          response_.may_be_endless && response_.bytes > 0};
 }
 
 void CallerSession::EndFor(CallerFault fault) {
@@ -336,6 +337,15 @@
     RejectForMemory();
     return;
   }
+  if (request_ != nullptr && output_.IsEmpty() &&
+      fault == CallerFault::kHeldMemory) {
+    // The call may release the request.
+    const auto request = request_;
+    request->OnMemoryNeeded();
+    if (request_ == nullptr) {
+      return;
+    }
+  }
   RecordEnd(fault);
   Close();
 }
@@ -360,7 +370,7 @@
   const std::size_t body =
       is_growing ? parser_->get().body().capacity() : std::size_t{0};
   const std::size_t before = memory_.Bytes();
-  const std::size_t bytes = request_bytes_ + response_bytes_ + body +
+  const std::size_t bytes = request_bytes_ + response_.bytes + body +
                             buffer_.capacity() + output_.Memory();
   memory_.Resize(bytes - std::min(bytes, kUncountedBytes));
   if (memory_.Bytes() > before && context_->bodies->IsExceeded()) {
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -41,6 +41,10 @@
 
   // The caller has read on after ResponseSink::IsCongested had returned true.
   virtual void OnCallerReadOn() = 0;
+
+  // The memory that the request and its response hold is needed for others. The
+  // request must be ended now.
+  virtual void OnMemoryNeeded() = 0;
 };
 
 // Starts the handling of one request. `arrived` is the time at which its header
@@ -119,7 +123,8 @@
   ConnectionHolding Holding() const;
 
   // Ends the connection because others need what it holds. A request that was
-  // not read whole is rejected, as one that has not run.
+  // not read whole is rejected, as one that has not run, and one that awaits
+  // its response is ended by RequestHandle::OnMemoryNeeded.
   void EndFor(CallerFault fault);
 
   void SendWhole(ResponseHead head, std::string body) override;
@@ -128,7 +133,7 @@
   void EndStream() override;
   void AbortStream() override;
   bool IsCongested() const override { return output_.IsCongested(); }
-  void OnResponseHeld(std::size_t bytes) override;
+  void OnResponseHeld(const HeldResponse& held) override;
   void OnFlushed(std::size_t bytes) override;
   void OnOutputFailed() override { EndFor(CallerFault::kSlowToRead); }
 
@@ -190,11 +195,11 @@
   std::shared_ptr<RequestHandle> request_;
   CallerPace pace_;
   // All memory of this connection: `request_bytes_` for the request that is
-  // being read or in progress, `response_bytes_` for its response before that
-  // is sent, and the buffers.
+  // being read or in progress, `response_` for its response before that is
+  // sent, and the buffers.
   BodyBudget::Reservation memory_;
   std::size_t request_bytes_ = 0;
-  std::size_t response_bytes_ = 0;
+  HeldResponse response_;
   // Properties of the current request's response: whether the connection stays
   // open afterwards, whether there is no body, and whether a streamed body is
   // sent in chunks.
--- a/src/gateway/caller_session_response.cc
+++ b/src/gateway/caller_session_response.cc
@@ -107,8 +107,8 @@
   UpdateMemory();
 }
 
-void CallerSession::OnResponseHeld(std::size_t bytes) {
-  response_bytes_ = bytes;
+void CallerSession::OnResponseHeld(const HeldResponse& held) {
+  response_ = held;
   UpdateMemory();
 }
 
@@ -139,7 +139,7 @@
   // The caller of this function may be the last to hold the request.
   const auto request = std::move(request_);
   request_bytes_ = 0;
-  response_bytes_ = 0;
+  response_ = {};
   response_complete_ = true;
   close_after_flush_ = !keep_alive_;
   UpdateMemory();
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -14,6 +14,8 @@
 namespace http = boost::beast::http;
 
 constexpr int kLeastUrgent = 9;
+// Error code of the final response to a request whose memory others need.
+constexpr char kMemoryNeededCode[] = "memory_needed";
 // Interval at which a waiting request checks whether this host is about to
 // stop, and whether all endpoints have asked for a back-off.
 constexpr Millis kWaitCheckInterval{100};
@@ -365,6 +367,25 @@
   }
 }
 
+void Exchange::OnMemoryNeeded() {
+  const auto self = shared_from_this();
+  if (finished_) {
+    return;
+  }
+  may_have_run_ = MayHaveRun();
+  services_->metrics->GetCounter("harecrank_gateway_memory_needed_total")
+      ->Add();
+  if (relay_.AwaitsEndless()) {
+    OnErrorAnswer();
+  }
+  AbandonAttempt();
+  if (may_have_run_) {
+    GiveUp(kMemoryNeededCode);
+  } else {
+    Reject(http_status::kUnavailable, kMemoryNeededCode, kRetryAfterRejection);
+  }
+}
+
 void Exchange::Finish(const char* outcome, unsigned status,
                       const std::string& reason) {
   if (finished_) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -44,6 +44,7 @@
 
   void OnCallerDisconnected() override;
   void OnCallerReadOn() override;
+  void OnMemoryNeeded() override;
   void OnPlaced(const Placement& placement) override;
   void OnRejected(RejectionReason reason, Millis retry_after) override;
   void OnNoEndpoint() override;
--- a/src/gateway/exchange_attempts.cc
+++ b/src/gateway/exchange_attempts.cc
@@ -161,6 +161,7 @@
   if (relayed.fault.has_value()) {
     OnGarbled(*relayed.fault);
   } else if (relayed.is_too_large) {
+    OnErrorAnswer();
     AbandonAttempt();
     OnMayHaveRun("answer_too_large");
   }
--- a/src/gateway/response_relay.cc
+++ b/src/gateway/response_relay.cc
@@ -3,7 +3,18 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/gateway/endpoint_request.h"
+
 namespace harecrank {
+namespace {
+
+namespace http = boost::beast::http;
+
+// Announced size up to which a response is ordinary.
+constexpr std::int64_t kOrdinaryResponseBytes = std::int64_t{4} << 20U;
+
+}  // namespace
+
 ResponseRelay::ResponseRelay(std::shared_ptr<ResponseSink> sink,
                              MonotonicClock clock)
     : sink_(std::move(sink)), clock_(std::move(clock)) {}
@@ -13,7 +24,8 @@
   std::string().swap(body_);
   head_.reset();
   scanner_.BeginRun();
-  sink_->OnResponseHeld(0);
+  may_be_endless_ = true;
+  sink_->OnResponseHeld({});
 }
 
 void ResponseRelay::RelayEvents(const ResponseHead& head) {
@@ -24,19 +36,23 @@
   }
 }
 
-void ResponseRelay::BufferWhole(ResponseHead head) { head_ = std::move(head); }
+void ResponseRelay::BufferWhole(ResponseHead head) {
+  const auto bytes = ParseInteger(View(head[http::field::content_length]));
+  may_be_endless_ = !bytes.has_value() || *bytes > kOrdinaryResponseBytes;
+  head_ = std::move(head);
+}
 
 ResponseRelay::Relayed ResponseRelay::Accept(std::string_view bytes) {
   Relayed relayed;
   if (!is_stream_) {
     Append(bytes);
-    sink_->OnResponseHeld(body_.capacity());
+    sink_->OnResponseHeld({body_.capacity(), may_be_endless_});
     relayed.is_too_large = body_.size() > kMaxResponseBytes;
     return relayed;
   }
   ScannedEvents scanned = scanner_.Accept(bytes);
   relayed.fault = scanned.fault;
-  sink_->OnResponseHeld(scanner_.PartialSize());
+  sink_->OnResponseHeld({scanner_.PartialSize(), true});
   if (!scanned.events.empty()) {
     relayed.has_events = true;
     RecordGap();
--- a/src/gateway/response_relay.h
+++ b/src/gateway/response_relay.h
@@ -68,6 +68,9 @@
   unsigned BufferedStatus() const { return head_->result_int(); }
 
   bool IsStream() const { return is_stream_; }
+  // Returns whether a part of a response is held whose endpoint may send
+  // without end; see HeldResponse.
+  bool AwaitsEndless() const { return may_be_endless_ && !body_.empty(); }
   // Returns whether the head of a stream has been sent to the caller.
   bool StreamBegun() const { return stream_begun_; }
   const std::string& LastEventId() const { return scanner_.LastId(); }
@@ -87,6 +90,7 @@
   EventScanner scanner_;
   std::optional<ResponseHead> head_;
   std::string body_;
+  bool may_be_endless_ = true;
   bool is_stream_ = false;
   bool stream_begun_ = false;
   TimePoint last_event_at_{};
--- a/src/gateway/response_sink.h
+++ b/src/gateway/response_sink.h
@@ -6,6 +6,7 @@
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <cstddef>
 #include <string>
 
 namespace harecrank {
@@ -15,6 +16,14 @@
 using ResponseHead =
     boost::beast::http::response_header<boost::beast::http::fields>;
 
+// The part of a response that a sink has not got yet.
+struct HeldResponse {
+  std::size_t bytes = 0;
+  // Whether its endpoint may send without end: it has announced no size, or one
+  // far larger than those of ordinary answers.
+  bool may_be_endless = false;
+};
+
 // Writes the response to one request to its caller. Exactly one of these
 // sequences must be called: SendWhole; or BeginStream, SendEvents any number of
 // times, and EndStream or AbortStream.
@@ -40,8 +49,8 @@
   // more should be fetched now.
   virtual bool IsCongested() const = 0;
 
-  // Tells how many bytes of the response are held until it is sent as a whole.
-  virtual void OnResponseHeld(std::size_t bytes) = 0;
+  // Tells how much of the response is held until it is sent as a whole.
+  virtual void OnResponseHeld(const HeldResponse& held) = 0;
 };
 
 }  // namespace harecrank
