Let answers that grow wait for memory for a moment, not until their deadline

What callers saw: behind a sidecar, sound answers of a service that waited until their time was over while other answers of it did not end. Cause: an answer that finds no memory waits for others to free some. Answers without end each wait for the others, hold what they have, and announced answers wait with them. Change: an answer that has not announced its size waits 0.3 s for room to grow and then fails.

--- a/src/adapters/body_memory.h
+++ b/src/adapters/body_memory.h
@@ -24,6 +24,7 @@
     // they do not fit. The last quarter of the limit is left for small
     // holdings.
     bool TryResize(std::size_t bytes);
+    std::size_t Bytes() const { return bytes_; }
 
    private:
     BodyMemory* budget_;
--- a/src/sidecar/work_runner.cc
+++ b/src/sidecar/work_runner.cc
@@ -26,6 +26,7 @@
 constexpr std::size_t kMaxServiceResponseBytes = 16U << 20U;
 constexpr Millis kProbeTimeout{250};
 constexpr Millis kMemoryPollInterval{5};
+constexpr Millis kGrowthPatience{300};
 
 // Returns whether the process at `address` still listens, after a time in which
 // one that is ending has closed its sockets.
@@ -247,8 +248,14 @@
 
 bool WorkRunner::HoldMemory(const SidecarStream& stream, std::size_t bytes,
                             BodyMemory::Holding* memory) const {
+  // Answers that grow may be without end. If each waited for the others, none
+  // would free what it holds, and announced ones would wait, too.
+  const TimePoint limit =
+      memory->Bytes() > 0
+          ? std::min(stream.deadline, ports_.clock() + kGrowthPatience)
+          : stream.deadline;
   while (!memory->TryResize(bytes)) {
-    if (stream.cancelled || ports_.clock() >= stream.deadline) {
+    if (stream.cancelled || ports_.clock() >= limit) {
       return false;
     }
     std::this_thread::sleep_for(kMemoryPollInterval);
--- a/src/sidecar/work_runner.h
+++ b/src/sidecar/work_runner.h
@@ -62,7 +62,8 @@
                                const PrefillPolicy& policy);
   wire::Message CallService(SidecarStream* stream);
   // Holds `bytes` for an answer, and waits for them if others hold too much.
-  // Returns false if the request ends before.
+  // Returns false if the request ends before, or if an answer that has not
+  // announced its size finds no room to grow for kGrowthPatience.
   bool HoldMemory(const SidecarStream& stream, std::size_t bytes,
                   BodyMemory::Holding* memory) const;
   // Sends the response of a plain service to the entry host. Returns the
--- a/testing/byte_server.cc
+++ b/testing/byte_server.cc
@@ -25,6 +25,7 @@
   boost::system::error_code error;
   const std::size_t size = asio::read_until(
       *socket_, asio::dynamic_buffer(received_), "\r\n\r\n", error);
+  head_ = received_.substr(0, size);
   received_.erase(0, size);
   return !error;
 }
--- a/testing/byte_server.h
+++ b/testing/byte_server.h
@@ -22,6 +22,8 @@
 
   // Reads the head of a request. Returns false if the peer has closed.
   bool ReadHead();
+  // Returns the head that ReadHead has read.
+  const std::string& Head() const { return head_; }
   // Returns false if the peer has closed.
   bool Send(const std::string& bytes);
   // Sends `bytes` again and again until the peer closes.
@@ -32,6 +34,7 @@
  private:
   boost::asio::ip::tcp::socket* socket_;
   std::string received_;
+  std::string head_;
 };
 
 // Runs a thread for each connection, which is closed when `serve` returns.
--- a/tests/hostile_endpoint_test.cc
+++ b/tests/hostile_endpoint_test.cc
@@ -100,6 +100,67 @@
              call);
 }
 
+// Guards against answers that wait for each other's memory until their time is
+// over, and keep sound ones waiting.
+TEST_CASE("Answers of a service without end do not hold up its sound ones") {
+  constexpr int kCrowd = 40;
+  constexpr int kSoundCallers = 4;
+  constexpr int kSoundCalls = 5;
+  FleetOptions options;
+  options.entries = 1;
+  options.engines = 1;
+  Fleet fleet(options);
+  REQUIRE(fleet.WaitReady());
+  fleet.Get("service-0").Kill();
+  const std::string noise(65536, 'x');
+  const std::string body(1U << 20U, 's');
+  const std::string sound =
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+      "\r\n\r\n" + body;
+  const ByteServer server(
+      [&](ByteConnection& connection) {
+        if (!connection.ReadHead()) {
+          return;
+        }
+        if (connection.Head().find("/sound") != std::string::npos) {
+          connection.Send(sound);
+        } else {
+          connection.Send("HTTP/1.1 200 OK\r\n\r\n");
+          connection.SendWithoutEnd(noise);
+        }
+      },
+      fleet.ServiceAddress(0));
+  ClientRequest call;
+  call.address = fleet.CallersAddress(0);
+  call.body = {{"order", 1}};
+  call.fields = {{"Harecrank-Time-Limit-Ms", "6000"}};
+  std::atomic<int> served{0};
+  std::atomic<int> failed{0};
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kCrowd; ++i) {
+    callers.emplace_back([&, endless = call]() mutable {
+      endless.path = "/v1/services/orders/endless";
+      const int status = Call(endless).status;
+      failed += status >= 500 ? 1 : 0;
+    });
+  }
+  for (int i = 0; i < kSoundCallers; ++i) {
+    callers.emplace_back([&, one = call]() mutable {
+      one.path = "/v1/services/orders/sound";
+      for (int j = 0; j < kSoundCalls; ++j) {
+        served += Call(one).status == 200 ? 1 : 0;
+      }
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  CHECK(served == kSoundCallers * kSoundCalls);
+  CHECK(failed == kCrowd);
+  CheckWithinMemory(&fleet, "service-sidecar-0", kSidecarMemory);
+  CheckWithinMemory(&fleet, "entry-0", kEntryMemory);
+}
+
 TEST_CASE("Bytes without end from an engine end with its connection") {
   FleetOptions options;
   options.entries = 1;
