--- a/tests/hostile_endpoint_test.cc
+++ b/tests/hostile_endpoint_test.cc
@@ -137,6 +137,7 @@
   std::atomic<int> served{0};
   std::atomic<int> failed{0};
   std::vector<std::thread> callers;
+  callers.reserve(kCrowd + kSoundCallers);
   for (int i = 0; i < kCrowd; ++i) {
     callers.emplace_back([&, endless = call]() mutable {
       endless.path = "/v1/services/orders/endless";
