--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -143,6 +143,11 @@
       boost::beast::http::request_parser<boost::beast::http::string_body>;
   using Error = boost::system::error_code;
 
+  // Memory of each connection that is not counted: what an ordinary small
+  // request needs. All connections together need little of the rest of the
+  // process's memory for it.
+  static constexpr std::size_t kUncountedBytes = 8U << 10U;
+
   void AwaitRequest();
   void WatchSocket();
   void OnReadable(const Error& error);
