--- a/include/harecrank/core/answer_end.h
+++ b/include/harecrank/core/answer_end.h
@@ -26,7 +26,9 @@
 };
 
 // Returns whether an answer may be whole that ended with its connection.
-bool MayBeWhole(const ConnectionEnd& end);
+inline bool MayBeWhole(const ConnectionEnd& end) {
+  return end.closed_in_order && !end.other_operation_failed;
+}
 
 // The answer of a process to the question whether it is a certain endpoint.
 struct IdentityAnswer {
--- a/src/core/answer_end.cc
+++ b/src/core/answer_end.cc
@@ -4,10 +4,6 @@
 
 namespace harecrank {
 
-bool MayBeWhole(const ConnectionEnd& end) {
-  return end.closed_in_order && !end.other_operation_failed;
-}
-
 bool IsSameProcess(const EndpointId& endpoint, const IdentityAnswer& answer) {
   if (answer.status == http_status::kMisdirected) {
     return false;
