--- a/src/gateway/attempt_test.cc
+++ b/src/gateway/attempt_test.cc
@@ -5,13 +5,16 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <future>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "src/adapters/system_sources.h"
 #include "src/gateway/http_client.h"
 #include "src/gateway/socket_options.h"
+#include "testing/byte_server.h"
 
 namespace harecrank {
 namespace {
@@ -21,17 +24,21 @@
 class RecordingObserver : public AttemptObserver {
  public:
   void OnSent() override { ++sent_; }
-  void OnResponseHead(const ResponseHead&) override {}
+  void OnResponseHead(const ResponseHead&) override { has_head_ = true; }
   void OnResponseBytes(std::string_view) override {}
-  void OnResponseEnd() override {}
+  void OnResponseEnd() override { has_ended_ = true; }
   void OnFailure(const AttemptFailure& failure) override {
     failures_.push_back(failure);
   }
 
   int Sent() const { return sent_; }
+  bool HasHead() const { return has_head_; }
+  bool HasEnded() const { return has_ended_; }
   const std::vector<AttemptFailure>& Failures() const { return failures_; }
 
  private:
+  bool has_head_ = false;
+  bool has_ended_ = false;
   int sent_ = 0;
   std::vector<AttemptFailure> failures_;
 };
@@ -52,11 +59,14 @@
 
 // One attempt and the events that its observer has received.
 class AttemptFixture {
- protected:
-  void Start(const std::string& address, Millis connect_timeout) {
+ public:
+  void Start(const std::string& address, Millis connect_timeout,
+             std::string body = "") {
+    names_.request_id = "Id";
     OutgoingRequest request;
+    request.request_id = "r1";
     request.head = "GET / HTTP/1.1\r\n\r\n";
-    request.body = std::make_shared<const std::string>();
+    request.body = std::make_shared<const std::string>(std::move(body));
     attempt_->Start(connections_.MakeNew(EndpointId{"e"}), address,
                     std::move(request), connect_timeout);
   }
@@ -98,6 +108,47 @@
   REQUIRE(std::holds_alternative<AttemptNotSent>(observer_.Failures().front()));
 }
 
+// The request is written in pieces beside the read of the answer. Depending on
+// where the event loop stands when the reset comes, a piece takes the error
+// from the socket, and the read sees an end before the write has told of it.
+TEST_CASE("A reset that the write learns of first cuts an answer off",
+          "[gateway][attempt]") {
+  constexpr std::size_t kBodyBytes = 64U << 20U;
+  constexpr int kMaxTurns = 12;
+  int heads = 0;
+  for (int turns = 0; turns < kMaxTurns; ++turns) {
+    std::promise<void> may_reset;
+    std::promise<void> was_reset;
+    const testing::ByteServer server([&](testing::ByteConnection& connection) {
+      connection.ReadHead();
+      connection.Send("HTTP/1.1 200 OK\r\nId: r1\r\n\r\n");
+      may_reset.get_future().wait();
+      connection.Reset();
+      was_reset.set_value();
+    });
+    AttemptFixture attempt;
+    attempt.Start(server.Address(), Millis(1000), std::string(kBodyBytes, 'b'));
+    const auto limit = std::chrono::steady_clock::now() + Millis(2000);
+    while (!attempt.observer_.HasHead() &&
+           std::chrono::steady_clock::now() < limit) {
+      attempt.io_.poll_one();
+    }
+    heads += attempt.observer_.HasHead() ? 1 : 0;
+    for (int i = 0; i < turns; ++i) {
+      attempt.io_.poll_one();
+    }
+    may_reset.set_value();
+    was_reset.get_future().wait();
+    std::this_thread::sleep_for(Millis(10));
+    attempt.io_.run_for(Millis(200));
+    CAPTURE(turns);
+    CHECK_FALSE(attempt.observer_.HasEnded());
+    CHECK(attempt.observer_.Failures().size() == 1);
+    attempt.attempt_->Cancel();
+  }
+  CHECK(heads > 0);
+}
+
 TEST_CASE("Endpoint sockets detect a silent host by TCP keep-alive",
           "[gateway][attempt]") {
   asio::io_context io;
