Refuse answers of endpoints whose head is none, by one rule in core

What callers saw at a gateway: coded bytes as the body of a 200 where Transfer-Encoding was not known, had "chunked" not last, or had more beside it; and 503 "not run" for a request whose answer had status 000 or 999 and the sign of a rejection, and may have run.

Boost.Beast checks lines. It reads a coding that it does not know to the end of the connection, decodes the last of several only, and takes any three digits as a status. The check of the status stood in CheckAnswer, behind the branch that believes a rejection; 101 counted as an interim answer.

Change. core/answer_form.h decides on a head by its facts: a final status from 200 to 599, no other protocol, no coding but "chunked" alone and in HTTP/1.1, no length beside it, eight interim answers at most. adapters/answer_facts.h takes the facts from Beast's head. An attempt asks before anything else is read of the head; the endpoint is blamed, the line `garbled` names the fault, the request goes on elsewhere where it may be repeated and is never said not to have run. CheckAnswer uses the same rule of statuses.

Handled already (tests kept): names and values with blanks or control bytes, lines without a colon, a first line that is folded, odd versions, lengths that are no number, two lengths, broken chunks and trailers; status 000 as a success. A folded value arrives as one line.

--- a/src/adapters/answer_facts.cc
+++ b/src/adapters/answer_facts.cc
@@ -8,6 +8,11 @@
 namespace harecrank {
 namespace {
 
+namespace http = boost::beast::http;
+
+// Beast's form of a version: 11 is HTTP/1.1.
+constexpr unsigned kMajorVersion = 10;
+
 bool HasReset(int descriptor) {
   tcp_info info{};
   socklen_t size = sizeof(info);
@@ -25,6 +30,21 @@
 
 }  // namespace
 
+AnswerHead FactsOf(const http::response_header<http::fields>& head) {
+  AnswerHead facts;
+  facts.status = head.result_int();
+  facts.minor_version = head.version() % kMajorVersion;
+  facts.has_length = head.count(http::field::content_length) != 0;
+  const auto [first, last] = head.equal_range(http::field::transfer_encoding);
+  for (auto field = first; field != last; ++field) {
+    const std::string before = facts.transfer_coding.has_value()
+                                   ? *facts.transfer_coding + ", "
+                                   : std::string();
+    facts.transfer_coding = before + std::string(field->value());
+  }
+  return facts;
+}
+
 ConnectionEnd AskEnd(boost::asio::ip::tcp::socket* socket, bool write_failed,
                      bool is_written) {
   ConnectionEnd end;
--- a/src/core/answer_check.cc
+++ b/src/core/answer_check.cc
@@ -1,13 +1,8 @@
 #include "harecrank/core/answer_check.h"
 
-namespace harecrank {
-namespace {
-
-// Responses below are interim ones; above, the protocol defines none.
-constexpr unsigned kMinFinalStatus = 200;
-constexpr unsigned kMaxStatus = 599;
+#include "harecrank/core/answer_form.h"
 
-}  // namespace
+namespace harecrank {
 
 const char* NameOf(AnswerFault fault) {
   switch (fault) {
@@ -25,7 +20,7 @@
 
 std::optional<AnswerFault> CheckAnswer(const EndpointResponse& answer,
                                        const ExpectedAnswer& expected) {
-  if (answer.status < kMinFinalStatus || answer.status > kMaxStatus) {
+  if (!IsFinalStatus(answer.status)) {
     return AnswerFault::kStatus;
   }
   if (!answer.IsSuccess()) {
--- a/src/gateway/attempt.cc
+++ b/src/gateway/attempt.cc
@@ -23,9 +23,6 @@
 // connection, that an attempt skips before it fails. An endpoint may send one
 // stale response, but not a series.
 constexpr int kMaxStaleMessages = 2;
-// Maximum number of interim responses (1xx) before a response. Endpoints send
-// at most one.
-constexpr int kMaxInterimResponses = 8;
 // Maximum size of the read buffer. It holds a head, the line of a chunk's size
 // with its extensions, or a trailer.
 constexpr std::size_t kMaxBufferedBytes = kMaxHeaderBytes + 4096;
@@ -183,12 +180,12 @@
     return;
   }
   const ResponseHead& head = parser_->get();
-  if (head.result_int() / 100 == 1) {
-    if (++interim_responses_ > kMaxInterimResponses) {
-      Fail(AttemptBroken{"interim responses without end", false,
-                         connection_->reused, false});
-      return;
-    }
+  const HeadVerdict verdict = heads_.Check(FactsOf(head));
+  if (const auto* fault = std::get_if<HeadFault>(&verdict)) {
+    Fail(AttemptMalformed{*fault});
+    return;
+  }
+  if (std::get<AnswerStage>(verdict) == AnswerStage::kInterim) {
     ReadHead();
     return;
   }
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -14,6 +14,7 @@
 #include <string_view>
 #include <variant>
 
+#include "harecrank/core/answer_form.h"
 #include "src/gateway/endpoint_connection_pool.h"
 #include "src/gateway/protocol_names.h"
 #include "src/gateway/response_sink.h"
@@ -37,7 +38,12 @@
   // received was not a valid response, or the connection timed out.
   bool closed_by_endpoint = false;
 };
-using AttemptFailure = std::variant<AttemptNotSent, AttemptBroken>;
+// The endpoint sent what is no answer. The request may have run.
+struct AttemptMalformed {
+  HeadFault fault = HeadFault::kStatus;
+};
+using AttemptFailure =
+    std::variant<AttemptNotSent, AttemptBroken, AttemptMalformed>;
 
 // The request as it is sent to an endpoint. `body` is shared, since the request
 // may be sent several times.
@@ -148,7 +154,7 @@
   // this connection.
   bool is_stale_ = false;
   int stale_messages_ = 0;
-  int interim_responses_ = 0;
+  AnswerHeads heads_;
   // Whether the connection is asked for the second time how it has ended.
   bool end_was_early_ = false;
   bool paused_ = false;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -87,6 +87,7 @@
   // is then forwarded to the caller.
   bool RetryElsewhere(unsigned status);
   void OnNotSent(const AttemptNotSent& failure);
+  void OnMalformed(HeadFault fault);
   // Reports the aborted attempt to the crash guard, which checks whether the
   // endpoint has crashed. A request that may be repeated is retried after this
   // check; any other is given up at once.
--- a/src/gateway/exchange_attempts.cc
+++ b/src/gateway/exchange_attempts.cc
@@ -19,14 +19,11 @@
 // failures do not use up retries, since the request was not sent.
 constexpr int kMaxConnectFailures = 5;
 
-// Returns whether the head tells where the body of the response ends. Any
-// coding but chunked ends with the connection.
+// Returns whether the head tells where the body of the response ends. An
+// attempt passes on no transfer coding but "chunked".
 bool HasFramedEnd(const ResponseHead& head) {
-  const auto coding = head.find(http::field::transfer_encoding);
-  if (coding != head.end()) {
-    return boost::beast::iequals(coding->value(), "chunked");
-  }
-  return head.count(http::field::content_length) != 0 ||
+  return head.count(http::field::transfer_encoding) != 0 ||
+         head.count(http::field::content_length) != 0 ||
          head.result() == http::status::no_content ||
          head.result() == http::status::not_modified;
 }
@@ -221,6 +218,10 @@
     OnNotSent(*not_sent);
     return;
   }
+  if (const auto* malformed = std::get_if<AttemptMalformed>(&failure)) {
+    OnMalformed(malformed->fault);
+    return;
+  }
   // An aborted response does not prove that the endpoint is dead, so it only
   // counts as an error. If the endpoint is dead, the next connection attempt
   // fails.
@@ -231,6 +232,15 @@
   HandleBroken(std::get<AttemptBroken>(failure));
 }
 
+void Exchange::OnMalformed(HeadFault fault) {
+  LogGarbled(NameOf(fault));
+  OnErrorAnswer();
+  OnGroupTrouble("broken");
+  search_->End();
+  relay_.DropPartial();
+  OnMayHaveRun(NameOf(fault));
+}
+
 void Exchange::OnNotSent(const AttemptNotSent& failure) {
   search_->End();
   services_->crashes->OnNotSent(this, trial_);
