Believe no malformed answer about who an endpoint is

What callers saw: an answer without a length counted as whole though the process at the endpoint's address had answered the question who it is with status 000 or 999, with an interim answer, another protocol, or a coding that is not known. Any head was believed that names no other id. By the test, not seen with real servers.

Evidence, on the code before: "A malformed health answer does not tell who an endpoint is" 5 of 5 forms failed. "A health answer after an interim one tells who an endpoint is" passed, by chance: the interim one was believed.

--- a/src/gateway/endpoint_identifier.cc
+++ b/src/gateway/endpoint_identifier.cc
@@ -13,6 +13,7 @@
 
 #include "harecrank/core/answer_end.h"
 #include "harecrank/core/process_ending.h"
+#include "src/adapters/answer_facts.h"
 #include "src/adapters/tcp_endpoint.h"
 #include "src/gateway/timer.h"
 
@@ -122,6 +123,11 @@
     }
     buffer_.clear();
     buffer_.max_size(kMaxHeadBytes);
+    heads_ = {};
+    ReadHead();
+  }
+
+  void ReadHead() {
     parser_.emplace();
     http::async_read_header(socket_, buffer_, *parser_,
                             [self = shared_from_this()](const Error& failure,
@@ -139,6 +145,15 @@
       return;
     }
     const auto& head = parser_->get();
+    const HeadVerdict verdict = heads_.Check(FactsOf(head));
+    if (std::holds_alternative<HeadFault>(verdict)) {
+      AskAgain();
+      return;
+    }
+    if (std::get<AnswerStage>(verdict) == AnswerStage::kInterim) {
+      ReadHead();
+      return;
+    }
     IdentityAnswer answer;
     answer.status = head.result_int();
     const auto id = head.find(names_->own_endpoint);
@@ -178,6 +193,7 @@
   http::request<http::empty_body> request_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
+  AnswerHeads heads_;
   bool connecting_ = false;
   bool finished_ = false;
 };
--- a/src/gateway/endpoint_identifier.h
+++ b/src/gateway/endpoint_identifier.h
@@ -38,7 +38,7 @@
   // Calls `on_result` once, never from within this call. Waits for
   // kProcessEndingTime first, so that a process that is ending does not answer.
   // A connection that ends without an answer is tried again, since a busy
-  // endpoint resets connections.
+  // endpoint resets connections. An answer that is malformed is none.
   void Ask(Question question, OnResult on_result);
 
  private:
