Hold answers of the store, peers and memory orders to the rule of answers

What was seen: HttpClient, which calls the platform's store, peers and the memory orders of endpoints, took status 000 or 999 as an answer, 101 and other interim answers as the final one, and coded bytes as the body. By the tests; no real store or peer sent such an answer.

An unframed answer that is reset was handled already.

The head is read and checked by core/answer_form.h before the body; interim answers are passed over; an answer that ended with its connection is judged by core/answer_end.h.

--- a/src/gateway/http_client.cc
+++ b/src/gateway/http_client.cc
@@ -4,6 +4,7 @@
 #include <boost/beast/http/write.hpp>
 #include <utility>
 
+#include "src/adapters/answer_facts.h"
 #include "src/gateway/socket_options.h"
 
 namespace harecrank {
@@ -95,36 +96,72 @@
                         self->Fail("write", error);
                         return;
                       }
-                      self->Receive();
+                      self->heads_ = {};
+                      self->ReceiveHead();
                     });
 }
 
-void HttpClient::Receive() {
+void HttpClient::ReceiveHead() {
   parser_.emplace();
   parser_->body_limit(kMaxReplyBytes);
   buffer_.max_size(kMaxBufferedBytes);
-  http::async_read(*stream_, buffer_, *parser_,
-                   [self = shared_from_this()](boost::system::error_code error,
-                                               std::size_t) {
-                     if (error) {
-                       self->Fail("read", error);
-                       return;
-                     }
-                     const bool keep = self->parser_->keep_alive() &&
-                                       self->buffer_.size() == 0;
-                     HttpReply reply = self->parser_->release();
-                     if (!keep) {
-                       self->Close();
-                     }
-                     self->Finish(std::move(reply));
-                   });
+  http::async_read_header(
+      *stream_, buffer_, *parser_,
+      [self = shared_from_this()](boost::system::error_code error,
+                                  std::size_t) { self->OnHead(error); });
+}
+
+void HttpClient::OnHead(const boost::system::error_code& error) {
+  if (error) {
+    Fail("read", error);
+    return;
+  }
+  const HeadVerdict verdict = heads_.Check(FactsOf(parser_->get()));
+  if (const auto* fault = std::get_if<HeadFault>(&verdict)) {
+    FailWith(std::string("no answer: ") + NameOf(*fault));
+  } else if (std::get<AnswerStage>(verdict) == AnswerStage::kInterim) {
+    ReceiveHead();
+  } else {
+    ReceiveBody();
+  }
+}
+
+void HttpClient::ReceiveBody() {
+  http::async_read(
+      *stream_, buffer_, *parser_,
+      [self = shared_from_this()](boost::system::error_code error,
+                                  std::size_t) { self->OnReceived(error); });
+}
+
+void HttpClient::OnReceived(const boost::system::error_code& error) {
+  if (error) {
+    Fail("read", error);
+    return;
+  }
+  const bool is_cut_off =
+      parser_->need_eof() &&
+      JudgeEnd(AskEnd(&stream_->socket(), false, true)) == EndVerdict::kCutOff;
+  if (is_cut_off) {
+    Fail("end", asio::error::connection_reset);
+    return;
+  }
+  const bool keep = parser_->keep_alive() && buffer_.size() == 0;
+  HttpReply reply = parser_->release();
+  if (!keep) {
+    Close();
+  }
+  Finish(std::move(reply));
 }
 
 void HttpClient::Fail(const std::string& step,
                       const boost::system::error_code& error) {
+  FailWith(step + ": " + error.message() +
+           (reused_ ? " on a kept connection" : ""));
+}
+
+void HttpClient::FailWith(const std::string& reason) {
   Close();
-  Finish(CallFailure{step + ": " + error.message() +
-                     (reused_ ? " on a kept connection" : "")});
+  Finish(CallFailure{reason});
 }
 
 void HttpClient::Finish(CallResult result) {
--- a/src/gateway/http_client.h
+++ b/src/gateway/http_client.h
@@ -17,6 +17,7 @@
 #include <string>
 #include <variant>
 
+#include "harecrank/core/answer_form.h"
 #include "harecrank/core/strong_types.h"
 #include "src/adapters/tcp_endpoint.h"
 
@@ -58,13 +59,17 @@
   void Start(HttpRequest request, Millis timeout, Handler handler);
   void Connect();
   void Send();
-  void Receive();
+  void ReceiveHead();
+  void OnHead(const boost::system::error_code& error);
+  void ReceiveBody();
+  void OnReceived(const boost::system::error_code& error);
   // Closes the connection if there is something to read on it: it is no reply
   // to a call that has not been sent yet.
   void DropUnusable();
   void Close();
   void Finish(CallResult result);
   void Fail(const std::string& step, const boost::system::error_code& error);
+  void FailWith(const std::string& reason);
 
   boost::asio::io_context* io_;
   std::string address_;
@@ -72,6 +77,7 @@
   boost::beast::flat_buffer buffer_;
   HttpRequest request_;
   std::optional<Parser> parser_;
+  AnswerHeads heads_;
   Handler handler_;
   // Whether the connection has served an earlier call. If so, a failure may
   // mean that the server has closed it as idle.
