Hold the calls of entry and sidecar to the rule of answers, and read early ones

By the tests also: status 000 as an answer, an engine's status 999 as a rejection, so that its request was said not to have run, a 200 after a 101; and an early answer of a server that reads no more of a long body was lost, since the call wrote all of the request before it read anything.

Resets under the body, with and without an end before, were handled already and are now so while the answer is read beside the write.

A call begins to write and reads at once. Everything that uses these calls has the rule: engines and plain services, configuration service, peers, administration, `load` and the stand-ins.

--- a/src/adapters/http_call.cc
+++ b/src/adapters/http_call.cc
@@ -16,7 +16,7 @@
 #include <string_view>
 #include <utility>
 
-#include "harecrank/core/answer_end.h"
+#include "src/adapters/answer_facts.h"
 #include "src/adapters/tcp_endpoint.h"
 
 namespace harecrank {
@@ -34,8 +34,6 @@
 // size with its extensions, a trailer, or a piece of the body.
 constexpr std::size_t kMaxBufferedBytes = std::size_t{2} * kMaxHeaderBytes;
 constexpr std::size_t kReadBytes = 16384;
-// Maximum number of interim responses (1xx) before a response.
-constexpr int kMaxInterimResponses = 8;
 constexpr unsigned kHttp11 = 11;
 
 struct Describer {
@@ -81,28 +79,26 @@
     if (!endpoint.has_value()) {
       return asio::error::invalid_argument;
     }
-    Error result;
+    std::optional<Error> result;
     stream_.async_connect(*endpoint,
                           [&result](const Error& error) { result = error; });
-    Run();
+    RunUntil(result);
     Error ignored;
     stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
-    return result;
+    return *result;
   }
 
-  // Sends the request and reads the head of the response.
-  Error Exchange() {
-    const http::request<http::string_body> request = MakeRequest(call_);
-    Error result;
-    http::async_write(stream_, request,
-                      [&result](const Error& error, std::size_t /*bytes*/) {
-                        result = error;
+  // Begins to send the request and reads the head of the response. A server may
+  // answer before it has read the whole request, so that the request is sent
+  // while the response is read.
+  std::optional<HttpError> Exchange() {
+    request_ = MakeRequest(call_);
+    http::async_write(stream_, request_,
+                      [this](const Error& error, std::size_t /*bytes*/) {
+                        write_error_ = error;
+                        is_written_ = !error;
                       });
-    Run();
-    write_error_ = result;
-    // A server may answer before it has read the whole request, and close.
-    const Error read = ReadHead();
-    return result && read ? result : read;
+    return ReadHead();
   }
 
   // Reads what arrives next of the body. Returns 0 at its end, or after an
@@ -117,19 +113,19 @@
       auto& body = parser_->get().body();
       body.data = data;
       body.size = size;
-      Error result;
+      std::optional<Error> result;
       http::async_read_some(
           stream_, buffer_, *parser_,
           [&result](const Error& error, std::size_t /*bytes*/) {
             result = error;
           });
-      Run();
+      RunUntil(result);
       const std::size_t received = size - body.size;
-      if (result != http::error::need_buffer) {
-        error_ = result;
+      if (*result != http::error::need_buffer) {
+        error_ = *result;
       }
-      if (parser_->is_done() && IsCutOff()) {
-        error_ = write_error_;
+      if (!error_ && parser_->is_done() && parser_->need_eof()) {
+        error_ = EndError();
       }
       if (received > 0) {
         return received;
@@ -163,42 +159,64 @@
   using Clock = std::chrono::steady_clock;
   using Parser = http::response_parser<http::buffer_body>;
 
-  Error ReadHead() {
+  // Returns why there is no response.
+  std::optional<HttpError> ReadHead() {
     buffer_.max_size(kMaxBufferedBytes);
-    for (int i = 0; i <= kMaxInterimResponses; ++i) {
-      parser_.emplace();
-      parser_->header_limit(kMaxHeaderBytes);
-      parser_->body_limit(boost::none);
-      parser_->skip(call_.method == "HEAD");
-      Error result;
-      http::async_read_header(
-          stream_, buffer_, *parser_,
-          [&result](const Error& error, std::size_t /*bytes*/) {
-            result = error;
-          });
-      Run();
-      const bool is_interim =
-          !result && http::to_status_class(parser_->get().result_int()) ==
-                         http::status_class::informational;
-      if (!is_interim) {
-        return result;
+    AnswerHeads heads;
+    for (;;) {
+      if (const Error error = ReadNextHead()) {
+        return NoResponse{(write_error_ ? write_error_ : error).message()};
       }
+      const HeadVerdict verdict = heads.Check(FactsOf(parser_->get()));
+      if (const auto* fault = std::get_if<HeadFault>(&verdict)) {
+        return NoResponse{std::string("malformed: ") + NameOf(*fault)};
+      }
+      if (std::get<AnswerStage>(verdict) == AnswerStage::kFinal) {
+        return std::nullopt;
+      }
+    }
+  }
+
+  Error ReadNextHead() {
+    parser_.emplace();
+    parser_->header_limit(kMaxHeaderBytes);
+    parser_->body_limit(boost::none);
+    parser_->skip(call_.method == "HEAD");
+    std::optional<Error> result;
+    http::async_read_header(
+        stream_, buffer_, *parser_,
+        [&result](const Error& error, std::size_t /*bytes*/) {
+          result = error;
+        });
+    RunUntil(result);
+    return *result;
+  }
+
+  // Returns why the body was cut off that has ended with its connection, if it
+  // was.
+  Error EndError() {
+    EndVerdict verdict = JudgeEnd(End());
+    if (verdict == EndVerdict::kTooEarly) {
+      io_.restart();
+      io_.run_for(kEarlyEndPause);
+      verdict = JudgeEnd(End());
     }
-    return http::error::bad_status;
+    if (verdict != EndVerdict::kCutOff) {
+      return {};
+    }
+    return write_error_ ? write_error_ : asio::error::connection_reset;
   }
 
-  // Returns whether the body has ended with its connection and cannot be whole.
-  bool IsCutOff() const {
-    ConnectionEnd end;
-    end.closed_in_order = true;
-    end.other_operation_failed = static_cast<bool>(write_error_);
-    return parser_->need_eof() && JudgeEnd(end) == EndVerdict::kCutOff;
+  ConnectionEnd End() {
+    return AskEnd(&stream_.socket(), static_cast<bool>(write_error_),
+                  is_written_);
   }
 
-  // Runs the operation that was begun to its end.
-  void Run() {
+  // Runs what was begun until there is a `result`.
+  void RunUntil(const std::optional<Error>& result) {
     io_.restart();
-    io_.run();
+    while (!result.has_value() && io_.run_one() > 0) {
+    }
   }
 
   const HttpCall& call_;
@@ -206,7 +224,9 @@
   asio::io_context io_;
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
+  http::request<http::string_body> request_;
   std::optional<Parser> parser_;
+  bool is_written_ = false;
   Error write_error_;
   Error error_;
 };
@@ -278,8 +298,8 @@
   if (const Error error = session->Connect()) {
     return leaf::new_error(HttpError{Unreachable{error.message()}});
   }
-  if (const Error error = session->Exchange()) {
-    return NewNoResponse(error);
+  if (auto error = session->Exchange()) {
+    return leaf::new_error(*std::move(error));
   }
   return {};
 }
--- a/src/adapters/http_call_test.cc
+++ b/src/adapters/http_call_test.cc
@@ -6,6 +6,7 @@
 
 #include "src/adapters/http.h"
 #include "testing/byte_server.h"
+#include "testing/malformed_answers.h"
 
 namespace harecrank {
 namespace {
@@ -32,6 +33,17 @@
   return Send(CallTo(server));
 }
 
+// Returns whether a call that gets `bytes` fails. A status of 0 would not tell.
+bool CallFails(const std::string& bytes) {
+  const ByteServer server(SendAndClose(bytes));
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<bool> {
+        BOOST_LEAF_CHECK(SendHttpRequest(CallTo(server)));
+        return false;
+      },
+      [] { return true; });
+}
+
 TEST_CASE("A call whose answer's head stops halfway has no response") {
   const std::string head =
       "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
@@ -141,6 +153,87 @@
       "well");
 }
 
+TEST_CASE("A call whose answer is malformed has no response") {
+  for (const testing::AnswerText& answer : testing::MalformedAnswers()) {
+    CAPTURE(answer.name);
+    CHECK(CallFails(answer.With("")));
+  }
+}
+
+TEST_CASE("A call whose answer is misframed has no response") {
+  for (const testing::AnswerText& answer : testing::MisframedAnswers()) {
+    CAPTURE(answer.name);
+    CHECK(CallFails(answer.With("")));
+  }
+}
+
+// Sends `answer` as soon as the head of a long request is there, then does what
+// `after` says without reading the body.
+HttpResponse AnswerEarly(const std::string& answer, std::size_t body_bytes,
+                         const ByteServer::Serve& after) {
+  const ByteServer server([&](ByteConnection& connection) {
+    connection.ReadHead();
+    connection.Send(answer);
+    after(connection);
+  });
+  HttpCall call = CallTo(server);
+  call.method = "POST";
+  call.body = std::string(body_bytes, 'b');
+  call.timeout = Millis(1500);
+  return Send(call);
+}
+
+TEST_CASE("A call gets an early answer of a server that reads no more") {
+  constexpr std::size_t kBodyBytes = 32U << 20U;
+  // Longer than the call may take.
+  const auto hold = [](ByteConnection&) {
+    std::this_thread::sleep_for(Millis(2500));
+  };
+  const auto end = [&hold](ByteConnection& connection) {
+    connection.EndSending();
+    hold(connection);
+  };
+  CHECK(AnswerEarly("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nwell",
+                    kBodyBytes, hold)
+            .body == "well");
+  CHECK(AnswerEarly("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "4\r\nwell\r\n0\r\n\r\n",
+                    kBodyBytes, hold)
+            .body == "well");
+  CHECK(AnswerEarly("HTTP/1.1 200 OK\r\n\r\nwell", kBodyBytes, end).body ==
+        "well");
+}
+
+TEST_CASE("A call whose unframed answer is reset early has no response") {
+  for (const std::size_t body_bytes : {500000U, 6000000U, 20000000U}) {
+    for (const char* body : {"", "we"}) {
+      for (const Millis gap : {Millis(0), Millis(2), Millis(20)}) {
+        CAPTURE(body_bytes, body, gap.count());
+        const std::string answer =
+            std::string("HTTP/1.1 200 OK\r\n\r\n") + body;
+        const auto reset = [gap](ByteConnection& connection) {
+          std::this_thread::sleep_for(gap);
+          connection.Reset();
+        };
+        CHECK(AnswerEarly(answer, body_bytes, reset).status == 0);
+      }
+    }
+  }
+}
+
+TEST_CASE("A call under whose body an end is followed by a reset fails") {
+  for (const Millis gap : {Millis(0), Millis(2), Millis(20)}) {
+    CAPTURE(gap.count());
+    const auto end_and_reset = [gap](ByteConnection& connection) {
+      connection.EndSending();
+      std::this_thread::sleep_for(gap);
+      connection.Reset();
+    };
+    CHECK(AnswerEarly("HTTP/1.1 200 OK\r\n\r\nwe", 20000000U, end_and_reset)
+              .status == 0);
+  }
+}
+
 TEST_CASE("Interim responses come before the response of a call") {
   const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
   CHECK(SendTo(SendAndClose(interim +
--- a/src/sidecar/http_engine_test.cc
+++ b/src/sidecar/http_engine_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "testing/byte_server.h"
+#include "testing/malformed_answers.h"
 
 namespace harecrank {
 namespace {
@@ -103,5 +104,34 @@
   }
 }
 
+// Returns whether a call of the engine at `address` says that its outcome is
+// unknown. A rejection would say that the request has not run.
+bool IsOutcomeUnknown(const std::string& address) {
+  HttpEngine engine(address);
+  EngineRequest request;
+  request.timeout = Millis(5000);
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<bool> {
+        BOOST_LEAF_CHECK(engine.Generate(
+            request, [] {},
+            [](std::int64_t /*position*/, const std::string& /*token*/) {
+              return true;
+            }));
+        return false;
+      },
+      [](const EngineError& error) {
+        return std::holds_alternative<EngineOutcomeUnknown>(error);
+      },
+      [] { return false; });
+}
+
+TEST_CASE("A malformed answer of an engine does not say that nothing ran") {
+  for (const testing::AnswerText& answer : testing::MalformedAnswers()) {
+    const ByteServer server(SendAndClose(answer.With("")));
+    CAPTURE(answer.name);
+    CHECK(IsOutcomeUnknown(server.Address()));
+  }
+}
+
 }  // namespace
 }  // namespace harecrank
--- a/testing/byte_server.cc
+++ b/testing/byte_server.cc
@@ -41,6 +41,11 @@
   }
 }
 
+void ByteConnection::EndSending() {
+  boost::system::error_code ignored;
+  socket_->shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 void ByteConnection::Reset() {
   boost::system::error_code ignored;
   socket_->set_option(asio::socket_base::linger(true, 0), ignored);
--- a/testing/byte_server.h
+++ b/testing/byte_server.h
@@ -28,6 +28,8 @@
   bool Send(const std::string& bytes);
   // Sends `bytes` again and again until the peer closes.
   void SendWithoutEnd(const std::string& bytes);
+  // Ends this side of the connection; the other side stays open.
+  void EndSending();
   // Closes the connection by a TCP reset.
   void Reset();
 
