--- a/include/harecrank/core/answer_form.h
+++ b/include/harecrank/core/answer_form.h
@@ -67,6 +67,10 @@
   int interim_answers_ = 0;
 };
 
+// Returns what is wrong with the only head that follows a request, for readers
+// that expect no interim answers.
+std::optional<HeadFault> FaultOfOnlyHead(const AnswerHead& head);
+
 }  // namespace harecrank
 
 #endif  // HARECRANK_CORE_ANSWER_FORM_H_
--- a/src/core/answer_form.cc
+++ b/src/core/answer_form.cc
@@ -74,4 +74,14 @@
   return is_final ? AnswerStage::kFinal : AnswerStage::kInterim;
 }
 
+std::optional<HeadFault> FaultOfOnlyHead(const AnswerHead& head) {
+  const HeadVerdict verdict = AnswerHeads().Check(head);
+  if (const auto* fault = std::get_if<HeadFault>(&verdict)) {
+    return *fault;
+  }
+  return std::get<AnswerStage>(verdict) == AnswerStage::kInterim
+             ? std::make_optional(HeadFault::kNoFinalAnswer)
+             : std::nullopt;
+}
+
 }  // namespace harecrank
--- a/src/core/answer_form_test.cc
+++ b/src/core/answer_form_test.cc
@@ -63,6 +63,12 @@
   CHECK(Check(head) == HeadVerdict(HeadFault::kTwoLengths));
 }
 
+TEST_CASE("The only head that follows a request is final and sound") {
+  CHECK_FALSE(FaultOfOnlyHead({200, 1, true, {}}).has_value());
+  CHECK(FaultOfOnlyHead({103, 1, true, {}}) == HeadFault::kNoFinalAnswer);
+  CHECK(FaultOfOnlyHead({0, 1, true, {}}) == HeadFault::kStatus);
+}
+
 TEST_CASE("Each fault of a head has a name of its own") {
   std::set<std::string> names;
   for (const HeadFault fault :
