Calls: wait the whole pause for a reset after an early end, and free written bodies

A call whose request was written but not yet acknowledged had nothing left to run, so the pause before the connection is asked again was over at once. And the body of a request, which a call now keeps until it has been written, was kept until the call's end: a sidecar would have held each prompt for the whole of its answer.

A timer holds the pause; the body is released when it is written. The tests of calls pass (189 checks); no test tells the pause of written requests apart.

--- a/src/adapters/http_call.cc
+++ b/src/adapters/http_call.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
@@ -90,13 +91,14 @@
 
   // Begins to send the request and reads the head of the response. A server may
   // answer before it has read the whole request, so that the request is sent
-  // while the response is read.
+  // while the response is read. The body is released once it is written.
   std::optional<HttpError> Exchange() {
     request_ = MakeRequest(call_);
     http::async_write(stream_, request_,
                       [this](const Error& error, std::size_t /*bytes*/) {
                         write_error_ = error;
                         is_written_ = !error;
+                        std::string().swap(request_.body());
                       });
     return ReadHead();
   }
@@ -197,8 +199,7 @@
   Error EndError() {
     EndVerdict verdict = JudgeEnd(End());
     if (verdict == EndVerdict::kTooEarly) {
-      io_.restart();
-      io_.run_for(kEarlyEndPause);
+      SendOn(kEarlyEndPause);
       verdict = JudgeEnd(End());
     }
     if (verdict != EndVerdict::kCutOff) {
@@ -212,6 +213,14 @@
                   is_written_);
   }
 
+  // Lets the request be written for `time`.
+  void SendOn(Millis time) {
+    asio::steady_timer timer(io_, time);
+    std::optional<Error> result;
+    timer.async_wait([&result](const Error& error) { result = error; });
+    RunUntil(result);
+  }
+
   // Runs what was begun until there is a `result`.
   void RunUntil(const std::optional<Error>& result) {
     io_.restart();
