Reset the connection of a caller of HTTP/1.0 whose stream is cut

What such a caller saw: a stream that an endpoint broke off as a complete one. A caller without chunks sees the end of a stream by its connection alone, and AbortStream closed it in order.

A session knows that its response ends with the connection, and resets it when it is closed before the response is complete and sent.

--- a/src/gateway/caller_session.cc
+++ b/src/gateway/caller_session.cc
@@ -322,6 +322,8 @@
   state_ = State::kClosed;
   ++timer_generation_;
   timer_.cancel();
+  const bool is_cut =
+      ends_with_connection_ && !(response_complete_ && output_.IsEmpty());
   output_.Close();
   memory_.Resize(0);
   // The request handle may hold the last reference to this.
@@ -330,7 +332,12 @@
     request->OnCallerDisconnected();
   }
   Error ignored;
-  socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+  if (is_cut) {
+    // An orderly end would make the response look whole.
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  } else {
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+  }
   socket_.close(ignored);
 }
 
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -211,6 +211,8 @@
   bool keep_alive_ = false;
   bool response_has_no_body_ = false;
   bool chunked_ = false;
+  // A response has begun whose only end is that of the connection.
+  bool ends_with_connection_ = false;
   bool close_after_flush_ = false;
   bool response_complete_ = false;
   // Whether the request in progress waits to be told that the caller reads on.
--- a/src/gateway/caller_session_response.cc
+++ b/src/gateway/caller_session_response.cc
@@ -56,6 +56,7 @@
   if (chunked_) {
     AppendHeader("Transfer-Encoding", "chunked", &text);
   }
+  ends_with_connection_ = !chunked_;
   if (!keep_alive_) {
     AppendHeader("Connection", "close", &text);
   }
@@ -92,7 +93,7 @@
   request_.reset();
   close_after_flush_ = true;
   // Data that is already queued is still sent. The caller recognises the
-  // incomplete response by its missing end.
+  // incomplete response by its missing end, or by the reset of Close.
   if (output_.IsEmpty()) {
     Close();
   }
